--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the system on loopback; see docs/ for the figures."""
--- /dev/null
+++ b/oleanderstair/clock.py
@@ -0,0 +1,53 @@
+"""Time in milliseconds, read through one small type that tests can steer."""
+
+import dataclasses
+import time
+import typing
+
+Millis: typing.TypeAlias = float
+
+NEVER_MS: typing.Final[Millis] = float('-inf')
+_NS_PER_MS: typing.Final = 1_000_000
+
+
+class Clock(typing.Protocol):
+    """Tell the time in ms since an arbitrary start; it never goes back."""
+
+    def now_ms(self) -> Millis:
+        """Return the current time in ms."""
+
+
+class _MonotonicClock:
+    def now_ms(self) -> Millis:
+        return time.monotonic_ns() / _NS_PER_MS
+
+
+@dataclasses.dataclass(slots=True)
+class VirtualClock:
+    """A clock that moves only when told to, for tests and replay."""
+
+    at_ms: Millis = 0
+
+    def now_ms(self) -> Millis:
+        """Return the time that was last set, in ms."""
+        return self.at_ms
+
+    def advance(self, by_ms: Millis) -> Millis:
+        """Move the clock forward by ``by_ms`` and return the new time."""
+        self.at_ms += by_ms
+        return self.at_ms
+
+
+def monotonic() -> Clock:
+    """Create a clock that follows the machine's monotonic time."""
+    return _MonotonicClock()
+
+
+def virtual(at_ms: Millis = 0) -> VirtualClock:
+    """Create a clock that stands at ``at_ms`` until it is advanced."""
+    return VirtualClock(at_ms)
+
+
+def to_seconds(span_ms: Millis) -> float:
+    """Convert ms to the seconds that library timeouts take."""
+    return max(span_ms, 0) / 1000  # noqa: WPS432 (ms in a second)
--- /dev/null
+++ b/oleanderstair/domain/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: tables of entities and the systems that run over them."""
--- /dev/null
+++ b/oleanderstair/domain/answering.py
@@ -0,0 +1,42 @@
+"""Ends calls: relays an answer or refuses, and settles the key."""
+
+from oleanderstair import clock
+from oleanderstair.domain import actions, keys, outcomes, world
+from oleanderstair.domain.tables import calls
+
+
+def relay(
+    state: world.World,
+    call: calls.Call,
+    attempt_id: int,
+) -> list[actions.Action]:
+    """Relay the answer of an attempt and cancel the call's others."""
+    losers = [
+        actions.CancelAttempt(call.call_id, attempt.attempt_id)
+        for attempt in call.attempts
+        if attempt.attempt_id != attempt_id
+    ]
+    state.calls.call_by_id.pop(call.call_id, None)
+    recorded = call.call_id in state.keys.key_by_call_id
+    return [
+        actions.Relay(call.call_id, attempt_id, record=recorded),
+        *losers,
+        *keys.settle(state, call.call_id, outcomes.Outcome.RAN, None),
+    ]
+
+
+def refuse(
+    state: world.World,
+    call: calls.Call,
+    reason: outcomes.Reason,
+    retry_after_ms: clock.Millis = 0,
+) -> list[actions.Action]:
+    """End a call without an answer; unknown where it may have run."""
+    outcome = outcomes.Outcome.NOT_RUN
+    if call.may_have_run:
+        outcome = outcomes.Outcome.UNKNOWN
+    state.calls.call_by_id.pop(call.call_id, None)
+    return [
+        actions.Refuse(call.call_id, outcome, reason, retry_after_ms),
+        *keys.settle(state, call.call_id, outcome, reason),
+    ]
--- /dev/null
+++ b/oleanderstair/domain/attempts.py
@@ -0,0 +1,121 @@
+"""Decides what follows when an attempt at a target has ended."""
+
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import (
+    actions,
+    answering,
+    conditions,
+    dispatching,
+    events,
+    outcomes,
+    queueing,
+    suspects,
+    world,
+)
+from oleanderstair.domain.tables import calls
+
+_PROVEN_NOT_RUN: typing.Final = frozenset(
+    (events.Verdict.SHED, events.Verdict.NOT_SENT),
+)
+
+
+def on_attempt_ended(
+    state: world.World,
+    event: events.AttemptEnded,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Relay the answer, try again, or tell the caller what is known."""
+    call = state.calls.call_by_id.get(event.call_id)
+    attempt = _find_attempt(call, event.attempt_id)
+    if call is None or attempt is None:
+        return []
+    took_ms = now_ms - attempt.started_at_ms
+    learned = conditions.on_attempt_ended(
+        state,
+        attempt.target_id,
+        event,
+        took_ms,
+        now_ms,
+    )
+    call = _without_attempt(state, call, attempt, event)
+    if event.crashed:
+        learned.extend(suspects.on_death(state, call, now_ms))
+    return [
+        *learned,
+        *_conclude(state, call, event, now_ms),
+        *dispatching.pump(state, call.received.service, now_ms),
+    ]
+
+
+def _find_attempt(
+    call: calls.Call | None,
+    attempt_id: int,
+) -> calls.Attempt | None:
+    if call is None:
+        return None
+    for attempt in call.attempts:
+        if attempt.attempt_id == attempt_id:
+            return attempt
+    return None
+
+
+def _without_attempt(
+    state: world.World,
+    call: calls.Call,
+    ended: calls.Attempt,
+    event: events.AttemptEnded,
+) -> calls.Call:
+    call = call._replace(
+        attempts=tuple(
+            attempt
+            for attempt in call.attempts
+            if attempt.attempt_id != ended.attempt_id
+        ),
+        last_verdict=event.verdict,
+        may_have_run=(
+            call.may_have_run or event.verdict not in _PROVEN_NOT_RUN
+        ),
+    )
+    state.calls.call_by_id[call.call_id] = call
+    return call
+
+
+def _conclude(
+    state: world.World,
+    call: calls.Call,
+    event: events.AttemptEnded,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    if event.verdict is events.Verdict.ANSWERED:
+        return answering.relay(state, call, event.attempt_id)
+    if call.attempts:
+        return []
+    if _may_retry(state, call, now_ms):
+        return _retry(state, call)
+    reason = outcomes.Reason.TARGET_REFUSED
+    if call.may_have_run:
+        reason = outcomes.Reason.TARGET_LOST
+    return answering.refuse(state, call, reason, event.retry_after_ms)
+
+
+def _may_retry(
+    state: world.World,
+    call: calls.Call,
+    now_ms: clock.Millis,
+) -> bool:
+    if call.caller_left or call.received.deadline_ms <= now_ms:
+        return False
+    if suspects.is_refused(state, call.received.fingerprint, now_ms):
+        return False
+    return call.idempotent or not call.may_have_run
+
+
+def _retry(state: world.World, call: calls.Call) -> list[actions.Action]:
+    state.calls.call_by_id[call.call_id] = call._replace(
+        state=calls.CallState.QUEUED,
+    )
+    if queueing.push(state, call.received.service, call.call_id):
+        return []
+    return answering.refuse(state, call, outcomes.Reason.OVERLOADED)
--- /dev/null
+++ b/oleanderstair/domain/balancer.py
@@ -0,0 +1,71 @@
+"""Runs the systems that an event concerns, in a fixed order."""
+
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import (
+    actions,
+    admission,
+    attempts,
+    events,
+    gossip,
+    measuring,
+    membership,
+    ramps,
+    reading,
+    spread,
+    stopping,
+    world,
+)
+
+
+class System(typing.Protocol):
+    """A rule that reads and changes tables at an event."""
+
+    def __call__(
+        self,
+        state: world.World,
+        event: typing.Any,
+        now_ms: clock.Millis,
+    ) -> list[actions.Action]:
+        """Change the tables and return what the shell shall do."""
+
+
+SYSTEMS_BY_EVENT: typing.Final[dict[type[events.Event], tuple[System, ...]]] = {
+    events.CallReceived: (admission.on_call,),
+    events.CallerLeft: (admission.on_caller_left,),
+    events.AttemptEnded: (attempts.on_attempt_ended,),
+    events.HomeReplied: (admission.on_home_reply,),
+    events.ValueRead: (spread.on_value,),
+    events.ReadFailed: (),
+    events.InstancesRead: (membership.on_instances,),
+    events.ProbeEnded: (measuring.on_probe_ended,),
+    events.PeerHeard: (spread.on_peer, gossip.on_peer),
+    events.FactAdopted: (),
+    events.Tick: (
+        membership.on_tick,
+        reading.on_tick,
+        gossip.on_tick,
+        measuring.on_tick,
+        ramps.on_tick,
+        admission.on_tick,
+        stopping.on_tick,
+    ),
+    events.StopRequested: (stopping.on_stop,),
+}
+
+
+def step(
+    state: world.World,
+    event: events.Event,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Run the systems of ``event`` and return their actions in order."""
+    done: list[actions.Action] = []
+    for system in SYSTEMS_BY_EVENT[type(event)]:
+        for action in system(state, event, now_ms):
+            if isinstance(action, actions.Notify):
+                done.extend(step(state, action.event, now_ms))
+            else:
+                done.append(action)
+    return done
--- /dev/null
+++ b/oleanderstair/domain/events.py
@@ -0,0 +1,160 @@
+"""What the I/O shell tells the decision code."""
+
+import enum
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import messages, outcomes
+
+# Calls
+
+
+class CallReceived(typing.NamedTuple):
+    """A whole call arrived from a caller or, at its home, from a peer."""
+
+    call_id: int
+    service: str
+    method: str
+    path: str
+    deadline_ms: clock.Millis
+    key: str = ''
+    depth: int = 0
+    fingerprint: str = ''
+    from_peer: str = ''
+
+
+class CallerLeft(typing.NamedTuple):
+    """The caller closed its connection before it had the answer."""
+
+    call_id: int
+
+
+class Verdict(enum.Enum):
+    """How one attempt at a target ended."""
+
+    ANSWERED = 'answered'
+    SHED = 'shed'
+    NOT_SENT = 'not-sent'
+    BROKEN = 'broken'
+    SILENT = 'silent'
+    CANCELLED = 'cancelled'
+
+
+class AttemptEnded(typing.NamedTuple):
+    """An attempt ended; only SHED and NOT_SENT prove that it did not run.
+
+    ``crashed`` is true where the target's connection was reset or closed
+    in the middle of the exchange.
+    """
+
+    call_id: int
+    attempt_id: int
+    verdict: Verdict
+    status: int = 0
+    retry_after_ms: clock.Millis = 0
+    leaving: bool = False
+    crashed: bool = False
+
+
+class HomeReplied(typing.NamedTuple):
+    """The home of a forwarded call answered; the shell holds the answer."""
+
+    call_id: int
+    outcome: outcomes.Outcome
+    reason: outcomes.Reason | None = None
+    retry_after_ms: clock.Millis = 0
+
+
+# Platform and targets
+
+
+class ValueRead(typing.NamedTuple):
+    """A configuration value arrived; ``body`` is None where it is absent."""
+
+    name: str
+    body: bytes | None
+
+
+class ReadFailed(typing.NamedTuple):
+    """A read or watch of a configuration value failed or timed out."""
+
+    name: str
+    what: str
+
+
+class ListedInstance(typing.NamedTuple):
+    """One entry of the platform's instance list."""
+
+    instance_id: str
+    region: str
+    data_centre: str
+    caller_address: str
+    peer_address: str
+    leaving: bool = False
+
+
+class InstancesRead(typing.NamedTuple):
+    """The platform's lagging list of instances arrived."""
+
+    entries: tuple[ListedInstance, ...]
+
+
+class TargetReport(typing.NamedTuple):
+    """What a target's health and load endpoints said."""
+
+    healthy: bool
+    leaving: bool = False
+    in_flight: int = 0
+    queued: int = 0
+    incarnation: str = ''
+
+
+class ProbeEnded(typing.NamedTuple):
+    """A probe of a target ended; ``report`` is None where it failed."""
+
+    target_id: str
+    report: TargetReport | None
+    took_ms: clock.Millis
+
+
+# Peers
+
+
+class PeerHeard(typing.NamedTuple):
+    """A message from a peer arrived."""
+
+    sender: str
+    message: messages.Message
+
+
+class FactAdopted(typing.NamedTuple):
+    """A peer's fact replaced an older one in the facts table."""
+
+    fact: messages.Fact
+
+
+# Process
+
+
+class Tick(typing.NamedTuple):
+    """The periodic run of all systems is due."""
+
+
+class StopRequested(typing.NamedTuple):
+    """The operator asked for a planned stop."""
+
+
+Event: typing.TypeAlias = (
+    CallReceived
+    | CallerLeft
+    | AttemptEnded
+    | HomeReplied
+    | ValueRead
+    | ReadFailed
+    | InstancesRead
+    | ProbeEnded
+    | PeerHeard
+    | FactAdopted
+    | Tick
+    | StopRequested
+)
--- /dev/null
+++ b/oleanderstair/domain/messages.py
@@ -0,0 +1,162 @@
+"""What instances tell each other: facts, note bodies and heartbeats.
+
+Every type here crosses the wire as an array behind a short tag, see
+``codec``. Fields are only ever added at the end, with a default.
+"""
+
+import typing
+
+from oleanderstair import clock
+
+# Fact bodies
+
+
+class TargetLeaving(typing.NamedTuple):
+    """A target was seen to leave; it receives no new work."""
+
+    target_id: str
+    target_incarnation: str
+    leaving: bool = True
+
+
+class RampState(typing.NamedTuple):
+    """How far a returning target has come back, fleet-wide."""
+
+    target_id: str
+    generation: int
+    stage: int
+    wait_ms: clock.Millis = 0
+
+
+class TargetLoad(typing.NamedTuple):
+    """What one instance has in flight at a target, and its last report."""
+
+    target_id: str
+    in_flight: int
+    reported_in_flight: int = -1
+    report_age_ms: clock.Millis = 0
+
+
+class CallSuspect(typing.NamedTuple):
+    """A fingerprint of a call that may crash the targets that run it."""
+
+    fingerprint: str
+    deaths: int
+
+
+class InstanceState(typing.NamedTuple):
+    """What an instance says of itself."""
+
+    leaving: bool
+    confirmed: bool
+    note_number: int
+    note_digest: str
+    largest_count: int
+
+
+FactBody: typing.TypeAlias = (
+    TargetLeaving | RampState | TargetLoad | CallSuspect | InstanceState
+)
+
+
+class Fact(typing.NamedTuple):
+    """A statement by ``origin``; its highest sequence per subject wins.
+
+    ``age_ms`` is how long ago the origin stated it, since clocks differ.
+    """
+
+    subject: str
+    origin: str
+    sequence: int
+    age_ms: clock.Millis
+    body: FactBody
+
+
+# Messages
+
+
+class Heartbeat(typing.NamedTuple):
+    """Proof of life, and who the sender is; ``reply`` answers another."""
+
+    instance_id: str
+    region: str
+    data_centre: str
+    caller_address: str
+    peer_address: str
+    state: InstanceState
+    reply: bool = False
+
+
+class Facts(typing.NamedTuple):
+    """Facts that are news to the sender's knowledge of the receiver."""
+
+    facts: tuple[Fact, ...]
+
+
+class FactsDigest(typing.NamedTuple):
+    """The sequences the sender holds, by origin, for anti-entropy."""
+
+    sequence_by_origin: dict[str, int]
+
+
+class NoteHead(typing.NamedTuple):
+    """The note in force at the sender."""
+
+    number: int
+    digest: str
+    confirmed: bool
+
+
+class NoteRequest(typing.NamedTuple):
+    """Ask a peer for the notes after ``after_number``."""
+
+    after_number: int
+
+
+class NoteBody(typing.NamedTuple):
+    """The published bytes of one note, or of a whole catalogue."""
+
+    number: int
+    digest: str
+    body: bytes
+    whole_catalogue: bool = False
+
+
+class KeyedCall(typing.NamedTuple):
+    """A keyed call on its way to the home of its key."""
+
+    correlation: int
+    home: str
+    service: str
+    method: str
+    path: str
+    key: str
+    budget_ms: clock.Millis
+    depth: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class KeyedAnswer(typing.NamedTuple):
+    """The home's answer to a keyed call."""
+
+    correlation: int
+    home: str
+    outcome: str
+    reason: str
+    retry_after_ms: clock.Millis
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b''
+
+
+Message: typing.TypeAlias = (
+    Heartbeat
+    | Facts
+    | FactsDigest
+    | NoteHead
+    | NoteRequest
+    | NoteBody
+    | KeyedCall
+    | KeyedAnswer
+)
--- /dev/null
+++ b/oleanderstair/domain/outcomes.py
@@ -0,0 +1,123 @@
+"""What became of a call, and why the system refused one."""
+
+import enum
+import http
+import typing
+
+
+class Outcome(enum.Enum):
+    """What a caller may conclude about its call."""
+
+    RAN = 'ran'
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+class Reason(enum.Enum):
+    """Why the system answered in place of a target."""
+
+    UNCONFIRMED = 'unconfirmed'
+    STOPPING = 'stopping'
+    PAUSED = 'paused'
+    NO_SERVICE = 'no-service'
+    NO_TARGET = 'no-target'
+    BAD_REQUEST = 'bad-request'
+    TOO_LARGE = 'too-large'
+    TOO_SLOW = 'too-slow'
+    UNBOUND_KEY = 'unbound-key'
+    KEY_REFUSED = 'key-refused'
+    KEY_TABLE_FULL = 'key-table-full'
+    KEY_FORGOTTEN = 'key-forgotten'
+    HOME_LOST = 'home-lost'
+    OVERLOADED = 'overloaded'
+    DEADLINE = 'deadline'
+    CRASHES_TARGETS = 'crashes-targets'
+    TARGET_REFUSED = 'target-refused'
+    TARGET_LOST = 'target-lost'
+
+
+class Advice(typing.NamedTuple):
+    """How a reason is told to a caller over HTTP."""
+
+    status: http.HTTPStatus
+    remedy: str
+
+
+_UNAVAILABLE = http.HTTPStatus.SERVICE_UNAVAILABLE
+_BAD_REQUEST = http.HTTPStatus.BAD_REQUEST
+_BAD_GATEWAY = http.HTTPStatus.BAD_GATEWAY
+
+ADVICE: typing.Final[typing.Mapping[Reason, Advice]] = {
+    Reason.UNCONFIRMED: Advice(
+        _UNAVAILABLE,
+        'use another address; this instance has no confirmed note yet',
+    ),
+    Reason.STOPPING: Advice(
+        _UNAVAILABLE,
+        'ask for the addresses again; this instance is stopping',
+    ),
+    Reason.PAUSED: Advice(
+        _UNAVAILABLE,
+        'use another address; this instance was paused and must catch up',
+    ),
+    Reason.NO_SERVICE: Advice(
+        http.HTTPStatus.NOT_FOUND,
+        'name a service that a release note has added',
+    ),
+    Reason.NO_TARGET: Advice(
+        _UNAVAILABLE,
+        'call again later; no target of the service can take calls now',
+    ),
+    Reason.BAD_REQUEST: Advice(
+        _BAD_REQUEST,
+        'correct the request as the body says',
+    ),
+    Reason.TOO_LARGE: Advice(
+        http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        'send a smaller request',
+    ),
+    Reason.TOO_SLOW: Advice(
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        'send the whole request without pausing',
+    ),
+    Reason.UNBOUND_KEY: Advice(
+        _BAD_REQUEST,
+        'start the key with a prefix from the address answer',
+    ),
+    Reason.KEY_REFUSED: Advice(
+        http.HTTPStatus.CONFLICT,
+        'this key was refused before; call again with a new key',
+    ),
+    Reason.KEY_TABLE_FULL: Advice(
+        _UNAVAILABLE,
+        'call again with a key of another prefix',
+    ),
+    Reason.KEY_FORGOTTEN: Advice(
+        http.HTTPStatus.CONFLICT,
+        'the record of this key is gone; look the order up',
+    ),
+    Reason.HOME_LOST: Advice(
+        _BAD_GATEWAY,
+        'send the same key again, or look the order up',
+    ),
+    Reason.OVERLOADED: Advice(
+        _UNAVAILABLE,
+        'call again after the time in retry-after',
+    ),
+    Reason.DEADLINE: Advice(
+        http.HTTPStatus.GATEWAY_TIMEOUT,
+        'allow more time or call again after the time in retry-after',
+    ),
+    Reason.CRASHES_TARGETS: Advice(
+        http.HTTPStatus.UNPROCESSABLE_ENTITY,
+        'do not send this request again; it made targets fail',
+    ),
+    Reason.TARGET_REFUSED: Advice(
+        _UNAVAILABLE,
+        'call again after the time in retry-after',
+    ),
+    Reason.TARGET_LOST: Advice(
+        _BAD_GATEWAY,
+        'send the same key again, or look the order up',
+    ),
+}
--- /dev/null
+++ b/oleanderstair/domain/policy.py
@@ -0,0 +1,36 @@
+"""The tunable limits of the decision code, in ms unless named otherwise."""
+
+import typing
+
+
+class Policy(typing.NamedTuple):
+    """Limits that the settings file may change."""
+
+    tick_ms: int = 50
+    max_tick_age_ms: int = 500
+    answer_validity_ms: int = 5000
+    stop_grace_ms: int = 10000
+    peer_silence_ms: int = 3000
+    heartbeat_ms: int = 500
+    peer_bytes_per_s: int = 4000
+    list_read_ms: int = 1000
+    value_read_ms: int = 1000
+    value_bound_ms: int = 2000
+    watch_bound_ms: int = 20000
+    readers_per_data_centre: int = 2
+    confirm_without_peers: bool = False
+    probe_bound_ms: int = 500
+    queue_limit: int = 256
+    max_depth: int = 27
+    key_limit: int = 20000
+    key_epoch_ms: int = 60000
+    key_epochs_kept: int = 5
+    ramp_stages: int = 4
+    ramp_wait_ms: int = 1000
+    ramp_evidence: int = 4
+    eject_failures: int = 3
+    eject_ms: int = 2000
+    eject_share: float = 0.5
+    suspect_ms: int = 300000
+    choice: str = 'slots'
+    queue_order: str = 'deadline'
--- /dev/null
+++ b/oleanderstair/domain/routing.py
@@ -0,0 +1,73 @@
+"""Chooses the target of a call among those that may receive it."""
+
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import conditions, world
+from oleanderstair.domain.tables import calls
+
+_SAMPLE_SIZE: typing.Final = 2
+
+
+class Choice(typing.Protocol):
+    """Pick one of the candidates for a call."""
+
+    def __call__(
+        self,
+        state: world.World,
+        candidate_ids: typing.Sequence[str],
+        now_ms: clock.Millis,
+    ) -> str:
+        """Return the id of the chosen target; there is at least one."""
+
+
+def candidates(
+    state: world.World,
+    call: calls.Call,
+    now_ms: clock.Millis,
+) -> list[str]:
+    """Return the targets that may receive a call, untried ones first."""
+    in_force = state.catalogue.in_force
+    ids = in_force.target_ids_by_service.get(call.received.service, ())
+    usable = [
+        target_id
+        for target_id in ids
+        if conditions.may_receive(state, target_id, now_ms)
+    ]
+    untried = [
+        target_id
+        for target_id in usable
+        if target_id not in call.tried_target_ids
+    ]
+    return untried or usable
+
+
+def choose_random(
+    state: world.World,
+    candidate_ids: typing.Sequence[str],
+    now_ms: clock.Millis,
+) -> str:
+    """Pick any candidate, whatever its load."""
+    return state.rng.choice(candidate_ids)
+
+
+def choose_by_free_slots(
+    state: world.World,
+    candidate_ids: typing.Sequence[str],
+    now_ms: clock.Millis,
+) -> str:
+    """Pick the less loaded of a small sample."""
+    size = min(_SAMPLE_SIZE, len(candidate_ids))
+    sample = state.rng.sample(list(candidate_ids), size)
+    return min(sample, key=lambda target_id: _load(state, target_id))
+
+
+CHOICE_BY_NAME: typing.Final[dict[str, Choice]] = {
+    'random': choose_random,
+    'slots': choose_by_free_slots,
+}
+
+
+def _load(state: world.World, target_id: str) -> float:
+    condition = conditions.of(state, target_id)
+    return condition.in_flight + condition.reported_in_flight
--- /dev/null
+++ b/oleanderstair/domain/tables/__init__.py
@@ -0,0 +1,1 @@
+"""The rows and tables that systems read and change."""
--- /dev/null
+++ b/oleanderstair/domain/tables/calls.py
@@ -0,0 +1,65 @@
+"""Calls in flight at this instance, their attempts, and the entry queue."""
+
+import dataclasses
+import enum
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import events
+from oleanderstair.domain.tables import catalogue
+
+
+class CallState(enum.Enum):
+    """Where a call stands."""
+
+    QUEUED = 'queued'
+    ATTEMPTED = 'attempted'
+    FORWARDED = 'forwarded'
+    WAITING = 'waiting'
+
+
+class Attempt(typing.NamedTuple):
+    """One dispatch of a call to a target."""
+
+    attempt_id: int
+    target_id: str
+    started_at_ms: clock.Millis
+    hedge: bool = False
+
+
+class Call(typing.NamedTuple):
+    """A call that has not been answered yet."""
+
+    received: events.CallReceived
+    state: CallState
+    idempotent: bool
+    call_class: catalogue.CallClass
+    received_at_ms: clock.Millis
+    attempts: tuple[Attempt, ...] = ()
+    tried_target_ids: tuple[str, ...] = ()
+    last_verdict: events.Verdict | None = None
+    home: str = ''
+    caller_left: bool = False
+    may_have_run: bool = False
+    quarantined: bool = False
+
+    @property
+    def call_id(self) -> int:
+        """Return the id that the shell gave to the call."""
+        return self.received.call_id
+
+
+@dataclasses.dataclass(slots=True)
+class CallsTable:
+    """Calls by id, and the ids that wait for a slot, by service."""
+
+    call_by_id: dict[int, Call] = dataclasses.field(default_factory=dict)
+    queue_by_service: dict[str, list[int]] = dataclasses.field(
+        default_factory=dict,
+    )
+    next_attempt_id: int = 1
+
+
+def create() -> CallsTable:
+    """Create a table without calls."""
+    return CallsTable()
--- /dev/null
+++ b/oleanderstair/domain/tables/instances.py
@@ -0,0 +1,55 @@
+"""The fleet's instances, as listed by the platform and heard from peers."""
+
+import dataclasses
+import enum
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import events
+
+
+class Phase(enum.Enum):
+    """Where this instance stands between its start and its stop."""
+
+    UNCONFIRMED = 'unconfirmed'
+    SERVING = 'serving'
+    STOPPING = 'stopping'
+
+
+class Peer(typing.NamedTuple):
+    """An instance incarnation that was heard from."""
+
+    incarnation: str
+    instance_id: str
+    region: str
+    data_centre: str
+    caller_address: str
+    peer_address: str
+    heard_at_ms: clock.Millis
+    leaving: bool = False
+    confirmed: bool = False
+    note_number: int = 0
+    note_digest: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class InstancesTable:
+    """Listed and heard instances, and this one's own phase."""
+
+    listed_by_id: dict[str, events.ListedInstance] = dataclasses.field(
+        default_factory=dict,
+    )
+    peer_by_incarnation: dict[str, Peer] = dataclasses.field(
+        default_factory=dict,
+    )
+    largest_count: int = 1
+    listed_at_ms: clock.Millis = clock.NEVER_MS
+    phase: Phase = Phase.UNCONFIRMED
+    stopping_since_ms: clock.Millis = clock.NEVER_MS
+    last_tick_ms: clock.Millis = clock.NEVER_MS
+    trusted_from_ms: clock.Millis = clock.NEVER_MS
+
+
+def create() -> InstancesTable:
+    """Create a table that knows of no other instance."""
+    return InstancesTable()
--- /dev/null
+++ b/oleanderstair/domain/tables/targets.py
@@ -0,0 +1,60 @@
+"""What this instance knows of each target besides the release notes."""
+
+import dataclasses
+import typing
+
+from oleanderstair import clock
+
+
+class Condition(typing.NamedTuple):
+    """Whether a target may receive new work, and what is known of its load.
+
+    ``in_flight`` counts this instance's own attempts. ``ejected_until_ms``
+    is when an ejected target may be tried again.
+    """
+
+    target_id: str
+    in_flight: int = 0
+    target_incarnation: str = ''
+    leaving: bool = False
+    leaving_why: str = ''
+    leaving_since_ms: clock.Millis = clock.NEVER_MS
+    full_until_ms: clock.Millis = clock.NEVER_MS
+    ejected_until_ms: clock.Millis = clock.NEVER_MS
+    ejections: int = 0
+    failures_in_row: int = 0
+    served: int = 0
+    latency_ms: clock.Millis = 0
+    latency_at_ms: clock.Millis = clock.NEVER_MS
+    reported_in_flight: int = 0
+    reported_at_ms: clock.Millis = clock.NEVER_MS
+    report_doubted: bool = False
+    others_in_flight: float = 0
+    others_at_ms: clock.Millis = clock.NEVER_MS
+
+
+class Ramp(typing.NamedTuple):
+    """A target that is returning or new, and how far it has come."""
+
+    target_id: str
+    generation: int
+    stage: int
+    stage_since_ms: clock.Millis
+    wait_ms: clock.Millis
+    served_in_stage: int = 0
+    failed_in_stage: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class TargetsTable:
+    """Conditions and ramps by target."""
+
+    condition_by_id: dict[str, Condition] = dataclasses.field(
+        default_factory=dict,
+    )
+    ramp_by_id: dict[str, Ramp] = dataclasses.field(default_factory=dict)
+
+
+def create() -> TargetsTable:
+    """Create a table without targets."""
+    return TargetsTable()
--- /dev/null
+++ b/oleanderstair/domain/world.py
@@ -0,0 +1,58 @@
+"""All tables of one instance, and the step that runs systems over them."""
+
+import dataclasses
+import random
+
+from oleanderstair.domain import policy
+from oleanderstair.domain.tables import (
+    budgets,
+    calls,
+    catalogue,
+    facts,
+    identity,
+    instances,
+    keys,
+    reads,
+    suspects,
+    targets,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class World:
+    """The tables, limits and random generator that systems work with."""
+
+    identity: identity.Identity
+    policy: policy.Policy
+    rng: random.Random
+    catalogue: catalogue.CatalogueTable
+    instances: instances.InstancesTable
+    facts: facts.FactsTable
+    keys: keys.KeysTable
+    targets: targets.TargetsTable
+    calls: calls.CallsTable
+    budgets: budgets.BudgetsTable
+    suspects: suspects.SuspectsTable
+    reads: reads.ReadsTable
+
+
+def create(
+    own: identity.Identity,
+    limits: policy.Policy,
+    rng: random.Random,
+) -> World:
+    """Create the empty world of an instance that knows nothing yet."""
+    return World(
+        identity=own,
+        policy=limits,
+        rng=rng,
+        catalogue=catalogue.create(),
+        instances=instances.create(),
+        facts=facts.create(),
+        keys=keys.create(),
+        targets=targets.create(),
+        calls=calls.create(),
+        budgets=budgets.create(),
+        suspects=suspects.create(),
+        reads=reads.create(),
+    )
--- /dev/null
+++ b/oleanderstair/engine/__init__.py
@@ -0,0 +1,1 @@
+"""The I/O shell: listeners, connections, and the loop that steps the core."""
--- /dev/null
+++ b/oleanderstair/engine/node.py
@@ -0,0 +1,126 @@
+"""Puts one entry instance together and runs it until it stops."""
+
+import dataclasses
+import random
+import secrets
+import socket
+import typing
+
+import anyio
+import anyio.abc
+import uvicorn
+
+from oleanderstair import clock, logs, settings
+from oleanderstair.domain import events, world
+from oleanderstair.domain.tables import identity
+from oleanderstair.engine import (
+    admin,
+    callers,
+    exchanges,
+    listener,
+    peers,
+    platform,
+    probes,
+    shell,
+)
+
+_INCARNATION_BYTES: typing.Final = 4
+_LAST_WRITE_MS: typing.Final = 200
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One entry instance with bound sockets."""
+
+    identity: identity.Identity
+    admin_address: str
+    checked: settings.Settings
+    caller_socket: socket.socket
+    admin_socket: socket.socket
+    link: peers.Link
+    carrier: shell.Shell | None = None
+
+    async def run(self) -> None:
+        """Serve until the planned stop is complete."""
+        async with anyio.create_task_group() as tasks:
+            self.carrier = self._create_shell(tasks)
+            servers = [
+                listener.create(
+                    callers.create(self.carrier, self.checked.callers),
+                ),
+                listener.create(admin.create(self.carrier)),
+            ]
+            sockets = [self.caller_socket, self.admin_socket]
+            for server, bound in zip(servers, sockets, strict=True):
+                tasks.start_soon(server.serve, [bound])
+            tasks.start_soon(self.carrier.run_ticks)
+            tasks.start_soon(self.carrier.run_peers)
+            logs.event(
+                'started',
+                instance=self.identity.incarnation,
+                callers=self.identity.caller_address,
+                peers=self.identity.peer_address,
+                admin=self.admin_address,
+            )
+            await self.carrier.exit.wait()
+            await _close_servers(servers)
+            tasks.cancel_scope.cancel()
+        self.link.close()
+
+    def stop(self) -> None:
+        """Begin the planned stop."""
+        if self.carrier is not None:
+            self.carrier.handle(events.StopRequested())
+
+    def _create_shell(self, tasks: anyio.abc.TaskGroup) -> shell.Shell:
+        limits = settings.limits_of(self.checked)
+        published = platform.create(
+            self.checked.platform.configuration_url,
+            self.checked.platform.instances_url,
+            limits.value_bound_ms,
+        )
+        ports = shell.Ports(
+            clock=clock.monotonic(),
+            connections=exchanges.create(),
+            configuration=published,
+            instance_list=published,
+            endpoints=probes.create(),
+            link=self.link,
+        )
+        state = world.create(self.identity, limits, random.Random())
+        return shell.Shell(state, ports, tasks)
+
+
+def create(checked: settings.Settings) -> Node:
+    """Create an instance and bind its sockets."""
+    incarnation = (
+        f'{checked.instance.id}~{secrets.token_hex(_INCARNATION_BYTES)}'
+    )
+    caller_socket = listener.bind(checked.callers.host, checked.callers.port)
+    admin_socket = listener.bind(checked.admin.host, checked.admin.port)
+    link = peers.create(checked.peers.host, checked.peers.port, incarnation)
+    own = identity.Identity(
+        instance_id=checked.instance.id,
+        incarnation=incarnation,
+        region=checked.instance.region,
+        data_centre=checked.instance.data_centre,
+        caller_address=(
+            checked.callers.advertise or listener.address_of(caller_socket)
+        ),
+        peer_address=link.address,
+    )
+    return Node(
+        identity=own,
+        admin_address=listener.address_of(admin_socket),
+        checked=checked,
+        caller_socket=caller_socket,
+        admin_socket=admin_socket,
+        link=link,
+    )
+
+
+async def _close_servers(servers: list[uvicorn.Server]) -> None:
+    for server in servers:
+        server.should_exit = True
+    # Gives open connections the time of one answer that is being written.
+    await anyio.sleep(clock.to_seconds(_LAST_WRITE_MS))
--- /dev/null
+++ b/oleanderstair/engine/probes.py
@@ -0,0 +1,92 @@
+"""Reads the health and load endpoints of targets."""
+
+import typing
+
+import anyio
+import httpcore
+import msgspec
+
+from oleanderstair import clock
+from oleanderstair.domain import events
+
+HEALTH_PATH: typing.Final = '/-/health'
+LOAD_PATH: typing.Final = '/-/load'
+_CONNECTIONS: typing.Final = 32
+
+
+class Health(msgspec.Struct):
+    """What the health endpoint says."""
+
+    healthy: bool
+    leaving: bool = False
+    incarnation: str = ''
+
+
+class Load(msgspec.Struct):
+    """What the load endpoint says."""
+
+    in_flight: int
+    queued: int = 0
+
+
+class TargetEndpoints(typing.Protocol):
+    """The health and load endpoints of a target."""
+
+    async def read(
+        self,
+        address: str,
+        bound_ms: clock.Millis,
+    ) -> events.TargetReport | None:
+        """Return the report, or None where it cannot be had in time."""
+
+
+class HttpEndpoints:
+    """The endpoints over HTTP/1.1."""
+
+    def __init__(self) -> None:
+        """Keep connections of its own, apart from those of calls."""
+        self._pool = httpcore.AsyncConnectionPool(max_connections=_CONNECTIONS)
+
+    async def read(
+        self,
+        address: str,
+        bound_ms: clock.Millis,
+    ) -> events.TargetReport | None:
+        """Read both endpoints within ``bound_ms``."""
+        with anyio.move_on_after(clock.to_seconds(bound_ms)):
+            return await self._read_both(address)
+        return None
+
+    async def _read_both(self, address: str) -> events.TargetReport | None:
+        try:
+            health_answer = await self._pool.request(
+                'GET',
+                f'http://{address}{HEALTH_PATH}',
+            )
+            load_answer = await self._pool.request(
+                'GET',
+                f'http://{address}{LOAD_PATH}',
+            )
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            return None
+        try:
+            return _parse(health_answer.content, load_answer.content)
+        except msgspec.MsgspecError:
+            return None
+
+
+def create() -> HttpEndpoints:
+    """Create a reader of target endpoints over HTTP."""
+    return HttpEndpoints()
+
+
+def _parse(health_body: bytes, load_body: bytes) -> events.TargetReport:
+    health = msgspec.json.decode(health_body, type=Health)
+    load = msgspec.json.decode(load_body, type=Load)
+    return events.TargetReport(
+        healthy=health.healthy,
+        leaving=health.leaving,
+        in_flight=load.in_flight,
+        queued=load.queued,
+        incarnation=health.incarnation,
+    )
--- /dev/null
+++ b/oleanderstair/metrics.py
@@ -0,0 +1,71 @@
+"""Metrics: counters, and latency histograms by hdrhistogram."""
+
+import dataclasses
+import typing
+
+from hdrh import histogram
+
+from oleanderstair import clock
+
+_LOWEST_US: typing.Final = 1
+_HIGHEST_US: typing.Final = 60_000_000
+_DIGITS: typing.Final = 2
+_US_PER_MS: typing.Final = 1000
+_PERCENTILES: typing.Final = (50, 99, 99.9)
+
+Name: typing.TypeAlias = tuple[str, str]
+
+
+class Summary(typing.TypedDict):
+    """The percentiles of one histogram, in ms."""
+
+    name: str
+    label: str
+    count: int
+    percentiles_ms: dict[str, float]
+
+
+@dataclasses.dataclass(slots=True)
+class Metrics:
+    """Counters and histograms by name and label."""
+
+    count_by_name: dict[Name, int] = dataclasses.field(default_factory=dict)
+    histogram_by_name: dict[Name, histogram.HdrHistogram] = dataclasses.field(
+        default_factory=dict,
+    )
+
+    def count(self, name: str, label: str = '', amount: int = 1) -> None:
+        """Add ``amount`` to a counter."""
+        key = (name, label)
+        self.count_by_name[key] = self.count_by_name.get(key, 0) + amount
+
+    def observe(self, name: str, label: str, span_ms: clock.Millis) -> None:
+        """Record a duration of ``span_ms`` ms."""
+        key = (name, label)
+        found = self.histogram_by_name.get(key)
+        if found is None:
+            found = histogram.HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+            self.histogram_by_name[key] = found
+        span_us = int(span_ms * _US_PER_MS)
+        found.record_value(min(max(span_us, _LOWEST_US), _HIGHEST_US))
+
+    def summaries(self) -> list[Summary]:
+        """Return the percentiles of every histogram."""
+        return [
+            Summary(
+                name=name,
+                label=label,
+                count=found.get_total_count(),
+                percentiles_ms={
+                    f'p{percentile}': found.get_value_at_percentile(percentile)
+                    / _US_PER_MS
+                    for percentile in _PERCENTILES
+                },
+            )
+            for (name, label), found in sorted(self.histogram_by_name.items())
+        ]
+
+
+def create() -> Metrics:
+    """Create an empty set of metrics."""
+    return Metrics()
--- /dev/null
+++ b/oleanderstair/ui/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool: one object and one function for each command."""
--- /dev/null
+++ b/oleanderstair/ui/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command-line tool."""
+
+from oleanderstair.ui import main
+
+main.main()
--- /dev/null
+++ b/oleanderstair/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small pure helpers."""
