--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	$(BIN)/mypy
 
 unit:
-	$(BIN)/python -m pytest
+	timeout 900 $(BIN)/python -m pytest
 
 examples:
 	$(BIN)/python -m oleanderstair.ui settings check examples/*/settings.jsonc
--- a/oleanderstair/domain/admission.py
+++ b/oleanderstair/domain/admission.py
@@ -6,16 +6,16 @@
     answering,
     dispatching,
     events,
-    keys,
+    homes,
     membership,
     outcomes,
+    pauses,
     queueing,
     rules,
     suspects,
     world,
 )
 from oleanderstair.domain.tables import calls
-from oleanderstair.domain.tables import keys as key_rows
 
 
 def on_call(
@@ -31,28 +31,8 @@
         ]
     call = _open_call(state, event, now_ms)
     if event.key and not call.idempotent:
-        return _on_keyed(state, call, now_ms)
-    return _enqueue(state, call, now_ms)
-
-
-def on_home_reply(
-    state: world.World,
-    event: events.HomeReplied,
-    now_ms: clock.Millis,
-) -> list[actions.Action]:
-    """Pass the home's answer of a forwarded call on to the caller."""
-    if state.calls.call_by_id.pop(event.call_id, None) is None:
-        return []
-    if event.reason is None:
-        return [actions.RelayHome(event.call_id)]
-    return [
-        actions.Refuse(
-            event.call_id,
-            event.outcome,
-            event.reason,
-            event.retry_after_ms,
-        ),
-    ]
+        return homes.on_keyed(state, call, now_ms)
+    return dispatching.enqueue(state, call, now_ms)
 
 
 def on_caller_left(
@@ -93,9 +73,11 @@
     event: events.CallReceived,
     now_ms: clock.Millis,
 ) -> outcomes.Reason | None:
-    own_refusal = membership.refusal(state, now_ms)
+    own_refusal = membership.refusal(state)
     if own_refusal is not None:
         return own_refusal
+    if pauses.is_stale(state, now_ms):
+        return outcomes.Reason.PAUSED
     if event.service not in state.catalogue.in_force.service_by_name:
         return outcomes.Reason.NO_SERVICE
     if event.deadline_ms <= now_ms:
@@ -120,73 +102,3 @@
     )
     state.calls.call_by_id[event.call_id] = call
     return call
-
-
-def _on_keyed(
-    state: world.World,
-    call: calls.Call,
-    now_ms: clock.Millis,
-) -> list[actions.Action]:
-    admitted = keys.admit(state, call.received, now_ms)
-    if admitted.proceed:
-        return _enqueue(state, call, now_ms)
-    if admitted.forward_to:
-        return [_forward(state, call, admitted.forward_to, now_ms)]
-    if admitted.join is not None:
-        return _join(state, call, admitted.join)
-    state.calls.call_by_id.pop(call.call_id)
-    assert admitted.refusal is not None  # noqa: S101 (one of four is set)
-    return [actions.Refuse(call.call_id, *admitted.refusal)]
-
-
-def _forward(
-    state: world.World,
-    call: calls.Call,
-    home: str,
-    now_ms: clock.Millis,
-) -> actions.Action:
-    peer = state.instances.peer_by_incarnation.get(home)
-    if peer is None:
-        state.calls.call_by_id.pop(call.call_id)
-        return actions.Refuse(
-            call.call_id,
-            outcomes.Outcome.UNKNOWN,
-            outcomes.Reason.HOME_LOST,
-        )
-    state.calls.call_by_id[call.call_id] = call._replace(
-        state=calls.CallState.FORWARDED,
-        home=home,
-    )
-    budget_ms = call.received.deadline_ms - now_ms
-    return actions.ForwardHome(
-        call.call_id,
-        home,
-        peer.peer_address,
-        budget_ms,
-    )
-
-
-def _join(
-    state: world.World,
-    call: calls.Call,
-    record: key_rows.KeyRecord,
-) -> list[actions.Action]:
-    if record.state is not key_rows.KeyState.RUNNING:
-        return [keys.answer_repeat(state, call.call_id, record)]
-    state.calls.call_by_id[call.call_id] = call._replace(
-        state=calls.CallState.WAITING,
-    )
-    state.keys.record_by_key[record.key] = record._replace(
-        waiting_call_ids=(*record.waiting_call_ids, call.call_id),
-    )
-    return []
-
-
-def _enqueue(
-    state: world.World,
-    call: calls.Call,
-    now_ms: clock.Millis,
-) -> list[actions.Action]:
-    if not queueing.push(state, call.received.service, call.call_id):
-        return answering.refuse(state, call, outcomes.Reason.OVERLOADED)
-    return dispatching.pump(state, call.received.service, now_ms)
--- a/oleanderstair/domain/attempts.py
+++ b/oleanderstair/domain/attempts.py
@@ -10,12 +10,21 @@
     dispatching,
     events,
     outcomes,
+    ejection,
+    leaving,
     queueing,
+    ramps,
+    retries,
     suspects,
     world,
 )
 from oleanderstair.domain.tables import calls
 
+_LEARNERS: typing.Final = (
+    leaving.on_attempt_ended,
+    ramps.on_attempt_ended,
+    ejection.on_attempt_ended,
+)
 _PROVEN_NOT_RUN: typing.Final = frozenset(
     (events.Verdict.SHED, events.Verdict.NOT_SENT),
 )
@@ -39,6 +48,8 @@
         took_ms,
         now_ms,
     )
+    for learn in _LEARNERS:
+        learned.extend(learn(state, event, attempt.target_id, now_ms))
     call = _without_attempt(state, call, attempt, event)
     if event.crashed:
         learned.extend(suspects.on_death(state, call, now_ms))
@@ -92,7 +103,7 @@
         return answering.relay(state, call, event.attempt_id)
     if call.attempts:
         return []
-    if _may_retry(state, call, now_ms):
+    if retries.may_retry(state, call, now_ms):
         return _retry(state, call)
     reason = outcomes.Reason.TARGET_REFUSED
     if call.may_have_run:
@@ -100,18 +111,6 @@
     return answering.refuse(state, call, reason, event.retry_after_ms)
 
 
-def _may_retry(
-    state: world.World,
-    call: calls.Call,
-    now_ms: clock.Millis,
-) -> bool:
-    if call.caller_left or call.received.deadline_ms <= now_ms:
-        return False
-    if suspects.is_refused(state, call.received.fingerprint, now_ms):
-        return False
-    return call.idempotent or not call.may_have_run
-
-
 def _retry(state: world.World, call: calls.Call) -> list[actions.Action]:
     state.calls.call_by_id[call.call_id] = call._replace(
         state=calls.CallState.QUEUED,
--- a/oleanderstair/domain/dispatching.py
+++ b/oleanderstair/domain/dispatching.py
@@ -1,10 +1,31 @@
 """Sends queued calls to targets with free slots."""
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, conditions, routing, world
+from oleanderstair.domain import (
+    actions,
+    answering,
+    conditions,
+    outcomes,
+    pauses,
+    queueing,
+    routing,
+    world,
+)
 from oleanderstair.domain.tables import calls
 
 
+def enqueue(
+    state: world.World,
+    call: calls.Call,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Queue a call, then dispatch what can go."""
+    service = call.received.service
+    if not queueing.push(state, service, call.call_id):
+        return answering.refuse(state, call, outcomes.Reason.OVERLOADED)
+    return pump(state, service, now_ms)
+
+
 def pump(
     state: world.World,
     service: str,
@@ -12,6 +33,8 @@
 ) -> list[actions.Action]:
     """Dispatch queued calls of a service until no target is free."""
     sent: list[actions.Action] = []
+    if pauses.is_stale(state, now_ms):
+        return sent
     queue = state.calls.queue_by_service.get(service, [])
     while queue:
         call = state.calls.call_by_id[queue[0]]
--- a/oleanderstair/domain/keys.py
+++ b/oleanderstair/domain/keys.py
@@ -114,6 +114,15 @@
     )
 
 
+def on_tick(
+    state: world.World,
+    event: events.Tick,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Open a new epoch when the current one ends; forget the oldest."""
+    return []
+
+
 _STATE_BY_OUTCOME: typing.Final = {
     outcomes.Outcome.RAN: keys.KeyState.RAN,
     outcomes.Outcome.NOT_RUN: keys.KeyState.REFUSED,
--- a/oleanderstair/domain/membership.py
+++ b/oleanderstair/domain/membership.py
@@ -25,7 +25,6 @@
 ) -> list[actions.Action]:
     """Confirm this instance once it holds a note it may trust."""
     table = state.instances
-    table.last_tick_ms = now_ms
     if table.phase is not instances.Phase.UNCONFIRMED:
         return []
     if state.catalogue.in_force.number and state.policy.confirm_without_peers:
@@ -41,16 +40,11 @@
     return []
 
 
-def refusal(
-    state: world.World,
-    now_ms: clock.Millis,
-) -> outcomes.Reason | None:
+def refusal(state: world.World) -> outcomes.Reason | None:
     """Return why this instance may not take a new call now, if so."""
     table = state.instances
     if table.phase is instances.Phase.UNCONFIRMED:
         return outcomes.Reason.UNCONFIRMED
     if table.phase is instances.Phase.STOPPING:
         return outcomes.Reason.STOPPING
-    if now_ms - table.last_tick_ms > state.policy.max_tick_age_ms:
-        return outcomes.Reason.PAUSED
     return None
--- a/oleanderstair/domain/routing.py
+++ b/oleanderstair/domain/routing.py
@@ -3,7 +3,7 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import conditions, world
+from oleanderstair.domain import conditions, occupancy, world
 from oleanderstair.domain.tables import calls
 
 _SAMPLE_SIZE: typing.Final = 2
@@ -47,7 +47,7 @@
     candidate_ids: typing.Sequence[str],
     now_ms: clock.Millis,
 ) -> str:
-    """Pick any candidate, whatever its load."""
+    """Pick any candidate, whatever its occupancy."""
     return state.rng.choice(candidate_ids)
 
 
@@ -59,15 +59,12 @@
     """Pick the less loaded of a small sample."""
     size = min(_SAMPLE_SIZE, len(candidate_ids))
     sample = state.rng.sample(list(candidate_ids), size)
-    return min(sample, key=lambda target_id: _load(state, target_id))
+    return min(
+        sample, key=lambda found: occupancy.estimate(state, found, now_ms)
+    )
 
 
 CHOICE_BY_NAME: typing.Final[dict[str, Choice]] = {
     'random': choose_random,
     'slots': choose_by_free_slots,
 }
-
-
-def _load(state: world.World, target_id: str) -> float:
-    condition = conditions.of(state, target_id)
-    return condition.in_flight + condition.reported_in_flight
--- a/oleanderstair/domain/suspects.py
+++ b/oleanderstair/domain/suspects.py
@@ -1,10 +1,12 @@
 """Isolates calls that crash the targets that run them."""
 
+import typing
+
 from oleanderstair import clock
-from oleanderstair.domain import actions, world
+from oleanderstair.domain import actions, events, messages, world
 from oleanderstair.domain.tables import calls, suspects
 
-DEATHS_UNTIL_REFUSED = 2
+DEATHS_UNTIL_REFUSED: typing.Final = 2
 
 
 def is_refused(
@@ -32,3 +34,23 @@
     deaths = before.deaths + 1 if before else 1
     table[fingerprint] = suspects.Suspect(fingerprint, deaths, now_ms)
     return []
+
+
+def on_fact(
+    state: world.World,
+    event: events.FactAdopted,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Take a peer's word on a call that crashes targets."""
+    if not isinstance(event.fact.body, messages.CallSuspect):
+        return []
+    return []
+
+
+def on_tick(
+    state: world.World,
+    event: events.Tick,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Forget suspects that are no longer refused."""
+    return []
--- a/oleanderstair/domain/tables/targets.py
+++ b/oleanderstair/domain/tables/targets.py
@@ -55,6 +55,17 @@
     ramp_by_id: dict[str, Ramp] = dataclasses.field(default_factory=dict)
 
 
+def condition_of(table: TargetsTable, target_id: str) -> Condition:
+    """Return what is known of a target."""
+    known = table.condition_by_id.get(target_id)
+    return known or Condition(target_id)
+
+
+def put_condition(table: TargetsTable, condition: Condition) -> None:
+    """Store the new condition of a target."""
+    table.condition_by_id[condition.target_id] = condition
+
+
 def create() -> TargetsTable:
     """Create a table without targets."""
     return TargetsTable()
--- a/oleanderstair/engine/admin.py
+++ b/oleanderstair/engine/admin.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from oleanderstair.domain import conditions
+from oleanderstair.domain.tables import targets
 from oleanderstair.engine import asgi, shell
 
 _OK: typing.Final = 200
@@ -60,7 +60,10 @@
                 'address': target.address,
                 'data_centre': target.data_centre,
                 'slots': target.slots,
-                **conditions.of(state, target.target_id)._asdict(),
+                **targets.condition_of(
+                    state.targets,
+                    target.target_id,
+                )._asdict(),
             }
             for target in state.catalogue.in_force.target_by_id.values()
         ]
--- a/oleanderstair/engine/callers.py
+++ b/oleanderstair/engine/callers.py
@@ -211,7 +211,7 @@
 
 
 def _target_of(scope: asgi.Scope) -> str:
-    raw_path = scope['raw_path'].decode('latin-1')
+    raw_path: str = scope['raw_path'].decode('latin-1')
     query = scope['query_string'].decode('latin-1')
     if query:
         return f'{raw_path}?{query}'
--- a/oleanderstair/engine/node.py
+++ b/oleanderstair/engine/node.py
@@ -42,6 +42,12 @@
 
     async def run(self) -> None:
         """Serve until the planned stop is complete."""
+        try:
+            await self._serve()
+        finally:
+            self.link.close()
+
+    async def _serve(self) -> None:
         async with anyio.create_task_group() as tasks:
             self.carrier = self._create_shell(tasks)
             servers = [
@@ -55,17 +61,19 @@
                 tasks.start_soon(server.serve, [bound])
             tasks.start_soon(self.carrier.run_ticks)
             tasks.start_soon(self.carrier.run_peers)
-            logs.event(
-                'started',
-                instance=self.identity.incarnation,
-                callers=self.identity.caller_address,
-                peers=self.identity.peer_address,
-                admin=self.admin_address,
-            )
+            self._log_start()
             await self.carrier.exit.wait()
             await _close_servers(servers)
             tasks.cancel_scope.cancel()
-        self.link.close()
+
+    def _log_start(self) -> None:
+        logs.event(
+            'started',
+            instance=self.identity.incarnation,
+            callers=self.identity.caller_address,
+            peers=self.identity.peer_address,
+            admin=self.admin_address,
+        )
 
     def stop(self) -> None:
         """Begin the planned stop."""
--- a/oleanderstair/engine/peers.py
+++ b/oleanderstair/engine/peers.py
@@ -81,8 +81,7 @@
         """Release the sockets."""
         for dealer in self._dealer_by_address.values():
             dealer.close(0)
-        self._router.close(0)
-        self._context.term()
+        self._context.destroy(0)
 
     def _dealer(self, address: str) -> 'zmq.Socket[bytes]':
         dealer = self._dealer_by_address.get(address)
--- a/oleanderstair/engine/shell.py
+++ b/oleanderstair/engine/shell.py
@@ -26,6 +26,13 @@
 _NO_REASON: typing.Final = ''
 
 
+class Recorder(typing.Protocol):
+    """Keep the events of an instance for replay."""
+
+    def record(self, now_ms: clock.Millis, event: events.Event) -> None:
+        """Keep ``event``, which is handled at ``now_ms``."""
+
+
 @dataclasses.dataclass(slots=True)
 class Ports:
     """The outgoing sides of the shell."""
@@ -54,6 +61,7 @@
         self.trail = audit.create()
         self.pending = pending.create()
         self.exit = anyio.Event()
+        self.recorder: Recorder | None = None
         self._tasks = tasks
         self._perform_by_action: dict[
             type[actions.Action],
@@ -82,6 +90,8 @@
     def handle(self, event: events.Event) -> None:
         """Step the decision code and perform what it asks for."""
         now_ms = self.ports.clock.now_ms()
+        if self.recorder is not None:
+            self.recorder.record(now_ms, event)
         for action in balancer.step(self.state, event, now_ms):
             self._perform_by_action[type(action)](action)
 
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests by module; ``helper`` builds what several of them need."""
