Share facts by deltas and digests below a rate in bytes

Facts were only kept, never sent, and heartbeats went to every listed instance. Now each tick sends the facts that are news to two peers of the data centre and one outside; a digest of checksums per origin every 5 s repairs losses; pulses go to a bounded number of peers in turn; a token bucket over encoded sizes enforces policy.peer_bytes_per_s, with loads last. Facts carry their age and expire; the table is bounded.

--- a/oleanderstair/domain/codec.py
+++ b/oleanderstair/domain/codec.py
@@ -10,10 +10,14 @@
 
 WIRE_VERSION: typing.Final = 1
 
+_LOAD_PREFIX: typing.Final = 'load/'
+
 _Encoded: typing.TypeAlias = tuple[str, typing.Any]
+_EncodedFacts: typing.TypeAlias = list[tuple[str, int, float, str, typing.Any]]
 
 _MESSAGE_BY_TAG: typing.Final[dict[str, type[messages.Message]]] = {
     'hb': messages.Heartbeat,
+    'pu': messages.Pulse,
     'fa': messages.Facts,
     'fd': messages.FactsDigest,
     'nh': messages.NoteHead,
@@ -27,7 +31,7 @@
     'rs': messages.RampState,
     'lo': messages.TargetLoad,
     'cs': messages.CallSuspect,
-    'is': messages.InstanceState,
+    'ip': messages.InstancePlace,
 }
 _TAG_BY_MESSAGE: typing.Final = {
     kind: tag for tag, kind in _MESSAGE_BY_TAG.items()
@@ -40,7 +44,7 @@
     """Encode ``message`` for a peer."""
     fields: typing.Any = message
     if isinstance(message, messages.Facts):
-        fields = [_encode_fact(fact) for fact in message.facts]
+        fields = _encode_facts(message.facts)
     tagged = (_TAG_BY_MESSAGE[type(message)], fields)
     return _VERSION_PREFIX + msgspec.msgpack.encode(tagged)
 
@@ -58,23 +62,42 @@
 def _decode_tagged(packed: bytes) -> messages.Message:
     tag, fields = msgspec.msgpack.decode(packed, type=_Encoded)
     if tag == _TAG_BY_MESSAGE[messages.Facts]:
-        return messages.Facts(tuple(_decode_fact(fact) for fact in fields))
+        return messages.Facts(tuple(_decode_facts(fields)))
     return msgspec.convert(fields, _MESSAGE_BY_TAG[tag])
 
 
-def _encode_fact(fact: messages.Fact) -> tuple[typing.Any, ...]:
-    return (*fact[:-1], _TAG_BY_BODY[type(fact.body)], fact.body)
+def _encode_facts(
+    facts: tuple[messages.Fact, ...],
+) -> dict[str, list[typing.Any]]:
+    """Group facts by origin, whose name is the longest field."""
+    encoded_by_origin: dict[str, list[typing.Any]] = {}
+    for fact in facts:
+        encoded = encoded_by_origin.setdefault(fact.origin, [])
+        encoded.append(_encode_fact(fact))
+    return encoded_by_origin
 
 
-def _decode_fact(fields: list[typing.Any]) -> messages.Fact:
-    subject, origin, sequence, age_ms, tag, body = fields
-    return messages.Fact(
-        msgspec.convert(subject, str),
-        msgspec.convert(origin, str),
-        msgspec.convert(sequence, int),
-        msgspec.convert(age_ms, float),
-        msgspec.convert(body, _BODY_BY_TAG[tag]),
-    )
+def _encode_fact(fact: messages.Fact) -> tuple[typing.Any, ...]:
+    subject = fact.subject
+    body = fact.body
+    if isinstance(body, messages.TargetLoad):
+        body = body._replace(report_age_ms=int(body.report_age_ms))
+        if subject == f'{_LOAD_PREFIX}{body.target_id}':
+            subject = ''
+    tag = _TAG_BY_BODY[type(body)]
+    return (subject, fact.sequence, int(fact.age_ms), tag, body)
+
+
+def _decode_facts(
+    fields: typing.Any,
+) -> typing.Iterator[messages.Fact]:
+    encoded_by_origin = msgspec.convert(fields, dict[str, _EncodedFacts])
+    for origin, encoded in encoded_by_origin.items():
+        for subject, sequence, age_ms, tag, body_fields in encoded:
+            body = msgspec.convert(body_fields, _BODY_BY_TAG[tag])
+            if isinstance(body, messages.TargetLoad) and not subject:
+                subject = f'{_LOAD_PREFIX}{body.target_id}'
+            yield messages.Fact(subject, origin, sequence, age_ms, body)
 
 
 def _problem(what: str) -> errors.Problem:
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -44,18 +44,21 @@
     deaths: int
 
 
-class InstanceState(typing.NamedTuple):
-    """What an instance says of itself."""
+class InstancePlace(typing.NamedTuple):
+    """Where an instance is reached, stated when it starts or changes."""
 
+    instance_id: str
+    region: str
+    data_centre: str
+    caller_address: str
+    peer_address: str
     leaving: bool
     confirmed: bool
-    note_number: int
-    note_digest: str
-    largest_count: int
+    epoch: int
 
 
 FactBody: typing.TypeAlias = (
-    TargetLeaving | RampState | TargetLoad | CallSuspect | InstanceState
+    TargetLeaving | RampState | TargetLoad | CallSuspect | InstancePlace
 )
 
 
@@ -75,6 +78,22 @@
 # Messages
 
 
+class InstanceState(typing.NamedTuple):
+    """What an instance says of itself.
+
+    ``epoch`` is its open key epoch, ``highest_read`` the number of the
+    newest head that it has read from the service, 0 before any read.
+    """
+
+    leaving: bool
+    confirmed: bool
+    note_number: int
+    note_digest: str
+    largest_count: int
+    epoch: int = 1
+    highest_read: int = 0
+
+
 class Heartbeat(typing.NamedTuple):
     """Proof of life, and who the sender is; ``reply`` answers another."""
 
@@ -87,6 +106,13 @@
     reply: bool = False
 
 
+class Pulse(typing.NamedTuple):
+    """Proof of life to a peer that knows the sender; may ask for one."""
+
+    state: InstanceState
+    reply: bool = False
+
+
 class Facts(typing.NamedTuple):
     """Facts that are news to the sender's knowledge of the receiver."""
 
@@ -94,9 +120,10 @@
 
 
 class FactsDigest(typing.NamedTuple):
-    """The sequences the sender holds, by origin, for anti-entropy."""
+    """A checksum of the facts that the sender holds of each origin."""
 
-    sequence_by_origin: dict[str, int]
+    checksum_by_origin: dict[str, int]
+    reply: bool = False
 
 
 class NoteHead(typing.NamedTuple):
@@ -152,6 +179,7 @@
 
 Message: typing.TypeAlias = (
     Heartbeat
+    | Pulse
     | Facts
     | FactsDigest
     | NoteHead
--- a/oleanderstair/domain/sharing.py
+++ b/oleanderstair/domain/sharing.py
@@ -1,7 +1,22 @@
-"""The facts that instances tell each other, newest sequence first."""
+"""The facts that instances tell each other: stating, merging, expiring.
+
+A fact replaces the one of the same subject and origin when its sequence is
+higher, so messages may be lost, doubled, late or reordered.
+"""
+
+import math
+import typing
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, messages, world
+from oleanderstair.domain.tables import facts
+
+FACT_LIMIT: typing.Final = 20_000
+GONE_ORIGIN_MS: typing.Final = 60_000
+LOAD_MS: typing.Final = 5000
+
+_EXPIRY_MS: typing.Final = 1000
+_EXTRA_ROUNDS: typing.Final = 2
 
 
 def publish(
@@ -15,8 +30,7 @@
     table.own_sequence += 1
     origin = state.identity.incarnation
     fact = messages.Fact(subject, origin, table.own_sequence, 0, body)
-    table.fact_by_key[(subject, origin)] = fact
-    table.stated_at_ms_by_key[(subject, origin)] = now_ms
+    _store(state, fact, now_ms)
 
 
 def on_peer(
@@ -35,6 +49,32 @@
     ]
 
 
+def on_tick(
+    state: world.World,
+    event: events.Tick,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Forget the facts that have expired, once a second."""
+    table = state.facts
+    if now_ms - table.expired_at_ms < _EXPIRY_MS:
+        return []
+    table.expired_at_ms = now_ms
+    expired = [
+        key
+        for key, fact in table.fact_by_key.items()
+        if _is_expired(state, fact, now_ms - table.stated_at_ms_by_key[key])
+    ]
+    for key in expired:
+        facts.remove(table, key)
+    return []
+
+
+def rounds_of(state: world.World) -> int:
+    """Return in how many rounds news is sent on before it is old."""
+    known = len(state.instances.peer_by_incarnation)
+    return math.ceil(math.log2(known + 2)) + _EXTRA_ROUNDS
+
+
 def _adopt(
     state: world.World,
     fact: messages.Fact,
@@ -43,10 +83,43 @@
     if fact.origin == state.identity.incarnation:
         return False
     table = state.facts
-    key = (fact.subject, fact.origin)
-    known = table.fact_by_key.get(key)
+    known = table.fact_by_key.get((fact.subject, fact.origin))
     if known is not None and known.sequence >= fact.sequence:
         return False
-    table.fact_by_key[key] = fact
-    table.stated_at_ms_by_key[key] = now_ms - fact.age_ms
+    if known is None and len(table.fact_by_key) >= FACT_LIMIT:
+        return False
+    if _is_expired(state, fact, fact.age_ms):
+        return False
+    _store(state, fact, now_ms - max(fact.age_ms, 0))
     return True
+
+
+def _store(
+    state: world.World,
+    fact: messages.Fact,
+    stated_at_ms: clock.Millis,
+) -> None:
+    table = state.facts
+    key = (fact.subject, fact.origin)
+    table.fact_by_key[key] = fact
+    table.stated_at_ms_by_key[key] = stated_at_ms
+    table.sends_left_by_key.pop(key, None)
+    is_own = fact.origin == state.identity.incarnation
+    # Loads are perishable: their origin alone sends them, and sends them anew.
+    if is_own or not isinstance(fact.body, messages.TargetLoad):
+        table.sends_left_by_key[key] = rounds_of(state)
+
+
+def _is_expired(
+    state: world.World,
+    fact: messages.Fact,
+    age_ms: clock.Millis,
+) -> bool:
+    if isinstance(fact.body, messages.TargetLoad):
+        return age_ms > LOAD_MS
+    if isinstance(fact.body, messages.CallSuspect):
+        return age_ms > state.policy.suspect_ms
+    known = state.instances.peer_by_incarnation
+    if fact.origin == state.identity.incarnation or fact.origin in known:
+        return False
+    return age_ms > GONE_ORIGIN_MS
--- a/oleanderstair/domain/spread.py
+++ b/oleanderstair/domain/spread.py
@@ -87,6 +87,7 @@
         return [_refused(HEAD_NAME, 'configuration service', str(error))]
     table = state.catalogue
     table.highest_heard = max(table.highest_heard, head.number)
+    table.highest_read = max(table.highest_read, head.number)
     return _read_next(state)
 
 
--- a/oleanderstair/domain/tables/catalogue.py
+++ b/oleanderstair/domain/tables/catalogue.py
@@ -5,6 +5,7 @@
 import typing
 
 GENESIS_DIGEST: typing.Final = ''
+SHORT_DIGEST_LENGTH: typing.Final = 16
 
 
 class CallClass(enum.Enum):
@@ -95,11 +96,17 @@
         default_factory=dict,
     )
     highest_heard: int = 0
+    highest_read: int = 0
     refused_digest_by_number: dict[int, str] = dataclasses.field(
         default_factory=dict,
     )
 
 
+def short_digest(digest: str) -> str:
+    """Return the part of a digest that heartbeats carry."""
+    return digest[:SHORT_DIGEST_LENGTH]
+
+
 def empty() -> Catalogue:
     """Create the catalogue that stands before the first note."""
     return Catalogue(0, GENESIS_DIGEST, {}, {}, {})
--- a/oleanderstair/domain/tables/instances.py
+++ b/oleanderstair/domain/tables/instances.py
@@ -30,6 +30,9 @@
     confirmed: bool = False
     note_number: int = 0
     note_digest: str = ''
+    epoch: int = 1
+    highest_read: int = 0
+    largest_count: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,6 +45,13 @@
     peer_by_incarnation: dict[str, Peer] = dataclasses.field(
         default_factory=dict,
     )
+    replaced_at_ms_by_incarnation: dict[str, clock.Millis] = dataclasses.field(
+        default_factory=dict
+    )
+    counts: list[tuple[clock.Millis, int]] = dataclasses.field(
+        default_factory=list,
+    )
+    listed_since_ms: clock.Millis = clock.NEVER_MS
     largest_count: int = 1
     listed_at_ms: clock.Millis = clock.NEVER_MS
     phase: Phase = Phase.UNCONFIRMED
--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -15,6 +15,7 @@
     reads,
     suspects,
     targets,
+    traffic,
 )
 
 
@@ -34,6 +35,7 @@
     budgets: budgets.BudgetsTable
     suspects: suspects.SuspectsTable
     reads: reads.ReadsTable
+    traffic: traffic.TrafficTable
 
 
 def create(
@@ -55,4 +57,5 @@
         budgets=budgets.create(),
         suspects=suspects.create(),
         reads=reads.create(),
+        traffic=traffic.create(),
     )
