Spread notes between peers, confirm fresh instances, read within a budget

Every instance read each note for itself, a fork was refused like any other note and audited at each read, and nothing but a setting ended the wait of a fresh instance. Now heads are offered to a few peers, bodies are asked for in batches, a whole catalogue (index and parts, or one body from a peer) brings a fresh or forked instance on; refusals are kept and audited once; a few readers per data centre hold a watch and the rest read slowly; a fresh instance serves only when a confirmed peer that answered it, or a majority of fresh listed instances, has confirmed its note; status tells accepted from seen. Applying a small note no longer walks all targets.

--- a/oleanderstair/domain/addresses.py
+++ b/oleanderstair/domain/addresses.py
@@ -3,9 +3,13 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import world
+from oleanderstair.domain import live, world
 from oleanderstair.domain.tables import instances
 
+ADDRESS_LIMIT: typing.Final = 8
+OUTSIDE_MINIMUM: typing.Final = 2
+"""How many addresses of other data centres an answer leaves room for."""
+
 
 class Address(typing.TypedDict):
     """One address of the system and the key prefix of its instance."""
@@ -27,24 +31,20 @@
     data_centre: str,
     now_ms: clock.Millis,
 ) -> AddressAnswer:
-    """Return live addresses, those of ``data_centre`` first, shuffled."""
-    own = []
+    """Return a few live addresses, those of ``data_centre`` first, shuffled.
+
+    Only instances that are confirmed, heard recently and not leaving are
+    named; the answer is empty where there is none.
+    """
+    found = [_address_of(peer) for peer in _usable_peers(state, now_ms)]
     if state.instances.phase is instances.Phase.SERVING:
-        own = [_own_address(state)]
-    others = [
-        Address(
-            address=peer.caller_address,
-            data_centre=peer.data_centre,
-            key_prefix=key_prefix(peer.incarnation, 1),
-        )
-        for peer in state.instances.peer_by_incarnation.values()
-        if peer.confirmed and not peer.leaving
-    ]
-    found = own + others
+        found.append(_own_address(state))
     state.rng.shuffle(found)
-    found.sort(key=lambda entry: entry['data_centre'] != data_centre)
+    local = [entry for entry in found if entry['data_centre'] == data_centre]
+    outside = [entry for entry in found if entry['data_centre'] != data_centre]
+    kept = local[: ADDRESS_LIMIT - min(len(outside), OUTSIDE_MINIMUM)]
     return AddressAnswer(
-        addresses=found,
+        addresses=[*kept, *outside][:ADDRESS_LIMIT],
         valid_ms=state.policy.answer_validity_ms,
     )
 
@@ -54,6 +54,30 @@
     return f'{incarnation}.{epoch}.'
 
 
+def _usable_peers(
+    state: world.World,
+    now_ms: clock.Millis,
+) -> list[instances.Peer]:
+    listed = state.instances.listed_by_id
+    return [
+        peer
+        for peer in live.heard_peers(state, now_ms)
+        if peer.confirmed
+        and not peer.leaving
+        and not (
+            peer.instance_id in listed and listed[peer.instance_id].leaving
+        )
+    ]
+
+
+def _address_of(peer: instances.Peer) -> Address:
+    return Address(
+        address=peer.caller_address,
+        data_centre=peer.data_centre,
+        key_prefix=key_prefix(peer.incarnation, peer.epoch),
+    )
+
+
 def _own_address(state: world.World) -> Address:
     own = state.identity
     return Address(
--- a/oleanderstair/domain/gossip.py
+++ b/oleanderstair/domain/gossip.py
@@ -22,6 +22,8 @@
 
 HELLO_MS: typing.Final = 30_000
 
+_NONCE_LIMIT: typing.Final = 2_000_000_000
+
 
 def on_peer(
     state: world.World,
@@ -38,11 +40,16 @@
         live.touch(state, event.sender, now_ms)
         return []
     if message.reply:
+        if message.nonce == state.traffic.nonce:
+            live.mark_answered(state, event.sender)
         return []
     peer = state.instances.peer_by_incarnation.get(event.sender)
     if peer is None:
         return _introduce(state, event.sender, now_ms)
-    return _send(state, peer.peer_address, now_ms, reply=True)
+    if isinstance(message, messages.Heartbeat):
+        # Who greets may not know this incarnation, so tell all about it.
+        state.traffic.hello_at_ms_by_address.pop(peer.peer_address, None)
+    return _send(state, peer.peer_address, now_ms, message.nonce)
 
 
 def on_fact(
@@ -77,6 +84,8 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Send proof of life to the next few instances when it is due."""
+    if not state.traffic.nonce:
+        state.traffic.nonce = state.rng.randrange(1, _NONCE_LIMIT)
     _state_place(state, now_ms)
     if now_ms - state.facts.heartbeat_at_ms < state.policy.heartbeat_ms:
         return []
@@ -90,7 +99,7 @@
     )
     sent: list[actions.Action] = []
     for address in chosen:
-        sent.extend(_send(state, address, now_ms, reply=False))
+        sent.extend(_send(state, address, now_ms))
     return sent
 
 
@@ -116,7 +125,7 @@
         confirmed=phase is not instances.Phase.UNCONFIRMED,
         note_number=in_force.number,
         note_digest=catalogue.short_digest(in_force.digest),
-        largest_count=state.instances.largest_count,
+        largest_count=state.instances.own_largest_count,
         epoch=state.keys.open_epoch,
         highest_read=state.catalogue.highest_read,
     )
@@ -144,15 +153,17 @@
     state: world.World,
     address: str,
     now_ms: clock.Millis,
-    reply: bool,
+    answered_nonce: int = 0,
 ) -> list[actions.Action]:
     """Send a pulse, or all about this instance where that is news."""
     table = state.traffic.hello_at_ms_by_address
     incarnation = live.incarnation_at(state, address)
-    message: messages.Message = messages.Pulse(standing(state), reply)
+    nonce = answered_nonce or state.traffic.nonce
+    reply = bool(answered_nonce)
+    message: messages.Message = messages.Pulse(standing(state), reply, nonce)
     said_at_ms = table.get(address, clock.NEVER_MS)
     if not incarnation or now_ms - said_at_ms > HELLO_MS:
-        message = heartbeat(state)._replace(reply=reply)
+        message = heartbeat(state)._replace(reply=reply, nonce=nonce)
     sent = bandwidth.send(state, incarnation, address, message, now_ms)
     if incarnation and isinstance(message, messages.Heartbeat):
         table[address] = now_ms
@@ -168,9 +179,8 @@
     entry = state.instances.listed_by_id.get(live.instance_id_of(sender))
     if entry is None:
         return []
-    return bandwidth.send(
-        state, sender, entry.peer_address, heartbeat(state), now_ms
-    )
+    greeting = heartbeat(state)._replace(nonce=state.traffic.nonce)
+    return bandwidth.send(state, sender, entry.peer_address, greeting, now_ms)
 
 
 def _row(
--- a/oleanderstair/domain/live.py
+++ b/oleanderstair/domain/live.py
@@ -33,9 +33,20 @@
             table.peer_by_incarnation.pop(other.incarnation)
             table.replaced_at_ms_by_incarnation[other.incarnation] = now_ms
     table.replaced_at_ms_by_incarnation.pop(row.incarnation, None)
+    if known is not None:
+        row = row._replace(answered=known.answered or row.answered)
     table.peer_by_incarnation[row.incarnation] = row
 
 
+def mark_answered(state: world.World, sender: str) -> None:
+    """Note that a peer has answered this incarnation."""
+    known = state.instances.peer_by_incarnation.get(sender)
+    if known is not None:
+        state.instances.peer_by_incarnation[sender] = known._replace(
+            answered=True,
+        )
+
+
 def pulse(
     state: world.World,
     sender: str,
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -95,7 +95,10 @@
 
 
 class Heartbeat(typing.NamedTuple):
-    """Proof of life, and who the sender is; ``reply`` answers another."""
+    """Proof of life, and who the sender is; ``reply`` answers another.
+
+    A reply carries the ``nonce`` of the message that it answers.
+    """
 
     instance_id: str
     region: str
@@ -104,13 +107,15 @@
     peer_address: str
     state: InstanceState
     reply: bool = False
+    nonce: int = 0
 
 
 class Pulse(typing.NamedTuple):
-    """Proof of life to a peer that knows the sender; may ask for one."""
+    """Proof of life to a peer that knows the sender; see ``Heartbeat``."""
 
     state: InstanceState
     reply: bool = False
+    nonce: int = 0
 
 
 class Facts(typing.NamedTuple):
@@ -135,9 +140,10 @@
 
 
 class NoteRequest(typing.NamedTuple):
-    """Ask a peer for the notes after ``after_number``."""
+    """Ask a peer for the notes after the asker's own."""
 
     after_number: int
+    after_digest: str = ''
 
 
 class NoteBody(typing.NamedTuple):
--- a/oleanderstair/domain/notes.py
+++ b/oleanderstair/domain/notes.py
@@ -1,5 +1,6 @@
 """Release notes: reading them, chaining them, and applying them."""
 
+import collections
 import hashlib
 import typing
 
@@ -7,60 +8,18 @@
 import result
 
 from oleanderstair import errors
+from oleanderstair.domain import entries
 from oleanderstair.domain.tables import catalogue
 
-_NAME = typing.Annotated[
-    str,
-    msgspec.Meta(pattern='^[a-z0-9][a-z0-9-]{0,62}$'),
-]
-_LARGEST: typing.Final = 100_000_000
-_POSITIVE = typing.Annotated[int, msgspec.Meta(ge=1, le=_LARGEST)]
-_SHARE = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
-
-
-class _Changes(msgspec.Struct, forbid_unknown_fields=True):
-    services: list['_ServiceEntry'] = []
-    targets: list['_TargetEntry'] = []
-
-
-class _Withdrawals(msgspec.Struct, forbid_unknown_fields=True):
-    services: list[_NAME] = []
-    targets: list[_NAME] = []
-
-
-class _RuleEntry(msgspec.Struct, forbid_unknown_fields=True):
-    path_prefix: str
-    method: str = ''
-    idempotent: bool | None = None
-    call_class: catalogue.CallClass | None = None
-
-
-class _ServiceEntry(msgspec.Struct, forbid_unknown_fields=True):
-    name: _NAME
-    region: _NAME
-    call_class: catalogue.CallClass = catalogue.CallClass.INTERACTIVE
-    deadline_ms: _POSITIVE = 1000
-    probe_budget_per_s: _POSITIVE = 20
-    retry_share: _SHARE = 0.1
-    hedge_share: _SHARE = 0.02
-    rules: list[_RuleEntry] = []
-
-
-class _TargetEntry(msgspec.Struct, forbid_unknown_fields=True):
-    id: _NAME
-    service: _NAME
-    address: typing.Annotated[str, msgspec.Meta(pattern=r'^[\w.:\[\]-]+:\d+$')]
-    data_centre: _NAME
-    slots: _POSITIVE
-    connections: _POSITIVE = 300
-
 
 class _NoteEntry(msgspec.Struct, forbid_unknown_fields=True):
-    number: _POSITIVE
+    number: entries.POSITIVE
     parent: str
-    added: _Changes = msgspec.field(default_factory=_Changes)
-    changed: _Changes = msgspec.field(default_factory=_Changes)
-    withdrawn: _Withdrawals = msgspec.field(default_factory=_Withdrawals)
+    added: entries.Changes = msgspec.field(default_factory=entries.Changes)
+    changed: entries.Changes = msgspec.field(default_factory=entries.Changes)
+    withdrawn: entries.Withdrawals = msgspec.field(
+        default_factory=entries.Withdrawals
+    )
 
 
 NoteResult: typing.TypeAlias = result.Result[catalogue.Note, errors.Problem]
@@ -86,10 +45,10 @@
             number=entry.number,
             parent=entry.parent,
             digest=digest(body),
-            added_services=_services(entry.added),
-            added_targets=_targets(entry.added),
-            changed_services=_services(entry.changed),
-            changed_targets=_targets(entry.changed),
+            added_services=entries.services_of(entry.added),
+            added_targets=entries.targets_of(entry.added),
+            changed_services=entries.services_of(entry.changed),
+            changed_targets=entries.targets_of(entry.changed),
             withdrawn_services=tuple(entry.withdrawn.services),
             withdrawn_targets=tuple(entry.withdrawn.targets),
         ),
@@ -105,52 +64,104 @@
     if problem is not None:
         return result.Err(problem)
     services = dict(before.service_by_name)
-    targets = dict(before.target_by_id)
     for name in note.withdrawn_services:
         services.pop(name)
-    for target_id in note.withdrawn_targets:
-        targets.pop(target_id)
     for service in (*note.added_services, *note.changed_services):
         services[service.name] = service
+    targets = dict(before.target_by_id)
+    for target_id in note.withdrawn_targets:
+        targets.pop(target_id)
     for target in (*note.added_targets, *note.changed_targets):
         targets[target.target_id] = target
-    return _check_whole(note, services, targets)
+    after = catalogue.Catalogue(
+        note.number,
+        note.digest,
+        services,
+        targets,
+        _reindex(before, note, services, targets),
+    )
+    orphan = _find_orphan(after, note)
+    return result.Err(orphan) if orphan else result.Ok(after)
 
 
-def assemble(
+def build(
     number: int,
     note_digest: str,
-    services: dict[str, catalogue.Service],
-    targets: dict[str, catalogue.Target],
-) -> catalogue.Catalogue:
-    """Build a catalogue and its index of targets by service."""
-    ids_by_service: dict[str, list[str]] = {name: [] for name in services}
-    for target in targets.values():
-        ids_by_service[target.service].append(target.target_id)
-    return catalogue.Catalogue(
-        number,
+    parts: typing.Sequence[entries.Changes],
+) -> CatalogueResult:
+    """Build a whole catalogue from the entries of its parts."""
+    note = catalogue.Note(
+        1,
+        catalogue.GENESIS_DIGEST,
         note_digest,
-        services,
-        targets,
-        {name: tuple(sorted(ids)) for name, ids in ids_by_service.items()},
+        tuple(row for part in parts for row in entries.services_of(part)),
+        tuple(row for part in parts for row in entries.targets_of(part)),
     )
+    applied = apply_note(catalogue.empty(), note)
+    return applied.map(lambda whole: whole._replace(number=number))
 
 
-def _check_whole(
+def _reindex(
+    before: catalogue.Catalogue,
     note: catalogue.Note,
     services: dict[str, catalogue.Service],
     targets: dict[str, catalogue.Target],
-) -> CatalogueResult:
-    for target in targets.values():
-        if target.service not in services:
-            return result.Err(
-                _problem(
-                    f'target {target.target_id}',
-                    f'its service {target.service} does not exist',
-                    'withdraw the target as well, or add the service',
-                ),
+) -> dict[str, tuple[str, ...]]:
+    """Return the index of targets, made anew for touched services only."""
+    index = dict(before.target_ids_by_service)
+    for name in note.withdrawn_services:
+        if name not in services and not index.get(name):
+            index.pop(name, None)
+    for service in note.added_services:
+        index.setdefault(service.name, ())
+    present = (*note.added_targets, *note.changed_targets)
+    moved = [target.target_id for target in present]
+    members_by_service = _members(
+        before,
+        [*moved, *note.withdrawn_targets],
+        {target.service for target in present},
+    )
+    for target_id in moved:
+        members_by_service[targets[target_id].service].add(target_id)
+    for touched, members in members_by_service.items():
+        index[touched] = tuple(sorted(members))
+        if not members and touched not in services:
+            index.pop(touched)
+    return index
+
+
+def _members(
+    before: catalogue.Catalogue,
+    target_ids: list[str],
+    services: set[str],
+) -> dict[str, set[str]]:
+    """Return the targets of all touched services without ``target_ids``."""
+    known = before.target_by_id
+    left = {known[found].service for found in target_ids if found in known}
+    return {
+        service: set(before.target_ids_by_service.get(service, ())).difference(
+            target_ids,
+        )
+        for service in sorted(left | services)
+    }
+
+
+def _find_orphan(
+    after: catalogue.Catalogue,
+    note: catalogue.Note,
+) -> errors.Problem | None:
+    suspects = [*note.added_targets, *note.changed_targets]
+    for name in note.withdrawn_services:
+        members = after.target_ids_by_service.get(name, ())
+        suspects.extend(after.target_by_id[found] for found in members)
+    for target in suspects:
+        if target.service not in after.service_by_name:
+            return _problem(
+                f'target {target.target_id}',
+                f'its service {target.service} does not exist',
+                'withdraw the target as well, or add the service',
             )
-    return result.Ok(assemble(note.number, note.digest, services, targets))
+    return None
 
 
 def _find_problem(
@@ -186,8 +197,8 @@
 
 
 def _find_duplicate(where: str, names: list[str]) -> errors.Problem | None:
-    for name in names:
-        if names.count(name) > 1:
+    for name, times in collections.Counter(names).items():
+        if times > 1:
             return _problem(where, f'{name} is named twice', 'name it once')
     return None
 
@@ -214,43 +225,5 @@
     return None
 
 
-def _services(changes: _Changes) -> tuple[catalogue.Service, ...]:
-    return tuple(
-        catalogue.Service(
-            name=entry.name,
-            region=entry.region,
-            call_class=entry.call_class,
-            deadline_ms=entry.deadline_ms,
-            probe_budget_per_s=entry.probe_budget_per_s,
-            retry_share=entry.retry_share,
-            hedge_share=entry.hedge_share,
-            rules=tuple(
-                catalogue.CallRule(
-                    rule.path_prefix,
-                    rule.method,
-                    rule.idempotent,
-                    rule.call_class,
-                )
-                for rule in entry.rules
-            ),
-        )
-        for entry in changes.services
-    )
-
-
-def _targets(changes: _Changes) -> tuple[catalogue.Target, ...]:
-    return tuple(
-        catalogue.Target(
-            target_id=entry.id,
-            service=entry.service,
-            address=entry.address,
-            data_centre=entry.data_centre,
-            slots=entry.slots,
-            connections=entry.connections,
-        )
-        for entry in changes.targets
-    )
-
-
 def _problem(where: str, what: str, remedy: str) -> errors.Problem:
     return errors.Problem(errors.ProblemKind.NOTE, where, what, remedy)
--- a/oleanderstair/domain/spread.py
+++ b/oleanderstair/domain/spread.py
@@ -1,4 +1,4 @@
-"""Adopts release notes from the configuration service and from peers."""
+"""Takes release notes from the values of the configuration service."""
 
 import typing
 
@@ -6,22 +6,34 @@
 import result
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, messages, notes, world
+from oleanderstair.domain import (
+    actions,
+    adopting,
+    catalogues,
+    entries,
+    events,
+    notes,
+    world,
+)
 from oleanderstair.domain.tables import catalogue
 
 HEAD_NAME: typing.Final = 'head'
+NOTE_PREFIX: typing.Final = 'notes/'
+READ_GAP_MS: typing.Final = 2
+CATALOGUE_GAP: typing.Final = 8
+"""How many notes behind a whole catalogue is read in their place."""
 
 
 class Head(msgspec.Struct):
     """The published number and digest of the newest note."""
 
-    number: int
+    number: entries.POSITIVE
     digest: str
 
 
 def note_name(number: int) -> str:
     """Return the name of the configuration value that holds a note."""
-    return f'notes/{number}'
+    return f'{NOTE_PREFIX}{number}'
 
 
 def on_value(
@@ -33,70 +45,115 @@
     if event.body is None:
         return []
     if event.name == HEAD_NAME:
-        return _on_head(state, event.body)
-    return adopt(state, event.body, now_ms, 'configuration service')
-
-
-def adopt(
+        return _on_head(state, event.body, now_ms)
+    if event.name == catalogues.INDEX_NAME:
+        return _on_index(state, event.body, now_ms)
+    if event.name.startswith(f'{catalogues.INDEX_NAME}/'):
+        return _on_part(state, event.name, event.body, now_ms)
+    before = state.catalogue.in_force.number
+    source = adopting.SERVICE
+    taken = adopting.adopt_note(state, event.body, now_ms, source)
+    if state.catalogue.in_force.number > before:
+        taken.extend(read_next(state, now_ms))
+    return taken
+
+
+def read_next(
     state: world.World,
-    body: bytes,
     now_ms: clock.Millis,
-    source: str,
 ) -> list[actions.Action]:
-    """Put the next note in force, or refuse it whole and say why."""
+    """Read the next note, or the catalogue where many are missing.
+
+    The reads of one instance are spaced by its share of the fleet's budget.
+    """
     table = state.catalogue
-    parsed = notes.parse(body)
-    if isinstance(parsed, result.Err):
-        return [_refused('?', source, parsed.err_value.message)]
-    note = parsed.ok_value
-    if note.number <= table.in_force.number:
+    missing = table.highest_read - table.in_force.number
+    gap_ms = state.instances.largest_count * READ_GAP_MS
+    if missing <= 0 or now_ms - state.reads.note_read_at_ms < gap_ms:
         return []
-    applied = notes.apply_note(table.in_force, note)
-    if isinstance(applied, result.Err):
-        return [_refused(str(note.number), source, applied.err_value.message)]
-    table.in_force = applied.ok_value
-    table.in_force_since_ms = now_ms
-    table.publication_by_number[note.number] = catalogue.Publication(
-        note.number,
-        note.digest,
-        body,
-        whole_catalogue=False,
+    state.reads.note_read_at_ms = now_ms
+    wanted = [note_name(table.in_force.number + 1)]
+    if missing > CATALOGUE_GAP or _is_forked(table):
+        wanted.append(catalogues.INDEX_NAME)
+    return [actions.ReadValue(name) for name in wanted]
+
+
+def _is_forked(table: catalogue.CatalogueTable) -> bool:
+    following = table.in_force.number + 1
+    return any(
+        refusal.number == following
+        for refusal in table.refusal_by_digest.values()
     )
-    return [
-        actions.Audit('note', str(note.number), source, 'adopted'),
-        *_read_next(state),
-    ]
 
 
-def on_peer(
+def _on_head(
     state: world.World,
-    event: events.PeerHeard,
+    body: bytes,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Answer and take notes that peers ask for and offer."""
-    message = event.message
-    if isinstance(message, messages.NoteBody):
-        return adopt(state, message.body, now_ms, event.sender)
-    return []
-
-
-def _on_head(state: world.World, body: bytes) -> list[actions.Action]:
     try:
         head = msgspec.json.decode(body, type=Head)
     except msgspec.MsgspecError as error:
-        return [_refused(HEAD_NAME, 'configuration service', str(error))]
+        return _refuse(state, notes.digest(body), f'head: {error}')
     table = state.catalogue
+    if head.number < table.highest_read:
+        return [actions.Count('stale-heads')]
+    table.highest_read = head.number
     table.highest_heard = max(table.highest_heard, head.number)
-    table.highest_read = max(table.highest_read, head.number)
-    return _read_next(state)
+    if head.number == table.in_force.number:
+        if head.digest != table.in_force.digest:
+            why = f'the head names another note {head.number}'
+            return _refuse(state, head.digest, why, head.number)
+    return read_next(state, now_ms)
 
 
-def _read_next(state: world.World) -> list[actions.Action]:
+def _on_index(
+    state: world.World,
+    body: bytes,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
     table = state.catalogue
-    if table.highest_heard <= table.in_force.number:
+    parsed = catalogues.parse_index(body)
+    if isinstance(parsed, result.Err):
+        return _refuse(state, notes.digest(body), parsed.err_value.message)
+    if parsed.ok_value.number <= table.in_force.number:
         return []
-    return [actions.ReadValue(note_name(table.in_force.number + 1))]
+    table.index_body = body
+    table.part_by_name.clear()
+    return [actions.ReadValue(part.name) for part in parsed.ok_value.parts]
 
 
-def _refused(number: str, source: str, why: str) -> actions.Action:
-    return actions.Audit('note-refused', number, source, why)
+def _on_part(
+    state: world.World,
+    name: str,
+    body: bytes,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    table = state.catalogue
+    parsed = catalogues.parse_index(table.index_body)
+    if isinstance(parsed, result.Err):
+        return []
+    index = parsed.ok_value
+    digest = notes.digest(body)
+    digest_by_name = {part.name: part.digest for part in index.parts}
+    if digest_by_name.get(name) != digest:
+        why = f'{name} is not the part that the index names; publish it again'
+        return _refuse(state, digest, why, index.number)
+    table.part_by_name[name] = body
+    if len(table.part_by_name) < len(digest_by_name):
+        return []
+    taken = adopting.adopt_parts(state, index, now_ms)
+    table.index_body = b''
+    return [*taken, *read_next(state, now_ms)]
+
+
+def _refuse(
+    state: world.World,
+    digest: str,
+    why: str,
+    number: int = 0,
+) -> list[actions.Action]:
+    source = adopting.SERVICE
+    is_fork = bool(number) and number == state.catalogue.in_force.number
+    refusal = catalogue.Refusal(number, digest, source, why, is_fork)
+    return adopting.refuse(state, refusal)
--- a/oleanderstair/domain/tables/catalogue.py
+++ b/oleanderstair/domain/tables/catalogue.py
@@ -86,20 +86,43 @@
     whole_catalogue: bool
 
 
+class Refusal(typing.NamedTuple):
+    """A note or value that was refused, and why; its digest names it."""
+
+    number: int
+    digest: str
+    source: str
+    why: str
+    is_fork: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class CatalogueTable:
-    """The catalogue in force here and what was heard of newer notes."""
+    """The catalogue in force here and what was heard of newer notes.
+
+    ``highest_read`` is the newest head that this instance has read from the
+    service; ``highest_heard`` counts peers as well. The kept publications
+    follow on the note that ``base_number`` and ``base_digest`` name.
+    """
 
     in_force: Catalogue
     in_force_since_ms: float = 0
     publication_by_number: dict[int, Publication] = dataclasses.field(
         default_factory=dict,
     )
+    base_number: int = 0
+    base_digest: str = GENESIS_DIGEST
+    whole: Publication | None = None
     highest_heard: int = 0
     highest_read: int = 0
-    refused_digest_by_number: dict[int, str] = dataclasses.field(
+    refusal_by_digest: dict[str, Refusal] = dataclasses.field(
+        default_factory=dict,
+    )
+    early_body_by_number: dict[int, bytes] = dataclasses.field(
         default_factory=dict,
     )
+    part_by_name: dict[str, bytes] = dataclasses.field(default_factory=dict)
+    index_body: bytes = b''
 
 
 def short_digest(digest: str) -> str:
--- a/oleanderstair/domain/tables/instances.py
+++ b/oleanderstair/domain/tables/instances.py
@@ -17,7 +17,11 @@
 
 
 class Peer(typing.NamedTuple):
-    """An instance incarnation that was heard from."""
+    """An instance incarnation that was heard from.
+
+    ``answered`` is true once it has answered this incarnation, which proves
+    that its note is not an older message that was late.
+    """
 
     incarnation: str
     instance_id: str
@@ -33,6 +37,7 @@
     epoch: int = 1
     highest_read: int = 0
     largest_count: int = 0
+    answered: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -48,11 +53,11 @@
     replaced_at_ms_by_incarnation: dict[str, clock.Millis] = dataclasses.field(
         default_factory=dict
     )
-    counts: list[tuple[clock.Millis, int]] = dataclasses.field(
-        default_factory=list,
-    )
+    count_by_minute: dict[int, int] = dataclasses.field(default_factory=dict)
     listed_since_ms: clock.Millis = clock.NEVER_MS
     largest_count: int = 1
+    own_largest_count: int = 1
+    waits_for: str = ''
     listed_at_ms: clock.Millis = clock.NEVER_MS
     phase: Phase = Phase.UNCONFIRMED
     stopping_since_ms: clock.Millis = clock.NEVER_MS
--- a/oleanderstair/domain/tables/reads.py
+++ b/oleanderstair/domain/tables/reads.py
@@ -1,4 +1,4 @@
-"""When the platform was last read."""
+"""When the platform was last read, and what is being waited for."""
 
 import dataclasses
 
@@ -7,11 +7,24 @@
 
 @dataclasses.dataclass(slots=True)
 class ReadsTable:
-    """The time of the last read of each configuration value."""
+    """Reads by the name of the value: last asked, next due, failures.
+
+    ``watch_since_ms`` is when the open watch began, None without one.
+    """
 
     read_at_ms_by_name: dict[str, clock.Millis] = dataclasses.field(
         default_factory=dict,
     )
+    due_at_ms_by_name: dict[str, clock.Millis] = dataclasses.field(
+        default_factory=dict,
+    )
+    failures_by_name: dict[str, int] = dataclasses.field(default_factory=dict)
+    watch_since_ms: clock.Millis | None = None
+    watch_due_ms: clock.Millis = clock.NEVER_MS
+    head_body_digest: str = ''
+    note_read_at_ms: clock.Millis = clock.NEVER_MS
+    asked_peer_at_ms: clock.Millis = clock.NEVER_MS
+    behind_since_ms: clock.Millis = clock.NEVER_MS
 
 
 def create() -> ReadsTable:
--- a/oleanderstair/domain/tables/traffic.py
+++ b/oleanderstair/domain/tables/traffic.py
@@ -10,6 +10,7 @@
     """Two token buckets in bytes, and the peers' turns.
 
     ``tokens`` are for control messages, ``note_tokens`` for note bodies.
+    Peers echo ``nonce`` when they answer this incarnation.
     """
 
     tokens: float = 0
@@ -18,6 +19,7 @@
     local_turn: int = 0
     outside_turn: int = 0
     heartbeat_turn: int = 0
+    nonce: int = 0
     hello_at_ms_by_address: dict[str, clock.Millis] = dataclasses.field(
         default_factory=dict,
     )
--- a/oleanderstair/emulator/harness.py
+++ b/oleanderstair/emulator/harness.py
@@ -148,6 +148,10 @@
         self.runs: list[Run] = []
         self.told_by_call: dict[int, Told] = {}
         self.peer_bytes = 0
+        self.read_rule: typing.Callable[[str, str], bytes | None] = (
+            lambda reader, name: self.body_by_name.get(name)
+        )
+        self._watches: list[tuple[str, str]] = []
         self._due: list[
             tuple[clock.Millis, int, typing.Callable[[], None]]
         ] = []
@@ -226,6 +230,7 @@
         self.body_by_name[spread.HEAD_NAME] = msgspec.json.encode(
             {'number': self._number, 'digest': self._digest},
         )
+        self._end_watches()
         return self._number
 
     # Faults
@@ -519,11 +524,22 @@
         instance_id: str,
         action: actions.WatchValue,
     ) -> None:
-        body = self.body_by_name.get(action.name, b'')
-        wait_ms = HOP_MS
-        if notes.digest(body) == action.digest:
-            wait_ms = action.bound_ms
-        self._answer_value(instance_id, action.name, wait_ms)
+        body = self.read_rule(instance_id, action.name) or b''
+        if self.platform_down or notes.digest(body) != action.digest:
+            self._answer_value(instance_id, action.name, HOP_MS)
+            return
+        watch = (instance_id, action.name)
+        self._watches.append(watch)
+        self.after(action.bound_ms, lambda: self._end_watch(watch))
+
+    def _end_watch(self, watch: tuple[str, str]) -> None:
+        if watch in self._watches:
+            self._watches.remove(watch)
+            self._answer_value(*watch, HOP_MS)
+
+    def _end_watches(self) -> None:
+        for watch in list(self._watches):
+            self._end_watch(watch)
 
     def _answer_value(
         self,
@@ -535,7 +551,7 @@
         if self.platform_down:
             event: events.Event = events.ReadFailed(name, 'service down')
         else:
-            event = events.ValueRead(name, self.body_by_name.get(name))
+            event = events.ValueRead(name, self.read_rule(instance_id, name))
         self._later(delay_ms, instance_id, event)
 
     def _read_instances(
--- a/oleanderstair/engine/admin.py
+++ b/oleanderstair/engine/admin.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from oleanderstair.domain import standing
 from oleanderstair.domain.tables import targets
 from oleanderstair.engine import asgi, shell
 
@@ -49,6 +50,7 @@
             'services': len(in_force.service_by_name),
             'targets': len(in_force.target_by_id),
             'calls_in_flight': len(state.calls.call_by_id),
+            **standing.report(state, self._shell.ports.clock.now_ms()),
         }
 
     def _targets(self) -> object:
--- a/test/helper.py
+++ b/test/helper.py
@@ -7,6 +7,7 @@
 
 import anyio
 import httpcore
+import msgspec
 
 from oleanderstair.domain import actions, policy, world
 from oleanderstair.domain.tables import identity, instances
@@ -132,3 +133,8 @@
 def outcome_of(answer: httpcore.Response) -> str:
     """Return the outcome that an answer states."""
     return headers.find(answer.headers, headers.OUTCOME).decode()
+
+
+def encode_json(document: object) -> bytes:
+    """Encode a note or value as it is published."""
+    return msgspec.json.encode(document)
--- /dev/null
+++ b/test/test_notes.py
@@ -0,0 +1,428 @@
+"""Notes go on along the chain, never back, and reach all instances."""
+
+import itertools
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from oleanderstair.domain import (
+    actions,
+    adopting,
+    catalogues,
+    events,
+    messages,
+    notes,
+    outcomes,
+    spread,
+    standing,
+)
+from oleanderstair.domain.tables import catalogue, instances
+from oleanderstair.emulator import harness
+from test import helper
+
+BOUNDED = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=12,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+PLACES = ('trnava', 'nitra', 'senec')
+
+
+class Watched(harness.Harness):
+    """A harness that checks after each step that no number fell."""
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.highest_by_incarnation = {}
+        self.lag_by_id = {}
+        self.read_rule = self.read_stale
+
+    def _step(self, instance, event):
+        super()._step(instance, event)
+        incarnation = instance.state.identity.incarnation
+        number = instance.state.catalogue.in_force.number
+        before = self.highest_by_incarnation.get(incarnation, 0)
+        assert number >= before, f'{incarnation} fell to note {number}'
+        self.highest_by_incarnation[incarnation] = number
+
+    @property
+    def latest(self):
+        return self._number
+
+    def read_stale(self, reader, name):
+        number = max(self._number - self.lag_by_id.get(reader, 0), 0)
+        if name == spread.HEAD_NAME and number != self._number:
+            body = self.body_by_name.get(spread.note_name(number))
+            if body is None:
+                return None
+            digest = notes.digest(body)
+            return b'{"number":%d,"digest":"%s"}' % (number, digest.encode())
+        if name == catalogues.INDEX_NAME and number != self._number:
+            return None
+        return self.body_by_name.get(name)
+
+
+def note_of(number):
+    entry = harness.target_entry(harness.Target(f'burza-{number}'), 'burza')
+    if number == 1:
+        return harness.first_note({'burza': [harness.Target('burza-1')]})
+    return {'added': {'targets': [entry]}}
+
+
+def make(count, seed, published=3):
+    made = Watched(seed)
+    for number in range(1, published + 1):
+        made.publish(note_of(number))
+    for number in range(count):
+        made.add_instance(f'entry-{number}', PLACES[number % len(PLACES)])
+    return made
+
+
+def place_of(instance_id):
+    return PLACES[int(instance_id.rpartition('-')[2]) % len(PLACES)]
+
+
+def numbers(made):
+    return {
+        instance.state.catalogue.in_force.number
+        for instance in made.instance_by_id.values()
+    }
+
+
+def phases(made):
+    return {
+        instance.state.instances.phase
+        for instance in made.instance_by_id.values()
+    }
+
+
+def publish_compacted(made):
+    whole = catalogue.empty()
+    for number in itertools.count(1):
+        body = made.body_by_name.get(spread.note_name(number))
+        if body is None:
+            break
+        note = notes.parse(body).ok_value
+        whole = notes.apply_note(whole, note).ok_value
+    for published in catalogues.split(whole).ok_value:
+        made.body_by_name[published.name] = published.body
+
+
+NAMES = strategies.sampled_from([f'entry-{number}' for number in range(5)])
+FAULTS = strategies.one_of(
+    strategies.tuples(strategies.just('publish')),
+    strategies.tuples(strategies.just('compact')),
+    strategies.tuples(strategies.just('restart'), NAMES),
+    strategies.tuples(strategies.just('lag'), NAMES, strategies.integers(0, 9)),
+    strategies.tuples(strategies.just('cut'), strategies.sets(NAMES)),
+    strategies.tuples(strategies.just('lossy'), strategies.integers(0, 9)),
+    strategies.tuples(strategies.just('down'), strategies.booleans()),
+    strategies.tuples(
+        strategies.just('pause'),
+        NAMES,
+        strategies.integers(100, 5000),
+    ),
+    strategies.tuples(strategies.just('run'), strategies.integers(50, 4000)),
+)
+
+
+class Network:
+    """Loses, doubles, delays and cuts what instances send."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.loss = 0
+        self.cut = set()
+
+    def __call__(self, sender, receiver, message):
+        if (sender in self.cut) != (receiver in self.cut):
+            return ()
+        if self.rng.randrange(10) < self.loss:
+            return ()
+        copies = 1 + (self.rng.randrange(10) < self.loss)
+        delay_ms = self.rng.uniform(0, 1 + 300 * self.loss)
+        return [delay_ms for _ in range(copies)]
+
+
+def restart(made, instance_id):
+    made.kill(instance_id)
+    made.add_instance(instance_id, place_of(instance_id))
+
+
+ACT_BY_KIND = {
+    'publish': lambda made, network: made.publish(note_of(made.latest + 1)),
+    'compact': lambda made, network: publish_compacted(made),
+    'restart': lambda made, network, name: restart(made, name),
+    'lag': lambda made, network, name, lag: made.lag_by_id.update({name: lag}),
+    'cut': lambda made, network, names: setattr(network, 'cut', names),
+    'lossy': lambda made, network, loss: setattr(network, 'loss', loss),
+    'down': lambda made, network, down: setattr(made, 'platform_down', down),
+    'pause': lambda made, network, name, for_ms: made.pause(name, for_ms),
+    'run': lambda made, network, span_ms: made.run_for(span_ms),
+}
+
+
+def run_faults(faults, seed):
+    made = make(5, seed)
+    network = Network(made.rng)
+    made.link_rule = network
+    for fault in faults:
+        ACT_BY_KIND[fault[0]](made, network, *fault[1:])
+        made.run_for(200)
+    network.cut = set()
+    network.loss = 0
+    made.lag_by_id.clear()
+    made.platform_down = False
+    made.run_for(40_000)
+    assert numbers(made) == {made.latest}
+    assert phases(made) == {instances.Phase.SERVING}
+
+
+@BOUNDED
+@hypothesis.given(
+    strategies.lists(FAULTS, max_size=12),
+    strategies.integers(0, 1000),
+)
+def test_number_never_falls_and_all_reach_the_highest(faults, seed):
+    run_faults(faults, seed)
+
+
+def test_the_property_fails_where_a_lower_note_is_taken(monkeypatch):
+    def take_lower(state, note, source):
+        older = state.catalogue.in_force._replace(number=note.number)
+        state.catalogue.in_force = older
+        return []
+
+    monkeypatch.setattr(adopting, '_check_known', take_lower)
+    slow = [('lossy', 5), *itertools.repeat(('publish',), 6), ('run', 4000)]
+    with pytest.raises(AssertionError, match='fell to note'):
+        for seed in range(20):
+            run_faults([*slow, *slow, *slow, *slow], seed)
+
+
+@BOUNDED
+@hypothesis.given(
+    strategies.integers(1, 4),
+    strategies.integers(0, 4),
+    strategies.integers(0, 1000),
+)
+def test_restarted_instance_takes_the_peers_note_first(lag, loss, seed):
+    made = make(5, seed, published=5)
+    network = Network(made.rng)
+    made.link_rule = network
+    made.run_for(8000)
+    assert phases(made) == {instances.Phase.SERVING}
+    network.loss = loss
+    made.lag_by_id = {f'entry-{number}': lag for number in range(5)}
+    made.kill('entry-2')
+    state = made.add_instance('entry-2', place_of('entry-2'))
+    while state.instances.phase is instances.Phase.UNCONFIRMED:
+        refused = made.call('entry-2')
+        told = made.told_by_call[refused]
+        assert told.outcome is outcomes.Outcome.NOT_RUN
+        assert told.reason is outcomes.Reason.UNCONFIRMED
+        made.run_for(50)
+        assert made.clock.now_ms() < 60_000
+    assert state.catalogue.in_force.number == 5
+
+
+def test_cold_start_needs_a_majority_and_takes_the_highest_head():
+    made = make(5, 1, published=4)
+    made.lag_by_id = {'entry-0': 2, 'entry-1': 2, 'entry-2': 3}
+    made.kill('entry-3')
+    made.kill('entry-4')
+    alone = made.instance_by_id['entry-0'].state
+    made.link_rule = lambda sender, receiver, message: ()
+    made.run_for(10_000)
+    assert phases(made) == {instances.Phase.UNCONFIRMED}
+    assert 'majority' in alone.instances.waits_for
+    made.link_rule = lambda sender, receiver, message: (1,)
+    made.run_for(6000)
+    live = [made.instance_by_id[f'entry-{number}'].state for number in range(3)]
+    assert {state.instances.phase for state in live} == {
+        instances.Phase.SERVING,
+    }
+    assert {state.catalogue.in_force.number for state in live} == {2}
+
+
+def test_one_reader_is_enough_while_the_service_is_down_for_the_others():
+    made = make(5, 1)
+    made.run_for(8000)
+    read = made.read_rule
+    made.read_rule = lambda reader, name: (
+        read(reader, name) if reader == 'entry-1' else None
+    )
+    made.publish(note_of(4))
+    made.run_for(2000)
+    assert numbers(made) == {4}
+    states = [found.state for found in made.instance_by_id.values()]
+    now_ms = made.clock.now_ms()
+    assert {standing.accepted(state, now_ms) for state in states} == {
+        standing.ACCEPTED,
+    }
+
+
+def test_note_is_only_seen_by_a_minority():
+    made = make(5, 1)
+    made.run_for(8000)
+    network = Network(made.rng)
+    network.cut = {'entry-1', 'entry-2'}
+    made.link_rule = network
+    made.read_rule = lambda reader, name: (
+        made.body_by_name.get(name) if reader in network.cut else None
+    )
+    made.publish(note_of(4))
+    made.run_for(8000)
+    state = made.instance_by_id['entry-1'].state
+    report = standing.report(state, made.clock.now_ms())
+    assert report['standing'] == standing.SEEN
+    assert report['silent'] == ['entry-0', 'entry-3', 'entry-4']
+    network.cut = set()
+    made.run_for(8000)
+    assert standing.accepted(state, made.clock.now_ms()) == standing.ACCEPTED
+
+
+def test_fork_is_refused_once_and_healed_by_a_whole_catalogue():
+    made = make(4, 1)
+    made.run_for(8000)
+    other = {
+        'number': 4,
+        'parent': made._digest,
+        'withdrawn': {'targets': ['burza-3']},
+    }
+    forked = helper.encode_json(other)
+    made.publish(note_of(4))
+    made.link_rule = lambda sender, receiver, message: ()
+    made.step('entry-0', events.ValueRead(spread.note_name(4), forked))
+    made.run_for(3000)
+    first = made.instance_by_id['entry-0'].state
+    last = made.instance_by_id['entry-3'].state
+    made.link_rule = lambda sender, receiver, message: (1,)
+    made.run_for(10_000)
+    assert first.catalogue.in_force.digest != last.catalogue.in_force.digest
+    assert standing.report(first, made.clock.now_ms())['forks']
+    audits = helper.audit_of(made, 'entry-3')
+    assert 1 <= audits.count(('note-fork', '4')) <= 3
+    made.publish(note_of(5))
+    publish_compacted(made)
+    made.run_for(10_000)
+    assert numbers(made) == {5}
+    assert first.catalogue.in_force == last.catalogue.in_force
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'nonsense',
+        b'{"number":4,"parent":"x"}',
+        b' ' * 1_000_001,
+        b'{"number":4,"parent":"%s","withdrawn":{"targets":["no-such"]}}',
+    ],
+)
+def test_bad_note_is_refused_once_and_the_last_good_one_stays(body):
+    made = make(1, 1)
+    made.run_for(6000)
+    state = made.instance_by_id['entry-0'].state
+    body = body.replace(b'%s', state.catalogue.in_force.digest.encode())
+    for _ in range(5):
+        made.step('entry-0', events.ValueRead(spread.note_name(4), body))
+    assert state.catalogue.in_force.number == 3
+    refused = [
+        change
+        for change in helper.actions_of(made, 'entry-0', actions.Audit)
+        if change.kind.startswith('note-')
+    ]
+    assert len(refused) == 1
+    assert standing.report(state, 0)['refused'] or refused[0].subject == '4'
+
+
+def test_reads_stay_far_below_the_budget_and_few_instances_watch():
+    made = make(18, 1)
+    made.run_for(10_000)
+    reads = made.platform_reads
+    made.run_for(60_000)
+    assert (made.platform_reads - reads) / 60 < 5
+    watchers = {
+        instance_id
+        for instance_id, instance in made.instance_by_id.items()
+        for at_ms, action in instance.action_log
+        if isinstance(action, actions.WatchValue) and at_ms > 20_000
+    }
+    assert len(watchers) == 2 * len(PLACES)
+
+
+@BOUNDED
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(['added', 'changed', 'withdrawn']),
+            strategies.integers(0, 6),
+            strategies.integers(0, 2),
+        ),
+        max_size=30,
+    ),
+)
+def test_applying_small_notes_equals_building_the_whole(steps):
+    current = catalogue.empty()
+    for kind, target, service in steps:
+        name = f'service-{service}'
+        target_id = f'target-{target}'
+        change = {'services': [name], 'targets': [target_id]}
+        if kind != 'withdrawn':
+            made = harness.target_entry(harness.Target(target_id), name)
+            change = {'targets': [made]}
+            if name not in current.service_by_name:
+                change['services'] = [{'name': name, 'region': 'west'}]
+        body = helper.encode_json(
+            {
+                'number': current.number + 1,
+                'parent': current.digest,
+                kind: change,
+            },
+        )
+        applied = notes.apply_note(current, notes.parse(body).ok_value)
+        current = applied.unwrap_or(current)
+    whole = catalogues.parse(catalogues.encode(current))
+    if current.number:
+        assert whole.ok_value == current
+
+
+def test_catalogue_is_split_by_service_below_a_megabyte():
+    targets = {
+        f'service-{number}': [
+            harness.Target(f'target-{number}-{member}') for member in range(120)
+        ]
+        for number in range(110)
+    }
+    note = {'number': 1, 'parent': '', **harness.first_note(targets)}
+    parsed = notes.parse(helper.encode_json(note)).ok_value
+    whole = notes.apply_note(catalogue.empty(), parsed).ok_value
+    values = catalogues.split(whole).ok_value
+    assert len(values) > 2
+    assert max(len(found.body) for found in values) < 1_000_000
+    body_by_name = dict(values)
+    index = catalogues.parse_index(
+        body_by_name.pop(catalogues.INDEX_NAME),
+    ).ok_value
+    assert catalogues.join(index, body_by_name).ok_value == whole
+
+
+def test_large_catalogue_reaches_a_peer_without_the_service():
+    made = make(3, 1)
+    made.run_for(8000)
+    publish_compacted(made)
+    state = made.instance_by_id['entry-0'].state
+    request = messages.NoteRequest(1, 'of another chain')
+    heard = events.PeerHeard(state_incarnation(made, 'entry-1'), request)
+    made.step('entry-0', heard)
+    sent = helper.actions_of(made, 'entry-0', actions.SendPeer)[-1]
+    assert sent.message.whole_catalogue
+    assert catalogues.parse(sent.message.body).ok_value == (
+        state.catalogue.in_force
+    )
+
+
+def state_incarnation(made, instance_id):
+    return made.instance_by_id[instance_id].state.identity.incarnation
