--- /dev/null
+++ b/oleanderstair/domain/record.py
@@ -0,0 +1,299 @@
+"""What happened at instances and targets, as the outcome checks read it."""
+
+import dataclasses
+import math
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import actions, events, rules, world
+
+Answer: typing.TypeAlias = (
+    actions.Relay | actions.RelayRecorded | actions.RelayHome | actions.Refuse
+)
+CallAt: typing.TypeAlias = tuple[str, int]
+
+ANSWERS: typing.Final = (
+    actions.Relay,
+    actions.RelayRecorded,
+    actions.RelayHome,
+    actions.Refuse,
+)
+READS_PER_PROBE: typing.Final = 2
+
+
+class Receipt(typing.NamedTuple):
+    """A call that an instance incarnation received."""
+
+    at_ms: clock.Millis
+    instance: str
+    received: events.CallReceived
+    idempotent: bool
+
+
+class Acted(typing.NamedTuple):
+    """An action that an instance incarnation asked for."""
+
+    at_ms: clock.Millis
+    instance: str
+    action: typing.Any
+
+
+class Run(typing.NamedTuple):
+    """A call that a target began to run."""
+
+    at_ms: clock.Millis
+    target_id: str
+    instance: str
+    call_id: int
+    key: str
+
+
+class Sighting(typing.NamedTuple):
+    """What an instance learned of whether a target is leaving."""
+
+    at_ms: clock.Millis
+    instance: str
+    target_id: str
+    leaving: bool
+
+
+class Reading(typing.NamedTuple):
+    """One probe, and the budget of its service in reads per second."""
+
+    at_ms: clock.Millis
+    instance: str
+    service: str
+    budget_per_s: int
+
+
+class Holding(typing.NamedTuple):
+    """The note that an instance has in force from ``at_ms`` on."""
+
+    at_ms: clock.Millis
+    instance: str
+    number: int
+    digest: str
+
+
+class Cut(typing.NamedTuple):
+    """A time in which ``group`` could not reach the other instances.
+
+    A pause is ``one_way``: nobody hears from the group, but what its
+    members do when they wake is still judged.
+    """
+
+    group: frozenset[str]
+    from_ms: clock.Millis
+    until_ms: clock.Millis = math.inf
+    one_way: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """The steps of one or more instances; targets' runs where known."""
+
+    receipt_by_call: dict[CallAt, Receipt] = dataclasses.field(
+        default_factory=dict,
+    )
+    answers: list[Acted] = dataclasses.field(default_factory=list)
+    dispatches: list[Acted] = dataclasses.field(default_factory=list)
+    ending_by_attempt: dict[CallAt, events.AttemptEnded] = dataclasses.field(
+        default_factory=dict,
+    )
+    home_reply_by_call: dict[CallAt, events.HomeReplied] = dataclasses.field(
+        default_factory=dict,
+    )
+    left_calls: set[CallAt] = dataclasses.field(default_factory=set)
+    sightings: list[Sighting] = dataclasses.field(default_factory=list)
+    readings: list[Reading] = dataclasses.field(default_factory=list)
+    holdings: list[Holding] = dataclasses.field(default_factory=list)
+    stop_by_instance: dict[str, clock.Millis] = dataclasses.field(
+        default_factory=dict,
+    )
+    exit_by_instance: dict[str, clock.Millis] = dataclasses.field(
+        default_factory=dict,
+    )
+    start_by_instance: dict[str, clock.Millis] = dataclasses.field(
+        default_factory=dict,
+    )
+    death_by_instance: dict[str, clock.Millis] = dataclasses.field(
+        default_factory=dict,
+    )
+    runs: list[Run] = dataclasses.field(default_factory=list)
+    cuts: list[Cut] = dataclasses.field(default_factory=list)
+    ended_at_ms: clock.Millis = 0
+    note_by_instance: dict[str, Holding] = dataclasses.field(
+        default_factory=dict,
+    )
+    _target_ids: dict[str, frozenset[str]] = dataclasses.field(
+        default_factory=dict,
+    )
+
+    def on_step(
+        self,
+        state: world.World,
+        event: events.Event,
+        done: typing.Sequence[actions.Action],
+        now_ms: clock.Millis,
+    ) -> None:
+        """Keep what a step of an instance shows."""
+        instance = state.identity.incarnation
+        self.ended_at_ms = max(self.ended_at_ms, now_ms)
+        self.start_by_instance.setdefault(instance, now_ms)
+        self._keep_event(state, event, now_ms)
+        self._keep_note(state, now_ms)
+        for action in done:
+            self._keep_action(state, action, now_ms)
+
+    def reaches(
+        self,
+        speaker: str,
+        hearer: str,
+        from_ms: clock.Millis,
+        until_ms: clock.Millis,
+    ) -> bool:
+        """Return whether ``hearer`` could hear ``speaker`` all the time."""
+        if speaker == hearer:
+            return True
+        return not any(
+            cut.from_ms < until_ms
+            and cut.until_ms > from_ms
+            and _parts(cut, speaker, hearer)
+            for cut in self.cuts
+        )
+
+    def _keep_event(
+        self,
+        state: world.World,
+        event: events.Event,
+        now_ms: clock.Millis,
+    ) -> None:
+        instance = state.identity.incarnation
+        match event:
+            case events.CallReceived():
+                self._keep_receipt(state, event, now_ms)
+            case events.CallerLeft():
+                self.left_calls.add((instance, event.call_id))
+            case events.HomeReplied():
+                place = (instance, event.call_id)
+                self.home_reply_by_call.setdefault(place, event)
+            case events.StopRequested():
+                self.stop_by_instance.setdefault(instance, now_ms)
+            case events.AttemptEnded():
+                self._keep_ending(instance, event, now_ms)
+            case events.ProbeEnded():
+                self._keep_report(instance, event, now_ms)
+
+    def _keep_report(
+        self,
+        instance: str,
+        event: events.ProbeEnded,
+        now_ms: clock.Millis,
+    ) -> None:
+        if event.report is None:
+            return
+        leaving = event.report.leaving
+        self.sightings.append(
+            Sighting(now_ms, instance, event.target_id, leaving),
+        )
+
+    def _keep_receipt(
+        self,
+        state: world.World,
+        event: events.CallReceived,
+        now_ms: clock.Millis,
+    ) -> None:
+        instance = state.identity.incarnation
+        service = state.catalogue.in_force.service_by_name.get(event.service)
+        idempotent = service is not None and rules.is_idempotent(
+            service,
+            event,
+        )
+        self.receipt_by_call[(instance, event.call_id)] = Receipt(
+            now_ms,
+            instance,
+            event,
+            idempotent,
+        )
+
+    def _keep_ending(
+        self,
+        instance: str,
+        event: events.AttemptEnded,
+        now_ms: clock.Millis,
+    ) -> None:
+        place = (instance, event.attempt_id)
+        self.ending_by_attempt.setdefault(place, event)
+        if not event.leaving:
+            return
+        for dispatched in self.dispatches:
+            if (dispatched.instance, dispatched.action.attempt_id) == place:
+                target_id = dispatched.action.target_id
+                self.sightings.append(
+                    Sighting(now_ms, instance, target_id, leaving=True),
+                )
+
+    def _keep_note(self, state: world.World, now_ms: clock.Millis) -> None:
+        instance = state.identity.incarnation
+        in_force = state.catalogue.in_force
+        before = self.note_by_instance.get(instance)
+        now = Holding(now_ms, instance, in_force.number, in_force.digest)
+        if before is not None and before[2:] == now[2:]:
+            return
+        self.note_by_instance[instance] = now
+        self.holdings.append(now)
+        known = self._target_ids.get(instance, frozenset())
+        listed = frozenset(in_force.target_by_id)
+        self._target_ids[instance] = listed
+        self.sightings.extend(
+            Sighting(now_ms, instance, target_id, target_id in known)
+            for target_id in sorted(known ^ listed)
+        )
+
+    def _keep_action(
+        self,
+        state: world.World,
+        action: actions.Action,
+        now_ms: clock.Millis,
+    ) -> None:
+        instance = state.identity.incarnation
+        acted = Acted(now_ms, instance, action)
+        if isinstance(action, ANSWERS):
+            self.answers.append(acted)
+        elif isinstance(action, actions.Dispatch):
+            self.dispatches.append(acted)
+        elif isinstance(action, actions.Exit):
+            self.exit_by_instance.setdefault(instance, now_ms)
+        elif isinstance(action, actions.Probe):
+            self._keep_probe(state, action, now_ms)
+
+    def _keep_probe(
+        self,
+        state: world.World,
+        action: actions.Probe,
+        now_ms: clock.Millis,
+    ) -> None:
+        in_force = state.catalogue.in_force
+        target = in_force.target_by_id.get(action.target_id)
+        if target is None:
+            return
+        service = in_force.service_by_name[target.service]
+        self.readings.append(
+            Reading(
+                now_ms,
+                state.identity.incarnation,
+                service.name,
+                service.probe_budget_per_s,
+            ),
+        )
+
+
+def create() -> Record:
+    """Create a record in which nothing has happened."""
+    return Record()
+
+
+def _parts(cut: Cut, speaker: str, hearer: str) -> bool:
+    if cut.one_way:
+        return speaker in cut.group
+    return (speaker in cut.group) != (hearer in cut.group)
--- a/oleanderstair/emulator/harness.py
+++ b/oleanderstair/emulator/harness.py
@@ -50,6 +50,8 @@
     key: str
     fingerprint: str
     path: str
+    instance: str = ''
+    call_id: int = 0
 
 
 class Told(typing.NamedTuple):
@@ -76,6 +78,25 @@
         """
 
 
+class BeforeStep(typing.Protocol):
+    """Look at an event just before an instance handles it."""
+
+    def __call__(self, state: world.World, event: events.Event) -> None:
+        """Observe, or inject a fault."""
+
+
+class AfterStep(typing.Protocol):
+    """Look at a step before its actions are performed."""
+
+    def __call__(
+        self,
+        state: world.World,
+        event: events.Event,
+        done: typing.Sequence[actions.Action],
+    ) -> None:
+        """Observe, or inject a fault."""
+
+
 class Target:
     """A target with slots; ``service_time`` draws the ms of one call."""
 
@@ -139,6 +160,7 @@
         self.clock = clock.virtual()
         self.rng = random.Random(seed)
         self.instance_by_id: dict[str, Instance] = {}
+        self.instance_by_incarnation: dict[str, Instance] = {}
         self.target_by_id: dict[str, Target] = {}
         self.body_by_name: dict[str, bytes] = {}
         self.listed: dict[str, events.ListedInstance] = {}
@@ -148,6 +170,9 @@
         self.runs: list[Run] = []
         self.told_by_call: dict[int, Told] = {}
         self.peer_bytes = 0
+        self.before_step: list[BeforeStep] = []
+        self.after_step: list[AfterStep] = []
+        self.on_run: list[typing.Callable[[Run], None]] = []
         self._due: list[
             tuple[clock.Millis, int, typing.Callable[[], None]]
         ] = []
@@ -200,6 +225,7 @@
         state = world.create(own, policy.Policy(**limits), seeded)
         started = Instance(state)
         self.instance_by_id[instance_id] = started
+        self.instance_by_incarnation[own.incarnation] = started
         if listed:
             self.listed[instance_id] = events.ListedInstance(
                 instance_id,
@@ -286,8 +312,15 @@
             wait_ms = instance.paused_until_ms - now_ms
             self.after(wait_ms, lambda: self._step(instance, event))
             return
+        for look in self.before_step:
+            look(instance.state, event)
+        if not instance.alive:
+            return
         instance_id = instance.state.identity.instance_id
-        for action in balancer.step(instance.state, event, now_ms):
+        done = balancer.step(instance.state, event, now_ms)
+        for observe in self.after_step:
+            observe(instance.state, event, done)
+        for action in done:
             instance.action_log.append((now_ms, action))
             perform = self._perform_by_action.get(type(action))
             if perform is not None:
@@ -309,21 +342,27 @@
         instance_id: str,
         event: events.Event,
     ) -> None:
-        instance = self.instance_by_id[instance_id]
+        instance = self._find(instance_id)
         self.after(delay_ms, lambda: self._step(instance, event))
 
+    def _find(self, name: str) -> Instance:
+        """Return an instance by its incarnation, or by the id it runs as."""
+        known = self.instance_by_incarnation.get(name)
+        return known or self.instance_by_id[name]
+
     # Calls at targets
 
     def _dispatch(self, instance_id: str, action: actions.Dispatch) -> None:
-        instance = self.instance_by_id[instance_id]
-        call = instance.state.calls.call_by_id[action.call_id]
+        state = self.instance_by_id[instance_id].state
+        call = state.calls.call_by_id[action.call_id]
+        incarnation = state.identity.incarnation
         self.after(
             HOP_MS,
-            lambda: self._arrive(instance_id, action, call.received),
+            lambda: self._arrive(incarnation, action, call.received),
         )
         self._later(
             action.silence_ms,
-            instance_id,
+            incarnation,
             _ended(action, events.Verdict.SILENT),
         )
 
@@ -366,15 +405,18 @@
         running = (instance_id, action.attempt_id)
         target.running.add(running)
         target.most_running = max(target.most_running, len(target.running))
-        self.runs.append(
-            Run(
-                self.clock.now_ms(),
-                target.target_id,
-                received.key,
-                received.fingerprint,
-                received.path,
-            ),
+        started = Run(
+            self.clock.now_ms(),
+            target.target_id,
+            received.key,
+            received.fingerprint,
+            received.path,
+            instance_id,
+            received.call_id,
         )
+        self.runs.append(started)
+        for notice in self.on_run:
+            notice(started)
         if received.path in target.crashing_paths:
             self.crash(target.target_id)
             return
@@ -432,14 +474,15 @@
             )
 
     def _call_of(self, instance_id: str, attempt_id: int) -> int:
-        table = self.instance_by_id[instance_id].state.calls
+        table = self._find(instance_id).state.calls
         for call in table.call_by_id.values():
             if any(found.attempt_id == attempt_id for found in call.attempts):
                 return call.call_id
         return 0
 
     def _cancel(self, instance_id: str, action: actions.CancelAttempt) -> None:
-        running = (instance_id, action.attempt_id)
+        state = self.instance_by_id[instance_id].state
+        running = (state.identity.incarnation, action.attempt_id)
         for target in self.target_by_id.values():
             target.waiting = [
                 entry for entry in target.waiting if entry[0] != running
@@ -479,15 +522,17 @@
             return
         asker_id, asked_call_id = asker
         replied = events.HomeReplied(asked_call_id, outcome, reason)
-        for delay_ms in self.link_rule(instance_id, asker_id, None):
+        asker_place = self._find(asker_id).state.identity.instance_id
+        for delay_ms in self.link_rule(instance_id, asker_place, None):
             self._later(delay_ms, asker_id, replied)
 
     def _forward(self, instance_id: str, action: actions.ForwardHome) -> None:
         state = self.instance_by_id[instance_id].state
         received = state.calls.call_by_id[action.call_id].received
+        asker = state.identity.incarnation
 
         def arrive() -> None:
-            self._arrive_home(instance_id, action, received)
+            self._arrive_home(asker, action, received)
 
         for delay_ms in self.link_rule(instance_id, action.address, None):
             self.after(delay_ms, arrive)
@@ -503,10 +548,9 @@
             return
         call_id = next(self._call_ids)
         self._asker_by_call[call_id] = (asker_id, action.call_id)
-        asker = self.instance_by_id[asker_id].state.identity.incarnation
         self._step(
             home,
-            received._replace(call_id=call_id, from_peer=asker),
+            received._replace(call_id=call_id, from_peer=asker_id),
         )
 
     # Platform, probes and peers
--- /dev/null
+++ b/test/scene.py
@@ -0,0 +1,178 @@
+"""A small fleet under load on the virtual clock, with all it does kept."""
+
+import dataclasses
+import itertools
+import typing
+
+from oleanderstair.domain import outcomes, record, world
+from oleanderstair.domain.tables import instances
+from oleanderstair.emulator import harness
+
+SERVICE = 'burza'
+SERVICE_MS = 40
+SLOW_MS = 250
+LONG_MS = 1500
+CALL_BUDGET_MS = 800
+FAULT_MS = 2500
+BACKGROUND_MS = 40
+PLACES = {'entry-1': 'trnava', 'entry-2': 'nitra', 'entry-3': 'trnava'}
+LIMITS = {'tick_ms': 100, 'confirm_without_peers': True}
+PROBE_BUDGET = 40
+
+
+@dataclasses.dataclass
+class Scene:
+    """The fleet, the record of it, and where the fault strikes."""
+
+    made: harness.Harness
+    seen: record.Record
+    actor: str = 'entry-1'
+    target_id: str = 'burza-1'
+    older_bodies: dict[str, bytes] = dataclasses.field(default_factory=dict)
+    injected: list[str] = dataclasses.field(default_factory=list)
+    effects: int = 0
+    nonces: typing.Iterator[int] = dataclasses.field(
+        default_factory=itertools.count,
+    )
+
+    @property
+    def target(self) -> harness.Target:
+        """Return the target that the fault strikes."""
+        return self.made.target_by_id[self.target_id]
+
+    def state(self, instance_id: str) -> world.World:
+        """Return the tables of the instance that runs now under an id."""
+        return self.made.instance_by_id[instance_id].state
+
+    def incarnation(self, instance_id: str) -> str:
+        """Return the incarnation that runs now under an id."""
+        return self.state(instance_id).identity.incarnation
+
+    def new_key(self, instance_id: str) -> str:
+        """Return a fresh key whose home is an instance."""
+        state = self.state(instance_id)
+        epoch = state.keys.open_epoch
+        return f'{state.identity.incarnation}.{epoch}.n{next(self.nonces)}'
+
+    def cut(self, *group: str, one_way: bool = False, for_ms: float) -> None:
+        """Keep for the checks that ``group`` cannot be heard for a time."""
+        now_ms = self.made.clock.now_ms()
+        members = frozenset(self.incarnation(member) for member in group)
+        self.seen.cuts.append(
+            record.Cut(members, now_ms, now_ms + for_ms, one_way),
+        )
+
+    def live_ids(self) -> list[str]:
+        """Return the instances that serve now."""
+        return [
+            instance_id
+            for instance_id, found in self.made.instance_by_id.items()
+            if found.alive
+            and found.state.instances.phase is instances.Phase.SERVING
+        ]
+
+    def lookup(self, instance_id: str, path: str = '/listings') -> int:
+        """Send an idempotent call."""
+        return self.made.call(
+            instance_id,
+            path=path,
+            fingerprint=path,
+            budget_ms=CALL_BUDGET_MS,
+        )
+
+    def order(self, instance_id: str, key: str) -> int:
+        """Send a keyed order; an empty key leaves it unkeyed."""
+        return self.made.call(
+            instance_id,
+            method='POST',
+            path='/orders',
+            key=key,
+            fingerprint=key or f'order-{next(self.nonces)}',
+            budget_ms=CALL_BUDGET_MS,
+        )
+
+    def ran(self, call_id: int) -> bool:
+        """Return whether the caller got a target's answer."""
+        told = self.made.told_by_call.get(call_id)
+        return told is not None and told.outcome is outcomes.Outcome.RAN
+
+    def start_background(self, for_ms: float) -> None:
+        """Send a call of each kind in turn for a time."""
+        ids = sorted(PLACES)
+        for number in range(int(for_ms / BACKGROUND_MS)):
+            entry = ids[number % len(ids)]
+            home = ids[(number + number // len(ids)) % len(ids)]
+            self.made.after(
+                number * BACKGROUND_MS,
+                self._background_call(number, entry, home),
+            )
+
+    def _background_call(
+        self,
+        number: int,
+        entry: str,
+        home: str,
+    ) -> typing.Callable[[], None]:
+        def send() -> None:
+            kind = number % 4
+            if kind == 0:
+                self.order(entry, self.new_key(home))
+            elif kind == 1:
+                self.order(entry, '')
+            else:
+                self.lookup(entry)
+
+        return send
+
+
+def create(seed: int = 1) -> Scene:
+    """Return three serving instances and three targets under two notes."""
+    made = harness.create(seed)
+    seen = record.create()
+    members = [
+        harness.Target(f'{SERVICE}-{number}', slots=2, service_ms=SERVICE_MS)
+        for number in range(1, 4)
+    ]
+    for member in members:
+        member.service_time = service_time
+        made.add_target(member)
+    fields = {'probe_budget_per_s': PROBE_BUDGET}
+    first = harness.first_note({SERVICE: members}, **fields)
+    made.publish(first)
+    older = dict(made.body_by_name)
+    watch(made, seen)
+    for instance_id, place in PLACES.items():
+        made.add_instance(instance_id, place, **LIMITS)
+    made.run_for(1500)
+    changed = {'name': SERVICE, 'region': 'west', 'deadline_ms': 900, **fields}
+    made.publish({'changed': {'services': [changed]}})
+    made.run_for(2500)
+    return Scene(made, seen, older_bodies=older)
+
+
+def watch(made: harness.Harness, seen: record.Record) -> None:
+    """Keep all steps and runs of a harness in a record."""
+    made.after_step.append(
+        lambda state, event, done: seen.on_step(
+            state,
+            event,
+            done,
+            made.clock.now_ms(),
+        ),
+    )
+    made.on_run.append(
+        lambda run: seen.runs.append(
+            record.Run(
+                run.at_ms,
+                run.target_id,
+                run.instance,
+                run.call_id,
+                run.key,
+            ),
+        ),
+    )
+
+
+def service_time(received) -> float:
+    """Return the ms that a target needs, by the path of the call."""
+    return {'/slow': SLOW_MS, '/long': LONG_MS}.get(received.path, SERVICE_MS)
