--- a/oleanderstair/domain/confirming.py
+++ b/oleanderstair/domain/confirming.py
@@ -2,7 +2,8 @@
 
 Its note must be confirmed: by one peer that is itself confirmed, or, where
 the whole fleet starts cold, by a majority of the listed instances, all of
-them fresh, at the highest head that any of them has read.
+them fresh, at the highest head that any of them has read. An instance that is listed alone is its own
+majority, once the list has stood still and it has read the head.
 """
 
 import typing
@@ -62,7 +63,11 @@
     now_ms: clock.Millis,
 ) -> Verdict:
     table = state.instances
-    listed = table.listed_by_id
+    listed = {
+        entry.instance_id
+        for entry in table.listed_by_id.values()
+        if not entry.leaving
+    }
     if not listed:
         return Verdict(waits_for='a confirmed peer, or the instance list')
     settle_ms = SETTLED_READS * state.policy.list_read_ms
@@ -76,7 +81,7 @@
     own_id = state.identity.instance_id
     if state.catalogue.highest_read:
         fresh[own_id] = state.catalogue.highest_read
-    present = len(fresh.keys() & listed.keys())
+    present = len(fresh.keys() & listed)
     needed = len(listed) // 2 + 1
     if present < needed:
         return Verdict(
