--- a/oleanderstair/domain/confirming.py
+++ b/oleanderstair/domain/confirming.py
@@ -2,8 +2,9 @@
 
 Its note must be confirmed: by one peer that is itself confirmed, or, where
 the whole fleet starts cold, by a majority of the listed instances, all of
-them fresh, at the highest head that any of them has read. An instance that is listed alone is its own
-majority, once the list has stood still and it has read the head.
+them fresh, at the highest head that any of them has read. An instance that
+is listed alone is its own majority, once the list has stood still and it
+has read the head.
 """
 
 import typing
