Admit peers by the fleet's CURVE key, and replace silent connections

Peers spoke plain TCP whatever the settings said, and what was queued for an absent peer reached its next incarnation as news. Now the link uses CURVE with one key pair for the fleet, a ZAP handler that admits this key only and a monitor that counts refused handshakes; ZeroMQ heartbeats replace silent connections, and the link itself replaces one on which questions stay unanswered; nothing is queued for a peer that is not connected; the routing id is the incarnation, which saves a frame. Plain text needs allow_plain. 'oleanderstair keys make' prints a pair.

test_peers.py: three kinds of strangers get nothing and are counted, a connection that goes silent behind a forwarder is replaced.

--- a/oleanderstair/domain/bandwidth.py
+++ b/oleanderstair/domain/bandwidth.py
@@ -7,8 +7,8 @@
 from oleanderstair.domain.tables import instances
 
 BURST_MS: typing.Final = 1000
-FRAME_BYTES: typing.Final = 24
-"""What the identity and the framing add to each encoded message."""
+FRAME_BYTES: typing.Final = 36
+"""What ZMTP framing and CURVE add to each encoded message."""
 
 _NOTE_BYTES_PER_S: typing.Final = 1_000_000
 _NOTE_BURST_BYTES: typing.Final = 4_000_000
--- a/oleanderstair/engine/node.py
+++ b/oleanderstair/engine/node.py
@@ -96,7 +96,9 @@
             link=self.link,
         )
         state = world.create(self.identity, limits, random.Random())
-        return shell.Shell(state, ports, tasks)
+        carrier = shell.Shell(state, ports, tasks)
+        self.link.report_to(carrier.metrics.count)
+        return carrier
 
 
 def create(checked: settings.Settings) -> Node:
@@ -106,7 +108,7 @@
     )
     caller_socket = listener.bind(checked.callers.host, checked.callers.port)
     admin_socket = listener.bind(checked.admin.host, checked.admin.port)
-    link = peers.create(checked.peers.host, checked.peers.port, incarnation)
+    link = _create_link(checked, incarnation)
     own = identity.Identity(
         instance_id=checked.instance.id,
         incarnation=incarnation,
@@ -127,6 +129,16 @@
     )
 
 
+def _create_link(checked: settings.Settings, incarnation: str) -> peers.ZmqLink:
+    wanted = checked.peers
+    return peers.create(
+        wanted.host,
+        wanted.port,
+        incarnation,
+        peers.Keys(wanted.public_key, wanted.secret_key),
+    )
+
+
 async def _close_servers(servers: list[uvicorn.Server]) -> None:
     for server in servers:
         server.should_exit = True
--- a/oleanderstair/engine/peers.py
+++ b/oleanderstair/engine/peers.py
@@ -1,15 +1,39 @@
-"""The link between instances, by ZeroMQ over TCP."""
+"""The link between instances, by ZeroMQ over TCP with CURVE.
 
+All instances share the fleet's key pair; who holds another key gets nothing
+and is counted. A connection carries the incarnation as its routing id.
+"""
+
+import re
 import typing
 
 import result
 import zmq
 import zmq.asyncio
 
+from oleanderstair import clock
 from oleanderstair.domain import codec, messages
+from oleanderstair.engine import strangers
+
+SILENCE_MS: typing.Final = 3000
+"""How long a connection may be silent before it is replaced."""
 
-_QUEUE_LIMIT: typing.Final = 1000
+_QUEUE_LIMIT: typing.Final = 200
 _MAX_FRAME_BYTES: typing.Final = 4_000_000
+_RECONNECT_MS: typing.Final = 100
+_RECONNECT_MAX_MS: typing.Final = 2000
+_BACKLOG: typing.Final = 512
+_DEALER_LIMIT: typing.Final = 1024
+_UNUSED_MS: typing.Final = 60_000
+_FRAMES: typing.Final = 2
+_INCARNATION: typing.Final = re.compile('[a-z0-9-]{1,63}~[0-9a-z]{1,32}')
+
+
+class Keys(typing.NamedTuple):
+    """The fleet's CURVE key pair in Z85; empty keys mean plain text."""
+
+    public: str = ''
+    secret: str = ''
 
 
 class Heard(typing.NamedTuple):
@@ -22,7 +46,12 @@
 class Link(typing.Protocol):
     """Send messages to peers and receive theirs; any may be lost."""
 
-    def send(self, address: str, message: messages.Message) -> int:
+    def send(
+        self,
+        address: str,
+        message: messages.Message,
+        incarnation: str = '',
+    ) -> int:
         """Send without waiting; return the bytes sent, 0 where dropped."""
 
     async def receive(self) -> Heard:
@@ -31,23 +60,56 @@
     def close(self) -> None:
         """Release the sockets."""
 
+    def report_to(self, count: typing.Callable[[str, str], None]) -> None:
+        """Count what is dropped, malformed, strange or replaced."""
+
+
+class _Dealer(typing.NamedTuple):
+    """A connection; ``asked_at_ms`` is the oldest unanswered question."""
+
+    socket: 'zmq.Socket[bytes]'
+    used_at_ms: clock.Millis
+    asked_at_ms: clock.Millis | None = None
+
 
 class ZmqLink:
     """One ROUTER for what arrives, one DEALER for each peer address."""
 
-    def __init__(self, host: str, port: int, incarnation: str) -> None:
-        """Bind to ``host`` and ``port`` (0 for any) as ``incarnation``."""
-        self.dropped = 0
+    def __init__(
+        self,
+        endpoint: str,
+        incarnation: str,
+        keys: Keys,
+        silence_ms: clock.Millis,
+    ) -> None:
+        """Bind to ``endpoint`` as ``incarnation``."""
         self._incarnation = incarnation.encode()
+        self._keys = keys
+        self._silence_ms = int(silence_ms)
+        self._clock = clock.monotonic()
+        self._count: typing.Callable[[str, str], None] = _count_nothing
         self._context = zmq.asyncio.Context()
-        self._router = self._context.socket(zmq.ROUTER)
-        self._router.setsockopt(zmq.LINGER, 0)
-        self._router.setsockopt(zmq.MAXMSGSIZE, _MAX_FRAME_BYTES)
-        self._router.bind(f'tcp://{host}:{port or "*"}')
         self._plain: zmq.Context[zmq.Socket[bytes]] = zmq.Context.shadow(
             self._context,
         )
-        self._dealer_by_address: dict[str, zmq.Socket[bytes]] = {}
+        self._gate: strangers.Gate | None = None
+        if keys.public:
+            self._gate = strangers.create(self._context, keys.public)
+        self._router = self._context.socket(zmq.ROUTER)
+        self._prepare(self._router)
+        self._router.setsockopt(zmq.MAXMSGSIZE, _MAX_FRAME_BYTES)
+        # A peer whose connection went silent may come back on a new one.
+        self._router.setsockopt(zmq.ROUTER_HANDOVER, 1)
+        self._router.setsockopt(zmq.BACKLOG, _BACKLOG)
+        if keys.public:
+            self._router.curve_server = True
+            self._router.curve_secretkey = keys.secret.encode()
+            self._router.curve_publickey = keys.public.encode()
+            self._router.zap_domain = strangers.DOMAIN
+        self._refused = strangers.watch_refusals(self._router, self._plain)
+        self._router.bind(endpoint)
+        self._dealer_by_address: dict[str, _Dealer] = {}
+        self._heard_at_ms_by_incarnation: dict[str, clock.Millis] = {}
 
     @property
     def address(self) -> str:
@@ -55,16 +117,27 @@
         endpoint = self._router.getsockopt_string(zmq.LAST_ENDPOINT)
         return endpoint.removeprefix('tcp://')
 
-    def send(self, address: str, message: messages.Message) -> int:
-        """Send without waiting; return the bytes sent, 0 where dropped."""
+    def report_to(self, count: typing.Callable[[str, str], None]) -> None:
+        """Count what is dropped, malformed, strange or replaced."""
+        self._count = count
+
+    def send(
+        self,
+        address: str,
+        message: messages.Message,
+        incarnation: str = '',
+    ) -> int:
+        """Send without waiting; return the bytes sent, 0 where dropped.
+
+        A connection on which ``incarnation`` does not answer is replaced.
+        """
+        self._count_strangers()
         frame = codec.encode(message)
+        dealer = self._dealer(address, incarnation, _asks(message))
         try:
-            self._dealer(address).send_multipart(
-                [self._incarnation, frame],
-                zmq.NOBLOCK,
-            )
+            dealer.send(frame, zmq.NOBLOCK)
         except zmq.Again:
-            self.dropped += 1
+            self._count('peer-dropped', 'not-connected')
             return 0
         return len(frame)
 
@@ -74,34 +147,131 @@
             frames = await self._router.recv_multipart()
             heard = _read(frames)
             if heard is not None:
+                self._note_heard(heard.sender)
                 return heard
-            self.dropped += 1
+            self._count('peer-dropped', 'malformed')
 
     def close(self) -> None:
         """Release the sockets."""
         for dealer in self._dealer_by_address.values():
-            dealer.close(0)
+            dealer.socket.close(0)
+        self._router.disable_monitor()
+        self._refused.close(0)
+        if self._gate is not None:
+            self._gate.close()
         self._context.destroy(0)
 
-    def _dealer(self, address: str) -> 'zmq.Socket[bytes]':
-        dealer = self._dealer_by_address.get(address)
+    def _prepare(self, made: 'zmq.Socket[typing.Any]') -> None:
+        made.setsockopt(zmq.LINGER, 0)
+        made.setsockopt(zmq.SNDHWM, _QUEUE_LIMIT)
+        made.setsockopt(zmq.RCVHWM, _QUEUE_LIMIT)
+        made.setsockopt(zmq.HEARTBEAT_IVL, self._silence_ms // 3)
+        made.setsockopt(zmq.HEARTBEAT_TIMEOUT, self._silence_ms)
+        made.setsockopt(zmq.HEARTBEAT_TTL, self._silence_ms)
+        made.setsockopt(zmq.HANDSHAKE_IVL, self._silence_ms)
+
+    def _dealer(
+        self,
+        address: str,
+        incarnation: str,
+        asks: bool,
+    ) -> 'zmq.Socket[bytes]':
+        now_ms = self._clock.now_ms()
+        dealer = self._dealer_by_address.pop(address, None)
+        if dealer is not None:
+            dealer = self._settle(dealer, incarnation)
+        if dealer is not None and self._is_silent(dealer, now_ms):
+            dealer.socket.close(0)
+            self._count('peer-connections', 'replaced')
+            dealer = None
         if dealer is None:
-            dealer = self._plain.socket(zmq.DEALER)
-            dealer.setsockopt(zmq.LINGER, 0)
-            dealer.setsockopt(zmq.SNDHWM, _QUEUE_LIMIT)
-            dealer.connect(f'tcp://{address}')
-            self._dealer_by_address[address] = dealer
+            dealer = _Dealer(self._connect(address), now_ms)
+        if asks and dealer.asked_at_ms is None:
+            dealer = dealer._replace(asked_at_ms=now_ms)
+        # Insertion order is the order of use, so the first is the oldest.
+        self._dealer_by_address[address] = dealer._replace(used_at_ms=now_ms)
+        self._close_unused(now_ms)
+        return dealer.socket
+
+    def _settle(self, dealer: _Dealer, incarnation: str) -> _Dealer:
+        """Forget the open question where the peer was heard since."""
+        heard_at_ms = self._heard_at_ms_by_incarnation.get(incarnation)
+        if heard_at_ms is None or dealer.asked_at_ms is None:
+            return dealer
+        if heard_at_ms < dealer.asked_at_ms:
+            return dealer
+        return dealer._replace(asked_at_ms=None)
+
+    def _is_silent(self, dealer: _Dealer, now_ms: clock.Millis) -> bool:
+        if dealer.asked_at_ms is None:
+            return False
+        # Twice the bound, as ZeroMQ's own heartbeat replaces most of them.
+        return now_ms - dealer.asked_at_ms > 2 * self._silence_ms
+
+    def _connect(self, address: str) -> 'zmq.Socket[bytes]':
+        dealer = self._plain.socket(zmq.DEALER)
+        self._prepare(dealer)
+        dealer.setsockopt(zmq.ROUTING_ID, self._incarnation)
+        # Nothing is queued for a peer that is away: it would come as news.
+        dealer.setsockopt(zmq.IMMEDIATE, 1)
+        dealer.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
+        dealer.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
+        if self._keys.public:
+            dealer.curve_serverkey = self._keys.public.encode()
+            dealer.curve_publickey = self._keys.public.encode()
+            dealer.curve_secretkey = self._keys.secret.encode()
+        dealer.connect(f'tcp://{address}')
         return dealer
 
+    def _close_unused(self, now_ms: clock.Millis) -> None:
+        table = self._dealer_by_address
+        oldest = next(iter(table))
+        unused_ms = now_ms - table[oldest].used_at_ms
+        if len(table) > _DEALER_LIMIT or unused_ms > _UNUSED_MS:
+            table.pop(oldest).socket.close(0)
+
+    def _note_heard(self, incarnation: str) -> None:
+        table = self._heard_at_ms_by_incarnation
+        table.pop(incarnation, None)
+        table[incarnation] = self._clock.now_ms()
+        if len(table) > _DEALER_LIMIT:
+            table.pop(next(iter(table)))
+
+    def _count_strangers(self) -> None:
+        for _ in range(strangers.refusals(self._refused)):
+            self._count('peer-dropped', 'stranger')
 
-def create(host: str, port: int, incarnation: str) -> ZmqLink:
+
+def create(
+    host: str,
+    port: int,
+    incarnation: str,
+    keys: Keys,
+    silence_ms: clock.Millis = SILENCE_MS,
+) -> ZmqLink:
     """Create a link that is bound and ready to receive."""
-    return ZmqLink(host, port, incarnation)
+    endpoint = f'tcp://{host}:{port or "*"}'
+    return ZmqLink(endpoint, incarnation, keys, silence_ms)
+
+
+def _asks(message: messages.Message) -> bool:
+    """Return whether a live peer answers this message."""
+    if isinstance(message, (messages.Pulse, messages.Heartbeat)):
+        return not message.reply
+    return isinstance(message, messages.KeyedCall)
 
 
 def _read(frames: list[bytes]) -> Heard | None:
-    _, sender, frame = frames[0], frames[-2], frames[-1]
-    decoded = codec.decode(frame)
+    if len(frames) != _FRAMES:
+        return None
+    sender = frames[0].decode('latin-1')
+    if not _INCARNATION.fullmatch(sender):
+        return None
+    decoded = codec.decode(frames[1])
     if isinstance(decoded, result.Err):
         return None
-    return Heard(sender.decode(errors='replace'), decoded.ok_value)
+    return Heard(sender, decoded.ok_value)
+
+
+def _count_nothing(name: str, label: str) -> None:
+    """Drop a count until there are metrics."""
--- a/oleanderstair/engine/shell.py
+++ b/oleanderstair/engine/shell.py
@@ -241,7 +241,7 @@
             ),
             body=owed.request.body,
         )
-        self.ports.link.send(action.address, message)
+        self.ports.link.send(action.address, message, action.home)
 
     async def _serve_peer(
         self,
@@ -347,7 +347,11 @@
         self.handle(events.ProbeEnded(action.target_id, report, took_ms))
 
     def _send_peer(self, action: actions.SendPeer) -> None:
-        sent = self.ports.link.send(action.address, action.message)
+        sent = self.ports.link.send(
+            action.address,
+            action.message,
+            action.incarnation,
+        )
         kind = type(action.message).__name__
         self.metrics.count('peer-messages', kind)
         self.metrics.count('peer-bytes', kind, sent)
--- a/oleanderstair/settings.py
+++ b/oleanderstair/settings.py
@@ -21,6 +21,7 @@
     str,
     msgspec.Meta(pattern='^[a-z0-9][a-z0-9-]{0,62}$'),
 ]
+_KEY: typing.Final = re.compile(r'[0-9A-Za-z.:+=^!/*?&<>()\[\]{}@%$#-]{40}')
 _FIELD_IN_ERROR: typing.Final = re.compile(r'^(.*) - at `\$\.?(.*)`$')
 
 Tree: typing.TypeAlias = dict[str, typing.Any]
@@ -128,9 +129,24 @@
     except msgspec.ValidationError as policy_error:
         raise _user_error(str(policy_error), 'policy') from policy_error
     checked.policy = msgspec.structs.asdict(entry)
+    _check_peer_keys(checked.peers)
     return checked
 
 
+def _check_peer_keys(peers: PeerSettings) -> None:
+    """Refuse keys that CURVE can't use, and plain text by accident."""
+    keys = (peers.public_key, peers.secret_key)
+    if peers.allow_plain and not any(keys):
+        return
+    for name, key in zip(('public_key', 'secret_key'), keys, strict=True):
+        if not _KEY.fullmatch(key):
+            raise _problem(
+                f'peers.{name}',
+                'not a Z85 key of 40 characters',
+                'take the pair that `oleanderstair keys make` prints',
+            )
+
+
 def limits_of(checked: Settings) -> policy.Policy:
     """Return the limits of the decision code."""
     return policy.Policy(**checked.policy)
--- a/oleanderstair/ui/main.py
+++ b/oleanderstair/ui/main.py
@@ -7,7 +7,7 @@
 import cappa
 
 from oleanderstair import errors
-from oleanderstair.ui import checks, demo, reports
+from oleanderstair.ui import checks, demo, keys, reports
 
 EXIT_WRONG_USE: typing.Final = 2
 
@@ -25,6 +25,7 @@
         | reports.Instances
         | reports.Audit
         | reports.Metrics
+        | keys.Keys
         | demo.Demo
     ]
 
--- /dev/null
+++ b/test/test_peers.py
@@ -0,0 +1,223 @@
+"""The link between instances over real loopback sockets."""
+
+import contextlib
+import socket
+
+import anyio
+import pytest
+import zmq
+
+from oleanderstair import errors, settings
+from oleanderstair.domain import codec, messages
+from oleanderstair.engine import peers
+
+BOUND_S = 10
+HEAD = messages.NoteHead(1, 'digest', confirmed=True)
+STATE = messages.InstanceState(
+    leaving=False,
+    confirmed=True,
+    note_number=1,
+    note_digest='digest',
+    largest_count=2,
+)
+
+
+def make_keys():
+    public, secret = zmq.curve_keypair()
+    return peers.Keys(public.decode(), secret.decode())
+
+
+@contextlib.contextmanager
+def links(*keys, silence_ms=300):
+    made = []
+    counts = {}
+
+    def count(name, label):
+        counts[label] = counts.get(label, 0) + 1
+
+    try:
+        for number, pair in enumerate(keys):
+            made.append(
+                peers.create(
+                    '127.0.0.1',
+                    0,
+                    f'entry-{number}~a{number}',
+                    pair,
+                    silence_ms,
+                ),
+            )
+        made[0].report_to(count)
+        yield made, counts
+    finally:
+        for link in made:
+            link.close()
+
+
+async def send_until(link, address, condition, message=HEAD):
+    """Send again until ``condition`` holds; a first send may be dropped."""
+    while not condition():
+        link.send(address, message)
+        await anyio.sleep(0.02)
+
+
+async def receive_into(link, heard):
+    while True:
+        heard.append(await link.receive())
+
+
+def run(work, *arguments):
+    async def bounded():
+        with anyio.fail_after(BOUND_S):
+            async with anyio.create_task_group() as tasks:
+                await work(tasks, *arguments)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(bounded)
+
+
+def test_holders_of_the_fleet_key_hear_each_other():
+    async def work(tasks):
+        keys = make_keys()
+        heard = []
+        with links(keys, keys) as (made, _):
+            tasks.start_soon(receive_into, made[0], heard)
+            await send_until(made[1], made[0].address, lambda: heard)
+            assert heard[0] == peers.Heard('entry-1~a1', HEAD)
+
+    run(work)
+
+
+@pytest.mark.parametrize('kind', ['other key', 'only the public key', 'plain'])
+def test_stranger_gets_nothing_and_is_counted(kind):
+    async def work(tasks):
+        keys = make_keys()
+        other = make_keys()
+        heard = []
+        with links(keys, keys) as (made, counts):
+            strange = made[1]
+            strange._keys = peers.Keys()
+            if kind == 'other key':
+                strange._keys = other
+            tasks.start_soon(receive_into, made[0], heard)
+            if kind == 'only the public key':
+                connect_with(strange, keys.public, other)
+
+            def counted():
+                made[0]._count_strangers()
+                return counts.get('stranger')
+
+            await send_until(strange, made[0].address, counted)
+            assert not heard
+
+    def connect_with(strange, public, own):
+        def connect(address):
+            dealer = strange._plain.socket(zmq.DEALER)
+            dealer.curve_serverkey = public.encode()
+            dealer.curve_publickey = own.public.encode()
+            dealer.curve_secretkey = own.secret.encode()
+            dealer.connect(f'tcp://{address}')
+            return dealer
+
+        strange._connect = connect
+
+    run(work)
+
+
+def test_malformed_frames_and_names_are_counted():
+    async def work(tasks):
+        heard = []
+        plain = peers.Keys()
+        with links(plain, plain) as (made, counts):
+            tasks.start_soon(receive_into, made[0], heard)
+            await send_until(made[1], made[0].address, lambda: heard)
+            dealer = made[1]._dealer_by_address[made[0].address].socket
+            dealer.send(b'')
+            dealer.send(b''.join((b'\x02', codec.encode(HEAD)[1:])))
+            dealer.send_multipart([b'one', b'two'])
+            await until(lambda: counts.get('malformed') == 3)
+            nameless = made[1]._plain.socket(zmq.DEALER)
+            nameless.connect(f'tcp://{made[0].address}')
+            nameless.send(codec.encode(HEAD))
+            await until(lambda: counts.get('malformed') == 4)
+            nameless.close(0)
+
+    run(work)
+
+
+async def until(condition):
+    while not condition():
+        await anyio.sleep(0.01)
+
+
+class Forwarder:
+    """Passes bytes on until it is told to lose all that is open."""
+
+    def __init__(self, host, port):
+        self.host = host
+        self.port = int(port)
+        self.silent = set()
+        self.opened = 0
+
+    async def __call__(self, near):
+        self.opened += 1
+        number = self.opened
+        async with await anyio.connect_tcp(self.host, self.port) as far:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.pump, number, near, far)
+                tasks.start_soon(self.pump, number, far, near)
+
+    async def pump(self, number, source, sink):
+        with contextlib.suppress(anyio.EndOfStream, OSError):
+            while True:
+                chunk = await source.receive()
+                if number not in self.silent:
+                    await sink.send(chunk)
+
+
+def test_silent_connection_is_replaced():
+    async def work(tasks):
+        heard = []
+        keys = make_keys()
+        with links(keys, keys) as (made, _):
+            forwarder = Forwarder(*made[0].address.split(':'))
+            listener = await anyio.create_tcp_listener(
+                local_host='127.0.0.1',
+                family=socket.AF_INET,
+            )
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            address = f'127.0.0.1:{port}'
+            tasks.start_soon(listener.serve, forwarder)
+            tasks.start_soon(receive_into, made[0], heard)
+            await send_until(made[1], address, lambda: heard)
+            forwarder.silent.add(1)
+            heard.clear()
+            await send_until(made[1], address, lambda: heard)
+            assert forwarder.opened > 1
+
+    run(work)
+
+
+def test_peer_that_never_answers_gets_a_new_connection():
+    async def work(tasks):
+        heard = []
+        plain = peers.Keys()
+        with links(plain, plain) as (made, counts):
+            tasks.start_soon(receive_into, made[1], heard)
+            pulse = messages.Pulse(STATE)
+            await send_until(
+                made[0],
+                made[1].address,
+                lambda: counts.get('replaced'),
+                pulse,
+            )
+
+    run(work)
+
+
+@pytest.mark.parametrize(
+    'section',
+    [{}, {'public_key': 'short', 'secret_key': 'short', 'allow_plain': True}],
+)
+def test_settings_without_usable_keys_are_refused(section):
+    with pytest.raises(errors.UserError, match='oleanderstair keys make'):
+        settings.build({'instance': {'id': 'entry-1'}, 'peers': section})
