--- a/oleanderstair/ui/main.py
+++ b/oleanderstair/ui/main.py
@@ -7,7 +7,7 @@
 import cappa
 
 from oleanderstair import errors
-from oleanderstair.ui import checks, demo, reports
+from oleanderstair.ui import checks, demo, notes, reports
 
 EXIT_WRONG_USE: typing.Final = 2
 
@@ -19,7 +19,7 @@
 
     command: cappa.Subcommands[
         checks.Settings
-        | checks.Note
+        | notes.Note
         | reports.Status
         | reports.Targets
         | reports.Instances
