--- a/oleanderstair/emulator/platform.py
+++ b/oleanderstair/emulator/platform.py
@@ -1,6 +1,7 @@
 """A configuration service and an instance list that can lag or fail."""
 
 import dataclasses
+import enum
 import typing
 import urllib.parse
 
@@ -9,7 +10,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import notes, spread
-from oleanderstair.engine import asgi
+from oleanderstair.engine import asgi, platform
 
 _OK: typing.Final = 200
 _NOT_FOUND: typing.Final = 404
@@ -18,6 +19,18 @@
 _POLL_MS: typing.Final = 20
 
 
+class Fault(enum.Enum):
+    """What is wrong with the platform."""
+
+    NONE = 'none'
+    DOWN = 'down'
+    STALE = 'stale'
+    MALFORMED = 'malformed'
+    TOO_LARGE = 'too-large'
+    SLOW = 'slow'
+    SILENT = 'silent'
+
+
 @dataclasses.dataclass(slots=True)
 class Platform:
     """Published values and instances; tests change its fields while it runs."""
@@ -26,11 +39,29 @@
     listed: list[dict[str, typing.Any]] = dataclasses.field(
         default_factory=list,
     )
-    down: bool = False
+    fault: Fault = Fault.NONE
+    slow_ms: clock.Millis = 500
+    stale_body_by_name: dict[str, bytes] = dataclasses.field(
+        default_factory=dict,
+    )
     reads: int = 0
     last_number: int = 0
     last_digest: str = ''
 
+    @property
+    def down(self) -> bool:
+        """Return whether every read fails."""
+        return self.fault is Fault.DOWN
+
+    @down.setter
+    def down(self, is_down: bool) -> None:
+        self.fault = Fault.DOWN if is_down else Fault.NONE
+
+    def freeze(self) -> None:
+        """Serve what is published now, whatever is published later."""
+        self.stale_body_by_name = dict(self.body_by_name)
+        self.fault = Fault.STALE
+
     def publish(self, note: dict[str, typing.Any]) -> int:
         """Publish a note after the last one and return its number."""
         numbered = {
@@ -55,7 +86,14 @@
     ) -> None:
         """Answer one read."""
         self.reads += 1
-        if self.down:
+        faulty = _BODY_BY_FAULT.get(self.fault)
+        if self.fault is Fault.SLOW:
+            await anyio.sleep(clock.to_seconds(self.slow_ms))
+        if self.fault is Fault.SILENT:
+            await _wait_for_the_client(receive)
+        elif faulty is not None:
+            await _respond_whole(send, faulty)
+        elif self.down:
             await asgi.respond(send, _UNAVAILABLE, [], b'')
         elif scope['path'] == '/instances':
             await asgi.respond_json(send, _OK, self.listed)
@@ -69,12 +107,16 @@
         if known:
             wait_ms = int(query['wait_ms'][0])
             await self._wait_for_change(name, known[0], wait_ms)
-        body = self.body_by_name.get(name)
+        body = self._served().get(name)
         if body is None:
             await asgi.respond(send, _NOT_FOUND, [], b'')
             return
-        length = (b'content-length', str(len(body)).encode())
-        await asgi.respond(send, _OK, [length], body)
+        await _respond_whole(send, body)
+
+    def _served(self) -> dict[str, bytes]:
+        if self.fault is Fault.STALE:
+            return self.stale_body_by_name
+        return self.body_by_name
 
     async def _wait_for_change(
         self,
@@ -83,10 +125,28 @@
         wait_ms: clock.Millis,
     ) -> None:
         with anyio.move_on_after(clock.to_seconds(wait_ms)):
-            while notes.digest(self.body_by_name.get(name, b'')) == digest:
+            while notes.digest(self._served().get(name, b'')) == digest:
                 await anyio.sleep(clock.to_seconds(_POLL_MS))
 
 
+async def _respond_whole(send: asgi.Send, body: bytes) -> None:
+    length = (b'content-length', str(len(body)).encode())
+    await asgi.respond(send, _OK, [length], body)
+
+
+async def _wait_for_the_client(receive: asgi.Receive) -> None:
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            return
+
+
+_BODY_BY_FAULT: typing.Final = {
+    Fault.MALFORMED: b'{"number": ',
+    Fault.TOO_LARGE: b' ' * (platform.MAX_VALUE_BYTES + 1),
+}
+
+
 def create() -> Platform:
     """Create a platform that has published nothing."""
     return Platform()
--- a/oleanderstair/emulator/targets.py
+++ b/oleanderstair/emulator/targets.py
@@ -3,23 +3,24 @@
 import dataclasses
 import enum
 import itertools
-import random
 import typing
 
 import anyio
 
 from oleanderstair import clock
-from oleanderstair.engine import asgi, headers, probes
+from oleanderstair.engine import asgi, headers, listener, probes
 
 _OK: typing.Final = 200
 _FAILED: typing.Final = 500
 _UNAVAILABLE: typing.Final = 503
+_CUT: typing.Final = b'HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\ncut'
 
 
 class Behaviour(enum.Enum):
-    """What a target does with a call."""
+    """What a target does with a call that it takes."""
 
     SERVE = 'serve'
+    SLOW = 'slow'
     FAIL_FAST = 'fail-fast'
     CRASH = 'crash'
     SILENT = 'silent'
@@ -31,18 +32,21 @@
     """One target; tests and demos change its fields while it runs.
 
     It serves ``slots`` calls at once, queues up to ``queue_limit`` and
-    sheds the rest with an authoritative not-run.
+    sheds the rest with an authoritative not-run. The first ``cold_calls``
+    after a start take ``cold_factor`` times as long. A client that goes
+    away, or a deadline that passes, frees the slot.
     """
 
     target_id: str
     slots: int = 4
     queue_limit: int = 0
     service_ms: clock.Millis = 2
-    rng: random.Random = dataclasses.field(
-        default_factory=lambda: random.Random(1),
-    )
     behaviour: Behaviour = Behaviour.SERVE
+    slow_factor: float = 20
+    cold_calls: int = 0
+    cold_factor: float = 10
     leaving: bool = False
+    claims_healthy: bool = True
     reported_in_flight: int | None = None
     incarnation: str = '1'
     in_flight: int = 0
@@ -52,7 +56,13 @@
     served_by_key: dict[str, int] = dataclasses.field(default_factory=dict)
     served: int = 0
     cancelled: int = 0
-    free: anyio.Condition = dataclasses.field(default_factory=anyio.Condition)
+    late: int = 0
+
+    free: anyio.CapacityLimiter = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Open the slots."""
+        self.free = anyio.CapacityLimiter(self.slots)
 
     async def __call__(
         self,
@@ -65,13 +75,18 @@
             await self._answer_health(send)
         elif scope['path'] == probes.LOAD_PATH:
             await self._answer_load(send)
+        elif self.in_flight >= self.slots + self.queue_limit:
+            self.over_slot_calls += 1
+            await self._shed(send)
+        elif self.leaving:
+            await self._shed(send)
         else:
-            await self._answer_call(scope, receive, send)
+            await self._take(scope, send)
 
     async def _answer_health(self, send: asgi.Send) -> None:
         self.probe_reads += 1
         document = {
-            'healthy': True,
+            'healthy': self.claims_healthy,
             'leaving': self.leaving,
             'incarnation': self.incarnation,
         }
@@ -86,53 +101,81 @@
         }
         await asgi.respond_json(send, _OK, document)
 
-    async def _answer_call(
-        self,
-        scope: asgi.Scope,
-        receive: asgi.Receive,
-        send: asgi.Send,
-    ) -> None:
-        if self.in_flight >= self.slots + self.queue_limit:
-            self.over_slot_calls += 1
-            await self._shed(send)
-            return
+    async def _take(self, scope: asgi.Scope, send: asgi.Send) -> None:
         self.in_flight += 1
         self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        work = anyio.CancelScope()
+        limit_ms = headers.read_count(
+            headers.find(scope['headers'], headers.DEADLINE_MS),
+        )
+        if limit_ms:
+            work.deadline = anyio.current_time() + clock.to_seconds(limit_ms)
         try:
-            await self._run(scope, receive, send)
-        except anyio.get_cancelled_exc_class():
-            self.cancelled += 1
-            raise
+            with listener.watching(scope, work.cancel), work:
+                await self._run(scope, send)
         finally:
             self.in_flight -= 1
-
-    async def _run(
+        if work.cancelled_caught:
+            await self._give_up(scope, send)
+
+    async def _run(self, scope: asgi.Scope, send: asgi.Send) -> None:
+        async with self.free:
+            key = headers.find(scope['headers'], headers.KEY).decode('latin-1')
+            self.served += 1
+            if key:
+                self.served_by_key[key] = self.served_by_key.get(key, 0) + 1
+            await self._behave(scope, send, key)
+
+    async def _behave(
         self,
         scope: asgi.Scope,
-        receive: asgi.Receive,
         send: asgi.Send,
+        key: str,
     ) -> None:
-        key = headers.find(scope['headers'], headers.KEY).decode('latin-1')
-        self.served += 1
-        if key:
-            self.served_by_key[key] = self.served_by_key.get(key, 0) + 1
+        transport = listener.protocol_of(scope).transport
         if self.behaviour is Behaviour.SILENT:
             await anyio.sleep_forever()
-        if self.behaviour is Behaviour.CRASH:
-            raise ConnectionError('crashed on demand')
-        if self.behaviour is Behaviour.FAIL_FAST:
+        elif self.behaviour is Behaviour.CRASH:
+            transport.abort()
+        elif self.behaviour is Behaviour.CUT_SHORT:
+            transport.write(_CUT)
+            transport.close()
+        elif self.behaviour is Behaviour.FAIL_FAST:
             await asgi.respond_json(send, _FAILED, {'error': 'fails fast'})
+        else:
+            await anyio.sleep(clock.to_seconds(self._next_service_ms()))
+            document = {'target': self.target_id, 'key': key}
+            await asgi.respond_json(send, _OK, document, self._notices())
+
+    def _next_service_ms(self) -> clock.Millis:
+        span_ms = self.service_ms
+        if self.behaviour is Behaviour.SLOW:
+            span_ms *= self.slow_factor
+        if self.cold_calls:
+            self.cold_calls -= 1
+            span_ms *= self.cold_factor
+        return span_ms
+
+    def _notices(self) -> asgi.HeaderList:
+        return [(headers.LEAVING, b'1')] if self.leaving else []
+
+    async def _give_up(self, scope: asgi.Scope, send: asgi.Send) -> None:
+        if listener.protocol_of(scope).transport.is_closing():
+            self.cancelled += 1
             return
-        await anyio.sleep(clock.to_seconds(self.service_ms))
-        document = {'target': self.target_id, 'key': key}
-        await asgi.respond_json(send, _OK, document)
+        self.late += 1
+        await asgi.respond_json(send, _UNAVAILABLE, {'error': 'too late'})
 
     async def _shed(self, send: asgi.Send) -> None:
         await asgi.respond_json(
             send,
             _UNAVAILABLE,
             {'error': 'no free slot'},
-            [(headers.OUTCOME, b'not-run'), (headers.RETRY_AFTER, b'1')],
+            [
+                (headers.OUTCOME, b'not-run'),
+                (headers.RETRY_AFTER, b'1'),
+                *self._notices(),
+            ],
         )
 
 
--- /dev/null
+++ b/oleanderstair/engine/bounded.py
@@ -0,0 +1,230 @@
+"""An HTTP/1.1 server protocol that bounds what a client may hold.
+
+uvicorn's own protocol lets a slow or endless header, a client that never
+reads, and any number of connections stand for ever.
+"""
+
+import asyncio
+import enum
+import http
+import typing
+
+import msgspec
+from uvicorn.protocols.http import httptools_impl
+
+from oleanderstair import clock
+from oleanderstair.domain import outcomes
+from oleanderstair.engine import asgi, headers, pending, replies
+
+_LINGER_MS: typing.Final = 500
+_FIELD_OVERHEAD_BYTES: typing.Final = 4
+_BODY_TIMES: typing.Final = 2
+
+
+class Bounds(typing.NamedTuple):
+    """The bounds of one listener, in bytes, ms and connections."""
+
+    max_header_bytes: int = 16384
+    request_time_ms: clock.Millis = 5000
+    idle_ms: clock.Millis = 5000
+    answer_time_ms: clock.Millis = 10000
+    max_connections: int = 1000
+
+
+class _Part(enum.Enum):
+    NONE = 'none'
+    HEAD = 'head'
+    BODY = 'body'
+
+
+class BoundedProtocol(httptools_impl.HttpToolsProtocol):
+    """One connection of a client, within ``Bounds``."""
+
+    def __init__(self, bounds: Bounds, **served: typing.Any) -> None:
+        """Serve one connection within ``bounds``."""
+        super().__init__(**served)
+        self.on_lost: typing.Callable[[], None] | None = None
+        self._bounds = bounds
+        self._part = _Part.NONE
+        self._head_bytes = 0
+        self._chunk_bytes = 0
+        self._refused = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._write_timer: asyncio.TimerHandle | None = None
+
+    # The connection
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Refuse a connection above the limit."""
+        super().connection_made(typing.cast(asyncio.Transport, transport))
+        if len(self.connections) > self._bounds.max_connections:
+            self._refuse(outcomes.Reason.OVERLOADED, 'too many connections')
+            return
+        self._arm(self._bounds.idle_ms)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell whoever waits for an answer that the client is gone."""
+        super().connection_lost(exc)
+        self._disarm()
+        if self._write_timer is not None:
+            self._write_timer.cancel()
+        if self.on_lost is not None:
+            self.on_lost()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Feed the parser, then bound what is still incomplete."""
+        if self._refused:
+            return
+        self._chunk_bytes = len(chunk)
+        if self._part is _Part.HEAD:
+            self._head_bytes += len(chunk)
+        super().data_received(chunk)
+        self._chunk_bytes = 0
+        if self._part is _Part.NONE:
+            self._disarm()
+        elif self._head_bytes > self._bounds.max_header_bytes:
+            self._refuse(outcomes.Reason.TOO_LARGE, 'the header is too large')
+        elif self._timer is None:
+            self._arm(self._bounds.request_time_ms)
+
+    # The parser's callbacks
+
+    def on_message_begin(self) -> None:
+        """Open a request and let the application see its connection."""
+        super().on_message_begin()
+        self.scope['extensions'] = {'connection': {'protocol': self}}
+        self._part = _Part.HEAD
+        self._head_bytes = self._chunk_bytes
+
+    def on_headers_complete(self) -> None:
+        """Start the application, or refuse a header that is too large."""
+        self._part = _Part.BODY
+        self._head_bytes = 0
+        size = len(self.url) + sum(
+            len(name) + len(field) + _FIELD_OVERHEAD_BYTES
+            for name, field in self.headers
+        )
+        if size <= self._bounds.max_header_bytes:
+            super().on_headers_complete()
+            return
+        app = self.app
+        self.app = _refuse_header
+        super().on_headers_complete()
+        self.app = app
+
+    def on_message_complete(self) -> None:
+        """Close the request; nothing of it is awaited any more."""
+        super().on_message_complete()
+        self._part = _Part.NONE
+        # What follows in the same chunk may belong to this message's body.
+        self._chunk_bytes = 0
+
+    def on_response_complete(self) -> None:
+        """Bound the time in which the client takes the answer."""
+        super().on_response_complete()
+        if self.transport.get_write_buffer_size() and not self._write_timer:
+            self._write_timer = self.loop.call_later(
+                clock.to_seconds(self._bounds.answer_time_ms),
+                self._abort_unread,
+            )
+
+    # Faults of the client
+
+    def send_400_response(  # noqa: WPS114 (uvicorn's name)
+        self,
+        msg: str,
+    ) -> None:
+        """Refuse what is no HTTP, but never into another call's answer."""
+        is_earlier_busy = bool(self.pipeline) or (
+            self._part is not _Part.BODY and self._is_answering()
+        )
+        if is_earlier_busy:
+            self._refused = True
+            self.cycle.keep_alive = False
+            return
+        if self._is_answering():
+            self.cycle.disconnected = True
+            self.cycle.message_event.set()
+        self._refuse(outcomes.Reason.BAD_REQUEST, msg)
+
+    def timeout_keep_alive_handler(self) -> None:
+        """Close an idle connection, at once where the client reads nothing."""
+        if self.transport.get_write_buffer_size():
+            self.transport.abort()
+        super().timeout_keep_alive_handler()
+
+    def _unsupported_upgrade_warning(self) -> None:
+        # The parser stops at an upgrade, so the connection ends after it.
+        if self.cycle is not None:
+            self.cycle.keep_alive = False
+
+    def _is_answering(self) -> bool:
+        return self.cycle is not None and not self.cycle.response_complete
+
+    def _arm(self, span_ms: clock.Millis) -> None:
+        if self._part is _Part.BODY:
+            span_ms *= _BODY_TIMES
+        self._timer = self.loop.call_later(
+            clock.to_seconds(span_ms),
+            self._on_late,
+        )
+
+    def _disarm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _on_late(self) -> None:
+        self._timer = None
+        if self._is_answering():
+            self._arm(self._bounds.request_time_ms)
+        elif self._part is _Part.HEAD:
+            self._refuse(outcomes.Reason.TOO_SLOW, 'the header is too slow')
+        elif self._part is _Part.BODY:
+            self.transport.abort()
+        else:
+            self.transport.close()
+
+    def _abort_unread(self) -> None:
+        self._write_timer = None
+        if self.transport.get_write_buffer_size():
+            self.transport.abort()
+
+    def _refuse(self, reason: outcomes.Reason, detail: str) -> None:
+        # What still arrives is read and dropped for a moment, because a
+        # reset would take the refusal from the client.
+        self._refused = True
+        self._disarm()
+        self.transport.write(_raw(replies.not_run(reason, detail)))
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self.loop.call_later(
+            clock.to_seconds(_LINGER_MS),
+            self.transport.close,
+        )
+
+
+async def _refuse_header(
+    scope: asgi.Scope,
+    receive: asgi.Receive,
+    send: asgi.Send,
+) -> None:
+    reply = replies.not_run(
+        outcomes.Reason.TOO_LARGE, 'the header is too large'
+    )
+    await replies.send_reply(send, scope['method'], reply, closing=False)
+
+
+def _raw(reply: pending.Reply) -> bytes:
+    written = replies.write_refusal(reply)
+    body = msgspec.json.encode(written.document)
+    fields = [
+        *written.headers,
+        (headers.CONTENT_TYPE, b'application/json'),
+        (headers.CONTENT_LENGTH, str(len(body)).encode()),
+        (headers.CONNECTION, b'close'),
+    ]
+    phrase = http.HTTPStatus(written.status).phrase
+    lines = [f'HTTP/1.1 {written.status} {phrase}'.encode()]
+    lines.extend(b'%b: %b' % field for field in fields)
+    return b'\r\n'.join([*lines, b'', body])
--- a/oleanderstair/engine/exchanges.py
+++ b/oleanderstair/engine/exchanges.py
@@ -1,4 +1,9 @@
-"""Exchanges with targets: one per HTTP/1.1 connection, our own table."""
+"""Exchanges with targets: one per HTTP/1.1 connection, our own table.
+
+An answer counts only when its framing proves it complete. One that ends
+with its connection, without a length or chunks, cannot be proved and is
+taken as BROKEN.
+"""
 
 import dataclasses
 import typing
@@ -11,8 +16,17 @@
 from oleanderstair.engine import headers
 
 CONNECT_BOUND_MS: typing.Final = 1000
+IDLE_BOUND_MS: typing.Final = 4000
 IDLE_PER_TARGET: typing.Final = 8
+OPEN_PER_TARGET: typing.Final = 16
+MAX_ANSWER_BYTES: typing.Final = 4_194_304
+_FIRST_FINAL: typing.Final = 200
+_FIRST_UNDEFINED: typing.Final = 600
 _UNAVAILABLE: typing.Final = 503
+_NO_BODY: typing.Final = frozenset((204, 304))
+
+_LOST: typing.Final = (httpcore.NetworkError, httpcore.RemoteProtocolError)
+Connection: typing.TypeAlias = httpcore.AsyncHTTP11Connection
 
 
 class Request(typing.NamedTuple):
@@ -20,7 +34,7 @@
 
     method: bytes
     path: bytes
-    headers: list[tuple[bytes, bytes]]
+    headers: headers.Fields
     body: bytes
 
 
@@ -28,7 +42,7 @@
     """A whole answer of a target."""
 
     status: int
-    headers: list[tuple[bytes, bytes]]
+    headers: headers.Fields
     body: bytes
 
 
@@ -38,38 +52,46 @@
     verdict: events.Verdict
     answer: Answer | None = None
     crashed: bool = False
+    what: str = ''
+
+
+class Place(typing.NamedTuple):
+    """Where an exchange goes and how long it may take there."""
+
+    target_id: str
+    address: str
+    fresh: bool
+    silence_ms: clock.Millis
 
 
 @dataclasses.dataclass(slots=True)
 class Connections:
-    """Idle connections by target."""
+    """Open connections: how many by target, and which are idle."""
 
     backend: httpcore.AsyncNetworkBackend
-    idle_by_target: dict[str, list[httpcore.AsyncHTTP11Connection]] = (
-        dataclasses.field(default_factory=dict)
+    max_answer_bytes: int = MAX_ANSWER_BYTES
+    idle_by_target: dict[str, list[Connection]] = dataclasses.field(
+        default_factory=dict,
     )
+    open_by_target: dict[str, int] = dataclasses.field(default_factory=dict)
 
-    async def exchange(
-        self,
-        target_id: str,
-        address: str,
-        request: Request,
-        fresh: bool,
-        silence_ms: clock.Millis,
-    ) -> Ended:
-        """Send ``request`` and read the whole answer within the bound."""
-        try:
-            connection = await self._connect(target_id, address, fresh)
-        except (httpcore.ConnectError, httpcore.ConnectTimeout):
-            return Ended(events.Verdict.NOT_SENT, crashed=True)
-        keep = False
+    async def exchange(self, place: Place, request: Request) -> Ended:
+        """Send ``request`` and read the whole answer within the bound.
+
+        NOT_SENT means that no connection could be had, so no byte left.
+        """
+        if not self._claim(place.target_id):
+            return Ended(events.Verdict.NOT_SENT, what='connection limit')
+        connection: Connection | None = None
         ended = Ended(events.Verdict.SILENT)
         try:
-            with anyio.move_on_after(clock.to_seconds(silence_ms)):
-                ended = await _send(connection, address, request)
-                keep = ended.answer is not None and connection.is_idle()
+            connection = await self._connect(place)
+            with anyio.move_on_after(clock.to_seconds(place.silence_ms)):
+                ended = await self._send(connection, place.address, request)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            return Ended(events.Verdict.NOT_SENT, what=repr(error))
         finally:
-            await self._give_back(target_id, connection, keep)
+            await self._give_back(place, connection, ended)
         return ended
 
     async def close_idle(self, target_id: str) -> None:
@@ -77,34 +99,84 @@
         for connection in self.idle_by_target.pop(target_id, []):
             await connection.aclose()
 
-    async def _connect(
-        self,
-        target_id: str,
-        address: str,
-        fresh: bool,
-    ) -> httpcore.AsyncHTTP11Connection:
-        idle = self.idle_by_target.get(target_id, [])
-        while idle and not fresh:
+    async def close_aged(self) -> None:
+        """Close idle connections that may be about to be closed on us."""
+        aged: list[Connection] = []
+        for target_id, idle in tuple(self.idle_by_target.items()):
+            expired = [entry for entry in idle if entry.has_expired()]
+            for entry in expired:
+                idle.remove(entry)
+            aged.extend(expired)
+            if not idle:
+                self.idle_by_target.pop(target_id)
+        for connection in aged:
+            await connection.aclose()
+
+    def _claim(self, target_id: str) -> bool:
+        busy = self.open_by_target.get(target_id, 0)
+        if busy >= OPEN_PER_TARGET:
+            return False
+        self.open_by_target[target_id] = busy + 1
+        return True
+
+    async def _connect(self, place: Place) -> Connection:
+        idle = self.idle_by_target.get(place.target_id, [])
+        while idle and not place.fresh:
             connection = idle.pop()
-            if connection.is_available() and not connection.has_expired():
+            if not connection.has_expired():
                 return connection
             await connection.aclose()
-        host, _, port = address.rpartition(':')
+        host, _, port = place.address.rpartition(':')
+        bound_ms = min(CONNECT_BOUND_MS, place.silence_ms)
         stream = await self.backend.connect_tcp(
             host,
             int(port),
-            timeout=clock.to_seconds(CONNECT_BOUND_MS),
+            timeout=clock.to_seconds(bound_ms),
+        )
+        return httpcore.AsyncHTTP11Connection(
+            httpcore.Origin(b'http', host.encode(), int(port)),
+            stream,
+            keepalive_expiry=clock.to_seconds(IDLE_BOUND_MS),
         )
-        origin = httpcore.Origin(b'http', host.encode(), int(port))
-        return httpcore.AsyncHTTP11Connection(origin, stream)
+
+    async def _send(
+        self,
+        connection: Connection,
+        address: str,
+        request: Request,
+    ) -> Ended:
+        try:
+            response = await connection.handle_async_request(
+                _outgoing(address, request),
+            )
+        except httpcore.LocalProtocolError as ours:
+            return Ended(events.Verdict.NOT_SENT, what=repr(ours))
+        except _LOST as error:
+            return Ended(events.Verdict.BROKEN, crashed=True, what=repr(error))
+        try:
+            body = await _read_bounded(response, self.max_answer_bytes)
+        except _LOST as cut:
+            return Ended(events.Verdict.BROKEN, crashed=True, what=repr(cut))
+        finally:
+            await response.aclose()
+        return _conclude(request, response, body)
 
     async def _give_back(
         self,
-        target_id: str,
-        connection: httpcore.AsyncHTTP11Connection,
-        keep: bool,
+        place: Place,
+        connection: Connection | None,
+        ended: Ended,
     ) -> None:
+        target_id = place.target_id
+        left = self.open_by_target[target_id] - 1
+        if left:
+            self.open_by_target[target_id] = left
+        else:
+            self.open_by_target.pop(target_id)
+        if connection is None:
+            return
         idle = self.idle_by_target.setdefault(target_id, [])
+        keep = ended.answer is not None and connection.is_idle()
         if keep and len(idle) < IDLE_PER_TARGET:
             idle.append(connection)
             return
@@ -112,24 +184,21 @@
             await connection.aclose()
 
 
-def create() -> Connections:
+def create(max_answer_bytes: int = MAX_ANSWER_BYTES) -> Connections:
     """Create an empty table of connections."""
-    return Connections(httpcore.AnyIOBackend())
+    return Connections(httpcore.AnyIOBackend(), max_answer_bytes)
 
 
 def verdict_of(answer: Answer) -> events.Verdict:
     """Return SHED where the target itself says that it did not run."""
-    said = headers.find(answer.headers, headers.OUTCOME)
-    if answer.status == _UNAVAILABLE and said == b'not-run':
+    if answer.status != _UNAVAILABLE:
+        return events.Verdict.ANSWERED
+    if headers.find(answer.headers, headers.OUTCOME) == b'not-run':
         return events.Verdict.SHED
     return events.Verdict.ANSWERED
 
 
-async def _send(
-    connection: httpcore.AsyncHTTP11Connection,
-    address: str,
-    request: Request,
-) -> Ended:
+def _outgoing(address: str, request: Request) -> httpcore.Request:
     host, _, port = address.rpartition(':')
     url = httpcore.URL(
         scheme=b'http',
@@ -137,21 +206,49 @@
         port=int(port),
         target=request.path,
     )
-    outgoing = httpcore.Request(
+    return httpcore.Request(
         request.method,
         url,
         headers=request.headers,
         content=request.body,
     )
-    try:
-        response = await connection.handle_async_request(outgoing)
-    except (httpcore.NetworkError, httpcore.ProtocolError):
-        return Ended(events.Verdict.BROKEN, crashed=True)
-    try:
-        body = await response.aread()
-    except (httpcore.NetworkError, httpcore.ProtocolError):
-        return Ended(events.Verdict.BROKEN, crashed=True)
-    finally:
-        await response.aclose()
+
+
+async def _read_bounded(
+    response: httpcore.Response,
+    max_bytes: int,
+) -> bytes | None:
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in response.aiter_stream():
+        size += len(chunk)
+        if size > max_bytes:
+            return None
+        chunks.append(chunk)
+    return b''.join(chunks)
+
+
+def _conclude(
+    request: Request,
+    response: httpcore.Response,
+    body: bytes | None,
+) -> Ended:
+    if body is None:
+        return Ended(events.Verdict.BROKEN, what='answer too large')
     answer = Answer(response.status, list(response.headers), body)
+    if not _FIRST_FINAL <= answer.status < _FIRST_UNDEFINED:
+        return Ended(events.Verdict.BROKEN, what='status out of range')
+    if not headers.are_clean(answer.headers):
+        return Ended(events.Verdict.BROKEN, what='control character in header')
+    if not _is_framed(request, answer):
+        return Ended(events.Verdict.BROKEN, what='answer without a length')
     return Ended(verdict_of(answer), answer)
+
+
+def _is_framed(request: Request, answer: Answer) -> bool:
+    if request.method == b'HEAD' or answer.status in _NO_BODY:
+        return True
+    return any(
+        name.lower() in {headers.CONTENT_LENGTH, headers.TRANSFER_ENCODING}
+        for name, _ in answer.headers
+    )
--- a/oleanderstair/engine/listener.py
+++ b/oleanderstair/engine/listener.py
@@ -1,12 +1,19 @@
 """Runs an ASGI application on a socket, by uvicorn."""
 
 import contextlib
+import functools
+import logging
 import socket
 import typing
 
 import uvicorn
 
+from oleanderstair import clock, logs
+from oleanderstair.engine import asgi, bounded
+
 _BACKLOG: typing.Final = 1024
+_LAST_WRITE_S: typing.Final = 2
+DEFAULT_BOUNDS: typing.Final = bounded.Bounds()
 
 
 class _Server(uvicorn.Server):
@@ -27,11 +34,40 @@
     return f'{host}:{port}'
 
 
-def create(app: typing.Any) -> uvicorn.Server:
+@contextlib.contextmanager
+def watching(
+    scope: asgi.Scope,
+    on_lost: typing.Callable[[], None],
+) -> typing.Iterator[None]:
+    """Call ``on_lost`` where the client goes away inside the block."""
+    protocol = protocol_of(scope)
+    protocol.on_lost = on_lost
+    if protocol.transport.is_closing():
+        on_lost()
+    try:
+        yield
+    finally:
+        protocol.on_lost = None
+
+
+def protocol_of(scope: asgi.Scope) -> bounded.BoundedProtocol:
+    """Return the connection that a request came by."""
+    extension = scope['extensions']['connection']
+    return typing.cast(bounded.BoundedProtocol, extension['protocol'])
+
+
+def create(
+    app: typing.Any,
+    bounds: bounded.Bounds = DEFAULT_BOUNDS,
+) -> uvicorn.Server:
     """Create a server of ``app`` without signal handlers and access logs."""
+    _adopt_logs()
     config = uvicorn.Config(
         app,
-        http='httptools',
+        http=typing.cast(
+            typing.Any,
+            functools.partial(bounded.BoundedProtocol, bounds),
+        ),
         ws='none',
         loop='asyncio',
         lifespan='off',
@@ -41,6 +77,15 @@
         server_header=False,
         date_header=False,
         backlog=_BACKLOG,
-        timeout_graceful_shutdown=1,
+        timeout_keep_alive=typing.cast(int, clock.to_seconds(bounds.idle_ms)),
+        timeout_graceful_shutdown=_LAST_WRITE_S,
     )
     return _Server(config)
+
+
+def _adopt_logs() -> None:
+    logger = logging.getLogger('uvicorn')
+    if logger.propagate:
+        logger.propagate = False
+        logger.addHandler(logs.handler())
+        logger.setLevel(logging.WARNING)
--- a/oleanderstair/engine/node.py
+++ b/oleanderstair/engine/node.py
@@ -8,24 +8,24 @@
 
 import anyio
 import anyio.abc
-import uvicorn
 
 from oleanderstair import clock, logs, settings
 from oleanderstair.domain import events, world
 from oleanderstair.domain.tables import identity
 from oleanderstair.engine import (
     admin,
+    bounded,
     callers,
     exchanges,
     listener,
     peers,
     platform,
+    ports,
     probes,
     shell,
 )
 
 _INCARNATION_BYTES: typing.Final = 4
-_LAST_WRITE_MS: typing.Final = 200
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,22 +50,29 @@
     async def _serve(self) -> None:
         async with anyio.create_task_group() as tasks:
             self.carrier = self._create_shell(tasks)
-            servers = [
-                listener.create(
-                    callers.create(self.carrier, self.checked.callers),
-                ),
-                listener.create(admin.create(self.carrier)),
-            ]
-            sockets = [self.caller_socket, self.admin_socket]
-            for server, bound in zip(servers, sockets, strict=True):
-                tasks.start_soon(server.serve, [bound])
             tasks.start_soon(self.carrier.run_ticks)
             tasks.start_soon(self.carrier.run_peers)
             self._log_start()
-            await self.carrier.exit.wait()
-            await _close_servers(servers)
+            await self._listen(self.carrier)
             tasks.cancel_scope.cancel()
 
+    async def _listen(self, carrier: shell.Shell) -> None:
+        servers = [
+            listener.create(
+                callers.create(carrier, self.checked.callers),
+                _bounds_of(self.checked.callers),
+            ),
+            listener.create(admin.create(carrier)),
+        ]
+        sockets = [self.caller_socket, self.admin_socket]
+        async with anyio.create_task_group() as tasks:
+            for server, bound in zip(servers, sockets, strict=True):
+                tasks.start_soon(server.serve, [bound])
+            await carrier.exit.wait()
+            # Each server writes the answers that are under way, then ends.
+            for stopping in servers:
+                stopping.should_exit = True
+
     def _log_start(self) -> None:
         logs.event(
             'started',
@@ -87,16 +94,16 @@
             self.checked.platform.instances_url,
             limits.value_bound_ms,
         )
-        ports = shell.Ports(
+        outgoing = ports.Ports(
             clock=clock.monotonic(),
-            connections=exchanges.create(),
+            connections=exchanges.create(self.checked.callers.max_answer_bytes),
             configuration=published,
             instance_list=published,
             endpoints=probes.create(),
             link=self.link,
         )
         state = world.create(self.identity, limits, random.Random())
-        return shell.Shell(state, ports, tasks)
+        return shell.Shell(state, outgoing, tasks)
 
 
 def create(checked: settings.Settings) -> Node:
@@ -127,8 +134,11 @@
     )
 
 
-async def _close_servers(servers: list[uvicorn.Server]) -> None:
-    for server in servers:
-        server.should_exit = True
-    # Gives open connections the time of one answer that is being written.
-    await anyio.sleep(clock.to_seconds(_LAST_WRITE_MS))
+def _bounds_of(callers_settings: settings.CallerSettings) -> bounded.Bounds:
+    return bounded.Bounds(
+        max_header_bytes=callers_settings.max_header_bytes,
+        request_time_ms=callers_settings.request_time_ms,
+        idle_ms=callers_settings.idle_ms,
+        answer_time_ms=callers_settings.answer_time_ms,
+        max_connections=callers_settings.max_connections,
+    )
--- a/oleanderstair/engine/pending.py
+++ b/oleanderstair/engine/pending.py
@@ -1,6 +1,7 @@
 """Calls whose answer is owed, with the bytes that the core never sees."""
 
 import dataclasses
+import secrets
 import typing
 
 import anyio
@@ -9,6 +10,8 @@
 from oleanderstair.domain import events, outcomes
 from oleanderstair.engine import exchanges
 
+_ID_START_BITS: typing.Final = 40
+
 
 class Reply(typing.NamedTuple):
     """What a caller or an asking peer is told."""
@@ -20,45 +23,43 @@
     answer: exchanges.Answer | None = None
 
 
-class PeerOrigin(typing.NamedTuple):
-    """Where the answer of a forwarded call goes."""
-
-    incarnation: str
-    address: str
-    correlation: int
-
-
 @dataclasses.dataclass(slots=True)
 class PendingCall:
-    """A call that is owed a reply, and the attempts under way for it."""
+    """A call that is owed a reply, and the answers it may get."""
 
     received: events.CallReceived
     request: exchanges.Request
     arrived_ms: clock.Millis
-    origin: PeerOrigin | None = None
     replied: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     reply: Reply | None = None
-    scope_by_attempt: dict[int, anyio.CancelScope] = dataclasses.field(
-        default_factory=dict,
-    )
     answer_by_attempt: dict[int, exchanges.Answer] = dataclasses.field(
         default_factory=dict,
     )
+    home: str = ''
     home_answer: exchanges.Answer | None = None
     target_ms: clock.Millis = 0
 
 
 @dataclasses.dataclass(slots=True)
 class PendingTable:
-    """Pending calls by id, and the answers recorded for resends."""
+    """Pending calls, running attempts, and answers kept for resends.
+
+    Call ids start at a random number, so that an answer meant for an
+    earlier incarnation at this address matches no call of this one.
+    """
 
     call_by_id: dict[int, PendingCall] = dataclasses.field(
         default_factory=dict,
     )
+    scope_by_attempt: dict[int, anyio.CancelScope] = dataclasses.field(
+        default_factory=dict,
+    )
     recorded_by_call_id: dict[int, exchanges.Answer] = dataclasses.field(
         default_factory=dict,
     )
-    next_call_id: int = 1
+    next_call_id: int = dataclasses.field(
+        default_factory=lambda: secrets.randbits(_ID_START_BITS),
+    )
 
     def claim_id(self) -> int:
         """Return an id that no other call of this process has."""
--- a/oleanderstair/engine/shell.py
+++ b/oleanderstair/engine/shell.py
@@ -1,6 +1,9 @@
-"""Steps the decision code at each event and performs its actions."""
+"""Steps the decision code at each event and performs its actions.
+
+A fault in one event or task is logged, counted and contained: the others
+go on, and a call that is never settled is told ``unknown``.
+"""
 
-import dataclasses
 import typing
 
 import anyio
@@ -17,13 +20,20 @@
 )
 from oleanderstair.engine import (
     exchanges,
-    peers,
+    forwarding,
+    headers,
     pending,
-    platform,
-    probes,
+    ports,
 )
 
-_NO_REASON: typing.Final = ''
+_SWEEP_MS: typing.Final = 1000
+_OVERDUE_MS: typing.Final = 2000
+
+Perform: typing.TypeAlias = typing.Callable[[typing.Any], None]
+Read: typing.TypeAlias = typing.Callable[
+    [typing.Any],
+    typing.Awaitable[events.Event],
+]
 
 
 class Recorder(typing.Protocol):
@@ -33,41 +43,27 @@
         """Keep ``event``, which is handled at ``now_ms``."""
 
 
-@dataclasses.dataclass(slots=True)
-class Ports:
-    """The outgoing sides of the shell."""
-
-    clock: clock.Clock
-    connections: exchanges.Connections
-    configuration: platform.Configuration
-    instance_list: platform.InstanceList
-    endpoints: probes.TargetEndpoints
-    link: peers.Link
-
-
 class Shell:
     """One instance's world, its pending calls, and its outgoing sides."""
 
     def __init__(
         self,
         state: world.World,
-        ports: Ports,
+        outgoing: ports.Ports,
         tasks: anyio.abc.TaskGroup,
     ) -> None:
         """Run I/O for ``state`` as tasks of ``tasks``."""
         self.state = state
-        self.ports = ports
+        self.ports = outgoing
         self.metrics = metrics.create()
         self.trail = audit.create()
         self.pending = pending.create()
         self.exit = anyio.Event()
         self.recorder: Recorder | None = None
         self._tasks = tasks
-        self._perform_by_action: dict[
-            type[actions.Action],
-            typing.Callable[[typing.Any], None],
-        ] = {
-            actions.Dispatch: self._start(self._dispatch),
+        self._swept_at_ms = clock.NEVER_MS
+        self._perform_by_action: dict[type[actions.Action], Perform] = {
+            actions.Dispatch: self._dispatch,
             actions.CancelAttempt: self._cancel_attempt,
             actions.Relay: self._relay,
             actions.RelayRecorded: self._relay_recorded,
@@ -75,11 +71,11 @@
             actions.Refuse: self._refuse,
             actions.ForwardHome: self._forward_home,
             actions.DropRecorded: self._drop_recorded,
-            actions.CloseIdle: self._start(self._close_idle),
-            actions.ReadValue: self._start(self._read_value),
-            actions.WatchValue: self._start(self._watch_value),
-            actions.ReadInstances: self._start(self._read_instances),
-            actions.Probe: self._start(self._probe),
+            actions.CloseIdle: self._close_idle,
+            actions.ReadValue: self._start(outgoing.read_value),
+            actions.WatchValue: self._start(outgoing.watch_value),
+            actions.ReadInstances: self._start(outgoing.read_instances),
+            actions.Probe: self._start(outgoing.probe),
             actions.SendPeer: self._send_peer,
             actions.Audit: self.trail.record,
             actions.Count: self._count,
@@ -92,37 +88,48 @@
         now_ms = self.ports.clock.now_ms()
         if self.recorder is not None:
             self.recorder.record(now_ms, event)
-        for action in balancer.step(self.state, event, now_ms):
-            self._perform_by_action[type(action)](action)
+        try:
+            wanted = balancer.step(self.state, event, now_ms)
+        except Exception as error:
+            self.report_fault(type(event).__name__, error)
+            return
+        for action in wanted:
+            self._perform(action)
 
     async def call(
         self,
         received: events.CallReceived,
         request: exchanges.Request,
-        origin: pending.PeerOrigin | None = None,
     ) -> pending.Reply:
         """Carry one call and return what its caller is told."""
         owed = pending.PendingCall(
             received,
             request,
             self.ports.clock.now_ms(),
-            origin,
         )
         self.pending.call_by_id[received.call_id] = owed
         self.handle(received)
-        try:
-            await owed.replied.wait()
-        except anyio.get_cancelled_exc_class():
-            self.handle(events.CallerLeft(received.call_id))
-            raise
+        await owed.replied.wait()
         assert owed.reply is not None  # noqa: S101 (set before the event)
         self._measure(owed, owed.reply)
         return owed.reply
 
+    def leave(self, call_id: int) -> None:
+        """Note that the caller of a call has gone."""
+        if call_id in self.pending.call_by_id:
+            self.metrics.count('caller-left')
+            self.handle(events.CallerLeft(call_id))
+
+    def report_fault(self, where: str, error: Exception) -> None:
+        """Log and count a fault that was contained."""
+        self.metrics.count('faults', where)
+        logs.event('fault', where=where, cause=repr(error))
+
     async def run_ticks(self) -> None:
         """Tick until cancelled."""
         while True:
             self.handle(events.Tick())
+            await self._sweep()
             await anyio.sleep(clock.to_seconds(self.state.policy.tick_ms))
 
     async def run_peers(self) -> None:
@@ -136,43 +143,82 @@
                     heard.message,
                 )
             elif isinstance(heard.message, messages.KeyedAnswer):
-                self._take_home_answer(heard.message)
+                self._take_home_answer(heard.sender, heard.message)
             else:
                 self.handle(events.PeerHeard(heard.sender, heard.message))
 
     # Calls
 
-    async def _dispatch(self, action: actions.Dispatch) -> None:
-        owed = self.pending.call_by_id[action.call_id]
+    def _dispatch(self, action: actions.Dispatch) -> None:
+        # The scope stands before the task runs, so no cancel comes too early.
+        scope = anyio.CancelScope()
+        self.pending.scope_by_attempt[action.attempt_id] = scope
+        self._tasks.start_soon(self._attempt, action, scope)
+
+    async def _attempt(
+        self,
+        action: actions.Dispatch,
+        scope: anyio.CancelScope,
+    ) -> None:
+        owed = self.pending.call_by_id.get(action.call_id)
+        started_ms = self.ports.clock.now_ms()
         ended = exchanges.Ended(events.Verdict.CANCELLED)
-        with anyio.CancelScope() as scope:
-            owed.scope_by_attempt[action.attempt_id] = scope
-            started_ms = self.ports.clock.now_ms()
-            ended = await self.ports.connections.exchange(
-                action.target_id,
-                action.address,
-                owed.request,
-                action.fresh,
-                action.silence_ms,
-            )
-            owed.target_ms = self.ports.clock.now_ms() - started_ms
-        owed.scope_by_attempt.pop(action.attempt_id, None)
-        if ended.answer is not None:
-            owed.answer_by_attempt[action.attempt_id] = ended.answer
-        self.handle(
-            events.AttemptEnded(
-                call_id=action.call_id,
-                attempt_id=action.attempt_id,
-                verdict=ended.verdict,
-                status=ended.answer.status if ended.answer else 0,
-                crashed=ended.crashed,
+        if owed is None:
+            ended = exchanges.Ended(events.Verdict.NOT_SENT, what='call gone')
+        else:
+            with scope:
+                ended = await self._exchange(action, owed)
+            owed.target_ms += self.ports.clock.now_ms() - started_ms
+            if ended.answer is not None:
+                owed.answer_by_attempt[action.attempt_id] = ended.answer
+        self.pending.scope_by_attempt.pop(action.attempt_id, None)
+        self._note_attempt(action, ended)
+        self.handle(_attempt_ended(action, ended))
+
+    async def _exchange(
+        self,
+        action: actions.Dispatch,
+        owed: pending.PendingCall,
+    ) -> exchanges.Ended:
+        place = exchanges.Place(
+            action.target_id,
+            action.address,
+            action.fresh,
+            action.silence_ms,
+        )
+        received = owed.received
+        request = owed.request._replace(
+            headers=headers.for_target(
+                owed.request.headers,
+                received.service,
+                received.depth,
+                received.deadline_ms - self.ports.clock.now_ms(),
             ),
         )
+        try:
+            return await self.ports.connections.exchange(place, request)
+        except Exception as error:
+            self.report_fault('exchange', error)
+            return exchanges.Ended(events.Verdict.BROKEN, what=repr(error))
+
+    def _note_attempt(
+        self,
+        action: actions.Dispatch,
+        ended: exchanges.Ended,
+    ) -> None:
+        self.metrics.count('attempts', ended.verdict.value)
+        if ended.what:
+            logs.event(
+                'attempt-failed',
+                call=action.call_id,
+                target=action.target_id,
+                verdict=ended.verdict.value,
+                cause=ended.what,
+            )
 
     def _cancel_attempt(self, action: actions.CancelAttempt) -> None:
-        owed = self.pending.call_by_id.get(action.call_id)
-        scope = owed and owed.scope_by_attempt.get(action.attempt_id)
-        if scope:
+        scope = self.pending.scope_by_attempt.get(action.attempt_id)
+        if scope is not None:
             scope.cancel()
 
     def _relay(self, action: actions.Relay) -> None:
@@ -212,35 +258,43 @@
         )
 
     def _reply(self, call_id: int, reply: pending.Reply) -> None:
-        owed = self.pending.call_by_id.pop(call_id)
+        owed = self.pending.call_by_id.pop(call_id, None)
+        if owed is None:
+            self.metrics.count('late-replies')
+            return
         owed.reply = reply
         owed.replied.set()
 
     def _drop_recorded(self, action: actions.DropRecorded) -> None:
         self.pending.recorded_by_call_id.pop(action.call_id, None)
 
-    async def _close_idle(self, action: actions.CloseIdle) -> None:
-        await self.ports.connections.close_idle(action.target_id)
+    def _close_idle(self, action: actions.CloseIdle) -> None:
+        self._tasks.start_soon(
+            self.ports.connections.close_idle,
+            action.target_id,
+        )
+
+    async def _sweep(self) -> None:
+        now_ms = self.ports.clock.now_ms()
+        if now_ms - self._swept_at_ms < _SWEEP_MS:
+            return
+        self._swept_at_ms = now_ms
+        await self.ports.connections.close_aged()
+        overdue = [
+            call_id
+            for call_id, owed in self.pending.call_by_id.items()
+            if owed.received.deadline_ms + _OVERDUE_MS < now_ms
+        ]
+        for late_id in overdue:
+            self.metrics.count('overdue')
+            self._reply(late_id, _NEVER_SETTLED)
 
     # Keyed calls and their homes
 
     def _forward_home(self, action: actions.ForwardHome) -> None:
         owed = self.pending.call_by_id[action.call_id]
-        message = messages.KeyedCall(
-            correlation=action.call_id,
-            home=action.home,
-            service=owed.received.service,
-            method=owed.received.method,
-            path=owed.received.path,
-            key=owed.received.key,
-            budget_ms=action.budget_ms,
-            depth=owed.received.depth,
-            headers=tuple(
-                (name.decode('latin-1'), field.decode('latin-1'))
-                for name, field in owed.request.headers
-            ),
-            body=owed.request.body,
-        )
+        owed.home = action.home
+        message = forwarding.to_message(owed, action.home, action.budget_ms)
         self.ports.link.send(action.address, message)
 
     async def _serve_peer(
@@ -252,99 +306,39 @@
         if peer is None or message.home != self.state.identity.incarnation:
             self.metrics.count('peer-dropped', 'keyed-call')
             return
-        now_ms = self.ports.clock.now_ms()
-        received = events.CallReceived(
-            call_id=self.pending.claim_id(),
-            service=message.service,
-            method=message.method,
-            path=message.path,
-            deadline_ms=now_ms + message.budget_ms,
-            key=message.key,
-            depth=message.depth,
-            from_peer=sender,
-        )
-        request = exchanges.Request(
-            message.method.encode(),
-            message.path.encode(),
-            [
-                (name.encode('latin-1'), field.encode('latin-1'))
-                for name, field in message.headers
-            ],
-            message.body,
-        )
-        origin = pending.PeerOrigin(
+        received = forwarding.to_event(
+            message,
+            self.pending.claim_id(),
             sender,
-            peer.peer_address,
-            message.correlation,
+            self.ports.clock.now_ms(),
         )
-        reply = await self.call(received, request, origin)
+        try:
+            request = forwarding.to_request(message)
+        except ValueError as error:
+            self.report_fault('keyed-call', error)
+            return
+        reply = await self.call(received, request)
         self.ports.link.send(
             peer.peer_address,
-            _keyed_answer(message, reply),
+            forwarding.to_answer_message(message, reply),
         )
 
-    def _take_home_answer(self, message: messages.KeyedAnswer) -> None:
+    def _take_home_answer(
+        self,
+        sender: str,
+        message: messages.KeyedAnswer,
+    ) -> None:
         owed = self.pending.call_by_id.get(message.correlation)
-        if owed is None:
+        event = forwarding.to_home_reply(message)
+        if owed is None or event is None or sender != owed.home:
             self.metrics.count('peer-dropped', 'keyed-answer')
             return
-        if message.status:
-            owed.home_answer = exchanges.Answer(
-                message.status,
-                [
-                    (name.encode('latin-1'), field.encode('latin-1'))
-                    for name, field in message.headers
-                ],
-                message.body,
-            )
-        reason = outcomes.Reason(message.reason) if message.reason else None
-        self.handle(
-            events.HomeReplied(
-                call_id=message.correlation,
-                outcome=outcomes.Outcome(message.outcome),
-                reason=reason,
-                retry_after_ms=message.retry_after_ms,
-            ),
-        )
-
-    # Platform, targets and peers
-
-    async def _read_value(self, action: actions.ReadValue) -> None:
-        try:
-            body = await self.ports.configuration.get(action.name)
-        except platform.PlatformError as error:
-            self.handle(events.ReadFailed(action.name, str(error)))
-            return
-        self.handle(events.ValueRead(action.name, body))
-
-    async def _watch_value(self, action: actions.WatchValue) -> None:
-        try:
-            body = await self.ports.configuration.watch(
-                action.name,
-                action.digest,
-                action.bound_ms,
-            )
-        except platform.PlatformError as error:
-            self.handle(events.ReadFailed(action.name, str(error)))
-            return
-        self.handle(events.ValueRead(action.name, body))
-
-    async def _read_instances(self, action: actions.ReadInstances) -> None:
         try:
-            entries = await self.ports.instance_list.read()
-        except platform.PlatformError as error:
-            self.handle(events.ReadFailed('instances', str(error)))
+            owed.home_answer = forwarding.to_answer(message)
+        except ValueError as error:
+            self.report_fault('keyed-answer', error)
             return
-        self.handle(events.InstancesRead(entries))
-
-    async def _probe(self, action: actions.Probe) -> None:
-        started_ms = self.ports.clock.now_ms()
-        report = await self.ports.endpoints.read(
-            action.address,
-            action.bound_ms,
-        )
-        took_ms = self.ports.clock.now_ms() - started_ms
-        self.handle(events.ProbeEnded(action.target_id, report, took_ms))
+        self.handle(event)
 
     def _send_peer(self, action: actions.SendPeer) -> None:
         sent = self.ports.link.send(action.address, action.message)
@@ -373,34 +367,51 @@
         label = f'{owed.received.service}/{reply.outcome.value}'
         self.metrics.observe('added-ms', label, max(added_ms, 0))
 
-    def _start(
-        self,
-        work: typing.Callable[
-            [typing.Any],
-            typing.Coroutine[typing.Any, typing.Any, None],
-        ],
-    ) -> typing.Callable[[typing.Any], None]:
+    def _perform(self, action: actions.Action) -> None:
+        try:
+            self._perform_by_action[type(action)](action)
+        except Exception as error:
+            self.report_fault(type(action).__name__, error)
+
+    def _start(self, read: Read) -> Perform:
+        async def run(action: actions.Action) -> None:
+            try:
+                event = await read(action)
+            except Exception as error:
+                self.report_fault(type(action).__name__, error)
+                return
+            self.handle(event)
+
         def perform(action: actions.Action) -> None:
-            self._tasks.start_soon(work, action)
+            self._tasks.start_soon(run, action)
 
         return perform
 
 
-def _keyed_answer(
-    message: messages.KeyedCall,
-    reply: pending.Reply,
-) -> messages.KeyedAnswer:
-    answer = reply.answer or exchanges.Answer(0, [], b'')
-    return messages.KeyedAnswer(
-        correlation=message.correlation,
-        home=message.home,
-        outcome=reply.outcome.value,
-        reason=reply.reason.value if reply.reason else _NO_REASON,
-        retry_after_ms=reply.retry_after_ms,
-        status=answer.status,
-        headers=tuple(
-            (name.decode('latin-1'), field.decode('latin-1'))
-            for name, field in answer.headers
-        ),
-        body=answer.body,
+_NEVER_SETTLED: typing.Final = pending.Reply(
+    outcomes.Outcome.UNKNOWN,
+    outcomes.Reason.TARGET_LOST,
+    detail='the call was not settled in time',
+)
+
+
+def _attempt_ended(
+    action: actions.Dispatch,
+    ended: exchanges.Ended,
+) -> events.AttemptEnded:
+    answer = ended.answer
+    if answer is None:
+        return events.AttemptEnded(
+            action.call_id,
+            action.attempt_id,
+            ended.verdict,
+            crashed=ended.crashed,
+        )
+    return events.AttemptEnded(
+        action.call_id,
+        action.attempt_id,
+        ended.verdict,
+        answer.status,
+        headers.read_retry_after_ms(answer.headers),
+        leaving=bool(headers.find(answer.headers, headers.LEAVING)),
     )
--- a/oleanderstair/logs.py
+++ b/oleanderstair/logs.py
@@ -1,5 +1,6 @@
 """Logs: one line of key=value pairs for each event, by eliot."""
 
+import logging
 import sys
 import typing
 
@@ -23,6 +24,23 @@
     eliot.log_message(message_type=kind, **fields)
 
 
+class _Handler(logging.Handler):
+    def emit(self, record: logging.LogRecord) -> None:
+        cause = repr(record.exc_info[1]) if record.exc_info else ''
+        event(
+            'library',
+            logger=record.name,
+            level=record.levelname.lower(),
+            message=record.getMessage().strip(),
+            cause=cause,
+        )
+
+
+def handler() -> logging.Handler:
+    """Return a handler that turns a library's log records into events."""
+    return _Handler()
+
+
 def format_line(message: dict[str, typing.Any]) -> str:
     """Return an event as key=value pairs, its kind first."""
     pairs = [f'event={message.get("message_type", "?")}']
--- a/oleanderstair/settings.py
+++ b/oleanderstair/settings.py
@@ -16,6 +16,7 @@
 _HIGHEST_PORT: typing.Final = 65535
 _PORT = typing.Annotated[int, msgspec.Meta(ge=0, le=_HIGHEST_PORT)]
 _COUNT = typing.Annotated[int, msgspec.Meta(ge=0)]
+_POSITIVE = typing.Annotated[int, msgspec.Meta(ge=1)]
 _SHARE = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 _NAME = typing.Annotated[
     str,
@@ -41,8 +42,12 @@
     port: _PORT
     advertise: str
     max_body_bytes: _COUNT
-    max_header_bytes: _COUNT
-    request_time_ms: _COUNT
+    max_header_bytes: _POSITIVE
+    request_time_ms: _POSITIVE
+    idle_ms: _POSITIVE
+    answer_time_ms: _POSITIVE
+    max_answer_bytes: _POSITIVE
+    max_connections: _POSITIVE
 
 
 class AdminSettings(msgspec.Struct, forbid_unknown_fields=True):
--- /dev/null
+++ b/test/raw.py
@@ -0,0 +1,92 @@
+"""Raw TCP peers that say exactly what a test wants them to say."""
+
+import contextlib
+import socket
+import typing
+
+import anyio
+import anyio.abc
+
+Reply = bytes | None
+
+
+class RawTarget:
+    """Answers each request with the next scripted bytes, then closes.
+
+    None as a reply means silence; ``kept`` keeps the connection open.
+    """
+
+    def __init__(self, *replies: Reply, kept: bool = False) -> None:
+        self.replies = list(replies)
+        self.kept = kept
+        self.requests: list[bytes] = []
+        self.connections = 0
+        self.closed = 0
+        self.address = ''
+
+    async def serve(self, stream: anyio.abc.SocketStream) -> None:
+        self.connections += 1
+        try:
+            await self._converse(stream)
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            self.closed += 1
+
+    async def _converse(self, stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            while True:
+                await self._answer(stream)
+                if not self.kept:
+                    return
+
+    async def _answer(self, stream: anyio.abc.SocketStream) -> None:
+        self.requests.append(await _read_request(stream))
+        reply = self.replies.pop(0)
+        if reply is None:
+            await stream.receive()
+        elif reply == RESET:
+            _reset_on_close(stream)
+        else:
+            await stream.send(reply)
+
+
+RESET = b'reset'
+
+
+@contextlib.asynccontextmanager
+async def running(target: RawTarget) -> typing.AsyncIterator[RawTarget]:
+    """Serve ``target`` on a free loopback port."""
+    async with await anyio.create_tcp_listener(
+        local_host='127.0.0.1',
+    ) as listener:
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        target.address = f'127.0.0.1:{port}'
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, target.serve)
+            yield target
+            tasks.cancel_scope.cancel()
+
+
+async def say(address: str, *pieces: bytes) -> bytes:
+    """Send pieces one by one and return all that comes until the close."""
+    host, _, port = address.rpartition(':')
+    answer = b''
+    async with await anyio.connect_tcp(host, int(port)) as stream:
+        with contextlib.suppress(anyio.BrokenResourceError):
+            for piece in pieces:
+                await stream.send(piece)
+        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+            while True:
+                answer += await stream.receive()
+    return answer
+
+
+async def _read_request(stream: anyio.abc.SocketStream) -> bytes:
+    request = b''
+    while b'\r\n\r\n' not in request:
+        request += await stream.receive()
+    return request
+
+
+def _reset_on_close(stream: anyio.abc.SocketStream) -> None:
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b'\1\0\0\0\0\0\0\0')
--- /dev/null
+++ b/test/test_exchanges.py
@@ -0,0 +1,169 @@
+"""Exchanges with targets that answer whole, cut short, or not at all."""
+
+import itertools
+
+import anyio
+import pytest
+
+from oleanderstair.domain import events
+from oleanderstair.engine import exchanges, headers
+from test import raw
+
+WHOLE = b'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ntwig'
+CHUNKED = (
+    b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+    b'4\r\ntwig\r\n0\r\n\r\n'
+)
+PROCESSING = b'HTTP/1.1 102 P\r\n\r\n'
+SHED = (
+    b'HTTP/1.1 503 Full\r\ncall-outcome: not-run\r\nretry-after: 2\r\n'
+    b'content-length: 0\r\n\r\n'
+)
+
+
+def make_request(method=b'GET', body=b''):
+    fields = headers.for_target([], 'burza', 0, 100)
+    if body:
+        fields.append((b'content-length', str(len(body)).encode()))
+    return exchanges.Request(method, b'/listings', fields, body)
+
+
+def place_at(target, fresh=False, silence_ms=500):
+    return exchanges.Place('burza-01', target.address, fresh, silence_ms)
+
+
+def exchange_once(*replies, method=b'GET', **limits):
+    async def scenario():
+        with anyio.fail_after(10):
+            async with raw.running(raw.RawTarget(*replies)) as target:
+                table = exchanges.create(**limits)
+                ended = await table.exchange(
+                    place_at(target),
+                    make_request(method),
+                )
+                assert not table.open_by_target
+                return ended
+
+    return anyio.run(scenario)
+
+
+@pytest.mark.parametrize(
+    ('reply', 'verdict', 'crashed'),
+    [
+        (WHOLE, events.Verdict.ANSWERED, False),
+        (CHUNKED, events.Verdict.ANSWERED, False),
+        (PROCESSING + WHOLE, events.Verdict.ANSWERED, False),
+        (SHED, events.Verdict.SHED, False),
+        (SHED.replace(b'503', b'500'), events.Verdict.ANSWERED, False),
+        (WHOLE[:-1], events.Verdict.BROKEN, True),
+        (CHUNKED[:-5], events.Verdict.BROKEN, True),
+        (WHOLE[:20], events.Verdict.BROKEN, True),
+        (b'', events.Verdict.BROKEN, True),
+        (raw.RESET, events.Verdict.BROKEN, True),
+        (b'no http at all\r\n\r\n', events.Verdict.BROKEN, True),
+        (WHOLE.replace(b'200', b'777'), events.Verdict.BROKEN, False),
+        (b'HTTP/1.1 101 S\r\n\r\n', events.Verdict.BROKEN, None),
+        (b'HTTP/1.1 200 OK\r\n\r\ntwig', events.Verdict.BROKEN, False),
+        (
+            b'HTTP/1.1 200 OK\r\nx: a\x01b\r\ncontent-length: 0\r\n\r\n',
+            events.Verdict.BROKEN,
+            False,
+        ),
+        (None, events.Verdict.SILENT, False),
+    ],
+)
+def test_only_a_provably_whole_answer_counts(reply, verdict, crashed):
+    ended = exchange_once(reply)
+    assert ended.verdict is verdict
+    assert crashed is None or ended.crashed is crashed
+    assert (ended.answer is None) is (
+        verdict not in {events.Verdict.ANSWERED, events.Verdict.SHED}
+    )
+
+
+def test_answer_above_the_limit_is_broken():
+    ended = exchange_once(WHOLE, max_answer_bytes=3)
+    assert ended.verdict is events.Verdict.BROKEN
+
+
+def test_head_has_a_length_and_no_body():
+    head = exchange_once(WHOLE[:-4], method=b'HEAD')
+    assert head.verdict is events.Verdict.ANSWERED
+    assert head.answer.body == b''
+
+
+def test_connection_is_kept_only_after_a_whole_answer():
+    async def scenario():
+        script = raw.RawTarget(WHOLE, WHOLE, None, WHOLE, WHOLE, kept=True)
+        async with raw.running(script) as target:
+            table = exchanges.create()
+            verdicts = []
+            for _ in range(4):
+                ended = await table.exchange(
+                    place_at(target, silence_ms=100),
+                    make_request(),
+                )
+                verdicts.append(ended.verdict)
+            assert verdicts[2] is events.Verdict.SILENT
+            assert verdicts.count(events.Verdict.ANSWERED) == 3
+            assert target.connections == 2
+            await table.exchange(place_at(target, fresh=True), make_request())
+            assert target.connections == 3
+
+    anyio.run(scenario)
+
+
+def test_cancelled_exchange_closes_its_connection():
+    async def scenario():
+        async with raw.running(raw.RawTarget(None, WHOLE)) as target:
+            table = exchanges.create()
+            with anyio.move_on_after(0.05):
+                await table.exchange(place_at(target), make_request())
+            assert not table.open_by_target
+            assert not any(table.idle_by_target.values())
+            ended = await table.exchange(place_at(target), make_request())
+            assert ended.verdict is events.Verdict.ANSWERED
+            assert target.closed == 1
+
+    anyio.run(scenario)
+
+
+def test_kept_connection_that_dies_on_use_is_broken_not_unsent():
+    async def scenario():
+        script = raw.RawTarget(WHOLE, raw.RESET, kept=True)
+        async with raw.running(script) as target:
+            table = exchanges.create()
+            await table.exchange(place_at(target), make_request())
+            target.kept = False
+            ended = await table.exchange(place_at(target), make_request())
+            assert ended.verdict is events.Verdict.BROKEN
+            assert target.connections == 1
+
+    anyio.run(scenario)
+
+
+def test_refused_connection_and_full_table_are_not_sent():
+    async def scenario():
+        target = raw.RawTarget(
+            *itertools.repeat(None, exchanges.OPEN_PER_TARGET)
+        )
+        table = exchanges.create()
+        async with raw.running(target):
+            async with anyio.create_task_group() as tasks:
+                for _ in range(exchanges.OPEN_PER_TARGET):
+                    tasks.start_soon(
+                        table.exchange,
+                        place_at(target, silence_ms=10_000),
+                        make_request(),
+                    )
+                while len(target.requests) < exchanges.OPEN_PER_TARGET:
+                    await anyio.sleep(0.01)
+                above = await table.exchange(place_at(target), make_request())
+                tasks.cancel_scope.cancel()
+            assert above.verdict is events.Verdict.NOT_SENT
+            assert target.connections == exchanges.OPEN_PER_TARGET
+        gone = await table.exchange(place_at(target), make_request())
+        assert gone.verdict is events.Verdict.NOT_SENT
+        assert not gone.crashed
+
+    anyio.run(scenario)
--- /dev/null
+++ b/test/test_listener.py
@@ -0,0 +1,141 @@
+"""The listener for callers under slow, large and malformed requests."""
+
+import contextlib
+
+import anyio
+import msgspec
+import pytest
+
+from oleanderstair.engine import bounded, listener, replies
+from test import raw
+
+BOUNDS = bounded.Bounds(
+    max_header_bytes=2000,
+    request_time_ms=200,
+    idle_ms=200,
+    answer_time_ms=200,
+    max_connections=3,
+)
+LARGE = 8_000_000
+
+
+async def echo(scope, receive, send):
+    size = LARGE if scope['path'] == '/large' else 2
+    fields = [(b'content-length', str(size).encode())]
+    await send(
+        {'type': 'http.response.start', 'status': 200, 'headers': fields},
+    )
+    await send({'type': 'http.response.body', 'body': b'o' * size})
+
+
+@contextlib.asynccontextmanager
+async def serving(bounds=BOUNDS, app=echo):
+    bound = listener.bind('127.0.0.1', 0)
+    server = listener.create(app, bounds)
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.serve, [bound])
+            yield listener.address_of(bound), server
+            server.should_exit = True
+
+
+def refusal_of(answer):
+    head, _, body = answer.partition(b'\r\n\r\n')
+    assert b'call-outcome: not-run' in head
+    assert msgspec.json.decode(body, type=replies.Refusal)['remedy']
+    return int(head.split()[1])
+
+
+@pytest.mark.parametrize(
+    ('pieces', 'status'),
+    [
+        ([b'GET / HTTP/1.1\r\nhost: a\r\nx: ', b'y' * 3000], 413),
+        ([b'GET /', b'z' * 3000, b' HTTP/1.1\r\n'], 413),
+        ([b'GET / HTTP/1.1\r\nx: %b\r\n\r\n' % (b'y' * 3000)], 413),
+        ([b'GET / HTTP/1.1\r\nhost: a\r\n'], 408),
+        ([b'nothing of the kind\r\n\r\n'], 400),
+        ([b'POST / HTTP/1.1\r\ncontent-length: x\r\n\r\n'], 400),
+        (
+            [
+                b'POST / HTTP/1.1\r\ncontent-length: 1\r\n'
+                b'content-length: 2\r\n\r\nab',
+            ],
+            400,
+        ),
+        (
+            [
+                b'POST / HTTP/1.1\r\ncontent-length: 3\r\n'
+                b'transfer-encoding: chunked\r\n\r\n0\r\n\r\n',
+            ],
+            400,
+        ),
+    ],
+)
+def test_bad_request_is_refused_and_closed(pieces, status):
+    async def scenario():
+        async with serving() as (address, _):
+            assert refusal_of(await raw.say(address, *pieces)) == status
+
+    anyio.run(scenario)
+
+
+def test_idle_connection_is_closed_without_an_answer():
+    async def scenario():
+        async with serving() as (address, _):
+            assert await raw.say(address) == b''
+            kept = await raw.say(address, b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+            assert kept.endswith(b'oo')
+
+    anyio.run(scenario)
+
+
+def test_connection_above_the_limit_is_refused():
+    async def scenario():
+        patient = BOUNDS._replace(idle_ms=5000)
+        async with serving(patient) as (address, server):
+            host, _, port = address.rpartition(':')
+            async with contextlib.AsyncExitStack() as opened:
+                for _ in range(BOUNDS.max_connections):
+                    await opened.enter_async_context(
+                        await anyio.connect_tcp(host, int(port)),
+                    )
+                while len(server.server_state.connections) < 3:
+                    await anyio.sleep(0.01)
+                assert refusal_of(await raw.say(address)) == 503
+            while server.server_state.connections:
+                await anyio.sleep(0.01)
+
+    anyio.run(scenario)
+
+
+def test_client_that_never_reads_is_dropped():
+    async def scenario():
+        async with serving() as (address, server):
+            host, _, port = address.rpartition(':')
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(b'GET /large HTTP/1.1\r\nhost: a\r\n\r\n')
+                while not server.server_state.connections:
+                    await anyio.sleep(0.01)
+                while server.server_state.connections:
+                    await anyio.sleep(0.01)
+
+    anyio.run(scenario)
+
+
+def test_garbage_behind_a_call_never_takes_its_answer():
+    async def slow(scope, receive, send):
+        await anyio.sleep(0.1)
+        await echo(scope, receive, send)
+
+    async def scenario():
+        async with serving(app=slow) as (address, _):
+            answer = await raw.say(
+                address,
+                b'GET / HTTP/1.1\r\nhost: a\r\n\r\n',
+                b'nothing of the kind\r\n\r\n',
+            )
+            assert answer.startswith(b'HTTP/1.1 200')
+            assert answer.endswith(b'oo')
+            assert answer.count(b'HTTP/1.1') == 1
+
+    anyio.run(scenario)
