Show calls, refusals and departures over loopback sockets

Tests: headers rewritten both ways, HEAD/204/304/1xx framing, lost answers told as unknown, bad requests told as not-run, a keyed order once through two instances (its key quoted or not), a caller that leaves, and late or malformed events. Repeated one-byte fields went unnoticed; mended. A declared length above the bound is refused before the body.

--- a/oleanderstair/emulator/platform.py
+++ b/oleanderstair/emulator/platform.py
@@ -91,10 +91,10 @@
             await anyio.sleep(clock.to_seconds(self.slow_ms))
         if self.fault is Fault.SILENT:
             await _wait_for_the_client(receive)
-        elif faulty is not None:
-            await _respond_whole(send, faulty)
         elif self.down:
             await asgi.respond(send, _UNAVAILABLE, [], b'')
+        elif faulty:
+            await _respond_whole(send, faulty)
         elif scope['path'] == '/instances':
             await asgi.respond_json(send, _OK, self.listed)
         else:
--- a/oleanderstair/engine/callers.py
+++ b/oleanderstair/engine/callers.py
@@ -8,6 +8,7 @@
 from oleanderstair.domain.tables import instances
 from oleanderstair.engine import (
     asgi,
+    headers,
     incoming,
     listener,
     replies,
@@ -40,6 +41,9 @@
         if scope['path'] == ADDRESSES_PATH:
             await self._answer_addresses(scope, send)
             return
+        if _is_declared_above(scope, self._bounds.max_body_bytes):
+            await self._reject(scope, send, _BODY_TOO_LARGE)
+            return
         try:
             body = await asgi.read_body(
                 receive,
@@ -106,6 +110,11 @@
         return phase is instances.Phase.STOPPING
 
 
+def _is_declared_above(scope: asgi.Scope, max_bytes: int) -> bool:
+    declared = headers.find(scope['headers'], headers.CONTENT_LENGTH)
+    return bool(declared) and int(declared) > max_bytes
+
+
 _BODY_TOO_LARGE: typing.Final = incoming.BadRequest(
     outcomes.Reason.TOO_LARGE,
     'the body is larger than max_body_bytes',
--- a/oleanderstair/engine/headers.py
+++ b/oleanderstair/engine/headers.py
@@ -57,8 +57,10 @@
     repeated = []
     for name, field in fields:
         lowered = name.lower()
-        if field_by_name.setdefault(lowered, field) is not field:
+        if lowered in field_by_name:
             repeated.append(lowered)
+        else:
+            field_by_name[lowered] = field
     return Index(field_by_name, frozenset(repeated))
 
 
--- a/test/test_callers.py
+++ b/test/test_callers.py
@@ -1,29 +1,222 @@
 """Calls over real loopback sockets."""
 
+import contextlib
+
 import anyio
+import msgspec
+import pytest
+
+from oleanderstair.domain import actions, events, messages, outcomes
+from oleanderstair.emulator import fleet, targets
+from oleanderstair.engine import replies
+from test import helper, raw
+
+ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ntwig'
+NOTHING = fleet.COOPERATIVE._replace(services=())
+
+
+@contextlib.asynccontextmanager
+async def serving_raw(*scripted):
+    """Run one instance in front of a target that is scripted in bytes."""
+    with anyio.fail_after(helper.BOUND_S):
+        async with (
+            raw.running(raw.RawTarget(*scripted)) as target,
+            anyio.create_task_group() as tasks,
+        ):
+            deployment = fleet.create(NOTHING, tasks)
+            note = deployment.first_note()
+            note['added']['services'] = [{'name': 'burza', 'region': 'west'}]
+            note['added']['targets'] = [
+                {
+                    'id': 'burza-01',
+                    'service': 'burza',
+                    'address': target.address,
+                    'data_centre': 'trnava',
+                    'slots': 4,
+                },
+            ]
+            deployment.platform.publish(note)
+            entry = deployment.start_node(
+                'entry-1',
+                {'confirm_without_peers': True},
+            )
+            await helper.until(lambda: helper.is_serving(entry))
+            yield entry, target
+            tasks.cancel_scope.cancel()
+
+
+def key_of(entry, nonce):
+    return f'{entry.identity.incarnation}.1.{nonce}'
+
 
-from test import helper
+def runs_of(deployment, key):
+    return sum(
+        target.served_by_key.get(key, 0)
+        for target in deployment.target_by_id.values()
+    )
 
 
-def test_call_reaches_target():
+async def introduce(nodes):
+    """Wait until every instance has heard every other."""
+    await helper.until(
+        lambda: all(
+            len(entry.carrier.state.instances.peer_by_incarnation)
+            >= len(nodes) - 1
+            for entry in nodes
+        ),
+    )
+
+
+def test_headers_are_rewritten_for_the_target_and_back():
+    reply = (
+        b'HTTP/1.1 200 OK\r\ncontent-length: 4\r\nx-kept: 1\r\n'
+        b'connection: x-hop\r\nx-hop: 1\r\ncall-outcome: not-run\r\n\r\ntwig'
+    )
+
     async def scenario():
-        async with helper.running_fleet(1) as (_, nodes):
-            answer = await helper.ask(nodes[0].identity.caller_address)
-            assert answer.status == 200
+        async with serving_raw(reply) as (entry, target):
+            answer = await helper.ask(
+                entry.identity.caller_address,
+                call_deadline_ms='700',
+                call_depth='3',
+                traceparent='00-1-2-01',
+                baggage='member=7',
+                connection='x-secret',
+                x_secret='1',
+                te='trailers',
+            )
+            lines = target.requests[0].lower().split(b'\r\n')
+            assert lines[0] == b'get /listings http/1.1'
+            stated = dict(line.split(b': ', 1) for line in lines[1:-2])
+            assert stated[b'host'] == b'burza'
+            assert stated[b'call-depth'] == b'4'
+            assert 0 < int(stated[b'call-deadline-ms']) <= 700
+            assert stated[b'traceparent'] == b'00-1-2-01'
+            assert stated[b'baggage'] == b'member=7'
+            assert not stated.keys() & {
+                b'x-secret',
+                b'te',
+                b'connection',
+                b'call-service',
+            }
+            told = dict(answer.headers)
+            assert told[b'x-kept'] == b'1'
+            assert b'x-hop' not in told
+            assert told[b'call-outcome'] == b'ran'
+            assert answer.content == b'twig'
+
+    anyio.run(scenario)
+
+
+@pytest.mark.parametrize(
+    ('method', 'reply', 'status', 'length'),
+    [
+        ('HEAD', ANSWER[:-4], 200, b'4'),
+        ('GET', b'HTTP/1.1 204 None\r\n\r\n', 204, None),
+        ('GET', b'HTTP/1.1 304 Same\r\ncontent-length: 9\r\n\r\n', 304, None),
+        ('GET', b'HTTP/1.1 102 P\r\n\r\n%b' % ANSWER, 200, b'4'),
+    ],
+)
+def test_answer_without_a_body_keeps_its_framing(method, reply, status, length):
+    async def scenario():
+        async with serving_raw(reply) as (entry, _):
+            answer = await helper.ask(entry.identity.caller_address, method)
+            assert answer.status == status
+            assert dict(answer.headers).get(b'content-length') == length
             assert helper.outcome_of(answer) == 'ran'
 
     anyio.run(scenario)
 
 
-def test_unknown_service_is_refused_not_run():
+@pytest.mark.parametrize(
+    'reply',
+    [ANSWER[:-1], raw.RESET, b'HTTP/1.1 200 OK\r\n\r\ntwig', b''],
+)
+def test_lost_answer_of_an_unkeyed_order_is_unknown(reply):
     async def scenario():
-        async with helper.running_fleet(1) as (_, nodes):
+        async with serving_raw(reply) as (entry, target):
+            answer = await helper.ask(entry.identity.caller_address, 'POST')
+            assert answer.status == 502
+            assert helper.outcome_of(answer) == 'unknown'
+            assert len(target.requests) == 1
+
+    anyio.run(scenario)
+
+
+BAD_REQUESTS = (
+    (['call-deadline-ms: 0'], 400, 'bad-request'),
+    (['call-deadline-ms: soon'], 400, 'bad-request'),
+    (['call-deadline-ms: 5', 'call-deadline-ms: 5'], 400, 'bad-request'),
+    (['call-deadline-ms: 9999999'], 400, 'bad-request'),
+    (['call-depth: 28'], 400, 'bad-request'),
+    (['call-depth: -1'], 400, 'bad-request'),
+    (['idempotency-key: '], 400, 'bad-request'),
+    ([f'idempotency-key: {"k" * 300}'], 400, 'bad-request'),
+    (['idempotency-key: a', 'idempotency-key: b'], 400, 'bad-request'),
+    (['idempotency-key: not-bound'], 400, 'unbound-key'),
+    (['call-service: nowhere'], 404, 'no-service'),
+    (['content-length: 2000000'], 413, 'too-large'),
+    ([f'x-large: {"y" * 20000}'], 413, 'too-large'),
+    (['content-length: 5', 'content-length: 6'], 400, 'bad-request'),
+)
+
+
+def test_bad_requests_are_refused_and_never_run():
+    async def scenario():
+        async with helper.running_fleet(1) as (deployment, nodes):
+            address = nodes[0].identity.caller_address
+            for lines, status, reason in BAD_REQUESTS:
+                head = ['POST /orders HTTP/1.1', 'host: burza', *lines, '', '']
+                answer = await ask_raw(address, '\r\n'.join(head).encode())
+                assert answer[0] == status, lines
+                assert answer[1]['reason'] == reason, lines
+                assert answer[1]['outcome'] == 'not-run'
+                assert answer[1]['remedy']
+            slow = await ask_raw(
+                address,
+                b'POST / HTTP/1.1\r\nhost: burza\r\ncontent-length: 5\r\n\r\n',
+                b'abc',
+            )
+            assert slow[0] == 408
+            assert slow[1]['reason'] == 'too-slow'
+            served = [member.served for member in targets_of(deployment)]
+            assert not any(served)
+
+    anyio.run(scenario)
+
+
+def targets_of(deployment):
+    return deployment.target_by_id.values()
+
+
+async def ask_raw(address, *pieces):
+    """Return status and document of one answer; the connection may stay."""
+    host, _, port = address.rpartition(':')
+    async with await anyio.connect_tcp(host, int(port)) as stream:
+        for piece in pieces:
+            await stream.send(piece)
+        answer = b''
+        while not answer.endswith(b'}'):
+            answer += await stream.receive()
+    head, _, body = answer.partition(b'\r\n\r\n')
+    document = msgspec.json.decode(body, type=replies.Refusal)
+    return int(head.split()[1]), document
+
+
+def test_refusal_that_asks_to_come_back_says_when():
+    async def scenario():
+        async with helper.running_fleet(1) as (deployment, nodes):
+            for target in targets_of(deployment):
+                target.leaving = True
             answer = await helper.ask(
                 nodes[0].identity.caller_address,
-                call_service='nowhere',
+                call_deadline_ms='300',
             )
-            assert answer.status == 404
+            assert answer.status in {503, 504}
             assert helper.outcome_of(answer) == 'not-run'
+            assert dict(answer.headers)[b'retry-after'] == b'1'
+            document = msgspec.json.decode(answer.content)
+            assert document['retry_after_ms'] > 0
 
     anyio.run(scenario)
 
@@ -32,32 +225,130 @@
     async def scenario():
         async with helper.running_fleet(2) as (deployment, nodes):
             first, second = nodes
-            await helper.until(
-                lambda: (
-                    len(second.carrier.state.instances.peer_by_incarnation) == 1
-                    and len(first.carrier.state.instances.peer_by_incarnation)
-                    == 1
-                ),
-            )
-            key = f'{first.identity.incarnation}.1.order-1'
+            await introduce(nodes)
+            key = key_of(first, 'order-1')
             answers = [
                 await helper.ask(
                     entry.identity.caller_address,
                     'POST',
-                    idempotency_key=key,
+                    idempotency_key=sent,
+                )
+                for entry, sent in (
+                    (second, key),
+                    (first, key),
+                    (second, f'"{key}"'),
                 )
-                for entry in (second, first, second)
-            ]
-            assert [helper.outcome_of(answer) for answer in answers] == [
-                'ran',
-                'ran',
-                'ran',
             ]
+            outcomes_told = [helper.outcome_of(answer) for answer in answers]
+            assert outcomes_told == ['ran', 'ran', 'ran']
             assert len({answer.content for answer in answers}) == 1
-            runs = sum(
-                target.served_by_key.get(key, 0)
-                for target in deployment.target_by_id.values()
+            assert runs_of(deployment, key) == 1
+
+    anyio.run(scenario)
+
+
+@pytest.mark.parametrize(
+    ('method', 'keyed', 'cancelled'),
+    [('GET', False, 1), ('POST', True, 0)],
+)
+def test_caller_that_leaves_cancels_only_what_is_idempotent(
+    method,
+    keyed,
+    cancelled,
+):
+    async def scenario():
+        async with helper.running_fleet(1) as (deployment, nodes):
+            entry = nodes[0]
+            key = key_of(entry, 'order-2')
+            members = targets_of(deployment)
+            for target in members:
+                target.service_ms = 300
+            fields = {'idempotency_key': key} if keyed else {}
+            with anyio.move_on_after(0.1):
+                await helper.ask(
+                    entry.identity.caller_address,
+                    method,
+                    call_deadline_ms='2000',
+                    **fields,
+                )
+            await helper.until(
+                lambda: (
+                    sum(member.served for member in members) == 1
+                    and not any(member.in_flight for member in members)
+                ),
+            )
+            found = sum(member.cancelled for member in members)
+            assert found == cancelled
+            if keyed:
+                again = await helper.ask(
+                    entry.identity.caller_address,
+                    method,
+                    **fields,
+                )
+                assert helper.outcome_of(again) == 'ran'
+                assert runs_of(deployment, key) == 1
+
+    anyio.run(scenario)
+
+
+def test_late_and_malformed_events_are_contained():
+    async def scenario():
+        async with helper.running_fleet(1) as (_, nodes):
+            carrier = nodes[0].carrier
+            carrier.handle(
+                events.AttemptEnded(77, 78, events.Verdict.ANSWERED),
+            )
+            carrier.leave(77)
+            for action in (
+                actions.Relay(77, 78),
+                actions.RelayRecorded(77, 79),
+                actions.RelayHome(77),
+                actions.CancelAttempt(77, 78),
+                actions.DropRecorded(77),
+                actions.Refuse(
+                    77,
+                    outcomes.Outcome.NOT_RUN,
+                    outcomes.Reason.OVERLOADED,
+                ),
+                actions.ForwardHome(77, 'entry-9~1', '127.0.0.1:1', 100),
+                actions.Dispatch(77, 78, 'burza-01', 'no address', True, 9, 9),
+            ):
+                carrier._perform(action)
+            for outcome, reason in (('ran', ''), ('odd', ''), ('ran', 'odd')):
+                carrier._take_home_answer(
+                    'entry-9~1',
+                    messages.KeyedAnswer(77, 'entry-9~1', outcome, reason, 0),
+                )
+            answer = await helper.ask(nodes[0].identity.caller_address)
+            assert helper.outcome_of(answer) == 'ran'
+            counted = carrier.metrics.count_by_name
+            assert counted[('faults', 'Relay')] == 1
+            assert counted[('late-replies', '')] == 1
+            assert counted[('peer-dropped', 'keyed-answer')] == 3
+
+    anyio.run(scenario)
+
+
+@pytest.mark.parametrize(
+    'behaviour',
+    [
+        targets.Behaviour.CRASH,
+        targets.Behaviour.CUT_SHORT,
+        targets.Behaviour.SILENT,
+    ],
+)
+def test_failing_target_costs_an_unkeyed_order_its_certainty(behaviour):
+    async def scenario():
+        async with helper.running_fleet(1) as (deployment, nodes):
+            for target in targets_of(deployment):
+                target.behaviour = behaviour
+            answer = await helper.ask(
+                nodes[0].identity.caller_address,
+                'POST',
+                call_deadline_ms='300',
             )
-            assert runs == 1
+            assert helper.outcome_of(answer) == 'unknown'
+            served = [member.served for member in targets_of(deployment)]
+            assert sum(served) == 1
 
     anyio.run(scenario)
