Check settings whole, and show a planned stop of a real daemon

Cause: hosts, URLs, keys and limits were taken unchecked, a port in use ended in a traceback, and a second SIGTERM printed one.

Change: addresses, URLs and CURVE keys have a syntax, both keys or neither, an unauthenticated fleet must be asked for, spans must be above 0, and each fault is one line with exit code 2.

Tests: a daemon in a process of its own is stopped under the load of eight kept connections: every call ran or was told not-run/stopping with connection: close, the targets counted as many runs as were told, exit 0. A second signal ends it at once with exit 1.

--- a/oleanderstair/daemon.py
+++ b/oleanderstair/daemon.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import gc
+import os
 import pathlib
 import signal
 import sys
@@ -9,6 +10,7 @@
 
 import anyio
 import cappa
+import zmq
 
 from oleanderstair import errors, logs, settings
 from oleanderstair.engine import node
@@ -32,18 +34,14 @@
     """Run the daemon named on the command line."""
     command = cappa.parse(Daemon)
     try:
-        checked = settings.load(command.settings)
+        anyio.run(_start, command.settings)
     except errors.UserError as error:
         sys.stderr.write(f'{error}\n')
         raise SystemExit(EXIT_WRONG_USE) from error
-    if checked.log.to == 'stderr':
-        logs.start()
-    anyio.run(run, checked)
 
 
-async def run(checked: settings.Settings) -> None:
+async def run(instance: node.Node) -> None:
     """Run one instance; a second signal ends it at once."""
-    instance = node.create(checked)
     gc.freeze()
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_watch_signals, instance)
@@ -51,12 +49,33 @@
         tasks.cancel_scope.cancel()
 
 
+async def _start(path: pathlib.Path) -> None:
+    checked = settings.load(path)
+    if checked.log.to == 'stderr':
+        logs.start()
+    await run(_create(checked))
+
+
+def _create(checked: settings.Settings) -> node.Node:
+    try:
+        return node.create(checked)
+    except (OSError, zmq.ZMQError) as error:
+        raise errors.UserError(
+            errors.Problem(
+                errors.ProblemKind.SETTINGS,
+                'callers, admin or peers',
+                f'cannot listen: {error}',
+                'choose a host and ports that are free here',
+            ),
+        ) from error
+
+
 async def _watch_signals(instance: node.Node) -> None:
     stopping = False
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             if stopping:
-                raise SystemExit(_EXIT_AT_ONCE)
+                os._exit(_EXIT_AT_ONCE)  # noqa: SLF001 (no clean-up)
             stopping = True
             instance.stop()
 
--- a/oleanderstair/settings.py
+++ b/oleanderstair/settings.py
@@ -7,9 +7,10 @@
 
 import json5
 import msgspec
+import zmq
 
 from oleanderstair import errors
-from oleanderstair.domain import policy
+from oleanderstair.domain import policy, routing
 
 DEFAULTS_NAME: typing.Final = 'default_settings.jsonc'
 
@@ -24,6 +25,25 @@
 ]
 _FIELD_IN_ERROR: typing.Final = re.compile(r'^(.*) - at `\$\.?(.*)`$')
 
+_HOST_PATTERN: typing.Final = r'^(\d{1,3}\.){3}\d{1,3}$'
+_HOST = typing.Annotated[str, msgspec.Meta(pattern=_HOST_PATTERN)]
+_ADDRESS = typing.Annotated[
+    str,
+    msgspec.Meta(pattern=r'^([A-Za-z0-9.-]+:\d{1,5})?$'),
+]
+_URL = typing.Annotated[
+    str,
+    msgspec.Meta(pattern=r'^http://[A-Za-z0-9.-]+(:\d{1,5})?(/\S*)?$'),
+]
+# Z85, the text form of CURVE keys, writes 32 bytes as 40 characters.
+_KEY = typing.Annotated[
+    str,
+    msgspec.Meta(pattern=r'^([0-9a-zA-Z.:+=^!/*?&<>()\[\]{}@%$#-]{40})?$'),
+]
+_REMEDY_BY_PATTERN: typing.Final = {
+    _HOST_PATTERN: 'write an IPv4 address, such as 127.0.0.1',
+}
+
 Tree: typing.TypeAlias = dict[str, typing.Any]
 
 
@@ -38,9 +58,9 @@
 class CallerSettings(msgspec.Struct, forbid_unknown_fields=True):
     """The listener for callers and the bounds of a request."""
 
-    host: str
+    host: _HOST
     port: _PORT
-    advertise: str
+    advertise: _ADDRESS
     max_body_bytes: _COUNT
     max_header_bytes: _POSITIVE
     request_time_ms: _POSITIVE
@@ -53,25 +73,25 @@
 class AdminSettings(msgspec.Struct, forbid_unknown_fields=True):
     """The listener for operators."""
 
-    host: str
+    host: _HOST
     port: _PORT
 
 
 class PeerSettings(msgspec.Struct, forbid_unknown_fields=True):
     """The listener for peers and the fleet's CURVE key pair."""
 
-    host: str
+    host: _HOST
     port: _PORT
-    public_key: str
-    secret_key: str
+    public_key: _KEY
+    secret_key: _KEY
     allow_plain: bool
 
 
 class PlatformSettings(msgspec.Struct, forbid_unknown_fields=True):
     """Where the platform publishes notes and the instance list."""
 
-    configuration_url: str
-    instances_url: str
+    configuration_url: _URL
+    instances_url: _URL
 
 
 class LogSettings(msgspec.Struct, forbid_unknown_fields=True):
@@ -93,8 +113,11 @@
 
 
 def _policy_field(name: str, kind: type) -> tuple[str, typing.Any]:
+    if name == 'choice':
+        return name, typing.Literal[tuple(routing.CHOICE_BY_NAME)]
     if kind is int:
-        return name, _COUNT
+        is_span = name.endswith('_ms') and policy.Policy._field_defaults[name]
+        return name, _POSITIVE if is_span else _COUNT
     if kind is float:
         return name, _SHARE
     return name, kind
@@ -133,6 +156,7 @@
     except msgspec.ValidationError as policy_error:
         raise _user_error(str(policy_error), 'policy') from policy_error
     checked.policy = msgspec.structs.asdict(entry)
+    _check_keys(checked.peers)
     return checked
 
 
@@ -148,6 +172,40 @@
     return typing.cast(Tree, json5.loads(text))
 
 
+def as_tree(checked: Settings) -> Tree:
+    """Return the effective settings, the secret key left out."""
+    tree: Tree = msgspec.to_builtins(checked)
+    tree['peers']['secret_key'] = 'set' if checked.peers.secret_key else ''
+    return tree
+
+
+def _check_keys(peers: PeerSettings) -> None:
+    if bool(peers.public_key) != bool(peers.secret_key):
+        missing = 'secret_key' if peers.public_key else 'public_key'
+        raise _problem(
+            f'peers.{missing}',
+            'one key of the pair is missing',
+            'give both keys or neither',
+        )
+    if not peers.public_key and not peers.allow_plain:
+        raise _problem(
+            'peers.public_key',
+            'peers would not be authenticated',
+            "set both keys of the fleet's CURVE pair, or allow_plain",
+        )
+    if peers.secret_key and not _is_pair(peers):
+        raise _problem(
+            'peers.public_key',
+            'is not the public key of secret_key',
+            'give both keys of one pair',
+        )
+
+
+def _is_pair(peers: PeerSettings) -> bool:
+    derived: bytes = zmq.curve_public(peers.secret_key.encode())
+    return derived == peers.public_key.encode()
+
+
 def _read_file(path: pathlib.Path) -> Tree:
     try:
         text = path.read_text(encoding='utf-8')
@@ -181,7 +239,11 @@
     found = _FIELD_IN_ERROR.match(text)
     what, field = found.groups() if found else (text, '')
     where = '.'.join(part for part in (section, field) if part)
-    return _problem(where or 'the file', what, 'correct or remove this field')
+    remedy = 'correct or remove this field'
+    for pattern, advice in _REMEDY_BY_PATTERN.items():
+        if pattern in what:
+            remedy = advice
+    return _problem(where or 'the file', what, remedy)
 
 
 def _problem(where: str, what: str, remedy: str) -> errors.UserError:
--- a/oleanderstair/ui/checks.py
+++ b/oleanderstair/ui/checks.py
@@ -16,12 +16,25 @@
 
 
 def check_settings(command: 'SettingsCheck') -> None:
-    """Load each settings file over the defaults."""
-    rows = []
-    for path in command.files:
-        checked = settings.load(path)
-        rows.append({'file': str(path), 'instance': checked.instance.id})
-    output.show(rows, as_json=command.json)
+    """Load each file over the defaults; JSON lists all that is in force."""
+    checked_by_file = {str(path): settings.load(path) for path in command.files}
+    if command.json:
+        effective = [
+            {'file': name, 'settings': settings.as_tree(checked)}
+            for name, checked in checked_by_file.items()
+        ]
+        output.show(effective, as_json=True)
+        return
+    rows = [
+        {
+            'file': name,
+            'instance': checked.instance.id,
+            'region': checked.instance.region,
+            'data_centre': checked.instance.data_centre,
+        }
+        for name, checked in checked_by_file.items()
+    ]
+    output.show(rows, as_json=False)
 
 
 @cappa.command(name='check', invoke=check_settings)
--- /dev/null
+++ b/test/test_daemon.py
@@ -0,0 +1,208 @@
+"""The daemon as a process of its own: settings faults and planned stops."""
+
+import collections
+import contextlib
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+
+import anyio
+import httpcore
+import msgspec
+import pytest
+
+from oleanderstair.emulator import fleet
+from oleanderstair.engine import headers
+from test import helper
+
+ROOT = pathlib.Path(__file__).parent.parent
+CLIENTS = 8
+RAN = (b'ran', None)
+STOPPING = (b'not-run', b'stopping')
+
+
+class Daemon:
+    """A running daemon, and the lines that it has logged."""
+
+    def __init__(self, process):
+        self.process = process
+        self.lines = []
+        self.address_by_side = {}
+
+    async def read_log(self):
+        left = b''
+        with contextlib.suppress(anyio.EndOfStream):
+            while True:
+                left += await self.process.stderr.receive()
+                *whole, left = left.split(b'\n')
+                for line in whole:
+                    self._take(line.decode())
+
+    def has_logged(self, text):
+        return any(text in line for line in self.lines)
+
+    def _take(self, line):
+        self.lines.append(line)
+        if line.startswith('event=started'):
+            pairs = (pair.split('=', 1) for pair in line.split())
+            self.address_by_side = dict(pairs)
+
+
+@contextlib.asynccontextmanager
+async def running_daemon(path, deployment, tasks, **limits):
+    tree = deployment.node_settings('entry-1', 'trnava')
+    tree['log'] = {'to': 'stderr'}
+    tree['policy'] = {'confirm_without_peers': True, **limits}
+    path.write_bytes(msgspec.json.encode(tree))
+    command = [sys.executable, '-m', 'oleanderstair.daemon', '--settings']
+    process = await anyio.open_process(
+        [*command, str(path)],
+        cwd=ROOT,
+        stdout=subprocess.DEVNULL,
+    )
+    daemon = Daemon(process)
+    tasks.start_soon(daemon.read_log)
+    try:
+        await helper.until(lambda: 'admin' in daemon.address_by_side)
+        yield daemon
+    finally:
+        if process.returncode is None:
+            process.kill()
+
+
+async def load(address, told, method):
+    """Call on one kept connection until it is told to go elsewhere."""
+    async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
+        while True:
+            answer = await pool.request(
+                method,
+                f'http://{address}/listings',
+                headers=[
+                    (headers.SERVICE, b'burza'),
+                    (headers.CONTENT_LENGTH, b'0'),
+                ],
+            )
+            fields = dict(answer.headers)
+            told.append((fields[headers.OUTCOME], fields.get(headers.REASON)))
+            closing = fields.get(headers.CONNECTION) == b'close'
+            if closing and fields.get(headers.REASON) == b'stopping':
+                return
+
+
+async def until_served(address):
+    answer = await helper.ask(address)
+    while helper.outcome_of(answer) != 'ran':
+        await anyio.sleep(0.02)
+        answer = await helper.ask(address)
+
+
+@contextlib.asynccontextmanager
+async def serving_daemon(tmp_path, **limits):
+    """Run a platform, targets and one daemon within the time bound."""
+    with anyio.fail_after(helper.BOUND_S):
+        async with anyio.create_task_group() as tasks:
+            deployment = fleet.create(fleet.COOPERATIVE, tasks)
+            deployment.platform.publish(deployment.first_note())
+            path = tmp_path / 'settings.json'
+            async with running_daemon(
+                path, deployment, tasks, **limits
+            ) as made:
+                yield made, list(deployment.target_by_id.values())
+            tasks.cancel_scope.cancel()
+
+
+def test_planned_stop_cuts_off_nothing(tmp_path):
+    async def scenario():
+        async with serving_daemon(
+            tmp_path,
+            answer_validity_ms=700,
+        ) as (daemon, members):
+            address = daemon.address_by_side['callers']
+            await until_served(address)
+            for target in members:
+                target.service_ms = 150
+            told = []
+
+            def is_loaded():
+                busy = sum(member.in_flight for member in members)
+                return len(told) > CLIENTS and busy >= CLIENTS // 2
+
+            async with anyio.create_task_group() as clients:
+                for method in ('GET', 'POST') * (CLIENTS // 2):
+                    clients.start_soon(load, address, told, method)
+                await helper.until(is_loaded)
+                daemon.process.send_signal(signal.SIGTERM)
+            assert await daemon.process.wait() == 0
+            kinds = collections.Counter(told)
+            assert kinds.keys() == {RAN, STOPPING}
+            assert kinds[STOPPING] == CLIENTS
+            served = sum(member.served for member in members)
+            assert served == kinds[RAN] + 1
+            assert daemon.has_logged('event=stopped')
+
+    anyio.run(scenario)
+
+
+def test_second_signal_ends_at_once(tmp_path):
+    async def scenario():
+        async with serving_daemon(
+            tmp_path,
+            answer_validity_ms=600_000,
+        ) as (daemon, _):
+            daemon.process.send_signal(signal.SIGTERM)
+            await helper.until(lambda: daemon.has_logged('planned'))
+            daemon.process.send_signal(signal.SIGTERM)
+            assert await daemon.process.wait() == 1
+            assert not daemon.has_logged('Traceback')
+
+    anyio.run(scenario)
+
+
+def run_to_its_end(path):
+    return subprocess.run(
+        [sys.executable, '-m', 'oleanderstair.daemon', '--settings', path],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=helper.BOUND_S,
+        check=False,
+    )
+
+
+@pytest.mark.parametrize(
+    ('overlay', 'field'),
+    [
+        ('{"instance": {"id": "a"}, "admin": {"port": "x"}}', 'admin.port'),
+        ('{"instance": {"id": "a"}}', 'peers.public_key'),
+        ('{"instance": ', 'settings.json'),
+    ],
+)
+def test_settings_fault_is_one_line_that_names_field_and_remedy(
+    tmp_path,
+    overlay,
+    field,
+):
+    path = tmp_path / 'settings.json'
+    path.write_text(overlay)
+    ended = run_to_its_end(path)
+    assert ended.returncode == 2
+    assert len(ended.stderr.splitlines()) == 1
+    assert field in ended.stderr
+    assert '; ' in ended.stderr
+
+
+def test_port_in_use_is_a_fault_of_the_settings(tmp_path):
+    with socket.create_server(('127.0.0.1', 0)) as taken:
+        tree = {
+            'instance': {'id': 'a'},
+            'callers': {'port': taken.getsockname()[1]},
+            'peers': {'allow_plain': True},
+        }
+        path = tmp_path / 'settings.json'
+        path.write_bytes(msgspec.json.encode(tree))
+        ended = run_to_its_end(path)
+    assert ended.returncode == 2
+    assert 'cannot listen' in ended.stderr.splitlines()[-1]
+    assert 'Traceback' not in ended.stderr
