--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -215,9 +215,12 @@
 
 
 @pytest.mark.parametrize(
-    'section',
-    [{}, {'public_key': 'short', 'secret_key': 'short', 'allow_plain': True}],
+    ('section', 'remedy'),
+    [
+        ({}, 'oleanderstair keys make'),
+        ({'public_key': 'short', 'secret_key': 'short'}, 'peers.public_key'),
+    ],
 )
-def test_settings_without_usable_keys_are_refused(section):
-    with pytest.raises(errors.UserError, match='oleanderstair keys make'):
+def test_settings_without_usable_keys_are_refused(section, remedy):
+    with pytest.raises(errors.UserError, match=remedy):
         settings.build({'instance': {'id': 'entry-1'}, 'peers': section})
