--- a/oleanderstair/domain/routing.py
+++ b/oleanderstair/domain/routing.py
@@ -4,7 +4,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import conditions, occupancy, world
-from oleanderstair.domain.tables import calls
+from oleanderstair.domain.tables import calls, targets
 
 _SAMPLE_SIZE: typing.Final = 2
 
@@ -64,7 +64,35 @@
     )
 
 
+def choose_in_turn(
+    state: world.World,
+    candidate_ids: typing.Sequence[str],
+    now_ms: clock.Millis,
+) -> str:
+    """Pick the candidates one after the other."""
+    state.targets.turn += 1
+    return candidate_ids[state.targets.turn % len(candidate_ids)]
+
+
+def choose_least_in_flight(
+    state: world.World,
+    candidate_ids: typing.Sequence[str],
+    now_ms: clock.Millis,
+) -> str:
+    """Pick the one with the fewest calls in flight from this instance."""
+    table = state.targets
+    return min(
+        candidate_ids,
+        key=lambda found: (
+            targets.condition_of(table, found).in_flight,
+            state.rng.random(),
+        ),
+    )
+
+
 CHOICE_BY_NAME: typing.Final[dict[str, Choice]] = {
     'random': choose_random,
+    'round-robin': choose_in_turn,
+    'least': choose_least_in_flight,
     'slots': choose_by_free_slots,
 }
--- a/oleanderstair/domain/tables/targets.py
+++ b/oleanderstair/domain/tables/targets.py
@@ -53,6 +53,7 @@
         default_factory=dict,
     )
     ramp_by_id: dict[str, Ramp] = dataclasses.field(default_factory=dict)
+    turn: int = 0
 
 
 def condition_of(table: TargetsTable, target_id: str) -> Condition:
