Prefer own shares of slots, bound the entry queue by time, by class

Change: each instance prefers an equal share of a service's slots and borrows others, with a wait that doubles after three refusals in a row; the queue is per class, limited by expected wait, newest first once it stands; a call that can't make its deadline is refused at once; latency is tracked by quantiles; a server error is no evidence of speed; retries take from a budget.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -31,6 +31,7 @@
 )
 POLICIES: typing.Final[dict[str, dict[str, typing.Any]]] = {
     'slots': {'choice': 'slots'},
+    'sample': {'choice': 'sample'},
     'random': {'choice': 'random'},
     'round-robin': {'choice': 'round-robin'},
     'least': {'choice': 'least'},
--- a/oleanderstair/domain/admission.py
+++ b/oleanderstair/domain/admission.py
@@ -3,6 +3,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import (
     actions,
+    allowances,
     answering,
     dispatching,
     events,
@@ -47,6 +48,8 @@
     state.calls.call_by_id[event.call_id] = call._replace(caller_left=True)
     if not call.idempotent:
         return []
+    if call.state is calls.CallState.QUEUED:
+        return answering.refuse(state, call, outcomes.Reason.DEADLINE)
     return [
         actions.CancelAttempt(call.call_id, attempt.attempt_id)
         for attempt in call.attempts
@@ -101,4 +104,10 @@
         received_at_ms=now_ms,
     )
     state.calls.call_by_id[event.call_id] = call
+    allowances.earn(
+        state.budgets.retries_by_service,
+        event.service,
+        service.retry_share,
+        now_ms,
+    )
     return call
--- a/oleanderstair/domain/answering.py
+++ b/oleanderstair/domain/answering.py
@@ -1,7 +1,14 @@
 """Ends calls: relays an answer or refuses, and settles the key."""
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, keys, outcomes, world
+from oleanderstair.domain import (
+    actions,
+    conditions,
+    keys,
+    outcomes,
+    services_load,
+    world,
+)
 from oleanderstair.domain.tables import calls
 
 
@@ -12,7 +19,7 @@
 ) -> list[actions.Action]:
     """Relay the answer of an attempt and cancel the call's others."""
     losers = [
-        actions.CancelAttempt(call.call_id, attempt.attempt_id)
+        _abandon(state, call, attempt)
         for attempt in call.attempts
         if attempt.attempt_id != attempt_id
     ]
@@ -40,3 +47,14 @@
         actions.Refuse(call.call_id, outcome, reason, retry_after_ms),
         *keys.settle(state, call.call_id, outcome, reason),
     ]
+
+
+def _abandon(
+    state: world.World,
+    call: calls.Call,
+    attempt: calls.Attempt,
+) -> actions.Action:
+    """Cancel an attempt whose end will find its call gone."""
+    conditions.on_released(state, attempt.target_id)
+    services_load.on_released(state, call.received.service)
+    return actions.CancelAttempt(call.call_id, attempt.attempt_id)
--- a/oleanderstair/domain/attempts.py
+++ b/oleanderstair/domain/attempts.py
@@ -15,6 +15,7 @@
     queueing,
     ramps,
     retries,
+    services_load,
     suspects,
     world,
 )
@@ -48,6 +49,7 @@
         took_ms,
         now_ms,
     )
+    services_load.on_attempt_ended(state, call, event, took_ms)
     for learn in _LEARNERS:
         learned.extend(learn(state, event, attempt.target_id, now_ms))
     call = _without_attempt(state, call, attempt, event)
@@ -78,6 +80,7 @@
     ended: calls.Attempt,
     event: events.AttemptEnded,
 ) -> calls.Call:
+    ran = event.verdict not in _PROVEN_NOT_RUN
     call = call._replace(
         attempts=tuple(
             attempt
@@ -85,9 +88,9 @@
             if attempt.attempt_id != ended.attempt_id
         ),
         last_verdict=event.verdict,
-        may_have_run=(
-            call.may_have_run or event.verdict not in _PROVEN_NOT_RUN
-        ),
+        may_have_run=call.may_have_run or ran,
+        unrun=call.unrun + (not ran),
+        retries=call.retries + ran,
     )
     state.calls.call_by_id[call.call_id] = call
     return call
@@ -104,17 +107,11 @@
     if call.attempts:
         return []
     if retries.may_retry(state, call, now_ms):
-        return _retry(state, call)
+        call = retries.prepare(state, call, now_ms)
+        state.calls.call_by_id[call.call_id] = call
+        queueing.put_back(state, call, now_ms)
+        return []
     reason = outcomes.Reason.TARGET_REFUSED
     if call.may_have_run:
         reason = outcomes.Reason.TARGET_LOST
     return answering.refuse(state, call, reason, event.retry_after_ms)
-
-
-def _retry(state: world.World, call: calls.Call) -> list[actions.Action]:
-    state.calls.call_by_id[call.call_id] = call._replace(
-        state=calls.CallState.QUEUED,
-    )
-    if queueing.push(state, call.received.service, call.call_id):
-        return []
-    return answering.refuse(state, call, outcomes.Reason.OVERLOADED)
--- a/oleanderstair/domain/conditions.py
+++ b/oleanderstair/domain/conditions.py
@@ -3,10 +3,14 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, ramps, world
+from oleanderstair.domain import actions, events, latencies, ramps, world
 from oleanderstair.domain.tables import targets
 
-_LATENCY_WEIGHT: typing.Final = 0.2
+_FULL_MS: typing.Final = 2
+_FAILED: typing.Final = 500
+_FAILURES: typing.Final = frozenset(
+    (events.Verdict.BROKEN, events.Verdict.NOT_SENT, events.Verdict.SILENT),
+)
 
 
 def may_receive(
@@ -34,6 +38,15 @@
     )
 
 
+def on_released(state: world.World, target_id: str) -> None:
+    """Count an attempt that is no longer in flight."""
+    condition = targets.condition_of(state.targets, target_id)
+    targets.put_condition(
+        state.targets,
+        condition._replace(in_flight=max(condition.in_flight - 1, 0)),
+    )
+
+
 def on_attempt_ended(
     state: world.World,
     target_id: str,
@@ -42,35 +55,40 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Learn from how an attempt at a target ended."""
+    on_released(state, target_id)
     condition = targets.condition_of(state.targets, target_id)
-    condition = condition._replace(in_flight=max(condition.in_flight - 1, 0))
-    if event.verdict is events.Verdict.ANSWERED:
-        condition = _served(condition, took_ms, now_ms)
-    elif event.verdict is events.Verdict.SHED:
+    if is_failure(event):
         condition = condition._replace(
-            full_until_ms=now_ms + max(event.retry_after_ms, 1),
+            failures_in_row=condition.failures_in_row + 1,
         )
-    elif event.verdict is not events.Verdict.CANCELLED:
+    elif event.verdict is events.Verdict.ANSWERED:
+        condition = _served(condition, took_ms, now_ms)
+    elif event.verdict is events.Verdict.SHED:
         condition = condition._replace(
-            failures_in_row=condition.failures_in_row + 1,
+            full_until_ms=now_ms + max(event.retry_after_ms, _FULL_MS),
         )
     targets.put_condition(state.targets, condition)
     return []
 
 
+def is_failure(event: events.AttemptEnded) -> bool:
+    """Return whether an attempt speaks against its target.
+
+    A server error counts however fast it came.
+    """
+    if event.verdict is events.Verdict.ANSWERED:
+        return event.status >= _FAILED
+    return event.verdict in _FAILURES
+
+
 def _served(
     condition: targets.Condition,
     took_ms: clock.Millis,
     now_ms: clock.Millis,
 ) -> targets.Condition:
-    smoothed_ms = took_ms
-    if condition.served:
-        smoothed_ms = condition.latency_ms + _LATENCY_WEIGHT * (
-            took_ms - condition.latency_ms
-        )
     return condition._replace(
         served=condition.served + 1,
         failures_in_row=0,
-        latency_ms=smoothed_ms,
+        latency_ms=latencies.follow(condition.latency_ms, took_ms),
         latency_at_ms=now_ms,
     )
--- a/oleanderstair/domain/dispatching.py
+++ b/oleanderstair/domain/dispatching.py
@@ -1,5 +1,7 @@
 """Sends queued calls to targets with free slots."""
 
+import typing
+
 from oleanderstair import clock
 from oleanderstair.domain import (
     actions,
@@ -9,9 +11,12 @@
     pauses,
     queueing,
     routing,
+    services_load,
     world,
 )
-from oleanderstair.domain.tables import calls
+from oleanderstair.domain.tables import calls, services
+
+_FRESH_GUESS_MS: typing.Final = 20
 
 
 def enqueue(
@@ -19,11 +24,34 @@
     call: calls.Call,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Queue a call, then dispatch what can go."""
+    """Dispatch a call, queue it, or refuse it at once.
+
+    A call is refused where it would still wait at its deadline, or where
+    calls of its class already fill their part of the queue.
+    """
     service = call.received.service
-    if not queueing.push(state, service, call.call_id):
-        return answering.refuse(state, call, outcomes.Reason.OVERLOADED)
-    return pump(state, service, now_ms)
+    load = services.load_of(state.services, service)
+    if not queueing.length(state, service):
+        sent = _send(state, call, now_ms)
+        if sent is not None:
+            return [sent]
+    wait_ms = queueing.wait_ms(state, service)
+    if now_ms + wait_ms + load.median_ms > call.received.deadline_ms:
+        return answering.refuse(
+            state,
+            call,
+            outcomes.Reason.DEADLINE,
+            wait_ms,
+        )
+    pushed = queueing.push(state, call, now_ms)
+    if not pushed.queued:
+        return _refuse_overloaded(state, call, wait_ms)
+    done: list[actions.Action] = []
+    if pushed.evicted_id is not None:
+        evicted = state.calls.call_by_id[pushed.evicted_id]
+        done.extend(_refuse_overloaded(state, evicted, wait_ms))
+    done.extend(pump(state, service, now_ms))
+    return done
 
 
 def pump(
@@ -32,19 +60,24 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Dispatch queued calls of a service until no target is free."""
-    sent: list[actions.Action] = []
+    done: list[actions.Action] = []
     if pauses.is_stale(state, now_ms):
-        return sent
-    queue = state.calls.queue_by_service.get(service, [])
-    while queue:
-        call = state.calls.call_by_id[queue[0]]
-        found = routing.candidates(state, call, now_ms)
-        if not found:
-            break
-        queue.pop(0)
-        choose = routing.CHOICE_BY_NAME[state.policy.choice]
-        sent.append(dispatch(state, call, choose(state, found, now_ms), now_ms))
-    return sent
+        return done
+    call = queueing.take(state, service, now_ms)
+    while call is not None:
+        load = services.load_of(state.services, service)
+        if now_ms + load.median_ms > call.received.deadline_ms:
+            done.extend(
+                answering.refuse(state, call, outcomes.Reason.DEADLINE),
+            )
+        else:
+            sent = _send(state, call, now_ms)
+            if sent is None:
+                queueing.put_back(state, call, now_ms)
+                return done
+            done.append(sent)
+        call = queueing.take(state, service, now_ms)
+    return done
 
 
 def dispatch(
@@ -63,6 +96,7 @@
         tried_target_ids=(*call.tried_target_ids, target_id),
     )
     conditions.on_dispatch(state, target_id)
+    services_load.on_dispatch(state, call.received.service)
     target = state.catalogue.in_force.target_by_id[target_id]
     budget_ms = call.received.deadline_ms - now_ms
     return actions.Dispatch(
@@ -74,3 +108,29 @@
         silence_ms=budget_ms,
         budget_ms=budget_ms,
     )
+
+
+def _send(
+    state: world.World,
+    call: calls.Call,
+    now_ms: clock.Millis,
+) -> actions.Action | None:
+    if pauses.is_stale(state, now_ms):
+        return None
+    target_id = routing.choose(state, call, now_ms)
+    if target_id is None:
+        return None
+    return dispatch(state, call, target_id, now_ms)
+
+
+def _refuse_overloaded(
+    state: world.World,
+    call: calls.Call,
+    wait_ms: clock.Millis,
+) -> list[actions.Action]:
+    return answering.refuse(
+        state,
+        call,
+        outcomes.Reason.OVERLOADED,
+        max(wait_ms, _FRESH_GUESS_MS),
+    )
--- a/oleanderstair/domain/queueing.py
+++ b/oleanderstair/domain/queueing.py
@@ -1,30 +1,188 @@
-"""The entry queue: calls that wait for a slot, by service."""
+"""The entry queue: calls that wait for a slot, by service and class.
+
+Each class may fill only its share of the queue, so that the crest refuses
+deferrable calls first. Within a class the oldest call goes first, and the
+newest once the queue has stood for a while.
+"""
+
+import typing
 
 from oleanderstair import clock
 from oleanderstair.domain import world
+from oleanderstair.domain.tables import calls, catalogue, services
+
+_OVERLOADED_AFTER_MS: typing.Final = 100
+_LEAST_LENGTH: typing.Final = 4
+_WAIT_SHARE: typing.Final = 0.15
+_FIRST_GUESS_MS: typing.Final = 10
+_FILL_BY_CLASS: typing.Final = {
+    catalogue.CallClass.INTERACTIVE: 1.0,
+    catalogue.CallClass.ORDINARY: 0.5,
+    catalogue.CallClass.DEFERRABLE: 0.2,
+}
+
+
+class Pushed(typing.NamedTuple):
+    """Whether a call was queued, and which one lost its place to it."""
+
+    queued: bool
+    evicted_id: int | None = None
+
 
+def push(state: world.World, call: calls.Call, now_ms: clock.Millis) -> Pushed:
+    """Queue a new call, at the cost of an older one where it is full."""
+    service = call.received.service
+    queue = _queue_of(state, service)
+    load = services.load_of(state.services, service)
+    budget_ms = call.received.deadline_ms - now_ms
+    limit = _length_limit(state, load, budget_ms * _WAIT_SHARE)
+    allowed = max(limit * _FILL_BY_CLASS[call.call_class], 1)
+    evicted_id = None
+    if queue.length >= allowed:
+        if call.call_class is not catalogue.CallClass.INTERACTIVE:
+            return Pushed(queued=False)
+        evicted_id = _evict(state, queue)
+        if evicted_id is None:
+            return Pushed(queued=False)
+    if not queue.length:
+        _set_queued_since(state, service, now_ms)
+    queue.waiting_by_class[call.call_class].append(call.call_id)
+    queue.length += 1
+    return Pushed(queued=True, evicted_id=evicted_id)
 
-def push(state: world.World, service: str, call_id: int) -> bool:
-    """Queue a call; return False where the queue is full."""
-    queue = state.calls.queue_by_service.setdefault(service, [])
-    if len(queue) >= state.policy.queue_limit:
+
+def put_back(
+    state: world.World, call: calls.Call, now_ms: clock.Millis
+) -> None:
+    """Queue a call that was taken before, to be taken next."""
+    service = call.received.service
+    queue = _queue_of(state, service)
+    if not queue.length:
+        _set_queued_since(state, service, now_ms)
+    waiting = queue.waiting_by_class[call.call_class]
+    if is_overloaded(state, service, now_ms):
+        waiting.append(call.call_id)
+    else:
+        waiting.appendleft(call.call_id)
+    queue.length += 1
+
+
+def take(
+    state: world.World,
+    service: str,
+    now_ms: clock.Millis,
+) -> calls.Call | None:
+    """Remove and return the call that is next, if one waits."""
+    queue = state.calls.queue_by_service.get(service)
+    newest_first = is_overloaded(state, service, now_ms)
+    while queue is not None and queue.length:
+        call = _pop(state, queue, newest_first)
+        if call is not None:
+            return call
+    return None
+
+
+def is_overloaded(
+    state: world.World,
+    service: str,
+    now_ms: clock.Millis,
+) -> bool:
+    """Return whether calls have waited here for a while without a gap."""
+    queue = state.calls.queue_by_service.get(service)
+    if queue is None or not queue.length:
         return False
-    queue.append(call_id)
-    return True
+    load = services.load_of(state.services, service)
+    return now_ms - load.queued_since_ms > _OVERLOADED_AFTER_MS
+
+
+def length(state: world.World, service: str) -> int:
+    """Return how many calls of a service wait."""
+    queue = state.calls.queue_by_service.get(service)
+    return queue.length if queue else 0
+
+
+def wait_ms(state: world.World, service: str) -> clock.Millis:
+    """Estimate how long the calls that wait will take to leave."""
+    load = services.load_of(state.services, service)
+    mean_ms = load.mean_ms or _FIRST_GUESS_MS
+    return length(state, service) * mean_ms / max(load.in_flight, 1)
 
 
 def expired(state: world.World, now_ms: clock.Millis) -> list[int]:
-    """Remove and return the queued calls whose deadline has passed."""
+    """Remove and return the queued calls that can't be served in time."""
     gone = []
     for service, queue in state.calls.queue_by_service.items():
-        late = [
-            call_id
-            for call_id in queue
-            if state.calls.call_by_id[call_id].received.deadline_ms <= now_ms
-        ]
-        if late:
+        if not queue.length:
+            continue
+        load = services.load_of(state.services, service)
+        latest_ms = now_ms + load.median_ms
+        for waiting in queue.waiting_by_class.values():
+            late = _late_ids(state, waiting, latest_ms)
             gone.extend(late)
-            state.calls.queue_by_service[service] = [
-                call_id for call_id in queue if call_id not in late
-            ]
+            for call_id in late:
+                waiting.remove(call_id)
+            queue.length -= len(late)
     return gone
+
+
+def _late_ids(
+    state: world.World,
+    waiting: typing.Iterable[int],
+    latest_ms: clock.Millis,
+) -> list[int]:
+    table = state.calls.call_by_id
+    return [
+        call_id
+        for call_id in waiting
+        if call_id in table and table[call_id].received.deadline_ms <= latest_ms
+    ]
+
+
+def _length_limit(
+    state: world.World,
+    load: services.ServiceLoad,
+    longest_wait_ms: clock.Millis,
+) -> int:
+    mean_ms = load.mean_ms or _FIRST_GUESS_MS
+    served = longest_wait_ms * max(load.in_flight, 1) / mean_ms
+    return min(state.policy.queue_limit, max(int(served), _LEAST_LENGTH))
+
+
+def _evict(state: world.World, queue: calls.ServiceQueue) -> int | None:
+    for call_class in reversed(catalogue.CallClass):
+        waiting = queue.waiting_by_class[call_class]
+        while waiting:
+            call_id = waiting.popleft()
+            queue.length -= 1
+            if call_id in state.calls.call_by_id:
+                return call_id
+    return None
+
+
+def _pop(
+    state: world.World,
+    queue: calls.ServiceQueue,
+    newest_first: bool,
+) -> calls.Call | None:
+    for waiting in queue.waiting_by_class.values():
+        if waiting:
+            call_id = waiting.pop() if newest_first else waiting.popleft()
+            queue.length -= 1
+            return state.calls.call_by_id.get(call_id)
+    return None
+
+
+def _queue_of(state: world.World, service: str) -> calls.ServiceQueue:
+    return state.calls.queue_by_service.setdefault(
+        service,
+        calls.create_queue(),
+    )
+
+
+def _set_queued_since(
+    state: world.World,
+    service: str,
+    now_ms: clock.Millis,
+) -> None:
+    load = services.load_of(state.services, service)
+    services.put_load(state.services, load._replace(queued_since_ms=now_ms))
--- a/oleanderstair/domain/retries.py
+++ b/oleanderstair/domain/retries.py
@@ -1,8 +1,23 @@
 """Decides whether a failed call may be tried again."""
 
+import typing
+
 from oleanderstair import clock
-from oleanderstair.domain import suspects, world
-from oleanderstair.domain.tables import calls
+from oleanderstair.domain import (
+    allowances,
+    events,
+    queueing,
+    services_load,
+    suspects,
+    world,
+)
+from oleanderstair.domain.tables import calls, services
+
+MOST_UNRUN: typing.Final = 12
+MOST_RETRIES: typing.Final = 2
+_PROVEN_NOT_RUN: typing.Final = frozenset(
+    (events.Verdict.SHED, events.Verdict.NOT_SENT),
+)
 
 
 def may_retry(
@@ -10,9 +25,60 @@
     call: calls.Call,
     now_ms: clock.Millis,
 ) -> bool:
-    """Return whether ``call``, whose attempts all failed, may go again."""
+    """Return whether ``call``, whose attempts all failed, may go again.
+
+    A call that a target proved not to have run goes on to the next target
+    a bounded number of times. Any other retry takes from the budget of the
+    service, and there is none at the crest.
+    """
     if call.caller_left or call.received.deadline_ms <= now_ms:
         return False
     if suspects.is_refused(state, call.received.fingerprint, now_ms):
         return False
+    if call.last_verdict in _PROVEN_NOT_RUN:
+        return call.unrun < MOST_UNRUN and _may_run_again(call)
+    return _may_run_again(call) and _within_budget(state, call, now_ms)
+
+
+def prepare(
+    state: world.World,
+    call: calls.Call,
+    now_ms: clock.Millis,
+) -> calls.Call:
+    """Return ``call`` as it shall be queued for its next attempt.
+
+    Once a call has been refused all round, its service is given time and
+    any target may be tried again.
+    """
+    shed = call.last_verdict is events.Verdict.SHED
+    round_over = services_load.is_round_over(state, call)
+    if shed and round_over:
+        services_load.hold_back(state, call.received.service, now_ms)
+    return call._replace(
+        state=calls.CallState.QUEUED,
+        tried_target_ids=() if round_over else call.tried_target_ids,
+    )
+
+
+def _may_run_again(call: calls.Call) -> bool:
     return call.idempotent or not call.may_have_run
+
+
+def _within_budget(
+    state: world.World,
+    call: calls.Call,
+    now_ms: clock.Millis,
+) -> bool:
+    service = call.received.service
+    if call.retries > MOST_RETRIES:
+        return False
+    if queueing.is_overloaded(state, service, now_ms):
+        return False
+    load = services.load_of(state.services, service)
+    if now_ms + load.median_ms > call.received.deadline_ms:
+        return False
+    return allowances.spend(
+        state.budgets.retries_by_service,
+        service,
+        now_ms,
+    )
--- a/oleanderstair/domain/routing.py
+++ b/oleanderstair/domain/routing.py
@@ -3,96 +3,166 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import conditions, occupancy, world
-from oleanderstair.domain.tables import calls, targets
+from oleanderstair.domain import conditions, occupancy, shares, world
+from oleanderstair.domain.tables import calls, services, targets
 
-_SAMPLE_SIZE: typing.Final = 2
+_SAMPLE_SIZE: typing.Final = 3
+_DRAWS: typing.Final = 6
 
 
 class Choice(typing.Protocol):
-    """Pick one of the candidates for a call."""
+    """Pick a target for a call."""
 
     def __call__(
         self,
         state: world.World,
-        candidate_ids: typing.Sequence[str],
+        call: calls.Call,
         now_ms: clock.Millis,
-    ) -> str:
-        """Return the id of the chosen target; there is at least one."""
+    ) -> str | None:
+        """Return the id of the chosen target, or None where none is free."""
 
 
-def candidates(
+def choose(
     state: world.World,
     call: calls.Call,
     now_ms: clock.Millis,
-) -> list[str]:
-    """Return the targets that may receive a call, untried ones first."""
-    in_force = state.catalogue.in_force
-    ids = in_force.target_ids_by_service.get(call.received.service, ())
-    usable = [
-        target_id
-        for target_id in ids
-        if conditions.may_receive(state, target_id, now_ms)
-    ]
-    untried = [
+) -> str | None:
+    """Pick a target for a call by the choice that the policy names."""
+    return CHOICE_BY_NAME[state.policy.choice](state, call, now_ms)
+
+
+def choose_by_share(
+    state: world.World,
+    call: calls.Call,
+    now_ms: clock.Millis,
+) -> str | None:
+    """Pick a free slot of this instance's share, or else borrow one."""
+    share = shares.share_of(state, call.received.service, now_ms)
+    own = [
         target_id
-        for target_id in usable
-        if target_id not in call.tried_target_ids
+        for target_id, slots in share.slots_by_target.items()
+        if _is_free(state, call, target_id, now_ms)
+        and _in_flight(state, target_id) < slots
+        and not occupancy.is_slow(state, target_id, now_ms)
     ]
-    return untried or usable
+    if own:
+        return min(
+            own,
+            key=lambda found: occupancy.score(state, found, now_ms),
+        )
+    return _borrow(state, call, share.others, now_ms)
 
 
-def choose_random(
+def choose_by_sample(
     state: world.World,
-    candidate_ids: typing.Sequence[str],
+    call: calls.Call,
     now_ms: clock.Millis,
-) -> str:
-    """Pick any candidate, whatever its occupancy."""
-    return state.rng.choice(candidate_ids)
+) -> str | None:
+    """Pick the least loaded of a small sample, without shares."""
+    share = shares.share_of(state, call.received.service, now_ms)
+    return _borrow(state, call, share.others, now_ms)
 
 
-def choose_by_free_slots(
+def choose_random(
     state: world.World,
-    candidate_ids: typing.Sequence[str],
+    call: calls.Call,
     now_ms: clock.Millis,
-) -> str:
-    """Pick the less loaded of a small sample."""
-    size = min(_SAMPLE_SIZE, len(candidate_ids))
-    sample = state.rng.sample(list(candidate_ids), size)
-    return min(
-        sample, key=lambda found: occupancy.estimate(state, found, now_ms)
-    )
+) -> str | None:
+    """Pick any free target, whatever its occupancy."""
+    found = _candidates(state, call, now_ms)
+    return state.rng.choice(found) if found else None
 
 
 def choose_in_turn(
     state: world.World,
-    candidate_ids: typing.Sequence[str],
+    call: calls.Call,
     now_ms: clock.Millis,
-) -> str:
-    """Pick the candidates one after the other."""
+) -> str | None:
+    """Pick the free targets one after the other."""
+    found = _candidates(state, call, now_ms)
     state.targets.turn += 1
-    return candidate_ids[state.targets.turn % len(candidate_ids)]
+    return found[state.targets.turn % len(found)] if found else None
 
 
 def choose_least_in_flight(
     state: world.World,
-    candidate_ids: typing.Sequence[str],
+    call: calls.Call,
     now_ms: clock.Millis,
-) -> str:
+) -> str | None:
     """Pick the one with the fewest calls in flight from this instance."""
-    table = state.targets
+    found = _candidates(state, call, now_ms)
     return min(
-        candidate_ids,
-        key=lambda found: (
-            targets.condition_of(table, found).in_flight,
+        found,
+        key=lambda target_id: (
+            _in_flight(state, target_id),
             state.rng.random(),
         ),
+        default=None,
     )
 
 
 CHOICE_BY_NAME: typing.Final[dict[str, Choice]] = {
+    'slots': choose_by_share,
+    'sample': choose_by_sample,
     'random': choose_random,
     'round-robin': choose_in_turn,
     'least': choose_least_in_flight,
-    'slots': choose_by_free_slots,
 }
+
+
+def _borrow(
+    state: world.World,
+    call: calls.Call,
+    others: typing.Sequence[str],
+    now_ms: clock.Millis,
+) -> str | None:
+    if not _may_borrow(state, call, now_ms):
+        return None
+    drawn = state.rng.sample(others, min(_DRAWS, len(others)))
+    free = [found for found in drawn if _is_free(state, call, found, now_ms)]
+    if not free:
+        free = _candidates(state, call, now_ms)
+    return min(
+        free[:_SAMPLE_SIZE],
+        key=lambda found: occupancy.score(state, found, now_ms),
+        default=None,
+    )
+
+
+def _candidates(
+    state: world.World,
+    call: calls.Call,
+    now_ms: clock.Millis,
+) -> list[str]:
+    if not _may_borrow(state, call, now_ms):
+        return []
+    share = shares.share_of(state, call.received.service, now_ms)
+    return [
+        target_id
+        for target_id in share.others
+        if _is_free(state, call, target_id, now_ms)
+    ]
+
+
+def _may_borrow(
+    state: world.World,
+    call: calls.Call,
+    now_ms: clock.Millis,
+) -> bool:
+    load = services.load_of(state.services, call.received.service)
+    return now_ms >= load.spill_after_ms
+
+
+def _is_free(
+    state: world.World,
+    call: calls.Call,
+    target_id: str,
+    now_ms: clock.Millis,
+) -> bool:
+    if target_id in call.tried_target_ids:
+        return False
+    return conditions.may_receive(state, target_id, now_ms)
+
+
+def _in_flight(state: world.World, target_id: str) -> int:
+    return targets.condition_of(state.targets, target_id).in_flight
--- /dev/null
+++ b/oleanderstair/domain/services_load.py
@@ -0,0 +1,74 @@
+"""Keeps the load of a service at this instance up to date."""
+
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import events, latencies, world
+from oleanderstair.domain.tables import calls, services
+
+_SHEDS_PER_ROUND: typing.Final = 3
+_LEAST_WAIT_MS: typing.Final = 2
+_FIRST_WAIT_SHARE: typing.Final = 0.25
+_MOST_WAITS: typing.Final = 4
+_FAILED: typing.Final = 500
+
+
+def on_dispatch(state: world.World, service: str) -> None:
+    """Count an attempt in flight."""
+    load = services.load_of(state.services, service)
+    services.put_load(
+        state.services,
+        load._replace(in_flight=load.in_flight + 1),
+    )
+
+
+def on_released(state: world.World, service: str) -> None:
+    """Count an attempt that is no longer in flight."""
+    load = services.load_of(state.services, service)
+    services.put_load(
+        state.services,
+        load._replace(in_flight=max(load.in_flight - 1, 0)),
+    )
+
+
+def on_attempt_ended(
+    state: world.World,
+    call: calls.Call,
+    event: events.AttemptEnded,
+    took_ms: clock.Millis,
+) -> None:
+    """Learn the latency of an answer; a server error teaches none."""
+    on_released(state, call.received.service)
+    if event.verdict is not events.Verdict.ANSWERED or event.status >= _FAILED:
+        return
+    load = services.load_of(state.services, call.received.service)
+    services.put_load(
+        state.services,
+        latencies.learn(load, took_ms)._replace(
+            spill_wait_ms=load.spill_wait_ms / 2,
+        ),
+    )
+
+
+def hold_back(state: world.World, service: str, now_ms: clock.Millis) -> None:
+    """Borrow no slots for a while that doubles until calls are served."""
+    load = services.load_of(state.services, service)
+    least_ms = max(load.median_ms * _FIRST_WAIT_SHARE, _LEAST_WAIT_MS)
+    most_ms = max(load.median_ms * _MOST_WAITS, _LEAST_WAIT_MS)
+    wait_ms = min(max(load.spill_wait_ms * 2, least_ms), most_ms)
+    services.put_load(
+        state.services,
+        load._replace(
+            spill_after_ms=now_ms + wait_ms * (0.5 + state.rng.random()),
+            spill_wait_ms=wait_ms,
+        ),
+    )
+
+
+def is_round_over(state: world.World, call: calls.Call) -> bool:
+    """Return whether a call has been to enough targets for now."""
+    share = state.services.share_by_service.get(call.received.service)
+    if call.unrun and call.unrun % _SHEDS_PER_ROUND == 0:
+        return True
+    tried = len(set(call.tried_target_ids))
+    return share is None or tried >= len(share.others)
--- /dev/null
+++ b/oleanderstair/domain/shares.py
@@ -0,0 +1,110 @@
+"""Divides the slots of a service among the live instances.
+
+Each instance prefers the slots that are its own share, so that instances
+which can't see each other's calls collide seldom. The share is a preference:
+a stale list of instances costs refused attempts, never a wrong run.
+"""
+
+import collections
+import typing
+import zlib
+
+from oleanderstair import clock
+from oleanderstair.domain import world
+from oleanderstair.domain.tables import catalogue, services
+
+_SPREAD_LIMIT: typing.Final = 48
+_SPREAD_INSTANCES: typing.Final = 8
+
+
+def share_of(
+    state: world.World,
+    service: str,
+    now_ms: clock.Millis,
+) -> services.Share:
+    """Return this instance's share, worked out anew where its base moved."""
+    _renew_roster(state)
+    table = state.services
+    in_force = state.catalogue.in_force
+    known = table.share_by_service.get(service)
+    if known is not None and known.digest == in_force.digest:
+        if known.roster is table.roster:
+            return known
+    made = _make_share(state, service, in_force)
+    table.share_by_service[service] = made
+    return made
+
+
+def _renew_roster(state: world.World) -> None:
+    table = state.services
+    listed_at_ms = state.instances.listed_at_ms
+    if table.roster_at_ms == listed_at_ms:
+        return
+    table.roster_at_ms = listed_at_ms
+    live = {
+        entry.instance_id
+        for entry in state.instances.listed_by_id.values()
+        if not entry.leaving
+    }
+    live.add(state.identity.instance_id)
+    roster = tuple(sorted(live))
+    if roster != table.roster:
+        table.roster = roster
+
+
+def _make_share(
+    state: world.World,
+    service: str,
+    in_force: catalogue.Catalogue,
+) -> services.Share:
+    roster = state.services.roster
+    own_id = state.identity.instance_id
+    rank = roster.index(own_id) + zlib.crc32(service.encode())
+    ids = in_force.target_ids_by_service.get(service, ())
+    own: collections.Counter[str] = collections.Counter()
+    for index, target_id in enumerate(_slots(in_force, ids)):
+        if (index - rank) % len(roster) == 0:
+            own[target_id] += 1
+    return services.Share(
+        digest=in_force.digest,
+        roster=roster,
+        slots_by_target=dict(own),
+        others=_subset(own_id, ids, len(roster), own),
+    )
+
+
+def _slots(
+    in_force: catalogue.Catalogue,
+    ids: typing.Sequence[str],
+) -> typing.Iterator[str]:
+    """Yield each target once for each slot, all first slots first."""
+    counts = [in_force.target_by_id[target_id].slots for target_id in ids]
+    for level in range(max(counts, default=0)):
+        for target_id, count in zip(ids, counts, strict=True):
+            if level < count:
+                yield target_id
+
+
+def _subset(
+    own_id: str,
+    ids: typing.Sequence[str],
+    instances: int,
+    own: typing.Container[str],
+) -> tuple[str, ...]:
+    """Return the targets that may be used beyond the share.
+
+    A large service is cut down by rendezvous hash, so that each target is
+    in the subsets of several instances.
+    """
+    limit = max(_SPREAD_LIMIT, _SPREAD_INSTANCES * len(ids) // instances)
+    if len(ids) <= limit:
+        return tuple(ids)
+    ranked = sorted(
+        ids,
+        key=lambda found: zlib.crc32(f'{own_id}/{found}'.encode()),
+    )
+    return tuple(
+        target_id
+        for position, target_id in enumerate(ranked)
+        if position < limit or target_id in own
+    )
--- a/oleanderstair/domain/tables/calls.py
+++ b/oleanderstair/domain/tables/calls.py
@@ -1,5 +1,6 @@
 """Calls in flight at this instance, their attempts, and the entry queue."""
 
+import collections
 import dataclasses
 import enum
 import typing
@@ -42,6 +43,8 @@
     caller_left: bool = False
     may_have_run: bool = False
     quarantined: bool = False
+    unrun: int = 0
+    retries: int = 0
 
     @property
     def call_id(self) -> int:
@@ -49,17 +52,32 @@
         return self.received.call_id
 
 
+@dataclasses.dataclass(slots=True)
+class ServiceQueue:
+    """The ids that wait for a slot, by class, the oldest on the left."""
+
+    waiting_by_class: dict[catalogue.CallClass, collections.deque[int]]
+    length: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class CallsTable:
     """Calls by id, and the ids that wait for a slot, by service."""
 
     call_by_id: dict[int, Call] = dataclasses.field(default_factory=dict)
-    queue_by_service: dict[str, list[int]] = dataclasses.field(
+    queue_by_service: dict[str, ServiceQueue] = dataclasses.field(
         default_factory=dict,
     )
     next_attempt_id: int = 1
 
 
+def create_queue() -> ServiceQueue:
+    """Create an empty queue; its classes stand in the order of service."""
+    return ServiceQueue(
+        {call_class: collections.deque() for call_class in catalogue.CallClass},
+    )
+
+
 def create() -> CallsTable:
     """Create a table without calls."""
     return CallsTable()
--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -13,6 +13,7 @@
     instances,
     keys,
     reads,
+    services,
     suspects,
     targets,
     traffic,
@@ -33,6 +34,7 @@
     targets: targets.TargetsTable
     calls: calls.CallsTable
     budgets: budgets.BudgetsTable
+    services: services.ServicesTable
     suspects: suspects.SuspectsTable
     reads: reads.ReadsTable
     traffic: traffic.TrafficTable
@@ -55,6 +57,7 @@
         targets=targets.create(),
         calls=calls.create(),
         budgets=budgets.create(),
+        services=services.create(),
         suspects=suspects.create(),
         reads=reads.create(),
         traffic=traffic.create(),
