Give each platform read and watch a connection of its own

An idle connection may have gone silent, and reads waited for it until their bound; watches shared the pool with reads and could starve them. Reads are a few a second at most, so a connection each costs about 1 ms and trusts nothing old. test_platform.py reads on past a server whose connections go silent after one answer, and tells each failure as such.

--- a/oleanderstair/engine/platform.py
+++ b/oleanderstair/engine/platform.py
@@ -10,6 +10,9 @@
 from oleanderstair.domain import events
 
 MAX_VALUE_BYTES: typing.Final = 1_000_000
+
+_READ_CONNECTIONS: typing.Final = 4
+_WATCH_CONNECTIONS: typing.Final = 2
 _OK: typing.Final = 200
 _NOT_FOUND: typing.Final = 404
 
@@ -51,7 +54,11 @@
 
 
 class HttpPlatform:
-    """The platform over HTTP/1.1; every read has a bound."""
+    """The platform over HTTP/1.1; every read has a bound.
+
+    Each read has a connection of its own, since an idle one may have gone
+    silent and reads are few; watches never take the place of reads.
+    """
 
     def __init__(
         self,
@@ -63,12 +70,13 @@
         self._configuration_url = configuration_url
         self._instances_url = instances_url
         self._bound_ms = bound_ms
-        self._pool = httpcore.AsyncConnectionPool(max_connections=8)
+        self._reads = _create_pool(_READ_CONNECTIONS)
+        self._watches = _create_pool(_WATCH_CONNECTIONS)
 
     async def get(self, name: str) -> bytes | None:
         """Return a configuration value, or None where it is absent."""
         url = f'{self._configuration_url}/values/{name}'
-        return await self._read(url, self._bound_ms)
+        return await _fetch(self._reads, url, self._bound_ms)
 
     async def watch(
         self,
@@ -79,11 +87,11 @@
         """Return a value once it differs, or None when the bound passes."""
         query = f'digest={digest}&wait_ms={int(bound_ms)}'
         url = f'{self._configuration_url}/values/{name}?{query}'
-        return await self._read(url, bound_ms + self._bound_ms)
+        return await _fetch(self._watches, url, bound_ms + self._bound_ms)
 
     async def read(self) -> tuple[events.ListedInstance, ...]:
         """Return the listed instances."""
-        body = await self._read(self._instances_url, self._bound_ms)
+        body = await _fetch(self._reads, self._instances_url, self._bound_ms)
         try:
             entries = msgspec.json.decode(
                 body or b'[]',
@@ -99,29 +107,47 @@
         except msgspec.MsgspecError as error:
             raise PlatformError(f'instance list: {error}') from error
 
-    async def _read(self, url: str, bound_ms: clock.Millis) -> bytes | None:
-        try:
-            with anyio.fail_after(clock.to_seconds(bound_ms)):
-                return await self._fetch(url)
-        except TimeoutError as late:
-            raise PlatformError('no answer within the bound') from late
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            raise PlatformError(repr(error)) from error
-
-    async def _fetch(self, url: str) -> bytes | None:
-        async with self._pool.stream('GET', url) as response:
-            if response.status == _NOT_FOUND:
-                return None
-            if response.status != _OK:
-                raise PlatformError(f'status {response.status}')
-            chunks = []
-            size = 0
-            async for chunk in response.aiter_stream():
-                size += len(chunk)
-                if size > MAX_VALUE_BYTES:
-                    raise PlatformError('value larger than a megabyte')
-                chunks.append(chunk)
-            return b''.join(chunks)
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._reads.aclose()
+        await self._watches.aclose()
+
+
+def _create_pool(max_connections: int) -> httpcore.AsyncConnectionPool:
+    return httpcore.AsyncConnectionPool(
+        max_connections=max_connections,
+        max_keepalive_connections=0,
+    )
+
+
+async def _fetch(
+    pool: httpcore.AsyncConnectionPool,
+    url: str,
+    bound_ms: clock.Millis,
+) -> bytes | None:
+    try:
+        with anyio.fail_after(clock.to_seconds(bound_ms)):
+            async with pool.stream('GET', url) as response:
+                return await _take(response)
+    except TimeoutError as late:
+        raise PlatformError('no answer within the bound') from late
+    except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+        raise PlatformError(repr(error)) from error
+
+
+async def _take(response: httpcore.Response) -> bytes | None:
+    if response.status == _NOT_FOUND:
+        return None
+    if response.status != _OK:
+        raise PlatformError(f'status {response.status}')
+    chunks = []
+    size = 0
+    async for chunk in response.aiter_stream():
+        size += len(chunk)
+        if size > MAX_VALUE_BYTES:
+            raise PlatformError('value larger than a megabyte')
+        chunks.append(chunk)
+    return b''.join(chunks)
 
 
 _LISTED_FIELDS: typing.Final = events.ListedInstance._fields
--- /dev/null
+++ b/test/test_platform.py
@@ -0,0 +1,102 @@
+"""Reading the platform while its connections and answers misbehave."""
+
+import contextlib
+import functools
+
+import anyio
+import pytest
+
+from oleanderstair.engine import platform
+
+BOUND_S = 10
+OK = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s'
+LISTED = b'[{"instance_id":"a","region":"b","data_centre":"c"}]'
+
+
+class Server:
+    """Answers a number of requests per connection, then stays silent."""
+
+    def __init__(self, answers_each=1000, body=b'{}', status=b''):
+        self.answers_each = answers_each
+        self.body = body
+        self.status = status
+        self.connections = 0
+
+    async def __call__(self, stream):
+        self.connections += 1
+        async with stream:
+            with contextlib.suppress(anyio.EndOfStream):
+                for _ in range(self.answers_each):
+                    await stream.receive()
+                    await stream.send(
+                        self.status or OK % (len(self.body), self.body)
+                    )
+                await anyio.sleep(BOUND_S)
+
+
+def read_from(server, work):
+    """Run ``work`` on a reader of ``server`` and return what it returns."""
+    found = []
+
+    async def bounded():
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        url = f'http://127.0.0.1:{port}'
+        reader = platform.create(url, url, 300)
+        with anyio.fail_after(BOUND_S):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, server)
+                found.append(await work(reader))
+                await reader.aclose()
+                tasks.cancel_scope.cancel()
+        await listener.aclose()
+
+    anyio.run(bounded)
+    return found[0]
+
+
+def test_read_never_takes_an_idle_connection_that_went_silent():
+    server = Server(answers_each=1)
+
+    async def read_thrice(reader):
+        return [await reader.get('head') for _ in range(3)]
+
+    assert read_from(server, read_thrice) == [b'{}', b'{}', b'{}']
+    assert server.connections == 3
+
+
+def test_watch_takes_a_connection_of_its_own():
+    server = Server(answers_each=1)
+
+    async def watch_twice(reader):
+        first = await reader.watch('head', 'digest', 100)
+        return first, await reader.watch('head', 'digest', 100)
+
+    assert read_from(server, watch_twice) == (b'{}', b'{}')
+    assert server.connections == 2
+
+
+@pytest.mark.parametrize(
+    ('server', 'what'),
+    [
+        (Server(answers_each=0), 'within the bound'),
+        (Server(body=b'x' * (platform.MAX_VALUE_BYTES + 1)), 'megabyte'),
+        (Server(status=b'HTTP/1.1 503 Down\r\n\r\n'), '503'),
+        (Server(status=b'nonsense\r\n\r\n'), 'ProtocolError'),
+        (Server(body=LISTED), 'instance list'),
+        (Server(body=b'[1]'), 'instance list'),
+    ],
+)
+def test_failure_is_told_as_such(server, what):
+    async def read(reader):
+        with pytest.raises(platform.PlatformError, match=what):
+            await reader.get('head')
+            await reader.read()
+
+    read_from(server, read)
+
+
+def test_absent_value_is_none():
+    missing = b'HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n'
+    get = functools.partial(platform.HttpPlatform.get, name='head')
+    assert read_from(Server(status=missing), get) is None
