Eject failing targets, hedge slow calls, and give up silent exchanges

Change: ejection after failures in a row or by rate, with a cap and a doubt rule; hedges of idempotent calls past the 99th percentile on a new connection, within hedge_share, only while they come first often enough, none with a queue; silence ends while a retry still fits; idle connections are closed then.

--- a/oleanderstair/domain/admission.py
+++ b/oleanderstair/domain/admission.py
@@ -110,4 +110,10 @@
         service.retry_share,
         now_ms,
     )
+    allowances.earn(
+        state.budgets.hedges_by_service,
+        event.service,
+        service.hedge_share,
+        now_ms,
+    )
     return call
--- a/oleanderstair/domain/attempts.py
+++ b/oleanderstair/domain/attempts.py
@@ -49,10 +49,12 @@
         took_ms,
         now_ms,
     )
-    services_load.on_attempt_ended(state, call, event, took_ms)
+    services_load.on_attempt_ended(state, call, attempt, event, took_ms)
     for learn in _LEARNERS:
         learned.extend(learn(state, event, attempt.target_id, now_ms))
     call = _without_attempt(state, call, attempt, event)
+    if event.verdict is events.Verdict.SILENT:
+        learned.append(actions.CloseIdle(attempt.target_id))
     if event.crashed:
         learned.extend(suspects.on_death(state, call, now_ms))
     return [
@@ -103,6 +105,7 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     if event.verdict is events.Verdict.ANSWERED:
+        _learn_from_losers(state, call, now_ms)
         return answering.relay(state, call, event.attempt_id)
     if call.attempts:
         return []
@@ -115,3 +118,19 @@
     if call.may_have_run:
         reason = outcomes.Reason.TARGET_LOST
     return answering.refuse(state, call, reason, event.retry_after_ms)
+
+
+def _learn_from_losers(
+    state: world.World,
+    call: calls.Call,
+    now_ms: clock.Millis,
+) -> None:
+    for loser in call.attempts:
+        services_load.on_hedge_ended(
+            state,
+            call.received.service,
+            won=not loser.hedge,
+        )
+        if not loser.hedge:
+            age_ms = now_ms - loser.started_at_ms
+            conditions.on_outrun(state, loser.target_id, age_ms, now_ms)
--- a/oleanderstair/domain/conditions.py
+++ b/oleanderstair/domain/conditions.py
@@ -8,6 +8,7 @@
 
 _FULL_MS: typing.Final = 2
 _FAILED: typing.Final = 500
+_RATE_WEIGHT: typing.Final = 0.2
 _FAILURES: typing.Final = frozenset(
     (events.Verdict.BROKEN, events.Verdict.NOT_SENT, events.Verdict.SILENT),
 )
@@ -27,6 +28,8 @@
         return False
     if now_ms < condition.full_until_ms:
         return False
+    if condition.ejections and condition.failures_in_row:
+        return not condition.in_flight
     return condition.in_flight < ramps.allowance(state, target, now_ms)
 
 
@@ -58,8 +61,10 @@
     on_released(state, target_id)
     condition = targets.condition_of(state.targets, target_id)
     if is_failure(event):
+        rate = condition.failure_rate
         condition = condition._replace(
             failures_in_row=condition.failures_in_row + 1,
+            failure_rate=rate + _RATE_WEIGHT * (1 - rate),
         )
     elif event.verdict is events.Verdict.ANSWERED:
         condition = _served(condition, took_ms, now_ms)
@@ -71,6 +76,22 @@
     return []
 
 
+def on_outrun(
+    state: world.World,
+    target_id: str,
+    age_ms: clock.Millis,
+    now_ms: clock.Millis,
+) -> None:
+    """Learn that an attempt was overtaken at its age by its hedge."""
+    condition = targets.condition_of(state.targets, target_id)
+    known_ms = condition.latency_ms
+    latency_ms = latencies.follow(known_ms, max(age_ms, known_ms))
+    targets.put_condition(
+        state.targets,
+        condition._replace(latency_ms=latency_ms, latency_at_ms=now_ms),
+    )
+
+
 def is_failure(event: events.AttemptEnded) -> bool:
     """Return whether an attempt speaks against its target.
 
@@ -89,6 +110,8 @@
     return condition._replace(
         served=condition.served + 1,
         failures_in_row=0,
+        failure_rate=condition.failure_rate * (1 - _RATE_WEIGHT),
+        ejections=max(condition.ejections - 1, 0),
         latency_ms=latencies.follow(condition.latency_ms, took_ms),
         latency_at_ms=now_ms,
     )
--- a/oleanderstair/domain/dispatching.py
+++ b/oleanderstair/domain/dispatching.py
@@ -12,11 +12,16 @@
     queueing,
     routing,
     services_load,
+    shares,
     world,
 )
 from oleanderstair.domain.tables import calls, services
 
 _FRESH_GUESS_MS: typing.Final = 20
+_SILENCE_FACTOR: typing.Final = 2
+_RETRY_FACTOR: typing.Final = 3
+_LONGEST_EVIDENCE: typing.Final = 1000
+_EVIDENCE: typing.Final = 20
 
 
 def enqueue(
@@ -85,11 +90,17 @@
     call: calls.Call,
     target_id: str,
     now_ms: clock.Millis,
-) -> actions.Action:
+) -> actions.Dispatch:
     """Record an attempt of a call at a target and send it."""
     attempt_id = state.calls.next_attempt_id
     state.calls.next_attempt_id += 1
-    attempt = calls.Attempt(attempt_id, target_id, now_ms)
+    attempt = calls.Attempt(
+        attempt_id,
+        target_id,
+        now_ms,
+        hedge=bool(call.attempts),
+        borrowed=shares.is_borrowed(state, call.received.service, target_id),
+    )
     state.calls.call_by_id[call.call_id] = call._replace(
         state=calls.CallState.ATTEMPTED,
         attempts=(*call.attempts, attempt),
@@ -104,8 +115,8 @@
         attempt_id=attempt_id,
         target_id=target_id,
         address=target.address,
-        fresh=not call.idempotent,
-        silence_ms=budget_ms,
+        fresh=not call.idempotent or bool(call.retries),
+        silence_ms=_silence_ms(state, call, budget_ms),
         budget_ms=budget_ms,
     )
 
@@ -134,3 +145,24 @@
         outcomes.Reason.OVERLOADED,
         max(wait_ms, _FRESH_GUESS_MS),
     )
+
+
+def _silence_ms(
+    state: world.World,
+    call: calls.Call,
+    budget_ms: clock.Millis,
+) -> clock.Millis:
+    """Return how long an attempt may stay silent.
+
+    An idempotent call gives up while there is time for a retry, and sooner
+    once enough answers show how long the longest calls take.
+    """
+    load = services.load_of(state.services, call.received.service)
+    if not call.idempotent or call.retries or load.answered < _EVIDENCE:
+        return budget_ms
+    latest_ms = budget_ms - load.high_ms * _RETRY_FACTOR
+    if latest_ms < load.high_ms * _SILENCE_FACTOR:
+        return budget_ms
+    if load.answered < _LONGEST_EVIDENCE:
+        return latest_ms
+    return min(max(load.longest_ms, load.high_ms) * _SILENCE_FACTOR, latest_ms)
--- a/oleanderstair/domain/ejection.py
+++ b/oleanderstair/domain/ejection.py
@@ -1,7 +1,18 @@
-"""Takes targets out of use that fail or slow down, up to a cap."""
+"""Takes targets out of use that fail, up to a cap.
+
+Where more targets look bad than the cap allows, the evidence is doubted:
+all are used again, and none is ejected for a while.
+"""
+
+import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, world
+from oleanderstair.domain import actions, conditions, events, world
+from oleanderstair.domain.tables import services, targets
+
+_MOST_DOUBLINGS: typing.Final = 4
+_FAILING_RATE: typing.Final = 0.6
+_JITTER: typing.Final = 0.5
 
 
 def on_attempt_ended(
@@ -10,5 +21,80 @@
     target_id: str,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Eject a target whose failures in a row reach the limit."""
-    return []
+    """Eject a target that failed several calls in a row, or most calls."""
+    if not conditions.is_failure(event):
+        return []
+    condition = targets.condition_of(state.targets, target_id)
+    target = state.catalogue.in_force.target_by_id.get(target_id)
+    if target is None or now_ms < condition.ejected_until_ms:
+        return []
+    in_row = condition.failures_in_row >= state.policy.eject_failures
+    if not in_row and condition.failure_rate < _FAILING_RATE:
+        return []
+    if _may_eject(state, target.service, now_ms):
+        return [_eject(state, condition, now_ms)]
+    return _doubt(state, target.service, now_ms)
+
+
+def _may_eject(
+    state: world.World,
+    service: str,
+    now_ms: clock.Millis,
+) -> bool:
+    ids = state.catalogue.in_force.target_ids_by_service[service]
+    known = state.targets.condition_by_id
+    ejected = sum(
+        now_ms < known[target_id].ejected_until_ms
+        for target_id in ids
+        if target_id in known
+    )
+    return ejected + 1 <= state.policy.eject_share * len(ids)
+
+
+def _eject(
+    state: world.World,
+    condition: targets.Condition,
+    now_ms: clock.Millis,
+) -> actions.Action:
+    """Eject a target for a time that doubles with each ejection in a row."""
+    doublings = min(condition.ejections, _MOST_DOUBLINGS)
+    span_ms = state.policy.eject_ms * 2**doublings
+    span_ms *= 1 + _JITTER * (state.rng.random() - 0.5)
+    targets.put_condition(
+        state.targets,
+        condition._replace(
+            ejected_until_ms=now_ms + span_ms,
+            ejections=condition.ejections + 1,
+            failures_in_row=state.policy.eject_failures - 1,
+        ),
+    )
+    why = f'{condition.failures_in_row} failures in a row'
+    return actions.Audit('target', condition.target_id, why, 'ejected')
+
+
+def _doubt(
+    state: world.World,
+    service: str,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    load = services.load_of(state.services, service)
+    if now_ms < load.doubted_until_ms:
+        return []
+    for target_id in state.catalogue.in_force.target_ids_by_service[service]:
+        condition = targets.condition_of(state.targets, target_id)
+        targets.put_condition(
+            state.targets,
+            condition._replace(
+                ejected_until_ms=now_ms,
+                failures_in_row=0,
+                failure_rate=0,
+            ),
+        )
+    doubted_until_ms = now_ms + state.policy.eject_ms
+    services.put_load(
+        state.services,
+        load._replace(doubted_until_ms=doubted_until_ms),
+    )
+    return [
+        actions.Audit('service', service, 'most targets fail', 'doubted'),
+    ]
--- a/oleanderstair/domain/hedging.py
+++ b/oleanderstair/domain/hedging.py
@@ -1,7 +1,29 @@
-"""Sends a second attempt of a slow idempotent call, within a budget."""
+"""Sends a second attempt of a slow idempotent call, within a budget.
+
+The second attempt goes out on a new connection to another target, and the
+idle connections to the slow target are closed, since they may be silent.
+"""
+
+import collections
+import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, world
+from oleanderstair.domain import (
+    actions,
+    allowances,
+    dispatching,
+    events,
+    queueing,
+    routing,
+    world,
+)
+from oleanderstair.domain.tables import calls, services, targets
+
+_HEDGE_FACTOR: typing.Final = 1.2
+_OVERDUE_FACTOR: typing.Final = 2
+_EVIDENCE: typing.Final = 20
+_LEAST_GAIN: typing.Final = 0.25
+_TRIAL_MS: typing.Final = 3000
 
 
 def on_tick(
@@ -10,4 +32,88 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Hedge the calls that have waited longer than is usual."""
-    return []
+    overdue: collections.Counter[str] = collections.Counter()
+    late: list[calls.Call] = []
+    for call in state.calls.call_by_id.values():
+        load = services.load_of(state.services, call.received.service)
+        if load.answered < _EVIDENCE:
+            continue
+        for attempt in call.attempts:
+            age_ms = now_ms - attempt.started_at_ms
+            if age_ms > _OVERDUE_FACTOR * load.high_ms:
+                overdue[attempt.target_id] += 1
+        if _is_late(call, load, now_ms):
+            late.append(call)
+    _note_overdue(state, overdue)
+    done: list[actions.Action] = []
+    for waiting in late:
+        done.extend(_hedge(state, waiting, now_ms))
+    return done
+
+
+def _is_late(
+    call: calls.Call,
+    load: services.ServiceLoad,
+    now_ms: clock.Millis,
+) -> bool:
+    if not call.idempotent or call.caller_left or call.hedged:
+        return False
+    if call.quarantined or len(call.attempts) != 1:
+        return False
+    age_ms = now_ms - call.attempts[0].started_at_ms
+    if now_ms + load.median_ms > call.received.deadline_ms:
+        return False
+    return age_ms > _HEDGE_FACTOR * load.high_ms
+
+
+def _note_overdue(
+    state: world.World,
+    overdue: typing.Mapping[str, int],
+) -> None:
+    table = state.targets
+    for target_id in table.overdue_ids:
+        condition = targets.condition_of(table, target_id)
+        targets.put_condition(table, condition._replace(overdue=0))
+    for found_id, count in overdue.items():
+        found = targets.condition_of(table, found_id)
+        targets.put_condition(table, found._replace(overdue=count))
+    table.overdue_ids = tuple(overdue)
+
+
+def _hedge(
+    state: world.World,
+    call: calls.Call,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    service = call.received.service
+    load = services.load_of(state.services, service)
+    if queueing.length(state, service) or not _pays(load, now_ms):
+        return []
+    target_id = routing.choose(state, call, now_ms)
+    if target_id is None:
+        return []
+    if not allowances.spend(state.budgets.hedges_by_service, service, now_ms):
+        return []
+    services.put_load(state.services, load._replace(hedged_at_ms=now_ms))
+    slow_id = call.attempts[0].target_id
+    sent = dispatching.dispatch(
+        state,
+        call._replace(hedged=True),
+        target_id,
+        now_ms,
+    )
+    return [
+        actions.CloseIdle(slow_id),
+        sent._replace(fresh=True),
+        actions.Count('hedges', service),
+    ]
+
+
+def _pays(load: services.ServiceLoad, now_ms: clock.Millis) -> bool:
+    """Return whether hedges come first often enough, or one may be tried.
+
+    Where calls are long by themselves, a hedge only doubles their work.
+    """
+    if load.hedge_gain >= _LEAST_GAIN:
+        return True
+    return now_ms - load.hedged_at_ms > _TRIAL_MS
--- a/oleanderstair/domain/latencies.py
+++ b/oleanderstair/domain/latencies.py
@@ -8,10 +8,11 @@
 _MEAN_WEIGHT: typing.Final = 0.05
 _MEDIAN_STEP: typing.Final = 0.05
 _HIGH_STEP: typing.Final = 0.1
-_HIGH_QUANTILE: typing.Final = 0.95
-_FADE: typing.Final = 0.998
+_HIGH_QUANTILE: typing.Final = 0.99
+_FADE: typing.Final = 0.9995
 _FIRST_HIGH_FACTOR: typing.Final = 2
 _ROBUST_WEIGHT: typing.Final = 0.2
+_ROBUST_STEP: typing.Final = 0.3
 
 
 def learn(
@@ -39,10 +40,10 @@
 
 
 def follow(known_ms: clock.Millis, took_ms: clock.Millis) -> clock.Millis:
-    """Move an average towards a latency by at most a fifth of itself."""
+    """Move an average towards a latency by at most a part of itself."""
     if not known_ms:
         return took_ms
-    bound_ms = _ROBUST_WEIGHT * known_ms
+    bound_ms = _ROBUST_STEP * known_ms
     step_ms = _ROBUST_WEIGHT * (took_ms - known_ms)
     return known_ms + min(max(step_ms, -bound_ms), bound_ms)
 
--- a/oleanderstair/domain/occupancy.py
+++ b/oleanderstair/domain/occupancy.py
@@ -42,11 +42,13 @@
     condition = targets.condition_of(state.targets, target_id)
     target = state.catalogue.in_force.target_by_id[target_id]
     load = services.load_of(state.services, target.service)
+    overdue = 1 + condition.overdue
     if not load.median_ms or condition.served < _EVIDENCE:
-        return 1
+        return overdue
     ratio = max(condition.latency_ms / load.median_ms, _FASTEST_RATIO)
     age_ms = now_ms - condition.latency_at_ms
-    return 1 + (ratio - 1) * _fade(age_ms, _LATENCY_HALF_LIFE_MS)
+    faded = 1 + (ratio - 1) * _fade(age_ms, _LATENCY_HALF_LIFE_MS)
+    return max(faded, overdue) if condition.overdue else faded
 
 
 def is_slow(
--- a/oleanderstair/domain/services_load.py
+++ b/oleanderstair/domain/services_load.py
@@ -9,7 +9,8 @@
 _SHEDS_PER_ROUND: typing.Final = 3
 _LEAST_WAIT_MS: typing.Final = 2
 _FIRST_WAIT_SHARE: typing.Final = 0.25
-_MOST_WAITS: typing.Final = 4
+_MOST_WAITS: typing.Final = 1
+_GAIN_WEIGHT: typing.Final = 0.4
 _FAILED: typing.Final = 500
 
 
@@ -34,20 +35,39 @@
 def on_attempt_ended(
     state: world.World,
     call: calls.Call,
+    attempt: calls.Attempt,
     event: events.AttemptEnded,
     took_ms: clock.Millis,
 ) -> None:
     """Learn the latency of an answer; a server error teaches none."""
     on_released(state, call.received.service)
+    if event.verdict is events.Verdict.SILENT:
+        _lengthen(state, call.received.service, took_ms)
     if event.verdict is not events.Verdict.ANSWERED or event.status >= _FAILED:
         return
     load = services.load_of(state.services, call.received.service)
-    services.put_load(
-        state.services,
-        latencies.learn(load, took_ms)._replace(
-            spill_wait_ms=load.spill_wait_ms / 2,
-        ),
-    )
+    learned = latencies.learn(load, took_ms)
+    if attempt.borrowed:
+        learned = learned._replace(spill_wait_ms=load.spill_wait_ms / 2)
+    services.put_load(state.services, learned)
+
+
+def _lengthen(
+    state: world.World,
+    service: str,
+    took_ms: clock.Millis,
+) -> None:
+    """Allow for calls that last longer than any that was answered."""
+    load = services.load_of(state.services, service)
+    longest_ms = max(load.longest_ms, took_ms)
+    services.put_load(state.services, load._replace(longest_ms=longest_ms))
+
+
+def on_hedge_ended(state: world.World, service: str, won: bool) -> None:
+    """Learn whether a hedge overtook the first attempt of its call."""
+    load = services.load_of(state.services, service)
+    gain = load.hedge_gain + _GAIN_WEIGHT * (won - load.hedge_gain)
+    services.put_load(state.services, load._replace(hedge_gain=gain))
 
 
 def hold_back(state: world.World, service: str, now_ms: clock.Millis) -> None:
--- a/oleanderstair/domain/shares.py
+++ b/oleanderstair/domain/shares.py
@@ -11,7 +11,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import world
-from oleanderstair.domain.tables import catalogue, services
+from oleanderstair.domain.tables import catalogue, services, targets
 
 _SPREAD_LIMIT: typing.Final = 48
 _SPREAD_INSTANCES: typing.Final = 8
@@ -35,6 +35,15 @@
     return made
 
 
+def is_borrowed(state: world.World, service: str, target_id: str) -> bool:
+    """Return whether one more call at a target exceeds the share."""
+    share = state.services.share_by_service.get(service)
+    if share is None:
+        return True
+    condition = targets.condition_of(state.targets, target_id)
+    return condition.in_flight >= share.slots_by_target.get(target_id, 0)
+
+
 def _renew_roster(state: world.World) -> None:
     table = state.services
     listed_at_ms = state.instances.listed_at_ms
--- a/oleanderstair/domain/tables/calls.py
+++ b/oleanderstair/domain/tables/calls.py
@@ -26,6 +26,7 @@
     target_id: str
     started_at_ms: clock.Millis
     hedge: bool = False
+    borrowed: bool = False
 
 
 class Call(typing.NamedTuple):
@@ -45,6 +46,7 @@
     quarantined: bool = False
     unrun: int = 0
     retries: int = 0
+    hedged: bool = False
 
     @property
     def call_id(self) -> int:
--- a/oleanderstair/domain/tables/services.py
+++ b/oleanderstair/domain/tables/services.py
@@ -12,6 +12,7 @@
     ``longest_ms`` is the longest recent latency; it fades. Targets that
     other instances use more are left alone until ``spill_after_ms``, and
     ``spill_wait_ms`` is how long the next refusal keeps them so.
+    ``hedge_gain`` is the share of recent hedges that came first.
     """
 
     service: str
@@ -25,6 +26,8 @@
     spill_after_ms: clock.Millis = clock.NEVER_MS
     spill_wait_ms: clock.Millis = 0
     doubted_until_ms: clock.Millis = clock.NEVER_MS
+    hedge_gain: float = 0.4
+    hedged_at_ms: clock.Millis = clock.NEVER_MS
 
 
 class Share(typing.NamedTuple):
--- a/oleanderstair/domain/tables/targets.py
+++ b/oleanderstair/domain/tables/targets.py
@@ -31,6 +31,9 @@
     report_doubted: bool = False
     others_in_flight: float = 0
     others_at_ms: clock.Millis = clock.NEVER_MS
+    failure_rate: float = 0
+    overdue: int = 0
+    others_slowness: float = 1
 
 
 class Ramp(typing.NamedTuple):
@@ -54,6 +57,7 @@
     )
     ramp_by_id: dict[str, Ramp] = dataclasses.field(default_factory=dict)
     turn: int = 0
+    overdue_ids: tuple[str, ...] = ()
 
 
 def condition_of(table: TargetsTable, target_id: str) -> Condition:
