Record what an instance handles and replay it against the stated outcomes

Cause: a fault seen in real work could not be looked at again. Change: the daemon keeps its first trace.max_events events in memory and serves them at /trace; 'oleanderstair trace' fetches them, and 'oleanderstair replay' steps a fresh world through them and states each outcome, exit 0, 1 or, for a trace that is not whole, 2. The world's seed is recorded; address answers draw from a generator of their own, since they are no events. Shown: test_replay replays traces of the harness and of a real fleet with the same decisions, and prints the same bytes under three hash seeds.

--- a/oleanderstair/domain/addresses.py
+++ b/oleanderstair/domain/addresses.py
@@ -41,7 +41,7 @@
         if peer.confirmed and not peer.leaving
     ]
     found = own + others
-    state.rng.shuffle(found)
+    state.address_rng.shuffle(found)
     found.sort(key=lambda entry: entry['data_centre'] != data_centre)
     return AddressAnswer(
         addresses=found,
--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -20,11 +20,16 @@
 
 @dataclasses.dataclass(slots=True)
 class World:
-    """The tables, limits and random generator that systems work with."""
+    """The tables, limits and random generators that systems work with.
+
+    Address answers are no events, so they draw from a generator of their
+    own: a replayed trace must draw what the recorded instance drew.
+    """
 
     identity: identity.Identity
     policy: policy.Policy
     rng: random.Random
+    address_rng: random.Random
     catalogue: catalogue.CatalogueTable
     instances: instances.InstancesTable
     facts: facts.FactsTable
@@ -46,6 +51,7 @@
         identity=own,
         policy=limits,
         rng=rng,
+        address_rng=random.Random(rng.random()),
         catalogue=catalogue.create(),
         instances=instances.create(),
         facts=facts.create(),
--- a/oleanderstair/emulator/fleet.py
+++ b/oleanderstair/emulator/fleet.py
@@ -71,6 +71,7 @@
         default_factory=dict,
     )
     node_by_id: dict[str, node.Node] = dataclasses.field(default_factory=dict)
+    trace_events: int = 0
 
     def serve(self, app: typing.Any) -> str:
         """Serve ``app`` on a free loopback port and return its address."""
@@ -135,6 +136,7 @@
                 'instances_url': f'{url}/instances',
             },
             'log': {'to': 'none'},
+            'trace': {'max_events': self.trace_events},
             'policy': {},
         }
 
--- a/oleanderstair/emulator/harness.py
+++ b/oleanderstair/emulator/harness.py
@@ -30,6 +30,7 @@
 HOP_MS: typing.Final[clock.Millis] = 0.5
 SILENT_MS: typing.Final[clock.Millis] = 1e9
 _FAILED: typing.Final = 500
+_SEED_BITS: typing.Final = 64
 
 
 class Behaviour(enum.Enum):
@@ -145,6 +146,7 @@
     """One instance under the harness."""
 
     state: world.World
+    seed: int = 0
     alive: bool = True
     paused_until_ms: clock.Millis = clock.NEVER_MS
     action_log: list[tuple[clock.Millis, actions.Action]] = dataclasses.field(
@@ -221,9 +223,10 @@
             caller_address=f'{instance_id}:80',
             peer_address=instance_id,
         )
-        seeded = random.Random(self.rng.random())
+        seed = self.rng.getrandbits(_SEED_BITS)
+        seeded = random.Random(seed)
         state = world.create(own, policy.Policy(**limits), seeded)
-        started = Instance(state)
+        started = Instance(state, seed)
         self.instance_by_id[instance_id] = started
         self.instance_by_incarnation[own.incarnation] = started
         if listed:
--- a/oleanderstair/engine/admin.py
+++ b/oleanderstair/engine/admin.py
@@ -5,6 +5,7 @@
 from oleanderstair.domain.tables import targets
 from oleanderstair.engine import asgi, shell
 
+_TRACE_PATH: typing.Final = '/trace'
 _OK: typing.Final = 200
 _NOT_FOUND: typing.Final = 404
 
@@ -30,6 +31,9 @@
         send: asgi.Send,
     ) -> None:
         """Answer one request."""
+        if scope['path'] == _TRACE_PATH and self._shell.recorder:
+            await _respond_trace(send, self._shell.recorder)
+            return
         report = self._report_by_path.get(scope['path'])
         if report is None or scope['method'] != 'GET':
             document = {'error': 'unknown', 'remedy': 'GET one of the paths'}
@@ -86,6 +90,15 @@
         }
 
 
+async def _respond_trace(send: asgi.Send, kept: shell.Recorder) -> None:
+    body = kept.export()
+    fields = [
+        (b'content-type', b'application/x-ndjson'),
+        (b'content-length', str(len(body)).encode()),
+    ]
+    await asgi.respond(send, _OK, fields, body)
+
+
 def create(reported: shell.Shell) -> AdminApp:
     """Create the application for operators."""
     return AdminApp(reported)
--- a/oleanderstair/engine/node.py
+++ b/oleanderstair/engine/node.py
@@ -21,10 +21,12 @@
     peers,
     platform,
     probes,
+    recorder,
     shell,
 )
 
 _INCARNATION_BYTES: typing.Final = 4
+_SEED_BITS: typing.Final = 64
 _LAST_WRITE_MS: typing.Final = 200
 
 
@@ -95,8 +97,17 @@
             endpoints=probes.create(),
             link=self.link,
         )
-        state = world.create(self.identity, limits, random.Random())
-        return shell.Shell(state, ports, tasks)
+        seed = secrets.randbits(_SEED_BITS)
+        state = world.create(self.identity, limits, random.Random(seed))
+        made = shell.Shell(state, ports, tasks)
+        if self.checked.trace.max_events:
+            made.recorder = recorder.create(
+                self.identity,
+                limits,
+                seed,
+                self.checked.trace.max_events,
+            )
+        return made
 
 
 def create(checked: settings.Settings) -> Node:
--- a/oleanderstair/engine/shell.py
+++ b/oleanderstair/engine/shell.py
@@ -29,8 +29,16 @@
 class Recorder(typing.Protocol):
     """Keep the events of an instance for replay."""
 
-    def record(self, now_ms: clock.Millis, event: events.Event) -> None:
-        """Keep ``event``, which is handled at ``now_ms``."""
+    def record(
+        self,
+        now_ms: clock.Millis,
+        event: events.Event,
+        done: typing.Sequence[actions.Action],
+    ) -> None:
+        """Keep ``event``, handled at ``now_ms``, and what was decided."""
+
+    def export(self) -> bytes:
+        """Return the trace as it stands."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,9 +98,10 @@
     def handle(self, event: events.Event) -> None:
         """Step the decision code and perform what it asks for."""
         now_ms = self.ports.clock.now_ms()
+        done = balancer.step(self.state, event, now_ms)
         if self.recorder is not None:
-            self.recorder.record(now_ms, event)
-        for action in balancer.step(self.state, event, now_ms):
+            self.recorder.record(now_ms, event, done)
+        for action in done:
             self._perform_by_action[type(action)](action)
 
     async def call(
--- a/oleanderstair/settings.py
+++ b/oleanderstair/settings.py
@@ -75,6 +75,12 @@
     to: typing.Literal['stderr', 'none']
 
 
+class TraceSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """How many events are kept in memory for replay; 0 keeps none."""
+
+    max_events: _COUNT
+
+
 class Settings(msgspec.Struct, forbid_unknown_fields=True):
     """All settings of an instance, checked."""
 
@@ -84,6 +90,7 @@
     peers: PeerSettings
     platform: PlatformSettings
     log: LogSettings
+    trace: TraceSettings
     policy: Tree
 
 
--- a/oleanderstair/ui/main.py
+++ b/oleanderstair/ui/main.py
@@ -7,7 +7,7 @@
 import cappa
 
 from oleanderstair import errors
-from oleanderstair.ui import checks, demo, reports
+from oleanderstair.ui import checks, demo, replay, reports
 
 EXIT_WRONG_USE: typing.Final = 2
 
@@ -26,6 +26,8 @@
         | reports.Audit
         | reports.Metrics
         | demo.Demo
+        | replay.Replay
+        | replay.Trace
     ]
 
 
--- a/test/helper.py
+++ b/test/helper.py
@@ -75,6 +75,7 @@
 @contextlib.asynccontextmanager
 async def running_fleet(
     count: int,
+    trace_events: int = 0,
     **limits: typing.Any,
 ) -> typing.AsyncIterator[tuple[fleet.Fleet, list[node.Node]]]:
     """Run real instances, targets and a platform on loopback."""
@@ -82,6 +83,7 @@
     with anyio.fail_after(BOUND_S):
         async with anyio.create_task_group() as tasks:
             deployment = fleet.create(fleet.COOPERATIVE, tasks)
+            deployment.trace_events = trace_events
             deployment.platform.publish(deployment.first_note())
             nodes = [
                 deployment.start_node(f'entry-{number}', limits)
--- a/test/scene.py
+++ b/test/scene.py
@@ -7,6 +7,7 @@
 from oleanderstair.domain import outcomes, record, world
 from oleanderstair.domain.tables import instances
 from oleanderstair.emulator import harness
+from oleanderstair.engine import recorder
 
 SERVICE = 'burza'
 SERVICE_MS = 40
@@ -176,3 +177,27 @@
 def service_time(received) -> float:
     """Return the ms that a target needs, by the path of the call."""
     return {'/slow': SLOW_MS, '/long': LONG_MS}.get(received.path, SERVICE_MS)
+
+
+def record_trace(
+    scene: Scene,
+    instance_id: str,
+    place: str,
+) -> recorder.TraceRecorder:
+    """Replace an instance by one whose trace is kept from its start."""
+    scene.made.kill(instance_id)
+    state = scene.made.add_instance(instance_id, place, **LIMITS)
+    kept = recorder.create(
+        state.identity,
+        state.policy,
+        scene.made.instance_by_id[instance_id].seed,
+        limit=100_000,
+    )
+
+    def keep(stepped, event, done):
+        if stepped is state:
+            kept.record(scene.made.clock.now_ms(), event, done)
+
+    scene.made.after_step.append(keep)
+    scene.made.run_for(2000)
+    return kept
