--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -15,6 +15,7 @@
     reads,
     suspects,
     targets,
+    traffic,
 )
 
 
@@ -39,6 +40,7 @@
     budgets: budgets.BudgetsTable
     suspects: suspects.SuspectsTable
     reads: reads.ReadsTable
+    traffic: traffic.TrafficTable
 
 
 def create(
@@ -61,4 +63,5 @@
         budgets=budgets.create(),
         suspects=suspects.create(),
         reads=reads.create(),
+        traffic=traffic.create(),
     )
