--- a/test/daemons.py
+++ b/test/daemons.py
@@ -67,10 +67,11 @@
     async def read_log(self) -> None:
         """Take the addresses from the log until it ends."""
         left = b''
-        async for chunk in self.process.stderr:
-            *whole, left = (left + chunk).split(b'\n')
-            for line in whole:
-                self._take(line.decode())
+        with contextlib.suppress(anyio.ClosedResourceError):
+            async for chunk in self.process.stderr:
+                *whole, left = (left + chunk).split(b'\n')
+                for line in whole:
+                    self._take(line.decode())
 
     def _take(self, line: str) -> None:
         if line.startswith('event=started'):
