--- a/test/faults.py
+++ b/test/faults.py
@@ -15,6 +15,7 @@
 COLD_MS = 200
 COLD_CALLS = 20
 CRASH_PATH = '/crash'
+CRASH_MS = 1800
 GARBAGE = b'\xff{"number":'
 
 Heal = typing.Callable[[], None]
@@ -86,7 +87,8 @@
 
 
 def stop_platform(scene: scenes.Scene) -> Heal:
-    """Let every read of the configuration service fail."""
+    """Let every read fail, also those of an instance that joins."""
+    _join(scene)
     scene.made.platform_down = True
     return _reads_counted(
         scene,
@@ -95,12 +97,14 @@
 
 
 def serve_stale(scene: scenes.Scene) -> Heal:
-    """Serve the values of before the newest notes."""
+    """Serve the values of before the newest notes, also to a newcomer."""
+    _join(scene)
     return _serve(scene, dict(scene.older_bodies))
 
 
 def serve_malformed(scene: scenes.Scene) -> Heal:
-    """Serve values that cannot be parsed."""
+    """Serve values that cannot be parsed, also to a newcomer."""
+    _join(scene)
     return _serve(scene, dict.fromkeys(scene.made.body_by_name, GARBAGE))
 
 
@@ -191,7 +195,7 @@
     for target in scene.made.target_by_id.values():
         target.crashing_paths.add(CRASH_PATH)
     for number, entry in enumerate(sorted(scenes.PLACES)):
-        send = functools.partial(scene.lookup, entry, CRASH_PATH)
+        send = functools.partial(scene.lookup, entry, CRASH_PATH, CRASH_MS)
         scene.made.after(number * RESTART_MS, send)
 
     def heal() -> None:
@@ -249,6 +253,13 @@
     """Heal nothing: the fault is a moment, or stays."""
 
 
+def _join(scene: scenes.Scene) -> None:
+    scene.made.after(
+        0,
+        lambda: scene.made.add_instance('entry-4', 'nitra', **scenes.LIMITS),
+    )
+
+
 def _mend(scene: scenes.Scene, target: harness.Target) -> None:
     target.service_time = scenes.service_time
     target.behaviour = harness.Behaviour.SERVE
--- a/test/matrix.py
+++ b/test/matrix.py
@@ -4,6 +4,7 @@
 import typing
 
 from oleanderstair.domain import actions, addresses, events, outcome_checks
+from oleanderstair.domain.tables import calls
 from oleanderstair.emulator import harness
 from test import faults
 from test import scene as scenes
@@ -108,12 +109,11 @@
 
 def _at_queued(scene: scenes.Scene, key: str, inject: Inject) -> None:
     def look(state, event, done):
-        for queue in state.calls.queue_by_service.values():
-            for call_id in queue:
-                call = state.calls.call_by_id.get(call_id)
-                if call is not None and call.received.key == key:
-                    scene.actor = state.identity.instance_id
-                    inject()
+        for call in state.calls.call_by_id.values():
+            queued = call.state is calls.CallState.QUEUED
+            if queued and call.received.key == key:
+                scene.actor = state.identity.instance_id
+                inject()
 
     scene.made.after_step.append(look)
 
--- a/test/scene.py
+++ b/test/scene.py
@@ -17,7 +17,7 @@
 FAULT_MS = 2500
 BACKGROUND_MS = 40
 PLACES = {'entry-1': 'trnava', 'entry-2': 'nitra', 'entry-3': 'trnava'}
-LIMITS = {'tick_ms': 100, 'confirm_without_peers': True}
+LIMITS = {'tick_ms': 100}
 PROBE_BUDGET = 40
 
 
@@ -72,13 +72,18 @@
             and found.state.instances.phase is instances.Phase.SERVING
         ]
 
-    def lookup(self, instance_id: str, path: str = '/listings') -> int:
+    def lookup(
+        self,
+        instance_id: str,
+        path: str = '/listings',
+        budget_ms: float = CALL_BUDGET_MS,
+    ) -> int:
         """Send an idempotent call."""
         return self.made.call(
             instance_id,
             path=path,
             fingerprint=path,
-            budget_ms=CALL_BUDGET_MS,
+            budget_ms=budget_ms,
         )
 
     def order(self, instance_id: str, key: str) -> int:
