--- a/oleanderstair/engine/shell.py
+++ b/oleanderstair/engine/shell.py
@@ -39,8 +39,16 @@
 class Recorder(typing.Protocol):
     """Keep the events of an instance for replay."""
 
-    def record(self, now_ms: clock.Millis, event: events.Event) -> None:
-        """Keep ``event``, which is handled at ``now_ms``."""
+    def record(
+        self,
+        now_ms: clock.Millis,
+        event: events.Event,
+        done: typing.Sequence[actions.Action],
+    ) -> None:
+        """Keep ``event``, handled at ``now_ms``, and what was decided."""
+
+    def export(self) -> bytes:
+        """Return the trace as it stands."""
 
 
 class Shell:
@@ -86,16 +94,25 @@
     def handle(self, event: events.Event) -> None:
         """Step the decision code and perform what it asks for."""
         now_ms = self.ports.clock.now_ms()
-        if self.recorder is not None:
-            self.recorder.record(now_ms, event)
         try:
             wanted = balancer.step(self.state, event, now_ms)
         except Exception as error:
+            self._keep(now_ms, event, [])
             self.report_fault(type(event).__name__, error)
             return
+        self._keep(now_ms, event, wanted)
         for action in wanted:
             self._perform(action)
 
+    def _keep(
+        self,
+        now_ms: clock.Millis,
+        event: events.Event,
+        wanted: list[actions.Action],
+    ) -> None:
+        if self.recorder is not None:
+            self.recorder.record(now_ms, event, wanted)
+
     async def call(
         self,
         received: events.CallReceived,
--- a/oleanderstair/ui/main.py
+++ b/oleanderstair/ui/main.py
@@ -7,7 +7,7 @@
 import cappa
 
 from oleanderstair import errors
-from oleanderstair.ui import checks, demo, keys, notes, reports
+from oleanderstair.ui import checks, demo, keys, notes, replay, reports
 
 EXIT_WRONG_USE: typing.Final = 2
 
@@ -27,6 +27,8 @@
         | reports.Metrics
         | keys.Keys
         | demo.Demo
+        | replay.Replay
+        | replay.Trace
     ]
 
 
