Part the rows of evidence from the record, and join one newcomer only

Two platform faults at once started the newcomer of the matrix twice, and the first stayed behind in no list, so that the note check rightly found it without a note.

--- a/oleanderstair/domain/call_checks.py
+++ b/oleanderstair/domain/call_checks.py
@@ -7,6 +7,7 @@
     actions,
     events,
     outcomes,
+    evidence,
     record,
     violations,
 )
@@ -73,7 +74,7 @@
 
 def check_answers(seen: record.Record) -> list[violations.Violation]:
     """Find calls without an answer, with two, or with a foreign one."""
-    answers_by_call: dict[record.CallAt, list[record.Acted]] = (
+    answers_by_call: dict[evidence.CallAt, list[evidence.Acted]] = (
         collections.defaultdict(list)
     )
     found = []
@@ -128,27 +129,27 @@
     return found
 
 
-def _may_have_run(seen: record.Record, dispatched: record.Acted) -> bool:
+def _may_have_run(seen: record.Record, dispatched: evidence.Acted) -> bool:
     place = (dispatched.instance, dispatched.action.attempt_id)
     ending = seen.ending_by_attempt.get(place)
     return ending is None or ending.verdict not in _PROVEN_NOT_RUN
 
 
-def _is_not_run(action: record.Answer) -> bool:
+def _is_not_run(action: evidence.Answer) -> bool:
     return (
         isinstance(action, actions.Refuse)
         and action.outcome is outcomes.Outcome.NOT_RUN
     )
 
 
-def _is_stop_refusal(action: record.Answer) -> bool:
+def _is_stop_refusal(action: evidence.Answer) -> bool:
     return (
         isinstance(action, actions.Refuse)
         and action.reason is outcomes.Reason.STOPPING
     )
 
 
-def _key_of(seen: record.Record, place: record.CallAt) -> str:
+def _key_of(seen: record.Record, place: evidence.CallAt) -> str:
     """Return the key that guards a call; empty where none does."""
     receipt = seen.receipt_by_call.get(place)
     if receipt is None or receipt.idempotent:
@@ -156,7 +157,7 @@
     return receipt.received.key
 
 
-def _is_idempotent(seen: record.Record, place: record.CallAt) -> bool:
+def _is_idempotent(seen: record.Record, place: evidence.CallAt) -> bool:
     receipt = seen.receipt_by_call.get(place)
     return receipt is not None and receipt.idempotent
 
@@ -164,7 +165,7 @@
 def _check_attempts(seen: record.Record) -> list[violations.Violation]:
     """Find attempts that began while an earlier one might have run."""
     found = []
-    risky: dict[object, record.Acted] = {}
+    risky: dict[object, evidence.Acted] = {}
     for dispatched in seen.dispatches:
         place = (dispatched.instance, dispatched.action.call_id)
         if _is_idempotent(seen, place):
@@ -184,8 +185,8 @@
 
 def _is_owed(
     seen: record.Record,
-    place: record.CallAt,
-    receipt: record.Receipt,
+    place: evidence.CallAt,
+    receipt: evidence.Receipt,
 ) -> bool:
     if place in seen.left_calls or not violations.is_up(seen, receipt.instance):
         return False
@@ -193,7 +194,7 @@
     return due_ms <= seen.ended_at_ms
 
 
-def _wrong_answer(seen: record.Record, answer: record.Acted) -> str:
+def _wrong_answer(seen: record.Record, answer: evidence.Acted) -> str:
     place = (answer.instance, answer.action.call_id)
     if place not in seen.receipt_by_call:
         return 'nobody asked'
@@ -212,7 +213,7 @@
     return ''
 
 
-def _wrong_relay(seen: record.Record, answer: record.Acted) -> str:
+def _wrong_relay(seen: record.Record, answer: evidence.Acted) -> str:
     place = (answer.instance, answer.action.attempt_id)
     ending = seen.ending_by_attempt.get(place)
     if ending is None or ending.call_id != answer.action.call_id:
--- a/oleanderstair/domain/fleet_checks.py
+++ b/oleanderstair/domain/fleet_checks.py
@@ -4,7 +4,7 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import record, violations
+from oleanderstair.domain import evidence, record, violations
 
 LEAVING_BOUND_MS: typing.Final = 2000
 NOTE_BOUND_MS: typing.Final = 20_000
@@ -13,7 +13,7 @@
 
 def check_leaving(seen: record.Record) -> list[violations.Violation]:
     """Find new work for a target that was known to leave for 2 s."""
-    sightings_by_target: dict[str, list[record.Sighting]] = (
+    sightings_by_target: dict[str, list[evidence.Sighting]] = (
         collections.defaultdict(list)
     )
     for sighting in seen.sightings:
@@ -38,7 +38,7 @@
 def check_notes(seen: record.Record) -> list[violations.Violation]:
     """Find notes that fell, changed under a number, or came too late."""
     found = []
-    last_by_instance: dict[str, record.Holding] = {}
+    last_by_instance: dict[str, evidence.Holding] = {}
     for holding in seen.holdings:
         last = last_by_instance.get(holding.instance)
         last_by_instance[holding.instance] = holding
@@ -64,7 +64,7 @@
 
 def check_probes(seen: record.Record) -> list[violations.Violation]:
     """Find seconds in which a service was measured above its budget."""
-    recent_by_service: dict[str, collections.deque[record.Reading]] = (
+    recent_by_service: dict[str, collections.deque[evidence.Reading]] = (
         collections.defaultdict(collections.deque)
     )
     found = []
@@ -73,7 +73,7 @@
         recent.append(reading)
         while recent[0].at_ms <= reading.at_ms - _SECOND_MS:
             recent.popleft()
-        reads = len(recent) * record.READS_PER_PROBE
+        reads = len(recent) * evidence.READS_PER_PROBE
         if reads > reading.budget_per_s:
             found.append(
                 violations.Violation(
@@ -89,9 +89,9 @@
 
 def _known_leaving(
     seen: record.Record,
-    dispatched: record.Acted,
-    sightings: list[record.Sighting],
-) -> record.Sighting | None:
+    dispatched: evidence.Acted,
+    sightings: list[evidence.Sighting],
+) -> evidence.Sighting | None:
     """Return why the dispatching instance had to know of the leaving."""
     newest = [
         sighting for sighting in sightings if sighting.at_ms < dispatched.at_ms
--- a/oleanderstair/domain/record.py
+++ b/oleanderstair/domain/record.py
@@ -1,112 +1,37 @@
 """What happened at instances and targets, as the outcome checks read it."""
 
 import dataclasses
-import math
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, rules, world
-
-Answer: typing.TypeAlias = (
-    actions.Relay | actions.RelayRecorded | actions.RelayHome | actions.Refuse
-)
-CallAt: typing.TypeAlias = tuple[str, int]
-
-ANSWERS: typing.Final = (
-    actions.Relay,
-    actions.RelayRecorded,
-    actions.RelayHome,
-    actions.Refuse,
-)
-READS_PER_PROBE: typing.Final = 2
-
-
-class Receipt(typing.NamedTuple):
-    """A call that an instance incarnation received."""
-
-    at_ms: clock.Millis
-    instance: str
-    received: events.CallReceived
-    idempotent: bool
-
-
-class Acted(typing.NamedTuple):
-    """An action that an instance incarnation asked for."""
-
-    at_ms: clock.Millis
-    instance: str
-    action: typing.Any
-
-
-class Run(typing.NamedTuple):
-    """A call that a target began to run."""
-
-    at_ms: clock.Millis
-    target_id: str
-    instance: str
-    call_id: int
-    key: str
-
-
-class Sighting(typing.NamedTuple):
-    """What an instance learned of whether a target is leaving."""
-
-    at_ms: clock.Millis
-    instance: str
-    target_id: str
-    leaving: bool
-
-
-class Reading(typing.NamedTuple):
-    """One probe, and the budget of its service in reads per second."""
-
-    at_ms: clock.Millis
-    instance: str
-    service: str
-    budget_per_s: int
-
-
-class Holding(typing.NamedTuple):
-    """The note that an instance has in force from ``at_ms`` on."""
-
-    at_ms: clock.Millis
-    instance: str
-    number: int
-    digest: str
-
-
-class Cut(typing.NamedTuple):
-    """A time in which ``group`` could not reach the other instances.
-
-    A pause is ``one_way``: nobody hears from the group, but what its
-    members do when they wake is still judged.
-    """
-
-    group: frozenset[str]
-    from_ms: clock.Millis
-    until_ms: clock.Millis = math.inf
-    one_way: bool = False
+from oleanderstair.domain import actions, events, evidence, rules, world
 
 
 @dataclasses.dataclass(slots=True)
 class Record:
     """The steps of one or more instances; targets' runs where known."""
 
-    receipt_by_call: dict[CallAt, Receipt] = dataclasses.field(
-        default_factory=dict,
+    receipt_by_call: dict[evidence.CallAt, evidence.Receipt] = (
+        dataclasses.field(
+            default_factory=dict,
+        )
     )
-    answers: list[Acted] = dataclasses.field(default_factory=list)
-    dispatches: list[Acted] = dataclasses.field(default_factory=list)
-    ending_by_attempt: dict[CallAt, events.AttemptEnded] = dataclasses.field(
-        default_factory=dict,
+    answers: list[evidence.Acted] = dataclasses.field(default_factory=list)
+    dispatches: list[evidence.Acted] = dataclasses.field(default_factory=list)
+    ending_by_attempt: dict[evidence.CallAt, events.AttemptEnded] = (
+        dataclasses.field(
+            default_factory=dict,
+        )
     )
-    home_reply_by_call: dict[CallAt, events.HomeReplied] = dataclasses.field(
-        default_factory=dict,
+    home_reply_by_call: dict[evidence.CallAt, events.HomeReplied] = (
+        dataclasses.field(
+            default_factory=dict,
+        )
     )
-    left_calls: set[CallAt] = dataclasses.field(default_factory=set)
-    sightings: list[Sighting] = dataclasses.field(default_factory=list)
-    readings: list[Reading] = dataclasses.field(default_factory=list)
-    holdings: list[Holding] = dataclasses.field(default_factory=list)
+    left_calls: set[evidence.CallAt] = dataclasses.field(default_factory=set)
+    sightings: list[evidence.Sighting] = dataclasses.field(default_factory=list)
+    readings: list[evidence.Reading] = dataclasses.field(default_factory=list)
+    holdings: list[evidence.Holding] = dataclasses.field(default_factory=list)
     stop_by_instance: dict[str, clock.Millis] = dataclasses.field(
         default_factory=dict,
     )
@@ -119,10 +44,10 @@
     death_by_instance: dict[str, clock.Millis] = dataclasses.field(
         default_factory=dict,
     )
-    runs: list[Run] = dataclasses.field(default_factory=list)
-    cuts: list[Cut] = dataclasses.field(default_factory=list)
+    runs: list[evidence.Run] = dataclasses.field(default_factory=list)
+    cuts: list[evidence.Cut] = dataclasses.field(default_factory=list)
     ended_at_ms: clock.Millis = 0
-    note_by_instance: dict[str, Holding] = dataclasses.field(
+    note_by_instance: dict[str, evidence.Holding] = dataclasses.field(
         default_factory=dict,
     )
     _target_ids: dict[str, frozenset[str]] = dataclasses.field(
@@ -194,7 +119,7 @@
             return
         leaving = event.report.leaving
         self.sightings.append(
-            Sighting(now_ms, instance, event.target_id, leaving),
+            evidence.Sighting(now_ms, instance, event.target_id, leaving),
         )
 
     def _keep_receipt(
@@ -209,7 +134,7 @@
             service,
             event,
         )
-        self.receipt_by_call[(instance, event.call_id)] = Receipt(
+        self.receipt_by_call[(instance, event.call_id)] = evidence.Receipt(
             now_ms,
             instance,
             event,
@@ -230,14 +155,18 @@
             if (dispatched.instance, dispatched.action.attempt_id) == place:
                 target_id = dispatched.action.target_id
                 self.sightings.append(
-                    Sighting(now_ms, instance, target_id, leaving=True),
+                    evidence.Sighting(
+                        now_ms, instance, target_id, leaving=True
+                    ),
                 )
 
     def _keep_note(self, state: world.World, now_ms: clock.Millis) -> None:
         instance = state.identity.incarnation
         in_force = state.catalogue.in_force
         before = self.note_by_instance.get(instance)
-        now = Holding(now_ms, instance, in_force.number, in_force.digest)
+        now = evidence.Holding(
+            now_ms, instance, in_force.number, in_force.digest
+        )
         if before is not None and before[2:] == now[2:]:
             return
         self.note_by_instance[instance] = now
@@ -246,7 +175,7 @@
         listed = frozenset(in_force.target_by_id)
         self._target_ids[instance] = listed
         self.sightings.extend(
-            Sighting(now_ms, instance, target_id, target_id in known)
+            evidence.Sighting(now_ms, instance, target_id, target_id in known)
             for target_id in sorted(known ^ listed)
         )
 
@@ -257,8 +186,8 @@
         now_ms: clock.Millis,
     ) -> None:
         instance = state.identity.incarnation
-        acted = Acted(now_ms, instance, action)
-        if isinstance(action, ANSWERS):
+        acted = evidence.Acted(now_ms, instance, action)
+        if isinstance(action, evidence.ANSWERS):
             self.answers.append(acted)
         elif isinstance(action, actions.Dispatch):
             self.dispatches.append(acted)
@@ -279,7 +208,7 @@
             return
         service = in_force.service_by_name[target.service]
         self.readings.append(
-            Reading(
+            evidence.Reading(
                 now_ms,
                 state.identity.incarnation,
                 service.name,
@@ -293,7 +222,7 @@
     return Record()
 
 
-def _parts(cut: Cut, speaker: str, hearer: str) -> bool:
+def _parts(cut: evidence.Cut, speaker: str, hearer: str) -> bool:
     if cut.one_way:
         return speaker in cut.group
     return (speaker in cut.group) != (hearer in cut.group)
--- a/oleanderstair/domain/violations.py
+++ b/oleanderstair/domain/violations.py
@@ -4,7 +4,7 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import record
+from oleanderstair.domain import evidence, record
 
 
 class Rule(enum.Enum):
@@ -35,10 +35,10 @@
         """Return what broke the rule, in the order of the record."""
 
 
-def broken(rule: Rule, acted: record.Acted, why: str) -> Violation:
+def broken(rule: Rule, acted: evidence.Acted, why: str) -> Violation:
     """Return the violation that an action shows."""
-    evidence = f'{acted.action}: {why}'
-    return Violation(rule, acted.at_ms, acted.instance, evidence)
+    shown = f'{acted.action}: {why}'
+    return Violation(rule, acted.at_ms, acted.instance, shown)
 
 
 def is_up(seen: record.Record, instance: str) -> bool:
--- a/test/faults.py
+++ b/test/faults.py
@@ -14,6 +14,7 @@
 LATE_MS = 400
 COLD_MS = 200
 COLD_CALLS = 20
+NEWCOMER = 'entry-4'
 CRASH_PATH = '/crash'
 CRASH_MS = 1800
 GARBAGE = b'\xff{"number":'
@@ -254,10 +255,11 @@
 
 
 def _join(scene: scenes.Scene) -> None:
-    scene.made.after(
-        0,
-        lambda: scene.made.add_instance('entry-4', 'nitra', **scenes.LIMITS),
-    )
+    def start() -> None:
+        if NEWCOMER not in scene.made.instance_by_id:
+            scene.made.add_instance(NEWCOMER, 'nitra', **scenes.LIMITS)
+
+    scene.made.after(0, start)
 
 
 def _mend(scene: scenes.Scene, target: harness.Target) -> None:
--- a/test/scene.py
+++ b/test/scene.py
@@ -4,7 +4,7 @@
 import itertools
 import typing
 
-from oleanderstair.domain import outcomes, record, world
+from oleanderstair.domain import evidence, outcomes, record, world
 from oleanderstair.domain.tables import instances
 from oleanderstair.emulator import harness
 from oleanderstair.engine import recorder
@@ -60,7 +60,7 @@
         now_ms = self.made.clock.now_ms()
         members = frozenset(self.incarnation(member) for member in group)
         self.seen.cuts.append(
-            record.Cut(members, now_ms, now_ms + for_ms, one_way),
+            evidence.Cut(members, now_ms, now_ms + for_ms, one_way),
         )
 
     def live_ids(self) -> list[str]:
@@ -168,7 +168,7 @@
     )
     made.on_run.append(
         lambda run: seen.runs.append(
-            record.Run(
+            evidence.Run(
                 run.at_ms,
                 run.target_id,
                 run.instance,
