Report status, targets and instances as an operator reads them

Cause: the admin reports dumped tables, an instance that did not answer hung the tool or ended in a traceback, and one status needed one command per instance.

Targets and instances are curated tables with ages; JSON keeps all that is known. Unreadable files are one line and exit 2.

--- a/oleanderstair/engine/admin.py
+++ b/oleanderstair/engine/admin.py
@@ -2,8 +2,8 @@
 
 import typing
 
-from oleanderstair.domain.tables import targets
-from oleanderstair.engine import asgi, shell
+from oleanderstair import metrics
+from oleanderstair.engine import asgi, shell, status
 
 _OK: typing.Final = 200
 _NOT_FOUND: typing.Final = 404
@@ -16,11 +16,11 @@
         """Report on ``reported``."""
         self._shell = reported
         self._report_by_path: dict[str, typing.Callable[[], object]] = {
-            '/status': self._status,
-            '/targets': self._targets,
-            '/instances': self._instances,
-            '/audit': self._audit,
-            '/metrics': self._metrics,
+            '/status': lambda: status.describe(*self._seen()),
+            '/targets': lambda: status.describe_targets(*self._seen()),
+            '/instances': lambda: status.describe_instances(*self._seen()),
+            '/audit': lambda: list(reported.trail.entries),
+            '/metrics': lambda: metrics.describe(reported.metrics),
         }
 
     async def __call__(
@@ -32,58 +32,16 @@
         """Answer one request."""
         report = self._report_by_path.get(scope['path'])
         if report is None or scope['method'] != 'GET':
-            document = {'error': 'unknown', 'remedy': 'GET one of the paths'}
+            document = {
+                'error': 'no such report',
+                'remedy': f'GET one of {" ".join(self._report_by_path)}',
+            }
             await asgi.respond_json(send, _NOT_FOUND, document)
             return
         await asgi.respond_json(send, _OK, report())
 
-    def _status(self) -> object:
-        state = self._shell.state
-        in_force = state.catalogue.in_force
-        return {
-            'instance': state.identity.instance_id,
-            'incarnation': state.identity.incarnation,
-            'phase': state.instances.phase.value,
-            'note': {'number': in_force.number, 'digest': in_force.digest},
-            'highest_heard': state.catalogue.highest_heard,
-            'services': len(in_force.service_by_name),
-            'targets': len(in_force.target_by_id),
-            'calls_in_flight': len(state.calls.call_by_id),
-        }
-
-    def _targets(self) -> object:
-        state = self._shell.state
-        return [
-            {
-                'target': target.target_id,
-                'service': target.service,
-                'address': target.address,
-                'data_centre': target.data_centre,
-                'slots': target.slots,
-                **targets.condition_of(
-                    state.targets,
-                    target.target_id,
-                )._asdict(),
-            }
-            for target in state.catalogue.in_force.target_by_id.values()
-        ]
-
-    def _instances(self) -> object:
-        table = self._shell.state.instances
-        return [peer._asdict() for peer in table.peer_by_incarnation.values()]
-
-    def _audit(self) -> object:
-        return list(self._shell.trail.entries)
-
-    def _metrics(self) -> object:
-        found = self._shell.metrics
-        return {
-            'counters': [
-                {'name': name, 'label': label, 'count': count}
-                for (name, label), count in sorted(found.count_by_name.items())
-            ],
-            'histograms': found.summaries(),
-        }
+    def _seen(self) -> tuple[typing.Any, float]:
+        return self._shell.state, self._shell.ports.clock.now_ms()
 
 
 def create(reported: shell.Shell) -> AdminApp:
--- /dev/null
+++ b/oleanderstair/engine/status.py
@@ -0,0 +1,245 @@
+"""What an instance reports of itself, its targets and its peers."""
+
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import world
+from oleanderstair.domain.tables import catalogue, instances, targets
+
+_ACCEPTED: typing.Final = 'accepted'
+_SEEN: typing.Final = 'seen'
+
+
+class Status(typing.TypedDict):
+    """One instance at a glance.
+
+    ``note_state`` is ``accepted`` where a majority of the listed instances,
+    in two or more data centres where there are two, hold the note.
+    ``behind`` names the instances that hold an older one.
+    """
+
+    instance: str
+    incarnation: str
+    region: str
+    data_centre: str
+    phase: str
+    waits_for: str
+    note: int
+    note_digest: str
+    note_state: str
+    lowest_heard: int
+    highest_heard: int
+    behind: list[str]
+    listed: int
+    heard: int
+    services: int
+    targets: int
+    leaving_targets: int
+    ejected_targets: int
+    calls_in_flight: int
+
+
+class TargetRow(typing.TypedDict):
+    """One target as this instance sees it."""
+
+    target: str
+    service: str
+    data_centre: str
+    address: str
+    state: str
+    why: str
+    slots: int
+    in_flight: int
+    latency_ms: float
+    reported_in_flight: int | None
+    report_age_ms: int | None
+    known: dict[str, object]
+
+
+class InstanceRow(typing.TypedDict):
+    """One instance as this one has heard of it."""
+
+    instance: str
+    incarnation: str
+    data_centre: str
+    callers: str
+    listed: bool
+    leaving: bool
+    confirmed: bool
+    note: int
+    heard_age_ms: int | None
+
+
+def describe(state: world.World, now_ms: clock.Millis) -> Status:
+    """Return the status of the instance itself."""
+    in_force = state.catalogue.in_force
+    live = _live_peers(state, now_ms)
+    heard = [in_force.number, *(peer.note_number for peer in live)]
+    rows = describe_targets(state, now_ms)
+    states = [row['state'] for row in rows]
+    own = state.identity
+    return Status(
+        instance=own.instance_id,
+        incarnation=own.incarnation,
+        region=own.region,
+        data_centre=own.data_centre,
+        phase=state.instances.phase.value,
+        waits_for=_awaited(state, live),
+        note=in_force.number,
+        note_digest=in_force.digest,
+        note_state=_note_state(state, live),
+        lowest_heard=min(heard),
+        highest_heard=max(state.catalogue.highest_heard, *heard),
+        behind=sorted(
+            peer.instance_id
+            for peer in live
+            if peer.note_number < in_force.number
+        ),
+        listed=len(state.instances.listed_by_id),
+        heard=len(live),
+        services=len(in_force.service_by_name),
+        targets=len(rows),
+        leaving_targets=states.count('leaving'),
+        ejected_targets=states.count('ejected'),
+        calls_in_flight=len(state.calls.call_by_id),
+    )
+
+
+def describe_targets(
+    state: world.World,
+    now_ms: clock.Millis,
+) -> list[TargetRow]:
+    """Return the targets of the note in force, by id."""
+    by_id = state.catalogue.in_force.target_by_id
+    return [
+        _describe_target(state, by_id[target_id], now_ms)
+        for target_id in sorted(by_id)
+    ]
+
+
+def describe_instances(
+    state: world.World,
+    now_ms: clock.Millis,
+) -> list[InstanceRow]:
+    """Return the instances that were heard or are only listed."""
+    listed = state.instances.listed_by_id
+    peers = state.instances.peer_by_incarnation
+    rows = [
+        InstanceRow(
+            instance=peer.instance_id,
+            incarnation=peer.incarnation,
+            data_centre=peer.data_centre,
+            callers=peer.caller_address,
+            listed=peer.instance_id in listed,
+            leaving=peer.leaving,
+            confirmed=peer.confirmed,
+            note=peer.note_number,
+            heard_age_ms=_age(peer.heard_at_ms, now_ms),
+        )
+        for peer in peers.values()
+    ]
+    known = {peer.instance_id for peer in peers.values()}
+    known.add(state.identity.instance_id)
+    rows.extend(
+        InstanceRow(
+            instance=entry.instance_id,
+            incarnation='',
+            data_centre=entry.data_centre,
+            callers=entry.caller_address,
+            listed=True,
+            leaving=entry.leaving,
+            confirmed=False,
+            note=0,
+            heard_age_ms=None,
+        )
+        for entry in listed.values()
+        if entry.instance_id not in known
+    )
+    return sorted(rows, key=lambda row: (row['instance'], row['incarnation']))
+
+
+def _describe_target(
+    state: world.World,
+    target: catalogue.Target,
+    now_ms: clock.Millis,
+) -> TargetRow:
+    known = targets.condition_of(state.targets, target.target_id)
+    reported_age_ms = _age(known.reported_at_ms, now_ms)
+    return TargetRow(
+        target=target.target_id,
+        service=target.service,
+        data_centre=target.data_centre,
+        address=target.address,
+        state=_target_state(state, known, now_ms),
+        why=known.leaving_why if known.leaving else '',
+        slots=target.slots,
+        in_flight=known.in_flight,
+        latency_ms=round(known.latency_ms, 1),
+        reported_in_flight=(
+            None if reported_age_ms is None else known.reported_in_flight
+        ),
+        report_age_ms=reported_age_ms,
+        known=known._asdict(),
+    )
+
+
+def _target_state(
+    state: world.World,
+    known: targets.Condition,
+    now_ms: clock.Millis,
+) -> str:
+    if known.leaving:
+        return 'leaving'
+    if known.ejected_until_ms > now_ms:
+        return 'ejected'
+    if known.target_id in state.targets.ramp_by_id:
+        return 'ramping'
+    if known.full_until_ms > now_ms:
+        return 'full'
+    return 'serving'
+
+
+def _awaited(state: world.World, live: list[instances.Peer]) -> str:
+    if state.instances.phase is not instances.Phase.UNCONFIRMED:
+        return ''
+    if not state.catalogue.in_force.number:
+        return 'a release note: none could be read or heard yet'
+    listed = len(state.instances.listed_by_id)
+    if not listed:
+        return 'the instance list: none could be read yet'
+    return (
+        f'a confirmed peer, or a majority of the {listed} listed instances; '
+        f'{len(live)} heard, '
+        f'{sum(peer.confirmed for peer in live)} of them confirmed'
+    )
+
+
+def _note_state(state: world.World, live: list[instances.Peer]) -> str:
+    number = state.catalogue.in_force.number
+    holders = [peer for peer in live if peer.note_number >= number]
+    entries = state.instances.listed_by_id.values()
+    places = {peer.data_centre for peer in holders}
+    places.add(state.identity.data_centre)
+    places_wanted = min(2, len({entry.data_centre for entry in entries}))
+    is_majority = (len(holders) + 1) * 2 > len(entries)
+    if number and entries and is_majority and len(places) >= places_wanted:
+        return _ACCEPTED
+    return _SEEN
+
+
+def _live_peers(
+    state: world.World,
+    now_ms: clock.Millis,
+) -> list[instances.Peer]:
+    oldest_ms = now_ms - state.policy.peer_silence_ms
+    return [
+        peer
+        for peer in state.instances.peer_by_incarnation.values()
+        if peer.heard_at_ms >= oldest_ms
+    ]
+
+
+def _age(at_ms: clock.Millis, now_ms: clock.Millis) -> int | None:
+    if at_ms == clock.NEVER_MS:
+        return None
+    return int(now_ms - at_ms)
--- a/oleanderstair/metrics.py
+++ b/oleanderstair/metrics.py
@@ -25,6 +25,21 @@
     percentiles_ms: dict[str, float]
 
 
+class Counter(typing.TypedDict):
+    """One counter."""
+
+    name: str
+    label: str
+    count: int
+
+
+class Report(typing.TypedDict):
+    """All metrics of an instance."""
+
+    counters: list[Counter]
+    histograms: list[Summary]
+
+
 @dataclasses.dataclass(slots=True)
 class Metrics:
     """Counters and histograms by name and label."""
@@ -66,6 +81,15 @@
         ]
 
 
+def describe(metrics: Metrics) -> Report:
+    """Return all counters and percentiles, by name and label."""
+    counters = [
+        Counter(name=name, label=label, count=amount)
+        for (name, label), amount in sorted(metrics.count_by_name.items())
+    ]
+    return Report(counters=counters, histograms=metrics.summaries())
+
+
 def create() -> Metrics:
     """Create an empty set of metrics."""
     return Metrics()
--- a/oleanderstair/ui/main.py
+++ b/oleanderstair/ui/main.py
@@ -35,4 +35,15 @@
         cappa.invoke(Oleanderstair)
     except errors.UserError as error:
         sys.stderr.write(f'{error}\n')
-        raise SystemExit(EXIT_WRONG_USE) from error
+        is_away = error.problem.kind is errors.ProblemKind.CONNECTION
+        code = reports.EXIT_NO if is_away else EXIT_WRONG_USE
+        raise SystemExit(code) from error
+    except (FileNotFoundError, PermissionError, IsADirectoryError) as unread:
+        problem = errors.Problem(
+            errors.ProblemKind.USAGE,
+            str(unread.filename),
+            str(unread.strerror),
+            'name a file that can be read',
+        )
+        sys.stderr.write(f'{problem.message}\n')
+        raise SystemExit(EXIT_WRONG_USE) from unread
--- a/oleanderstair/ui/output.py
+++ b/oleanderstair/ui/output.py
@@ -13,13 +13,27 @@
 Row: typing.TypeAlias = typing.Mapping[str, object]
 
 
-def show(rows: typing.Sequence[Row], as_json: bool) -> None:
-    """Print rows as a table, or as one JSON list."""
+def show(
+    rows: typing.Sequence[Row],
+    as_json: bool,
+    left_out: typing.Collection[str] = (),
+) -> None:
+    """Print rows as a table, ``left_out`` aside, or as one JSON list."""
     if as_json:
-        sys.stdout.write(f'{msgspec.json.encode(rows).decode()}\n')
+        line(msgspec.json.encode(rows).decode())
         return
-    for line in format_table(rows):
-        sys.stdout.write(f'{line}\n')
+    shown = [
+        {name: cell for name, cell in row.items() if name not in left_out}
+        for row in rows
+    ]
+    for text in format_table(shown):
+        line(text)
+
+
+def line(text: str) -> None:
+    """Print one line at once."""
+    sys.stdout.write(f'{text}\n')
+    sys.stdout.flush()
 
 
 def format_table(rows: typing.Sequence[Row]) -> list[str]:
@@ -27,13 +41,26 @@
     if not rows:
         return ['(none)']
     names = list(rows[0])
-    cells = [names, *([str(row[name]) for name in names] for row in rows)]
+    cells = [names, *([_cell(row[name]) for name in names] for row in rows)]
     widths = [
-        max(len(line[column]) for line in cells) for column in range(len(names))
+        max(len(texts[column]) for texts in cells)
+        for column in range(len(names))
     ]
     return [
         '  '.join(
-            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+            text.ljust(width) for text, width in zip(texts, widths, strict=True)
         ).rstrip()
-        for line in cells
+        for texts in cells
     ]
+
+
+def _cell(entry: object) -> str:
+    if entry is None or entry == '':
+        return '-'
+    if isinstance(entry, bool):
+        return 'yes' if entry else 'no'
+    if isinstance(entry, list):
+        return ','.join(str(part) for part in entry) or '-'
+    if isinstance(entry, dict):
+        return ' '.join(f'{name}={part}' for name, part in entry.items())
+    return str(entry)
--- /dev/null
+++ b/test/test_ui.py
@@ -0,0 +1,103 @@
+"""The command-line tool against running instances."""
+
+import functools
+import sys
+
+import anyio
+import cappa
+import msgspec
+import pytest
+
+from oleanderstair.ui import main
+from test import helper
+
+
+def run_tool(*words):
+    """Run the tool and return its exit code."""
+    try:
+        cappa.invoke(main.Oleanderstair, argv=list(words))
+    except SystemExit as ended:
+        return ended.code
+    return 0
+
+
+async def run_beside(capsys, *words):
+    """Run the tool in a thread, since it asks instances of this process."""
+    code = await anyio.to_thread.run_sync(functools.partial(run_tool, *words))
+    return code, capsys.readouterr().out
+
+
+def test_reports_of_running_instances(capsys):
+    async def scenario():
+        async with helper.running_fleet(2) as (_, nodes):
+            admin = nodes[0].admin_address
+            other = nodes[1].admin_address
+            await helper.ask(nodes[0].identity.caller_address)
+            await helper.until(
+                lambda: nodes[0].carrier.state.instances.peer_by_incarnation,
+            )
+            both = ('status', '--admin', admin, '--admin', other)
+            code, table = await run_beside(capsys, *both)
+            assert code == 0
+            assert len(table.splitlines()) == 3
+            code, table = await run_beside(capsys, *both, '--json')
+            first, second = msgspec.json.decode(table)
+            assert first['phase'] == second['phase'] == 'serving'
+            assert first['note'] == 1
+            for report, word in (
+                ('targets', 'burza-15'),
+                ('instances', 'entry-2'),
+                ('audit', 'entry-1~'),
+                ('metrics', 'added-ms'),
+            ):
+                for style in ((), ('--json',)):
+                    code, text = await run_beside(
+                        capsys,
+                        report,
+                        '--admin',
+                        admin,
+                        *style,
+                    )
+                    assert code == 0
+                    assert word in text
+
+    anyio.run(scenario)
+
+
+def test_status_says_no_where_an_instance_is_away_or_unconfirmed(capsys):
+    async def scenario():
+        async with helper.running_fleet(1) as (deployment, nodes):
+            waiting = deployment.start_node('entry-9')
+            await helper.until(lambda: waiting.carrier is not None)
+            admin = nodes[0].admin_address
+            for other in ('127.0.0.1:1', waiting.admin_address):
+                code, table = await run_beside(
+                    capsys,
+                    'status',
+                    '--admin',
+                    admin,
+                    '--admin',
+                    other,
+                )
+                assert code == 1
+                assert 'unreachable' in table or 'unconfirmed' in table
+                assert len(table.splitlines()) == 4
+
+    anyio.run(scenario)
+
+
+@pytest.mark.parametrize(
+    ('words', 'code'),
+    [
+        (('targets', '--admin', '127.0.0.1:1'), 1),
+        (('no-such-command',), 2),
+        (('settings', 'check', 'no-such-file'), 2),
+        (('note', 'check', 'no-such-file'), 2),
+    ],
+)
+def test_exit_codes(words, code, monkeypatch, capsys):
+    monkeypatch.setattr(sys, 'argv', ['oleanderstair', *words])
+    with pytest.raises(SystemExit) as ended:
+        main.main()
+    assert ended.value.code == code
+    assert 'Traceback' not in capsys.readouterr().err
