--- a/oleanderstair/engine/listener.py
+++ b/oleanderstair/engine/listener.py
@@ -25,7 +25,10 @@
 
 def bind(host: str, port: int) -> socket.socket:
     """Bind a listening socket; port 0 takes any free port."""
-    return socket.create_server((host, port), backlog=_BACKLOG)
+    bound = socket.create_server((host, port), backlog=_BACKLOG)
+    # Accepted connections inherit it; else a body waits for a delayed ACK.
+    bound.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return bound
 
 
 def address_of(bound: socket.socket) -> str:
