Carry exchanges over a stream that never waits but for the peer

Cause: anyio's socket stream registers and unregisters its reader at each read and yields to the event loop several times a call; httpcore writes the head and the body of a request apart.

Change: an httpcore network stream of our own on the event loop, which writes a request in one piece, and knows without a system call whether an idle connection was closed.

--- a/oleanderstair/engine/exchanges.py
+++ b/oleanderstair/engine/exchanges.py
@@ -13,7 +13,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import events
-from oleanderstair.engine import headers
+from oleanderstair.engine import headers, streams
 
 CONNECT_BOUND_MS: typing.Final = 1000
 IDLE_BOUND_MS: typing.Final = 4000
@@ -186,7 +186,7 @@
 
 def create(max_answer_bytes: int = MAX_ANSWER_BYTES) -> Connections:
     """Create an empty table of connections."""
-    return Connections(httpcore.AnyIOBackend(), max_answer_bytes)
+    return Connections(streams.create(), max_answer_bytes)
 
 
 def verdict_of(answer: Answer) -> events.Verdict:
