--- a/oleanderstair/engine/status.py
+++ b/oleanderstair/engine/status.py
@@ -3,33 +3,20 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import world
-from oleanderstair.domain.tables import catalogue, instances, targets
+from oleanderstair.domain import live, standing, world
+from oleanderstair.domain.tables import catalogue, targets
 
-_ACCEPTED: typing.Final = 'accepted'
-_SEEN: typing.Final = 'seen'
 
-
-class Status(typing.TypedDict):
-    """One instance at a glance.
-
-    ``note_state`` is ``accepted`` where a majority of the listed instances,
-    in two or more data centres where there are two, hold the note.
-    ``behind`` names the instances that hold an older one.
-    """
+class Status(standing.Standing):
+    """One instance at a glance, and how the fleet stands to its note."""
 
     instance: str
     incarnation: str
     region: str
     data_centre: str
     phase: str
-    waits_for: str
     note: int
     note_digest: str
-    note_state: str
-    lowest_heard: int
-    highest_heard: int
-    behind: list[str]
     listed: int
     heard: int
     services: int
@@ -73,8 +60,6 @@
 def describe(state: world.World, now_ms: clock.Millis) -> Status:
     """Return the status of the instance itself."""
     in_force = state.catalogue.in_force
-    live = _live_peers(state, now_ms)
-    heard = [in_force.number, *(peer.note_number for peer in live)]
     rows = describe_targets(state, now_ms)
     states = [row['state'] for row in rows]
     own = state.identity
@@ -84,24 +69,16 @@
         region=own.region,
         data_centre=own.data_centre,
         phase=state.instances.phase.value,
-        waits_for=_awaited(state, live),
         note=in_force.number,
         note_digest=in_force.digest,
-        note_state=_note_state(state, live),
-        lowest_heard=min(heard),
-        highest_heard=max(state.catalogue.highest_heard, *heard),
-        behind=sorted(
-            peer.instance_id
-            for peer in live
-            if peer.note_number < in_force.number
-        ),
         listed=len(state.instances.listed_by_id),
-        heard=len(live),
+        heard=len(live.heard_peers(state, now_ms)),
         services=len(in_force.service_by_name),
         targets=len(rows),
         leaving_targets=states.count('leaving'),
         ejected_targets=states.count('ejected'),
         calls_in_flight=len(state.calls.call_by_id),
+        **standing.report(state, now_ms),
     )
 
 
@@ -199,46 +176,6 @@
     return 'serving'
 
 
-def _awaited(state: world.World, live: list[instances.Peer]) -> str:
-    if state.instances.phase is not instances.Phase.UNCONFIRMED:
-        return ''
-    if not state.catalogue.in_force.number:
-        return 'a release note: none could be read or heard yet'
-    listed = len(state.instances.listed_by_id)
-    if not listed:
-        return 'the instance list: none could be read yet'
-    return (
-        f'a confirmed peer, or a majority of the {listed} listed instances; '
-        f'{len(live)} heard, '
-        f'{sum(peer.confirmed for peer in live)} of them confirmed'
-    )
-
-
-def _note_state(state: world.World, live: list[instances.Peer]) -> str:
-    number = state.catalogue.in_force.number
-    holders = [peer for peer in live if peer.note_number >= number]
-    entries = state.instances.listed_by_id.values()
-    places = {peer.data_centre for peer in holders}
-    places.add(state.identity.data_centre)
-    places_wanted = min(2, len({entry.data_centre for entry in entries}))
-    is_majority = (len(holders) + 1) * 2 > len(entries)
-    if number and entries and is_majority and len(places) >= places_wanted:
-        return _ACCEPTED
-    return _SEEN
-
-
-def _live_peers(
-    state: world.World,
-    now_ms: clock.Millis,
-) -> list[instances.Peer]:
-    oldest_ms = now_ms - state.policy.peer_silence_ms
-    return [
-        peer
-        for peer in state.instances.peer_by_incarnation.values()
-        if peer.heard_at_ms >= oldest_ms
-    ]
-
-
 def _age(at_ms: clock.Millis, now_ms: clock.Millis) -> int | None:
     if at_ms == clock.NEVER_MS:
         return None
