--- a/oleanderstair/engine/admin.py
+++ b/oleanderstair/engine/admin.py
@@ -5,6 +5,7 @@
 from oleanderstair import metrics
 from oleanderstair.engine import asgi, shell, status
 
+_TRACE_PATH: typing.Final = '/trace'
 _OK: typing.Final = 200
 _NOT_FOUND: typing.Final = 404
 
@@ -30,6 +31,9 @@
         send: asgi.Send,
     ) -> None:
         """Answer one request."""
+        if scope['path'] == _TRACE_PATH and self._shell.recorder:
+            await _respond_trace(send, self._shell.recorder)
+            return
         report = self._report_by_path.get(scope['path'])
         if report is None or scope['method'] != 'GET':
             document = {
@@ -44,6 +48,15 @@
         return self._shell.state, self._shell.ports.clock.now_ms()
 
 
+async def _respond_trace(send: asgi.Send, kept: shell.Recorder) -> None:
+    body = kept.export()
+    fields = [
+        (b'content-type', b'application/x-ndjson'),
+        (b'content-length', str(len(body)).encode()),
+    ]
+    await asgi.respond(send, _OK, fields, body)
+
+
 def create(reported: shell.Shell) -> AdminApp:
     """Create the application for operators."""
     return AdminApp(reported)
