Keep frames while a connection opens; do less work in each tick

The first message on a new connection was dropped, since nothing is queued for an absent peer; it now waits up to 200 ms.

--- a/oleanderstair/domain/fetching.py
+++ b/oleanderstair/domain/fetching.py
@@ -80,6 +80,8 @@
     now_ms: clock.Millis,
 ) -> list[instances.Peer]:
     number = state.catalogue.in_force.number
+    if state.catalogue.highest_heard <= number:
+        return []
     return [
         peer
         for peer in live.heard_peers(state, now_ms)
--- a/oleanderstair/domain/gossip.py
+++ b/oleanderstair/domain/gossip.py
@@ -89,7 +89,6 @@
     _state_place(state, now_ms)
     if now_ms - state.facts.heartbeat_at_ms < state.policy.heartbeat_ms:
         return []
-    state.facts.heartbeat_at_ms = now_ms
     turn = state.traffic.heartbeat_turn
     state.traffic.heartbeat_turn += 1
     local, outside = live.contacts(state)
@@ -99,6 +98,7 @@
     )
     sent: list[actions.Action] = []
     for address in chosen:
+        state.facts.heartbeat_at_ms = now_ms
         sent.extend(_send(state, address, now_ms))
     return sent
 
--- a/oleanderstair/domain/live.py
+++ b/oleanderstair/domain/live.py
@@ -89,10 +89,11 @@
 def forget_silent(state: world.World, now_ms: clock.Millis) -> None:
     """Drop the rows of incarnations that have been silent for long."""
     table = state.instances
+    oldest_ms = now_ms - max(FORGET_MS, silence_ms(state))
     gone = [
         peer.incarnation
         for peer in table.peer_by_incarnation.values()
-        if now_ms - peer.heard_at_ms > max(FORGET_MS, silence_ms(state))
+        if peer.heard_at_ms < oldest_ms
     ]
     for incarnation in gone:
         table.peer_by_incarnation.pop(incarnation)
@@ -125,10 +126,11 @@
 ) -> list[instances.Peer]:
     """Return the recently heard peers in the order of their names."""
     by_incarnation = state.instances.peer_by_incarnation
+    oldest_ms = now_ms - silence_ms(state)
     return [
         by_incarnation[incarnation]
         for incarnation in sorted(by_incarnation)
-        if is_heard(state, by_incarnation[incarnation], now_ms)
+        if by_incarnation[incarnation].heard_at_ms >= oldest_ms
     ]
 
 
--- a/oleanderstair/domain/membership.py
+++ b/oleanderstair/domain/membership.py
@@ -15,6 +15,7 @@
 
 COUNT_WINDOW_MINUTES: typing.Final = 60
 
+_REVIEW_MS: typing.Final = 1000
 _MINUTE_MS: typing.Final = 60_000
 
 
@@ -41,10 +42,10 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Forget the dead, and confirm this instance once it may serve."""
-    live.forget_silent(state, now_ms)
     table = state.instances
-    heard = (peer.largest_count for peer in live.heard_peers(state, now_ms))
-    table.largest_count = max(table.own_largest_count, *heard, 1)
+    if now_ms - table.reviewed_at_ms >= _REVIEW_MS:
+        table.reviewed_at_ms = now_ms
+        _review(state, now_ms)
     if table.phase is not instances.Phase.UNCONFIRMED:
         return []
     verdict = confirming.judge(state, now_ms)
@@ -72,6 +73,13 @@
     return None
 
 
+def _review(state: world.World, now_ms: clock.Millis) -> None:
+    live.forget_silent(state, now_ms)
+    table = state.instances
+    heard = (peer.largest_count for peer in live.heard_peers(state, now_ms))
+    table.largest_count = max(table.own_largest_count, *heard, 1)
+
+
 def _count(state: world.World, now_ms: clock.Millis) -> None:
     """Keep the largest recent count of listed instances.
 
--- a/oleanderstair/domain/tables/instances.py
+++ b/oleanderstair/domain/tables/instances.py
@@ -58,6 +58,7 @@
     largest_count: int = 1
     own_largest_count: int = 1
     waits_for: str = ''
+    reviewed_at_ms: clock.Millis = clock.NEVER_MS
     listed_at_ms: clock.Millis = clock.NEVER_MS
     phase: Phase = Phase.UNCONFIRMED
     stopping_since_ms: clock.Millis = clock.NEVER_MS
--- a/oleanderstair/domain/tables/reads.py
+++ b/oleanderstair/domain/tables/reads.py
@@ -9,7 +9,8 @@
 class ReadsTable:
     """Reads by the name of the value: last asked, next due, failures.
 
-    ``watch_since_ms`` is when the open watch began, None without one.
+    ``watch_since_ms`` is when the open watch began, None without one;
+    ``is_reader`` is the rank that was worked out at ``ranked_at_ms``.
     """
 
     read_at_ms_by_name: dict[str, clock.Millis] = dataclasses.field(
@@ -21,6 +22,8 @@
     failures_by_name: dict[str, int] = dataclasses.field(default_factory=dict)
     watch_since_ms: clock.Millis | None = None
     watch_due_ms: clock.Millis = clock.NEVER_MS
+    is_reader: bool = False
+    ranked_at_ms: clock.Millis = clock.NEVER_MS
     head_body_digest: str = ''
     note_read_at_ms: clock.Millis = clock.NEVER_MS
     asked_peer_at_ms: clock.Millis = clock.NEVER_MS
--- a/oleanderstair/engine/peers.py
+++ b/oleanderstair/engine/peers.py
@@ -4,6 +4,7 @@
 and is counted. A connection carries the incarnation as its routing id.
 """
 
+import asyncio
 import re
 import typing
 
@@ -24,6 +25,9 @@
 _RECONNECT_MAX_MS: typing.Final = 2000
 _BACKLOG: typing.Final = 512
 _DEALER_LIMIT: typing.Final = 1024
+_WAITING_LIMIT: typing.Final = 64
+_CONNECT_MS: typing.Final = 200
+_RETRY_MS: typing.Final = 5
 _UNUSED_MS: typing.Final = 60_000
 _FRAMES: typing.Final = 2
 _INCARNATION: typing.Final = re.compile('[a-z0-9-]{1,63}~[0-9a-z]{1,32}')
@@ -72,6 +76,12 @@
     asked_at_ms: clock.Millis | None = None
 
 
+class _Waiting(typing.NamedTuple):
+    address: str
+    frame: bytes
+    until_ms: clock.Millis
+
+
 class ZmqLink:
     """One ROUTER for what arrives, one DEALER for each peer address."""
 
@@ -109,6 +119,7 @@
         self._refused = strangers.watch_refusals(self._router, self._plain)
         self._router.bind(endpoint)
         self._dealer_by_address: dict[str, _Dealer] = {}
+        self._waiting: list[_Waiting] = []
         self._heard_at_ms_by_incarnation: dict[str, clock.Millis] = {}
 
     @property
@@ -134,12 +145,9 @@
         self._count_strangers()
         frame = codec.encode(message)
         dealer = self._dealer(address, incarnation, _asks(message))
-        try:
-            dealer.send(frame, zmq.NOBLOCK)
-        except zmq.Again:
-            self._count('peer-dropped', 'not-connected')
-            return 0
-        return len(frame)
+        if _try_send(dealer, frame):
+            return len(frame)
+        return len(frame) if self._wait(address, frame) else 0
 
     async def receive(self) -> Heard:
         """Return the next message that could be read."""
@@ -161,6 +169,37 @@
             self._gate.close()
         self._context.destroy(0)
 
+    def _wait(self, address: str, frame: bytes) -> bool:
+        """Keep a frame for the time that a new connection takes to open."""
+        if len(self._waiting) >= _WAITING_LIMIT:
+            self._count('peer-dropped', 'not-connected')
+            return False
+        until_ms = self._clock.now_ms() + _CONNECT_MS
+        if not self._waiting:
+            self._retry_soon()
+        self._waiting.append(_Waiting(address, frame, until_ms))
+        return True
+
+    def _retry_soon(self) -> None:
+        # The sockets are of asyncio as well, and a task would outlive them.
+        loop = asyncio.get_running_loop()
+        loop.call_later(clock.to_seconds(_RETRY_MS), self._retry)
+
+    def _retry(self) -> None:
+        if self._context.closed:
+            return
+        now_ms = self._clock.now_ms()
+        left = []
+        for waiting in self._waiting:
+            dealer = self._dealer_by_address.get(waiting.address)
+            if dealer is None or now_ms > waiting.until_ms:
+                self._count('peer-dropped', 'not-connected')
+            elif not _try_send(dealer.socket, waiting.frame):
+                left.append(waiting)
+        self._waiting = left
+        if left:
+            self._retry_soon()
+
     def _prepare(self, made: 'zmq.Socket[typing.Any]') -> None:
         made.setsockopt(zmq.LINGER, 0)
         made.setsockopt(zmq.SNDHWM, _QUEUE_LIMIT)
@@ -254,6 +293,14 @@
     return ZmqLink(endpoint, incarnation, keys, silence_ms)
 
 
+def _try_send(dealer: 'zmq.Socket[bytes]', frame: bytes) -> bool:
+    try:
+        dealer.send(frame, zmq.NOBLOCK)
+    except zmq.Again:
+        return False
+    return True
+
+
 def _asks(message: messages.Message) -> bool:
     """Return whether a live peer answers this message."""
     if isinstance(message, (messages.Pulse, messages.Heartbeat)):
