--- a/test/test_ui.py
+++ b/test/test_ui.py
@@ -101,3 +101,10 @@
         main.main()
     assert ended.value.code == code
     assert 'Traceback' not in capsys.readouterr().err
+
+
+def test_demo_holds_every_outcome(capsys):
+    assert run_tool('demo', '--json') == 0
+    shown = msgspec.json.decode(capsys.readouterr().out)
+    assert len(shown) == 7
+    assert all(row['held'] for row in shown)
