Keep the waiting instance of the status test from hearing a peer

The platform is down before it starts, so nobody tells it of a peer. The assertions stay as they were.

--- a/test/test_ui.py
+++ b/test/test_ui.py
@@ -67,6 +67,8 @@
 def test_status_says_no_where_an_instance_is_away_or_unconfirmed(capsys):
     async def scenario():
         async with helper.running_fleet(1) as (deployment, nodes):
+            # Without the platform nobody tells the new one of a peer.
+            deployment.platform.down = True
             waiting = deployment.start_node('entry-9')
             await helper.until(lambda: waiting.carrier is not None)
             admin = nodes[0].admin_address
