--- a/test/test_ui.py
+++ b/test/test_ui.py
@@ -67,6 +67,8 @@
 def test_status_says_no_where_an_instance_is_away_or_unconfirmed(capsys):
     async def scenario():
         async with helper.running_fleet(1) as (deployment, nodes):
+            # Without the platform nobody tells the new one of a peer.
+            deployment.platform.down = True
             waiting = deployment.start_node('entry-9')
             await helper.until(lambda: waiting.carrier is not None)
             admin = nodes[0].admin_address
@@ -101,3 +103,10 @@
         main.main()
     assert ended.value.code == code
     assert 'Traceback' not in capsys.readouterr().err
+
+
+def test_demo_holds_every_outcome(capsys):
+    assert run_tool('demo', '--json') == 0
+    shown = msgspec.json.decode(capsys.readouterr().out)
+    assert len(shown) == 7
+    assert all(row['held'] for row in shown)
