Keep a keyed call to one run over epochs, refusals and lost homes

Cause: an instance that was stopping, unconfirmed or paused refused a keyed call as not run before its home was asked, though an earlier copy may have run there. A refused, quoted or re-spelled key could run as a second key, records were never forgotten, a late answer of another incarnation could reach a wrong caller, and a rejected slow or large body said not-run.

Change: only the home says not-run of a key that is bound to it, and records the refusal first. Epochs open, close and are forgotten whole; a full table closes them to new keys. Answers kept for resends are bounded in bytes. Waiting resends end at their own deadline. Another request under a used key is answered unknown. A bound key is honoured whatever the method; an unbound one on an idempotent call is ignored. Answers between instances name both incarnations.

--- a/oleanderstair/domain/addresses.py
+++ b/oleanderstair/domain/addresses.py
@@ -3,7 +3,7 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import world
+from oleanderstair.domain import epochs, world
 from oleanderstair.domain.tables import instances
 
 
@@ -35,7 +35,7 @@
         Address(
             address=peer.caller_address,
             data_centre=peer.data_centre,
-            key_prefix=key_prefix(peer.incarnation, 1),
+            key_prefix=key_prefix(peer.incarnation, peer.key_epoch),
         )
         for peer in state.instances.peer_by_incarnation.values()
         if peer.confirmed and not peer.leaving
@@ -50,7 +50,12 @@
 
 
 def key_prefix(incarnation: str, epoch: int) -> str:
-    """Return the prefix that binds a key to its home and epoch."""
+    """Return the prefix that binds a key to its home and epoch.
+
+    It is empty where the home takes no new keys at the moment.
+    """
+    if epoch == epochs.NO_EPOCH:
+        return ''
     return f'{incarnation}.{epoch}.'
 
 
@@ -59,5 +64,5 @@
     return Address(
         address=own.caller_address,
         data_centre=own.data_centre,
-        key_prefix=key_prefix(own.incarnation, state.keys.open_epoch),
+        key_prefix=key_prefix(own.incarnation, epochs.prefix_epoch(state.keys)),
     )
--- a/oleanderstair/domain/admission.py
+++ b/oleanderstair/domain/admission.py
@@ -7,6 +7,7 @@
     dispatching,
     events,
     homes,
+    keys,
     membership,
     outcomes,
     pauses,
@@ -15,7 +16,7 @@
     suspects,
     world,
 )
-from oleanderstair.domain.tables import calls
+from oleanderstair.domain.tables import calls, catalogue
 
 
 def on_call(
@@ -25,13 +26,18 @@
 ) -> list[actions.Action]:
     """Refuse a call, forward it to its home, or queue and dispatch it."""
     refused = _check(state, event, now_ms)
+    call = _describe(state, event, now_ms)
+    bound = keys.split_key(event.key)
+    if bound is not None:
+        state.calls.call_by_id[event.call_id] = call
+        return homes.on_keyed(state, call, bound, refused, now_ms)
+    if event.key and not call.idempotent:
+        refused = outcomes.Reason.UNBOUND_KEY
     if refused is not None:
         return [
             actions.Refuse(event.call_id, outcomes.Outcome.NOT_RUN, refused),
         ]
-    call = _open_call(state, event, now_ms)
-    if event.key and not call.idempotent:
-        return homes.on_keyed(state, call, now_ms)
+    state.calls.call_by_id[event.call_id] = call
     return dispatching.enqueue(state, call, now_ms)
 
 
@@ -87,18 +93,25 @@
     return None
 
 
-def _open_call(
+def _describe(
     state: world.World,
     event: events.CallReceived,
     now_ms: clock.Millis,
 ) -> calls.Call:
-    service = state.catalogue.in_force.service_by_name[event.service]
-    call = calls.Call(
+    """Return the row of a call.
+
+    A key that is bound to a home is honoured whatever the method, so that
+    instances with different notes in force can't disagree on it.
+    """
+    service = state.catalogue.in_force.service_by_name.get(
+        event.service,
+        catalogue.Service(event.service, state.identity.region),
+    )
+    bound = keys.split_key(event.key)
+    return calls.Call(
         received=event,
         state=calls.CallState.QUEUED,
-        idempotent=rules.is_idempotent(service, event),
+        idempotent=bound is None and rules.is_idempotent(service, event),
         call_class=rules.call_class(service, event),
         received_at_ms=now_ms,
     )
-    state.calls.call_by_id[event.call_id] = call
-    return call
--- a/oleanderstair/domain/answering.py
+++ b/oleanderstair/domain/answering.py
@@ -9,6 +9,7 @@
     state: world.World,
     call: calls.Call,
     attempt_id: int,
+    answer_bytes: int = 0,
 ) -> list[actions.Action]:
     """Relay the answer of an attempt and cancel the call's others."""
     losers = [
@@ -21,7 +22,13 @@
     return [
         actions.Relay(call.call_id, attempt_id, record=recorded),
         *losers,
-        *keys.settle(state, call.call_id, outcomes.Outcome.RAN, None),
+        *keys.settle(
+            state,
+            call.call_id,
+            outcomes.Outcome.RAN,
+            None,
+            answer_bytes,
+        ),
     ]
 
 
--- a/oleanderstair/domain/attempts.py
+++ b/oleanderstair/domain/attempts.py
@@ -100,7 +100,12 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     if event.verdict is events.Verdict.ANSWERED:
-        return answering.relay(state, call, event.attempt_id)
+        return answering.relay(
+            state,
+            call,
+            event.attempt_id,
+            event.answer_bytes,
+        )
     if call.attempts:
         return []
     if retries.may_retry(state, call, now_ms):
--- /dev/null
+++ b/oleanderstair/domain/epochs.py
@@ -0,0 +1,110 @@
+"""Bounds the memory of keys: an epoch of them is forgotten as a whole.
+
+An epoch takes new keys while it is open, and for a grace period after the
+next one opened, since callers hold prefixes that they were given before.
+Then it is closed for good: a new key of it is refused, and the refusal is
+final. Its records are held for resends until the epoch is forgotten.
+"""
+
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import actions, world
+from oleanderstair.domain.tables import keys
+
+NO_EPOCH: typing.Final = 0
+# A prefix travels in a heartbeat to a peer, whose answer is valid once more.
+_GRACE_VALIDITIES: typing.Final = 2
+
+
+def prefix_epoch(table: keys.KeysTable) -> int:
+    """Return the epoch for new keys, or ``NO_EPOCH`` where it is closed."""
+    if table.lowest_accepting > table.open_epoch:
+        return NO_EPOCH
+    return table.open_epoch
+
+
+def accepts(table: keys.KeysTable, epoch: int) -> bool:
+    """Return whether ``epoch`` takes new keys."""
+    return table.lowest_accepting <= epoch <= table.open_epoch
+
+
+def is_closed_and_held(table: keys.KeysTable, epoch: int) -> bool:
+    """Return whether every key of ``epoch`` that ever ran has a record."""
+    return table.oldest_epoch <= epoch < table.lowest_accepting
+
+
+def close_if_full(state: world.World, now_ms: clock.Millis) -> None:
+    """Close all epochs to new keys where no record has room."""
+    if len(state.keys.record_by_key) >= state.policy.key_limit:
+        _close_below(state.keys, state.keys.open_epoch + 1, now_ms)
+
+
+def advance(state: world.World, now_ms: clock.Millis) -> list[actions.Action]:
+    """Open, close and forget epochs as time and room ask for."""
+    table = state.keys
+    if table.opened_at_ms == clock.NEVER_MS:
+        table.opened_at_ms = now_ms
+    dropped = _forget_due(state, now_ms)
+    if prefix_epoch(table) == NO_EPOCH:
+        if len(table.record_by_key) < state.policy.key_limit:
+            _open_next(table, now_ms)
+        return dropped
+    open_ms = now_ms - table.opened_at_ms
+    if open_ms >= state.policy.key_epoch_ms:
+        _close_below(table, table.open_epoch, now_ms)
+        _open_next(table, now_ms)
+    elif open_ms >= _GRACE_VALIDITIES * state.policy.answer_validity_ms:
+        _close_below(table, table.open_epoch, now_ms)
+    return dropped
+
+
+def _open_next(table: keys.KeysTable, now_ms: clock.Millis) -> None:
+    table.open_epoch += 1
+    table.opened_at_ms = now_ms
+
+
+def _close_below(
+    table: keys.KeysTable,
+    epoch: int,
+    now_ms: clock.Millis,
+) -> None:
+    while table.lowest_accepting < epoch:
+        table.closed_at_ms_by_epoch[table.lowest_accepting] = now_ms
+        table.lowest_accepting += 1
+
+
+def _forget_due(
+    state: world.World,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    table = state.keys
+    held_ms = state.policy.key_epochs_kept * state.policy.key_epoch_ms
+    dropped: list[actions.Action] = []
+    while table.oldest_epoch < table.lowest_accepting:
+        closed_at_ms = table.closed_at_ms_by_epoch[table.oldest_epoch]
+        if now_ms - closed_at_ms < held_ms or _has_running(table):
+            break
+        dropped.extend(_forget_oldest(table))
+    return dropped
+
+
+def _has_running(table: keys.KeysTable) -> bool:
+    return any(
+        table.record_by_key[key].state is keys.KeyState.RUNNING
+        for key in table.keys_by_epoch.get(table.oldest_epoch, ())
+    )
+
+
+def _forget_oldest(table: keys.KeysTable) -> list[actions.Action]:
+    epoch = table.oldest_epoch
+    table.oldest_epoch += 1
+    table.closed_at_ms_by_epoch.pop(epoch)
+    dropped: list[actions.Action] = []
+    for key in table.keys_by_epoch.pop(epoch, ()):
+        record = table.record_by_key.pop(key)
+        table.key_by_call_id.pop(record.call_id, None)
+        table.answer_bytes -= table.answer_bytes_by_key.pop(key, 0)
+        if record.answer_kept:
+            dropped.append(actions.DropRecorded(record.call_id))
+    return dropped
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -54,6 +54,7 @@
     retry_after_ms: clock.Millis = 0
     leaving: bool = False
     crashed: bool = False
+    answer_bytes: int = 0
 
 
 class HomeReplied(typing.NamedTuple):
@@ -63,6 +64,7 @@
     outcome: outcomes.Outcome
     reason: outcomes.Reason | None = None
     retry_after_ms: clock.Millis = 0
+    home: str = ''
 
 
 # Platform and targets
--- a/oleanderstair/domain/gossip.py
+++ b/oleanderstair/domain/gossip.py
@@ -1,7 +1,7 @@
 """Spreads facts and proof of life between instances."""
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, messages, world
+from oleanderstair.domain import actions, epochs, events, messages, world
 from oleanderstair.domain.tables import instances
 
 
@@ -26,6 +26,7 @@
         confirmed=message.state.confirmed,
         note_number=message.state.note_number,
         note_digest=message.state.note_digest,
+        key_epoch=message.state.key_epoch,
     )
     if message.reply:
         return []
@@ -67,5 +68,6 @@
             note_number=in_force.number,
             note_digest=in_force.digest,
             largest_count=state.instances.largest_count,
+            key_epoch=epochs.prefix_epoch(state.keys),
         ),
     )
--- a/oleanderstair/domain/homes.py
+++ b/oleanderstair/domain/homes.py
@@ -1,8 +1,11 @@
 """Brings keyed calls to their home and their answers back."""
 
+import typing
+
 from oleanderstair import clock
 from oleanderstair.domain import (
     actions,
+    answering,
     dispatching,
     events,
     keys,
@@ -12,23 +15,34 @@
 from oleanderstair.domain.tables import calls
 from oleanderstair.domain.tables import keys as key_rows
 
+_WAIT_STATES: typing.Final = frozenset(
+    (calls.CallState.FORWARDED, calls.CallState.WAITING),
+)
+
 
 def on_keyed(
     state: world.World,
     call: calls.Call,
+    bound: keys.BoundKey,
+    refused: outcomes.Reason | None,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Run a keyed call if this is its home; else forward or answer it."""
-    admitted = keys.admit(state, call.received, now_ms)
+    """Run a keyed call if this is its home; else forward or answer it.
+
+    ``refused`` is why this instance itself would not take the call. Only
+    the home may act on it, and it records the key as refused first.
+    """
+    if bound.home != state.identity.incarnation:
+        return [_forward(state, call, bound.home, now_ms)]
+    admitted = keys.admit(state, call.received, bound, now_ms)
     if admitted.proceed:
+        if refused is not None:
+            return answering.refuse(state, call, refused)
         return dispatching.enqueue(state, call, now_ms)
-    if admitted.forward_to:
-        return [_forward(state, call, admitted.forward_to, now_ms)]
     if admitted.join is not None:
         return _join(state, call, admitted.join)
-    state.calls.call_by_id.pop(call.call_id)
-    assert admitted.refusal is not None  # noqa: S101 (one of four is set)
-    return [actions.Refuse(call.call_id, *admitted.refusal)]
+    assert admitted.refusal is not None  # noqa: S101 (one of three is set)
+    return [_answer(state, call.call_id, *admitted.refusal)]
 
 
 def on_home_reply(
@@ -37,8 +51,10 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Pass the home's answer of a forwarded call on to the caller."""
-    if state.calls.call_by_id.pop(event.call_id, None) is None:
-        return []
+    call = state.calls.call_by_id.get(event.call_id)
+    if call is None or not _is_owed(call, event):
+        return [actions.Count('peer-dropped', 'late-answer')]
+    state.calls.call_by_id.pop(event.call_id)
     if event.reason is None:
         return [actions.RelayHome(event.call_id)]
     return [
@@ -56,23 +72,57 @@
     event: events.Tick,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Give up on homes that did not answer by the deadline."""
-    late = [
-        call_id
-        for call_id, call in state.calls.call_by_id.items()
-        if call.state is calls.CallState.FORWARDED
-        and call.received.deadline_ms <= now_ms
+    """Give up on homes that are gone, and on waits past the deadline."""
+    waiting = [
+        call
+        for call in state.calls.call_by_id.values()
+        if call.state in _WAIT_STATES
     ]
-    for late_id in late:
-        state.calls.call_by_id.pop(late_id)
-    return [
-        actions.Refuse(
-            call_id,
-            outcomes.Outcome.UNKNOWN,
-            outcomes.Reason.HOME_LOST,
+    done: list[actions.Action] = []
+    for call in waiting:
+        reason = _reason_to_give_up(state, call, now_ms)
+        if reason is None:
+            continue
+        if call.state is calls.CallState.WAITING:
+            keys.leave(state, call.received.key, call.call_id)
+        done.append(
+            _answer(state, call.call_id, outcomes.Outcome.UNKNOWN, reason),
         )
-        for call_id in late
-    ]
+    return done
+
+
+def _is_owed(call: calls.Call, event: events.HomeReplied) -> bool:
+    forwarded = call.state is calls.CallState.FORWARDED
+    return forwarded and call.home == event.home
+
+
+def _reason_to_give_up(
+    state: world.World,
+    call: calls.Call,
+    now_ms: clock.Millis,
+) -> outcomes.Reason | None:
+    late = call.received.deadline_ms <= now_ms
+    if call.state is calls.CallState.WAITING:
+        return outcomes.Reason.DEADLINE if late else None
+    if late or _is_lost(state, call.home):
+        return outcomes.Reason.HOME_LOST
+    heard_at_ms = state.instances.peer_by_incarnation[call.home].heard_at_ms
+    if now_ms - heard_at_ms > state.policy.peer_silence_ms:
+        return outcomes.Reason.HOME_LOST
+    return None
+
+
+def _is_lost(state: world.World, home: str) -> bool:
+    """Return whether a home is unknown or a newer incarnation was heard."""
+    peers = state.instances.peer_by_incarnation
+    known = peers.get(home)
+    if known is None:
+        return True
+    return any(
+        peer.instance_id == known.instance_id
+        and peer.heard_at_ms > known.heard_at_ms
+        for peer in peers.values()
+    )
 
 
 def _forward(
@@ -81,10 +131,10 @@
     home: str,
     now_ms: clock.Millis,
 ) -> actions.Action:
-    peer = state.instances.peer_by_incarnation.get(home)
-    if peer is None:
-        state.calls.call_by_id.pop(call.call_id)
-        return actions.Refuse(
+    budget_ms = call.received.deadline_ms - now_ms
+    if call.received.from_peer or budget_ms <= 0 or _is_lost(state, home):
+        return _answer(
+            state,
             call.call_id,
             outcomes.Outcome.UNKNOWN,
             outcomes.Reason.HOME_LOST,
@@ -93,11 +143,10 @@
         state=calls.CallState.FORWARDED,
         home=home,
     )
-    budget_ms = call.received.deadline_ms - now_ms
     return actions.ForwardHome(
         call.call_id,
         home,
-        peer.peer_address,
+        state.instances.peer_by_incarnation[home].peer_address,
         budget_ms,
     )
 
@@ -109,10 +158,26 @@
 ) -> list[actions.Action]:
     if record.state is not key_rows.KeyState.RUNNING:
         return [keys.answer_repeat(state, call.call_id, record)]
+    if not keys.join(state, record, call.call_id):
+        return [
+            _answer(
+                state,
+                call.call_id,
+                outcomes.Outcome.UNKNOWN,
+                outcomes.Reason.OVERLOADED,
+            ),
+        ]
     state.calls.call_by_id[call.call_id] = call._replace(
         state=calls.CallState.WAITING,
     )
-    state.keys.record_by_key[record.key] = record._replace(
-        waiting_call_ids=(*record.waiting_call_ids, call.call_id),
-    )
     return []
+
+
+def _answer(
+    state: world.World,
+    call_id: int,
+    outcome: outcomes.Outcome,
+    reason: outcomes.Reason,
+) -> actions.Action:
+    state.calls.call_by_id.pop(call_id, None)
+    return actions.Refuse(call_id, outcome, reason)
--- a/oleanderstair/domain/keys.py
+++ b/oleanderstair/domain/keys.py
@@ -1,12 +1,16 @@
 """Keeps a keyed call to one run: every key has one home incarnation."""
 
+import re
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, outcomes, world
+from oleanderstair.domain import actions, epochs, events, outcomes, world
 from oleanderstair.domain.tables import keys
 
-_KEY_PARTS: typing.Final = 3
+MAX_WAITING: typing.Final = 16
+_BOUND_KEY: typing.Final = re.compile(
+    r'([^~"]{1,128}~[0-9A-Za-z]{1,64})\.([0-9]{1,12})\.([!#-~]{1,128})',
+)
 
 
 class BoundKey(typing.NamedTuple):
@@ -18,54 +22,59 @@
 
 
 class Admission(typing.NamedTuple):
-    """What to do with a keyed call.
+    """What the home does with a keyed call; exactly one field is set.
 
-    ``proceed`` means that this is the home and the call may run now.
-    ``forward_to`` names another home. ``refusal`` says why it may not run
-    and with which outcome. ``join`` names the call that runs or ran for
-    the same key. Exactly one of them is set.
+    ``proceed`` means that the key is recorded and the call may run now.
+    ``refusal`` says why it may not run and with which outcome. ``join``
+    is the record of the call that runs or ran for the same key.
     """
 
     proceed: bool = False
-    forward_to: str = ''
     refusal: tuple[outcomes.Outcome, outcomes.Reason] | None = None
     join: keys.KeyRecord | None = None
 
 
 def split_key(key: str) -> BoundKey | None:
     """Split a key, or return None where it is not bound to a home."""
-    parts = key.strip('"').split('.', _KEY_PARTS - 1)
-    if len(parts) != _KEY_PARTS or not parts[1].isdecimal():
-        return None
-    home, epoch, nonce = parts
-    if not home or not nonce:
+    matched = _BOUND_KEY.fullmatch(key.strip().strip('"'))
+    if matched is None:
         return None
+    home, epoch, nonce = matched.groups()
     return BoundKey(home, int(epoch), nonce)
 
 
 def admit(
     state: world.World,
     received: events.CallReceived,
+    bound: BoundKey,
     now_ms: clock.Millis,
 ) -> Admission:
-    """Record the key of a call before it may run, or say why not."""
-    bound = split_key(received.key)
-    if bound is None:
-        return _refuse(outcomes.Outcome.NOT_RUN, outcomes.Reason.UNBOUND_KEY)
-    if bound.home != state.identity.incarnation:
-        if received.from_peer:
-            return _refuse(outcomes.Outcome.UNKNOWN, outcomes.Reason.HOME_LOST)
-        return Admission(forward_to=bound.home)
-    record = state.keys.record_by_key.get(received.key)
+    """Record a key of this home before its call may run, or say why not.
+
+    Only a closed epoch that is still held can be refused as not run: its
+    records are complete and it takes no new key. A forgotten epoch may
+    have run the key, and one that is still to open may run it later.
+    """
+    table = state.keys
+    key = _canonical(bound)
+    record = table.record_by_key.get(key)
     if record is not None:
-        return _repeat(record)
-    if bound.epoch != state.keys.open_epoch:
-        return _refuse(
-            outcomes.Outcome.UNKNOWN,
-            outcomes.Reason.KEY_FORGOTTEN,
+        return _repeat(record, received)
+    if epochs.accepts(table, bound.epoch):
+        epochs.close_if_full(state, now_ms)
+    if epochs.accepts(table, bound.epoch):
+        _record(table, received, key, bound.epoch, now_ms)
+        return Admission(proceed=True)
+    if epochs.is_closed_and_held(table, bound.epoch):
+        return Admission(
+            refusal=(
+                outcomes.Outcome.NOT_RUN,
+                outcomes.Reason.KEY_TABLE_FULL,
+            ),
         )
-    _record(state, received, bound.epoch, now_ms)
-    return Admission(proceed=True)
+    return Admission(
+        refusal=(outcomes.Outcome.UNKNOWN, outcomes.Reason.KEY_FORGOTTEN),
+    )
 
 
 def settle(
@@ -73,6 +82,7 @@
     call_id: int,
     outcome: outcomes.Outcome,
     reason: outcomes.Reason | None,
+    answer_bytes: int = 0,
 ) -> list[actions.Action]:
     """Record how the call of a key ended and answer those that wait."""
     table = state.keys
@@ -84,12 +94,17 @@
         state=_STATE_BY_OUTCOME[outcome],
         reason=reason,
         waiting_call_ids=(),
+        answer_kept=outcome is outcomes.Outcome.RAN,
     )
     table.record_by_key[key] = settled
-    return [
+    answered = [
         answer_repeat(state, waiting_id, settled)
         for waiting_id in record.waiting_call_ids
     ]
+    if settled.answer_kept:
+        table.answer_bytes_by_key[key] = answer_bytes
+        table.answer_bytes += answer_bytes
+    return [*answered, *_drop_oldest_answers(state)]
 
 
 def answer_repeat(
@@ -99,7 +114,7 @@
 ) -> actions.Action:
     """Answer a repeated call from the settled record of its key."""
     state.calls.call_by_id.pop(call_id, None)
-    if record.state is keys.KeyState.RAN:
+    if record.answer_kept:
         return actions.RelayRecorded(call_id, record.call_id)
     if record.state is keys.KeyState.REFUSED:
         return actions.Refuse(
@@ -107,10 +122,34 @@
             outcomes.Outcome.NOT_RUN,
             outcomes.Reason.KEY_REFUSED,
         )
-    return actions.Refuse(
-        call_id,
-        outcomes.Outcome.UNKNOWN,
-        record.reason or outcomes.Reason.TARGET_LOST,
+    reason = record.reason or outcomes.Reason.TARGET_LOST
+    if record.state is keys.KeyState.RAN:
+        reason = outcomes.Reason.KEY_FORGOTTEN
+    return actions.Refuse(call_id, outcomes.Outcome.UNKNOWN, reason)
+
+
+def join(state: world.World, record: keys.KeyRecord, call_id: int) -> bool:
+    """Let a resend wait for the running call; False where too many do."""
+    if len(record.waiting_call_ids) >= MAX_WAITING:
+        return False
+    state.keys.record_by_key[record.key] = record._replace(
+        waiting_call_ids=(*record.waiting_call_ids, call_id),
+    )
+    return True
+
+
+def leave(state: world.World, key: str, call_id: int) -> None:
+    """Take a resend that waits no longer out of the record of its key."""
+    bound = split_key(key)
+    record = bound and state.keys.record_by_key.get(_canonical(bound))
+    if not record:
+        return
+    state.keys.record_by_key[record.key] = record._replace(
+        waiting_call_ids=tuple(
+            waiting_id
+            for waiting_id in record.waiting_call_ids
+            if waiting_id != call_id
+        ),
     )
 
 
@@ -120,7 +159,7 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Open a new epoch when the current one ends; forget the oldest."""
-    return []
+    return epochs.advance(state, now_ms)
 
 
 _STATE_BY_OUTCOME: typing.Final = {
@@ -130,27 +169,52 @@
 }
 
 
-def _repeat(record: keys.KeyRecord) -> Admission:
-    return Admission(join=record)
+def _canonical(bound: BoundKey) -> str:
+    return f'{bound.home}.{bound.epoch}.{bound.nonce}'
 
 
-def _refuse(outcome: outcomes.Outcome, reason: outcomes.Reason) -> Admission:
-    return Admission(refusal=(outcome, reason))
+def _repeat(
+    record: keys.KeyRecord,
+    received: events.CallReceived,
+) -> Admission:
+    same = (record.service, record.fingerprint) == (
+        received.service,
+        received.fingerprint,
+    )
+    if same:
+        return Admission(join=record)
+    return Admission(
+        refusal=(outcomes.Outcome.UNKNOWN, outcomes.Reason.KEY_MISMATCH),
+    )
 
 
 def _record(
-    state: world.World,
+    table: keys.KeysTable,
     received: events.CallReceived,
+    key: str,
     epoch: int,
     now_ms: clock.Millis,
 ) -> None:
-    table = state.keys
-    table.record_by_key[received.key] = keys.KeyRecord(
-        key=received.key,
+    table.record_by_key[key] = keys.KeyRecord(
+        key=key,
         epoch=epoch,
         call_id=received.call_id,
         state=keys.KeyState.RUNNING,
         recorded_at_ms=now_ms,
+        service=received.service,
+        fingerprint=received.fingerprint,
     )
-    table.keys_by_epoch.setdefault(epoch, []).append(received.key)
-    table.key_by_call_id[received.call_id] = received.key
+    table.keys_by_epoch.setdefault(epoch, []).append(key)
+    table.key_by_call_id[received.call_id] = key
+
+
+def _drop_oldest_answers(state: world.World) -> list[actions.Action]:
+    table = state.keys
+    dropped: list[actions.Action] = []
+    while table.answer_bytes > state.policy.key_answer_bytes:
+        key = next(iter(table.answer_bytes_by_key))
+        table.answer_bytes -= table.answer_bytes_by_key.pop(key)
+        record = table.record_by_key[key]
+        table.record_by_key[key] = record._replace(answer_kept=False)
+        dropped.append(actions.DropRecorded(record.call_id))
+    return dropped
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -52,6 +52,7 @@
     note_number: int
     note_digest: str
     largest_count: int
+    key_epoch: int = 1
 
 
 FactBody: typing.TypeAlias = (
@@ -148,6 +149,7 @@
     status: int = 0
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b''
+    asker: str = ''
 
 
 Message: typing.TypeAlias = (
--- a/oleanderstair/domain/outcomes.py
+++ b/oleanderstair/domain/outcomes.py
@@ -28,6 +28,7 @@
     KEY_REFUSED = 'key-refused'
     KEY_TABLE_FULL = 'key-table-full'
     KEY_FORGOTTEN = 'key-forgotten'
+    KEY_MISMATCH = 'key-mismatch'
     HOME_LOST = 'home-lost'
     OVERLOADED = 'overloaded'
     DEADLINE = 'deadline'
@@ -96,6 +97,10 @@
         http.HTTPStatus.CONFLICT,
         'the record of this key is gone; look the order up',
     ),
+    Reason.KEY_MISMATCH: Advice(
+        http.HTTPStatus.UNPROCESSABLE_ENTITY,
+        'this key was used for another request; look that order up',
+    ),
     Reason.HOME_LOST: Advice(
         _BAD_GATEWAY,
         'send the same key again, or look the order up',
--- a/oleanderstair/domain/policy.py
+++ b/oleanderstair/domain/policy.py
@@ -25,6 +25,7 @@
     key_limit: int = 20000
     key_epoch_ms: int = 60000
     key_epochs_kept: int = 5
+    key_answer_bytes: int = 8000000
     ramp_stages: int = 4
     ramp_wait_ms: int = 1000
     ramp_evidence: int = 4
--- a/oleanderstair/domain/tables/instances.py
+++ b/oleanderstair/domain/tables/instances.py
@@ -30,6 +30,7 @@
     confirmed: bool = False
     note_number: int = 0
     note_digest: str = ''
+    key_epoch: int = 1
 
 
 @dataclasses.dataclass(slots=True)
--- a/oleanderstair/domain/tables/keys.py
+++ b/oleanderstair/domain/tables/keys.py
@@ -18,20 +18,31 @@
 
 
 class KeyRecord(typing.NamedTuple):
-    """A key and the one call that may run for it."""
+    """A key and the one call that may run for it.
+
+    ``answer_kept`` tells whether the shell still holds the call's answer.
+    """
 
     key: str
     epoch: int
     call_id: int
     state: KeyState
     recorded_at_ms: clock.Millis
+    service: str = ''
+    fingerprint: str = ''
     reason: outcomes.Reason | None = None
     waiting_call_ids: tuple[int, ...] = ()
+    answer_kept: bool = False
 
 
 @dataclasses.dataclass(slots=True)
 class KeysTable:
-    """Records by key, the open epoch and the oldest epoch still held."""
+    """Records by key, and the epochs that they belong to.
+
+    Epochs from ``lowest_accepting`` to ``open_epoch`` take new keys; where
+    there is none, the table is full. Epochs from ``oldest_epoch`` on are
+    held. ``answer_bytes_by_key`` lists kept answers, oldest first.
+    """
 
     record_by_key: dict[str, KeyRecord] = dataclasses.field(
         default_factory=dict,
@@ -40,8 +51,16 @@
         default_factory=dict,
     )
     key_by_call_id: dict[int, str] = dataclasses.field(default_factory=dict)
+    closed_at_ms_by_epoch: dict[int, clock.Millis] = dataclasses.field(
+        default_factory=dict,
+    )
+    answer_bytes_by_key: dict[str, int] = dataclasses.field(
+        default_factory=dict,
+    )
+    answer_bytes: int = 0
     open_epoch: int = 1
-    opened_at_ms: clock.Millis = 0
+    opened_at_ms: clock.Millis = clock.NEVER_MS
+    lowest_accepting: int = 1
     oldest_epoch: int = 1
 
 
--- a/oleanderstair/emulator/harness.py
+++ b/oleanderstair/emulator/harness.py
@@ -478,7 +478,13 @@
             self.told_by_call[call_id] = Told(now_ms, outcome, reason, 0)
             return
         asker_id, asked_call_id = asker
-        replied = events.HomeReplied(asked_call_id, outcome, reason)
+        home = self.instance_by_id[instance_id].state.identity.incarnation
+        replied = events.HomeReplied(
+            asked_call_id,
+            outcome,
+            reason,
+            home=home,
+        )
         for delay_ms in self.link_rule(instance_id, asker_id, None):
             self._later(delay_ms, asker_id, replied)
 
--- a/oleanderstair/engine/callers.py
+++ b/oleanderstair/engine/callers.py
@@ -1,6 +1,5 @@
 """The listener for callers: the address answer, calls, and refusals."""
 
-import hashlib
 import math
 import typing
 import urllib.parse
@@ -8,7 +7,7 @@
 import anyio
 
 from oleanderstair import clock, settings
-from oleanderstair.domain import addresses, events, outcomes
+from oleanderstair.domain import addresses, events, fingerprints, keys, outcomes
 from oleanderstair.engine import asgi, exchanges, headers, pending, shell
 
 ADDRESSES_PATH: typing.Final = '/-/addresses'
@@ -54,11 +53,13 @@
             )
         except asgi.BodyTooLarge:
             await self._reject(
+                scope,
                 send,
                 BadRequest(outcomes.Reason.TOO_LARGE, 'body too large'),
             )
         except asgi.BodyTooSlow:
             await self._reject(
+                scope,
                 send,
                 BadRequest(outcomes.Reason.TOO_SLOW, 'body too slow'),
             )
@@ -76,7 +77,7 @@
     ) -> None:
         parsed = self._parse(scope, body)
         if isinstance(parsed, BadRequest):
-            await self._reject(send, parsed)
+            await self._reject(scope, send, parsed)
             return
         request = exchanges.Request(
             scope['method'].encode(),
@@ -121,7 +122,12 @@
             deadline_ms=deadline_ms,
             key=headers.find(fields, headers.KEY).decode('latin-1'),
             depth=depth,
-            fingerprint=_fingerprint(scope['method'], target, body),
+            fingerprint=fingerprints.of_call(
+                service,
+                scope['method'],
+                target,
+                body,
+            ),
         )
 
     def _deadline(
@@ -153,10 +159,15 @@
         document = addresses.answer(self._shell.state, data_centre, now_ms)
         await asgi.respond_json(send, _OK, document)
 
-    async def _reject(self, send: asgi.Send, bad: BadRequest) -> None:
+    async def _reject(
+        self,
+        scope: asgi.Scope,
+        send: asgi.Send,
+        bad: BadRequest,
+    ) -> None:
         self._shell.metrics.count('refused', bad.reason.value)
         reply = pending.Reply(
-            outcomes.Outcome.NOT_RUN,
+            _outcome_of_rejection(scope['headers']),
             bad.reason,
             detail=bad.detail,
         )
@@ -202,6 +213,14 @@
     await asgi.respond_json(send, advice.status.value, document, extra)
 
 
+def _outcome_of_rejection(fields: asgi.HeaderList) -> outcomes.Outcome:
+    """Leave it to the home of a key to say that its call did not run."""
+    key = headers.find(fields, headers.KEY).decode('latin-1')
+    if keys.split_key(key) is None:
+        return outcomes.Outcome.NOT_RUN
+    return outcomes.Outcome.UNKNOWN
+
+
 def _service_of(fields: asgi.HeaderList) -> str:
     named = headers.find(fields, headers.SERVICE)
     if named:
@@ -241,13 +260,6 @@
     return int(text)
 
 
-def _fingerprint(method: str, target: str, body: bytes) -> str:
-    digest = hashlib.blake2b(digest_size=16)  # noqa: WPS432 (128 bits)
-    digest.update(f'{method} {target}\n'.encode())
-    digest.update(body)
-    return digest.hexdigest()
-
-
 def create(
     carrier: shell.Shell,
     bounds: settings.CallerSettings,
--- a/oleanderstair/engine/shell.py
+++ b/oleanderstair/engine/shell.py
@@ -11,6 +11,7 @@
     actions,
     balancer,
     events,
+    fingerprints,
     messages,
     outcomes,
     world,
@@ -136,7 +137,7 @@
                     heard.message,
                 )
             elif isinstance(heard.message, messages.KeyedAnswer):
-                self._take_home_answer(heard.message)
+                self._take_home_answer(heard.sender, heard.message)
             else:
                 self.handle(events.PeerHeard(heard.sender, heard.message))
 
@@ -166,6 +167,7 @@
                 verdict=ended.verdict,
                 status=ended.answer.status if ended.answer else 0,
                 crashed=ended.crashed,
+                answer_bytes=len(ended.answer.body) if ended.answer else 0,
             ),
         )
 
@@ -261,6 +263,12 @@
             deadline_ms=now_ms + message.budget_ms,
             key=message.key,
             depth=message.depth,
+            fingerprint=fingerprints.of_call(
+                message.service,
+                message.method,
+                message.path,
+                message.body,
+            ),
             from_peer=sender,
         )
         request = exchanges.Request(
@@ -280,32 +288,29 @@
         reply = await self.call(received, request, origin)
         self.ports.link.send(
             peer.peer_address,
-            _keyed_answer(message, reply),
+            _keyed_answer(sender, message, reply),
         )
 
-    def _take_home_answer(self, message: messages.KeyedAnswer) -> None:
+    def _take_home_answer(
+        self,
+        sender: str,
+        message: messages.KeyedAnswer,
+    ) -> None:
         owed = self.pending.call_by_id.get(message.correlation)
-        if owed is None:
+        replied = _home_reply(sender, message)
+        addressed = message.asker == self.state.identity.incarnation
+        if owed is None or replied is None or not addressed:
             self.metrics.count('peer-dropped', 'keyed-answer')
             return
-        if message.status:
-            owed.home_answer = exchanges.Answer(
-                message.status,
-                [
-                    (name.encode('latin-1'), field.encode('latin-1'))
-                    for name, field in message.headers
-                ],
-                message.body,
-            )
-        reason = outcomes.Reason(message.reason) if message.reason else None
-        self.handle(
-            events.HomeReplied(
-                call_id=message.correlation,
-                outcome=outcomes.Outcome(message.outcome),
-                reason=reason,
-                retry_after_ms=message.retry_after_ms,
-            ),
+        owed.home_answer = exchanges.Answer(
+            message.status,
+            [
+                (name.encode('latin-1'), field.encode('latin-1'))
+                for name, field in message.headers
+            ],
+            message.body,
         )
+        self.handle(replied)
 
     # Platform, targets and peers
 
@@ -387,6 +392,7 @@
 
 
 def _keyed_answer(
+    asker: str,
     message: messages.KeyedCall,
     reply: pending.Reply,
 ) -> messages.KeyedAnswer:
@@ -403,4 +409,31 @@
             for name, field in answer.headers
         ),
         body=answer.body,
+        asker=asker,
+    )
+
+
+def _home_reply(
+    sender: str,
+    message: messages.KeyedAnswer,
+) -> events.HomeReplied | None:
+    """Return the event of an answer, or None where it makes no sense."""
+    try:
+        outcome = outcomes.Outcome(message.outcome)
+    except ValueError:
+        return None
+    try:
+        reason = outcomes.Reason(message.reason) if message.reason else None
+    except ValueError:
+        reason = outcomes.Reason.HOME_LOST
+    answered = reason is None
+    ran = outcome is outcomes.Outcome.RAN
+    if sender != message.home or answered != ran or ran != bool(message.status):
+        return None
+    return events.HomeReplied(
+        call_id=message.correlation,
+        outcome=outcome,
+        reason=reason,
+        retry_after_ms=message.retry_after_ms,
+        home=sender,
     )
