--- /dev/null
+++ b/oleanderstair/domain/changes.py
@@ -0,0 +1,93 @@
+"""Tells targets apart that a new catalogue added, changed or withdrew."""
+
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import (
+    actions,
+    answering,
+    leaving,
+    outcomes,
+    ramps,
+    world,
+)
+from oleanderstair.domain.tables import catalogue
+
+
+def on_event(
+    state: world.World,
+    event: typing.Any,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Act on the difference where another catalogue is in force."""
+    before = state.targets.known_catalogue
+    after = state.catalogue.in_force
+    if before is after:
+        return []
+    state.targets.known_catalogue = after
+    done: list[actions.Action] = []
+    for target_id in _withdrawn(before, after):
+        done.extend(leaving.on_withdrawn(state, target_id))
+    for target_id in _moved(before, after):
+        done.extend(leaving.on_moved(state, target_id))
+        done.extend(ramps.start(state, target_id, 'moved', now_ms))
+    for target_id in _joined(before, after):
+        done.extend(ramps.on_added(state, target_id, now_ms))
+    return [*done, *_refuse_queued(state)]
+
+
+def _withdrawn(
+    before: catalogue.Catalogue,
+    after: catalogue.Catalogue,
+) -> list[str]:
+    return [
+        target_id
+        for target_id in before.target_by_id
+        if target_id not in after.target_by_id
+    ]
+
+
+def _moved(
+    before: catalogue.Catalogue,
+    after: catalogue.Catalogue,
+) -> list[str]:
+    return [
+        target_id
+        for target_id, target in before.target_by_id.items()
+        if target_id in after.target_by_id
+        and after.target_by_id[target_id].address != target.address
+    ]
+
+
+def _joined(
+    before: catalogue.Catalogue,
+    after: catalogue.Catalogue,
+) -> list[str]:
+    """Return the new targets of services that have been there before."""
+    return [
+        target_id
+        for target_id, target in after.target_by_id.items()
+        if target_id not in before.target_by_id
+        and target.service in before.service_by_name
+    ]
+
+
+def _refuse_queued(state: world.World) -> list[actions.Action]:
+    """Refuse the queued calls of services that were withdrawn."""
+    in_force = state.catalogue.in_force
+    gone = [
+        service
+        for service in state.calls.queue_by_service
+        if service not in in_force.service_by_name
+    ]
+    done: list[actions.Action] = []
+    for service in gone:
+        for call_id in state.calls.queue_by_service.pop(service):
+            done.extend(
+                answering.refuse(
+                    state,
+                    state.calls.call_by_id[call_id],
+                    outcomes.Reason.NO_SERVICE,
+                ),
+            )
+    return done
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -26,6 +26,7 @@
     generation: int
     stage: int
     wait_ms: clock.Millis = 0
+    target_incarnation: str = ''
 
 
 class TargetLoad(typing.NamedTuple):
--- a/oleanderstair/domain/policy.py
+++ b/oleanderstair/domain/policy.py
@@ -29,6 +29,7 @@
     ramp_stages: int = 4
     ramp_wait_ms: int = 1000
     ramp_evidence: int = 4
+    ramp: str = 'fleet'
     eject_failures: int = 3
     eject_ms: int = 2000
     eject_share: float = 0.5
--- a/oleanderstair/domain/ramps.py
+++ b/oleanderstair/domain/ramps.py
@@ -1,8 +1,31 @@
-"""Brings returning and new targets back slowly, fleet-wide."""
+"""Brings returning and new targets back slowly, fleet-wide.
+
+A ramp is shared as (generation, stage) and merges to the larger pair: a
+step up raises the stage, a step back raises the generation as well.
+"""
+
+import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, messages, world
-from oleanderstair.domain.tables import catalogue
+from oleanderstair.domain import (
+    actions,
+    events,
+    messages,
+    ramp_shares,
+    sharing,
+    world,
+)
+from oleanderstair.domain.tables import catalogue, instances, targets
+
+_FLEET: typing.Final = 'fleet'
+_FAILED_STATUS: typing.Final = 500
+_DOWN_AFTER: typing.Final = 2
+_RAMPED_CAP: typing.Final = 0.5
+_BACKOFF: typing.Final = 2
+_MAX_WAIT_MS: typing.Final[clock.Millis] = 60000
+_JITTER: typing.Final = 0.25
+_SLOW_FACTOR: typing.Final = 3
+_SLOW_MARGIN_MS: typing.Final[clock.Millis] = 5
 
 
 def allowance(
@@ -11,7 +34,60 @@
     now_ms: clock.Millis,
 ) -> int:
     """Return how many calls this instance may have in flight at a target."""
-    return target.slots
+    ramp = state.targets.ramp_by_id.get(target.target_id)
+    if ramp is None or _is_done(state, ramp):
+        return target.slots
+    return min(ramp.own_slots, target.slots)
+
+
+def start(
+    state: world.World,
+    target_id: str,
+    why: str,
+    now_ms: clock.Millis,
+    tell: bool = True,
+) -> list[actions.Action]:
+    """Begin the ramp of a target that came back, and tell the peers.
+
+    A ramp that a peer began for the same return goes on as it is.
+    """
+    known = state.targets.ramp_by_id.get(target_id)
+    condition = targets.condition_of(state.targets, target_id)
+    incarnation = condition.target_incarnation
+    if known is not None and _is_same_return(known, incarnation, now_ms):
+        return []
+    generation = known.generation + 1 if known else 1
+    ramp = targets.Ramp(
+        target_id,
+        generation,
+        stage=0,
+        stage_since_ms=now_ms,
+        wait_ms=state.policy.ramp_wait_ms,
+        target_incarnation=incarnation,
+    )
+    _enter(state, ramp, now_ms)
+    if tell:
+        _publish(state, ramp, now_ms)
+    return [actions.Audit('ramp', target_id, why, f'generation {generation}')]
+
+
+def on_added(
+    state: world.World,
+    target_id: str,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Begin the ramp of a target that the newest note added.
+
+    An instance that still catches up with old notes takes the ramps of
+    its peers instead, since the target may long be in full use.
+    """
+    if state.instances.phase is instances.Phase.UNCONFIRMED:
+        return []
+    if state.catalogue.in_force.number < state.catalogue.highest_heard:
+        return []
+    if target_id in state.targets.ramp_by_id:
+        return []
+    return start(state, target_id, 'note', now_ms)
 
 
 def on_attempt_ended(
@@ -21,7 +97,24 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Count an attempt as evidence for or against the ramp's stage."""
-    return []
+    if event.verdict is events.Verdict.CANCELLED or event.leaving:
+        return []
+    if target_id not in state.catalogue.in_force.target_by_id:
+        return []
+    if _note_down(state, event, target_id, now_ms):
+        return start(state, target_id, 'reachable again', now_ms)
+    ramp = state.targets.ramp_by_id.get(target_id)
+    if ramp is None or _is_done(state, ramp):
+        return []
+    started_at_ms = _started_at(state, event)
+    if started_at_ms < ramp.stage_since_ms:
+        return []
+    if _has_failed(event):
+        return _step_back(state, ramp, now_ms)
+    if _was_in_time(state, target_id, now_ms - started_at_ms):
+        ramp = ramp._replace(served_in_stage=ramp.served_in_stage + 1)
+        state.targets.ramp_by_id[target_id] = ramp
+    return _step_up(state, ramp, now_ms)
 
 
 def on_fact(
@@ -30,8 +123,27 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Take a peer's word on how far a target has come back."""
-    if not isinstance(event.fact.body, messages.RampState):
+    body = event.fact.body
+    if not isinstance(body, messages.RampState):
+        return []
+    if state.policy.ramp != _FLEET:
+        return []
+    known = state.targets.ramp_by_id.get(body.target_id)
+    told = (body.generation, body.stage)
+    if known is not None and (known.generation, known.stage) >= told:
         return []
+    if body.target_id not in state.catalogue.in_force.target_by_id:
+        return []
+    state.targets.down_since_ms_by_id.pop(body.target_id, None)
+    ramp = targets.Ramp(
+        body.target_id,
+        body.generation,
+        body.stage,
+        stage_since_ms=now_ms - event.fact.age_ms,
+        wait_ms=body.wait_ms or state.policy.ramp_wait_ms,
+        target_incarnation=body.target_incarnation,
+    )
+    _enter(state, ramp, now_ms)
     return []
 
 
@@ -40,5 +152,169 @@
     event: events.Tick,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Step ramps up or back as their evidence says."""
-    return []
+    """Pass tokens on between instances, and step up what is due."""
+    done: list[actions.Action] = []
+    for ramp in tuple(state.targets.ramp_by_id.values()):
+        if not _is_done(state, ramp):
+            _enter(state, ramp, now_ms)
+            done.extend(_step_up(state, ramp, now_ms))
+    return done
+
+
+def _is_same_return(
+    ramp: targets.Ramp,
+    incarnation: str,
+    now_ms: clock.Millis,
+) -> bool:
+    if ramp.target_incarnation != incarnation:
+        return False
+    return ramp.stage == 0 and now_ms - ramp.stage_since_ms < ramp.wait_ms
+
+
+def _is_done(state: world.World, ramp: targets.Ramp) -> bool:
+    return ramp.stage > state.policy.ramp_stages
+
+
+def _enter(
+    state: world.World,
+    ramp: targets.Ramp,
+    now_ms: clock.Millis,
+) -> None:
+    """Store a ramp with the slots that this instance may use now."""
+    target = state.catalogue.in_force.target_by_id[ramp.target_id]
+    own_slots = target.slots
+    table = state.targets.ramp_by_id
+    table[ramp.target_id] = ramp
+    if not _is_capped(state, target.service):
+        share = ramp_shares.SHARE_BY_NAME[state.policy.ramp]
+        own_slots = share(state, target, ramp, now_ms)
+    current = table[ramp.target_id]
+    table[ramp.target_id] = current._replace(own_slots=own_slots)
+
+
+def _is_capped(state: world.World, service: str) -> bool:
+    """Return whether too much of a service would be ramped at once."""
+    ids = state.catalogue.in_force.target_ids_by_service[service]
+    ramped = [
+        target_id
+        for target_id in ids
+        if target_id in state.targets.ramp_by_id
+        and not _is_done(state, state.targets.ramp_by_id[target_id])
+    ]
+    return len(ramped) > _RAMPED_CAP * len(ids)
+
+
+def _note_down(
+    state: world.World,
+    event: events.AttemptEnded,
+    target_id: str,
+    now_ms: clock.Millis,
+) -> bool:
+    """Note an unreachable target; return whether it came back just now."""
+    down = state.targets.down_since_ms_by_id
+    condition = targets.condition_of(state.targets, target_id)
+    refused = event.crashed and event.verdict is events.Verdict.NOT_SENT
+    if refused and condition.failures_in_row >= _DOWN_AFTER:
+        down.setdefault(target_id, now_ms)
+    answered = event.verdict is events.Verdict.ANSWERED
+    return answered and down.pop(target_id, None) is not None
+
+
+def _started_at(
+    state: world.World,
+    event: events.AttemptEnded,
+) -> clock.Millis:
+    for attempt in state.calls.call_by_id[event.call_id].attempts:
+        if attempt.attempt_id == event.attempt_id:
+            return attempt.started_at_ms
+    return clock.NEVER_MS
+
+
+def _has_failed(event: events.AttemptEnded) -> bool:
+    answered = event.verdict is events.Verdict.ANSWERED
+    return not answered or event.status >= _FAILED_STATUS
+
+
+def _was_in_time(
+    state: world.World,
+    target_id: str,
+    took_ms: clock.Millis,
+) -> bool:
+    """Compare with the median latency of the service's other targets."""
+    target = state.catalogue.in_force.target_by_id.get(target_id)
+    if target is None:
+        return False
+    others = state.catalogue.in_force.target_ids_by_service[target.service]
+    latencies_ms = sorted(
+        condition.latency_ms
+        for other_id in others
+        if other_id != target_id
+        and (condition := targets.condition_of(state.targets, other_id)).served
+    )
+    if not latencies_ms:
+        return True
+    median_ms = latencies_ms[len(latencies_ms) // 2]
+    return took_ms <= _SLOW_FACTOR * median_ms + _SLOW_MARGIN_MS
+
+
+def _step_up(
+    state: world.World,
+    ramp: targets.Ramp,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    if ramp.served_in_stage < state.policy.ramp_evidence:
+        return []
+    if now_ms - ramp.stage_since_ms < ramp.wait_ms:
+        return []
+    return _move(
+        state,
+        ramp._replace(stage=ramp.stage + 1),
+        now_ms,
+    )
+
+
+def _step_back(
+    state: world.World,
+    ramp: targets.Ramp,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    jitter = 1 + state.rng.uniform(-_JITTER, _JITTER)
+    wait_ms = min(ramp.wait_ms * _BACKOFF, _MAX_WAIT_MS) * jitter
+    return _move(
+        state,
+        ramp._replace(
+            generation=ramp.generation + 1,
+            stage=max(ramp.stage - 1, 0),
+            wait_ms=wait_ms,
+        ),
+        now_ms,
+    )
+
+
+def _move(
+    state: world.World,
+    ramp: targets.Ramp,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    moved = ramp._replace(stage_since_ms=now_ms, served_in_stage=0)
+    _enter(state, moved, now_ms)
+    _publish(state, moved, now_ms)
+    where = f'generation {moved.generation} stage {moved.stage}'
+    return [actions.Audit('ramp', moved.target_id, 'evidence', where)]
+
+
+def _publish(
+    state: world.World,
+    ramp: targets.Ramp,
+    now_ms: clock.Millis,
+) -> None:
+    if state.policy.ramp != _FLEET:
+        return
+    body = messages.RampState(
+        ramp.target_id,
+        ramp.generation,
+        ramp.stage,
+        ramp.wait_ms,
+        ramp.target_incarnation,
+    )
+    sharing.publish(state, f'ramp/{ramp.target_id}', body, now_ms)
--- a/oleanderstair/domain/tables/targets.py
+++ b/oleanderstair/domain/tables/targets.py
@@ -4,6 +4,7 @@
 import typing
 
 from oleanderstair import clock
+from oleanderstair.domain.tables import catalogue
 
 
 class Condition(typing.NamedTuple):
@@ -19,6 +20,8 @@
     leaving: bool = False
     leaving_why: str = ''
     leaving_since_ms: clock.Millis = clock.NEVER_MS
+    returned_at_ms: clock.Millis = clock.NEVER_MS
+    replaced_incarnations: tuple[str, ...] = ()
     full_until_ms: clock.Millis = clock.NEVER_MS
     ejected_until_ms: clock.Millis = clock.NEVER_MS
     ejections: int = 0
@@ -34,25 +37,35 @@
 
 
 class Ramp(typing.NamedTuple):
-    """A target that is returning or new, and how far it has come."""
+    """A target that is returning or new, and how far it has come.
+
+    ``own_slots`` is what this instance may use of it at the moment.
+    """
 
     target_id: str
     generation: int
     stage: int
     stage_since_ms: clock.Millis
     wait_ms: clock.Millis
+    target_incarnation: str = ''
     served_in_stage: int = 0
-    failed_in_stage: int = 0
+    own_slots: int = 0
 
 
 @dataclasses.dataclass(slots=True)
 class TargetsTable:
-    """Conditions and ramps by target."""
+    """Conditions and ramps by target, and the catalogue they are for."""
 
     condition_by_id: dict[str, Condition] = dataclasses.field(
         default_factory=dict,
     )
     ramp_by_id: dict[str, Ramp] = dataclasses.field(default_factory=dict)
+    down_since_ms_by_id: dict[str, clock.Millis] = dataclasses.field(
+        default_factory=dict,
+    )
+    known_catalogue: catalogue.Catalogue = dataclasses.field(
+        default_factory=catalogue.empty,
+    )
 
 
 def condition_of(table: TargetsTable, target_id: str) -> Condition:
--- a/oleanderstair/engine/shell.py
+++ b/oleanderstair/engine/shell.py
@@ -18,6 +18,7 @@
 )
 from oleanderstair.engine import (
     exchanges,
+    headers,
     peers,
     pending,
     platform,
@@ -166,6 +167,7 @@
                 attempt_id=action.attempt_id,
                 verdict=ended.verdict,
                 status=ended.answer.status if ended.answer else 0,
+                leaving=_says_leaving(ended.answer),
                 crashed=ended.crashed,
                 answer_bytes=len(ended.answer.body) if ended.answer else 0,
             ),
@@ -413,6 +415,10 @@
     )
 
 
+def _says_leaving(answer: exchanges.Answer | None) -> bool:
+    return bool(answer and headers.find(answer.headers, headers.LEAVING))
+
+
 def _home_reply(
     sender: str,
     message: messages.KeyedAnswer,
