--- a/oleanderstair/domain/addresses.py
+++ b/oleanderstair/domain/addresses.py
@@ -35,7 +35,7 @@
         Address(
             address=peer.caller_address,
             data_centre=peer.data_centre,
-            key_prefix=key_prefix(peer.incarnation, peer.key_epoch),
+            key_prefix=key_prefix(peer.incarnation, peer.epoch),
         )
         for peer in state.instances.peer_by_incarnation.values()
         if peer.confirmed and not peer.leaving
--- a/oleanderstair/domain/homes.py
+++ b/oleanderstair/domain/homes.py
@@ -9,6 +9,7 @@
     dispatching,
     events,
     keys,
+    live,
     outcomes,
     world,
 )
@@ -104,27 +105,12 @@
     late = call.received.deadline_ms <= now_ms
     if call.state is calls.CallState.WAITING:
         return outcomes.Reason.DEADLINE if late else None
-    if late or _is_lost(state, call.home):
-        return outcomes.Reason.HOME_LOST
-    heard_at_ms = state.instances.peer_by_incarnation[call.home].heard_at_ms
-    if now_ms - heard_at_ms > state.policy.peer_silence_ms:
+    home = state.instances.peer_by_incarnation.get(call.home)
+    if late or home is None or not live.is_heard(state, home, now_ms):
         return outcomes.Reason.HOME_LOST
     return None
 
 
-def _is_lost(state: world.World, home: str) -> bool:
-    """Return whether a home is unknown or a newer incarnation was heard."""
-    peers = state.instances.peer_by_incarnation
-    known = peers.get(home)
-    if known is None:
-        return True
-    return any(
-        peer.instance_id == known.instance_id
-        and peer.heard_at_ms > known.heard_at_ms
-        for peer in peers.values()
-    )
-
-
 def _forward(
     state: world.World,
     call: calls.Call,
@@ -132,7 +118,8 @@
     now_ms: clock.Millis,
 ) -> actions.Action:
     budget_ms = call.received.deadline_ms - now_ms
-    if call.received.from_peer or budget_ms <= 0 or _is_lost(state, home):
+    peer = state.instances.peer_by_incarnation.get(home)
+    if call.received.from_peer or budget_ms <= 0 or peer is None:
         return _answer(
             state,
             call.call_id,
@@ -146,7 +133,7 @@
     return actions.ForwardHome(
         call.call_id,
         home,
-        state.instances.peer_by_incarnation[home].peer_address,
+        peer.peer_address,
         budget_ms,
     )
 
