Stop work to leaving targets and ramp returning ones as a fleet

Cause: a word that a target leaves stuck for good, whatever incarnation it was about; a queued call of a withdrawn service waited for its deadline; and a new target looked idle to all instances at once.

A ramp is shared as (generation, stage), gives out whole slots by rendezvous hash over the listed instances, pools the evidence, and passes the slots on where it is short. A ramp per instance and none stay runnable by policy.ramp.

--- a/oleanderstair/domain/dispatching.py
+++ b/oleanderstair/domain/dispatching.py
@@ -8,6 +8,7 @@
     outcomes,
     pauses,
     queueing,
+    ramps,
     routing,
     world,
 )
@@ -42,6 +43,7 @@
         if not found:
             break
         queue.pop(0)
+        found = ramps.prefer(state, call, found)
         choose = routing.CHOICE_BY_NAME[state.policy.choice]
         sent.append(dispatch(state, call, choose(state, found, now_ms), now_ms))
     return sent
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -20,13 +20,17 @@
 
 
 class RampState(typing.NamedTuple):
-    """How far a returning target has come back, fleet-wide."""
+    """How far a returning target has come back, fleet-wide.
+
+    ``served`` counts the calls of this stage that its origin saw served.
+    """
 
     target_id: str
     generation: int
     stage: int
     wait_ms: clock.Millis = 0
     target_incarnation: str = ''
+    served: int = 0
 
 
 class TargetLoad(typing.NamedTuple):
--- a/oleanderstair/domain/ramps.py
+++ b/oleanderstair/domain/ramps.py
@@ -15,7 +15,7 @@
     sharing,
     world,
 )
-from oleanderstair.domain.tables import catalogue, instances, targets
+from oleanderstair.domain.tables import calls, catalogue, instances, targets
 
 _FLEET: typing.Final = 'fleet'
 _FAILED_STATUS: typing.Final = 500
@@ -26,6 +26,7 @@
 _JITTER: typing.Final = 0.25
 _SLOW_FACTOR: typing.Final = 3
 _SLOW_MARGIN_MS: typing.Final[clock.Millis] = 5
+_TELL_MS: typing.Final[clock.Millis] = 250
 
 
 def allowance(
@@ -40,6 +41,26 @@
     return min(ramp.own_slots, target.slots)
 
 
+def prefer(
+    state: world.World,
+    call: calls.Call,
+    candidate_ids: list[str],
+) -> list[str]:
+    """Return the candidates that need evidence, or all where none does.
+
+    Few instances may use a ramping target, so that they send it what they
+    can, but no call that could not be tried again elsewhere.
+    """
+    ramped = [
+        target_id
+        for target_id in candidate_ids
+        if _needs_evidence(state, target_id)
+    ]
+    if call.idempotent and ramped:
+        return ramped
+    return candidate_ids
+
+
 def start(
     state: world.World,
     target_id: str,
@@ -66,7 +87,8 @@
         target_incarnation=incarnation,
     )
     _enter(state, ramp, now_ms)
-    if tell:
+    # All take a note at about the same time, so that the canary's word does.
+    if tell or state.targets.ramp_by_id[target_id].own_slots:
         _publish(state, ramp, now_ms)
     return [actions.Audit('ramp', target_id, why, f'generation {generation}')]
 
@@ -87,7 +109,7 @@
         return []
     if target_id in state.targets.ramp_by_id:
         return []
-    return start(state, target_id, 'note', now_ms)
+    return start(state, target_id, 'note', now_ms, tell=False)
 
 
 def on_attempt_ended(
@@ -130,10 +152,12 @@
         return []
     known = state.targets.ramp_by_id.get(body.target_id)
     told = (body.generation, body.stage)
-    if known is not None and (known.generation, known.stage) >= told:
-        return []
     if body.target_id not in state.catalogue.in_force.target_by_id:
         return []
+    if known is not None and (known.generation, known.stage) >= told:
+        if (known.generation, known.stage) == told:
+            _take_evidence(state, known, event.fact.origin, body.served)
+        return []
     state.targets.down_since_ms_by_id.pop(body.target_id, None)
     ramp = targets.Ramp(
         body.target_id,
@@ -144,6 +168,7 @@
         target_incarnation=body.target_incarnation,
     )
     _enter(state, ramp, now_ms)
+    _take_evidence(state, ramp, event.fact.origin, body.served)
     return []
 
 
@@ -157,6 +182,7 @@
     for ramp in tuple(state.targets.ramp_by_id.values()):
         if not _is_done(state, ramp):
             _enter(state, ramp, now_ms)
+            _tell_evidence(state, ramp, now_ms)
             done.extend(_step_up(state, ramp, now_ms))
     return done
 
@@ -171,6 +197,13 @@
     return ramp.stage == 0 and now_ms - ramp.stage_since_ms < ramp.wait_ms
 
 
+def _needs_evidence(state: world.World, target_id: str) -> bool:
+    ramp = state.targets.ramp_by_id.get(target_id)
+    if ramp is None or state.policy.ramp != _FLEET:
+        return False
+    return not _is_done(state, ramp)
+
+
 def _is_done(state: world.World, ramp: targets.Ramp) -> bool:
     return ramp.stage > state.policy.ramp_stages
 
@@ -257,12 +290,47 @@
     return took_ms <= _SLOW_FACTOR * median_ms + _SLOW_MARGIN_MS
 
 
+def _take_evidence(
+    state: world.World,
+    ramp: targets.Ramp,
+    origin: str,
+    served: int,
+) -> None:
+    """Keep what a peer saw served in the stage that this instance is in."""
+    others = [entry for entry in ramp.served_by_origin if entry[0] != origin]
+    current = state.targets.ramp_by_id[ramp.target_id]
+    state.targets.ramp_by_id[ramp.target_id] = current._replace(
+        served_by_origin=(*others, (origin, served)),
+    )
+
+
+def _tell_evidence(
+    state: world.World,
+    ramp: targets.Ramp,
+    now_ms: clock.Millis,
+) -> None:
+    """Tell the peers now and then what was served here in this stage."""
+    if ramp.served_in_stage == ramp.told_served:
+        return
+    if now_ms - ramp.told_at_ms < _TELL_MS:
+        return
+    current = state.targets.ramp_by_id[ramp.target_id]
+    state.targets.ramp_by_id[ramp.target_id] = current._replace(
+        told_served=ramp.served_in_stage,
+        told_at_ms=now_ms,
+    )
+    _publish(state, current, now_ms)
+
+
 def _step_up(
     state: world.World,
     ramp: targets.Ramp,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    if ramp.served_in_stage < state.policy.ramp_evidence:
+    if not ramp.served_in_stage:
+        return []
+    told = sum(served for _, served in ramp.served_by_origin)
+    if ramp.served_in_stage + told < state.policy.ramp_evidence:
         return []
     if now_ms - ramp.stage_since_ms < ramp.wait_ms:
         return []
@@ -296,7 +364,12 @@
     ramp: targets.Ramp,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    moved = ramp._replace(stage_since_ms=now_ms, served_in_stage=0)
+    moved = ramp._replace(
+        stage_since_ms=now_ms,
+        served_in_stage=0,
+        told_served=0,
+        served_by_origin=(),
+    )
     _enter(state, moved, now_ms)
     _publish(state, moved, now_ms)
     where = f'generation {moved.generation} stage {moved.stage}'
@@ -316,5 +389,6 @@
         ramp.stage,
         ramp.wait_ms,
         ramp.target_incarnation,
+        ramp.served_in_stage,
     )
     sharing.publish(state, f'ramp/{ramp.target_id}', body, now_ms)
--- a/oleanderstair/domain/tables/targets.py
+++ b/oleanderstair/domain/tables/targets.py
@@ -39,7 +39,9 @@
 class Ramp(typing.NamedTuple):
     """A target that is returning or new, and how far it has come.
 
-    ``own_slots`` is what this instance may use of it at the moment.
+    ``own_slots`` is what this instance may use of it at the moment, and
+    ``served_in_stage`` what it saw served, of which peers know
+    ``told_served``. They told ``served_by_origin``.
     """
 
     target_id: str
@@ -50,6 +52,9 @@
     target_incarnation: str = ''
     served_in_stage: int = 0
     own_slots: int = 0
+    told_served: int = 0
+    told_at_ms: clock.Millis = clock.NEVER_MS
+    served_by_origin: tuple[tuple[str, int], ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/test/test_leaving.py
@@ -0,0 +1,124 @@
+"""Targets that leave receive no new work, and late word changes nothing."""
+
+import hypothesis
+from hypothesis import strategies
+
+from oleanderstair.domain import balancer, events, messages, outcomes
+from oleanderstair.domain.tables import catalogue, targets
+from test import helper
+
+TARGET = catalogue.Target('burza-1', 'burza', 'a:1', 'trnava', 4)
+NOW_MS = 10000
+STOP_BOUND_MS = 2000
+
+
+def world_with_target():
+    state = helper.make_world()
+    service = catalogue.Service('burza', 'west')
+    state.catalogue.in_force = catalogue.Catalogue(
+        1,
+        'digest',
+        {'burza': service},
+        {'burza-1': TARGET},
+        {'burza': ('burza-1',)},
+    )
+    return state
+
+
+def stated(at_ms, incarnation, leaving):
+    origin = f'entry-{at_ms}~1'
+    body = messages.TargetLeaving('burza-1', incarnation, leaving)
+    return messages.Fact('leaving/burza-1', origin, 1, NOW_MS - at_ms, body)
+
+
+LEFT = stated(1000, 'old', leaving=True)
+RETURNED = stated(2000, 'new', leaving=False)
+LEFT_AGAIN = stated(3000, 'new', leaving=True)
+
+
+def is_leaving_after(told):
+    state = world_with_target()
+    for fact in told:
+        balancer.step(state, events.FactAdopted(fact), NOW_MS)
+    return targets.condition_of(state.targets, 'burza-1').leaving
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
+@hypothesis.given(strategies.data())
+def test_newest_word_wins_in_any_order(drawn):
+    twice = strategies.permutations([LEFT, RETURNED, LEFT, RETURNED])
+    assert not is_leaving_after(drawn.draw(twice))
+    thrice = strategies.permutations([LEFT, RETURNED, LEFT_AGAIN, LEFT])
+    assert is_leaving_after(drawn.draw(thrice))
+
+
+def probe(state, incarnation, now_ms, leaving=False):
+    report = events.TargetReport(
+        healthy=True,
+        leaving=leaving,
+        incarnation=incarnation,
+    )
+    balancer.step(state, events.ProbeEnded('burza-1', report, 1), now_ms)
+    return targets.condition_of(state.targets, 'burza-1').leaving
+
+
+def test_lagging_health_report_does_not_bring_a_target_back():
+    state = world_with_target()
+    assert probe(state, 'old', 1000, leaving=True)
+    assert probe(state, 'old', 1500)
+    assert not probe(state, 'new', 2000)
+    late = stated(1900, 'old', leaving=True)
+    balancer.step(state, events.FactAdopted(late), 2100)
+    assert not targets.condition_of(state.targets, 'burza-1').leaving
+    assert 'burza-1' in state.targets.ramp_by_id
+
+
+def test_one_answer_stops_new_work_everywhere_and_cuts_off_nothing():
+    made = helper.make_harness(6, target_count=3)
+    target = made.target_by_id['burza-1']
+    target.service_time = lambda received: 300
+    told = []
+
+    def send():
+        told.append(made.call(f'entry-{made.rng.randint(1, 6)}'))
+        made.after(10, send)
+
+    send()
+    made.run_for(1000)
+    target.leaving = True
+    left_at_ms = made.clock.now_ms()
+    made.run_for(8000)
+    late = [
+        run
+        for run in made.runs
+        if run.target_id == 'burza-1' and run.at_ms > left_at_ms + STOP_BOUND_MS
+    ]
+    assert not late
+    assert all(
+        made.told_by_call[call_id].outcome is outcomes.Outcome.RAN
+        for call_id in told[:-200]
+    )
+
+
+def test_withdrawn_service_refuses_queued_calls_and_finishes_running_ones():
+    made = helper.make_harness(1, target_count=1)
+    target = made.target_by_id['burza-1']
+    target.service_time = lambda received: 3000
+    running = [
+        made.call('entry-1', budget_ms=9000) for _ in range(target.slots)
+    ]
+    queued = made.call('entry-1', budget_ms=9000)
+    made.publish(
+        {'withdrawn': {'services': ['burza'], 'targets': ['burza-1']}},
+    )
+    made.run_for(2500)
+    assert made.told_by_call[queued].outcome is outcomes.Outcome.NOT_RUN
+    state = made.instance_by_id['entry-1'].state
+    assert state.targets.condition_by_id['burza-1'].in_flight == target.slots
+    made.run_for(2000)
+    assert all(
+        made.told_by_call[call_id].outcome is outcomes.Outcome.RAN
+        for call_id in running
+    )
+    assert not state.targets.condition_by_id
+    assert not state.calls.queue_by_service
--- /dev/null
+++ b/test/test_ramps.py
@@ -0,0 +1,152 @@
+"""A new target comes back slowly across twenty instances."""
+
+import typing
+
+import pytest
+
+from oleanderstair.domain import outcomes, ramps
+from oleanderstair.emulator import harness
+from test import helper
+
+COUNT = 20
+SERVICE_MS = 40
+COLD_CALLS = 12
+COLD_MS = 400
+GAP_MS = 5
+NEW = 'burza-new'
+
+
+class Figures(typing.NamedTuple):
+    """What one return of a target came to."""
+
+    over_slots: int
+    full_after_ms: float | None
+    told_not_run: int
+    new_served: int
+
+
+def warm_time(received):
+    return SERVICE_MS
+
+
+class Return:
+    """Twenty instances under load, and a cold target that a note adds."""
+
+    def __init__(self, share, seed=1):
+        self.made = helper.make_harness(
+            COUNT,
+            target_count=6,
+            seed=seed,
+            ramp=share,
+            choice='slots',
+        )
+        for known in self.made.target_by_id.values():
+            known.service_time = warm_time
+        self.target = harness.Target(NEW)
+        self.target.service_time = self.service_time
+        self.made.add_target(self.target)
+        self.served = 0
+        self.sending = True
+        self.skipped = set()
+        self.full_after_ms = None
+        self.made.run_for(1000)
+
+    def service_time(self, received):
+        self.served += 1
+        return COLD_MS if self.served <= COLD_CALLS else SERVICE_MS
+
+    def begin(self):
+        self.send()
+        self.made.run_for(500)
+        self.added_at_ms = self.made.clock.now_ms()
+        self.made.publish(
+            {
+                'added': {
+                    'targets': [harness.target_entry(self.target, 'burza')],
+                },
+            },
+        )
+
+    def send(self):
+        if not self.sending:
+            return
+        instance_id = f'entry-{self.made.rng.randint(1, COUNT)}'
+        if instance_id not in self.skipped:
+            self.made.call(instance_id)
+        self.made.after(GAP_MS, self.send)
+
+    def canary(self):
+        owners = [
+            instance_id
+            for instance_id, started in self.made.instance_by_id.items()
+            if started.state.targets.ramp_by_id[NEW].own_slots
+        ]
+        assert len(owners) == 1
+        return owners[0]
+
+    def run_until_full(self, bound_ms):
+        self.made.run_for(1500)
+        while self.made.clock.now_ms() - self.added_at_ms < bound_ms:
+            self.made.run_for(100)
+            if self.is_full():
+                self.full_after_ms = self.made.clock.now_ms() - self.added_at_ms
+                return
+
+    def is_full(self):
+        return all(
+            self.is_full_at(started.state)
+            for started in self.made.instance_by_id.values()
+            if started.alive
+            and started.state.identity.instance_id not in self.skipped
+        )
+
+    def is_full_at(self, state):
+        known = state.catalogue.in_force.target_by_id.get(NEW)
+        if known is None:
+            return False
+        now_ms = self.made.clock.now_ms()
+        return ramps.allowance(state, known, now_ms) == known.slots
+
+    def figures(self):
+        told = [answer.outcome for answer in self.made.told_by_call.values()]
+        return Figures(
+            self.target.shed,
+            self.full_after_ms,
+            told.count(outcomes.Outcome.NOT_RUN),
+            self.served,
+        )
+
+
+def play(share, seed=1, bound_ms=20000):
+    trial = Return(share, seed)
+    trial.begin()
+    trial.run_until_full(bound_ms)
+    return trial.figures()
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_shared_ramp_never_exceeds_slots_where_one_alone_does(seed):
+    shared = play('fleet', seed)
+    alone = play('alone', seed)
+    assert shared.over_slots == 0
+    assert shared.full_after_ms is not None
+    assert shared.new_served > COLD_CALLS
+    assert alone.over_slots > 0
+
+
+@pytest.mark.parametrize('fault', ['kill', 'cut_off', 'idle'])
+def test_ramp_goes_on_without_its_canary(fault):
+    trial = Return('fleet')
+    trial.begin()
+    trial.made.run_for(700)
+    canary = trial.canary()
+    trial.skipped.add(canary)
+    if fault == 'kill':
+        trial.made.kill(canary)
+    if fault == 'cut_off':
+        trial.made.link_rule = lambda sender, receiver, message: (
+            () if canary in {sender, receiver} else (harness.HOP_MS,)
+        )
+    trial.run_until_full(30000)
+    assert trial.target.shed == 0
+    assert trial.full_after_ms is not None
