--- a/oleanderstair/domain/admission.py
+++ b/oleanderstair/domain/admission.py
@@ -3,6 +3,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import (
     actions,
+    allowances,
     answering,
     dispatching,
     events,
@@ -30,6 +31,7 @@
     bound = keys.split_key(event.key)
     if bound is not None:
         state.calls.call_by_id[event.call_id] = call
+        _earn(state, event, now_ms)
         return homes.on_keyed(state, call, bound, refused, now_ms)
     if event.key and not call.idempotent:
         refused = outcomes.Reason.UNBOUND_KEY
@@ -38,6 +40,7 @@
             actions.Refuse(event.call_id, outcomes.Outcome.NOT_RUN, refused),
         ]
     state.calls.call_by_id[event.call_id] = call
+    _earn(state, event, now_ms)
     return dispatching.enqueue(state, call, now_ms)
 
 
@@ -53,6 +56,8 @@
     state.calls.call_by_id[event.call_id] = call._replace(caller_left=True)
     if not call.idempotent:
         return []
+    if call.state is calls.CallState.QUEUED:
+        return answering.refuse(state, call, outcomes.Reason.DEADLINE)
     return [
         actions.CancelAttempt(call.call_id, attempt.attempt_id)
         for attempt in call.attempts
@@ -93,6 +98,22 @@
     return None
 
 
+def _earn(
+    state: world.World,
+    event: events.CallReceived,
+    now_ms: clock.Millis,
+) -> None:
+    service = state.catalogue.in_force.service_by_name.get(event.service)
+    if service is None:
+        return
+    allowances.earn(
+        state.budgets.retries_by_service,
+        event.service,
+        service.retry_share,
+        now_ms,
+    )
+
+
 def _describe(
     state: world.World,
     event: events.CallReceived,
--- a/oleanderstair/domain/changes.py
+++ b/oleanderstair/domain/changes.py
@@ -11,7 +11,7 @@
     ramps,
     world,
 )
-from oleanderstair.domain.tables import catalogue
+from oleanderstair.domain.tables import calls, catalogue
 
 
 def on_event(
@@ -74,20 +74,17 @@
 
 def _refuse_queued(state: world.World) -> list[actions.Action]:
     """Refuse the queued calls of services that were withdrawn."""
-    in_force = state.catalogue.in_force
-    gone = [
-        service
-        for service in state.calls.queue_by_service
-        if service not in in_force.service_by_name
+    in_force = state.catalogue.in_force.service_by_name
+    for service in tuple(state.calls.queue_by_service):
+        if service not in in_force:
+            state.calls.queue_by_service.pop(service)
+    stranded = [
+        call
+        for call in state.calls.call_by_id.values()
+        if call.state is calls.CallState.QUEUED
+        and call.received.service not in in_force
     ]
     done: list[actions.Action] = []
-    for service in gone:
-        for call_id in state.calls.queue_by_service.pop(service):
-            done.extend(
-                answering.refuse(
-                    state,
-                    state.calls.call_by_id[call_id],
-                    outcomes.Reason.NO_SERVICE,
-                ),
-            )
+    for call in stranded:
+        done.extend(answering.refuse(state, call, outcomes.Reason.NO_SERVICE))
     return done
--- a/oleanderstair/domain/ramps.py
+++ b/oleanderstair/domain/ramps.py
@@ -41,24 +41,22 @@
     return min(ramp.own_slots, target.slots)
 
 
-def prefer(
-    state: world.World,
-    call: calls.Call,
-    candidate_ids: list[str],
-) -> list[str]:
-    """Return the candidates that need evidence, or all where none does.
+def wanting_evidence(state: world.World, call: calls.Call) -> list[str]:
+    """Return the ramping targets that a call should go to first.
 
     Few instances may use a ramping target, so that they send it what they
     can, but no call that could not be tried again elsewhere.
     """
-    ramped = [
-        target_id
-        for target_id in candidate_ids
-        if _needs_evidence(state, target_id)
+    if not call.idempotent or state.policy.ramp != _FLEET:
+        return []
+    in_force = state.catalogue.in_force.target_by_id
+    return [
+        ramp.target_id
+        for ramp in state.targets.ramp_by_id.values()
+        if ramp.own_slots
+        and not _is_done(state, ramp)
+        and in_force[ramp.target_id].service == call.received.service
     ]
-    if call.idempotent and ramped:
-        return ramped
-    return candidate_ids
 
 
 def start(
@@ -197,13 +195,6 @@
     return ramp.stage == 0 and now_ms - ramp.stage_since_ms < ramp.wait_ms
 
 
-def _needs_evidence(state: world.World, target_id: str) -> bool:
-    ramp = state.targets.ramp_by_id.get(target_id)
-    if ramp is None or state.policy.ramp != _FLEET:
-        return False
-    return not _is_done(state, ramp)
-
-
 def _is_done(state: world.World, ramp: targets.Ramp) -> bool:
     return ramp.stage > state.policy.ramp_stages
 
--- a/oleanderstair/domain/tables/targets.py
+++ b/oleanderstair/domain/tables/targets.py
@@ -71,6 +71,7 @@
     known_catalogue: catalogue.Catalogue = dataclasses.field(
         default_factory=catalogue.empty,
     )
+    turn: int = 0
 
 
 def condition_of(table: TargetsTable, target_id: str) -> Condition:
