--- a/oleanderstair/engine/shell.py
+++ b/oleanderstair/engine/shell.py
@@ -295,7 +295,7 @@
         owed = self.pending.call_by_id[action.call_id]
         owed.home = action.home
         message = forwarding.to_message(owed, action.home, action.budget_ms)
-        self.ports.link.send(action.address, message)
+        self.ports.link.send(action.address, message, action.home)
 
     async def _serve_peer(
         self,
@@ -342,7 +342,11 @@
         self.handle(event)
 
     def _send_peer(self, action: actions.SendPeer) -> None:
-        sent = self.ports.link.send(action.address, action.message)
+        sent = self.ports.link.send(
+            action.address,
+            action.message,
+            action.incarnation,
+        )
         kind = type(action.message).__name__
         self.metrics.count('peer-messages', kind)
         self.metrics.count('peer-bytes', kind, sent)
--- a/oleanderstair/settings.py
+++ b/oleanderstair/settings.py
@@ -191,7 +191,7 @@
         raise _problem(
             'peers.public_key',
             'peers would not be authenticated',
-            "set both keys of the fleet's CURVE pair, or allow_plain",
+            'set the pair of `oleanderstair keys make`, or allow_plain',
         )
     if peers.secret_key and not _is_pair(peers):
         raise _problem(
