Dispatch nothing on old knowledge, and serve until given addresses run out

Cause: after a pause the first tick made an instance trust all it knew; a stop refused calls at once, though callers and peers still held its address.

Change: a late tick draws a new nonce, and nothing is dispatched until a peer's or the service's answer carries it and the note that it told of is in force; then each target takes one call at a time until it answered. A keyed call of a peer that has not answered the nonce is refused by the paused home. A stopping instance serves until all answers that name it ran out, then refuses, and ends with its last call.

--- a/oleanderstair/domain/actions.py
+++ b/oleanderstair/domain/actions.py
@@ -99,9 +99,10 @@
 
 
 class ReadValue(typing.NamedTuple):
-    """Read a configuration value once."""
+    """Read a configuration value once; the answer carries ``nonce``."""
 
     name: str
+    nonce: int = 0
 
 
 class WatchValue(typing.NamedTuple):
--- a/oleanderstair/domain/admission.py
+++ b/oleanderstair/domain/admission.py
@@ -84,10 +84,12 @@
     event: events.CallReceived,
     now_ms: clock.Millis,
 ) -> outcomes.Reason | None:
-    own_refusal = membership.refusal(state)
+    own_refusal = membership.refusal(state, now_ms)
     if own_refusal is not None:
         return own_refusal
-    if pauses.is_stale(state, now_ms):
+    if pauses.is_stale(state, now_ms) or pauses.may_be_late(
+        state, event.from_peer, now_ms
+    ):
         return outcomes.Reason.PAUSED
     if event.service not in state.catalogue.in_force.service_by_name:
         return outcomes.Reason.NO_SERVICE
--- a/oleanderstair/domain/attempts.py
+++ b/oleanderstair/domain/attempts.py
@@ -10,6 +10,7 @@
     dispatching,
     events,
     outcomes,
+    pauses,
     ejection,
     leaving,
     queueing,
@@ -23,6 +24,7 @@
 
 _LEARNERS: typing.Final = (
     leaving.on_attempt_ended,
+    pauses.on_attempt_ended,
     ramps.on_attempt_ended,
     ejection.on_attempt_ended,
 )
--- a/oleanderstair/domain/balancer.py
+++ b/oleanderstair/domain/balancer.py
@@ -51,13 +51,19 @@
     events.ValueRead: (
         reading.on_value,
         spread.on_value,
+        pauses.on_value,
         changes.on_event,
     ),
     events.ReadFailed: (reading.on_read_failed,),
     events.InstancesRead: (membership.on_instances,),
-    events.ProbeEnded: (occupancy.on_probe_ended, leaving.on_probe_ended),
+    events.ProbeEnded: (
+        occupancy.on_probe_ended,
+        leaving.on_probe_ended,
+        pauses.on_probe_ended,
+    ),
     events.PeerHeard: (
         gossip.on_peer,
+        pauses.on_peer,
         fetching.on_peer,
         changes.on_event,
         sharing.on_peer,
--- a/oleanderstair/domain/conditions.py
+++ b/oleanderstair/domain/conditions.py
@@ -3,7 +3,14 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, latencies, ramps, world
+from oleanderstair.domain import (
+    actions,
+    events,
+    latencies,
+    pauses,
+    ramps,
+    world,
+)
 from oleanderstair.domain.tables import targets
 
 _FULL_MS: typing.Final = 2
@@ -27,7 +34,10 @@
         return False
     if now_ms < condition.full_until_ms:
         return False
-    return condition.in_flight < ramps.allowance(state, target, now_ms)
+    allowed = ramps.allowance(state, target, now_ms)
+    if pauses.is_unchecked(state, target_id):
+        allowed = min(allowed, 1)
+    return condition.in_flight < allowed
 
 
 def on_dispatch(state: world.World, target_id: str) -> None:
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -71,10 +71,14 @@
 
 
 class ValueRead(typing.NamedTuple):
-    """A configuration value arrived; ``body`` is None where it is absent."""
+    """A configuration value arrived; ``body`` is None where it is absent.
+
+    ``nonce`` is that of the read which it answers.
+    """
 
     name: str
     body: bytes | None
+    nonce: int = 0
 
 
 class ReadFailed(typing.NamedTuple):
--- a/oleanderstair/domain/gossip.py
+++ b/oleanderstair/domain/gossip.py
@@ -85,7 +85,7 @@
 ) -> list[actions.Action]:
     """Send proof of life to the next few instances when it is due."""
     if not state.traffic.nonce:
-        state.traffic.nonce = state.rng.randrange(1, _NONCE_LIMIT)
+        renew_nonce(state)
     _state_place(state, now_ms)
     if now_ms - state.facts.heartbeat_at_ms < state.policy.heartbeat_ms:
         return []
@@ -103,6 +103,12 @@
     return sent
 
 
+def renew_nonce(state: world.World) -> int:
+    """Draw the nonce that answers to this instance carry from now on."""
+    state.traffic.nonce = state.rng.randrange(1, _NONCE_LIMIT)
+    return state.traffic.nonce
+
+
 def heartbeat(state: world.World) -> messages.Heartbeat:
     """Return what this instance says of itself."""
     own = state.identity
--- a/oleanderstair/domain/membership.py
+++ b/oleanderstair/domain/membership.py
@@ -9,6 +9,7 @@
     events,
     live,
     outcomes,
+    stopping,
     world,
 )
 from oleanderstair.domain.tables import instances
@@ -62,12 +63,15 @@
     ]
 
 
-def refusal(state: world.World) -> outcomes.Reason | None:
+def refusal(
+    state: world.World,
+    now_ms: clock.Millis,
+) -> outcomes.Reason | None:
     """Return why this instance may not take a new call now, if so."""
     table = state.instances
     if table.phase is instances.Phase.UNCONFIRMED:
         return outcomes.Reason.UNCONFIRMED
-    if table.phase is instances.Phase.STOPPING:
+    if stopping.refuses(state, now_ms):
         return outcomes.Reason.STOPPING
     return None
 
--- a/oleanderstair/domain/stopping.py
+++ b/oleanderstair/domain/stopping.py
@@ -1,7 +1,13 @@
-"""The planned stop of this instance."""
+"""The planned stop of this instance.
+
+Callers may hold its address from an answer that was given before the stop,
+or by a peer that has not heard of it yet. So it serves new calls until all
+those answers have run out, then refuses them as not run, and ends once the
+last call in flight has ended, at its deadline at the latest.
+"""
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, world
+from oleanderstair.domain import actions, events, live, world
 from oleanderstair.domain.tables import instances
 
 
@@ -12,16 +18,30 @@
 ) -> list[actions.Action]:
     """Leave the address answers and begin to finish what is in flight."""
     table = state.instances
+    if table.phase is instances.Phase.STOPPING:
+        return []
+    stopped = actions.Audit(
+        'instance',
+        state.identity.incarnation,
+        'operator',
+        'planned stop',
+    )
+    if table.phase is instances.Phase.UNCONFIRMED:
+        # It served nobody, and must not claim to be confirmed.
+        return [stopped, actions.Exit()]
     table.phase = instances.Phase.STOPPING
     table.stopping_since_ms = now_ms
-    return [
-        actions.Audit(
-            'instance',
-            state.identity.incarnation,
-            'operator',
-            'planned stop',
-        ),
-    ]
+    return [stopped]
+
+
+def refuses(state: world.World, now_ms: clock.Millis) -> bool:
+    """Return whether a stopping instance takes no new call any more."""
+    if state.instances.phase is not instances.Phase.STOPPING:
+        return False
+    known_ms = live.silence_ms(state)
+    valid_ms = state.policy.answer_validity_ms
+    stopped_ms = now_ms - state.instances.stopping_since_ms
+    return stopped_ms >= known_ms + valid_ms
 
 
 def on_tick(
@@ -30,10 +50,6 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """End the process once nothing is in flight and answers ran out."""
-    table = state.instances
-    if table.phase is not instances.Phase.STOPPING:
-        return []
-    waited_ms = now_ms - table.stopping_since_ms
-    if state.calls.call_by_id or waited_ms < state.policy.answer_validity_ms:
+    if state.calls.call_by_id or not refuses(state, now_ms):
         return []
     return [actions.Exit()]
--- a/oleanderstair/domain/tables/instances.py
+++ b/oleanderstair/domain/tables/instances.py
@@ -40,6 +40,22 @@
     answered: bool = False
 
 
+class Wake(typing.NamedTuple):
+    """The last wake-up from a pause, and who has answered since.
+
+    ``nonce`` travels with what was asked since; it is 0 where there was no
+    pause. ``proven`` is true once an answer carried it, which told of
+    ``note_number``.
+    """
+
+    nonce: int = 0
+    proven: bool = True
+    woke_at_ms: clock.Millis = clock.NEVER_MS
+    proven_at_ms: clock.Millis = clock.NEVER_MS
+    note_number: int = 0
+    proven_by: frozenset[str] = frozenset()
+
+
 @dataclasses.dataclass(slots=True)
 class InstancesTable:
     """Listed and heard instances, and this one's own phase."""
@@ -62,6 +78,7 @@
     phase: Phase = Phase.UNCONFIRMED
     stopping_since_ms: clock.Millis = clock.NEVER_MS
     last_tick_ms: clock.Millis = clock.NEVER_MS
+    wake: Wake = Wake()
     trusted_from_ms: clock.Millis = clock.NEVER_MS
 
 
--- a/oleanderstair/domain/tables/targets.py
+++ b/oleanderstair/domain/tables/targets.py
@@ -21,6 +21,7 @@
     leaving_why: str = ''
     leaving_since_ms: clock.Millis = clock.NEVER_MS
     returned_at_ms: clock.Millis = clock.NEVER_MS
+    checked_at_ms: clock.Millis = clock.NEVER_MS
     replaced_incarnations: tuple[str, ...] = ()
     full_until_ms: clock.Millis = clock.NEVER_MS
     ejected_until_ms: clock.Millis = clock.NEVER_MS
--- a/oleanderstair/emulator/harness.py
+++ b/oleanderstair/emulator/harness.py
@@ -567,7 +567,7 @@
     # Platform, probes and peers
 
     def _read_value(self, instance_id: str, action: actions.ReadValue) -> None:
-        self._answer_value(instance_id, action.name, HOP_MS)
+        self._answer_value(instance_id, action.name, HOP_MS, action.nonce)
 
     def _watch_value(
         self,
@@ -596,12 +596,14 @@
         instance_id: str,
         name: str,
         delay_ms: clock.Millis,
+        nonce: int = 0,
     ) -> None:
         self.platform_reads += 1
         if self.platform_down:
             event: events.Event = events.ReadFailed(name, 'service down')
         else:
-            event = events.ValueRead(name, self.read_rule(instance_id, name))
+            body = self.read_rule(instance_id, name)
+            event = events.ValueRead(name, body, nonce)
         self._later(delay_ms, instance_id, event)
 
     def _read_instances(
--- a/oleanderstair/engine/ports.py
+++ b/oleanderstair/engine/ports.py
@@ -24,7 +24,7 @@
             body = await self.configuration.get(action.name)
         except platform.PlatformError as error:
             return events.ReadFailed(action.name, str(error))
-        return events.ValueRead(action.name, body)
+        return events.ValueRead(action.name, body, action.nonce)
 
     async def watch_value(self, action: actions.WatchValue) -> events.Event:
         """Wait for another value than the one that is known."""
--- /dev/null
+++ b/test/test_pauses.py
@@ -0,0 +1,104 @@
+"""An instance that was paused dispatches nothing on old knowledge."""
+
+import pytest
+
+from oleanderstair.domain import actions, outcomes
+from oleanderstair.emulator import harness
+from test import helper
+
+SLEEPER = 'entry-1'
+PAUSE_MS = 30000
+
+
+def dispatches_since(made, at_ms):
+    log = made.instance_by_id[SLEEPER].action_log
+    return [
+        (done_ms, action)
+        for done_ms, action in log
+        if isinstance(action, actions.Dispatch) and done_ms >= at_ms
+    ]
+
+
+def pause_with_calls(made, count=3):
+    """Pause with calls that arrived, and wake up."""
+    made.pause(SLEEPER, PAUSE_MS)
+    waiting = [
+        made.call(SLEEPER, budget_ms=PAUSE_MS + 5000) for _ in range(count)
+    ]
+    made.run_for(PAUSE_MS)
+    return waiting
+
+
+def slow_time(received):
+    return 100
+
+
+def cut_off_sleeper(sender, receiver, message):
+    return () if SLEEPER in {sender, receiver} else (harness.HOP_MS,)
+
+
+def test_nothing_is_dispatched_while_nobody_answers():
+    made = helper.make_harness(3)
+    woke_at_ms = made.clock.now_ms() + PAUSE_MS
+    made.link_rule = cut_off_sleeper
+    made.platform_down = True
+    waiting = pause_with_calls(made)
+    made.run_for(2000)
+    late = [made.call(SLEEPER) for _ in range(3)]
+    made.run_for(4000)
+    assert not dispatches_since(made, woke_at_ms)
+    for call_id in waiting + late:
+        assert made.told_by_call[call_id].outcome is outcomes.Outcome.NOT_RUN
+
+
+@pytest.mark.parametrize('source', ['peer', 'service'])
+def test_one_fresh_answer_and_the_newest_note_come_first(source):
+    made = helper.make_harness(3)
+    woke_at_ms = made.clock.now_ms() + PAUSE_MS
+    if source == 'peer':
+        made.after(PAUSE_MS / 2, lambda: setattr(made, 'platform_down', True))
+    else:
+        made.link_rule = cut_off_sleeper
+    made.after(
+        1000,
+        lambda: made.publish({'withdrawn': {'targets': ['burza-1']}}),
+    )
+    pause_with_calls(made)
+    served = []
+    for _ in range(40):
+        made.run_for(100)
+        served.append(made.call(SLEEPER))
+    made.run_for(1000)
+    sent = dispatches_since(made, woke_at_ms)
+    assert made.told_by_call[served[-1]].outcome is outcomes.Outcome.RAN
+    assert sent
+    assert all(action.target_id != 'burza-1' for _, action in sent)
+    assert min(done_ms for done_ms, _ in sent) > woke_at_ms
+
+
+def test_each_target_takes_one_call_until_it_has_answered():
+    made = helper.make_harness(2, target_count=2)
+    made.pause(SLEEPER, PAUSE_MS)
+    made.run_for(PAUSE_MS + 500)
+    names = sorted(made.target_by_id)
+    for name in names:
+        made.target_by_id[name].service_time = slow_time
+    told = [made.call(SLEEPER) for _ in range(4)]
+    made.run_for(50)
+    assert [len(made.target_by_id[name].running) for name in names] == [1, 1]
+    made.run_for(800)
+    assert all(
+        made.told_by_call[call_id].outcome is outcomes.Outcome.RAN
+        for call_id in told
+    )
+
+
+def test_keyed_call_that_waited_in_a_paused_home_does_not_run_late():
+    made = helper.make_harness(2)
+    home = made.instance_by_id[SLEEPER].state.identity.incarnation
+    key = f'{home}.1.late'
+    made.pause(SLEEPER, 5000)
+    asked = made.call('entry-2', method='POST', key=key, budget_ms=1000)
+    made.run_for(9000)
+    assert made.told_by_call[asked].outcome is outcomes.Outcome.UNKNOWN
+    assert not made.runs
--- /dev/null
+++ b/test/test_stopping.py
@@ -0,0 +1,49 @@
+"""A planned stop cuts off nothing and leaves no caller without address."""
+
+from oleanderstair.domain import addresses, events, outcomes
+from test import helper
+
+STOPPED = 'entry-1'
+SILENCE_MS = 3000
+
+
+def test_addresses_given_before_the_stop_serve_until_they_run_out():
+    made = helper.make_harness(3)
+    state = made.instance_by_id[STOPPED].state
+    stopped_at_ms = made.clock.now_ms()
+    made.step(STOPPED, events.StopRequested())
+    long = made.call(STOPPED, path='/long', budget_ms=20000)
+    made.run_for(state.policy.answer_validity_ms)
+    in_time = made.call(STOPPED)
+    made.run_for(SILENCE_MS)
+    refused = made.call(STOPPED)
+    made.run_for(500)
+    assert made.told_by_call[in_time].outcome is outcomes.Outcome.RAN
+    assert made.told_by_call[refused].reason is outcomes.Reason.STOPPING
+    assert made.told_by_call[long].outcome is outcomes.Outcome.RAN
+    assert not made.instance_by_id[STOPPED].alive
+    assert made.clock.now_ms() - stopped_at_ms < 10000
+
+
+def test_call_in_flight_is_awaited():
+    made = helper.make_harness(2)
+    for target in made.target_by_id.values():
+        target.service_time = lambda received: 15000
+    long = made.call(STOPPED, budget_ms=20000)
+    made.step(STOPPED, events.StopRequested())
+    made.run_for(14000)
+    assert made.instance_by_id[STOPPED].alive
+    made.run_for(2000)
+    assert made.told_by_call[long].outcome is outcomes.Outcome.RAN
+    assert not made.instance_by_id[STOPPED].alive
+
+
+def test_no_answer_names_an_instance_that_stops():
+    made = helper.make_harness(3)
+    made.step(STOPPED, events.StopRequested())
+    made.run_for(1000)
+    for instance_id, started in made.instance_by_id.items():
+        answer = addresses.answer(started.state, 'trnava', made.clock.now_ms())
+        named = {entry['address'] for entry in answer['addresses']}
+        assert f'{STOPPED}:80' not in named, instance_id
+        assert named
