Isolate the calls that crash targets, and keep their neighbours going

Cause: every call on a target that could not be reached counted as a death, two popular calls beside one crash were refused for minutes, and a suspect was tried again next to innocent calls, out of the retry budget.

Change: only an exchange that broke makes a suspect; deaths of one target are counted once, whoever saw them. A suspect is tried once more alone on a target set aside for it; being served clears it fleet-wide, a second death convicts it fleet-wide.

--- a/oleanderstair/domain/admission.py
+++ b/oleanderstair/domain/admission.py
@@ -12,6 +12,7 @@
     membership,
     outcomes,
     pauses,
+    quarantine,
     queueing,
     rules,
     suspects,
@@ -41,7 +42,7 @@
         ]
     state.calls.call_by_id[event.call_id] = call
     _earn(state, event, now_ms)
-    return dispatching.enqueue(state, call, now_ms)
+    return quarantine.admit(state, call, now_ms)
 
 
 def on_caller_left(
--- a/oleanderstair/domain/attempts.py
+++ b/oleanderstair/domain/attempts.py
@@ -13,6 +13,7 @@
     pauses,
     ejection,
     leaving,
+    quarantine,
     queueing,
     ramps,
     retries,
@@ -55,15 +56,32 @@
     for learn in _LEARNERS:
         learned.extend(learn(state, event, attempt.target_id, now_ms))
     call = _without_attempt(state, call, attempt, event)
-    if event.crashed:
-        learned.extend(suspects.on_death(state, call, now_ms))
+    learned.extend(_judge(state, call, attempt.target_id, event, now_ms))
     return [
         *learned,
         *_conclude(state, call, event, now_ms),
+        *quarantine.run_held(state, now_ms),
         *dispatching.pump(state, call.received.service, now_ms),
     ]
 
 
+def _judge(
+    state: world.World,
+    call: calls.Call,
+    target_id: str,
+    event: events.AttemptEnded,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Suspect a call whose target died, and clear one that was served."""
+    judged: list[actions.Action] = []
+    if event.crashed and event.verdict is events.Verdict.BROKEN:
+        judged = suspects.on_death(state, call, target_id, now_ms)
+    elif event.verdict is events.Verdict.ANSWERED:
+        suspects.on_served(state, call.received.fingerprint, now_ms)
+    quarantine.on_attempt_ended(state, call, target_id)
+    return judged
+
+
 def _find_attempt(
     call: calls.Call | None,
     attempt_id: int,
@@ -115,10 +133,14 @@
         return []
     if retries.may_retry(state, call, now_ms):
         call = retries.prepare(state, call, now_ms)
+        if suspects.is_suspect(state, call.received.fingerprint):
+            return quarantine.hold(state, call, now_ms)
         state.calls.call_by_id[call.call_id] = call
         queueing.put_back(state, call, now_ms)
         return []
     reason = outcomes.Reason.TARGET_REFUSED
-    if call.may_have_run:
+    if suspects.is_refused(state, call.received.fingerprint, now_ms):
+        reason = outcomes.Reason.CRASHES_TARGETS
+    elif call.may_have_run:
         reason = outcomes.Reason.TARGET_LOST
     return answering.refuse(state, call, reason, event.retry_after_ms)
--- a/oleanderstair/domain/changes.py
+++ b/oleanderstair/domain/changes.py
@@ -33,9 +33,22 @@
         done.extend(ramps.start(state, target_id, 'moved', now_ms))
     for target_id in _joined(before, after):
         done.extend(ramps.on_added(state, target_id, now_ms))
+    _sweep(state)
     return [*done, *_refuse_queued(state)]
 
 
+def _sweep(state: world.World) -> None:
+    """Forget withdrawn targets whose last call was abandoned."""
+    gone = [
+        condition.target_id
+        for condition in state.targets.condition_by_id.values()
+        if condition.target_id not in state.catalogue.in_force.target_by_id
+        and not condition.in_flight
+    ]
+    for target_id in gone:
+        state.targets.condition_by_id.pop(target_id)
+
+
 def _withdrawn(
     before: catalogue.Catalogue,
     after: catalogue.Catalogue,
--- a/oleanderstair/domain/conditions.py
+++ b/oleanderstair/domain/conditions.py
@@ -34,6 +34,8 @@
         return False
     if now_ms < condition.full_until_ms:
         return False
+    if target_id in state.suspects.call_id_by_target:
+        return False
     allowed = ramps.allowance(state, target, now_ms)
     if pauses.is_unchecked(state, target_id):
         allowed = min(allowed, 1)
--- a/oleanderstair/domain/homes.py
+++ b/oleanderstair/domain/homes.py
@@ -6,11 +6,11 @@
 from oleanderstair.domain import (
     actions,
     answering,
-    dispatching,
     events,
     keys,
     live,
     outcomes,
+    quarantine,
     world,
 )
 from oleanderstair.domain.tables import calls
@@ -39,7 +39,7 @@
     if admitted.proceed:
         if refused is not None:
             return answering.refuse(state, call, refused)
-        return dispatching.enqueue(state, call, now_ms)
+        return quarantine.admit(state, call, now_ms)
     if admitted.join is not None:
         return _join(state, call, admitted.join)
     assert admitted.refusal is not None  # noqa: S101 (one of three is set)
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -43,10 +43,15 @@
 
 
 class CallSuspect(typing.NamedTuple):
-    """A fingerprint of a call that may crash the targets that run it."""
+    """A fingerprint of a call that may crash the targets that run it.
+
+    ``deaths`` is 2 where a target died that ran it alone, and 0 where the
+    call has been served; ``target_id`` died last.
+    """
 
     fingerprint: str
     deaths: int
+    target_id: str = ''
 
 
 class InstancePlace(typing.NamedTuple):
--- /dev/null
+++ b/oleanderstair/domain/quarantine.py
@@ -0,0 +1,185 @@
+"""Runs suspect calls alone, each on a target that is set aside for it."""
+
+import typing
+import zlib
+
+from oleanderstair import clock
+from oleanderstair.domain import (
+    actions,
+    answering,
+    conditions,
+    dispatching,
+    events,
+    outcomes,
+    pauses,
+    suspects,
+    world,
+)
+from oleanderstair.domain.tables import calls, targets
+
+_RESERVED_SHARE: typing.Final = 0.25
+
+
+def admit(
+    state: world.World,
+    call: calls.Call,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Queue a call as usual, or hold it until it can run alone."""
+    if suspects.is_suspect(state, call.received.fingerprint):
+        return hold(state, call, now_ms)
+    return dispatching.enqueue(state, call, now_ms)
+
+
+def hold(
+    state: world.World,
+    call: calls.Call,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Hold a suspect call until a target is set aside for it."""
+    held = state.suspects.held_call_ids
+    if len(held) >= state.policy.queue_limit:
+        return answering.refuse(state, call, outcomes.Reason.OVERLOADED)
+    state.calls.call_by_id[call.call_id] = call._replace(
+        state=calls.CallState.QUEUED,
+        quarantined=True,
+    )
+    held.append(call.call_id)
+    return run_held(state, now_ms)
+
+
+def on_tick(
+    state: world.World,
+    event: events.Tick,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Refuse held calls whose deadline passed, and send what can go."""
+    return run_held(state, now_ms)
+
+
+def run_held(
+    state: world.World,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Dispatch held calls whose target has nothing else in flight."""
+    done: list[actions.Action] = []
+    for call_id in tuple(state.suspects.held_call_ids):
+        call = state.calls.call_by_id.get(call_id)
+        if call is None or call.attempts:
+            _let_go(state, call_id)
+            continue
+        done.extend(_run_or_end(state, call, now_ms))
+    return done
+
+
+def on_attempt_ended(
+    state: world.World,
+    call: calls.Call,
+    target_id: str,
+) -> None:
+    """Give back the target that was set aside for a call."""
+    if state.suspects.call_id_by_target.get(target_id) == call.call_id:
+        state.suspects.call_id_by_target.pop(target_id)
+
+
+def _run_or_end(
+    state: world.World,
+    call: calls.Call,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    received = call.received
+    reason: outcomes.Reason | None = None
+    if suspects.is_refused(state, received.fingerprint, now_ms):
+        reason = outcomes.Reason.CRASHES_TARGETS
+    elif received.deadline_ms <= now_ms:
+        reason = outcomes.Reason.DEADLINE
+    if reason is not None:
+        _let_go(state, call.call_id)
+        return answering.refuse(state, call, reason)
+    if pauses.is_stale(state, now_ms):
+        return []
+    target_id = _set_aside(state, call, now_ms)
+    if target_id is None or _in_flight(state, target_id):
+        return []
+    state.suspects.held_call_ids.remove(call.call_id)
+    return [dispatching.dispatch(state, call, target_id, now_ms)]
+
+
+def _let_go(state: world.World, call_id: int) -> None:
+    state.suspects.held_call_ids.remove(call_id)
+    by_target = state.suspects.call_id_by_target
+    for target_id in tuple(by_target):
+        known = state.calls.call_by_id.get(call_id)
+        if by_target[target_id] == call_id and not (known and known.attempts):
+            by_target.pop(target_id)
+
+
+def _set_aside(
+    state: world.World,
+    call: calls.Call,
+    now_ms: clock.Millis,
+) -> str | None:
+    """Return the target kept for a call, the least used one at first."""
+    by_target = state.suspects.call_id_by_target
+    service = call.received.service
+    ids = state.catalogue.in_force.target_ids_by_service.get(service, ())
+    kept = [found for found in ids if by_target.get(found) == call.call_id]
+    if kept:
+        return _keep(state, kept[0])
+    if _has_twin(state, call):
+        return None
+    taken = sum(target_id in by_target for target_id in ids)
+    if taken >= max(len(ids) * _RESERVED_SHARE, 1):
+        return None
+    free = [
+        target_id
+        for target_id in ids
+        if conditions.may_receive(state, target_id, now_ms)
+    ]
+    if not free:
+        return None
+    chosen = min(free, key=lambda found: _rank(state, call, found))
+    by_target[chosen] = call.call_id
+    return chosen
+
+
+def _rank(
+    state: world.World,
+    call: calls.Call,
+    target_id: str,
+) -> tuple[bool, int, int, int]:
+    """Rank targets: untried, without failures and idle ones first.
+
+    The digest spreads suspects over targets, so that few instances collide.
+    """
+    condition = targets.condition_of(state.targets, target_id)
+    name = f'{call.received.fingerprint}/{target_id}'
+    return (
+        target_id in call.tried_target_ids,
+        condition.failures_in_row,
+        condition.in_flight,
+        zlib.crc32(name.encode()),
+    )
+
+
+def _keep(state: world.World, target_id: str) -> str | None:
+    """Return the target, unless it leaves and must be given back."""
+    if not targets.condition_of(state.targets, target_id).leaving:
+        return target_id
+    state.suspects.call_id_by_target.pop(target_id)
+    return None
+
+
+def _has_twin(state: world.World, call: calls.Call) -> bool:
+    """Return whether the same request has a target set aside already."""
+    for call_id in state.suspects.call_id_by_target.values():
+        other = state.calls.call_by_id.get(call_id)
+        if other is None:
+            continue
+        if other.received.fingerprint == call.received.fingerprint:
+            return True
+    return False
+
+
+def _in_flight(state: world.World, target_id: str) -> int:
+    return targets.condition_of(state.targets, target_id).in_flight
--- a/oleanderstair/domain/ramps.py
+++ b/oleanderstair/domain/ramps.py
@@ -237,7 +237,7 @@
     """Note an unreachable target; return whether it came back just now."""
     down = state.targets.down_since_ms_by_id
     condition = targets.condition_of(state.targets, target_id)
-    refused = event.crashed and event.verdict is events.Verdict.NOT_SENT
+    refused = event.verdict is events.Verdict.NOT_SENT
     if refused and condition.failures_in_row >= _DOWN_AFTER:
         down.setdefault(target_id, now_ms)
     answered = event.verdict is events.Verdict.ANSWERED
--- a/oleanderstair/domain/retries.py
+++ b/oleanderstair/domain/retries.py
@@ -35,6 +35,10 @@
         return False
     if suspects.is_refused(state, call.received.fingerprint, now_ms):
         return False
+    if call.last_verdict is events.Verdict.BROKEN:
+        if suspects.is_suspect(state, call.received.fingerprint):
+            # Once, alone, and not out of the budget: innocents must go on.
+            return _may_run_again(call) and not call.quarantined
     if call.last_verdict in _PROVEN_NOT_RUN:
         return call.unrun < MOST_UNRUN and _may_run_again(call)
     return _may_run_again(call) and _within_budget(state, call, now_ms)
--- a/oleanderstair/domain/suspects.py
+++ b/oleanderstair/domain/suspects.py
@@ -1,12 +1,20 @@
-"""Isolates calls that crash the targets that run them."""
+"""Knows the requests that may crash the targets that run them.
+
+Every request in flight on a target that died is a suspect, by a digest that
+leaves out its key, so that a resend under a new key is known again. It is
+cleared where it is served, and convicted where a target dies that ran it
+alone; then all instances refuse it for minutes.
+"""
 
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, messages, world
+from oleanderstair.domain import actions, events, messages, sharing, world
 from oleanderstair.domain.tables import calls, suspects
 
-DEATHS_UNTIL_REFUSED: typing.Final = 2
+SAME_DEATH_MS: typing.Final[clock.Millis] = 2000
+SUSPECT_LIMIT: typing.Final = 1024
+CONVICTED_DEATHS: typing.Final = 2
 
 
 def is_refused(
@@ -16,24 +24,51 @@
 ) -> bool:
     """Return whether calls with this fingerprint are refused now."""
     suspect = state.suspects.suspect_by_fingerprint.get(fingerprint)
-    if suspect is None:
+    if suspect is None or not suspect.convicted:
         return False
-    fresh = now_ms - suspect.seen_at_ms <= state.policy.suspect_ms
-    return fresh and suspect.deaths >= DEATHS_UNTIL_REFUSED
+    return now_ms - suspect.seen_at_ms <= state.policy.suspect_ms
+
+
+def is_suspect(state: world.World, fingerprint: str) -> bool:
+    """Return whether calls with this fingerprint run alone for now."""
+    return fingerprint in state.suspects.suspect_by_fingerprint
 
 
 def on_death(
     state: world.World,
     call: calls.Call,
+    target_id: str,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Suspect a call that was in flight on a target that died."""
-    table = state.suspects.suspect_by_fingerprint
     fingerprint = call.received.fingerprint
-    before = table.get(fingerprint)
-    deaths = before.deaths + 1 if before else 1
-    table[fingerprint] = suspects.Suspect(fingerprint, deaths, now_ms)
-    return []
+    if not fingerprint:
+        return []
+    known = state.suspects.suspect_by_fingerprint.get(fingerprint)
+    if known is not None and known.convicted:
+        return []
+    suspect = _add_death(known, fingerprint, target_id, now_ms)
+    alone = state.suspects.call_id_by_target.get(target_id) == call.call_id
+    suspect = suspect._replace(convicted=alone)
+    _store(state, suspect)
+    _publish(state, suspect, target_id, now_ms)
+    if not alone:
+        return [actions.Count('suspects')]
+    return [actions.Audit('call', fingerprint, target_id, 'crashes targets')]
+
+
+def on_served(
+    state: world.World,
+    fingerprint: str,
+    now_ms: clock.Millis,
+) -> None:
+    """Clear a suspect that a target has just served."""
+    suspect = state.suspects.suspect_by_fingerprint.get(fingerprint)
+    if suspect is None or suspect.convicted:
+        return
+    state.suspects.suspect_by_fingerprint.pop(fingerprint)
+    cleared = messages.CallSuspect(fingerprint, 0)
+    sharing.publish(state, f'suspect/{fingerprint}', cleared, now_ms)
 
 
 def on_fact(
@@ -42,8 +77,20 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Take a peer's word on a call that crashes targets."""
-    if not isinstance(event.fact.body, messages.CallSuspect):
+    body = event.fact.body
+    if not isinstance(body, messages.CallSuspect):
         return []
+    known = state.suspects.suspect_by_fingerprint.get(body.fingerprint)
+    if known is not None and known.convicted:
+        return []
+    at_ms = now_ms - event.fact.age_ms
+    if not body.deaths:
+        if known is not None and known.seen_at_ms < at_ms:
+            state.suspects.suspect_by_fingerprint.pop(body.fingerprint)
+        return []
+    suspect = _add_death(known, body.fingerprint, body.target_id, at_ms)
+    convicted = body.deaths >= CONVICTED_DEATHS
+    _store(state, suspect._replace(convicted=convicted))
     return []
 
 
@@ -53,4 +100,48 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Forget suspects that are no longer refused."""
+    table = state.suspects.suspect_by_fingerprint
+    expired = [
+        suspect.fingerprint
+        for suspect in table.values()
+        if now_ms - suspect.seen_at_ms > state.policy.suspect_ms
+    ]
+    for fingerprint in expired:
+        table.pop(fingerprint)
     return []
+
+
+def _add_death(
+    known: suspects.Suspect | None,
+    fingerprint: str,
+    target_id: str,
+    at_ms: clock.Millis,
+) -> suspects.Suspect:
+    """Return the suspect with a death, which several may have seen."""
+    deaths = known.deaths if known else ()
+    for death in deaths:
+        same_time = abs(death.at_ms - at_ms) <= SAME_DEATH_MS
+        if death.target_id == target_id and same_time:
+            return suspects.Suspect(fingerprint, deaths)
+    newest = (*deaths, suspects.Death(target_id, at_ms))
+    return suspects.Suspect(fingerprint, newest[-CONVICTED_DEATHS:])
+
+
+def _store(state: world.World, suspect: suspects.Suspect) -> None:
+    table = state.suspects.suspect_by_fingerprint
+    table.pop(suspect.fingerprint, None)
+    if len(table) >= SUSPECT_LIMIT:
+        table.pop(next(iter(table)))
+    table[suspect.fingerprint] = suspect
+
+
+def _publish(
+    state: world.World,
+    suspect: suspects.Suspect,
+    target_id: str,
+    now_ms: clock.Millis,
+) -> None:
+    deaths = CONVICTED_DEATHS if suspect.convicted else 1
+    body = messages.CallSuspect(suspect.fingerprint, deaths, target_id)
+    subject = f'suspect/{suspect.fingerprint}'
+    sharing.publish(state, subject, body, now_ms)
