--- a/oleanderstair/domain/addresses.py
+++ b/oleanderstair/domain/addresses.py
@@ -39,7 +39,7 @@
     found = [_address_of(peer) for peer in _usable_peers(state, now_ms)]
     if state.instances.phase is instances.Phase.SERVING:
         found.append(_own_address(state))
-    state.rng.shuffle(found)
+    state.address_rng.shuffle(found)
     local = [entry for entry in found if entry['data_centre'] == data_centre]
     outside = [entry for entry in found if entry['data_centre'] != data_centre]
     kept = local[: ADDRESS_LIMIT - min(len(outside), OUTSIDE_MINIMUM)]
--- a/oleanderstair/domain/admission.py
+++ b/oleanderstair/domain/admission.py
@@ -115,6 +115,12 @@
         service.retry_share,
         now_ms,
     )
+    allowances.earn(
+        state.budgets.hedges_by_service,
+        event.service,
+        service.hedge_share,
+        now_ms,
+    )
 
 
 def _describe(
--- a/oleanderstair/domain/attempts.py
+++ b/oleanderstair/domain/attempts.py
@@ -52,11 +52,13 @@
         took_ms,
         now_ms,
     )
-    services_load.on_attempt_ended(state, call, event, took_ms)
+    services_load.on_attempt_ended(state, call, attempt, event, took_ms)
     for learn in _LEARNERS:
         learned.extend(learn(state, event, attempt.target_id, now_ms))
     call = _without_attempt(state, call, attempt, event)
     learned.extend(_judge(state, call, attempt.target_id, event, now_ms))
+    if event.verdict is events.Verdict.SILENT:
+        learned.append(actions.CloseIdle(attempt.target_id))
     return [
         *learned,
         *_conclude(state, call, event, now_ms),
@@ -123,6 +125,7 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     if event.verdict is events.Verdict.ANSWERED:
+        _learn_from_losers(state, call, now_ms)
         return answering.relay(
             state,
             call,
@@ -144,3 +147,19 @@
     elif call.may_have_run:
         reason = outcomes.Reason.TARGET_LOST
     return answering.refuse(state, call, reason, event.retry_after_ms)
+
+
+def _learn_from_losers(
+    state: world.World,
+    call: calls.Call,
+    now_ms: clock.Millis,
+) -> None:
+    for loser in call.attempts:
+        services_load.on_hedge_ended(
+            state,
+            call.received.service,
+            won=not loser.hedge,
+        )
+        if not loser.hedge:
+            age_ms = now_ms - loser.started_at_ms
+            conditions.on_outrun(state, loser.target_id, age_ms, now_ms)
--- a/oleanderstair/domain/ramps.py
+++ b/oleanderstair/domain/ramps.py
@@ -47,7 +47,7 @@
     Few instances may use a ramping target, so that they send it what they
     can, but no call that could not be tried again elsewhere.
     """
-    if not call.idempotent or state.policy.ramp != _FLEET:
+    if state.policy.ramp != _FLEET or not call.idempotent or call.attempts:
         return []
     in_force = state.catalogue.in_force.target_by_id
     return [
--- a/oleanderstair/engine/node.py
+++ b/oleanderstair/engine/node.py
@@ -22,10 +22,12 @@
     platform,
     ports,
     probes,
+    recorder,
     shell,
 )
 
 _INCARNATION_BYTES: typing.Final = 4
+_SEED_BITS: typing.Final = 64
 
 
 @dataclasses.dataclass(slots=True)
@@ -102,9 +104,17 @@
             endpoints=probes.create(),
             link=self.link,
         )
-        state = world.create(self.identity, limits, random.Random())
+        seed = secrets.randbits(_SEED_BITS)
+        state = world.create(self.identity, limits, random.Random(seed))
         carrier = shell.Shell(state, outgoing, tasks)
         self.link.report_to(carrier.metrics.count)
+        if self.checked.trace.max_events:
+            carrier.recorder = recorder.create(
+                self.identity,
+                limits,
+                seed,
+                self.checked.trace.max_events,
+            )
         return carrier
 
 
--- a/test/scene.py
+++ b/test/scene.py
@@ -7,6 +7,7 @@
 from oleanderstair.domain import outcomes, record, world
 from oleanderstair.domain.tables import instances
 from oleanderstair.emulator import harness
+from oleanderstair.engine import recorder
 
 SERVICE = 'burza'
 SERVICE_MS = 40
@@ -16,7 +17,7 @@
 FAULT_MS = 2500
 BACKGROUND_MS = 40
 PLACES = {'entry-1': 'trnava', 'entry-2': 'nitra', 'entry-3': 'trnava'}
-LIMITS = {'tick_ms': 100, 'confirm_without_peers': True}
+LIMITS = {'tick_ms': 100}
 PROBE_BUDGET = 40
 
 
@@ -71,13 +72,18 @@
             and found.state.instances.phase is instances.Phase.SERVING
         ]
 
-    def lookup(self, instance_id: str, path: str = '/listings') -> int:
+    def lookup(
+        self,
+        instance_id: str,
+        path: str = '/listings',
+        budget_ms: float = CALL_BUDGET_MS,
+    ) -> int:
         """Send an idempotent call."""
         return self.made.call(
             instance_id,
             path=path,
             fingerprint=path,
-            budget_ms=CALL_BUDGET_MS,
+            budget_ms=budget_ms,
         )
 
     def order(self, instance_id: str, key: str) -> int:
@@ -176,3 +182,27 @@
 def service_time(received) -> float:
     """Return the ms that a target needs, by the path of the call."""
     return {'/slow': SLOW_MS, '/long': LONG_MS}.get(received.path, SERVICE_MS)
+
+
+def record_trace(
+    scene: Scene,
+    instance_id: str,
+    place: str,
+) -> recorder.TraceRecorder:
+    """Replace an instance by one whose trace is kept from its start."""
+    scene.made.kill(instance_id)
+    state = scene.made.add_instance(instance_id, place, **LIMITS)
+    kept = recorder.create(
+        state.identity,
+        state.policy,
+        scene.made.instance_by_id[instance_id].seed,
+        limit=100_000,
+    )
+
+    def keep(stepped, event, done):
+        if stepped is state:
+            kept.record(scene.made.clock.now_ms(), event, done)
+
+    scene.made.after_step.append(keep)
+    scene.made.run_for(2000)
+    return kept
