--- a/oleanderstair/domain/keys.py
+++ b/oleanderstair/domain/keys.py
@@ -9,7 +9,7 @@
 
 MAX_WAITING: typing.Final = 16
 _BOUND_KEY: typing.Final = re.compile(
-    r'([^~"]{1,128}~[0-9A-Za-z]{1,64})\.([0-9]{1,12})\.([!#-~]{1,128})',
+    r'([^~"]{1,128}~[0-9A-Za-z]{1,64})\.([0-9]{1,12})\.([!#-~]{1,256})',
 )
 
 
