--- a/test/test_checks_can_fail.py
+++ b/test/test_checks_can_fail.py
@@ -53,8 +53,8 @@
     """Give the caller its answer twice."""
     once = answering.relay
 
-    def relay(state, call, attempt_id):
-        done = once(state, call, attempt_id)
+    def relay(state, call, attempt_id, *details):
+        done = once(state, call, attempt_id, *details)
         return [*done, done[0]]
 
     patch.setattr(answering, 'relay', relay)
@@ -63,7 +63,7 @@
 def relay_nothing(patch):
     """Forget the caller once a target has answered."""
 
-    def relay(state, call, attempt_id):
+    def relay(state, call, attempt_id, *details):
         state.calls.call_by_id.pop(call.call_id, None)
         return []
 
