Let a silent stand-in stay silent past the deadline

Cause: the silent target gave its own 'too late' answer at the deadline, which raced the entry instance's bound: one red in three full runs under load, 'ran' in place of 'unknown'. A silent target now answers nothing. The test is unchanged.

--- a/oleanderstair/emulator/targets.py
+++ b/oleanderstair/emulator/targets.py
@@ -108,7 +108,7 @@
         limit_ms = headers.read_count(
             headers.find(scope['headers'], headers.DEADLINE_MS),
         )
-        if limit_ms:
+        if limit_ms and self.behaviour is not Behaviour.SILENT:
             work.deadline = anyio.current_time() + clock.to_seconds(limit_ms)
         try:
             with listener.watching(scope, work.cancel), work:
