--- a/oleanderstair/domain/admission.py
+++ b/oleanderstair/domain/admission.py
@@ -8,15 +8,17 @@
     dispatching,
     events,
     homes,
+    keys,
     membership,
     outcomes,
     pauses,
+    quarantine,
     queueing,
     rules,
     suspects,
     world,
 )
-from oleanderstair.domain.tables import calls
+from oleanderstair.domain.tables import calls, catalogue
 
 
 def on_call(
@@ -26,14 +28,21 @@
 ) -> list[actions.Action]:
     """Refuse a call, forward it to its home, or queue and dispatch it."""
     refused = _check(state, event, now_ms)
+    call = _describe(state, event, now_ms)
+    bound = keys.split_key(event.key)
+    if bound is not None:
+        state.calls.call_by_id[event.call_id] = call
+        _earn(state, event, now_ms)
+        return homes.on_keyed(state, call, bound, refused, now_ms)
+    if event.key and not call.idempotent:
+        refused = outcomes.Reason.UNBOUND_KEY
     if refused is not None:
         return [
             actions.Refuse(event.call_id, outcomes.Outcome.NOT_RUN, refused),
         ]
-    call = _open_call(state, event, now_ms)
-    if event.key and not call.idempotent:
-        return homes.on_keyed(state, call, now_ms)
-    return dispatching.enqueue(state, call, now_ms)
+    state.calls.call_by_id[event.call_id] = call
+    _earn(state, event, now_ms)
+    return quarantine.admit(state, call, now_ms)
 
 
 def on_caller_left(
@@ -76,10 +85,12 @@
     event: events.CallReceived,
     now_ms: clock.Millis,
 ) -> outcomes.Reason | None:
-    own_refusal = membership.refusal(state)
+    own_refusal = membership.refusal(state, now_ms)
     if own_refusal is not None:
         return own_refusal
-    if pauses.is_stale(state, now_ms):
+    if pauses.is_stale(state, now_ms) or pauses.may_be_late(
+        state, event.from_peer, now_ms
+    ):
         return outcomes.Reason.PAUSED
     if event.service not in state.catalogue.in_force.service_by_name:
         return outcomes.Reason.NO_SERVICE
@@ -90,20 +101,14 @@
     return None
 
 
-def _open_call(
+def _earn(
     state: world.World,
     event: events.CallReceived,
     now_ms: clock.Millis,
-) -> calls.Call:
-    service = state.catalogue.in_force.service_by_name[event.service]
-    call = calls.Call(
-        received=event,
-        state=calls.CallState.QUEUED,
-        idempotent=rules.is_idempotent(service, event),
-        call_class=rules.call_class(service, event),
-        received_at_ms=now_ms,
-    )
-    state.calls.call_by_id[event.call_id] = call
+) -> None:
+    service = state.catalogue.in_force.service_by_name.get(event.service)
+    if service is None:
+        return
     allowances.earn(
         state.budgets.retries_by_service,
         event.service,
@@ -116,4 +121,27 @@
         service.hedge_share,
         now_ms,
     )
-    return call
+
+
+def _describe(
+    state: world.World,
+    event: events.CallReceived,
+    now_ms: clock.Millis,
+) -> calls.Call:
+    """Return the row of a call.
+
+    A key that is bound to a home is honoured whatever the method, so that
+    instances with different notes in force can't disagree on it.
+    """
+    service = state.catalogue.in_force.service_by_name.get(
+        event.service,
+        catalogue.Service(event.service, state.identity.region),
+    )
+    bound = keys.split_key(event.key)
+    return calls.Call(
+        received=event,
+        state=calls.CallState.QUEUED,
+        idempotent=bound is None and rules.is_idempotent(service, event),
+        call_class=rules.call_class(service, event),
+        received_at_ms=now_ms,
+    )
--- a/oleanderstair/domain/routing.py
+++ b/oleanderstair/domain/routing.py
@@ -3,7 +3,7 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import conditions, occupancy, shares, world
+from oleanderstair.domain import conditions, occupancy, ramps, shares, world
 from oleanderstair.domain.tables import calls, services, targets
 
 _SAMPLE_SIZE: typing.Final = 3
@@ -28,6 +28,9 @@
     now_ms: clock.Millis,
 ) -> str | None:
     """Pick a target for a call by the choice that the policy names."""
+    for target_id in ramps.wanting_evidence(state, call):
+        if _is_free(state, call, target_id, now_ms):
+            return target_id
     return CHOICE_BY_NAME[state.policy.choice](state, call, now_ms)
 
 
--- a/oleanderstair/engine/incoming.py
+++ b/oleanderstair/engine/incoming.py
@@ -4,9 +4,9 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import events, outcomes
+from oleanderstair.domain import events, fingerprints, outcomes
 from oleanderstair.domain.tables import catalogue
-from oleanderstair.engine import asgi, exchanges, forwarding, headers
+from oleanderstair.engine import asgi, exchanges, headers
 
 MAX_DEADLINE_MS: typing.Final = 600_000
 MAX_KEY_BYTES: typing.Final = 256
@@ -69,7 +69,7 @@
         deadline_ms=limits.now_ms + budget_ms,
         key=fields.get(headers.KEY, b'').strip(b'"').decode('latin-1'),
         depth=depth,
-        fingerprint=forwarding.fingerprint(method, path, body),
+        fingerprint=fingerprints.of_call(service, method, path, body),
     )
 
 
