--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -35,6 +35,7 @@
 _REPEATS: typing.Final = 5
 _MEASURED_MS: typing.Final = 10_000
 _SETTLE_MS: typing.Final = 5000
+_STEP_MS: typing.Final = 10
 _ROWS: typing.Final = 5000
 _US: typing.Final = 1e6
 _LOADS: typing.Final = (400, 1200)
@@ -184,6 +185,7 @@
         yield Figure('messages to peers, idle', size, len(sent) / span_s, '/s')
         amount = (made.platform_reads - reads) / span_s
         yield Figure('reads of values, whole fleet', size, amount, '/s')
+        yield Figure('note in force everywhere', size, _spread_ms(made), 'ms')
     for count in (1, 50):
         facts = tuple(
             messages.Fact(
@@ -201,6 +203,19 @@
         )
 
 
+def _spread_ms(made: harness.Harness) -> float:
+    number = made.publish({})
+    published_ms = made.clock.now_ms()
+    while True:
+        made.run_for(_STEP_MS)
+        held = [
+            found.state.catalogue.in_force.number
+            for found in made.instance_by_id.values()
+        ]
+        if min(held) == number:
+            return made.clock.now_ms() - published_ms
+
+
 def measure_memory() -> typing.Iterator[Figure]:
     """Measure the memory of one row of the large tables."""
     tracemalloc.start()
@@ -298,17 +313,29 @@
         stdout=subprocess.DEVNULL,
     )
     try:
-        return await _figures_of(process.pid, await _address_of(process))
+        pairs = await _read_addresses(process)
+        found = await _figures_of(process.pid, pairs['callers'])
+        return [*found, *await _added_of(pairs['admin'])]
     finally:
         process.kill()
         await process.aclose()
 
 
-async def _address_of(process: anyio.abc.Process) -> str:
+async def _added_of(address: str) -> list[Figure]:
+    async with httpcore.AsyncConnectionPool() as pool:
+        answer = await pool.request('GET', f'http://{address}/metrics')
+    return [
+        Figure('added to a call', name, added_ms, 'ms')
+        for found in msgspec.json.decode(answer.content)['histograms']
+        if found['name'] == 'added-ms'
+        for name, added_ms in found['percentiles_ms'].items()
+    ]
+
+
+async def _read_addresses(process: anyio.abc.Process) -> dict[str, str]:
     assert process.stderr is not None
     line = (await process.stderr.receive()).decode().split('\n')[0]
-    pairs = dict(pair.split('=', 1) for pair in line.split())
-    return pairs['callers']
+    return dict(pair.split('=', 1) for pair in line.split())
 
 
 async def _figures_of(pid: int, address: str) -> list[Figure]:
