Bound metric series, and keep log lines whole under hostile names

Cause: the added time was labelled by the service that a caller named, so invented names grew the histograms without end; a carriage return or an escape in a logged name could forge or hide a line.

Change: unknown services share a label, series above 1000 share one, and histograms count in four bytes. Log values are ASCII, escaped and quoted. Queue wait, further attempts, probe times and reads are measured.

--- a/oleanderstair/engine/pending.py
+++ b/oleanderstair/engine/pending.py
@@ -38,6 +38,7 @@
     home: str = ''
     home_answer: exchanges.Answer | None = None
     target_ms: clock.Millis = 0
+    attempts: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/oleanderstair/engine/shell.py
+++ b/oleanderstair/engine/shell.py
@@ -183,6 +183,7 @@
         if owed is None:
             ended = exchanges.Ended(events.Verdict.NOT_SENT, what='call gone')
         else:
+            self._note_start(owed, started_ms)
             with scope:
                 ended = await self._exchange(action, owed)
             owed.target_ms += self.ports.clock.now_ms() - started_ms
@@ -218,6 +219,18 @@
             self.report_fault('exchange', error)
             return exchanges.Ended(events.Verdict.BROKEN, what=repr(error))
 
+    def _note_start(
+        self,
+        owed: pending.PendingCall,
+        now_ms: clock.Millis,
+    ) -> None:
+        service = owed.received.service
+        owed.attempts += 1
+        if owed.attempts > 1:
+            self.metrics.count('further-attempts', service)
+            return
+        self.metrics.observe('queue-ms', service, now_ms - owed.arrived_ms)
+
     def _note_attempt(
         self,
         action: actions.Dispatch,
@@ -379,13 +392,24 @@
         logs.event('stopped', instance=self.state.identity.incarnation)
         self.exit.set()
 
+    def _note_read(self, event: events.Event) -> None:
+        kind = type(event).__name__
+        self.metrics.count('reads', kind)
+        if isinstance(event, events.ProbeEnded):
+            found = 'failed' if event.report is None else 'answered'
+            self.metrics.observe('probe-ms', found, event.took_ms)
+
     def _measure(
         self,
         owed: pending.PendingCall,
         reply: pending.Reply,
     ) -> None:
         added_ms = self.ports.clock.now_ms() - owed.arrived_ms - owed.target_ms
-        label = f'{owed.received.service}/{reply.outcome.value}'
+        service = owed.received.service
+        # A name that no note has added is the caller's own invention.
+        if service not in self.state.catalogue.in_force.service_by_name:
+            service = 'unknown'
+        label = f'{service}/{reply.outcome.value}'
         self.metrics.observe('added-ms', label, max(added_ms, 0))
 
     def _perform(self, action: actions.Action) -> None:
@@ -401,6 +425,7 @@
             except Exception as error:
                 self.report_fault(type(action).__name__, error)
                 return
+            self._note_read(event)
             self.handle(event)
 
         def perform(action: actions.Action) -> None:
--- a/oleanderstair/logs.py
+++ b/oleanderstair/logs.py
@@ -1,13 +1,14 @@
 """Logs: one line of key=value pairs for each event, by eliot."""
 
 import logging
+import re
 import sys
 import typing
 
 import eliot
 
 _HIDDEN: typing.Final = frozenset(('task_uuid', 'task_level', 'message_type'))
-_NEEDS_QUOTES: typing.Final = frozenset(' ="\n')
+_NEEDS_QUOTES: typing.Final = re.compile(r'[^\x21\x23-\x3c\x3e-\x5b\x5d-\x7e]')
 
 
 def start(stream: typing.TextIO = sys.stderr) -> None:
@@ -53,7 +54,8 @@
 
 
 def _quote(text: str) -> str:
-    if text and not _NEEDS_QUOTES & set(text):
+    if text and _NEEDS_QUOTES.search(text) is None:
         return text
-    escaped = text.replace('"', r'\"').replace('\n', r'\n')
-    return f'"{escaped}"'
+    # Nothing that a caller sends may end a line or forge a pair.
+    escaped = text.encode('unicode_escape').decode('ascii')
+    return '"{0}"'.format(escaped.replace('"', r'\"'))
--- a/oleanderstair/metrics.py
+++ b/oleanderstair/metrics.py
@@ -10,6 +10,9 @@
 _LOWEST_US: typing.Final = 1
 _HIGHEST_US: typing.Final = 60_000_000
 _DIGITS: typing.Final = 2
+_COUNTER_BYTES: typing.Final = 4
+_SERIES_LIMIT: typing.Final = 1000
+_OTHER: typing.Final = 'other'
 _US_PER_MS: typing.Final = 1000
 _PERCENTILES: typing.Final = (50, 99, 99.9)
 
@@ -50,20 +53,33 @@
     )
 
     def count(self, name: str, label: str = '', amount: int = 1) -> None:
-        """Add ``amount`` to a counter."""
+        """Add ``amount`` to a counter; labels above the limit share one."""
         key = (name, label)
+        if len(self.count_by_name) >= _SERIES_LIMIT:
+            key = key if key in self.count_by_name else (name, _OTHER)
         self.count_by_name[key] = self.count_by_name.get(key, 0) + amount
 
     def observe(self, name: str, label: str, span_ms: clock.Millis) -> None:
         """Record a duration of ``span_ms`` ms."""
-        key = (name, label)
-        found = self.histogram_by_name.get(key)
+        found = self.histogram_by_name.get((name, label))
         if found is None:
-            found = histogram.HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
-            self.histogram_by_name[key] = found
+            found = self._open_histogram(name, label)
         span_us = int(span_ms * _US_PER_MS)
         found.record_value(min(max(span_us, _LOWEST_US), _HIGHEST_US))
 
+    def _open_histogram(self, name: str, label: str) -> histogram.HdrHistogram:
+        if len(self.histogram_by_name) >= _SERIES_LIMIT:
+            label = _OTHER
+        return self.histogram_by_name.setdefault(
+            (name, label),
+            histogram.HdrHistogram(
+                _LOWEST_US,
+                _HIGHEST_US,
+                _DIGITS,
+                word_size=_COUNTER_BYTES,
+            ),
+        )
+
     def summaries(self) -> list[Summary]:
         """Return the percentiles of every histogram."""
         return [
--- /dev/null
+++ b/test/test_metrics.py
@@ -0,0 +1,42 @@
+"""Metrics and log lines under hostile names."""
+
+import io
+
+import pytest
+
+from oleanderstair import logs, metrics
+
+
+def test_names_above_the_limit_share_one_series():
+    made = metrics.create()
+    for number in range(3000):
+        made.observe('added-ms', f'service-{number}', 1)
+        made.count('refused', f'reason-{number}')
+    report = metrics.describe(made)
+    assert len(report['histograms']) < 1100
+    assert len(report['counters']) < 1100
+    assert sum(entry['count'] for entry in report['histograms']) == 3000
+    assert sum(entry['count'] for entry in report['counters']) == 3000
+
+
+def test_percentiles_stay_close_to_what_was_observed():
+    made = metrics.create()
+    for span_ms in range(1, 1001):
+        made.observe('added-ms', 'burza/ran', span_ms)
+    found = made.summaries()[0]['percentiles_ms']
+    assert found['p50'] == pytest.approx(500, rel=0.02)
+    assert found['p99'] == pytest.approx(990, rel=0.02)
+
+
+@pytest.mark.parametrize(
+    'hostile',
+    ['a\nevent=forged x=1', 'a\r\x1b[2J', 'a" event="b', 'a\\', '', 'č'],
+)
+def test_one_event_is_one_line_of_pairs(hostile):
+    line = logs.format_line({'message_type': 'fault', 'where': hostile})
+    assert line.startswith('event=fault where="')
+    assert line.isascii()
+    assert line.isprintable()
+    assert len(io.StringIO(line).readlines()) == 1
+    inner = line.partition('where=')[2]
+    assert inner.replace(r'\\', '').replace(r'\"', '').count('"') == 2
