Split the shell into attempts, settling and keyed calls

Change: attempting.py starts, cancels and ends attempts, settling.py gives each call its one reply, keyed.py carries keyed calls between instances; the shell steps the decision code and performs.

--- /dev/null
+++ b/oleanderstair/engine/attempting.py
@@ -0,0 +1,159 @@
+"""Attempts at targets: starts, cancels and ends them."""
+
+import typing
+
+import anyio
+import anyio.abc
+
+from oleanderstair import clock, logs, metrics
+from oleanderstair.domain import actions, events
+from oleanderstair.engine import exchanges, headers, pending, ports
+
+
+class Host(typing.Protocol):
+    """What attempts need of the shell."""
+
+    ports: ports.Ports
+    pending: pending.PendingTable
+    metrics: metrics.Metrics
+
+    def handle(self, event: events.Event) -> None:
+        """Step the decision code and perform what it asks for."""
+
+    def report_fault(self, where: str, error: Exception) -> None:
+        """Log and count a fault that was contained."""
+
+
+class Attempts:
+    """The attempts under way for the calls of one shell."""
+
+    def __init__(self, host: Host, tasks: anyio.abc.TaskGroup) -> None:
+        """Run attempts for ``host`` as tasks of ``tasks``."""
+        self._host = host
+        self._tasks = tasks
+
+    def dispatch(self, action: actions.Dispatch) -> None:
+        """Start an attempt; it reports its end as an event."""
+        # The scope stands before the task runs, so no cancel comes too early.
+        scope = anyio.CancelScope()
+        self._host.pending.scope_by_attempt[action.attempt_id] = scope
+        self._tasks.start_soon(self._attempt, action, scope)
+
+    async def _attempt(
+        self,
+        action: actions.Dispatch,
+        scope: anyio.CancelScope,
+    ) -> None:
+        owed = self._host.pending.call_by_id.get(action.call_id)
+        started_ms = self._host.ports.clock.now_ms()
+        ended = exchanges.Ended(events.Verdict.CANCELLED)
+        if owed is None:
+            ended = exchanges.Ended(events.Verdict.NOT_SENT, what='call gone')
+        else:
+            self._note_start(owed, started_ms)
+            with scope:
+                ended = await self._exchange(action, owed)
+            owed.target_ms += self._host.ports.clock.now_ms() - started_ms
+            if ended.answer is not None:
+                owed.answer_by_attempt[action.attempt_id] = ended.answer
+        self._host.pending.scope_by_attempt.pop(action.attempt_id, None)
+        self._note_attempt(action, ended)
+        self._host.handle(_attempt_ended(action, ended))
+
+    async def _exchange(
+        self,
+        action: actions.Dispatch,
+        owed: pending.PendingCall,
+    ) -> exchanges.Ended:
+        place = exchanges.Place(
+            action.target_id,
+            action.address,
+            action.fresh,
+            action.silence_ms,
+        )
+        received = owed.received
+        request = owed.request._replace(
+            headers=headers.for_target(
+                owed.request.headers,
+                received.service,
+                received.depth,
+                received.deadline_ms - self._host.ports.clock.now_ms(),
+            ),
+        )
+        try:
+            return await self._host.ports.connections.exchange(place, request)
+        except Exception as error:
+            self._host.report_fault('exchange', error)
+            return exchanges.Ended(events.Verdict.BROKEN, what=repr(error))
+
+    def _note_start(
+        self,
+        owed: pending.PendingCall,
+        now_ms: clock.Millis,
+    ) -> None:
+        service = owed.received.service
+        owed.attempts += 1
+        if owed.attempts > 1:
+            self._host.metrics.count('further-attempts', service)
+            return
+        self._host.metrics.observe(
+            'queue-ms', service, now_ms - owed.arrived_ms
+        )
+
+    def _note_attempt(
+        self,
+        action: actions.Dispatch,
+        ended: exchanges.Ended,
+    ) -> None:
+        self._host.metrics.count('attempts', ended.verdict.value)
+        if ended.what:
+            logs.event(
+                'attempt-failed',
+                call=action.call_id,
+                target=action.target_id,
+                verdict=ended.verdict.value,
+                cause=ended.what,
+            )
+
+    def cancel(self, action: actions.CancelAttempt) -> None:
+        """Abandon an attempt and close its connection."""
+        scope = self._host.pending.scope_by_attempt.get(action.attempt_id)
+        if scope is not None:
+            scope.cancel()
+
+    def close_idle(self, action: actions.CloseIdle) -> None:
+        """Close the idle connections to a target."""
+        self._tasks.start_soon(self._close, action.target_id)
+
+    async def _close(self, target_id: str) -> None:
+        try:
+            await self._host.ports.connections.close_idle(target_id)
+        except Exception as error:
+            self._host.report_fault('close-idle', error)
+
+
+def create(host: Host, tasks: anyio.abc.TaskGroup) -> Attempts:
+    """Create the attempts of a shell, none under way."""
+    return Attempts(host, tasks)
+
+
+def _attempt_ended(
+    action: actions.Dispatch,
+    ended: exchanges.Ended,
+) -> events.AttemptEnded:
+    answer = ended.answer
+    if answer is None:
+        return events.AttemptEnded(
+            action.call_id,
+            action.attempt_id,
+            ended.verdict,
+            crashed=ended.crashed,
+        )
+    return events.AttemptEnded(
+        action.call_id,
+        action.attempt_id,
+        ended.verdict,
+        answer.status,
+        headers.read_retry_after_ms(answer.headers),
+        leaving=bool(headers.find(answer.headers, headers.LEAVING)),
+    )
--- a/test/test_callers.py
+++ b/test/test_callers.py
@@ -315,7 +315,7 @@
             ):
                 carrier._perform(action)
             for outcome, reason in (('ran', ''), ('odd', ''), ('ran', 'odd')):
-                carrier._take_home_answer(
+                carrier._keyed.take_answer(
                     'entry-9~1',
                     messages.KeyedAnswer(77, 'entry-9~1', outcome, reason, 0),
                 )
