--- a/oleanderstair/engine/replies.py
+++ b/oleanderstair/engine/replies.py
@@ -5,7 +5,7 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import outcomes
+from oleanderstair.domain import keys, outcomes
 from oleanderstair.engine import asgi, exchanges, headers, pending
 
 _MS_PER_S: typing.Final = 1000
@@ -85,6 +85,21 @@
     return pending.Reply(outcomes.Outcome.NOT_RUN, reason, detail=detail)
 
 
+def reject(
+    fields: headers.AnyFields,
+    reason: outcomes.Reason,
+    detail: str,
+) -> pending.Reply:
+    """Return the reply to a request that cannot become a call.
+
+    Only the home of a bound key may say that its call did not run.
+    """
+    key = headers.find(fields, headers.KEY).decode('latin-1')
+    if keys.split_key(key) is None:
+        return not_run(reason, detail)
+    return pending.Reply(outcomes.Outcome.UNKNOWN, reason, detail=detail)
+
+
 def _wait_of(reply: pending.Reply, advice: outcomes.Advice) -> clock.Millis:
     if reply.retry_after_ms or advice.status not in _COME_BACK_STATUS:
         return reply.retry_after_ms
