--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -54,6 +54,7 @@
     retry_after_ms: clock.Millis = 0
     leaving: bool = False
     crashed: bool = False
+    answer_bytes: int = 0
 
 
 class HomeReplied(typing.NamedTuple):
@@ -63,16 +64,21 @@
     outcome: outcomes.Outcome
     reason: outcomes.Reason | None = None
     retry_after_ms: clock.Millis = 0
+    home: str = ''
 
 
 # Platform and targets
 
 
 class ValueRead(typing.NamedTuple):
-    """A configuration value arrived; ``body`` is None where it is absent."""
+    """A configuration value arrived; ``body`` is None where it is absent.
+
+    ``nonce`` is that of the read which it answers.
+    """
 
     name: str
     body: bytes | None
+    nonce: int = 0
 
 
 class ReadFailed(typing.NamedTuple):
--- a/oleanderstair/domain/membership.py
+++ b/oleanderstair/domain/membership.py
@@ -9,12 +9,14 @@
     events,
     live,
     outcomes,
+    stopping,
     world,
 )
 from oleanderstair.domain.tables import instances
 
 COUNT_WINDOW_MINUTES: typing.Final = 60
 
+_REVIEW_MS: typing.Final = 1000
 _MINUTE_MS: typing.Final = 60_000
 
 
@@ -41,10 +43,10 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Forget the dead, and confirm this instance once it may serve."""
-    live.forget_silent(state, now_ms)
     table = state.instances
-    heard = (peer.largest_count for peer in live.heard_peers(state, now_ms))
-    table.largest_count = max(table.own_largest_count, *heard, 1)
+    if now_ms - table.reviewed_at_ms >= _REVIEW_MS:
+        table.reviewed_at_ms = now_ms
+        _review(state, now_ms)
     if table.phase is not instances.Phase.UNCONFIRMED:
         return []
     verdict = confirming.judge(state, now_ms)
@@ -62,16 +64,26 @@
     ]
 
 
-def refusal(state: world.World) -> outcomes.Reason | None:
+def refusal(
+    state: world.World,
+    now_ms: clock.Millis,
+) -> outcomes.Reason | None:
     """Return why this instance may not take a new call now, if so."""
     table = state.instances
     if table.phase is instances.Phase.UNCONFIRMED:
         return outcomes.Reason.UNCONFIRMED
-    if table.phase is instances.Phase.STOPPING:
+    if stopping.refuses(state, now_ms):
         return outcomes.Reason.STOPPING
     return None
 
 
+def _review(state: world.World, now_ms: clock.Millis) -> None:
+    live.forget_silent(state, now_ms)
+    table = state.instances
+    heard = (peer.largest_count for peer in live.heard_peers(state, now_ms))
+    table.largest_count = max(table.own_largest_count, *heard, 1)
+
+
 def _count(state: world.World, now_ms: clock.Millis) -> None:
     """Keep the largest recent count of listed instances.
 
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -20,12 +20,17 @@
 
 
 class RampState(typing.NamedTuple):
-    """How far a returning target has come back, fleet-wide."""
+    """How far a returning target has come back, fleet-wide.
+
+    ``served`` counts the calls of this stage that its origin saw served.
+    """
 
     target_id: str
     generation: int
     stage: int
     wait_ms: clock.Millis = 0
+    target_incarnation: str = ''
+    served: int = 0
 
 
 class TargetLoad(typing.NamedTuple):
@@ -38,10 +43,15 @@
 
 
 class CallSuspect(typing.NamedTuple):
-    """A fingerprint of a call that may crash the targets that run it."""
+    """A fingerprint of a call that may crash the targets that run it.
+
+    ``deaths`` is 2 where a target died that ran it alone, and 0 where the
+    call has been served; ``target_id`` died last.
+    """
 
     fingerprint: str
     deaths: int
+    target_id: str = ''
 
 
 class InstancePlace(typing.NamedTuple):
@@ -181,6 +191,7 @@
     status: int = 0
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b''
+    asker: str = ''
 
 
 Message: typing.TypeAlias = (
--- a/oleanderstair/engine/attempting.py
+++ b/oleanderstair/engine/attempting.py
@@ -156,4 +156,5 @@
         answer.status,
         headers.read_retry_after_ms(answer.headers),
         leaving=bool(headers.find(answer.headers, headers.LEAVING)),
+        answer_bytes=len(answer.body),
     )
--- a/oleanderstair/engine/keyed.py
+++ b/oleanderstair/engine/keyed.py
@@ -85,7 +85,7 @@
         reply = await self._host.call(received, request)
         self._host.ports.link.send(
             peer.peer_address,
-            forwarding.to_answer_message(message, reply),
+            forwarding.to_answer_message(sender, message, reply),
         )
 
     def take_answer(
@@ -95,8 +95,13 @@
     ) -> None:
         """Take what the home of a forwarded call answered."""
         owed = self._host.pending.call_by_id.get(message.correlation)
-        event = forwarding.to_home_reply(message)
-        if owed is None or event is None or sender != owed.home:
+        event = forwarding.to_home_reply(sender, message)
+        own = self._host.state.identity.incarnation
+        is_asked = owed is not None and (sender, own) == (
+            owed.home,
+            message.asker,
+        )
+        if owed is None or event is None or not is_asked:
             self._host.metrics.count('peer-dropped', 'keyed-answer')
             return
         try:
