Send places on once only, and news in three rounds

A start of 18 instances kept the rate used up for 12 s, since each holder sent each place to 21 peers.

--- a/oleanderstair/domain/adopting.py
+++ b/oleanderstair/domain/adopting.py
@@ -199,7 +199,7 @@
     table.in_force = adopted
     table.in_force_since_ms = now_ms
     table.highest_heard = max(table.highest_heard, adopted.number)
-    state.facts.head_sends_left = sharing.rounds_of(state)
+    state.facts.head_sends_left = sharing.NEWS_ROUNDS
     return [actions.Audit('note', str(adopted.number), source, 'adopted')]
 
 
--- a/oleanderstair/domain/sharing.py
+++ b/oleanderstair/domain/sharing.py
@@ -4,7 +4,6 @@
 higher, so messages may be lost, doubled, late or reordered.
 """
 
-import math
 import typing
 
 from oleanderstair import clock
@@ -14,9 +13,10 @@
 FACT_LIMIT: typing.Final = 20_000
 GONE_ORIGIN_MS: typing.Final = 60_000
 LOAD_MS: typing.Final = 5000
+NEWS_ROUNDS: typing.Final = 3
+"""In how many rounds each holder sends news on; digests repair the rest."""
 
 _EXPIRY_MS: typing.Final = 1000
-_EXTRA_ROUNDS: typing.Final = 2
 
 
 def publish(
@@ -69,12 +69,6 @@
     return []
 
 
-def rounds_of(state: world.World) -> int:
-    """Return in how many rounds news is sent on before it is old."""
-    known = len(state.instances.peer_by_incarnation)
-    return math.ceil(math.log2(known + 2)) + _EXTRA_ROUNDS
-
-
 def _adopt(
     state: world.World,
     fact: messages.Fact,
@@ -104,10 +98,22 @@
     table.fact_by_key[key] = fact
     table.stated_at_ms_by_key[key] = stated_at_ms
     table.sends_left_by_key.pop(key, None)
-    is_own = fact.origin == state.identity.incarnation
-    # Loads are perishable: their origin alone sends them, and sends them anew.
-    if is_own or not isinstance(fact.body, messages.TargetLoad):
-        table.sends_left_by_key[key] = rounds_of(state)
+    rounds = _rounds_of(state, fact)
+    if rounds:
+        table.sends_left_by_key[key] = rounds
+
+
+def _rounds_of(state: world.World, fact: messages.Fact) -> int:
+    """Return in how many rounds this instance sends a fact on.
+
+    Loads are perishable, so their origin alone sends them; places are heard
+    from their instances as well.
+    """
+    if fact.origin == state.identity.incarnation:
+        return NEWS_ROUNDS
+    if isinstance(fact.body, messages.TargetLoad):
+        return 0
+    return 1 if isinstance(fact.body, messages.InstancePlace) else NEWS_ROUNDS
 
 
 def _is_expired(
