--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -81,7 +81,7 @@
         held.append(
             await made.until(
                 daemon,
-                lambda status: status['note']['number'] >= number,
+                lambda status: status['note'] >= number,
             ),
         )
 
