Ask the service again after a wake-up, and let an unconfirmed instance end

Cause: the head was asked for once after a wake-up, so an instance without peers stayed out where that read failed; a target set aside for a suspect call stayed so when it was withdrawn; an unconfirmed instance that stopped would have cut off what it had forwarded.

Change: it asks every value_read_ms until somebody answers; a withdrawal gives the target back; the stop waits for calls in flight.

--- a/oleanderstair/domain/leaving.py
+++ b/oleanderstair/domain/leaving.py
@@ -120,6 +120,7 @@
     _forget_idle(state, target_id)
     state.targets.ramp_by_id.pop(target_id, None)
     state.targets.down_since_ms_by_id.pop(target_id, None)
+    state.suspects.call_id_by_target.pop(target_id, None)
     return [
         actions.Audit('target', target_id, 'note', 'withdrawn'),
         actions.CloseIdle(target_id),
--- a/oleanderstair/domain/pauses.py
+++ b/oleanderstair/domain/pauses.py
@@ -68,7 +68,7 @@
     started = table.last_tick_ms != clock.NEVER_MS
     table.last_tick_ms = now_ms
     if not started or slept_ms <= state.policy.max_tick_age_ms:
-        return []
+        return _ask(state, now_ms)
     nonce = gossip.renew_nonce(state)
     table.wake = instances.Wake(nonce, proven=False, woke_at_ms=now_ms)
     state.facts.heartbeat_at_ms = clock.NEVER_MS
@@ -79,7 +79,7 @@
             'clock',
             f'woke up after {int(slept_ms)} ms',
         ),
-        actions.ReadValue(spread.HEAD_NAME, nonce),
+        *_ask(state, now_ms),
     ]
 
 
@@ -144,6 +144,18 @@
     return []
 
 
+def _ask(
+    state: world.World,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Ask the service until somebody has answered; peers are asked anyway."""
+    wake = state.instances.wake
+    if wake.proven or now_ms - wake.asked_at_ms < state.policy.value_read_ms:
+        return []
+    state.instances.wake = wake._replace(asked_at_ms=now_ms)
+    return [actions.ReadValue(spread.HEAD_NAME, wake.nonce)]
+
+
 def _prove(
     state: world.World,
     note_number: int,
--- a/oleanderstair/domain/stopping.py
+++ b/oleanderstair/domain/stopping.py
@@ -18,20 +18,20 @@
 ) -> list[actions.Action]:
     """Leave the address answers and begin to finish what is in flight."""
     table = state.instances
-    if table.phase is instances.Phase.STOPPING:
+    if table.stopping_since_ms != clock.NEVER_MS:
         return []
-    stopped = actions.Audit(
-        'instance',
-        state.identity.incarnation,
-        'operator',
-        'planned stop',
-    )
-    if table.phase is instances.Phase.UNCONFIRMED:
-        # It served nobody, and must not claim to be confirmed.
-        return [stopped, actions.Exit()]
-    table.phase = instances.Phase.STOPPING
     table.stopping_since_ms = now_ms
-    return [stopped]
+    # One that was never confirmed is in no answer, and claims nothing.
+    if table.phase is not instances.Phase.UNCONFIRMED:
+        table.phase = instances.Phase.STOPPING
+    return [
+        actions.Audit(
+            'instance',
+            state.identity.incarnation,
+            'operator',
+            'planned stop',
+        ),
+    ]
 
 
 def refuses(state: world.World, now_ms: clock.Millis) -> bool:
@@ -50,6 +50,11 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """End the process once nothing is in flight and answers ran out."""
-    if state.calls.call_by_id or not refuses(state, now_ms):
+    table = state.instances
+    stopping = table.stopping_since_ms != clock.NEVER_MS
+    if not stopping or state.calls.call_by_id:
+        return []
+    named = table.phase is instances.Phase.STOPPING
+    if named and not refuses(state, now_ms):
         return []
     return [actions.Exit()]
--- a/oleanderstair/domain/tables/instances.py
+++ b/oleanderstair/domain/tables/instances.py
@@ -51,6 +51,7 @@
     nonce: int = 0
     proven: bool = True
     woke_at_ms: clock.Millis = clock.NEVER_MS
+    asked_at_ms: clock.Millis = clock.NEVER_MS
     proven_at_ms: clock.Millis = clock.NEVER_MS
     note_number: int = 0
     proven_by: frozenset[str] = frozenset()
--- a/test/test_pauses.py
+++ b/test/test_pauses.py
@@ -49,6 +49,11 @@
     assert not dispatches_since(made, woke_at_ms)
     for call_id in waiting + late:
         assert made.told_by_call[call_id].outcome is outcomes.Outcome.NOT_RUN
+    made.platform_down = False
+    made.run_for(1500)
+    again = made.call(SLEEPER)
+    made.run_for(100)
+    assert made.told_by_call[again].outcome is outcomes.Outcome.RAN
 
 
 @pytest.mark.parametrize('source', ['peer', 'service'])
--- a/test/test_stopping.py
+++ b/test/test_stopping.py
@@ -47,3 +47,14 @@
         named = {entry['address'] for entry in answer['addresses']}
         assert f'{STOPPED}:80' not in named, instance_id
         assert named
+
+
+def test_one_that_was_never_confirmed_ends_at_once():
+    made = helper.make_harness(3)
+    made.platform_down = True
+    made.link_rule = lambda sender, receiver, message: ()
+    made.add_instance('entry-9')
+    made.run_for(500)
+    made.step('entry-9', events.StopRequested())
+    made.run_for(200)
+    assert not made.instance_by_id['entry-9'].alive
