--- a/oleanderstair/emulator/harness.py
+++ b/oleanderstair/emulator/harness.py
@@ -529,7 +529,13 @@
             self.told_by_call[call_id] = Told(now_ms, outcome, reason, 0)
             return
         asker_id, asked_call_id = asker
-        replied = events.HomeReplied(asked_call_id, outcome, reason)
+        home = self.instance_by_id[instance_id].state.identity.incarnation
+        replied = events.HomeReplied(
+            asked_call_id,
+            outcome,
+            reason,
+            home=home,
+        )
         asker_place = self._find(asker_id).state.identity.instance_id
         for delay_ms in self.link_rule(instance_id, asker_place, None):
             self._later(delay_ms, asker_id, replied)
@@ -564,7 +570,7 @@
     # Platform, probes and peers
 
     def _read_value(self, instance_id: str, action: actions.ReadValue) -> None:
-        self._answer_value(instance_id, action.name, HOP_MS)
+        self._answer_value(instance_id, action.name, HOP_MS, action.nonce)
 
     def _watch_value(
         self,
@@ -593,12 +599,14 @@
         instance_id: str,
         name: str,
         delay_ms: clock.Millis,
+        nonce: int = 0,
     ) -> None:
         self.platform_reads += 1
         if self.platform_down:
             event: events.Event = events.ReadFailed(name, 'service down')
         else:
-            event = events.ValueRead(name, self.read_rule(instance_id, name))
+            body = self.read_rule(instance_id, name)
+            event = events.ValueRead(name, body, nonce)
         self._later(delay_ms, instance_id, event)
 
     def _read_instances(
--- a/oleanderstair/engine/callers.py
+++ b/oleanderstair/engine/callers.py
@@ -101,7 +101,7 @@
         bad: incoming.BadRequest,
     ) -> None:
         self._shell.metrics.count('refused', bad.reason.value)
-        reply = replies.not_run(bad.reason, bad.detail)
+        reply = replies.reject(scope['headers'], bad.reason, bad.detail)
         closing = self._is_stopping()
         await replies.send_reply(send, scope['method'], reply, closing)
 
--- a/oleanderstair/engine/forwarding.py
+++ b/oleanderstair/engine/forwarding.py
@@ -1,22 +1,12 @@
 """Keyed calls and their answers on the way to and from their home."""
 
-import hashlib
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import events, messages, outcomes
+from oleanderstair.domain import events, fingerprints, messages, outcomes
 from oleanderstair.engine import exchanges, headers, pending
 
 TextFields: typing.TypeAlias = tuple[tuple[str, str], ...]
-_FINGERPRINT_BYTES: typing.Final = 16
-
-
-def fingerprint(method: str, path: str, body: bytes) -> str:
-    """Return a digest that is equal for a call that is sent again."""
-    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
-    digest.update(f'{method} {path}\n'.encode())
-    digest.update(body)
-    return digest.hexdigest()
 
 
 def to_message(
@@ -55,7 +45,12 @@
         deadline_ms=now_ms + message.budget_ms,
         key=message.key,
         depth=message.depth,
-        fingerprint=fingerprint(message.method, message.path, message.body),
+        fingerprint=fingerprints.of_call(
+            message.service,
+            message.method,
+            message.path,
+            message.body,
+        ),
         from_peer=sender,
     )
 
@@ -71,6 +66,7 @@
 
 
 def to_answer_message(
+    asker: str,
     message: messages.KeyedCall,
     reply: pending.Reply,
 ) -> messages.KeyedAnswer:
@@ -85,6 +81,7 @@
         status=answer.status,
         headers=_to_text(answer.headers),
         body=answer.body,
+        asker=asker,
     )
 
 
@@ -99,20 +96,31 @@
     )
 
 
-def to_home_reply(message: messages.KeyedAnswer) -> events.HomeReplied | None:
-    """Return the event of a home's answer, or None where it is malformed."""
+def to_home_reply(
+    sender: str,
+    message: messages.KeyedAnswer,
+) -> events.HomeReplied | None:
+    """Return the event of a home's answer, or None where it is malformed.
+
+    A reason of a newer release counts as one that this release knows.
+    """
     try:
         outcome = outcomes.Outcome(message.outcome)
-        reason = outcomes.Reason(message.reason) if message.reason else None
     except ValueError:
         return None
-    if reason is None and not message.status:
+    try:
+        reason = outcomes.Reason(message.reason) if message.reason else None
+    except ValueError:
+        reason = outcomes.Reason.HOME_LOST
+    ran = outcome is outcomes.Outcome.RAN
+    if ran != (reason is None) or ran != bool(message.status):
         return None
     return events.HomeReplied(
         call_id=message.correlation,
         outcome=outcome,
         reason=reason,
         retry_after_ms=message.retry_after_ms,
+        home=sender,
     )
 
 
--- a/oleanderstair/engine/shell.py
+++ b/oleanderstair/engine/shell.py
@@ -337,7 +337,7 @@
         reply = await self.call(received, request)
         self.ports.link.send(
             peer.peer_address,
-            forwarding.to_answer_message(message, reply),
+            forwarding.to_answer_message(sender, message, reply),
         )
 
     def _take_home_answer(
@@ -346,8 +346,9 @@
         message: messages.KeyedAnswer,
     ) -> None:
         owed = self.pending.call_by_id.get(message.correlation)
-        event = forwarding.to_home_reply(message)
-        if owed is None or event is None or sender != owed.home:
+        event = forwarding.to_home_reply(sender, message)
+        addressed = message.asker == self.state.identity.incarnation
+        if owed is None or event is None or not addressed:
             self.metrics.count('peer-dropped', 'keyed-answer')
             return
         try:
@@ -435,4 +436,5 @@
         answer.status,
         headers.read_retry_after_ms(answer.headers),
         leaving=bool(headers.find(answer.headers, headers.LEAVING)),
+        answer_bytes=len(answer.body),
     )
