--- a/oleanderstair/domain/attempts.py
+++ b/oleanderstair/domain/attempts.py
@@ -12,6 +12,7 @@
     outcomes,
     ejection,
     leaving,
+    occupancy,
     queueing,
     ramps,
     retries,
@@ -25,6 +26,7 @@
     leaving.on_attempt_ended,
     ramps.on_attempt_ended,
     ejection.on_attempt_ended,
+    occupancy.on_attempt_ended,
 )
 _PROVEN_NOT_RUN: typing.Final = frozenset(
     (events.Verdict.SHED, events.Verdict.NOT_SENT),
--- a/oleanderstair/domain/ejection.py
+++ b/oleanderstair/domain/ejection.py
@@ -7,7 +7,7 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, conditions, events, world
+from oleanderstair.domain import actions, conditions, events, occupancy, world
 from oleanderstair.domain.tables import services, targets
 
 _MOST_DOUBLINGS: typing.Final = 4
@@ -68,6 +68,7 @@
             failures_in_row=state.policy.eject_failures - 1,
         ),
     )
+    occupancy.tell_failing(state, condition, now_ms)
     why = f'{condition.failures_in_row} failures in a row'
     return actions.Audit('target', condition.target_id, why, 'ejected')
 
--- a/oleanderstair/domain/latencies.py
+++ b/oleanderstair/domain/latencies.py
@@ -12,7 +12,7 @@
 _FADE: typing.Final = 0.9995
 _FIRST_HIGH_FACTOR: typing.Final = 2
 _ROBUST_WEIGHT: typing.Final = 0.2
-_ROBUST_STEP: typing.Final = 0.3
+_ROBUST_STEP: typing.Final = 0.5
 
 
 def learn(
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -29,12 +29,16 @@
 
 
 class TargetLoad(typing.NamedTuple):
-    """What one instance has in flight at a target, and its last report."""
+    """What one instance has in flight at a target, and its last report.
+
+    ``latency_ms`` is 0 where the instance has nothing to say of it.
+    """
 
     target_id: str
     in_flight: int
     reported_in_flight: int = -1
     report_age_ms: clock.Millis = 0
+    latency_ms: int = 0
 
 
 class CallSuspect(typing.NamedTuple):
--- a/oleanderstair/domain/shares.py
+++ b/oleanderstair/domain/shares.py
@@ -10,7 +10,7 @@
 import zlib
 
 from oleanderstair import clock
-from oleanderstair.domain import world
+from oleanderstair.domain import rendezvous, world
 from oleanderstair.domain.tables import catalogue, services, targets
 
 _SPREAD_LIMIT: typing.Final = 48
@@ -23,12 +23,12 @@
     now_ms: clock.Millis,
 ) -> services.Share:
     """Return this instance's share, worked out anew where its base moved."""
-    _renew_roster(state)
+    live = roster(state)
     table = state.services
     in_force = state.catalogue.in_force
     known = table.share_by_service.get(service)
     if known is not None and known.digest == in_force.digest:
-        if known.roster is table.roster:
+        if known.roster is live:
             return known
     made = _make_share(state, service, in_force)
     table.share_by_service[service] = made
@@ -44,11 +44,12 @@
     return condition.in_flight >= share.slots_by_target.get(target_id, 0)
 
 
-def _renew_roster(state: world.World) -> None:
+def roster(state: world.World) -> tuple[str, ...]:
+    """Return the live instances in order, the same value until they change."""
     table = state.services
     listed_at_ms = state.instances.listed_at_ms
     if table.roster_at_ms == listed_at_ms:
-        return
+        return table.roster
     table.roster_at_ms = listed_at_ms
     live = {
         entry.instance_id
@@ -56,9 +57,10 @@
         if not entry.leaving
     }
     live.add(state.identity.instance_id)
-    roster = tuple(sorted(live))
-    if roster != table.roster:
-        table.roster = roster
+    found = tuple(sorted(live))
+    if found != table.roster:
+        table.roster = found
+    return table.roster
 
 
 def _make_share(
@@ -66,19 +68,19 @@
     service: str,
     in_force: catalogue.Catalogue,
 ) -> services.Share:
-    roster = state.services.roster
+    live = state.services.roster
     own_id = state.identity.instance_id
-    rank = roster.index(own_id) + zlib.crc32(service.encode())
+    rank = live.index(own_id) + zlib.crc32(service.encode())
     ids = in_force.target_ids_by_service.get(service, ())
     own: collections.Counter[str] = collections.Counter()
     for index, target_id in enumerate(_slots(in_force, ids)):
-        if (index - rank) % len(roster) == 0:
+        if (index - rank) % len(live) == 0:
             own[target_id] += 1
     return services.Share(
         digest=in_force.digest,
-        roster=roster,
+        roster=live,
         slots_by_target=dict(own),
-        others=_subset(own_id, ids, len(roster), own),
+        others=_subset(own_id, ids, len(live), own),
     )
 
 
@@ -98,7 +100,7 @@
     own_id: str,
     ids: typing.Sequence[str],
     instances: int,
-    own: typing.Container[str],
+    own: typing.Iterable[str],
 ) -> tuple[str, ...]:
     """Return the targets that may be used beyond the share.
 
@@ -108,12 +110,9 @@
     limit = max(_SPREAD_LIMIT, _SPREAD_INSTANCES * len(ids) // instances)
     if len(ids) <= limit:
         return tuple(ids)
-    ranked = sorted(
-        ids,
-        key=lambda found: zlib.crc32(f'{own_id}/{found}'.encode()),
-    )
     return tuple(
-        target_id
-        for position, target_id in enumerate(ranked)
-        if position < limit or target_id in own
+        {
+            **dict.fromkeys(rendezvous.first(ids, own_id, limit)),
+            **dict.fromkeys(own),
+        },
     )
--- a/oleanderstair/domain/tables/budgets.py
+++ b/oleanderstair/domain/tables/budgets.py
@@ -13,9 +13,23 @@
     updated_at_ms: clock.Millis
 
 
+class ProbeTurn(typing.NamedTuple):
+    """The targets of a service that this instance measures.
+
+    ``roster`` and ``digest`` are what the turn was worked out for, and
+    ``since_ms`` is when this instance began to measure the service.
+    """
+
+    roster: tuple[str, ...]
+    digest: str
+    target_ids: tuple[str, ...]
+    since_ms: clock.Millis
+    probed_at_ms: clock.Millis = clock.NEVER_MS
+
+
 @dataclasses.dataclass(slots=True)
 class BudgetsTable:
-    """Buckets by service, and when each target was last measured."""
+    """Buckets and turns to measure, by service."""
 
     retries_by_service: dict[str, TokenBucket] = dataclasses.field(
         default_factory=dict,
@@ -23,12 +37,10 @@
     hedges_by_service: dict[str, TokenBucket] = dataclasses.field(
         default_factory=dict,
     )
-    probes_by_service: dict[str, TokenBucket] = dataclasses.field(
-        default_factory=dict,
-    )
-    probed_at_ms_by_target: dict[str, clock.Millis] = dataclasses.field(
+    turn_by_service: dict[str, ProbeTurn] = dataclasses.field(
         default_factory=dict,
     )
+    measured_at_ms: clock.Millis = clock.NEVER_MS
 
 
 def create() -> BudgetsTable:
--- a/oleanderstair/domain/tables/targets.py
+++ b/oleanderstair/domain/tables/targets.py
@@ -33,7 +33,10 @@
     others_at_ms: clock.Millis = clock.NEVER_MS
     failure_rate: float = 0
     overdue: int = 0
-    others_slowness: float = 1
+    report_misses: int = 0
+    others_latency_ms: clock.Millis = 0
+    others_latency_at_ms: clock.Millis = clock.NEVER_MS
+    slow_told_at_ms: clock.Millis = clock.NEVER_MS
 
 
 class Ramp(typing.NamedTuple):
--- a/oleanderstair/emulator/harness.py
+++ b/oleanderstair/emulator/harness.py
@@ -607,7 +607,11 @@
         self._later(HOP_MS, instance_id, event)
 
     def _probe(self, instance_id: str, action: actions.Probe) -> None:
-        target = self.target_by_id[action.target_id]
+        target = self.target_by_id.get(action.target_id)
+        if target is None:
+            failed = events.ProbeEnded(action.target_id, None, HOP_MS)
+            self._later(HOP_MS, instance_id, failed)
+            return
         target.probe_reads += 2
         reachable = target.behaviour not in {
             Behaviour.UNREACHABLE,
