--- a/oleanderstair/domain/addresses.py
+++ b/oleanderstair/domain/addresses.py
@@ -3,7 +3,7 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import live, world
+from oleanderstair.domain import epochs, live, world
 from oleanderstair.domain.tables import instances
 
 ADDRESS_LIMIT: typing.Final = 8
@@ -39,7 +39,7 @@
     found = [_address_of(peer) for peer in _usable_peers(state, now_ms)]
     if state.instances.phase is instances.Phase.SERVING:
         found.append(_own_address(state))
-    state.rng.shuffle(found)
+    state.address_rng.shuffle(found)
     local = [entry for entry in found if entry['data_centre'] == data_centre]
     outside = [entry for entry in found if entry['data_centre'] != data_centre]
     kept = local[: ADDRESS_LIMIT - min(len(outside), OUTSIDE_MINIMUM)]
@@ -50,7 +50,12 @@
 
 
 def key_prefix(incarnation: str, epoch: int) -> str:
-    """Return the prefix that binds a key to its home and epoch."""
+    """Return the prefix that binds a key to its home and epoch.
+
+    It is empty where the home takes no new keys at the moment.
+    """
+    if epoch == epochs.NO_EPOCH:
+        return ''
     return f'{incarnation}.{epoch}.'
 
 
@@ -83,5 +88,5 @@
     return Address(
         address=own.caller_address,
         data_centre=own.data_centre,
-        key_prefix=key_prefix(own.incarnation, state.keys.open_epoch),
+        key_prefix=key_prefix(own.incarnation, epochs.prefix_epoch(state.keys)),
     )
--- a/oleanderstair/domain/conditions.py
+++ b/oleanderstair/domain/conditions.py
@@ -3,7 +3,14 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, latencies, ramps, world
+from oleanderstair.domain import (
+    actions,
+    events,
+    latencies,
+    pauses,
+    ramps,
+    world,
+)
 from oleanderstair.domain.tables import targets
 
 _FULL_MS: typing.Final = 2
@@ -28,9 +35,13 @@
         return False
     if now_ms < condition.full_until_ms:
         return False
-    if condition.ejections and condition.failures_in_row:
-        return not condition.in_flight
-    return condition.in_flight < ramps.allowance(state, target, now_ms)
+    if target_id in state.suspects.call_id_by_target:
+        return False
+    allowed = ramps.allowance(state, target, now_ms)
+    on_trial = condition.ejections and condition.failures_in_row
+    if on_trial or pauses.is_unchecked(state, target_id):
+        allowed = min(allowed, 1)
+    return condition.in_flight < allowed
 
 
 def on_dispatch(state: world.World, target_id: str) -> None:
--- a/oleanderstair/domain/gossip.py
+++ b/oleanderstair/domain/gossip.py
@@ -85,11 +85,10 @@
 ) -> list[actions.Action]:
     """Send proof of life to the next few instances when it is due."""
     if not state.traffic.nonce:
-        state.traffic.nonce = state.rng.randrange(1, _NONCE_LIMIT)
+        renew_nonce(state)
     _state_place(state, now_ms)
     if now_ms - state.facts.heartbeat_at_ms < state.policy.heartbeat_ms:
         return []
-    state.facts.heartbeat_at_ms = now_ms
     turn = state.traffic.heartbeat_turn
     state.traffic.heartbeat_turn += 1
     local, outside = live.contacts(state)
@@ -99,10 +98,17 @@
     )
     sent: list[actions.Action] = []
     for address in chosen:
+        state.facts.heartbeat_at_ms = now_ms
         sent.extend(_send(state, address, now_ms))
     return sent
 
 
+def renew_nonce(state: world.World) -> int:
+    """Draw the nonce that answers to this instance carry from now on."""
+    state.traffic.nonce = state.rng.randrange(1, _NONCE_LIMIT)
+    return state.traffic.nonce
+
+
 def heartbeat(state: world.World) -> messages.Heartbeat:
     """Return what this instance says of itself."""
     own = state.identity
--- a/oleanderstair/domain/shares.py
+++ b/oleanderstair/domain/shares.py
@@ -86,13 +86,20 @@
 
 def _slots(
     in_force: catalogue.Catalogue,
-    ids: typing.Sequence[str],
+    ids: tuple[str, ...],
 ) -> typing.Iterator[str]:
-    """Yield each target once for each slot, all first slots first."""
-    counts = [in_force.target_by_id[target_id].slots for target_id in ids]
-    for level in range(max(counts, default=0)):
-        for target_id, count in zip(ids, counts, strict=True):
-            if level < count:
+    """Yield each target once for each slot, all first slots first.
+
+    Each level starts one target further on, so that the slots of one
+    instance lie at different targets.
+    """
+    counts = {
+        target_id: in_force.target_by_id[target_id].slots for target_id in ids
+    }
+    for level in range(max(counts.values(), default=0)):
+        start = level % len(ids)
+        for target_id in (*ids[start:], *ids[:start]):
+            if level < counts[target_id]:
                 yield target_id
 
 
--- a/oleanderstair/emulator/harness.py
+++ b/oleanderstair/emulator/harness.py
@@ -30,6 +30,7 @@
 HOP_MS: typing.Final[clock.Millis] = 0.5
 SILENT_MS: typing.Final[clock.Millis] = 1e9
 _FAILED: typing.Final = 500
+_SEED_BITS: typing.Final = 64
 
 
 class Behaviour(enum.Enum):
@@ -145,6 +146,7 @@
     """One instance under the harness."""
 
     state: world.World
+    seed: int = 0
     alive: bool = True
     paused_until_ms: clock.Millis = clock.NEVER_MS
     action_log: list[tuple[clock.Millis, actions.Action]] = dataclasses.field(
@@ -225,9 +227,10 @@
             caller_address=f'{instance_id}:80',
             peer_address=instance_id,
         )
-        seeded = random.Random(self.rng.random())
+        seed = self.rng.getrandbits(_SEED_BITS)
+        seeded = random.Random(seed)
         state = world.create(own, policy.Policy(**limits), seeded)
-        started = Instance(state)
+        started = Instance(state, seed)
         self.instance_by_id[instance_id] = started
         self.instance_by_incarnation[own.incarnation] = started
         if listed:
@@ -526,7 +529,13 @@
             self.told_by_call[call_id] = Told(now_ms, outcome, reason, 0)
             return
         asker_id, asked_call_id = asker
-        replied = events.HomeReplied(asked_call_id, outcome, reason)
+        home = self.instance_by_id[instance_id].state.identity.incarnation
+        replied = events.HomeReplied(
+            asked_call_id,
+            outcome,
+            reason,
+            home=home,
+        )
         asker_place = self._find(asker_id).state.identity.instance_id
         for delay_ms in self.link_rule(instance_id, asker_place, None):
             self._later(delay_ms, asker_id, replied)
@@ -561,7 +570,7 @@
     # Platform, probes and peers
 
     def _read_value(self, instance_id: str, action: actions.ReadValue) -> None:
-        self._answer_value(instance_id, action.name, HOP_MS)
+        self._answer_value(instance_id, action.name, HOP_MS, action.nonce)
 
     def _watch_value(
         self,
@@ -590,12 +599,14 @@
         instance_id: str,
         name: str,
         delay_ms: clock.Millis,
+        nonce: int = 0,
     ) -> None:
         self.platform_reads += 1
         if self.platform_down:
             event: events.Event = events.ReadFailed(name, 'service down')
         else:
-            event = events.ValueRead(name, self.read_rule(instance_id, name))
+            body = self.read_rule(instance_id, name)
+            event = events.ValueRead(name, body, nonce)
         self._later(delay_ms, instance_id, event)
 
     def _read_instances(
--- a/oleanderstair/engine/node.py
+++ b/oleanderstair/engine/node.py
@@ -22,10 +22,12 @@
     platform,
     ports,
     probes,
+    recorder,
     shell,
 )
 
 _INCARNATION_BYTES: typing.Final = 4
+_SEED_BITS: typing.Final = 64
 
 
 @dataclasses.dataclass(slots=True)
@@ -102,8 +104,18 @@
             endpoints=probes.create(),
             link=self.link,
         )
-        state = world.create(self.identity, limits, random.Random())
-        return shell.Shell(state, outgoing, tasks)
+        seed = secrets.randbits(_SEED_BITS)
+        state = world.create(self.identity, limits, random.Random(seed))
+        carrier = shell.Shell(state, outgoing, tasks)
+        self.link.report_to(carrier.metrics.count)
+        if self.checked.trace.max_events:
+            carrier.recorder = recorder.create(
+                self.identity,
+                limits,
+                seed,
+                self.checked.trace.max_events,
+            )
+        return carrier
 
 
 def create(checked: settings.Settings) -> Node:
@@ -113,7 +125,7 @@
     )
     caller_socket = listener.bind(checked.callers.host, checked.callers.port)
     admin_socket = listener.bind(checked.admin.host, checked.admin.port)
-    link = peers.create(checked.peers.host, checked.peers.port, incarnation)
+    link = _create_link(checked, incarnation)
     own = identity.Identity(
         instance_id=checked.instance.id,
         incarnation=incarnation,
@@ -134,6 +146,16 @@
     )
 
 
+def _create_link(checked: settings.Settings, incarnation: str) -> peers.ZmqLink:
+    wanted = checked.peers
+    return peers.create(
+        wanted.host,
+        wanted.port,
+        incarnation,
+        peers.Keys(wanted.public_key, wanted.secret_key),
+    )
+
+
 def _bounds_of(callers_settings: settings.CallerSettings) -> bounded.Bounds:
     return bounded.Bounds(
         max_header_bytes=callers_settings.max_header_bytes,
--- a/oleanderstair/engine/shell.py
+++ b/oleanderstair/engine/shell.py
@@ -39,8 +39,16 @@
 class Recorder(typing.Protocol):
     """Keep the events of an instance for replay."""
 
-    def record(self, now_ms: clock.Millis, event: events.Event) -> None:
-        """Keep ``event``, which is handled at ``now_ms``."""
+    def record(
+        self,
+        now_ms: clock.Millis,
+        event: events.Event,
+        done: typing.Sequence[actions.Action],
+    ) -> None:
+        """Keep ``event``, handled at ``now_ms``, and what was decided."""
+
+    def export(self) -> bytes:
+        """Return the trace as it stands."""
 
 
 class Shell:
@@ -86,16 +94,25 @@
     def handle(self, event: events.Event) -> None:
         """Step the decision code and perform what it asks for."""
         now_ms = self.ports.clock.now_ms()
-        if self.recorder is not None:
-            self.recorder.record(now_ms, event)
         try:
             wanted = balancer.step(self.state, event, now_ms)
         except Exception as error:
+            self._keep(now_ms, event, [])
             self.report_fault(type(event).__name__, error)
             return
+        self._keep(now_ms, event, wanted)
         for action in wanted:
             self._perform(action)
 
+    def _keep(
+        self,
+        now_ms: clock.Millis,
+        event: events.Event,
+        wanted: list[actions.Action],
+    ) -> None:
+        if self.recorder is not None:
+            self.recorder.record(now_ms, event, wanted)
+
     async def call(
         self,
         received: events.CallReceived,
@@ -295,7 +312,7 @@
         owed = self.pending.call_by_id[action.call_id]
         owed.home = action.home
         message = forwarding.to_message(owed, action.home, action.budget_ms)
-        self.ports.link.send(action.address, message)
+        self.ports.link.send(action.address, message, action.home)
 
     async def _serve_peer(
         self,
@@ -320,7 +337,7 @@
         reply = await self.call(received, request)
         self.ports.link.send(
             peer.peer_address,
-            forwarding.to_answer_message(message, reply),
+            forwarding.to_answer_message(sender, message, reply),
         )
 
     def _take_home_answer(
@@ -329,8 +346,9 @@
         message: messages.KeyedAnswer,
     ) -> None:
         owed = self.pending.call_by_id.get(message.correlation)
-        event = forwarding.to_home_reply(message)
-        if owed is None or event is None or sender != owed.home:
+        event = forwarding.to_home_reply(sender, message)
+        addressed = message.asker == self.state.identity.incarnation
+        if owed is None or event is None or not addressed:
             self.metrics.count('peer-dropped', 'keyed-answer')
             return
         try:
@@ -341,7 +359,11 @@
         self.handle(event)
 
     def _send_peer(self, action: actions.SendPeer) -> None:
-        sent = self.ports.link.send(action.address, action.message)
+        sent = self.ports.link.send(
+            action.address,
+            action.message,
+            action.incarnation,
+        )
         kind = type(action.message).__name__
         self.metrics.count('peer-messages', kind)
         self.metrics.count('peer-bytes', kind, sent)
@@ -414,4 +436,5 @@
         answer.status,
         headers.read_retry_after_ms(answer.headers),
         leaving=bool(headers.find(answer.headers, headers.LEAVING)),
+        answer_bytes=len(answer.body),
     )
