--- a/oleanderstair/domain/allowances.py
+++ b/oleanderstair/domain/allowances.py
@@ -17,20 +17,22 @@
     share: float,
     now_ms: clock.Millis,
 ) -> None:
-    """Add what one call of a service earns, up to a fixed reserve."""
-    tokens = _tokens(buckets, service) + share
+    """Add what one call of a service earns, up to a fixed reserve.
+
+    A share of none leaves no allowance at all.
+    """
+    if share <= 0:
+        buckets.pop(service, None)
+        return
+    first = budgets.TokenBucket(_FIRST_TOKENS, now_ms)
+    tokens = buckets.get(service, first).tokens + share
     buckets[service] = budgets.TokenBucket(min(tokens, _MOST_TOKENS), now_ms)
 
 
 def spend(buckets: _Buckets, service: str, now_ms: clock.Millis) -> bool:
     """Take one token where there is one, and return whether there was."""
-    tokens = _tokens(buckets, service)
-    if tokens < 1:
+    known = buckets.get(service)
+    if known is None or known.tokens < 1:
         return False
-    buckets[service] = budgets.TokenBucket(tokens - 1, now_ms)
+    buckets[service] = budgets.TokenBucket(known.tokens - 1, now_ms)
     return True
-
-
-def _tokens(buckets: _Buckets, service: str) -> float:
-    bucket = buckets.get(service)
-    return bucket.tokens if bucket else _FIRST_TOKENS
--- a/oleanderstair/domain/queueing.py
+++ b/oleanderstair/domain/queueing.py
@@ -14,6 +14,7 @@
 _OVERLOADED_AFTER_MS: typing.Final = 100
 _LEAST_LENGTH: typing.Final = 4
 _WAIT_SHARE: typing.Final = 0.15
+_LONGEST_WAIT_SHARE: typing.Final = 0.35
 _FIRST_GUESS_MS: typing.Final = 10
 _FILL_BY_CLASS: typing.Final = {
     catalogue.CallClass.INTERACTIVE: 1.0,
@@ -109,15 +110,22 @@
 
 
 def expired(state: world.World, now_ms: clock.Millis) -> list[int]:
-    """Remove and return the queued calls that can't be served in time."""
+    """Remove and return the queued calls that can't be served in time.
+
+    Where the queue stands, a call that was passed over for long is among
+    them: its caller can still use the rest of its time elsewhere.
+    """
     gone = []
     for service, queue in state.calls.queue_by_service.items():
         if not queue.length:
             continue
         load = services.load_of(state.services, service)
         latest_ms = now_ms + load.median_ms
+        longest = 1.0
+        if is_overloaded(state, service, now_ms):
+            longest = _LONGEST_WAIT_SHARE
         for waiting in queue.waiting_by_class.values():
-            late = _late_ids(state, waiting, latest_ms)
+            late = _late_ids(state, waiting, latest_ms, longest)
             gone.extend(late)
             for call_id in late:
                 waiting.remove(call_id)
@@ -129,13 +137,19 @@
     state: world.World,
     waiting: typing.Iterable[int],
     latest_ms: clock.Millis,
+    longest_share: float,
 ) -> list[int]:
-    table = state.calls.call_by_id
-    return [
-        call_id
-        for call_id in waiting
-        if call_id in table and table[call_id].received.deadline_ms <= latest_ms
-    ]
+    late = []
+    for call_id in waiting:
+        call = state.calls.call_by_id.get(call_id)
+        if call is None:
+            continue
+        deadline_ms = call.received.deadline_ms
+        budget_ms = deadline_ms - call.received_at_ms
+        bound_ms = call.received_at_ms + longest_share * budget_ms
+        if latest_ms >= min(deadline_ms, bound_ms):
+            late.append(call_id)
+    return late
 
 
 def _length_limit(
