--- a/oleanderstair/domain/attempts.py
+++ b/oleanderstair/domain/attempts.py
@@ -13,6 +13,7 @@
     pauses,
     ejection,
     leaving,
+    occupancy,
     quarantine,
     queueing,
     ramps,
@@ -28,6 +29,7 @@
     pauses.on_attempt_ended,
     ramps.on_attempt_ended,
     ejection.on_attempt_ended,
+    occupancy.on_attempt_ended,
 )
 _PROVEN_NOT_RUN: typing.Final = frozenset(
     (events.Verdict.SHED, events.Verdict.NOT_SENT),
--- a/test/test_pauses.py
+++ b/test/test_pauses.py
@@ -83,6 +83,9 @@
 
 def test_each_target_takes_one_call_until_it_has_answered():
     made = helper.make_harness(2, target_count=2)
+    # A probe would check the targets before the calls do.
+    sleeper = made.instance_by_id[SLEEPER].state
+    sleeper.budgets.measured_at_ms = float('inf')
     made.pause(SLEEPER, PAUSE_MS)
     made.run_for(PAUSE_MS + 500)
     names = sorted(made.target_by_id)
