Use a slot that comes free before the seconds of Retry-After

Cause: a shed answer kept its target out of use for its Retry-After, whose least value over HTTP is one second, while slots come free within ms. Ruled out: a cap of 100 ms.

--- a/oleanderstair/domain/conditions.py
+++ b/oleanderstair/domain/conditions.py
@@ -80,9 +80,8 @@
     elif event.verdict is events.Verdict.ANSWERED:
         condition = _served(condition, took_ms, now_ms)
     elif event.verdict is events.Verdict.SHED:
-        condition = condition._replace(
-            full_until_ms=now_ms + max(event.retry_after_ms, _FULL_MS),
-        )
+        # Retry-After counts seconds, but slots come free within ms.
+        condition = condition._replace(full_until_ms=now_ms + _FULL_MS)
     targets.put_condition(state.targets, condition)
     return []
 
