Do not retry a refusal that a target passes on from below

Cause: a target that hands a nested not-run on as its own was tried at up to 12 targets, at each of up to 27 levels. The system's own refusals name a reason, a target's do not, so a shed with a reason ends the call. The test fails on the old rule. Also: callers' X-Forwarded headers no longer rewrite the client in uvicorn.

--- a/oleanderstair/domain/attempts.py
+++ b/oleanderstair/domain/attempts.py
@@ -136,7 +136,8 @@
         )
     if call.attempts:
         return []
-    if retries.may_retry(state, call, now_ms):
+    # Only the level next to a failure retries, whatever the depth.
+    if not event.passed_on and retries.may_retry(state, call, now_ms):
         call = retries.prepare(state, call, now_ms)
         if suspects.is_suspect(state, call.received.fingerprint):
             return quarantine.hold(state, call, now_ms)
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -44,7 +44,8 @@
     """An attempt ended; only SHED and NOT_SENT prove that it did not run.
 
     ``crashed`` is true where the target's connection was reset or closed
-    in the middle of the exchange.
+    in the middle of the exchange. ``passed_on`` is true where the target
+    sheds a call only because a call below it was refused after retries.
     """
 
     call_id: int
@@ -55,6 +56,7 @@
     leaving: bool = False
     crashed: bool = False
     answer_bytes: int = 0
+    passed_on: bool = False
 
 
 class HomeReplied(typing.NamedTuple):
--- a/oleanderstair/emulator/harness.py
+++ b/oleanderstair/emulator/harness.py
@@ -29,6 +29,7 @@
 
 HOP_MS: typing.Final[clock.Millis] = 0.5
 SILENT_MS: typing.Final[clock.Millis] = 1e9
+SHED_RETRY_AFTER_MS: typing.Final[clock.Millis] = 1000
 _FAILED: typing.Final = 500
 _SEED_BITS: typing.Final = 64
 
@@ -119,6 +120,7 @@
         self.behaviour = Behaviour.SERVE
         self.crashing_paths: set[str] = set()
         self.leaving = False
+        self.passes_on = False
         self.incarnation = '1'
         self.reported_in_flight: int | None = None
         self.running: set[tuple[str, int]] = set()
@@ -396,7 +398,10 @@
             )
         else:
             target.shed += 1
-            ended = _ended(action, events.Verdict.SHED)
+            ended = _ended(action, events.Verdict.SHED)._replace(
+                retry_after_ms=SHED_RETRY_AFTER_MS,
+                passed_on=target.passes_on,
+            )
             self._later(
                 HOP_MS,
                 instance_id,
--- a/oleanderstair/engine/attempting.py
+++ b/oleanderstair/engine/attempting.py
@@ -157,4 +157,5 @@
         headers.read_retry_after_ms(answer.headers),
         leaving=bool(headers.find(answer.headers, headers.LEAVING)),
         answer_bytes=len(answer.body),
+        passed_on=exchanges.is_passed_on(answer),
     )
--- a/oleanderstair/engine/exchanges.py
+++ b/oleanderstair/engine/exchanges.py
@@ -189,6 +189,18 @@
     return Connections(streams.create(), max_answer_bytes)
 
 
+def is_passed_on(answer: Answer) -> bool:
+    """Return whether a shed answer is a refusal of this system itself.
+
+    Only this system names a reason, so the target passes on what a nested
+    call was told after its own retries.
+    """
+    return (
+        verdict_of(answer) is events.Verdict.SHED
+        and headers.find(answer.headers, headers.REASON) != b''
+    )
+
+
 def verdict_of(answer: Answer) -> events.Verdict:
     """Return SHED where the target itself says that it did not run."""
     if answer.status != _UNAVAILABLE:
--- a/oleanderstair/engine/listener.py
+++ b/oleanderstair/engine/listener.py
@@ -77,6 +77,7 @@
         interface='asgi3',
         log_config=None,
         access_log=False,
+        proxy_headers=False,
         server_header=False,
         date_header=False,
         backlog=_BACKLOG,
--- a/test/test_routing.py
+++ b/test/test_routing.py
@@ -190,3 +190,33 @@
     now_ms = made.clock.now_ms()
     ejected = sum(now_ms < row.ejected_until_ms for row in known.values())
     assert ejected <= 2
+
+
+def test_slot_that_comes_free_is_used_before_the_seconds_of_retry_after():
+    made = helper.make_harness(count=2, target_count=1)
+    target = made.target_by_id['burza-1']
+    made.run_for(20_000)
+    target.service_time = lambda received: 20
+    for _ in range(target.slots):
+        made.call('entry-1')
+    made.run_for(2)
+    late = made.call('entry-2')
+    started_ms = made.clock.now_ms()
+    made.run_for(harness.SHED_RETRY_AFTER_MS)
+    assert target.shed
+    told = made.told_by_call[late]
+    assert told.outcome is outcomes.Outcome.RAN
+    assert told.at_ms - started_ms < harness.SHED_RETRY_AFTER_MS / 2
+
+
+def test_refusal_passed_on_from_below_is_not_retried():
+    made = helper.make_harness(target_count=3)
+    for target in made.target_by_id.values():
+        target.slots = 0
+        target.passes_on = True
+    call_id = made.call('entry-1')
+    made.run_for(1000)
+    told = made.told_by_call[call_id]
+    assert told.outcome is outcomes.Outcome.NOT_RUN
+    assert told.reason is outcomes.Reason.TARGET_REFUSED
+    assert sum(target.shed for target in made.target_by_id.values()) == 1
