--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from bench import daemons
+from oleanderstair.emulator import targets
 from oleanderstair.engine import headers
 
 BOUND_S = 150
@@ -20,6 +21,10 @@
 PUBLICATIONS = 10
 RESTARTS = 5
 CALL_PAUSE_S = 0.02
+DRAINS = 5
+DRAIN_WATCH_S = 4
+RESENDS = 20
+CALLERS = 4
 
 Report: typing.TypeAlias = dict[str, object]
 
@@ -174,6 +179,93 @@
         )
 
 
+async def measure_without_service() -> None:
+    """Measure a draining target and a resent key with the service down."""
+    async with daemons.deployed(BOUND_S) as made:
+        fleet = await start_all(made, 4)
+        made.fakes.platform.down = True
+        spans_ms = [await measure_drain(made, fleet) for _ in range(DRAINS)]
+        _print('last new call to a draining target', _summary(spans_ms))
+        runs = [await count_runs(made, fleet, turn) for turn in range(RESENDS)]
+        _print('runs of a key sent to all four', _summary(runs))
+
+
+async def measure_drain(
+    made: daemons.Deployment,
+    fleet: list[daemons.Daemon],
+) -> float:
+    """Let a target drain under calls; return ms until its last new call."""
+    answered: list[int] = []
+    async with anyio.create_task_group() as tasks:
+        for daemon in fleet:
+            for _ in range(CALLERS):
+                tasks.start_soon(_call, daemon, answered)
+        target = await _find_busy(made)
+        target.leaving = True
+        began = anyio.current_time()
+        last, seen = began, target.leaving_calls
+        while anyio.current_time() - began < DRAIN_WATCH_S:
+            await anyio.sleep(0.005)
+            if target.leaving_calls > seen:
+                last, seen = anyio.current_time(), target.leaving_calls
+        tasks.cancel_scope.cancel()
+    return (last - began) * 1000
+
+
+async def count_runs(
+    made: daemons.Deployment,
+    fleet: list[daemons.Daemon],
+    turn: int,
+) -> float:
+    """Send one key to every daemon at once; return how often it ran."""
+    home = fleet[turn % len(fleet)]
+    prefix = await _key_prefix(home)
+    key = f'{prefix}order-{turn}'
+
+    async def order(daemon: daemons.Daemon) -> None:
+        async with httpcore.AsyncConnectionPool() as pool:
+            await pool.request(
+                'POST',
+                f'http://{daemon.address_by_side["callers"]}/orders',
+                headers=[
+                    (headers.SERVICE, b'burza'),
+                    (headers.KEY, key.encode()),
+                ],
+            )
+
+    async with anyio.create_task_group() as tasks:
+        for daemon in fleet:
+            tasks.start_soon(order, daemon)
+    return sum(
+        target.served_by_key.get(key, 0)
+        for target in made.fakes.target_by_id.values()
+    )
+
+
+async def _find_busy(made: daemons.Deployment) -> targets.Target:
+    members = [
+        target
+        for target in made.fakes.target_by_id.values()
+        if not target.leaving
+    ]
+    before = {target.target_id: target.served for target in members}
+    await anyio.sleep(1)
+    return max(
+        members,
+        key=lambda target: target.served - before[target.target_id],
+    )
+
+
+async def _key_prefix(home: daemons.Daemon) -> str:
+    own = home.address_by_side['callers']
+    async with httpcore.AsyncConnectionPool() as pool:
+        answer = await pool.request('GET', f'http://{own}/-/addresses')
+    found = msgspec.json.decode(answer.content)['addresses']
+    return next(
+        str(entry['key_prefix']) for entry in found if entry['address'] == own
+    )
+
+
 async def measure_size(count: int) -> None:
     """Measure the traffic of ``count`` daemons, idle and with calls."""
     async with daemons.deployed(BOUND_S) as made:
@@ -188,6 +280,7 @@
     """Measure the spread and the fresh start, then the traffic by size."""
     await measure_whole_service()
     await measure_one_reader()
+    await measure_without_service()
     for count in sizes:
         await measure_size(count)
 
--- a/oleanderstair/emulator/targets.py
+++ b/oleanderstair/emulator/targets.py
@@ -52,6 +52,7 @@
     in_flight: int = 0
     most_in_flight: int = 0
     over_slot_calls: int = 0
+    leaving_calls: int = 0
     probe_reads: int = 0
     served_by_key: dict[str, int] = dataclasses.field(default_factory=dict)
     served: int = 0
@@ -79,6 +80,7 @@
             self.over_slot_calls += 1
             await self._shed(send)
         elif self.leaving:
+            self.leaving_calls += 1
             await self._shed(send)
         else:
             await self._take(scope, send)
