--- a/oleanderstair/domain/policy.py
+++ b/oleanderstair/domain/policy.py
@@ -9,7 +9,6 @@
     tick_ms: int = 50
     max_tick_age_ms: int = 500
     answer_validity_ms: int = 5000
-    stop_grace_ms: int = 10000
     peer_silence_ms: int = 3000
     heartbeat_ms: int = 500
     peer_bytes_per_s: int = 4000
@@ -35,4 +34,3 @@
     eject_share: float = 0.5
     suspect_ms: int = 300000
     choice: str = 'slots'
-    queue_order: str = 'deadline'
