--- a/oleanderstair/ui/replay.py
+++ b/oleanderstair/ui/replay.py
@@ -96,7 +96,7 @@
             {
                 'outcome': verdict.rule.value,
                 'verdict': 'broken' if verdict.broken else 'held',
-                'cases': len(verdict.broken),
+                'violations': len(verdict.broken),
             }
             for verdict in done.verdicts
         ],
