Keep the cost of sharing loads off the tick

Cause: with 1,800 targets the news of loads waits for its rate, and every tick listed all that waited by urgency and encoded 64, 32, 16 ... of them to find that none fitted. Change: loads wait in a table of their own, a batch starts at what the bytes left could hold at least, and only a batch of loads is looked at.

--- a/oleanderstair/domain/deltas.py
+++ b/oleanderstair/domain/deltas.py
@@ -1,5 +1,6 @@
 """Sends the facts that are news to a few peers each tick."""
 
+import itertools
 import typing
 
 from oleanderstair import clock
@@ -14,6 +15,7 @@
 from oleanderstair.domain.tables import facts
 
 BATCH_LIMIT: typing.Final = 64
+LEAST_FACT_BYTES: typing.Final = 16
 LOAD_RESERVE: typing.Final = 0.5
 """The part of the burst that loads leave to more urgent messages."""
 
@@ -22,9 +24,7 @@
     messages.InstancePlace: 1,
     messages.CallSuspect: 2,
     messages.RampState: 3,
-    messages.TargetLoad: 4,
 }
-_LOAD_RANK: typing.Final = _PRIORITY_BY_BODY[messages.TargetLoad]
 
 
 def on_tick(
@@ -33,7 +33,8 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Send the most urgent news that the rate allows."""
-    if not state.facts.sends_left_by_key:
+    table = state.facts
+    if not (table.sends_left_by_key or table.loads_left_by_key):
         return []
     peers = fanout.choose(state, now_ms)
     if not peers:
@@ -43,7 +44,7 @@
         return []
     message = messages.Facts(tuple(aged(state, key, now_ms) for key in keys))
     for sent_key in keys:
-        _count_down(state.facts, sent_key)
+        _count_down(table, sent_key)
     return bandwidth.send_to_all(state, peers, message, now_ms)
 
 
@@ -65,15 +66,13 @@
     """Return the urgent news that fit, or the loads where none is urgent."""
     table = state.facts
     spare = bandwidth.available(state, now_ms)
-    priority_by_key = {
-        key: _PRIORITY_BY_BODY[type(table.fact_by_key[key].body)]
-        for key in table.sends_left_by_key
-    }
-    news = [key for key, rank in priority_by_key.items() if rank < _LOAD_RANK]
     # The sort is stable, so news of one rank take their turns.
-    news.sort(key=priority_by_key.__getitem__)
+    news = sorted(
+        table.sends_left_by_key,
+        key=lambda key: _PRIORITY_BY_BODY[type(table.fact_by_key[key].body)],
+    )
     if not news:
-        news = list(priority_by_key)
+        news = list(itertools.islice(table.loads_left_by_key, BATCH_LIMIT))
         spare -= LOAD_RESERVE * state.policy.peer_bytes_per_s
     return _fit(state, news[:BATCH_LIMIT], spare / receivers, now_ms)
 
@@ -85,6 +84,8 @@
     now_ms: clock.Millis,
 ) -> list[facts.Key]:
     """Return the first keys whose facts fit into ``limit_bytes``."""
+    most = int((limit_bytes - bandwidth.FRAME_BYTES) / LEAST_FACT_BYTES)
+    keys = keys[: max(most, 0)]
     while keys:
         batch = tuple(aged(state, key, now_ms) for key in keys)
         if bandwidth.size_of(messages.Facts(batch)) <= limit_bytes:
@@ -94,7 +95,8 @@
 
 
 def _count_down(table: facts.FactsTable, key: facts.Key) -> None:
-    left = table.sends_left_by_key.pop(key) - 1
+    news = facts.news_of(table, table.fact_by_key[key].body)
+    left = news.pop(key) - 1
     if left > 0:
         # Re-inserted last, so that a full batch takes its turns.
-        table.sends_left_by_key[key] = left
+        news[key] = left
--- a/oleanderstair/domain/sharing.py
+++ b/oleanderstair/domain/sharing.py
@@ -97,10 +97,11 @@
     key = (fact.subject, fact.origin)
     table.fact_by_key[key] = fact
     table.stated_at_ms_by_key[key] = stated_at_ms
-    table.sends_left_by_key.pop(key, None)
+    news = facts.news_of(table, fact.body)
+    news.pop(key, None)
     rounds = _rounds_of(state, fact)
     if rounds:
-        table.sends_left_by_key[key] = rounds
+        news[key] = rounds
 
 
 def _rounds_of(state: world.World, fact: messages.Fact) -> int:
--- a/oleanderstair/domain/tables/facts.py
+++ b/oleanderstair/domain/tables/facts.py
@@ -13,7 +13,8 @@
 class FactsTable:
     """The newest fact of each subject and origin, and when it was stated.
 
-    ``sends_left_by_key`` counts the rounds in which a fact is still news.
+    ``sends_left_by_key`` counts the rounds in which a fact is still news;
+    loads, which are many and can wait, have ``loads_left_by_key``.
     """
 
     fact_by_key: dict[Key, messages.Fact] = dataclasses.field(
@@ -25,6 +26,9 @@
     sends_left_by_key: dict[Key, int] = dataclasses.field(
         default_factory=dict,
     )
+    loads_left_by_key: dict[Key, int] = dataclasses.field(
+        default_factory=dict,
+    )
     own_sequence: int = 0
     heartbeat_at_ms: clock.Millis = clock.NEVER_MS
     digest_at_ms: clock.Millis = clock.NEVER_MS
@@ -42,3 +46,14 @@
     table.fact_by_key.pop(key, None)
     table.stated_at_ms_by_key.pop(key, None)
     table.sends_left_by_key.pop(key, None)
+    table.loads_left_by_key.pop(key, None)
+
+
+def news_of(
+    table: FactsTable,
+    body: messages.FactBody,
+) -> dict[Key, int]:
+    """Return the rounds left by key for facts of this kind."""
+    if isinstance(body, messages.TargetLoad):
+        return table.loads_left_by_key
+    return table.sends_left_by_key
