Name the verdicts that prove a call did not run once, and drop dead code

Retries and attempts each held the set on which at-most-once rests; it now stands beside the verdicts. The outcome checks keep their own copy, so that a wrong rule can't also blind the check. An unused header function and the empty util package go. Behaviour is unchanged: 82 tests of the parts touched, format, linter and types pass; the whole suite was not run again.

--- a/oleanderstair/domain/attempts.py
+++ b/oleanderstair/domain/attempts.py
@@ -31,9 +31,6 @@
     ejection.on_attempt_ended,
     occupancy.on_attempt_ended,
 )
-_PROVEN_NOT_RUN: typing.Final = frozenset(
-    (events.Verdict.SHED, events.Verdict.NOT_SENT),
-)
 
 
 def on_attempt_ended(
@@ -104,7 +101,7 @@
     ended: calls.Attempt,
     event: events.AttemptEnded,
 ) -> calls.Call:
-    ran = event.verdict not in _PROVEN_NOT_RUN
+    ran = event.verdict not in events.PROVEN_NOT_RUN
     call = call._replace(
         attempts=tuple(
             attempt
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -40,6 +40,10 @@
     CANCELLED = 'cancelled'
 
 
+PROVEN_NOT_RUN: typing.Final = frozenset((Verdict.SHED, Verdict.NOT_SENT))
+"""The verdicts that prove that the attempt did not run."""
+
+
 class AttemptEnded(typing.NamedTuple):
     """An attempt ended; only SHED and NOT_SENT prove that it did not run.
 
--- a/oleanderstair/domain/retries.py
+++ b/oleanderstair/domain/retries.py
@@ -15,9 +15,6 @@
 
 MOST_UNRUN: typing.Final = 12
 MOST_RETRIES: typing.Final = 2
-_PROVEN_NOT_RUN: typing.Final = frozenset(
-    (events.Verdict.SHED, events.Verdict.NOT_SENT),
-)
 
 
 def may_retry(
@@ -39,7 +36,7 @@
         if suspects.is_suspect(state, call.received.fingerprint):
             # Once, alone, and not out of the budget: innocents must go on.
             return _may_run_again(call) and not call.quarantined
-    if call.last_verdict in _PROVEN_NOT_RUN:
+    if call.last_verdict in events.PROVEN_NOT_RUN:
         return call.unrun < MOST_UNRUN and _may_run_again(call)
     return _may_run_again(call) and _within_budget(state, call, now_ms)
 
--- a/oleanderstair/engine/headers.py
+++ b/oleanderstair/engine/headers.py
@@ -72,11 +72,6 @@
     return b''
 
 
-def end_to_end(fields: AnyFields) -> Fields:
-    """Return the fields that a proxy passes on, names in lower case."""
-    return _without(fields, frozenset())
-
-
 def from_caller(fields: AnyFields) -> Fields:
     """Return what a call's context hands on; the rest is set anew."""
     return _without(fields, _REWRITTEN)
--- a/oleanderstair/util/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Small pure helpers."""
