Part the decision code into rooms

The rooms are configuration, fleet, targets, calls and proof; what all of them share stays at the top. Ruled out: a change of behaviour.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -19,13 +19,13 @@
 from oleanderstair.domain import (
     actions,
     balancer,
-    codec,
     events,
     messages,
-    notes,
     policy,
     world,
 )
+from oleanderstair.domain.configuration import notes
+from oleanderstair.domain.fleet import codec
 from oleanderstair.domain.tables import catalogue, identity, instances, keys
 from oleanderstair.emulator import fleet, harness
 from oleanderstair.engine import headers
--- a/bench/daemons.py
+++ b/bench/daemons.py
@@ -16,7 +16,7 @@
 import zmq
 
 from oleanderstair import settings
-from oleanderstair.domain import bandwidth
+from oleanderstair.domain.fleet import bandwidth
 from oleanderstair.emulator import fleet
 
 ROOT = pathlib.Path(__file__).parent.parent
--- a/bench/notes.py
+++ b/bench/notes.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from oleanderstair.domain import catalogues, notes
+from oleanderstair.domain.configuration import catalogues, notes
 from oleanderstair.domain.tables import catalogue
 from oleanderstair.emulator import harness
 
--- a/oleanderstair/domain/balancer.py
+++ b/oleanderstair/domain/balancer.py
@@ -3,33 +3,32 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
+from oleanderstair.domain import actions, events, world
+from oleanderstair.domain.calls import (
     admission,
-    antientropy,
     attempts,
     changes,
-    deltas,
-    events,
-    fetching,
-    gossip,
     hedging,
     homes,
     keys,
-    leaving,
-    measuring,
-    membership,
-    occupancy,
-    pauses,
     quarantine,
-    ramps,
+    suspects,
+)
+from oleanderstair.domain.configuration import (
+    fetching,
+    pauses,
     reading,
-    sharing,
     spread,
+)
+from oleanderstair.domain.fleet import (
+    antientropy,
+    deltas,
+    gossip,
+    membership,
+    sharing,
     stopping,
-    suspects,
-    world,
 )
+from oleanderstair.domain.targets import leaving, measuring, occupancy, ramps
 
 
 class System(typing.Protocol):
--- /dev/null
+++ b/oleanderstair/domain/calls/__init__.py
@@ -0,0 +1,1 @@
+"""A call from its admission to its answer."""
--- a/oleanderstair/domain/addresses.py
+++ b/oleanderstair/domain/calls/addresses.py
@@ -3,7 +3,9 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import epochs, live, world
+from oleanderstair.domain import world
+from oleanderstair.domain.calls import epochs
+from oleanderstair.domain.fleet import live
 from oleanderstair.domain.tables import instances
 
 ADDRESS_LIMIT: typing.Final = 8
--- a/oleanderstair/domain/admission.py
+++ b/oleanderstair/domain/calls/admission.py
@@ -1,23 +1,20 @@
 """Takes calls in: checks, the key's home, then the entry queue."""
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
+from oleanderstair.domain import actions, events, outcomes, world
+from oleanderstair.domain.calls import (
     allowances,
     answering,
     dispatching,
-    events,
     homes,
     keys,
-    membership,
-    outcomes,
-    pauses,
     quarantine,
     queueing,
     rules,
     suspects,
-    world,
 )
+from oleanderstair.domain.configuration import pauses
+from oleanderstair.domain.fleet import membership
 from oleanderstair.domain.tables import calls, catalogue
 
 
--- a/oleanderstair/domain/answering.py
+++ b/oleanderstair/domain/calls/answering.py
@@ -1,14 +1,9 @@
 """Ends calls: relays an answer or refuses, and settles the key."""
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
-    conditions,
-    keys,
-    outcomes,
-    services_load,
-    world,
-)
+from oleanderstair.domain import actions, outcomes, world
+from oleanderstair.domain.calls import keys
+from oleanderstair.domain.targets import conditions, services_load
 from oleanderstair.domain.tables import calls
 
 
--- a/oleanderstair/domain/attempts.py
+++ b/oleanderstair/domain/calls/attempts.py
@@ -3,24 +3,23 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
+from oleanderstair.domain import actions, events, outcomes, world
+from oleanderstair.domain.calls import (
     answering,
-    conditions,
     dispatching,
-    events,
-    outcomes,
-    pauses,
+    quarantine,
+    queueing,
+    retries,
+    suspects,
+)
+from oleanderstair.domain.configuration import pauses
+from oleanderstair.domain.targets import (
+    conditions,
     ejection,
     leaving,
     occupancy,
-    quarantine,
-    queueing,
     ramps,
-    retries,
     services_load,
-    suspects,
-    world,
 )
 from oleanderstair.domain.tables import calls
 
--- a/oleanderstair/domain/changes.py
+++ b/oleanderstair/domain/calls/changes.py
@@ -3,14 +3,9 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
-    answering,
-    leaving,
-    outcomes,
-    ramps,
-    world,
-)
+from oleanderstair.domain import actions, outcomes, world
+from oleanderstair.domain.calls import answering
+from oleanderstair.domain.targets import leaving, ramps
 from oleanderstair.domain.tables import calls, catalogue
 
 
--- a/oleanderstair/domain/dispatching.py
+++ b/oleanderstair/domain/calls/dispatching.py
@@ -3,17 +3,14 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
-    answering,
+from oleanderstair.domain import actions, outcomes, world
+from oleanderstair.domain.calls import answering, queueing
+from oleanderstair.domain.configuration import pauses
+from oleanderstair.domain.targets import (
     conditions,
-    outcomes,
-    pauses,
-    queueing,
     routing,
     services_load,
     shares,
-    world,
 )
 from oleanderstair.domain.tables import calls, services
 
--- a/oleanderstair/domain/hedging.py
+++ b/oleanderstair/domain/calls/hedging.py
@@ -8,15 +8,9 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
-    allowances,
-    dispatching,
-    events,
-    queueing,
-    routing,
-    world,
-)
+from oleanderstair.domain import actions, events, world
+from oleanderstair.domain.calls import allowances, dispatching, queueing
+from oleanderstair.domain.targets import routing
 from oleanderstair.domain.tables import calls, services, targets
 
 _HEDGE_FACTOR: typing.Final = 1.2
--- a/oleanderstair/domain/homes.py
+++ b/oleanderstair/domain/calls/homes.py
@@ -3,16 +3,9 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
-    answering,
-    events,
-    keys,
-    live,
-    outcomes,
-    quarantine,
-    world,
-)
+from oleanderstair.domain import actions, events, outcomes, world
+from oleanderstair.domain.calls import answering, keys, quarantine
+from oleanderstair.domain.fleet import live
 from oleanderstair.domain.tables import calls
 from oleanderstair.domain.tables import keys as key_rows
 
--- a/oleanderstair/domain/keys.py
+++ b/oleanderstair/domain/calls/keys.py
@@ -4,7 +4,8 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, epochs, events, outcomes, world
+from oleanderstair.domain import actions, events, outcomes, world
+from oleanderstair.domain.calls import epochs
 from oleanderstair.domain.tables import keys
 
 MAX_WAITING: typing.Final = 16
--- a/oleanderstair/domain/quarantine.py
+++ b/oleanderstair/domain/calls/quarantine.py
@@ -4,17 +4,10 @@
 import zlib
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
-    answering,
-    conditions,
-    dispatching,
-    events,
-    outcomes,
-    pauses,
-    suspects,
-    world,
-)
+from oleanderstair.domain import actions, events, outcomes, world
+from oleanderstair.domain.calls import answering, dispatching, suspects
+from oleanderstair.domain.configuration import pauses
+from oleanderstair.domain.targets import conditions
 from oleanderstair.domain.tables import calls, targets
 
 _RESERVED_SHARE: typing.Final = 0.25
--- a/oleanderstair/domain/retries.py
+++ b/oleanderstair/domain/calls/retries.py
@@ -3,14 +3,9 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    allowances,
-    events,
-    queueing,
-    services_load,
-    suspects,
-    world,
-)
+from oleanderstair.domain import events, world
+from oleanderstair.domain.calls import allowances, queueing, suspects
+from oleanderstair.domain.targets import services_load
 from oleanderstair.domain.tables import calls, services
 
 MOST_UNRUN: typing.Final = 12
--- a/oleanderstair/domain/suspects.py
+++ b/oleanderstair/domain/calls/suspects.py
@@ -9,7 +9,8 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, messages, sharing, world
+from oleanderstair.domain import actions, events, messages, world
+from oleanderstair.domain.fleet import sharing
 from oleanderstair.domain.tables import calls, suspects
 
 SAME_DEATH_MS: typing.Final[clock.Millis] = 2000
--- /dev/null
+++ b/oleanderstair/domain/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""What is in force: notes, the catalogue, reading and adopting."""
--- a/oleanderstair/domain/adopting.py
+++ b/oleanderstair/domain/configuration/adopting.py
@@ -9,7 +9,9 @@
 import result
 
 from oleanderstair import clock, errors
-from oleanderstair.domain import actions, catalogues, notes, sharing, world
+from oleanderstair.domain import actions, world
+from oleanderstair.domain.configuration import catalogues, notes
+from oleanderstair.domain.fleet import sharing
 from oleanderstair.domain.tables import catalogue
 
 HISTORY_LIMIT: typing.Final = 256
--- a/oleanderstair/domain/catalogues.py
+++ b/oleanderstair/domain/configuration/catalogues.py
@@ -10,7 +10,7 @@
 import result
 
 from oleanderstair import errors
-from oleanderstair.domain import entries, notes
+from oleanderstair.domain.configuration import entries, notes
 from oleanderstair.domain.tables import catalogue
 
 INDEX_NAME: typing.Final = 'catalogue'
--- a/oleanderstair/domain/fetching.py
+++ b/oleanderstair/domain/configuration/fetching.py
@@ -3,16 +3,9 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
-    adopting,
-    bandwidth,
-    events,
-    fanout,
-    live,
-    messages,
-    world,
-)
+from oleanderstair.domain import actions, events, messages, world
+from oleanderstair.domain.configuration import adopting
+from oleanderstair.domain.fleet import bandwidth, fanout, live
 from oleanderstair.domain.tables import catalogue, instances
 
 ASK_MS: typing.Final = 250
--- a/oleanderstair/domain/notes.py
+++ b/oleanderstair/domain/configuration/notes.py
@@ -8,7 +8,7 @@
 import result
 
 from oleanderstair import errors
-from oleanderstair.domain import entries
+from oleanderstair.domain.configuration import entries
 from oleanderstair.domain.tables import catalogue
 
 
--- a/oleanderstair/domain/pauses.py
+++ b/oleanderstair/domain/configuration/pauses.py
@@ -9,14 +9,9 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
-    events,
-    gossip,
-    messages,
-    spread,
-    world,
-)
+from oleanderstair.domain import actions, events, messages, world
+from oleanderstair.domain.configuration import spread
+from oleanderstair.domain.fleet import gossip
 from oleanderstair.domain.tables import instances, targets
 
 CATCH_UP_MS: typing.Final[clock.Millis] = 2000
--- a/oleanderstair/domain/readers.py
+++ b/oleanderstair/domain/configuration/readers.py
@@ -8,7 +8,8 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import live, world
+from oleanderstair.domain import world
+from oleanderstair.domain.fleet import live
 from oleanderstair.domain.tables import instances
 
 _RANK_MS: typing.Final = 1000
--- a/oleanderstair/domain/reading.py
+++ b/oleanderstair/domain/configuration/reading.py
@@ -7,14 +7,8 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
-    events,
-    notes,
-    readers,
-    spread,
-    world,
-)
+from oleanderstair.domain import actions, events, world
+from oleanderstair.domain.configuration import notes, readers, spread
 from oleanderstair.domain.tables import instances
 
 LIST_NAME: typing.Final = 'instances'
--- a/oleanderstair/domain/spread.py
+++ b/oleanderstair/domain/configuration/spread.py
@@ -6,14 +6,12 @@
 import result
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
+from oleanderstair.domain import actions, events, world
+from oleanderstair.domain.configuration import (
     adopting,
     catalogues,
     entries,
-    events,
     notes,
-    world,
 )
 from oleanderstair.domain.tables import catalogue
 
--- a/oleanderstair/domain/standing.py
+++ b/oleanderstair/domain/configuration/standing.py
@@ -3,7 +3,8 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import live, world
+from oleanderstair.domain import world
+from oleanderstair.domain.fleet import live
 from oleanderstair.domain.tables import catalogue
 
 ACCEPTED: typing.Final = 'accepted'
--- /dev/null
+++ b/oleanderstair/domain/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances live, and what they tell each other."""
--- a/oleanderstair/domain/antientropy.py
+++ b/oleanderstair/domain/fleet/antientropy.py
@@ -8,15 +8,8 @@
 import zlib
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
-    bandwidth,
-    deltas,
-    events,
-    fanout,
-    messages,
-    world,
-)
+from oleanderstair.domain import actions, events, messages, world
+from oleanderstair.domain.fleet import bandwidth, deltas, fanout
 from oleanderstair.domain.tables import facts
 
 PERIOD_MS: typing.Final = 5000
--- a/oleanderstair/domain/bandwidth.py
+++ b/oleanderstair/domain/fleet/bandwidth.py
@@ -3,7 +3,8 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, codec, messages, world
+from oleanderstair.domain import actions, messages, world
+from oleanderstair.domain.fleet import codec
 from oleanderstair.domain.tables import instances
 
 BURST_MS: typing.Final = 1000
--- a/oleanderstair/domain/confirming.py
+++ b/oleanderstair/domain/fleet/confirming.py
@@ -10,7 +10,8 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import live, world
+from oleanderstair.domain import world
+from oleanderstair.domain.fleet import live
 from oleanderstair.domain.tables import catalogue, instances
 
 SETTLED_READS: typing.Final = 2
--- a/oleanderstair/domain/deltas.py
+++ b/oleanderstair/domain/fleet/deltas.py
@@ -4,14 +4,8 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
-    bandwidth,
-    events,
-    fanout,
-    messages,
-    world,
-)
+from oleanderstair.domain import actions, events, messages, world
+from oleanderstair.domain.fleet import bandwidth, fanout
 from oleanderstair.domain.tables import facts
 
 BATCH_LIMIT: typing.Final = 64
--- a/oleanderstair/domain/gossip.py
+++ b/oleanderstair/domain/fleet/gossip.py
@@ -9,15 +9,8 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
-    bandwidth,
-    events,
-    live,
-    messages,
-    sharing,
-    world,
-)
+from oleanderstair.domain import actions, events, messages, world
+from oleanderstair.domain.fleet import bandwidth, live, sharing
 from oleanderstair.domain.tables import catalogue, instances
 
 HELLO_MS: typing.Final = 30_000
--- a/oleanderstair/domain/membership.py
+++ b/oleanderstair/domain/fleet/membership.py
@@ -3,15 +3,8 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
-    confirming,
-    events,
-    live,
-    outcomes,
-    stopping,
-    world,
-)
+from oleanderstair.domain import actions, events, outcomes, world
+from oleanderstair.domain.fleet import confirming, live, stopping
 from oleanderstair.domain.tables import instances
 
 COUNT_WINDOW_MINUTES: typing.Final = 60
--- a/oleanderstair/domain/stopping.py
+++ b/oleanderstair/domain/fleet/stopping.py
@@ -7,7 +7,8 @@
 """
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, live, world
+from oleanderstair.domain import actions, events, world
+from oleanderstair.domain.fleet import live
 from oleanderstair.domain.tables import instances
 
 
--- /dev/null
+++ b/oleanderstair/domain/proof/__init__.py
@@ -0,0 +1,1 @@
+"""Traces, the record of what was done, and checks over it."""
--- a/oleanderstair/domain/call_checks.py
+++ b/oleanderstair/domain/proof/call_checks.py
@@ -3,14 +3,8 @@
 import collections
 import typing
 
-from oleanderstair.domain import (
-    actions,
-    events,
-    outcomes,
-    evidence,
-    record,
-    violations,
-)
+from oleanderstair.domain import actions, events, outcomes
+from oleanderstair.domain.proof import evidence, record, violations
 
 ANSWER_GRACE_MS: typing.Final = 1000
 _PROVEN_NOT_RUN: typing.Final = frozenset(
--- a/oleanderstair/domain/fleet_checks.py
+++ b/oleanderstair/domain/proof/fleet_checks.py
@@ -4,7 +4,7 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import evidence, record, violations
+from oleanderstair.domain.proof import evidence, record, violations
 
 LEAVING_BOUND_MS: typing.Final = 2000
 NOTE_BOUND_MS: typing.Final = 20_000
--- a/oleanderstair/domain/outcome_checks.py
+++ b/oleanderstair/domain/proof/outcome_checks.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from oleanderstair.domain import (
+from oleanderstair.domain.proof import (
     call_checks,
     fleet_checks,
     record,
--- a/oleanderstair/domain/record.py
+++ b/oleanderstair/domain/proof/record.py
@@ -4,7 +4,9 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, evidence, rules, world
+from oleanderstair.domain import actions, events, world
+from oleanderstair.domain.calls import rules
+from oleanderstair.domain.proof import evidence
 
 
 @dataclasses.dataclass(slots=True)
--- a/oleanderstair/domain/replaying.py
+++ b/oleanderstair/domain/proof/replaying.py
@@ -3,14 +3,12 @@
 import random
 import typing
 
-from oleanderstair.domain import (
-    balancer,
+from oleanderstair.domain import balancer, policy, world
+from oleanderstair.domain.proof import (
     outcome_checks,
-    policy,
     record,
     traces,
     violations,
-    world,
 )
 
 
--- a/oleanderstair/domain/traces.py
+++ b/oleanderstair/domain/proof/traces.py
@@ -11,7 +11,8 @@
 import result
 
 from oleanderstair import clock, errors
-from oleanderstair.domain import actions, codec, events, messages, policy
+from oleanderstair.domain import actions, events, messages, policy
+from oleanderstair.domain.fleet import codec
 from oleanderstair.domain.tables import identity
 
 FORMAT_VERSION: typing.Final = 1
--- a/oleanderstair/domain/violations.py
+++ b/oleanderstair/domain/proof/violations.py
@@ -4,7 +4,7 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import evidence, record
+from oleanderstair.domain.proof import evidence, record
 
 
 class Rule(enum.Enum):
--- /dev/null
+++ b/oleanderstair/domain/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Which target takes a call: choice, ramps, ejection, measuring."""
--- a/oleanderstair/domain/conditions.py
+++ b/oleanderstair/domain/targets/conditions.py
@@ -3,14 +3,9 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
-    events,
-    latencies,
-    pauses,
-    ramps,
-    world,
-)
+from oleanderstair.domain import actions, events, world
+from oleanderstair.domain.configuration import pauses
+from oleanderstair.domain.targets import latencies, ramps
 from oleanderstair.domain.tables import targets
 
 _FULL_MS: typing.Final = 2
--- a/oleanderstair/domain/ejection.py
+++ b/oleanderstair/domain/targets/ejection.py
@@ -7,7 +7,8 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, conditions, events, occupancy, world
+from oleanderstair.domain import actions, events, world
+from oleanderstair.domain.targets import conditions, occupancy
 from oleanderstair.domain.tables import services, targets
 
 _MOST_DOUBLINGS: typing.Final = 4
--- a/oleanderstair/domain/leaving.py
+++ b/oleanderstair/domain/targets/leaving.py
@@ -8,14 +8,9 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
-    events,
-    messages,
-    ramps,
-    sharing,
-    world,
-)
+from oleanderstair.domain import actions, events, messages, world
+from oleanderstair.domain.fleet import sharing
+from oleanderstair.domain.targets import ramps
 from oleanderstair.domain.tables import targets
 
 # A report of the same incarnation may lag behind its refusals by this much.
--- a/oleanderstair/domain/measuring.py
+++ b/oleanderstair/domain/targets/measuring.py
@@ -10,7 +10,8 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, rendezvous, shares, world
+from oleanderstair.domain import actions, events, rendezvous, world
+from oleanderstair.domain.targets import shares
 from oleanderstair.domain.tables import budgets, catalogue, instances, targets
 
 READS_PER_PROBE: typing.Final = 2
--- a/oleanderstair/domain/occupancy.py
+++ b/oleanderstair/domain/targets/occupancy.py
@@ -4,7 +4,8 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, messages, sharing, world
+from oleanderstair.domain import actions, events, messages, world
+from oleanderstair.domain.fleet import sharing
 from oleanderstair.domain.tables import services, targets
 
 _HALF_LIFE_MS: typing.Final = 500
--- a/oleanderstair/domain/ramps.py
+++ b/oleanderstair/domain/targets/ramps.py
@@ -7,14 +7,9 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import (
-    actions,
-    events,
-    messages,
-    ramp_shares,
-    sharing,
-    world,
-)
+from oleanderstair.domain import actions, events, messages, world
+from oleanderstair.domain.fleet import sharing
+from oleanderstair.domain.targets import ramp_shares
 from oleanderstair.domain.tables import calls, catalogue, instances, targets
 
 _FLEET: typing.Final = 'fleet'
--- a/oleanderstair/domain/routing.py
+++ b/oleanderstair/domain/targets/routing.py
@@ -3,7 +3,8 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import conditions, occupancy, ramps, shares, world
+from oleanderstair.domain import world
+from oleanderstair.domain.targets import conditions, occupancy, ramps, shares
 from oleanderstair.domain.tables import calls, services, targets
 
 _SAMPLE_SIZE: typing.Final = 3
--- a/oleanderstair/domain/services_load.py
+++ b/oleanderstair/domain/targets/services_load.py
@@ -3,7 +3,8 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import events, latencies, world
+from oleanderstair.domain import events, world
+from oleanderstair.domain.targets import latencies
 from oleanderstair.domain.tables import calls, services
 
 _SHEDS_PER_ROUND: typing.Final = 3
--- a/oleanderstair/emulator/callers.py
+++ b/oleanderstair/emulator/callers.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from oleanderstair import clock
-from oleanderstair.domain import addresses
+from oleanderstair.domain.calls import addresses
 from oleanderstair.engine import callers, headers
 
 _PAUSE_MS: typing.Final = 5
--- a/oleanderstair/emulator/harness.py
+++ b/oleanderstair/emulator/harness.py
@@ -19,12 +19,11 @@
     balancer,
     events,
     messages,
-    notes,
     outcomes,
     policy,
-    spread,
     world,
 )
+from oleanderstair.domain.configuration import notes, spread
 from oleanderstair.domain.tables import identity
 
 HOP_MS: typing.Final[clock.Millis] = 0.5
--- a/oleanderstair/emulator/platform.py
+++ b/oleanderstair/emulator/platform.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from oleanderstair import clock
-from oleanderstair.domain import notes, spread
+from oleanderstair.domain.configuration import notes, spread
 from oleanderstair.engine import asgi, platform
 
 _OK: typing.Final = 200
--- a/oleanderstair/engine/callers.py
+++ b/oleanderstair/engine/callers.py
@@ -4,7 +4,8 @@
 import urllib.parse
 
 from oleanderstair import settings
-from oleanderstair.domain import addresses, outcomes
+from oleanderstair.domain import outcomes
+from oleanderstair.domain.calls import addresses
 from oleanderstair.domain.tables import instances
 from oleanderstair.engine import (
     asgi,
--- a/oleanderstair/engine/forwarding.py
+++ b/oleanderstair/engine/forwarding.py
@@ -3,7 +3,8 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import events, fingerprints, messages, outcomes
+from oleanderstair.domain import events, messages, outcomes
+from oleanderstair.domain.calls import fingerprints
 from oleanderstair.engine import exchanges, headers, pending
 
 TextFields: typing.TypeAlias = tuple[tuple[str, str], ...]
--- a/oleanderstair/engine/incoming.py
+++ b/oleanderstair/engine/incoming.py
@@ -4,7 +4,8 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import events, fingerprints, outcomes
+from oleanderstair.domain import events, outcomes
+from oleanderstair.domain.calls import fingerprints
 from oleanderstair.domain.tables import catalogue
 from oleanderstair.engine import asgi, exchanges, headers
 
--- a/oleanderstair/engine/peers.py
+++ b/oleanderstair/engine/peers.py
@@ -13,7 +13,8 @@
 import zmq.asyncio
 
 from oleanderstair import clock
-from oleanderstair.domain import codec, messages
+from oleanderstair.domain import messages
+from oleanderstair.domain.fleet import codec
 from oleanderstair.engine import strangers
 
 SILENCE_MS: typing.Final = 3000
--- a/oleanderstair/engine/recorder.py
+++ b/oleanderstair/engine/recorder.py
@@ -4,7 +4,8 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, policy, traces
+from oleanderstair.domain import actions, events, policy
+from oleanderstair.domain.proof import traces
 from oleanderstair.domain.tables import identity
 
 
--- a/oleanderstair/engine/replies.py
+++ b/oleanderstair/engine/replies.py
@@ -5,7 +5,8 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import keys, outcomes
+from oleanderstair.domain import outcomes
+from oleanderstair.domain.calls import keys
 from oleanderstair.engine import asgi, exchanges, headers, pending
 
 _MS_PER_S: typing.Final = 1000
--- a/oleanderstair/engine/shell.py
+++ b/oleanderstair/engine/shell.py
@@ -10,13 +10,7 @@
 import anyio.abc
 
 from oleanderstair import audit, clock, logs, metrics
-from oleanderstair.domain import (
-    actions,
-    balancer,
-    events,
-    messages,
-    world,
-)
+from oleanderstair.domain import actions, balancer, events, messages, world
 from oleanderstair.engine import (
     attempting,
     exchanges,
--- a/oleanderstair/engine/status.py
+++ b/oleanderstair/engine/status.py
@@ -3,7 +3,9 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import live, standing, world
+from oleanderstair.domain import world
+from oleanderstair.domain.configuration import standing
+from oleanderstair.domain.fleet import live
 from oleanderstair.domain.tables import catalogue, targets
 
 
--- a/oleanderstair/settings.py
+++ b/oleanderstair/settings.py
@@ -10,7 +10,8 @@
 import zmq
 
 from oleanderstair import errors
-from oleanderstair.domain import policy, routing
+from oleanderstair.domain import policy
+from oleanderstair.domain.targets import routing
 
 DEFAULTS_NAME: typing.Final = 'default_settings.jsonc'
 
--- a/oleanderstair/ui/notes.py
+++ b/oleanderstair/ui/notes.py
@@ -8,7 +8,7 @@
 import result
 
 from oleanderstair import errors
-from oleanderstair.domain import catalogues, notes
+from oleanderstair.domain.configuration import catalogues, notes
 from oleanderstair.domain.tables import catalogue
 from oleanderstair.ui import output
 
--- a/oleanderstair/ui/replay.py
+++ b/oleanderstair/ui/replay.py
@@ -10,7 +10,7 @@
 import result
 
 from oleanderstair import errors
-from oleanderstair.domain import replaying, traces, violations
+from oleanderstair.domain.proof import replaying, traces, violations
 from oleanderstair.ui import output, reports
 
 _OK: typing.Final = 200
--- a/test/daemons.py
+++ b/test/daemons.py
@@ -14,7 +14,7 @@
 import httpcore
 import msgspec
 
-from oleanderstair.domain import replaying, traces
+from oleanderstair.domain.proof import replaying, traces
 from oleanderstair.emulator import fleet
 from test import helper
 
--- a/test/matrix.py
+++ b/test/matrix.py
@@ -3,7 +3,9 @@
 import dataclasses
 import typing
 
-from oleanderstair.domain import actions, addresses, events, outcome_checks
+from oleanderstair.domain import actions, events
+from oleanderstair.domain.calls import addresses
+from oleanderstair.domain.proof import outcome_checks
 from oleanderstair.domain.tables import calls
 from oleanderstair.emulator import harness
 from test import faults
--- a/test/scene.py
+++ b/test/scene.py
@@ -4,7 +4,8 @@
 import itertools
 import typing
 
-from oleanderstair.domain import evidence, outcomes, record, world
+from oleanderstair.domain import outcomes, world
+from oleanderstair.domain.proof import evidence, record
 from oleanderstair.domain.tables import instances
 from oleanderstair.emulator import harness
 from oleanderstair.engine import recorder
--- a/test/test_checks_can_fail.py
+++ b/test/test_checks_can_fail.py
@@ -4,18 +4,11 @@
 
 import pytest
 
-from oleanderstair.domain import (
-    actions,
-    answering,
-    balancer,
-    events,
-    leaving,
-    outcome_checks,
-    outcomes,
-    retries,
-    stopping,
-    violations,
-)
+from oleanderstair.domain import actions, balancer, events, outcomes
+from oleanderstair.domain.calls import answering, retries
+from oleanderstair.domain.fleet import stopping
+from oleanderstair.domain.proof import outcome_checks, violations
+from oleanderstair.domain.targets import leaving
 from oleanderstair.domain.tables import catalogue
 from test import scene as scenes
 
--- a/test/test_keys.py
+++ b/test/test_keys.py
@@ -6,15 +6,8 @@
 import pytest
 from hypothesis import strategies
 
-from oleanderstair.domain import (
-    actions,
-    answering,
-    epochs,
-    events,
-    homes,
-    keys,
-    outcomes,
-)
+from oleanderstair.domain import actions, events, outcomes
+from oleanderstair.domain.calls import answering, epochs, homes, keys
 from oleanderstair.emulator import harness
 from test import helper
 
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -3,15 +3,9 @@
 import hypothesis
 from hypothesis import strategies
 
-from oleanderstair.domain import (
-    actions,
-    addresses,
-    events,
-    gossip,
-    live,
-    membership,
-    messages,
-)
+from oleanderstair.domain import actions, events, messages
+from oleanderstair.domain.calls import addresses
+from oleanderstair.domain.fleet import gossip, live, membership
 from oleanderstair.domain.tables import instances
 from test import helper
 
--- a/test/test_note_commands.py
+++ b/test/test_note_commands.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from oleanderstair.domain import catalogues, notes
+from oleanderstair.domain.configuration import catalogues, notes
 from oleanderstair.emulator import harness
 from test import helper
 
--- a/test/test_notes.py
+++ b/test/test_notes.py
@@ -6,14 +6,11 @@
 import pytest
 from hypothesis import strategies
 
-from oleanderstair.domain import (
-    actions,
+from oleanderstair.domain import actions, events, messages, outcomes
+from oleanderstair.domain.configuration import (
     adopting,
     catalogues,
-    events,
-    messages,
     notes,
-    outcomes,
     spread,
     standing,
 )
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -8,7 +8,8 @@
 import zmq
 
 from oleanderstair import errors, settings
-from oleanderstair.domain import codec, messages
+from oleanderstair.domain import messages
+from oleanderstair.domain.fleet import codec
 from oleanderstair.engine import peers
 
 BOUND_S = 10
--- a/test/test_ramps.py
+++ b/test/test_ramps.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from oleanderstair.domain import outcomes, ramps
+from oleanderstair.domain import outcomes
+from oleanderstair.domain.targets import ramps
 from oleanderstair.emulator import harness
 from test import helper
 
--- a/test/test_replay.py
+++ b/test/test_replay.py
@@ -8,7 +8,8 @@
 import msgspec
 import pytest
 
-from oleanderstair.domain import policy, replaying, traces
+from oleanderstair.domain import policy
+from oleanderstair.domain.proof import replaying, traces
 from oleanderstair.engine import recorder
 from test import faults, helper
 from test import scene as scenes
--- a/test/test_sharing.py
+++ b/test/test_sharing.py
@@ -3,14 +3,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from oleanderstair.domain import (
-    actions,
-    bandwidth,
-    codec,
-    events,
-    messages,
-    sharing,
-)
+from oleanderstair.domain import actions, events, messages
+from oleanderstair.domain.fleet import bandwidth, codec, sharing
 from test import helper
 
 BOUNDED = hypothesis.settings(
--- a/test/test_stopping.py
+++ b/test/test_stopping.py
@@ -1,6 +1,7 @@
 """A planned stop cuts off nothing and leaves no caller without address."""
 
-from oleanderstair.domain import addresses, events, outcomes
+from oleanderstair.domain import events, outcomes
+from oleanderstair.domain.calls import addresses
 from test import helper
 
 STOPPED = 'entry-1'
--- a/test/test_suspects.py
+++ b/test/test_suspects.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from oleanderstair.domain import events, outcomes, suspects
+from oleanderstair.domain import events, outcomes
+from oleanderstair.domain.calls import suspects
 from oleanderstair.domain.tables import targets
 from oleanderstair.emulator import harness
 from test import helper
