--- a/oleanderstair/domain/actions.py
+++ b/oleanderstair/domain/actions.py
@@ -14,6 +14,13 @@
     event: events.Event
 
 
+class Schedule(typing.NamedTuple):
+    """Handle an event once ``after_ms`` have passed."""
+
+    event: events.Event
+    after_ms: clock.Millis
+
+
 # Calls
 
 
@@ -117,6 +124,29 @@
     """Read the platform's instance list."""
 
 
+class ReadStore(typing.NamedTuple):
+    """Read the whole of the configuration and of the registry."""
+
+
+class WatchStore(typing.NamedTuple):
+    """Wait until something changes after a revision of the store.
+
+    The watch ends empty after ``bound_ms``.
+    """
+
+    after_revision: int
+    bound_ms: clock.Millis
+
+
+class ReadLoad(typing.NamedTuple):
+    """Ask a target for its load."""
+
+    target_id: str
+    address: str
+    path: str
+    bound_ms: clock.Millis
+
+
 class Probe(typing.NamedTuple):
     """Read the health and load endpoints of a target."""
 
@@ -165,9 +195,8 @@
     """End the process: the planned stop is complete."""
 
 
-Action: typing.TypeAlias = (
-    Notify
-    | Dispatch
+CallAction: typing.TypeAlias = (
+    Dispatch
     | CancelAttempt
     | Relay
     | RelayRecorded
@@ -176,9 +205,17 @@
     | ForwardHome
     | DropRecorded
     | CloseIdle
-    | ReadValue
-    | WatchValue
-    | ReadInstances
+)
+
+ReadAction: typing.TypeAlias = (
+    ReadValue | WatchValue | ReadInstances | ReadStore | WatchStore | ReadLoad
+)
+
+Action: typing.TypeAlias = (
+    Notify
+    | Schedule
+    | CallAction
+    | ReadAction
     | Probe
     | SendPeer
     | Audit
--- a/oleanderstair/domain/balancer.py
+++ b/oleanderstair/domain/balancer.py
@@ -3,7 +3,7 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, world
+from oleanderstair.domain import actions, events, stepping, world
 from oleanderstair.domain.calls import (
     admission,
     attempts,
@@ -31,19 +31,7 @@
 from oleanderstair.domain.targets import leaving, measuring, occupancy, ramps
 
 
-class System(typing.Protocol):
-    """A rule that reads and changes tables at an event."""
-
-    def __call__(
-        self,
-        state: world.World,
-        event: typing.Any,
-        now_ms: clock.Millis,
-    ) -> list[actions.Action]:
-        """Change the tables and return what the shell shall do."""
-
-
-SYSTEMS_BY_EVENT: typing.Final[dict[type[events.Event], tuple[System, ...]]] = {
+SYSTEMS_BY_EVENT: typing.Final[stepping.SystemsByEvent] = {
     events.CallReceived: (admission.on_call,),
     events.CallerLeft: (admission.on_caller_left,),
     events.AttemptEnded: (attempts.on_attempt_ended,),
@@ -107,11 +95,4 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Run the systems of ``event`` and return their actions in order."""
-    done: list[actions.Action] = []
-    for system in SYSTEMS_BY_EVENT[type(event)]:
-        for action in system(state, event, now_ms):
-            if isinstance(action, actions.Notify):
-                done.extend(step(state, action.event, now_ms))
-            else:
-                done.append(action)
-    return done
+    return stepping.run(SYSTEMS_BY_EVENT, state, event, now_ms)
--- /dev/null
+++ b/oleanderstair/domain/configuration/routing.py
@@ -0,0 +1,69 @@
+"""Adopts whole configurations, and finds the route of a request."""
+
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import actions, events, world
+from oleanderstair.domain.tables import routes
+
+
+def on_routing(
+    state: world.World,
+    event: events.RoutingRead,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Put a configuration in force; an older one changes nothing."""
+    table = state.routes
+    known = table.in_force
+    if known is not None and event.routing.number <= known.number:
+        return []
+    table.in_force = event.routing
+    table.adopted_at_ms = now_ms
+    return [
+        actions.Audit(
+            'configuration',
+            str(event.routing.number),
+            event.source,
+            f'in force after {known.number if known else "none"}',
+        ),
+    ]
+
+
+def match(
+    routing: routes.Routing,
+    host: str,
+    path: str,
+) -> routes.Route | None:
+    """Return the route with the longest prefix that begins ``path``."""
+    for route in routing.routes_by_host.get(host, ()):
+        if path.startswith(route.prefix):
+            return route
+    return None
+
+
+def index(
+    found: typing.Iterable[routes.Route],
+) -> dict[str, tuple[routes.Route, ...]]:
+    """Return routes by host, the longest prefixes first."""
+    by_host: dict[str, list[routes.Route]] = {}
+    for route in found:
+        by_host.setdefault(route.host, []).append(route)
+    return {
+        host: tuple(sorted(of_host, key=_prefix_length, reverse=True))
+        for host, of_host in by_host.items()
+    }
+
+
+def pick_service(state: world.World, route: routes.Route) -> str:
+    """Return one of the route's services, by their weights."""
+    if len(route.parts) == 1:
+        return route.parts[0].service
+    drawn = state.rng.choices(
+        route.parts,
+        weights=[part.weight for part in route.parts],
+    )
+    return drawn[0].service
+
+
+def _prefix_length(route: routes.Route) -> int:
+    return len(route.prefix)
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -5,12 +5,17 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import messages, outcomes
+from oleanderstair.domain.tables import load_reports, registry, routes
 
 # Calls
 
 
 class CallReceived(typing.NamedTuple):
-    """A whole call arrived from a caller or, at its home, from a peer."""
+    """A whole call arrived from a caller or, at its home, from a peer.
+
+    Where routes decide, ``service`` is empty and ``host`` and ``path`` find
+    the route; ``request_id`` is the caller's own name for the call.
+    """
 
     call_id: int
     service: str
@@ -21,6 +26,21 @@
     depth: int = 0
     fingerprint: str = ''
     from_peer: str = ''
+    host: str = ''
+    request_id: str = ''
+
+
+class SampleDue(typing.NamedTuple):
+    """The reports that a call waits for have had their time."""
+
+    call_id: int
+    round: int
+
+
+class CallDue(typing.NamedTuple):
+    """The deadline of a call, or the timeout of its route, has come."""
+
+    call_id: int
 
 
 class CallerLeft(typing.NamedTuple):
@@ -50,6 +70,7 @@
     ``crashed`` is true where the target's connection was reset or closed
     in the middle of the exchange. ``passed_on`` is true where the target
     sheds a call only because a call below it was refused after retries.
+    ``misdirected`` is true where another target has its address now.
     """
 
     call_id: int
@@ -61,6 +82,8 @@
     crashed: bool = False
     answer_bytes: int = 0
     passed_on: bool = False
+    load: load_reports.Report | None = None
+    misdirected: bool = False
 
 
 class HomeReplied(typing.NamedTuple):
@@ -111,6 +134,67 @@
     entries: tuple[ListedInstance, ...]
 
 
+class RoutingRead(typing.NamedTuple):
+    """A whole configuration arrived, from the store or from a peer."""
+
+    routing: routes.Routing
+    source: str
+
+
+class RegistryRead(typing.NamedTuple):
+    """All registered targets as of a revision of the store."""
+
+    revision: int
+    entries: tuple[registry.Entry, ...]
+
+
+class GoneEntry(typing.NamedTuple):
+    """A target whose entry was removed at a revision of the store."""
+
+    target_id: str
+    revision: int
+
+
+class RegistryChanged(typing.NamedTuple):
+    """What changed among the registered targets up to a revision."""
+
+    revision: int
+    entries: tuple[registry.Entry, ...]
+    gone: tuple[GoneEntry, ...]
+
+
+class StoreRead(typing.NamedTuple):
+    """The store as a whole; ``routing`` is None before the first one."""
+
+    routing: routes.Routing | None
+    registry: RegistryRead
+
+
+class StoreChanged(typing.NamedTuple):
+    """What a watch of the store ended with; both may say nothing new."""
+
+    routing: routes.Routing | None
+    registry: RegistryChanged
+
+
+class HistoryLost(typing.NamedTuple):
+    """The store no longer has the changes after the known revision."""
+
+
+class StoreFailed(typing.NamedTuple):
+    """A read or watch of the platform's store failed."""
+
+    what: str
+
+
+class LoadRead(typing.NamedTuple):
+    """A target told its load; ``report`` is None where it did not."""
+
+    target_id: str
+    report: load_reports.Report | None
+    took_ms: clock.Millis
+
+
 class TargetReport(typing.NamedTuple):
     """What a target's health and load endpoints said."""
 
@@ -156,11 +240,24 @@
     """The operator asked for a planned stop."""
 
 
+CallEvent: typing.TypeAlias = (
+    CallReceived | SampleDue | CallDue | CallerLeft | AttemptEnded | HomeReplied
+)
+
+StoreEvent: typing.TypeAlias = (
+    StoreRead
+    | StoreChanged
+    | HistoryLost
+    | StoreFailed
+    | RoutingRead
+    | RegistryRead
+    | RegistryChanged
+)
+
 Event: typing.TypeAlias = (
-    CallReceived
-    | CallerLeft
-    | AttemptEnded
-    | HomeReplied
+    CallEvent
+    | StoreEvent
+    | LoadRead
     | ValueRead
     | ReadFailed
     | InstancesRead
--- /dev/null
+++ b/oleanderstair/domain/gateway.py
@@ -0,0 +1,41 @@
+"""The systems of an instance that carries calls on routes.
+
+What is in force comes from the platform's store, whole and linearizable,
+so nothing here asks a majority, forwards to a home or chains notes.
+"""
+
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import actions, events, stepping, world
+from oleanderstair.domain.calls import routed
+from oleanderstair.domain.configuration import routing, watching
+from oleanderstair.domain.fleet import serving, stopping
+from oleanderstair.domain.targets import registering, sampling
+
+SYSTEMS_BY_EVENT: typing.Final[stepping.SystemsByEvent] = {
+    events.CallReceived: (routed.on_call,),
+    events.LoadRead: (sampling.on_load_read, routed.on_load_read),
+    events.SampleDue: (routed.on_sample_due,),
+    events.CallDue: (routed.on_call_due,),
+    events.CallerLeft: (routed.on_caller_left,),
+    events.AttemptEnded: (routed.on_attempt_ended,),
+    events.RoutingRead: (routing.on_routing,),
+    events.RegistryRead: (registering.on_read,),
+    events.RegistryChanged: (registering.on_changed,),
+    events.StoreRead: (watching.on_read,),
+    events.StoreChanged: (watching.on_changed,),
+    events.HistoryLost: (watching.on_history_lost,),
+    events.StoreFailed: (watching.on_failed,),
+    events.Tick: (watching.on_tick, serving.on_tick, stopping.on_tick),
+    events.StopRequested: (stopping.on_stop,),
+}
+
+
+def step(
+    state: world.World,
+    event: events.Event,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Run the systems of ``event`` and return their actions in order."""
+    return stepping.run(SYSTEMS_BY_EVENT, state, event, now_ms)
--- a/oleanderstair/domain/outcomes.py
+++ b/oleanderstair/domain/outcomes.py
@@ -20,6 +20,7 @@
     STOPPING = 'stopping'
     PAUSED = 'paused'
     NO_SERVICE = 'no-service'
+    NO_ROUTE = 'no-route'
     NO_TARGET = 'no-target'
     BAD_REQUEST = 'bad-request'
     TOO_LARGE = 'too-large'
@@ -35,6 +36,7 @@
     CRASHES_TARGETS = 'crashes-targets'
     TARGET_REFUSED = 'target-refused'
     TARGET_LOST = 'target-lost'
+    TIMEOUT = 'timeout'
 
 
 class Advice(typing.NamedTuple):
@@ -65,6 +67,10 @@
         http.HTTPStatus.NOT_FOUND,
         'name a service that a release note has added',
     ),
+    Reason.NO_ROUTE: Advice(
+        http.HTTPStatus.NOT_FOUND,
+        'use a host and path that the configuration has a route for',
+    ),
     Reason.NO_TARGET: Advice(
         _UNAVAILABLE,
         'call again later; no target of the service can take calls now',
@@ -113,6 +119,10 @@
         http.HTTPStatus.GATEWAY_TIMEOUT,
         'allow more time or call again after the time in retry-after',
     ),
+    Reason.TIMEOUT: Advice(
+        http.HTTPStatus.GATEWAY_TIMEOUT,
+        'allow more time; the call may have run',
+    ),
     Reason.CRASHES_TARGETS: Advice(
         http.HTTPStatus.UNPROCESSABLE_ENTITY,
         'do not send this request again; it made targets fail',
--- /dev/null
+++ b/oleanderstair/domain/tables/routed.py
@@ -0,0 +1,59 @@
+"""Routed calls in flight, from their admission to their answer."""
+
+import dataclasses
+import enum
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import events
+from oleanderstair.domain.tables import calls, routes
+
+
+class Stage(enum.Enum):
+    """Where a routed call stands."""
+
+    SAMPLING = 'sampling'
+    QUEUED = 'queued'
+    SENT = 'sent'
+
+
+class RoutedCall(typing.NamedTuple):
+    """A call on a route that has not been answered yet.
+
+    ``due_at_ms`` is when it must be ended: at its deadline or at the
+    timeout of its route. ``sample`` are the targets to choose from, and
+    ``awaited`` those whose report is still being read. ``sends`` counts the
+    targets that it was sent to.
+    """
+
+    received: events.CallReceived
+    route: routes.Route
+    service: str
+    received_at_ms: clock.Millis
+    due_at_ms: clock.Millis
+    stage: Stage = Stage.SAMPLING
+    sample: tuple[str, ...] = ()
+    awaited: frozenset[str] = frozenset()
+    round: int = 0
+    attempts: tuple[calls.Attempt, ...] = ()
+    tried_target_ids: tuple[str, ...] = ()
+    sends: int = 0
+    may_have_run: bool = False
+
+    @property
+    def call_id(self) -> int:
+        """Return the id that the shell gave to the call."""
+        return self.received.call_id
+
+
+@dataclasses.dataclass(slots=True)
+class RoutedTable:
+    """Routed calls by id."""
+
+    call_by_id: dict[int, RoutedCall] = dataclasses.field(default_factory=dict)
+    next_attempt_id: int = 1
+
+
+def create() -> RoutedTable:
+    """Create a table without calls."""
+    return RoutedTable()
--- /dev/null
+++ b/oleanderstair/domain/tables/routes.py
@@ -0,0 +1,70 @@
+"""The routes in force: which service takes a call, and on what terms."""
+
+import dataclasses
+import typing
+
+from oleanderstair import clock
+
+
+class Part(typing.NamedTuple):
+    """A service that takes a share of a route's calls."""
+
+    service: str
+    weight: int
+
+
+class Route(typing.NamedTuple):
+    """The calls of a host below a prefix, and how they are carried.
+
+    ``aim_ms`` is the time within which an answer is worth most, and a lower
+    ``rank`` goes first at the crest.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    parts: tuple[Part, ...]
+    idempotent: bool
+    timeout_ms: clock.Millis
+    aim_ms: clock.Millis
+    rank: int
+    max_attempts: int
+
+
+class RoutedService(typing.NamedTuple):
+    """A service that routes lead to; ``connections`` bounds each target."""
+
+    name: str
+    health_path: str
+    connections: int
+
+
+class CallerLimits(typing.NamedTuple):
+    """What a caller may send, and how long it may take or stay idle."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 1048576
+    header_time_ms: clock.Millis = 5000
+    idle_ms: clock.Millis = 15000
+
+
+class Routing(typing.NamedTuple):
+    """One whole configuration; ``routes_by_host`` has long prefixes first."""
+
+    number: int
+    routes_by_host: dict[str, tuple[Route, ...]]
+    service_by_name: dict[str, RoutedService]
+    limits: CallerLimits
+
+
+@dataclasses.dataclass(slots=True)
+class RoutesTable:
+    """The configuration in force here; None before the first is known."""
+
+    in_force: Routing | None = None
+    adopted_at_ms: clock.Millis = clock.NEVER_MS
+
+
+def create() -> RoutesTable:
+    """Create a table in which no configuration is known."""
+    return RoutesTable()
--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -12,8 +12,13 @@
     identity,
     instances,
     keys,
+    load_reports,
     reads,
+    registry,
+    routed,
+    routes,
     services,
+    store,
     suspects,
     targets,
     traffic,
@@ -43,6 +48,11 @@
     suspects: suspects.SuspectsTable
     reads: reads.ReadsTable
     traffic: traffic.TrafficTable
+    routes: routes.RoutesTable
+    registry: registry.RegistryTable
+    loads: load_reports.LoadsTable
+    routed: routed.RoutedTable
+    store: store.StoreTable
 
 
 def create(
@@ -67,4 +77,9 @@
         suspects=suspects.create(),
         reads=reads.create(),
         traffic=traffic.create(),
+        routes=routes.create(),
+        registry=registry.create(),
+        loads=load_reports.create(),
+        routed=routed.create(),
+        store=store.create(),
     )
--- a/oleanderstair/engine/attempting.py
+++ b/oleanderstair/engine/attempting.py
@@ -7,13 +7,29 @@
 
 from oleanderstair import clock, logs, metrics
 from oleanderstair.domain import actions, events
-from oleanderstair.engine import exchanges, headers, pending, ports
+from oleanderstair.engine import dialects, exchanges, pending
+
+
+class Sides(typing.Protocol):
+    """The sides of an instance that attempts use."""
+
+    @property
+    def clock(self) -> clock.Clock:
+        """Return the clock that all decisions go by."""
+
+    @property
+    def connections(self) -> exchanges.Connections:
+        """Return the connections to targets."""
+
+    @property
+    def dialect(self) -> dialects.Dialect:
+        """Return what is said to targets beside the call."""
 
 
 class Host(typing.Protocol):
     """What attempts need of the shell."""
 
-    ports: ports.Ports
+    sides: Sides
     pending: pending.PendingTable
     metrics: metrics.Metrics
 
@@ -45,7 +61,7 @@
         scope: anyio.CancelScope,
     ) -> None:
         owed = self._host.pending.call_by_id.get(action.call_id)
-        started_ms = self._host.ports.clock.now_ms()
+        started_ms = self._host.sides.clock.now_ms()
         ended = exchanges.Ended(events.Verdict.CANCELLED)
         if owed is None:
             ended = exchanges.Ended(events.Verdict.NOT_SENT, what='call gone')
@@ -53,12 +69,12 @@
             self._note_start(owed, started_ms)
             with scope:
                 ended = await self._exchange(action, owed)
-            owed.target_ms += self._host.ports.clock.now_ms() - started_ms
+            owed.target_ms += self._host.sides.clock.now_ms() - started_ms
             if ended.answer is not None:
                 owed.answer_by_attempt[action.attempt_id] = ended.answer
         self._host.pending.scope_by_attempt.pop(action.attempt_id, None)
         self._note_attempt(action, ended)
-        self._host.handle(_attempt_ended(action, ended))
+        self._host.handle(self._attempt_ended(action, owed, ended))
 
     async def _exchange(
         self,
@@ -71,21 +87,49 @@
             action.fresh,
             action.silence_ms,
         )
-        received = owed.received
+        sides = self._host.sides
+        remaining_ms = owed.received.deadline_ms - sides.clock.now_ms()
         request = owed.request._replace(
-            headers=headers.for_target(
-                owed.request.headers,
-                received.service,
-                received.depth,
-                received.deadline_ms - self._host.ports.clock.now_ms(),
-            ),
+            headers=sides.dialect.fields_for(owed, action, remaining_ms),
         )
+
+        def judge(answer: exchanges.Answer) -> events.Verdict:
+            return sides.dialect.judge(owed, answer).verdict
+
         try:
-            return await self._host.ports.connections.exchange(place, request)
+            return await sides.connections.exchange(place, request, judge)
         except Exception as error:
             self._host.report_fault('exchange', error)
             return exchanges.Ended(events.Verdict.BROKEN, what=repr(error))
 
+    def _attempt_ended(
+        self,
+        action: actions.Dispatch,
+        owed: pending.PendingCall | None,
+        ended: exchanges.Ended,
+    ) -> events.AttemptEnded:
+        answer = ended.answer
+        if answer is None or owed is None:
+            return events.AttemptEnded(
+                action.call_id,
+                action.attempt_id,
+                ended.verdict,
+                crashed=ended.crashed,
+            )
+        judged = self._host.sides.dialect.judge(owed, answer)
+        return events.AttemptEnded(
+            action.call_id,
+            action.attempt_id,
+            ended.verdict,
+            answer.status,
+            judged.retry_after_ms,
+            leaving=judged.leaving,
+            answer_bytes=len(answer.body),
+            passed_on=judged.passed_on,
+            load=judged.load,
+            misdirected=judged.misdirected,
+        )
+
     def _note_start(
         self,
         owed: pending.PendingCall,
@@ -127,7 +171,7 @@
 
     async def _close(self, target_id: str) -> None:
         try:
-            await self._host.ports.connections.close_idle(target_id)
+            await self._host.sides.connections.close_idle(target_id)
         except Exception as error:
             self._host.report_fault('close-idle', error)
 
@@ -135,27 +179,3 @@
 def create(host: Host, tasks: anyio.abc.TaskGroup) -> Attempts:
     """Create the attempts of a shell, none under way."""
     return Attempts(host, tasks)
-
-
-def _attempt_ended(
-    action: actions.Dispatch,
-    ended: exchanges.Ended,
-) -> events.AttemptEnded:
-    answer = ended.answer
-    if answer is None:
-        return events.AttemptEnded(
-            action.call_id,
-            action.attempt_id,
-            ended.verdict,
-            crashed=ended.crashed,
-        )
-    return events.AttemptEnded(
-        action.call_id,
-        action.attempt_id,
-        ended.verdict,
-        answer.status,
-        headers.read_retry_after_ms(answer.headers),
-        leaving=bool(headers.find(answer.headers, headers.LEAVING)),
-        answer_bytes=len(answer.body),
-        passed_on=exchanges.is_passed_on(answer),
-    )
--- a/oleanderstair/engine/exchanges.py
+++ b/oleanderstair/engine/exchanges.py
@@ -55,6 +55,9 @@
     what: str = ''
 
 
+Judge: typing.TypeAlias = typing.Callable[[Answer], events.Verdict]
+
+
 class Place(typing.NamedTuple):
     """Where an exchange goes and how long it may take there."""
 
@@ -75,10 +78,17 @@
     )
     open_by_target: dict[str, int] = dataclasses.field(default_factory=dict)
 
-    async def exchange(self, place: Place, request: Request) -> Ended:
+    async def exchange(
+        self,
+        place: Place,
+        request: Request,
+        judge: Judge | None = None,
+    ) -> Ended:
         """Send ``request`` and read the whole answer within the bound.
 
         NOT_SENT means that no connection could be had, so no byte left.
+        ``judge`` tells what a whole answer proves; without it, the product's
+        own outcome field does.
         """
         if not self._claim(place.target_id):
             return Ended(events.Verdict.NOT_SENT, what='connection limit')
@@ -88,6 +98,7 @@
             connection = await self._connect(place)
             with anyio.move_on_after(clock.to_seconds(place.silence_ms)):
                 ended = await self._send(connection, place.address, request)
+            ended = _judged(ended, judge or verdict_of)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             return Ended(events.Verdict.NOT_SENT, what=repr(error))
         finally:
@@ -254,7 +265,17 @@
         return Ended(events.Verdict.BROKEN, what='control character in header')
     if not _is_framed(request, answer):
         return Ended(events.Verdict.BROKEN, what='answer without a length')
-    return Ended(verdict_of(answer), answer)
+    return Ended(events.Verdict.ANSWERED, answer)
+
+
+def _judged(ended: Ended, judge: Judge) -> Ended:
+    """Return the verdict of a whole answer; a refuted one is dropped."""
+    if ended.answer is None:
+        return ended
+    verdict = judge(ended.answer)
+    if verdict is events.Verdict.BROKEN:
+        return Ended(verdict, what='answer to another request')
+    return ended._replace(verdict=verdict)
 
 
 def _is_framed(request: Request, answer: Answer) -> bool:
--- /dev/null
+++ b/oleanderstair/engine/gateway.py
@@ -0,0 +1,81 @@
+"""The shell of an instance that carries calls on routes."""
+
+import dataclasses
+import typing
+
+import anyio.abc
+
+from oleanderstair import clock
+from oleanderstair.domain import actions, events, gateway, world
+from oleanderstair.domain.tables import load_reports
+from oleanderstair.engine import core, dialects, exchanges
+
+
+class Store(typing.Protocol):
+    """The platform's store, which can only be read and watched."""
+
+    async def read(self) -> events.StoreRead | events.StoreFailed:
+        """Return all that the store holds."""
+
+    async def watch(
+        self,
+        after_revision: int,
+        bound_ms: clock.Millis,
+    ) -> events.StoreChanged | events.HistoryLost | events.StoreFailed:
+        """Wait up to ``bound_ms`` for a change after a revision."""
+
+
+class LoadReader(typing.Protocol):
+    """The load reports of targets."""
+
+    async def read(
+        self,
+        action: actions.ReadLoad,
+    ) -> load_reports.Report | None:
+        """Return the report of a target, None where it can't be had."""
+
+
+@dataclasses.dataclass(slots=True)
+class Sides:
+    """The clock, and the outgoing sides of an instance with routes."""
+
+    clock: clock.Clock
+    connections: exchanges.Connections
+    dialect: dialects.Dialect
+    store: Store
+    load_reader: LoadReader
+
+    async def read_store(self, action: actions.ReadStore) -> events.Event:
+        """Read the whole of the store."""
+        return await self.store.read()
+
+    async def watch_store(self, action: actions.WatchStore) -> events.Event:
+        """Wait for a change of the store."""
+        return await self.store.watch(action.after_revision, action.bound_ms)
+
+    async def read_load(self, action: actions.ReadLoad) -> events.Event:
+        """Read the load report of a target."""
+        started_ms = self.clock.now_ms()
+        report = await self.load_reader.read(action)
+        took_ms = self.clock.now_ms() - started_ms
+        return events.LoadRead(action.target_id, report, took_ms)
+
+
+class Gateway(core.Core):
+    """One instance with the platform's store and load reports."""
+
+    def __init__(
+        self,
+        state: world.World,
+        outgoing: Sides,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Run I/O for ``state`` as tasks of ``tasks``."""
+        super().__init__(state, gateway.step, outgoing, tasks)
+        self.perform_by(
+            {
+                actions.ReadStore: self.start(outgoing.read_store),
+                actions.WatchStore: self.start(outgoing.watch_store),
+                actions.ReadLoad: self.start(outgoing.read_load),
+            },
+        )
--- a/oleanderstair/engine/incoming.py
+++ b/oleanderstair/engine/incoming.py
@@ -50,8 +50,8 @@
     found = headers.index(scope['headers'])
     fields = found.field_by_name
     method: str = scope['method']
-    target = _target_of(scope)
-    what = _find_fault(found, scope['headers'], method, target)
+    target = target_of(scope)
+    what = find_fault(found, scope['headers'], method, target)
     service = _service_of(fields)
     budget_ms = _read_budget(fields, service, limits)
     depth = headers.read_count(fields.get(headers.DEPTH, b'0'))
@@ -83,18 +83,19 @@
         fields.append((headers.CONTENT_LENGTH, b'0'))
     return exchanges.Request(
         scope['method'].encode(),
-        _target_of(scope),
+        target_of(scope),
         fields,
         body,
     )
 
 
-def _find_fault(
+def find_fault(
     found: headers.Index,
     fields: headers.AnyFields,
     method: str,
     target: bytes,
 ) -> str:
+    """Return what keeps a request from being passed on, or ''."""
     twice = found.repeated & _ONLY_ONCE
     if twice:
         return f'{min(twice).decode()} came more than once'
@@ -137,7 +138,8 @@
     return host.partition(':')[0].partition('.')[0]
 
 
-def _target_of(scope: asgi.Scope) -> bytes:
+def target_of(scope: asgi.Scope) -> bytes:
+    """Return the path and query as they came."""
     raw_path: bytes = scope['raw_path']
     query: bytes = scope['query_string']
     if query:
--- a/oleanderstair/engine/node.py
+++ b/oleanderstair/engine/node.py
@@ -19,7 +19,7 @@
     exchanges,
     listener,
     peers,
-    platform,
+    publications,
     ports,
     probes,
     recorder,
@@ -91,7 +91,7 @@
 
     def _create_shell(self, tasks: anyio.abc.TaskGroup) -> shell.Shell:
         limits = settings.limits_of(self.checked)
-        published = platform.create(
+        published = publications.create(
             self.checked.platform.configuration_url,
             self.checked.platform.instances_url,
             limits.value_bound_ms,
--- a/oleanderstair/engine/ports.py
+++ b/oleanderstair/engine/ports.py
@@ -4,7 +4,13 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events
-from oleanderstair.engine import exchanges, peers, platform, probes
+from oleanderstair.engine import (
+    dialects,
+    exchanges,
+    peers,
+    probes,
+    publications,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -13,16 +19,17 @@
 
     clock: clock.Clock
     connections: exchanges.Connections
-    configuration: platform.Configuration
-    instance_list: platform.InstanceList
+    configuration: publications.Configuration
+    instance_list: publications.InstanceList
     endpoints: probes.TargetEndpoints
     link: peers.Link
+    dialect: dialects.Dialect = dataclasses.field(default_factory=dialects.own)
 
     async def read_value(self, action: actions.ReadValue) -> events.Event:
         """Read a configuration value once."""
         try:
             body = await self.configuration.get(action.name)
-        except platform.PlatformError as error:
+        except publications.PlatformError as error:
             return events.ReadFailed(action.name, str(error))
         return events.ValueRead(action.name, body, action.nonce)
 
@@ -34,7 +41,7 @@
                 action.digest,
                 action.bound_ms,
             )
-        except platform.PlatformError as error:
+        except publications.PlatformError as error:
             return events.ReadFailed(action.name, str(error))
         return events.ValueRead(action.name, body)
 
@@ -45,7 +52,7 @@
         """Read the platform's instance list."""
         try:
             entries = await self.instance_list.read()
-        except platform.PlatformError as error:
+        except publications.PlatformError as error:
             return events.ReadFailed('instances', str(error))
         return events.InstancesRead(entries)
 
--- /dev/null
+++ b/oleanderstair/engine/routed_callers.py
@@ -0,0 +1,162 @@
+"""The listener for callers of an instance that carries calls on routes."""
+
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import events, outcomes
+from oleanderstair.domain.calls import fingerprints
+from oleanderstair.domain.tables import instances, routes
+from oleanderstair.engine import (
+    asgi,
+    gateway,
+    headers,
+    incoming,
+    listener,
+    pending,
+    replies,
+)
+
+_DEFAULT_LIMITS: typing.Final = routes.CallerLimits()
+
+
+class RequestFields(typing.Protocol):
+    """Read the fields that a caller states its call by."""
+
+    def request_id_of(self, fields: dict[bytes, bytes]) -> str:
+        """Return the caller's own name for the request, or ''."""
+
+    def remaining_ms_of(self, fields: dict[bytes, bytes]) -> int | None:
+        """Return how long the caller waits, None where it says nonsense."""
+
+
+class RoutedCallersApp:
+    """An ASGI application that carries routed calls through a shell."""
+
+    def __init__(
+        self,
+        carrier: gateway.Gateway,
+        request_fields: RequestFields,
+    ) -> None:
+        """Carry calls through ``carrier``."""
+        self._shell = carrier
+        self._fields = request_fields
+
+    async def __call__(
+        self,
+        scope: asgi.Scope,
+        receive: asgi.Receive,
+        send: asgi.Send,
+    ) -> None:
+        """Answer one request."""
+        limits = self._limits()
+        try:
+            body = await asgi.read_body(
+                receive,
+                limits.max_body_bytes,
+                limits.idle_ms,
+            )
+        except asgi.BodyTooLarge:
+            bad = incoming.BadRequest(
+                outcomes.Reason.TOO_LARGE,
+                'the body is larger than max_body_bytes',
+            )
+            await self._reject(scope, send, bad)
+        except asgi.BodyTooSlow:
+            late = incoming.BadRequest(
+                outcomes.Reason.TOO_SLOW,
+                'the body did not arrive in time',
+            )
+            await self._reject(scope, send, late)
+        except asgi.Disconnected:
+            self._shell.metrics.count('caller-left', 'in-body')
+        else:
+            await self._carry(scope, body, send)
+
+    async def _carry(
+        self,
+        scope: asgi.Scope,
+        body: bytes,
+        send: asgi.Send,
+    ) -> None:
+        carrier = self._shell
+        call_id = carrier.pending.claim_id()
+        received = self._read_call(scope, body, call_id)
+        if isinstance(received, incoming.BadRequest):
+            await self._reject(scope, send, received)
+            return
+        request = incoming.read_request(scope, body)
+        with listener.watching(scope, lambda: carrier.leave(call_id)):
+            reply = await carrier.call(received, request)
+        await self._send(send, scope['method'], reply)
+
+    def _read_call(
+        self,
+        scope: asgi.Scope,
+        body: bytes,
+        call_id: int,
+    ) -> events.CallReceived | incoming.BadRequest:
+        found = headers.index(scope['headers'])
+        target = incoming.target_of(scope)
+        what = incoming.find_fault(
+            found,
+            scope['headers'],
+            scope['method'],
+            target,
+        )
+        remaining_ms = self._fields.remaining_ms_of(found.field_by_name)
+        if remaining_ms is None:
+            what = 'the deadline is missing or no whole number of ms'
+        if what or remaining_ms is None:
+            return incoming.BadRequest(outcomes.Reason.BAD_REQUEST, what)
+        host = found.field_by_name.get(headers.HOST, b'').decode('latin-1')
+        path = target.decode('latin-1')
+        return events.CallReceived(
+            call_id=call_id,
+            service='',
+            method=scope['method'],
+            path=path,
+            deadline_ms=self._now_ms() + remaining_ms,
+            fingerprint=fingerprints.of_call(
+                host,
+                scope['method'],
+                path,
+                body,
+            ),
+            host=host.partition(':')[0].lower(),
+            request_id=self._fields.request_id_of(found.field_by_name),
+        )
+
+    async def _reject(
+        self,
+        scope: asgi.Scope,
+        send: asgi.Send,
+        bad: incoming.BadRequest,
+    ) -> None:
+        self._shell.metrics.count('refused', bad.reason.value)
+        reply = replies.not_run(bad.reason, bad.detail)
+        await self._send(send, scope['method'], reply)
+
+    async def _send(
+        self,
+        send: asgi.Send,
+        method: str,
+        reply: pending.Reply,
+    ) -> None:
+        phase = self._shell.state.instances.phase
+        closing = phase is instances.Phase.STOPPING
+        await replies.send_reply(send, method, reply, closing)
+
+    def _limits(self) -> routes.CallerLimits:
+        in_force = self._shell.state.routes.in_force
+        return in_force.limits if in_force else _DEFAULT_LIMITS
+
+    def _now_ms(self) -> clock.Millis:
+        return self._shell.sides.clock.now_ms()
+
+
+def create(
+    carrier: gateway.Gateway,
+    request_fields: RequestFields,
+) -> RoutedCallersApp:
+    """Create the application for callers."""
+    return RoutedCallersApp(carrier, request_fields)
--- /dev/null
+++ b/oleanderstair/platform/dialect.py
@@ -0,0 +1,91 @@
+"""The header fields that callers and targets of the platform speak."""
+
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import actions, events
+from oleanderstair.domain.tables import load_reports
+from oleanderstair.engine import dialects, exchanges, headers, pending
+
+REQUEST_ID: typing.Final = b'request-id'
+DEADLINE_MS: typing.Final = b'deadline-ms'
+EXPECTED_TARGET: typing.Final = b'target-instance'
+LOAD: typing.Final = b'server-load'
+NOT_RUN: typing.Final = b'not-executed'
+
+_MISDIRECTED: typing.Final = 421
+_USUAL: typing.Final = 100
+_LEAST_FIGURES: typing.Final = 3
+_SET_BY_SYSTEM: typing.Final = frozenset((DEADLINE_MS, EXPECTED_TARGET))
+
+
+class PlatformDialect:
+    """Speak to targets, and read callers, by the platform's fields."""
+
+    def fields_for(
+        self,
+        owed: pending.PendingCall,
+        dispatch: actions.Dispatch,
+        remaining_ms: clock.Millis,
+    ) -> headers.Fields:
+        """Return the fields of one dispatch of a call."""
+        kept = [
+            (name, field)
+            for name, field in owed.request.headers
+            if name not in _SET_BY_SYSTEM
+        ]
+        return [
+            (headers.HOST, owed.received.host.encode()),
+            (DEADLINE_MS, str(max(int(remaining_ms), 1)).encode()),
+            (EXPECTED_TARGET, dispatch.target_id.encode()),
+            *kept,
+        ]
+
+    def judge(
+        self,
+        owed: pending.PendingCall,
+        answer: exchanges.Answer,
+    ) -> dialects.Judgement:
+        """Return what an answer proves; another request's proves nothing."""
+        fields = headers.index(answer.headers).field_by_name
+        answered = fields.get(REQUEST_ID, b'').decode('latin-1')
+        load = read_load(fields)
+        misdirected = answer.status == _MISDIRECTED
+        if misdirected or NOT_RUN in fields:
+            return dialects.Judgement(
+                events.Verdict.SHED,
+                load=load,
+                misdirected=misdirected,
+            )
+        if answered != owed.received.request_id:
+            return dialects.Judgement(events.Verdict.BROKEN)
+        return dialects.Judgement(
+            events.Verdict.ANSWERED,
+            leaving=fields.get(headers.CONNECTION, b'') == b'close',
+            load=load,
+        )
+
+    def request_id_of(self, fields: dict[bytes, bytes]) -> str:
+        """Return the caller's own name for the request, or ''."""
+        return fields.get(REQUEST_ID, b'').decode('latin-1')
+
+    def remaining_ms_of(self, fields: dict[bytes, bytes]) -> int | None:
+        """Return how long the caller waits, None where it says nonsense."""
+        return headers.read_count(fields.get(DEADLINE_MS, b'')) or None
+
+
+def create() -> PlatformDialect:
+    """Create the platform's dialect."""
+    return PlatformDialect()
+
+
+def read_load(fields: dict[bytes, bytes]) -> load_reports.Report | None:
+    """Return the load that an answer tells, None where it tells none."""
+    figures = fields.get(LOAD, b'').split(b',')
+    counts = [headers.read_count(figure.strip()) for figure in figures]
+    known = [count for count in counts if count is not None]
+    if len(known) != len(counts) or len(known) < _LEAST_FIGURES:
+        return None
+    running, waiting, slots, *more = known
+    slowness = more[0] / _USUAL if more else 1.0
+    return load_reports.Report(running, waiting, slots, slowness)
--- /dev/null
+++ b/oleanderstair/platform/documents.py
@@ -0,0 +1,167 @@
+"""Reads what lies in the platform's store into the product's tables."""
+
+import base64
+import typing
+
+import msgspec
+import result
+
+from oleanderstair import clock, errors
+from oleanderstair.domain.configuration import routing
+from oleanderstair.domain.tables import registry, routes
+
+CONFIGURATION_KEY: typing.Final = 'op/config'
+TARGET_PREFIX: typing.Final = 'servers/'
+
+_READY: typing.Final = 'ready'
+_LEAVING: typing.Final = 'leaving'
+_STATES: typing.Final = frozenset((_READY, _LEAVING))
+_IDEMPOTENT: typing.Final = 'idempotent'
+_REMEDY: typing.Final = 'correct the value and publish it again'
+
+
+class Item(msgspec.Struct):
+    """One item of the store, or the end of one."""
+
+    key: str
+    revision: int
+    value: str = ''
+    deleted: bool = False
+
+
+class _PartDocument(msgspec.Struct):
+    service: str
+    weight: int
+
+
+class _RouteDocument(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str
+    kind: typing.Literal['idempotent', 'once']
+    timeout_ms: float
+    aim_ms: float
+    rank: int
+    max_attempts: int
+    service: str = ''
+    split: list[_PartDocument] = []
+
+
+class _ServiceDocument(msgspec.Struct):
+    name: str
+    health_path: str
+    connections: int
+
+
+class _LimitsDocument(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_time_ms: float
+    idle_ms: float
+
+
+class _ConfigurationDocument(msgspec.Struct):
+    number: int
+    routes: list[_RouteDocument]
+    services: list[_ServiceDocument]
+    limits: _LimitsDocument
+
+
+class _TargetDocument(msgspec.Struct):
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    state: str
+    sequence: int
+    # The wire says how much longer, not when.
+    slow_ms: float = 0
+    born: int = 0
+
+
+def read_configuration(
+    item: Item,
+) -> result.Result[routes.Routing, errors.Problem]:
+    """Return the configuration that an item holds, or what is wrong."""
+    try:
+        document = msgspec.json.decode(
+            base64.b64decode(item.value, validate=True),
+            type=_ConfigurationDocument,
+        )
+    except ValueError as error:
+        return result.Err(_problem(item, str(error)))
+    return result.Ok(
+        routes.Routing(
+            number=document.number,
+            routes_by_host=routing.index(map(_route, document.routes)),
+            service_by_name={
+                service.name: routes.RoutedService(
+                    service.name,
+                    service.health_path,
+                    service.connections,
+                )
+                for service in document.services
+            },
+            limits=routes.CallerLimits(
+                document.limits.max_header_bytes,
+                document.limits.max_body_bytes,
+                document.limits.header_time_ms,
+                document.limits.idle_ms,
+            ),
+        ),
+    )
+
+
+def read_target(
+    item: Item,
+    now_ms: clock.Millis,
+) -> result.Result[registry.Entry, errors.Problem]:
+    """Return the target that an item registers, or what is wrong."""
+    try:
+        document = msgspec.json.decode(
+            base64.b64decode(item.value, validate=True),
+            type=_TargetDocument,
+        )
+    except ValueError as error:
+        return result.Err(_problem(item, str(error)))
+    if document.state not in _STATES:
+        return result.Err(_problem(item, f'unknown state {document.state!r}'))
+    return result.Ok(
+        registry.Entry(
+            target_id=target_id_of(item),
+            service=document.service,
+            address=document.address,
+            data_centre=document.data_centre,
+            slots=document.slots,
+            leaving=document.state == _LEAVING,
+            born_ms=document.born,
+            warm_at_ms=now_ms + document.slow_ms,
+            revision=item.revision,
+        ),
+    )
+
+
+def target_id_of(item: Item) -> str:
+    """Return the id of the target that an item is about."""
+    return item.key.removeprefix(TARGET_PREFIX)
+
+
+def _route(document: _RouteDocument) -> routes.Route:
+    parts = tuple(
+        routes.Part(part.service, part.weight) for part in document.split
+    )
+    return routes.Route(
+        name=document.name,
+        host=document.host,
+        prefix=document.prefix,
+        parts=parts or (routes.Part(document.service, 1),),
+        idempotent=document.kind == _IDEMPOTENT,
+        timeout_ms=document.timeout_ms,
+        aim_ms=document.aim_ms,
+        rank=document.rank,
+        max_attempts=document.max_attempts,
+    )
+
+
+def _problem(item: Item, what: str) -> errors.Problem:
+    return errors.Problem(errors.ProblemKind.VALUE, item.key, what, _REMEDY)
--- /dev/null
+++ b/oleanderstair/platform/listeners.py
@@ -0,0 +1,53 @@
+"""What the platform asks of an instance: addresses and readiness."""
+
+import typing
+import urllib.parse
+
+from oleanderstair.domain.fleet import serving
+from oleanderstair.engine import asgi, gateway
+
+_OK: typing.Final = 200
+_UNAVAILABLE: typing.Final = 503
+_ADDRESSES_PATH: typing.Final = '/-/addresses'
+_MS_PER_S: typing.Final = 1000
+
+
+class PlatformApp:
+    """An ASGI application for the directory and readiness listeners."""
+
+    def __init__(self, carrier: gateway.Gateway) -> None:
+        """Answer from the tables of ``carrier``."""
+        self._shell = carrier
+
+    async def __call__(
+        self,
+        scope: asgi.Scope,
+        receive: asgi.Receive,
+        send: asgi.Send,
+    ) -> None:
+        """Answer one request."""
+        if scope['path'] == _ADDRESSES_PATH:
+            await self._answer_addresses(scope, send)
+            return
+        ready = serving.is_ready(self._shell.state)
+        status = _OK if ready else _UNAVAILABLE
+        await asgi.respond_json(send, status, {'ready': ready})
+
+    async def _answer_addresses(
+        self,
+        scope: asgi.Scope,
+        send: asgi.Send,
+    ) -> None:
+        query = urllib.parse.parse_qs(scope['query_string'].decode('latin-1'))
+        state = self._shell.state
+        query.get('data_centre', [state.identity.data_centre])
+        document = {
+            'addresses': [state.identity.caller_address],
+            'valid_s': state.policy.answer_validity_ms / _MS_PER_S,
+        }
+        await asgi.respond_json(send, _OK, document)
+
+
+def create(carrier: gateway.Gateway) -> PlatformApp:
+    """Create the application for the platform's questions."""
+    return PlatformApp(carrier)
--- /dev/null
+++ b/oleanderstair/platform/node.py
@@ -0,0 +1,120 @@
+"""Puts one entry instance on the users' platform together."""
+
+import dataclasses
+import random
+import secrets
+import socket
+import typing
+
+import anyio
+import anyio.abc
+
+from oleanderstair import clock, logs, settings
+from oleanderstair.domain import events, world
+from oleanderstair.domain.tables import identity
+from oleanderstair.engine import (
+    bounded,
+    exchanges,
+    gateway,
+    listener,
+    routed_callers,
+)
+from oleanderstair.platform import dialect, listeners, load_reader, store
+
+_INCARNATION_BYTES: typing.Final = 4
+_SEED_BITS: typing.Final = 64
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One entry instance with bound sockets."""
+
+    identity: identity.Identity
+    checked: settings.Settings
+    caller_socket: socket.socket
+    platform_sockets: list[socket.socket]
+    carrier: gateway.Gateway | None = None
+
+    async def run(self) -> None:
+        """Serve until the planned stop is complete."""
+        async with anyio.create_task_group() as tasks:
+            self.carrier = self._create_shell(tasks)
+            tasks.start_soon(self.carrier.run_ticks)
+            logs.event('started', instance=self.identity.incarnation)
+            await self._listen(self.carrier)
+            tasks.cancel_scope.cancel()
+
+    def stop(self) -> None:
+        """Begin the planned stop."""
+        if self.carrier is not None:
+            self.carrier.handle(events.StopRequested())
+
+    async def _listen(self, carrier: gateway.Gateway) -> None:
+        callers = listener.create(
+            routed_callers.create(carrier, dialect.create()),
+            _bounds_of(self.checked.callers),
+        )
+        asked = listener.create(listeners.create(carrier))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(callers.serve, [self.caller_socket])
+            tasks.start_soon(asked.serve, self.platform_sockets)
+            await carrier.exit.wait()
+            # Each server writes the answers that are under way, then ends.
+            callers.should_exit = True
+            asked.should_exit = True
+
+    def _create_shell(self, tasks: anyio.abc.TaskGroup) -> gateway.Gateway:
+        told = clock.monotonic()
+        sides = gateway.Sides(
+            clock=told,
+            connections=exchanges.create(self.checked.callers.max_answer_bytes),
+            dialect=dialect.create(),
+            store=store.create(self.checked.platform.store_address, told),
+            load_reader=load_reader.create(),
+        )
+        state = world.create(
+            self.identity,
+            settings.limits_of(self.checked),
+            random.Random(secrets.randbits(_SEED_BITS)),
+        )
+        return gateway.Gateway(state, sides, tasks)
+
+
+def create(checked: settings.Settings) -> Node:
+    """Create an instance and bind its sockets."""
+    incarnation = (
+        f'{checked.instance.id}~{secrets.token_hex(_INCARNATION_BYTES)}'
+    )
+    caller_socket = _bind(checked.callers.address)
+    own = identity.Identity(
+        instance_id=checked.instance.id,
+        incarnation=incarnation,
+        region=checked.instance.region,
+        data_centre=checked.instance.data_centre,
+        caller_address=listener.address_of(caller_socket),
+        peer_address=checked.peers.address,
+    )
+    return Node(
+        identity=own,
+        checked=checked,
+        caller_socket=caller_socket,
+        platform_sockets=[
+            _bind(checked.platform.directory_address),
+            _bind(checked.platform.readiness_address),
+        ],
+    )
+
+
+def _bind(address: str) -> socket.socket:
+    host, _, port = address.rpartition(':')
+    return listener.bind(host, int(port))
+
+
+def _bounds_of(wanted: settings.CallerSettings) -> bounded.Bounds:
+    return bounded.Bounds(
+        max_header_bytes=wanted.max_header_bytes,
+        request_time_ms=wanted.request_time_ms,
+        idle_ms=wanted.idle_ms,
+        answer_time_ms=wanted.answer_time_ms,
+        max_connections=wanted.max_connections,
+    )
--- a/oleanderstair/settings.py
+++ b/oleanderstair/settings.py
@@ -61,6 +61,7 @@
 
     host: _HOST
     port: _PORT
+    address: _ADDRESS
     advertise: _ADDRESS
     max_body_bytes: _COUNT
     max_header_bytes: _POSITIVE
@@ -83,16 +84,21 @@
 
     host: _HOST
     port: _PORT
+    address: _ADDRESS
+    seeds: list[_ADDRESS]
     public_key: _KEY
     secret_key: _KEY
     allow_plain: bool
 
 
 class PlatformSettings(msgspec.Struct, forbid_unknown_fields=True):
-    """Where the platform publishes notes and the instance list."""
+    """Where the platform publishes, and where it asks this instance."""
 
     configuration_url: _URL
     instances_url: _URL
+    store_address: _ADDRESS
+    directory_address: _ADDRESS
+    readiness_address: _ADDRESS
 
 
 class LogSettings(msgspec.Struct, forbid_unknown_fields=True):
--- a/test/test_emulator.py
+++ b/test/test_emulator.py
@@ -8,7 +8,7 @@
 
 from oleanderstair.emulator import fleet, platform, targets
 from oleanderstair.engine import headers
-from oleanderstair.engine import platform as reader
+from oleanderstair.engine import publications as reader
 from oleanderstair.engine import probes
 from test import helper
 
