--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -8,15 +8,15 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, stepping, world
-from oleanderstair.domain.calls import routed
+from oleanderstair.domain.calls import routed, sending
 from oleanderstair.domain.configuration import routing, watching
 from oleanderstair.domain.fleet import serving, stopping
 from oleanderstair.domain.targets import registering, sampling
 
 SYSTEMS_BY_EVENT: typing.Final[stepping.SystemsByEvent] = {
     events.CallReceived: (routed.on_call,),
-    events.LoadRead: (sampling.on_load_read, routed.on_load_read),
-    events.SampleDue: (routed.on_sample_due,),
+    events.LoadRead: (sampling.on_load_read, sending.on_load_read),
+    events.SampleDue: (sending.on_sample_due,),
     events.CallDue: (routed.on_call_due,),
     events.CallerLeft: (routed.on_caller_left,),
     events.AttemptEnded: (routed.on_attempt_ended,),
@@ -27,6 +27,7 @@
     events.StoreChanged: (watching.on_changed,),
     events.HistoryLost: (watching.on_history_lost,),
     events.StoreFailed: (watching.on_failed,),
+    events.PeerHeard: (),
     events.Tick: (watching.on_tick, serving.on_tick, stopping.on_tick),
     events.StopRequested: (stopping.on_stop,),
 }
--- a/oleanderstair/engine/gateway.py
+++ b/oleanderstair/engine/gateway.py
@@ -8,7 +8,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, gateway, world
 from oleanderstair.domain.tables import load_reports
-from oleanderstair.engine import core, dialects, exchanges
+from oleanderstair.engine import core, dialects, exchanges, peering, peers
 
 
 class Store(typing.Protocol):
@@ -44,6 +44,7 @@
     dialect: dialects.Dialect
     store: Store
     load_reader: LoadReader
+    link: peers.Link
 
     async def read_store(self, action: actions.ReadStore) -> events.Event:
         """Read the whole of the store."""
@@ -72,10 +73,19 @@
     ) -> None:
         """Run I/O for ``state`` as tasks of ``tasks``."""
         super().__init__(state, gateway.step, outgoing, tasks)
+        self._peering = peering.create(self, outgoing.link, self._take)
         self.perform_by(
             {
                 actions.ReadStore: self.start(outgoing.read_store),
                 actions.WatchStore: self.start(outgoing.watch_store),
                 actions.ReadLoad: self.start(outgoing.read_load),
+                actions.SendPeer: self._peering.send,
             },
         )
+
+    async def run_peers(self) -> None:
+        """Take what peers send until cancelled."""
+        await self._peering.run()
+
+    def _take(self, heard: peers.Heard) -> None:
+        self.handle(events.PeerHeard(heard.sender, heard.message))
--- a/oleanderstair/engine/shell.py
+++ b/oleanderstair/engine/shell.py
@@ -2,12 +2,10 @@
 
 import typing
 
-import anyio
 import anyio.abc
 
-from oleanderstair import clock
 from oleanderstair.domain import actions, balancer, events, messages, world
-from oleanderstair.engine import core, keyed, peers, pending, ports
+from oleanderstair.engine import core, keyed, peering, peers, pending, ports
 
 Recorder: typing.TypeAlias = core.Recorder
 
@@ -25,6 +23,7 @@
         super().__init__(state, balancer.step, outgoing, tasks)
         self.ports = outgoing
         self._keyed = keyed.create(self, tasks)
+        self._peering = peering.create(self, outgoing.link, self._take)
         self.perform_by(
             {
                 actions.RelayRecorded: self.settling.relay_recorded,
@@ -35,18 +34,13 @@
                 actions.WatchValue: self.start(outgoing.watch_value),
                 actions.ReadInstances: self.start(outgoing.read_instances),
                 actions.Probe: self.start(outgoing.probe),
-                actions.SendPeer: self._send_peer,
+                actions.SendPeer: self._peering.send,
             },
         )
 
     async def run_peers(self) -> None:
         """Take what peers send until cancelled."""
-        while True:
-            try:
-                self._take(await self.ports.link.receive())
-            except Exception as error:
-                self.report_fault('peers', error)
-                await anyio.sleep(clock.to_seconds(self.state.policy.tick_ms))
+        await self._peering.run()
 
     def note_read(self, event: events.Event) -> None:
         """Count a read that ended, and how long a probe took."""
@@ -73,13 +67,3 @@
             self._keyed.take_answer(heard.sender, heard.message)
         else:
             self.handle(events.PeerHeard(heard.sender, heard.message))
-
-    def _send_peer(self, action: actions.SendPeer) -> None:
-        sent = self.ports.link.send(
-            action.address,
-            action.message,
-            action.incarnation,
-        )
-        kind = type(action.message).__name__
-        self.metrics.count('peer-messages', kind)
-        self.metrics.count('peer-bytes', kind, sent)
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -17,6 +17,7 @@
     exchanges,
     gateway,
     listener,
+    peers,
     routed_callers,
 )
 from oleanderstair.platform import dialect, listeners, load_reader, store
@@ -33,13 +34,21 @@
     checked: settings.Settings
     caller_socket: socket.socket
     platform_sockets: list[socket.socket]
+    link: peers.Link
     carrier: gateway.Gateway | None = None
 
     async def run(self) -> None:
         """Serve until the planned stop is complete."""
+        try:
+            await self._serve()
+        finally:
+            self.link.close()
+
+    async def _serve(self) -> None:
         async with anyio.create_task_group() as tasks:
             self.carrier = self._create_shell(tasks)
             tasks.start_soon(self.carrier.run_ticks)
+            tasks.start_soon(self.carrier.run_peers)
             logs.event('started', instance=self.identity.incarnation)
             await self._listen(self.carrier)
             tasks.cancel_scope.cancel()
@@ -71,6 +80,7 @@
             dialect=dialect.create(),
             store=store.create(self.checked.platform.store_address, told),
             load_reader=load_reader.create(),
+            link=self.link,
         )
         state = world.create(
             self.identity,
@@ -94,10 +104,12 @@
         caller_address=listener.address_of(caller_socket),
         peer_address=checked.peers.address,
     )
+    host, _, port = checked.peers.address.rpartition(':')
     return Node(
         identity=own,
         checked=checked,
         caller_socket=caller_socket,
+        link=peers.create(host, int(port), incarnation, peers.Keys()),
         platform_sockets=[
             _bind(checked.platform.directory_address),
             _bind(checked.platform.readiness_address),
