--- a/oleanderstair/domain/calls/routed.py
+++ b/oleanderstair/domain/calls/routed.py
@@ -4,6 +4,7 @@
 from oleanderstair.domain import actions, events, outcomes, world
 from oleanderstair.domain.calls import ending, sending
 from oleanderstair.domain.configuration import routing
+from oleanderstair.domain.fleet import finishing
 from oleanderstair.domain.tables import calls, routed
 from oleanderstair.domain.targets import sampling
 
@@ -22,12 +23,22 @@
         return [ending.not_run(event.call_id, outcomes.Reason.NO_ROUTE)]
     if event.deadline_ms <= now_ms:
         return [ending.not_run(event.call_id, outcomes.Reason.DEADLINE)]
+    due_at_ms = min(event.deadline_ms, now_ms + route.timeout_ms)
+    if finishing.refuses(state, due_at_ms, now_ms):
+        return [
+            actions.Refuse(
+                event.call_id,
+                outcomes.Outcome.NOT_RUN,
+                outcomes.Reason.STOPPING,
+                finishing.RETRY_AFTER_MS,
+            ),
+        ]
     call = routed.RoutedCall(
         received=event,
         route=route,
         service=routing.pick_service(state, route),
         received_at_ms=now_ms,
-        due_at_ms=min(event.deadline_ms, now_ms + route.timeout_ms),
+        due_at_ms=due_at_ms,
     )
     due = events.CallDue(call.call_id)
     return [
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -4,7 +4,7 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import messages, outcomes
+from oleanderstair.domain import messages, outcomes, policy
 from oleanderstair.domain.tables import load_reports, registry, routes
 
 # Calls
@@ -240,6 +240,14 @@
     """The operator asked for a planned stop."""
 
 
+class LimitsChanged(typing.NamedTuple):
+    """The settings file gives other limits; ``what`` names the fields."""
+
+    limits: policy.Policy
+    actor: str
+    what: str
+
+
 CallEvent: typing.TypeAlias = (
     CallReceived | SampleDue | CallDue | CallerLeft | AttemptEnded | HomeReplied
 )
@@ -266,4 +274,5 @@
     | FactAdopted
     | Tick
     | StopRequested
+    | LimitsChanged
 )
--- /dev/null
+++ b/oleanderstair/domain/fleet/reloading.py
@@ -0,0 +1,21 @@
+"""Puts changed limits in force without a restart."""
+
+from oleanderstair import clock
+from oleanderstair.domain import actions, events, world
+
+
+def on_limits(
+    state: world.World,
+    event: events.LimitsChanged,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Take the limits that the settings file now gives."""
+    state.policy = event.limits
+    return [
+        actions.Audit(
+            'settings',
+            state.identity.incarnation,
+            event.actor,
+            event.what,
+        ),
+    ]
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -10,7 +10,12 @@
 from oleanderstair.domain import actions, events, stepping, world
 from oleanderstair.domain.calls import routed, sending
 from oleanderstair.domain.configuration import routing, watching
-from oleanderstair.domain.fleet import serving, stopping
+from oleanderstair.domain.fleet import (
+    finishing,
+    reloading,
+    serving,
+    stopping,
+)
 from oleanderstair.domain.targets import registering, sampling
 
 SYSTEMS_BY_EVENT: typing.Final[stepping.SystemsByEvent] = {
@@ -28,8 +33,9 @@
     events.HistoryLost: (watching.on_history_lost,),
     events.StoreFailed: (watching.on_failed,),
     events.PeerHeard: (),
-    events.Tick: (watching.on_tick, serving.on_tick, stopping.on_tick),
+    events.Tick: (watching.on_tick, serving.on_tick, finishing.on_tick),
     events.StopRequested: (stopping.on_stop,),
+    events.LimitsChanged: (reloading.on_limits,),
 }
 
 
--- a/oleanderstair/domain/policy.py
+++ b/oleanderstair/domain/policy.py
@@ -34,3 +34,4 @@
     eject_share: float = 0.5
     suspect_ms: int = 300000
     choice: str = 'slots'
+    stop_grace_s: float = 30.0
--- a/oleanderstair/engine/listener.py
+++ b/oleanderstair/engine/listener.py
@@ -1,5 +1,6 @@
 """Runs an ASGI application on a socket, by uvicorn."""
 
+import asyncio
 import contextlib
 import functools
 import logging
@@ -17,6 +18,23 @@
 
 
 class _Server(uvicorn.Server):
+    def __init__(self, config: uvicorn.Config) -> None:
+        self._exit = asyncio.Event()
+        super().__init__(config)
+
+    @property
+    def should_exit(self) -> bool:
+        return self._exit.is_set()
+
+    @should_exit.setter
+    def should_exit(self, wanted: bool) -> None:
+        if wanted:
+            self._exit.set()
+
+    async def main_loop(self) -> None:
+        # The library's own loop wakes up ten times a second.
+        await self._exit.wait()
+
     @contextlib.contextmanager
     def capture_signals(self) -> typing.Iterator[None]:
         # The daemon handles signals itself: a planned stop is not an exit.
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -58,6 +58,21 @@
         if self.carrier is not None:
             self.carrier.handle(events.StopRequested())
 
+    def reload(
+        self,
+        checked: settings.Settings,
+        what: str,
+        actor: str,
+    ) -> None:
+        """Put changed settings in force, as far as that needs no restart."""
+        self.checked = checked
+        if self.carrier is None:
+            return
+        connections = self.carrier.sides.connections
+        connections.max_answer_bytes = checked.callers.max_answer_bytes
+        limits = settings.limits_of(checked)
+        self.carrier.handle(events.LimitsChanged(limits, actor, what))
+
     async def _listen(self, carrier: gateway.Gateway) -> None:
         callers = listener.create(
             routed_callers.create(carrier, dialect.create()),
--- /dev/null
+++ b/test/test_finishing.py
@@ -0,0 +1,83 @@
+"""A planned stop takes what it can end, and ends before it is killed."""
+
+import random
+
+import pytest
+
+from oleanderstair.domain import (
+    actions,
+    events,
+    gateway,
+    outcomes,
+    policy,
+    world,
+)
+from oleanderstair.domain.tables import (
+    identity,
+    instances,
+    routes,
+)
+
+GRACE_MS = 6000
+OWN = identity.Identity('entry-1', 'entry-1~1', 'west', 'nitra', 'a:1', 'a:2')
+ROUTE = routes.Route(
+    'look', 'h', '/a/', (routes.Part('burza', 1),), True, 4000, 250, 0, 2
+)
+
+
+@pytest.fixture
+def stopping():
+    limits = policy.Policy(stop_grace_s=6)
+    state = world.create(OWN, limits, random.Random(1))
+    state.routes.in_force = routes.Routing(
+        1, {'h': (ROUTE,)}, {}, routes.CallerLimits()
+    )
+    state.registry.revision = 1
+    state.instances.phase = instances.Phase.SERVING
+    gateway.step(state, events.StopRequested(), 0)
+    return state
+
+
+def call(state, call_id, budget_ms, now_ms):
+    received = events.CallReceived(
+        call_id,
+        '',
+        'GET',
+        '/a/b',
+        now_ms + budget_ms,
+        host='h',
+    )
+    done = gateway.step(state, received, now_ms)
+    return {
+        action.reason for action in done if isinstance(action, actions.Refuse)
+    }
+
+
+def exits(state, now_ms):
+    done = gateway.step(state, events.Tick(), now_ms)
+    return any(isinstance(action, actions.Exit) for action in done)
+
+
+def test_call_that_outlasts_the_grace_is_refused_in_its_second_half(stopping):
+    refused = {outcomes.Reason.STOPPING}
+    assert call(stopping, 1, 4000, 2900) != refused
+    assert call(stopping, 2, 4000, 3100) == refused
+    assert call(stopping, 3, 1000, 3100) != refused
+
+
+def test_call_in_flight_keeps_the_process_until_shortly_before_the_kill(
+    stopping,
+):
+    stopping.routed.call_by_id[1] = object()
+    assert not exits(stopping, GRACE_MS - 700)
+    assert exits(stopping, GRACE_MS - 300)
+
+
+def test_callers_that_hold_the_address_are_served_meanwhile(stopping):
+    assert not exits(stopping, 3000)
+    assert exits(stopping, GRACE_MS - 700)
+
+
+def test_second_request_to_stop_changes_nothing(stopping):
+    gateway.step(stopping, events.StopRequested(), 5000)
+    assert exits(stopping, GRACE_MS - 300)
--- /dev/null
+++ b/test/test_reloading.py
@@ -0,0 +1,137 @@
+"""Reloads of the settings file, by a signal or without one."""
+
+import contextlib
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from oleanderstair import logs, reloading, settings
+
+BASE = {'instance': {'id': 'a'}, 'peers': {'allow_plain': True}}
+
+
+def with_policy(**limits):
+    return json.dumps({**BASE, 'policy': limits})
+
+
+@pytest.fixture
+def reloads(tmp_path):
+    path = tmp_path / 'settings.jsonc'
+    path.write_text(with_policy(tick_ms=50))
+    applied = []
+    reloader = reloading.create(
+        path,
+        settings.load(path),
+        lambda checked, change, actor: applied.append((checked, change)),
+    )
+    return path, reloader, applied
+
+
+def test_changed_limit_is_applied_and_named(reloads):
+    path, reloader, applied = reloads
+    path.write_text(with_policy(tick_ms=80))
+    reloader.reload('SIGHUP')
+    checked, change = applied[0]
+    assert settings.limits_of(checked).tick_ms == 80
+    assert change.text == 'changed: policy.tick_ms; after a restart: nothing'
+
+
+def test_changed_address_waits_for_a_restart(reloads):
+    path, reloader, applied = reloads
+    path.write_text(json.dumps({**BASE, 'callers': {'port': 9}}))
+    reloader.reload('SIGHUP')
+    assert applied[0][1].waiting == ('callers.port',)
+
+
+@pytest.mark.parametrize('text', ['{', '{"policy": {"tick_ms": 0}}', None])
+def test_wrong_file_changes_nothing_and_names_the_remedy(
+    reloads,
+    text,
+    monkeypatch,
+):
+    path, reloader, applied = reloads
+    told = []
+    monkeypatch.setattr(
+        logs,
+        'event',
+        lambda kind, **fields: told.append((kind, fields['why'])),
+    )
+    path.unlink()
+    if text is not None:
+        path.write_text(text)
+    reloader.reload('SIGHUP')
+    assert not applied
+    assert told[0][0] == 'settings-refused'
+    assert '; ' in told[0][1]
+
+
+def _free_address() -> str:
+    with socket.create_server(('127.0.0.1', 0)) as bound:
+        return '127.0.0.1:{0}'.format(bound.getsockname()[1])
+
+
+@contextlib.contextmanager
+def _daemon(path: pathlib.Path):
+    daemon = subprocess.Popen(
+        [sys.executable, '-m', 'oleanderstair.platform.daemon'],
+        env={'OLEANDERSTAIR_CONFIG': str(path)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        yield daemon
+    finally:
+        daemon.kill()
+        daemon.communicate()
+
+
+def _line_with(daemon: 'subprocess.Popen[str]', wanted: str) -> str:
+    while True:
+        line = daemon.stderr.readline()
+        assert line, f'ended before {wanted}'
+        if wanted in line:
+            return line
+
+
+def test_signals_reload_and_never_cut(tmp_path):
+    path = tmp_path / 'settings.jsonc'
+    addressed = {
+        **BASE,
+        'callers': {'address': _free_address()},
+        'peers': {'address': _free_address(), 'allow_plain': True},
+        'platform': {
+            name: _free_address()
+            for name in (
+                'store_address',
+                'directory_address',
+                'readiness_address',
+            )
+        },
+    }
+    path.write_text(json.dumps(addressed))
+    with _daemon(path) as daemon:
+        _line_with(daemon, 'event=started')
+        path.write_text(json.dumps({**addressed, 'policy': {'tick_ms': 90}}))
+        daemon.send_signal(signal.SIGHUP)
+        assert 'policy.tick_ms' in _line_with(daemon, 'settings-reloaded')
+        path.write_text('{')
+        daemon.send_signal(signal.SIGHUP)
+        assert 'correct the JSON' in _line_with(daemon, 'settings-refused')
+        daemon.send_signal(signal.SIGTERM)
+        daemon.send_signal(signal.SIGTERM)
+        assert daemon.wait(10) == 0
+
+
+def test_wrong_file_at_the_start_exits_with_field_and_remedy(tmp_path):
+    path = tmp_path / 'settings.jsonc'
+    path.write_text(json.dumps({**BASE, 'callers': {'port': 'x'}}))
+    with _daemon(path) as daemon:
+        told = daemon.stderr.read()
+        assert daemon.wait(20) == 2
+    assert 'callers.port' in told
+    assert 'correct or remove' in told
