--- a/oleanderstair/engine/attempting.py
+++ b/oleanderstair/engine/attempting.py
@@ -63,23 +63,25 @@
         owed = self._host.pending.call_by_id.get(action.call_id)
         started_ms = self._host.sides.clock.now_ms()
         ended = exchanges.Ended(events.Verdict.CANCELLED)
+        judge = _Judge(self._host.sides.dialect, owed)
         if owed is None:
             ended = exchanges.Ended(events.Verdict.NOT_SENT, what='call gone')
         else:
             self._note_start(owed, started_ms)
             with scope:
-                ended = await self._exchange(action, owed)
+                ended = await self._exchange(action, owed, judge)
             owed.target_ms += self._host.sides.clock.now_ms() - started_ms
             if ended.answer is not None:
                 owed.answer_by_attempt[action.attempt_id] = ended.answer
         self._host.pending.scope_by_attempt.pop(action.attempt_id, None)
         self._note_attempt(action, ended)
-        self._host.handle(self._attempt_ended(action, owed, ended))
+        self._host.handle(_attempt_ended(action, ended, judge))
 
     async def _exchange(
         self,
         action: actions.Dispatch,
         owed: pending.PendingCall,
+        judge: '_Judge',
     ) -> exchanges.Ended:
         place = exchanges.Place(
             action.target_id,
@@ -92,44 +94,16 @@
         request = owed.request._replace(
             headers=sides.dialect.fields_for(owed, action, remaining_ms),
         )
-
-        def judge(answer: exchanges.Answer) -> events.Verdict:
-            return sides.dialect.judge(owed, answer).verdict
-
         try:
-            return await sides.connections.exchange(place, request, judge)
+            return await sides.connections.exchange(
+                place,
+                request,
+                judge.verdict_of,
+            )
         except Exception as error:
             self._host.report_fault('exchange', error)
             return exchanges.Ended(events.Verdict.BROKEN, what=repr(error))
 
-    def _attempt_ended(
-        self,
-        action: actions.Dispatch,
-        owed: pending.PendingCall | None,
-        ended: exchanges.Ended,
-    ) -> events.AttemptEnded:
-        answer = ended.answer
-        if answer is None or owed is None:
-            return events.AttemptEnded(
-                action.call_id,
-                action.attempt_id,
-                ended.verdict,
-                crashed=ended.crashed,
-            )
-        judged = self._host.sides.dialect.judge(owed, answer)
-        return events.AttemptEnded(
-            action.call_id,
-            action.attempt_id,
-            ended.verdict,
-            answer.status,
-            judged.retry_after_ms,
-            leaving=judged.leaving,
-            answer_bytes=len(answer.body),
-            passed_on=judged.passed_on,
-            load=judged.load,
-            misdirected=judged.misdirected,
-        )
-
     def _note_start(
         self,
         owed: pending.PendingCall,
@@ -167,15 +141,61 @@
 
     def close_idle(self, action: actions.CloseIdle) -> None:
         """Close the idle connections to a target."""
-        self._tasks.start_soon(self._close, action.target_id)
+        self._host.sides.connections.close_idle(action.target_id)
 
-    async def _close(self, target_id: str) -> None:
-        try:
-            await self._host.sides.connections.close_idle(target_id)
-        except Exception as error:
-            self._host.report_fault('close-idle', error)
+
+class _Judge:
+    """What the newest whole answer to a call proves, judged once."""
+
+    def __init__(
+        self,
+        dialect: dialects.Dialect,
+        owed: pending.PendingCall | None,
+    ) -> None:
+        self.judged: dialects.Judgement | None = None
+        self._dialect = dialect
+        self._owed = owed
+        self._answer: exchanges.Answer | None = None
+
+    def verdict_of(self, answer: exchanges.Answer) -> events.Verdict | None:
+        if self._owed is None:
+            return None
+        if answer is not self._answer:
+            self._answer = answer
+            self.judged = self._dialect.judge(self._owed, answer)
+        if self.judged is None or self.judged.other:
+            return None
+        return self.judged.verdict
 
 
 def create(host: Host, tasks: anyio.abc.TaskGroup) -> Attempts:
     """Create the attempts of a shell, none under way."""
     return Attempts(host, tasks)
+
+
+def _attempt_ended(
+    action: actions.Dispatch,
+    ended: exchanges.Ended,
+    judge: _Judge,
+) -> events.AttemptEnded:
+    answer = ended.answer
+    judged = judge.judged
+    if answer is None or judged is None:
+        return events.AttemptEnded(
+            action.call_id,
+            action.attempt_id,
+            ended.verdict,
+            crashed=ended.crashed,
+        )
+    return events.AttemptEnded(
+        action.call_id,
+        action.attempt_id,
+        ended.verdict,
+        answer.status,
+        judged.retry_after_ms,
+        leaving=judged.leaving,
+        answer_bytes=len(answer.body),
+        passed_on=judged.passed_on,
+        load=judged.load,
+        misdirected=judged.misdirected,
+    )
--- a/oleanderstair/engine/core.py
+++ b/oleanderstair/engine/core.py
@@ -128,7 +128,7 @@
         while True:
             self.handle(events.Tick())
             try:
-                await self._sweep()
+                self._sweep()
             except Exception as error:
                 self.report_fault('sweep', error)
             await anyio.sleep(clock.to_seconds(self.state.policy.tick_ms))
@@ -177,12 +177,12 @@
         if self.recorder is not None:
             self.recorder.record(now_ms, event, wanted)
 
-    async def _sweep(self) -> None:
+    def _sweep(self) -> None:
         now_ms = self.sides.clock.now_ms()
         if now_ms - self._swept_at_ms < _SWEEP_MS:
             return
         self._swept_at_ms = now_ms
-        await self.sides.connections.close_aged()
+        self.sides.connections.close_aged()
         self.settling.settle_overdue(now_ms)
 
     def _schedule(self, action: actions.Schedule) -> None:
--- a/oleanderstair/engine/dialects.py
+++ b/oleanderstair/engine/dialects.py
@@ -13,7 +13,10 @@
 
 
 class Judgement(typing.NamedTuple):
-    """What an answer says of the attempt and of its target."""
+    """What an answer says of the attempt and of its target.
+
+    One to an ``other`` request says nothing of this one.
+    """
 
     verdict: events.Verdict
     retry_after_ms: clock.Millis = 0
@@ -21,6 +24,7 @@
     passed_on: bool = False
     load: load_reports.Report | None = None
     misdirected: bool = False
+    other: bool = False
 
 
 class Dialect(typing.Protocol):
--- a/oleanderstair/engine/exchanges.py
+++ b/oleanderstair/engine/exchanges.py
@@ -1,32 +1,25 @@
-"""Exchanges with targets: one per HTTP/1.1 connection, our own table.
-
-An answer counts only when its framing proves it complete. One that ends
-with its connection, without a length or chunks, cannot be proved and is
-taken as BROKEN.
-"""
+"""Exchanges with targets: one at a time on a connection, our own table."""
 
 import dataclasses
 import typing
 
 import anyio
-import httpcore
 
 from oleanderstair import clock
 from oleanderstair.domain import events
-from oleanderstair.engine import headers, streams
+from oleanderstair.engine import answers, headers, streams
 
 CONNECT_BOUND_MS: typing.Final = 1000
 IDLE_BOUND_MS: typing.Final = 4000
 IDLE_PER_TARGET: typing.Final = 8
 OPEN_PER_TARGET: typing.Final = 16
 MAX_ANSWER_BYTES: typing.Final = 4_194_304
-_FIRST_FINAL: typing.Final = 200
-_FIRST_UNDEFINED: typing.Final = 600
+_KEEP_ALIVE_MARGIN_MS: typing.Final = 500
+_MS_PER_S: typing.Final = 1000
 _UNAVAILABLE: typing.Final = 503
-_NO_BODY: typing.Final = frozenset((204, 304))
+_TIMEOUT: typing.Final = b'timeout='
 
-_LOST: typing.Final = (httpcore.NetworkError, httpcore.RemoteProtocolError)
-Connection: typing.TypeAlias = httpcore.AsyncHTTP11Connection
+Answer: typing.TypeAlias = answers.Answer
 
 
 class Request(typing.NamedTuple):
@@ -38,14 +31,6 @@
     body: bytes
 
 
-class Answer(typing.NamedTuple):
-    """A whole answer of a target."""
-
-    status: int
-    headers: headers.Fields
-    body: bytes
-
-
 class Ended(typing.NamedTuple):
     """How an exchange ended, with its answer where there is one."""
 
@@ -55,7 +40,8 @@
     what: str = ''
 
 
-Judge: typing.TypeAlias = typing.Callable[[Answer], events.Verdict]
+Judge: typing.TypeAlias = typing.Callable[[Answer], events.Verdict | None]
+"""Tell what a whole answer proves; None where it is another request's."""
 
 
 class Place(typing.NamedTuple):
@@ -67,13 +53,30 @@
     silence_ms: clock.Millis
 
 
+class _Idle(typing.NamedTuple):
+    connection: streams.Connection
+    bound_ms: clock.Millis
+
+    def is_usable(self) -> bool:
+        """Return whether the target surely keeps the connection."""
+        idle_ms = self.connection.idle_s() * _MS_PER_S
+        return idle_ms < self.bound_ms and self.connection.is_usable()
+
+
 @dataclasses.dataclass(slots=True)
 class Connections:
-    """Open connections: how many by target, and which are idle."""
+    """Open connections: how many by target, and which are idle.
+
+    An exchange that wants a fresh one takes one that was answered on in the
+    last ``proof_ms`` too. ``takes_unframed`` says whether an answer may end
+    with its connection.
+    """
 
-    backend: httpcore.AsyncNetworkBackend
     max_answer_bytes: int = MAX_ANSWER_BYTES
-    idle_by_target: dict[str, list[Connection]] = dataclasses.field(
+    takes_unframed: bool = False
+    proof_ms: clock.Millis = 0
+    open_limit: int = OPEN_PER_TARGET
+    idle_by_target: dict[str, list[_Idle]] = dataclasses.field(
         default_factory=dict,
     )
     open_by_target: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -92,93 +95,71 @@
         """
         if not self._claim(place.target_id):
             return Ended(events.Verdict.NOT_SENT, what='connection limit')
-        connection: Connection | None = None
+        connection: streams.Connection | None = None
         ended = Ended(events.Verdict.SILENT)
         try:
             connection = await self._connect(place)
             with anyio.move_on_after(clock.to_seconds(place.silence_ms)):
-                ended = await self._send(connection, place.address, request)
-            ended = _judged(ended, judge or verdict_of)
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
-            return Ended(events.Verdict.NOT_SENT, what=repr(error))
+                ended = await _send(connection, request, judge or verdict_of)
+        except streams.CannotConnect as error:
+            return Ended(events.Verdict.NOT_SENT, what=str(error))
         finally:
-            await self._give_back(place, connection, ended)
+            self._give_back(place.target_id, connection, ended)
         return ended
 
-    async def close_idle(self, target_id: str) -> None:
+    def close_idle(self, target_id: str) -> None:
         """Close the idle connections to a target."""
-        for connection in self.idle_by_target.pop(target_id, []):
-            await connection.aclose()
+        for entry in self.idle_by_target.pop(target_id, []):
+            entry.connection.close()
 
-    async def close_aged(self) -> None:
+    def close_aged(self) -> None:
         """Close idle connections that may be about to be closed on us."""
-        aged: list[Connection] = []
         for target_id, idle in tuple(self.idle_by_target.items()):
-            expired = [entry for entry in idle if entry.has_expired()]
-            for entry in expired:
-                idle.remove(entry)
-            aged.extend(expired)
-            if not idle:
+            kept = [entry for entry in idle if entry.is_usable()]
+            for entry in idle:
+                if entry not in kept:
+                    entry.connection.close()
+            if kept:
+                self.idle_by_target[target_id] = kept
+            else:
                 self.idle_by_target.pop(target_id)
-        for connection in aged:
-            await connection.aclose()
 
     def _claim(self, target_id: str) -> bool:
         busy = self.open_by_target.get(target_id, 0)
-        if busy >= OPEN_PER_TARGET:
+        if busy >= self.open_limit:
             return False
         self.open_by_target[target_id] = busy + 1
         return True
 
-    async def _connect(self, place: Place) -> Connection:
-        idle = self.idle_by_target.get(place.target_id, [])
-        while idle and not place.fresh:
-            connection = idle.pop()
-            if not connection.has_expired():
-                return connection
-            await connection.aclose()
-        host, _, port = place.address.rpartition(':')
-        bound_ms = min(CONNECT_BOUND_MS, place.silence_ms)
-        stream = await self.backend.connect_tcp(
-            host,
-            int(port),
-            timeout=clock.to_seconds(bound_ms),
-        )
-        return httpcore.AsyncHTTP11Connection(
-            httpcore.Origin(b'http', host.encode(), int(port)),
-            stream,
-            keepalive_expiry=clock.to_seconds(IDLE_BOUND_MS),
+    async def _connect(self, place: Place) -> streams.Connection:
+        kept = self._take_idle(place)
+        if kept is not None:
+            return kept
+        return await streams.connect(
+            place.address,
+            answers.create(self.max_answer_bytes, self.takes_unframed),
+            min(CONNECT_BOUND_MS, place.silence_ms),
         )
 
-    async def _send(
-        self,
-        connection: Connection,
-        address: str,
-        request: Request,
-    ) -> Ended:
-        try:
-            response = await connection.handle_async_request(
-                _outgoing(address, request),
-            )
-        except httpcore.LocalProtocolError as ours:
-            return Ended(events.Verdict.NOT_SENT, what=repr(ours))
-        except _LOST as error:
-            return Ended(events.Verdict.BROKEN, crashed=True, what=repr(error))
-        try:
-            body = await _read_bounded(response, self.max_answer_bytes)
-        except _LOST as cut:
-            return Ended(events.Verdict.BROKEN, crashed=True, what=repr(cut))
-        finally:
-            await response.aclose()
-        return _conclude(request, response, body)
-
-    async def _give_back(
+    def _take_idle(self, place: Place) -> streams.Connection | None:
+        idle = self.idle_by_target.get(place.target_id, [])
+        while idle:
+            entry = idle[-1]
+            idle_ms = entry.connection.idle_s() * _MS_PER_S
+            if place.fresh and idle_ms >= self.proof_ms:
+                return None
+            idle.pop()
+            if entry.is_usable():
+                return entry.connection
+            entry.connection.close()
+        return None
+
+    def _give_back(
         self,
-        place: Place,
-        connection: Connection | None,
+        target_id: str,
+        connection: streams.Connection | None,
         ended: Ended,
     ) -> None:
-        target_id = place.target_id
         left = self.open_by_target[target_id] - 1
         if left:
             self.open_by_target[target_id] = left
@@ -187,17 +168,24 @@
         if connection is None:
             return
         idle = self.idle_by_target.setdefault(target_id, [])
-        keep = ended.answer is not None and connection.is_idle()
-        if keep and len(idle) < IDLE_PER_TARGET:
-            idle.append(connection)
+        bound_ms = _idle_bound_ms(ended.answer)
+        is_kept = bound_ms > 0 and connection.is_usable()
+        if is_kept and len(idle) < IDLE_PER_TARGET:
+            idle.append(_Idle(connection, bound_ms))
             return
-        with anyio.CancelScope(shield=True):
-            await connection.aclose()
+        connection.close()
+        if ended.verdict is events.Verdict.SILENT and connection.uses > 1:
+            # The others may have gone silent with it.
+            self.close_idle(target_id)
 
 
-def create(max_answer_bytes: int = MAX_ANSWER_BYTES) -> Connections:
+def create(
+    max_answer_bytes: int = MAX_ANSWER_BYTES,
+    takes_unframed: bool = False,
+    proof_ms: clock.Millis = 0,
+) -> Connections:
     """Create an empty table of connections."""
-    return Connections(streams.create(), max_answer_bytes)
+    return Connections(max_answer_bytes, takes_unframed, proof_ms)
 
 
 def is_passed_on(answer: Answer) -> bool:
@@ -221,67 +209,42 @@
     return events.Verdict.ANSWERED
 
 
-def _outgoing(address: str, request: Request) -> httpcore.Request:
-    host, _, port = address.rpartition(':')
-    url = httpcore.URL(
-        scheme=b'http',
-        host=host.encode(),
-        port=int(port),
-        target=request.path,
-    )
-    return httpcore.Request(
-        request.method,
-        url,
-        headers=request.headers,
-        content=request.body,
-    )
-
-
-async def _read_bounded(
-    response: httpcore.Response,
-    max_bytes: int,
-) -> bytes | None:
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in response.aiter_stream():
-        size += len(chunk)
-        if size > max_bytes:
-            return None
-        chunks.append(chunk)
-    return b''.join(chunks)
-
-
-def _conclude(
+async def _send(
+    connection: streams.Connection,
     request: Request,
-    response: httpcore.Response,
-    body: bytes | None,
+    judge: Judge,
 ) -> Ended:
-    if body is None:
-        return Ended(events.Verdict.BROKEN, what='answer too large')
-    answer = Answer(response.status, list(response.headers), body)
-    if not _FIRST_FINAL <= answer.status < _FIRST_UNDEFINED:
-        return Ended(events.Verdict.BROKEN, what='status out of range')
-    if not headers.are_clean(answer.headers):
-        return Ended(events.Verdict.BROKEN, what='control character in header')
-    if not _is_framed(request, answer):
-        return Ended(events.Verdict.BROKEN, what='answer without a length')
-    return Ended(events.Verdict.ANSWERED, answer)
-
-
-def _judged(ended: Ended, judge: Judge) -> Ended:
-    """Return the verdict of a whole answer; a refuted one is dropped."""
-    if ended.answer is None:
-        return ended
-    verdict = judge(ended.answer)
-    if verdict is events.Verdict.BROKEN:
-        return Ended(verdict, what='answer to another request')
-    return ended._replace(verdict=verdict)
-
-
-def _is_framed(request: Request, answer: Answer) -> bool:
-    if request.method == b'HEAD' or answer.status in _NO_BODY:
-        return True
-    return any(
-        name.lower() in {headers.CONTENT_LENGTH, headers.TRANSFER_ENCODING}
-        for name, _ in answer.headers
+    had = await connection.ask(
+        _written(request),
+        request.method,
+        lambda answer: judge(answer) is None,
     )
+    if isinstance(had, answers.Fault):
+        return Ended(
+            events.Verdict.BROKEN,
+            crashed=had.is_lost,
+            what=had.what,
+        )
+    verdict = judge(had)
+    if verdict is None or verdict is events.Verdict.BROKEN:
+        return Ended(events.Verdict.BROKEN, what='answer to another request')
+    return Ended(verdict, had)
+
+
+def _written(request: Request) -> bytes:
+    lines = [b'%b %b HTTP/1.1' % (request.method, request.path)]
+    lines.extend(b'%b: %b' % field for field in request.headers)
+    return b'\r\n'.join([*lines, b'', request.body])
+
+
+def _idle_bound_ms(answer: Answer | None) -> clock.Millis:
+    """Return how long to keep the connection of an answer, 0 for not."""
+    if answer is None:
+        return 0
+    for part in headers.find(answer.headers, headers.KEEP_ALIVE).split(b','):
+        name, _, told = part.strip().lower().partition(_TIMEOUT)
+        seconds = headers.read_count(told.strip())
+        if not name and seconds is not None:
+            told_ms = seconds * _MS_PER_S - _KEEP_ALIVE_MARGIN_MS
+            return min(IDLE_BOUND_MS, told_ms)
+    return IDLE_BOUND_MS
--- a/oleanderstair/engine/headers.py
+++ b/oleanderstair/engine/headers.py
@@ -18,6 +18,7 @@
 CONNECTION: typing.Final = b'connection'
 CONTENT_LENGTH: typing.Final = b'content-length'
 CONTENT_TYPE: typing.Final = b'content-type'
+KEEP_ALIVE: typing.Final = b'keep-alive'
 HOST: typing.Final = b'host'
 LEAVING: typing.Final = b'call-target-leaving'
 TRANSFER_ENCODING: typing.Final = b'transfer-encoding'
@@ -28,7 +29,7 @@
     (
         CONNECTION,
         TRANSFER_ENCODING,
-        b'keep-alive',
+        KEEP_ALIVE,
         b'proxy-authenticate',
         b'proxy-authorization',
         b'proxy-connection',
--- a/oleanderstair/engine/streams.py
+++ b/oleanderstair/engine/streams.py
@@ -1,137 +1,145 @@
-"""Network streams to targets for httpcore, straight on the event loop.
+"""Connections to targets, straight on the event loop.
 
-anyio's own stream starts and stops reading for each read, and checks for
-cancellation several times a call; on the data path that is most of the
-cost. A request is written in one piece, at the first read for its answer.
+Each carries one request at a time, written in one piece, and hands every
+byte that arrives to the reader of its answers.
 """
 
 import asyncio
-import ssl
+import contextlib
+import socket
 import typing
 
 import anyio
-import httpcore
 
+from oleanderstair import clock
+from oleanderstair.engine import answers
 
-class TargetStream(httpcore.AsyncNetworkStream, asyncio.Protocol):
-    """One connection; reads and writes never wait but for the peer."""
+UNANSWERED_MS: typing.Final = 3000
+"""How long a peer may leave bytes or a probe of the kernel unanswered."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Wait for the connection to be made on ``loop``."""
-        self._loop = loop
-        self._unsent: list[bytes] = []
-        self._unread: list[bytes] = []
+_PROBE_AFTER_S: typing.Final = 1
+_PROBE_EVERY_S: typing.Final = 1
+_PROBES: typing.Final = 2
+_OPTIONS: typing.Final = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_AFTER_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_EVERY_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNANSWERED_MS),
+)
+
+
+class CannotConnect(Exception):
+    """No connection was made, so that nothing was sent."""
+
+
+class Connection(asyncio.Protocol):
+    """One connection to a target; times are of the event loop, in s."""
+
+    def __init__(self, reader: answers.Reader) -> None:
+        """Hand what arrives to ``reader``."""
+        self._reader = reader
+        self._loop = asyncio.get_running_loop()
         self._waiter: asyncio.Future[None] | None = None
-        self._is_over = False
-        self._error: Exception | None = None
         self._transport: asyncio.Transport | None = None
+        self._is_over = False
+        self.answered_at_s = self._loop.time()
+        self.uses = 0
 
     # The event loop's side
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
+        """Keep the transport and have the kernel watch the peer."""
         self._transport = typing.cast(asyncio.Transport, transport)
+        made = transport.get_extra_info('socket')
+        for level, option, wanted in _OPTIONS:
+            # A kernel without an option leaves the bounds of exchanges.
+            with contextlib.suppress(OSError):
+                made.setsockopt(level, option, wanted)
 
     def data_received(self, chunk: bytes) -> None:
-        """Keep what arrived for the next read."""
-        self._unread.append(chunk)
+        """Read what arrived."""
+        self._reader.feed(chunk)
         self._wake()
 
     def eof_received(self) -> None:
         """Note that nothing more will arrive."""
         self._is_over = True
+        self._reader.end(None)
         self._wake()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Note that the connection is gone, and why."""
         self._is_over = True
-        self._error = error
+        self._reader.end(error)
         self._wake()
 
-    # httpcore's side
+    # The side of exchanges
 
-    async def read(
+    async def ask(
         self,
-        max_bytes: int,
-        timeout: float | None = None,
-    ) -> bytes:
-        """Return what has arrived, or empty bytes at the end."""
-        self._flush()
-        if not self._unread and not self._is_over:
+        request: bytes,
+        method: bytes,
+        is_other: answers.IsOther,
+    ) -> answers.Answer | answers.Fault:
+        """Write a request and return its answer, or why there is none.
+
+        Raises ``CannotConnect`` where the connection ended before that.
+        """
+        if self._transport is None or self._is_over:
+            raise CannotConnect('the connection ended before its use')
+        self.uses += 1
+        self._reader.expect(method, is_other)
+        self._transport.write(request)
+        while self._reader.outcome is None:
             self._waiter = self._loop.create_future()
             await self._waiter
-        if self._unread:
-            arrived = b''.join(self._unread)
-            self._unread.clear()
-            return arrived
-        if self._error is not None:
-            raise httpcore.ReadError(repr(self._error))
-        return b''
-
-    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Hold bytes back until the answer is read for."""
-        self._unsent.append(buffer)
-
-    async def aclose(self) -> None:
+        self.answered_at_s = self._loop.time()
+        return self._reader.outcome
+
+    def is_usable(self) -> bool:
+        """Return whether another request may be written."""
+        if self._is_over or self._transport is None:
+            return False
+        # A request that is not written whole was answered early.
+        if self._transport.get_write_buffer_size():
+            return False
+        return not self._reader.is_spoiled
+
+    def idle_s(self) -> float:
+        """Return how long ago the last answer came."""
+        return self._loop.time() - self.answered_at_s
+
+    def close(self) -> None:
         """Close the connection at once; nothing is left to be said."""
         if self._transport is not None:
             self._transport.abort()
 
-    async def start_tls(
-        self,
-        ssl_context: ssl.SSLContext,
-        server_hostname: str | None = None,
-        timeout: float | None = None,
-    ) -> httpcore.AsyncNetworkStream:
-        """Refuse; targets are reached in plain HTTP."""
-        raise NotImplementedError('targets are reached in plain HTTP')
-
-    def get_extra_info(self, info: str) -> typing.Any:
-        """Return whether something arrived that nobody asked for."""
-        if info == 'is_readable':
-            return bool(self._unread) or self._is_over
-        return None
-
-    def _flush(self) -> None:
-        if self._unsent and self._transport is not None:
-            self._transport.write(b''.join(self._unsent))
-        self._unsent.clear()
-
     def _wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
+        if self._waiter is None or self._waiter.done():
+            return
+        if self._reader.outcome is not None:
             self._waiter.set_result(None)
 
 
-class TargetBackend(httpcore.AsyncNetworkBackend):
-    """Opens connections to targets."""
-
-    async def connect_tcp(
-        self,
-        host: str,
-        port: int,
-        timeout: float | None = None,
-        local_address: str | None = None,
-        socket_options: typing.Any = None,
-    ) -> httpcore.AsyncNetworkStream:
-        """Connect within ``timeout`` seconds.
-
-        Raises ``httpcore.ConnectError`` or ``httpcore.ConnectTimeout``.
-        """
-        loop = asyncio.get_running_loop()
-        try:
-            with anyio.fail_after(timeout):
-                _, stream = await loop.create_connection(
-                    lambda: TargetStream(loop),
-                    host,
-                    port,
-                )
-        except TimeoutError as late:
-            raise httpcore.ConnectTimeout(str(late)) from late
-        except OSError as error:
-            raise httpcore.ConnectError(str(error)) from error
-        return stream
-
-
-def create() -> TargetBackend:
-    """Create a backend for httpcore connections."""
-    return TargetBackend()
+async def connect(
+    address: str,
+    reader: answers.Reader,
+    bound_ms: clock.Millis,
+) -> Connection:
+    """Connect to a host and port within a bound.
+
+    Raises ``CannotConnect``.
+    """
+    host, _, port = address.rpartition(':')
+    loop = asyncio.get_running_loop()
+    try:
+        with anyio.fail_after(clock.to_seconds(bound_ms)):
+            _, made = await loop.create_connection(
+                lambda: Connection(reader),
+                host,
+                int(port),
+            )
+    except (OSError, TimeoutError) as error:
+        raise CannotConnect(repr(error)) from error
+    return made
--- a/oleanderstair/platform/dialect.py
+++ b/oleanderstair/platform/dialect.py
@@ -50,6 +50,11 @@
         fields = headers.index(answer.headers).field_by_name
         answered = fields.get(REQUEST_ID, b'').decode('latin-1')
         load = read_load(fields)
+        if answered != owed.received.request_id:
+            return dialects.Judgement(
+                events.Verdict.BROKEN,
+                other=bool(answered),
+            )
         misdirected = answer.status == _MISDIRECTED
         if misdirected or NOT_RUN in fields:
             return dialects.Judgement(
@@ -57,8 +62,6 @@
                 load=load,
                 misdirected=misdirected,
             )
-        if answered != owed.received.request_id:
-            return dialects.Judgement(events.Verdict.BROKEN)
         return dialects.Judgement(
             events.Verdict.ANSWERED,
             leaving=fields.get(headers.CONNECTION, b'') == b'close',
--- a/oleanderstair/platform/load_reader.py
+++ b/oleanderstair/platform/load_reader.py
@@ -1,21 +1,21 @@
-"""Reads the load of targets from their health paths."""
+"""Reads the load of targets from their health paths.
 
-import typing
+They are read on the connections of calls, so that a report is also the
+proof that its connection is alive.
+"""
 
 from oleanderstair.domain import actions, events
 from oleanderstair.domain.tables import load_reports
 from oleanderstair.engine import exchanges, headers
 from oleanderstair.platform import dialect
 
-_MAX_ANSWER_BYTES: typing.Final = 4096
-
 
 class HealthPathReader:
-    """Health paths over connections apart from those of calls."""
+    """Health paths over the connections of calls."""
 
-    def __init__(self) -> None:
-        """Start without connections."""
-        self._connections = exchanges.create(_MAX_ANSWER_BYTES)
+    def __init__(self, connections: exchanges.Connections) -> None:
+        """Read over ``connections``."""
+        self._connections = connections
 
     async def read(
         self,
@@ -30,7 +30,7 @@
         )
         fields = [(headers.HOST, action.address.encode())]
         request = exchanges.Request(b'GET', action.path.encode(), fields, b'')
-        ended = await self._connections.exchange(place, request, _take_any)
+        ended = await self._connections.exchange(place, request, _judge)
         if ended.answer is None:
             return None
         return dialect.read_load(
@@ -38,10 +38,13 @@
         )
 
 
-def create() -> HealthPathReader:
-    """Create a reader without connections."""
-    return HealthPathReader()
+def create(connections: exchanges.Connections) -> HealthPathReader:
+    """Create a reader over connections that calls use as well."""
+    return HealthPathReader(connections)
 
 
-def _take_any(answer: exchanges.Answer) -> events.Verdict:
+def _judge(answer: exchanges.Answer) -> events.Verdict | None:
+    # A report bears no request id, so one with an id answers a call.
+    if headers.find(answer.headers, dialect.REQUEST_ID):
+        return None
     return events.Verdict.ANSWERED
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -23,6 +23,9 @@
 from oleanderstair.platform import dialect, listeners, load_reader, store
 
 _INCARNATION_BYTES: typing.Final = 4
+_PROOF_MS: typing.Final = 50
+"""How fresh an answer proves a connection for a call that runs once."""
+
 _SEED_BITS: typing.Final = 64
 
 
@@ -89,12 +92,17 @@
 
     def _create_shell(self, tasks: anyio.abc.TaskGroup) -> gateway.Gateway:
         told = clock.monotonic()
+        connections = exchanges.create(
+            self.checked.callers.max_answer_bytes,
+            takes_unframed=True,
+            proof_ms=_PROOF_MS,
+        )
         sides = gateway.Sides(
             clock=told,
-            connections=exchanges.create(self.checked.callers.max_answer_bytes),
+            connections=connections,
             dialect=dialect.create(),
             store=store.create(self.checked.platform.store_address, told),
-            load_reader=load_reader.create(),
+            load_reader=load_reader.create(connections),
             link=self.link,
         )
         state = world.create(
--- /dev/null
+++ b/test/test_answers.py
@@ -0,0 +1,138 @@
+"""Answers on kept connections: whose they are, and when they are whole."""
+
+import anyio
+import pytest
+
+from oleanderstair.domain import events
+from oleanderstair.engine import exchanges, headers
+from test import raw
+
+CLOSED = b'HTTP/1.1 200 OK\r\nid: 1\r\n\r\ntwig'
+
+
+def answer(request_id, body=b'twig', more=b''):
+    return b'HTTP/1.1 200 OK\r\nid: %b\r\n%bcontent-length: %d\r\n\r\n%b' % (
+        request_id,
+        more,
+        len(body),
+        body,
+    )
+
+
+def judge_for(request_id):
+    def judge(found):
+        answered = headers.find(found.headers, b'id')
+        if answered == request_id:
+            return events.Verdict.ANSWERED
+        return None if answered else events.Verdict.BROKEN
+
+    return judge
+
+
+def exchange_all(*replies, kept=True, fresh=False, pause_ms=0, **limits):
+    """Exchange once for each reply; return how each ended."""
+
+    async def scenario():
+        ends = []
+        with anyio.fail_after(10):
+            async with raw.running(raw.RawTarget(*replies, kept=kept)) as peer:
+                table = exchanges.create(takes_unframed=True, **limits)
+                place = exchanges.Place('t', peer.address, fresh, 300)
+                for number, _ in enumerate(replies, start=1):
+                    request_id = str(number).encode()
+                    request = exchanges.Request(
+                        b'GET', b'/', [(b'id', request_id)], b''
+                    )
+                    ended = await table.exchange(
+                        place, request, judge_for(request_id)
+                    )
+                    ends.append(ended)
+                    await anyio.sleep(pause_ms / 1000)
+                return ends, peer
+
+    return anyio.run(scenario)
+
+
+def bodies_of(ends):
+    return [ended.answer and ended.answer.body for ended in ends]
+
+
+def test_late_answer_to_an_earlier_request_is_left_out():
+    late = answer(b'1', b'wrong') + answer(b'2', b'right')
+    ends, peer = exchange_all(answer(b'1'), late)
+    assert bodies_of(ends) == [b'twig', b'right']
+    assert peer.connections == 1
+
+
+def test_bytes_after_an_answer_close_its_connection():
+    extra = answer(b'1') + answer(b'1')
+    ends, peer = exchange_all(extra, answer(b'2'))
+    assert bodies_of(ends) == [b'twig', b'twig']
+    assert peer.connections == 2
+
+
+def test_answer_without_any_id_is_broken_at_once():
+    ends, _ = exchange_all(answer(b''))
+    assert ends[0].verdict is events.Verdict.BROKEN
+
+
+def test_answer_that_ends_with_its_connection_is_whole():
+    ends, _ = exchange_all(CLOSED, kept=False)
+    assert bodies_of(ends) == [b'twig']
+
+
+def test_answer_to_another_request_that_ends_with_its_connection():
+    ends, _ = exchange_all(answer(b'1'), CLOSED, kept=False)
+    assert ends[1].verdict is events.Verdict.BROKEN
+
+
+@pytest.mark.parametrize(
+    ('more', 'connections'),
+    [
+        (b'', 1),
+        (b'keep-alive: timeout=5\r\n', 1),
+        (b'keep-alive: timeout=0\r\n', 2),
+        (b'connection: close\r\n', 2),
+    ],
+)
+def test_connection_is_kept_as_the_target_tells(more, connections):
+    _, peer = exchange_all(answer(b'1', more=more), answer(b'2'))
+    assert peer.connections == connections
+
+
+@pytest.mark.parametrize(
+    ('proof_ms', 'pause_ms', 'connections'),
+    [(5000, 0, 1), (20, 60, 2), (0, 0, 2)],
+)
+def test_call_that_runs_once_wants_a_recent_proof_of_life(
+    proof_ms,
+    pause_ms,
+    connections,
+):
+    ends, peer = exchange_all(
+        answer(b'1'),
+        answer(b'2'),
+        fresh=True,
+        pause_ms=pause_ms,
+        proof_ms=proof_ms,
+    )
+    assert bodies_of(ends) == [b'twig', b'twig']
+    assert peer.connections == connections
+
+
+def test_silence_on_a_kept_connection_closes_the_idle_rest():
+    async def scenario():
+        script = raw.RawTarget(answer(b'1'), answer(b'1'), None, kept=True)
+        async with raw.running(script) as peer:
+            table = exchanges.create()
+            place = exchanges.Place('t', peer.address, False, 100)
+            request = exchanges.Request(b'GET', b'/', [], b'')
+            async with anyio.create_task_group() as tasks:
+                for _ in range(2):
+                    tasks.start_soon(table.exchange, place, request)
+            assert len(table.idle_by_target['t']) == 2
+            ended = await table.exchange(place, request)
+            assert ended.verdict is events.Verdict.SILENT
+            assert not table.idle_by_target.get('t')
+
+    anyio.run(scenario)
