--- a/oleanderstair/engine/bounded.py
+++ b/oleanderstair/engine/bounded.py
@@ -19,6 +19,7 @@
 _LINGER_MS: typing.Final = 500
 _FIELD_OVERHEAD_BYTES: typing.Final = 4
 _BODY_TIMES: typing.Final = 2
+_MS_PER_S: typing.Final = 1000
 
 
 class Bounds(typing.NamedTuple):
@@ -31,6 +32,10 @@
     max_connections: int = 1000
 
 
+BoundsOf: typing.TypeAlias = typing.Callable[[], Bounds]
+"""Return the bounds that hold now; they may change at any time."""
+
+
 class _Part(enum.Enum):
     NONE = 'none'
     HEAD = 'head'
@@ -40,16 +45,18 @@
 class BoundedProtocol(httptools_impl.HttpToolsProtocol):
     """One connection of a client, within ``Bounds``."""
 
-    def __init__(self, bounds: Bounds, **served: typing.Any) -> None:
-        """Serve one connection within ``bounds``."""
+    def __init__(self, bounds_of: BoundsOf, **served: typing.Any) -> None:
+        """Serve one connection within what ``bounds_of`` returns."""
         super().__init__(**served)
         self.on_lost: typing.Callable[[], None] | None = None
-        self._bounds = bounds
+        self._bounds_of = bounds_of
+        self._idle_since_s = self.loop.time()
         self._part = _Part.NONE
         self._head_bytes = 0
         self._chunk_bytes = 0
         self._refused = False
         self._timer: asyncio.TimerHandle | None = None
+        self._is_timer_of_idle = False
         self._write_timer: asyncio.TimerHandle | None = None
 
     # The connection
@@ -57,10 +64,11 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Refuse a connection above the limit."""
         super().connection_made(typing.cast(asyncio.Transport, transport))
-        if len(self.connections) > self._bounds.max_connections:
+        bounds = self._bounds_of()
+        if len(self.connections) > bounds.max_connections:
             self._refuse(outcomes.Reason.OVERLOADED, 'too many connections')
             return
-        self._arm(self._bounds.idle_ms)
+        self._arm(bounds.idle_ms)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell whoever waits for an answer that the client is gone."""
@@ -82,17 +90,19 @@
         self._chunk_bytes = 0
         if self._part is _Part.NONE:
             self._disarm()
-        elif self._head_bytes > self._bounds.max_header_bytes:
+        elif self._head_bytes > self._bounds_of().max_header_bytes:
             self._refuse(outcomes.Reason.TOO_LARGE, 'the header is too large')
-        elif self._timer is None:
-            self._arm(self._bounds.request_time_ms)
+        elif self._timer is None or self._is_timer_of_idle:
+            self._disarm()
+            self._arm(self._bounds_of().request_time_ms)
 
     # The parser's callbacks
 
     def on_message_begin(self) -> None:
         """Open a request and let the application see its connection."""
         super().on_message_begin()
-        self.scope['extensions'] = {'connection': {'protocol': self}}
+        self._connection: dict[str, object] = {'protocol': self}
+        self.scope['extensions'] = {'connection': self._connection}
         self._part = _Part.HEAD
         self._head_bytes = self._chunk_bytes
 
@@ -100,11 +110,12 @@
         """Start the application, or refuse a header that is too large."""
         self._part = _Part.BODY
         self._head_bytes = 0
+        self._connection['target'] = self.url
         size = len(self.url) + sum(
             len(name) + len(field) + _FIELD_OVERHEAD_BYTES
             for name, field in self.headers
         )
-        if size <= self._bounds.max_header_bytes:
+        if size <= self._bounds_of().max_header_bytes:
             super().on_headers_complete()
             return
         app = self.app
@@ -121,10 +132,16 @@
 
     def on_response_complete(self) -> None:
         """Bound the time in which the client takes the answer."""
+        bounds = self._bounds_of()
+        self._idle_since_s = self.loop.time()
+        self.timeout_keep_alive = typing.cast(
+            int,
+            clock.to_seconds(bounds.idle_ms),
+        )
         super().on_response_complete()
         if self.transport.get_write_buffer_size() and not self._write_timer:
             self._write_timer = self.loop.call_later(
-                clock.to_seconds(self._bounds.answer_time_ms),
+                clock.to_seconds(bounds.answer_time_ms),
                 self._abort_unread,
             )
 
@@ -149,6 +166,13 @@
 
     def timeout_keep_alive_handler(self) -> None:
         """Close an idle connection, at once where the client reads nothing."""
+        left_s = self._idle_left_s()
+        if left_s > 0:
+            self.timeout_keep_alive_task = self.loop.call_later(
+                left_s,
+                self.timeout_keep_alive_handler,
+            )
+            return
         if self.transport.get_write_buffer_size():
             self.transport.abort()
         super().timeout_keep_alive_handler()
@@ -161,7 +185,16 @@
     def _is_answering(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
 
+    def _idle_left_s(self) -> float:
+        """Return for how long the connection may still stay idle.
+
+        The bound may have grown since the connection fell idle.
+        """
+        idle_s = self.loop.time() - self._idle_since_s
+        return clock.to_seconds(self._bounds_of().idle_ms) - idle_s
+
     def _arm(self, span_ms: clock.Millis) -> None:
+        self._is_timer_of_idle = self._part is _Part.NONE
         if self._part is _Part.BODY:
             span_ms *= _BODY_TIMES
         self._timer = self.loop.call_later(
@@ -177,11 +210,13 @@
     def _on_late(self) -> None:
         self._timer = None
         if self._is_answering():
-            self._arm(self._bounds.request_time_ms)
+            self._arm(self._bounds_of().request_time_ms)
         elif self._part is _Part.HEAD:
             self._refuse(outcomes.Reason.TOO_SLOW, 'the header is too slow')
         elif self._part is _Part.BODY:
             self.transport.abort()
+        elif self._idle_left_s() > 0:
+            self._arm(self._idle_left_s() * _MS_PER_S)
         else:
             self.transport.close()
 
--- a/oleanderstair/engine/incoming.py
+++ b/oleanderstair/engine/incoming.py
@@ -23,6 +23,7 @@
     ),
 )
 _PRINTABLE: typing.Final = re.compile(b'[\x21-\x7e]+')
+_PATH: typing.Final = re.compile(b'/[\x21\x22\x24-\x7e]*')
 
 
 class Limits(typing.NamedTuple):
@@ -102,7 +103,7 @@
     key = found.field_by_name.get(headers.KEY)
     if key is not None and not _is_key(key):
         return f'idempotency-key must be 1 to {MAX_KEY_BYTES} visible bytes'
-    if method == 'CONNECT' or _PRINTABLE.fullmatch(target) is None:
+    if method == 'CONNECT' or _PATH.fullmatch(target) is None:
         return 'the method or the path cannot be passed on'
     if not headers.are_clean(fields):
         return 'a header field holds a control character'
@@ -139,7 +140,11 @@
 
 
 def target_of(scope: asgi.Scope) -> bytes:
-    """Return the path and query as they came."""
+    """Return the path and query as they came, byte for byte."""
+    connection = scope.get('extensions', {}).get('connection', {})
+    target: bytes = connection.get('target', b'')
+    if target:
+        return target
     raw_path: bytes = scope['raw_path']
     query: bytes = scope['query_string']
     if query:
--- a/oleanderstair/engine/listener.py
+++ b/oleanderstair/engine/listener.py
@@ -9,7 +9,7 @@
 
 import uvicorn
 
-from oleanderstair import clock, logs
+from oleanderstair import logs
 from oleanderstair.engine import asgi, bounded
 
 _BACKLOG: typing.Final = 1024
@@ -81,13 +81,24 @@
     app: typing.Any,
     bounds: bounded.Bounds = DEFAULT_BOUNDS,
 ) -> uvicorn.Server:
-    """Create a server of ``app`` without signal handlers and access logs."""
+    """Create a server of ``app`` within bounds that stay as they are."""
+    return create_bounded(app, lambda: bounds)
+
+
+def create_bounded(
+    app: typing.Any,
+    bounds_of: bounded.BoundsOf,
+) -> uvicorn.Server:
+    """Create a server of ``app`` within bounds that may change.
+
+    It has no signal handlers and no access log.
+    """
     _adopt_logs()
     config = uvicorn.Config(
         app,
         http=typing.cast(
             typing.Any,
-            functools.partial(bounded.BoundedProtocol, bounds),
+            functools.partial(bounded.BoundedProtocol, bounds_of),
         ),
         ws='none',
         loop='asyncio',
@@ -99,7 +110,6 @@
         server_header=False,
         date_header=False,
         backlog=_BACKLOG,
-        timeout_keep_alive=typing.cast(int, clock.to_seconds(bounds.idle_ms)),
         timeout_graceful_shutdown=_LAST_WRITE_S,
     )
     return _Server(config)
--- a/oleanderstair/engine/routed_callers.py
+++ b/oleanderstair/engine/routed_callers.py
@@ -22,6 +22,9 @@
 class RequestFields(typing.Protocol):
     """Read the fields that a caller states its call by."""
 
+    def find_fault(self, found: headers.Index) -> str:
+        """Return what is wrong with the fields of a request, or ''."""
+
     def request_id_of(self, fields: dict[bytes, bytes]) -> str:
         """Return the caller's own name for the request, or ''."""
 
@@ -103,6 +106,7 @@
             scope['method'],
             target,
         )
+        what = what or self._fields.find_fault(found)
         remaining_ms = self._fields.remaining_ms_of(found.field_by_name)
         if remaining_ms is None:
             what = 'the deadline is missing or no whole number of ms'
--- a/oleanderstair/platform/dialect.py
+++ b/oleanderstair/platform/dialect.py
@@ -16,6 +16,7 @@
 _MISDIRECTED: typing.Final = 421
 _USUAL: typing.Final = 100
 _LEAST_FIGURES: typing.Final = 3
+_ONLY_ONCE: typing.Final = frozenset((REQUEST_ID, DEADLINE_MS))
 _SET_BY_SYSTEM: typing.Final = frozenset((DEADLINE_MS, EXPECTED_TARGET))
 
 
@@ -68,6 +69,16 @@
             load=load,
         )
 
+    def find_fault(self, found: headers.Index) -> str:
+        """Return what is wrong with the fields of a request, or ''."""
+        twice = found.repeated & _ONLY_ONCE
+        if twice:
+            return f'{min(twice).decode()} came more than once'
+        for needed in (headers.HOST, REQUEST_ID):
+            if not found.field_by_name.get(needed):
+                return f'{needed.decode()} is missing'
+        return ''
+
     def request_id_of(self, fields: dict[bytes, bytes]) -> str:
         """Return the caller's own name for the request, or ''."""
         return fields.get(REQUEST_ID, b'').decode('latin-1')
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -83,11 +83,14 @@
         self.carrier.handle(events.LimitsChanged(limits, actor, what))
 
     async def _listen(self, carrier: gateway.Gateway) -> None:
-        callers = listener.create(
+        def bounds_of() -> bounded.Bounds:
+            return _bounds_of(self.checked.callers, carrier)
+
+        callers = listener.create_bounded(
             routed_callers.create(carrier, dialect.create()),
-            _bounds_of(self.checked.callers),
+            bounds_of,
         )
-        asked = listener.create(listeners.create(carrier))
+        asked = listener.create_bounded(listeners.create(carrier), bounds_of)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(callers.serve, [self.caller_socket])
             tasks.start_soon(asked.serve, self.platform_sockets)
@@ -151,11 +154,23 @@
     return listener.bind(host, int(port))
 
 
-def _bounds_of(wanted: settings.CallerSettings) -> bounded.Bounds:
-    return bounded.Bounds(
+def _bounds_of(
+    wanted: settings.CallerSettings,
+    carrier: gateway.Gateway,
+) -> bounded.Bounds:
+    """Return the bounds of the configuration in force, or the settings'."""
+    bounds = bounded.Bounds(
         max_header_bytes=wanted.max_header_bytes,
         request_time_ms=wanted.request_time_ms,
         idle_ms=wanted.idle_ms,
         answer_time_ms=wanted.answer_time_ms,
         max_connections=wanted.max_connections,
     )
+    in_force = carrier.state.routes.in_force
+    if in_force is None:
+        return bounds
+    return bounds._replace(
+        max_header_bytes=in_force.limits.max_header_bytes,
+        request_time_ms=in_force.limits.header_time_ms,
+        idle_ms=in_force.limits.idle_ms,
+    )
