--- /dev/null
+++ b/oleanderstair/emulator/watched_store.py
@@ -0,0 +1,108 @@
+"""The platform's store on the virtual clock: revisions and a history."""
+
+import typing
+
+from oleanderstair.domain import events
+from oleanderstair.domain.tables import registry, routes
+
+
+class Change(typing.NamedTuple):
+    """One revision: a configuration, an entry, or the end of one."""
+
+    revision: int
+    routing: routes.Routing | None = None
+    entry: registry.Entry | None = None
+    gone: str = ''
+
+
+class WatchedStore:
+    """What the store holds, and what it still knows of its changes.
+
+    Tests set ``down`` (an answer 503), ``silent`` (no answer), ``slow_ms``
+    and ``refused_ids`` (the instances that it turns away).
+    """
+
+    def __init__(self) -> None:
+        """Hold nothing, at revision 1."""
+        self.revision = 1
+        self.routing: routes.Routing | None = None
+        self.entry_by_id: dict[str, registry.Entry] = {}
+        self.calls = 0
+        self.down = False
+        self.silent = False
+        self.slow_ms: float = 0
+        self.loss_share: float = 0
+        self.refused_ids: set[str] = set()
+        self.on_change: list[typing.Callable[[], None]] = []
+        self._history: list[Change] = []
+        self._known_from = 1
+
+    def publish(self, routing: routes.Routing) -> int:
+        """Hold a configuration and return its revision."""
+        self.routing = routing
+        return self._note(Change(self.revision + 1, routing=routing))
+
+    def put(self, entry: registry.Entry) -> int:
+        """Hold the entry of a target and return its revision."""
+        revision = self.revision + 1
+        entry = entry._replace(revision=revision)
+        self.entry_by_id[entry.target_id] = entry
+        return self._note(Change(revision, entry=entry))
+
+    def remove(self, target_id: str) -> int:
+        """Forget the entry of a target and return the revision."""
+        if self.entry_by_id.pop(target_id, None) is None:
+            return self.revision
+        return self._note(Change(self.revision + 1, gone=target_id))
+
+    def forget_history(self) -> None:
+        """Answer 410 to watches from before now."""
+        self._history.clear()
+        self._known_from = self.revision
+
+    def refuses(self, instance_id: str) -> bool:
+        """Return whether an instance gets 503."""
+        return self.down or instance_id in self.refused_ids
+
+    def read(self) -> events.StoreRead:
+        """Return all that the store holds."""
+        entries = tuple(self.entry_by_id.values())
+        return events.StoreRead(
+            self.routing,
+            events.RegistryRead(self.revision, entries),
+        )
+
+    def is_forgotten(self, after_revision: int) -> bool:
+        """Return whether the changes after a revision are gone."""
+        return after_revision < self._known_from
+
+    def changes_after(self, after_revision: int) -> events.StoreChanged:
+        """Return what changed after a revision; it may be nothing."""
+        news = [
+            change
+            for change in self._history
+            if change.revision > after_revision
+        ]
+        routings = [change.routing for change in news if change.routing]
+        gone = tuple(
+            events.GoneEntry(change.gone, change.revision)
+            for change in news
+            if change.gone
+        )
+        entries = tuple(change.entry for change in news if change.entry)
+        return events.StoreChanged(
+            routings[-1] if routings else None,
+            events.RegistryChanged(self.revision, entries, gone),
+        )
+
+    def _note(self, change: Change) -> int:
+        self.revision = change.revision
+        self._history.append(change)
+        for notice in tuple(self.on_change):
+            notice()
+        return change.revision
+
+
+def create() -> WatchedStore:
+    """Create a store that holds nothing."""
+    return WatchedStore()
