Split the harness by what it performs

They are now modules beside it, and the clock is the timeline that the fleet of gateways runs on; harness.py stays the entry. Moving the hooks of bench/replay.py as well was ruled out: they override two methods, which stay.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -90,7 +90,7 @@
         if not dead or action.fresh:
             super()._dispatch(instance_id, action)
             return
-        self._later(
+        self.later(
             action.silence_ms,
             instance_id,
             events.AttemptEnded(
