Measure gateway policies side by side in the emulator

The load of both deployments now runs on the virtual clock: open-loop demand in waves, kinds with their work, aims and deadlines, callers that retry, against the present policy and four plain proxies (random, least in flight, one report, eight reports). The proxies carry calls by code of their own, so that they stay as they are while the product's choice changes; a switch inside sampling.py was ruled out for that.

--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 test: install check-format lint types unit examples
 
 bench: install
+	$(BIN)/python -m bench.gateways
 	$(BIN)/python -m bench
 
 # Installs only when the pinned lists differ from what the venv was made from.
--- a/oleanderstair/emulator/gateway_attempts.py
+++ b/oleanderstair/emulator/gateway_attempts.py
@@ -80,10 +80,15 @@
         self._host = host
         self._open_by_key: dict[Key, Attempt] = {}
         self._status_by_key: dict[Key, int] = {}
+        self._received_by_call: dict[int, events.CallReceived] = {}
+
+    def note(self, received: events.CallReceived) -> None:
+        """Keep a call for its attempts."""
+        self._received_by_call[received.call_id] = received
 
     def dispatch(self, member: Member, action: actions.Dispatch) -> None:
         """Send a call to whichever target has the address."""
-        call = member.state.routed.call_by_id[action.call_id]
+        received = self._received_by_call[action.call_id]
         attempt = Attempt(member, action)
         self._open_by_key[attempt.key] = attempt
         self._host.times.after(
@@ -99,7 +104,7 @@
             return
         self._host.times.after(
             self._host.links.delay_ms(member.instance_id, end),
-            lambda: self._arrive(attempt, target, call.received),
+            lambda: self._arrive(attempt, target, received),
         )
 
     def cancel(self, member: Member, action: actions.CancelAttempt) -> None:
--- /dev/null
+++ b/oleanderstair/emulator/gateway_callers.py
@@ -0,0 +1,171 @@
+"""Callers of a virtual fleet: open-loop demand by kind, and their retries."""
+
+import dataclasses
+import functools
+import math
+import random
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import events, outcomes
+from oleanderstair.emulator import gateway_fleet, plans
+
+CALLER_MS: typing.Final[clock.Millis] = 3
+"""One way between a caller and an instance."""
+
+_MS_PER_S: typing.Final = 1000
+_FAILED: typing.Final = 500
+_LONGEST_WAIT_SHARE: typing.Final = 1 / 3
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Request:
+    """What one caller wants, over all of its attempts; times in ms."""
+
+    kind: plans.Kind
+    data_centre: str
+    started_ms: clock.Millis
+    attempts: int = 0
+    ended_ms: clock.Millis | None = None
+    served: bool = False
+    refused: bool = False
+
+    @property
+    def latency_ms(self) -> clock.Millis:
+        """Return how long the caller waited for its last answer."""
+        if self.ended_ms is None:
+            return self.kind.deadline_ms
+        return self.ended_ms - self.started_ms
+
+    @property
+    def in_aim(self) -> bool:
+        """Return whether it was served while it was worth most."""
+        return self.served and self.latency_ms <= self.kind.aim_ms
+
+
+class Demand:
+    """Requests of all kinds of a plan, sent whether or not they are answered.
+
+    ``strength`` multiplies the rates; tests may change it while it runs.
+    """
+
+    def __init__(
+        self,
+        fleet: gateway_fleet.GatewayFleet,
+        plan: plans.Plan,
+        seed: int,
+    ) -> None:
+        """Send nothing until ``run_for``."""
+        self.requests: list[Request] = []
+        self.strength: float = 1
+        self._fleet = fleet
+        self._plan = plan
+        self._until_ms: clock.Millis = 0
+        self._arrivals = random.Random(f'arrivals {seed}')
+        self._choices = random.Random(f'choices {seed}')
+        self._open_by_call: dict[int, Request] = {}
+        fleet.on_told.append(self._on_told)
+
+    def run_for(self, span_ms: clock.Millis) -> None:
+        """Send requests for a time, and let that time pass."""
+        self._until_ms = self._fleet.times.now_ms() + span_ms
+        for kind in self._plan.kinds:
+            self._wait_for_next(kind)
+        self._fleet.run_for(span_ms)
+
+    def _wait_for_next(self, kind: plans.Kind) -> None:
+        now_ms = self._fleet.times.now_ms()
+        per_ms = kind.per_s * self._wave(now_ms) * self.strength / _MS_PER_S
+        after_ms = self._arrivals.expovariate(per_ms)
+        if now_ms + after_ms < self._until_ms:
+            self._fleet.times.after(
+                after_ms,
+                functools.partial(self._arrive, kind),
+            )
+
+    def _wave(self, now_ms: clock.Millis) -> float:
+        turns = now_ms / self._plan.wave_ms
+        return 1 + self._plan.wave * math.sin(2 * math.pi * turns)
+
+    def _arrive(self, kind: plans.Kind) -> None:
+        self._wait_for_next(kind)
+        shares = self._plan.instances_by_data_centre
+        data_centre = self._arrivals.choices(
+            tuple(shares),
+            weights=tuple(shares.values()),
+        )[0]
+        request = Request(kind, data_centre, self._fleet.times.now_ms())
+        self.requests.append(request)
+        self._attempt(request)
+
+    def _attempt(self, request: Request) -> None:
+        now_ms = self._fleet.times.now_ms()
+        left_ms = request.started_ms + request.kind.deadline_ms - now_ms
+        instance_id = self._choose(request.data_centre)
+        if left_ms <= 0 or instance_id is None:
+            request.ended_ms = now_ms
+            return
+        request.attempts += 1
+        request.refused = False
+        self._fleet.times.after(
+            CALLER_MS,
+            lambda: self._send(request, instance_id, left_ms),
+        )
+
+    def _send(
+        self,
+        request: Request,
+        instance_id: str,
+        left_ms: clock.Millis,
+    ) -> None:
+        call_id = self._fleet.call(
+            instance_id,
+            request.kind.name,
+            deadline_ms=left_ms,
+            method='GET' if request.kind.idempotent else 'POST',
+            prepare=lambda given: self._open_by_call.update({given: request}),
+        )
+        self._fleet.times.after(
+            left_ms,
+            lambda: self._give_up(call_id, instance_id),
+        )
+
+    def _give_up(self, call_id: int, instance_id: str) -> None:
+        request = self._open_by_call.pop(call_id, None)
+        if request is not None:
+            request.ended_ms = self._fleet.times.now_ms()
+            self._fleet.step(instance_id, events.CallerLeft(call_id))
+
+    def _on_told(self, call_id: int, told: gateway_fleet.Told) -> None:
+        request = self._open_by_call.pop(call_id, None)
+        if request is not None:
+            self._fleet.times.after(
+                CALLER_MS,
+                lambda: self._take(request, told),
+            )
+
+    def _take(self, request: Request, told: gateway_fleet.Told) -> None:
+        now_ms = self._fleet.times.now_ms()
+        ran = told.outcome is outcomes.Outcome.RAN
+        request.ended_ms = now_ms
+        request.served = ran and told.status < _FAILED
+        request.refused = told.outcome is outcomes.Outcome.NOT_RUN
+        if request.served or request.attempts > request.kind.retries:
+            return
+        if request.refused or request.kind.idempotent:
+            left_ms = request.started_ms + request.kind.deadline_ms - now_ms
+            longest_ms = max(left_ms, 0) * _LONGEST_WAIT_SHARE
+            self._fleet.times.after(
+                min(told.retry_after_ms, longest_ms),
+                lambda: self._attempt(request),
+            )
+
+    def _choose(self, data_centre: str) -> str | None:
+        ready = [
+            (member.instance_id, member.state.identity.data_centre)
+            for member in self._fleet.member_by_id.values()
+            if member.is_ready
+        ]
+        near = [found for found, place in ready if place == data_centre]
+        chosen = near or [found for found, _ in ready]
+        return self._choices.choice(chosen) if chosen else None
--- a/oleanderstair/emulator/gateway_fleet.py
+++ b/oleanderstair/emulator/gateway_fleet.py
@@ -287,10 +287,16 @@
         instance_id: str,
         kind: str,
         deadline_ms: clock.Millis = 1000,
+        prepare: typing.Callable[[int], None] | None = None,
         **fields: typing.Any,
     ) -> int:
-        """Send a call of a kind now and return its id."""
+        """Send a call of a kind now and return its id.
+
+        ``prepare`` is told the id before the call arrives.
+        """
         call_id = next(self._call_ids)
+        if prepare is not None:
+            prepare(call_id)
         received = events.CallReceived(
             call_id=call_id,
             service='',
@@ -320,6 +326,8 @@
         if now_ms < member.frozen_until_ms:
             self.tell_later(member.frozen_until_ms - now_ms, member, event)
             return
+        if isinstance(event, events.CallReceived):
+            self.attempts.note(event)
         done = self.step_by(member.state, event, now_ms)
         if self.keep_steps:
             self.done.append(
--- a/oleanderstair/emulator/gateway_targets.py
+++ b/oleanderstair/emulator/gateway_targets.py
@@ -191,7 +191,8 @@
         fill = (len(self.running) + 1) / self.slots
         if fill > _CROWDED_FROM:
             work_ms *= self.crowded_factor
-        return self.machine.end_of(self.times.now_ms(), work_ms)
+        now_ms = self.times.now_ms()
+        return now_ms + work_ms * self.machine.slowness_at(now_ms)
 
     def _finish(self, exchange: Exchange) -> None:
         ends_ms = self.running.pop(exchange, None)
--- a/oleanderstair/emulator/neighbours.py
+++ b/oleanderstair/emulator/neighbours.py
@@ -1,6 +1,5 @@
 """How fast a target's machine works: its neighbours and its cold start."""
 
-import collections
 import random
 import typing
 
@@ -39,50 +38,19 @@
         self.cold_factor = 1.0
         self.slowed = 1.0
         self._rng = rng
-        self._paces = collections.deque([Pace(0, 1)])
+        self._pace = Pace(0, 1)
 
     def slowness_at(self, now_ms: clock.Millis) -> float:
-        """Return the pace now; ``now_ms`` never goes back."""
-        while self._paces[0].until_ms <= now_ms:
-            passed = self._paces.popleft()
-            if not self._paces:
-                self._paces.append(self._draw(passed.until_ms))
-        return self._pace_of(self._paces[0], now_ms).slowness
-
-    def end_of(self, now_ms: clock.Millis, work_ms: clock.Millis) -> float:
-        """Return when work that starts now ends, in ms."""
-        self.slowness_at(now_ms)
-        at_ms = now_ms
-        left_ms = work_ms
-        for drawn in self._paces:
-            at_ms, left_ms = self._work_through(drawn, at_ms, left_ms)
-        while left_ms > 0:
-            further = self._draw(at_ms)
-            self._paces.append(further)
-            at_ms, left_ms = self._work_through(further, at_ms, left_ms)
-        return at_ms
-
-    def _work_through(
-        self,
-        drawn: Pace,
-        at_ms: clock.Millis,
-        left_ms: clock.Millis,
-    ) -> tuple[clock.Millis, clock.Millis]:
-        while left_ms > 0 and at_ms < drawn.until_ms:
-            pace = self._pace_of(drawn, at_ms)
-            done_ms = (pace.until_ms - at_ms) / pace.slowness
-            if done_ms >= left_ms:
-                return at_ms + left_ms * pace.slowness, 0
-            left_ms -= done_ms
-            at_ms = pace.until_ms
-        return at_ms, left_ms
-
-    def _pace_of(self, drawn: Pace, at_ms: clock.Millis) -> Pace:
-        slowness = drawn.slowness * self.slowed
-        if at_ms >= self.cold_until_ms:
-            return Pace(drawn.until_ms, slowness)
-        until_ms = min(drawn.until_ms, self.cold_until_ms)
-        return Pace(until_ms, slowness * self.cold_factor)
+        """Return how many times longer work takes that starts now.
+
+        ``now_ms`` never goes back.
+        """
+        while self._pace.until_ms <= now_ms:
+            self._pace = self._draw(self._pace.until_ms)
+        slowness = self._pace.slowness * self.slowed
+        if now_ms < self.cold_until_ms:
+            slowness *= self.cold_factor
+        return slowness
 
     def _draw(self, from_ms: clock.Millis) -> Pace:
         span_ms = self._rng.expovariate(1 / self.noise.every_ms)
