Speak the platform's wire in stand-ins, and run a node against them

Five tests run a real node on loopback against them: a call, a missing route, readiness and addresses; an order with its body; a lost history; pages; a settings file that can't be read.

--- /dev/null
+++ b/oleanderstair/emulator/load_targets.py
@@ -0,0 +1,209 @@
+"""A target over HTTP that tells its load and checks who is meant."""
+
+import dataclasses
+import enum
+import typing
+
+import anyio
+
+from oleanderstair import clock
+from oleanderstair.engine import asgi, headers, listener
+from oleanderstair.platform import dialect
+
+HEALTH_PATH: typing.Final = '/health'
+SIGNATURE: typing.Final = b'server-signature'
+INSTANCE_ID: typing.Final = b'instance-id'
+
+_OK: typing.Final = 200
+_BAD_REQUEST: typing.Final = 400
+_MISDIRECTED: typing.Final = 421
+_FAILED: typing.Final = 500
+_UNAVAILABLE: typing.Final = 503
+_SHED_FIELD: typing.Final = (dialect.NOT_RUN, b'1')
+_MAX_BODY_BYTES: typing.Final = 1_000_000
+_BODY_MS: typing.Final[clock.Millis] = 5000
+
+
+class Behaviour(enum.Enum):
+    """What a target does with a call that it takes."""
+
+    SERVE = 'serve'
+    FAIL = 'fail'
+    SHED = 'shed'
+    HANG = 'hang'
+    CRASH = 'crash'
+    CUT_SHORT = 'cut-short'
+    OTHER_REQUEST = 'other-request'
+    EXTRA_ANSWER = 'extra-answer'
+    GARBLED = 'garbled'
+
+
+class Ran(typing.NamedTuple):
+    """A call that a target ran, as it arrived."""
+
+    request_id: str
+    method: str
+    target: str
+    body: bytes
+    deadline_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class LoadTarget:
+    """One target; tests change its fields while it runs.
+
+    ``raw`` are the bytes that it writes where ``behaviour`` is GARBLED.
+    """
+
+    target_id: str
+    slots: int = 4
+    service_ms: clock.Millis = 2
+    slowness: int = 100
+    behaviour: Behaviour = Behaviour.SERVE
+    leaving: bool = False
+    raw: bytes = b'\x00\xff nothing of the protocol\r\n\r\n'
+    running: int = 0
+    reads: int = 0
+    dropped: int = 0
+    ran: list[Ran] = dataclasses.field(default_factory=list)
+
+    async def __call__(
+        self,
+        scope: asgi.Scope,
+        receive: asgi.Receive,
+        send: asgi.Send,
+    ) -> None:
+        """Answer one request as the behaviour says."""
+        found = headers.index(scope['headers']).field_by_name
+        if scope['path'] == HEALTH_PATH:
+            await self._answer_health(send)
+            return
+        status = self._refusal_of(found)
+        if status:
+            await self._answer(send, status, b'', [_SHED_FIELD])
+            return
+        await self._take(scope, receive, send, found)
+
+    def _refusal_of(self, found: dict[bytes, bytes]) -> int:
+        """Return the status of a call that is not run, else 0."""
+        own = self.target_id.encode()
+        if found.get(dialect.EXPECTED_TARGET, own) != own:
+            return _MISDIRECTED
+        if dialect.REQUEST_ID not in found:
+            return _BAD_REQUEST
+        full = self.running >= self.slots
+        if full or self.behaviour is Behaviour.SHED:
+            return _UNAVAILABLE
+        return 0
+
+    async def _answer_health(self, send: asgi.Send) -> None:
+        self.reads += 1
+        status = _UNAVAILABLE if self.leaving else _OK
+        await self._answer(send, status, b'', [])
+
+    async def _take(
+        self,
+        scope: asgi.Scope,
+        receive: asgi.Receive,
+        send: asgi.Send,
+        found: dict[bytes, bytes],
+    ) -> None:
+        body = await asgi.read_body(receive, _MAX_BODY_BYTES, _BODY_MS)
+        query = scope['query_string'].decode()
+        request_id = found[dialect.REQUEST_ID]
+        self.ran.append(
+            Ran(
+                request_id.decode('latin-1'),
+                scope['method'],
+                f'{scope["path"]}?{query}' if query else scope['path'],
+                body,
+                headers.read_count(found.get(dialect.DEADLINE_MS, b'')) or 0,
+            ),
+        )
+        self.running += 1
+        work = anyio.CancelScope()
+        try:
+            with listener.watching(scope, work.cancel), work:
+                await self._behave(scope, send, request_id)
+        finally:
+            self.running -= 1
+        self.dropped += work.cancelled_caught
+
+    async def _behave(
+        self,
+        scope: asgi.Scope,
+        send: asgi.Send,
+        request_id: bytes,
+    ) -> None:
+        transport = listener.protocol_of(scope).transport
+        await anyio.sleep(clock.to_seconds(self.service_ms))
+        if self.behaviour is Behaviour.HANG:
+            await anyio.sleep_forever()
+        elif self.behaviour is Behaviour.CRASH:
+            transport.abort()
+        elif self.behaviour is Behaviour.CUT_SHORT:
+            transport.write(_cut_short(request_id))
+            transport.close()
+        elif self.behaviour is Behaviour.GARBLED:
+            transport.write(self.raw)
+            transport.close()
+        else:
+            await self._answer_call(scope, send, request_id)
+
+    async def _answer_call(
+        self,
+        scope: asgi.Scope,
+        send: asgi.Send,
+        request_id: bytes,
+    ) -> None:
+        answered = request_id
+        if self.behaviour is Behaviour.OTHER_REQUEST:
+            answered = b'of-another-request'
+        failed = self.behaviour is Behaviour.FAIL
+        await self._answer(
+            send,
+            _FAILED if failed else _OK,
+            b'served %b' % request_id,
+            [(dialect.REQUEST_ID, answered), (SIGNATURE, b'signed')],
+        )
+        if self.behaviour is Behaviour.EXTRA_ANSWER:
+            transport = listener.protocol_of(scope).transport
+            transport.write(_whole(b'of-another-request', b'extra'))
+
+    async def _answer(
+        self,
+        send: asgi.Send,
+        status: int,
+        body: bytes,
+        fields: asgi.HeaderList,
+    ) -> None:
+        told = f'{self.running},0,{self.slots},{self.slowness}'
+        listed = [
+            (b'content-length', str(len(body)).encode()),
+            (dialect.LOAD, told.encode()),
+            (INSTANCE_ID, self.target_id.encode()),
+            *fields,
+        ]
+        if self.leaving:
+            listed.append((headers.CONNECTION, b'close'))
+        await asgi.respond(send, status, listed, body)
+
+
+def create(target_id: str) -> LoadTarget:
+    """Create a target that serves."""
+    return LoadTarget(target_id)
+
+
+def _whole(request_id: bytes, body: bytes) -> bytes:
+    head = (
+        b'HTTP/1.1 200 OK',
+        b'Request-Id: %b' % request_id,
+        b'Content-Length: %d' % len(body),
+        b'',
+        body,
+    )
+    return b'\r\n'.join(head)
+
+
+def _cut_short(request_id: bytes) -> bytes:
+    return _whole(request_id, b'cut' * 100)[:-200]  # noqa: WPS432 (ends early)
--- /dev/null
+++ b/test/test_platform_node.py
@@ -0,0 +1,122 @@
+"""The platform's daemon end to end on loopback: store, targets, callers."""
+
+import json
+import os
+import pathlib
+import subprocess
+import sys
+
+import anyio
+import msgspec
+
+from oleanderstair.emulator import load_targets
+from oleanderstair.engine import headers
+from test import helper, platform_side
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+def test_a_call_a_missing_route_readiness_and_addresses() -> None:
+    async def scene() -> None:
+        async with platform_side.running() as side:
+            served = await platform_side.ask(side.address)
+            assert served.status == 200
+            assert served.content == b'served request-1'
+            fields = headers.index(served.headers).field_by_name
+            assert fields[b'request-id'] == b'request-1'
+            assert fields[load_targets.SIGNATURE] == b'signed'
+            ran = side.only_run()
+            assert ran.target == platform_side.LOOKUP_PATH
+            assert 0 < ran.deadline_ms <= 900
+
+            missing = await platform_side.ask(side.address, '/nowhere/')
+            assert missing.status == 404
+
+            ready = await platform_side.ask(side.readiness, '/-/ready')
+            assert ready.status == 200
+
+            path = f'/-/addresses?name={platform_side.HOST}&data_centre=trnava'
+            told = await platform_side.ask(side.directory, path)
+            document = msgspec.json.decode(told.content)
+            assert document['addresses'] == [side.address]
+            assert 0 < document['valid_s'] <= 5
+
+    anyio.run(scene)
+
+
+def test_an_order_reaches_one_target_unchanged() -> None:
+    async def scene() -> None:
+        async with platform_side.running() as side:
+            body = bytes(range(256)) * 16
+            served = await platform_side.ask(
+                side.address,
+                platform_side.ORDER_PATH,
+                'POST',
+                body,
+            )
+            assert served.status == 200
+            ran = side.only_run()
+            assert (ran.method, ran.target, ran.body) == (
+                'POST',
+                platform_side.ORDER_PATH,
+                body,
+            )
+
+    anyio.run(scene)
+
+
+def test_a_watched_change_is_followed_after_a_lost_history() -> None:
+    async def scene() -> None:
+        async with platform_side.running() as side:
+            carrier = side.node.carrier
+            assert carrier is not None
+            table = carrier.state.routes
+            side.store.put('op/config', platform_side.configuration(4))
+            await helper.until(
+                lambda: (
+                    table.in_force is not None and table.in_force.number == 4
+                ),
+            )
+            side.store.remove('servers/i-1')
+            side.store.forget_history()
+            entries = carrier.state.registry
+            await helper.until(lambda: set(entries.entry_by_id) == {'i-0'})
+
+    anyio.run(scene)
+
+
+def test_pages_of_the_registry_are_all_read() -> None:
+    async def scene() -> None:
+        async with platform_side.running() as side:
+            carrier = side.node.carrier
+            assert carrier is not None
+            side.store.page_items = 2
+            for number in range(5):
+                entry = platform_side.entry_of(f'127.0.0.1:{number + 1}')
+                side.store.put(f'servers/more-{number}', entry)
+            side.store.forget_history()
+            entries = carrier.state.registry
+            await helper.until(lambda: len(entries.entry_by_id) == 7)
+
+    anyio.run(scene)
+
+
+def test_a_bad_settings_file_ends_with_the_field_and_the_remedy(
+    tmp_path: pathlib.Path,
+) -> None:
+    tree = platform_side.settings_tree('127.0.0.1:1')
+    tree['callers'] = {'max_body_bytes': 'many'}
+    path = tmp_path / 'local.json'
+    path.write_text(json.dumps(tree), encoding='utf-8')
+    done = subprocess.run(
+        [sys.executable, '-m', 'oleanderstair.platform.daemon'],
+        cwd=ROOT,
+        env={**os.environ, 'OLEANDERSTAIR_CONFIG': str(path)},
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert done.returncode == 2
+    assert 'callers.max_body_bytes' in done.stderr
+    assert 'correct or remove this field' in done.stderr
+    assert 'Traceback' not in done.stderr
