Bound callers by the configuration in force, and pass targets on byte for byte

Cause: the caller listener kept its own bounds (idle 5 s) whatever the limits in force said, so it closed connections that callers may still reuse; an empty query, an absolute target and a fragment reached targets changed, and a request without Host or Request-Id was passed on or had 404.

The bounds are read at each use; an idle connection is measured anew when its timer fires, as the limit may have grown. Improper requests get a 4xx and reach nobody. A caller that leaves has its work dropped at once (test).

--- a/oleanderstair/emulator/load_targets.py
+++ b/oleanderstair/emulator/load_targets.py
@@ -7,7 +7,7 @@
 import anyio
 
 from oleanderstair import clock
-from oleanderstair.engine import asgi, headers, listener
+from oleanderstair.engine import asgi, headers, incoming, listener
 from oleanderstair.platform import dialect
 
 HEALTH_PATH: typing.Final = '/health'
@@ -109,13 +109,12 @@
         found: dict[bytes, bytes],
     ) -> None:
         body = await asgi.read_body(receive, _MAX_BODY_BYTES, _BODY_MS)
-        query = scope['query_string'].decode()
         request_id = found[dialect.REQUEST_ID]
         self.ran.append(
             Ran(
                 request_id.decode('latin-1'),
                 scope['method'],
-                f'{scope["path"]}?{query}' if query else scope['path'],
+                incoming.target_of(scope).decode('latin-1'),
                 body,
                 headers.read_count(found.get(dialect.DEADLINE_MS, b'')) or 0,
             ),
--- a/oleanderstair/engine/bounded.py
+++ b/oleanderstair/engine/bounded.py
@@ -102,7 +102,8 @@
         """Open a request and let the application see its connection."""
         super().on_message_begin()
         self._connection: dict[str, object] = {'protocol': self}
-        self.scope['extensions'] = {'connection': self._connection}
+        extension: typing.Any = self._connection
+        self.scope['extensions'] = {'connection': extension}
         self._part = _Part.HEAD
         self._head_bytes = self._chunk_bytes
 
--- /dev/null
+++ b/test/test_routed_callers.py
@@ -0,0 +1,149 @@
+"""Requests of callers on routes: what is refused, and what is passed on."""
+
+import anyio
+import pytest
+
+from oleanderstair.emulator import load_targets
+from test import helper, platform_side, raw
+
+HEAD = b'host: calls.example\r\nrequest-id: r-1\r\ndeadline-ms: 900\r\n'
+LAST = b'connection: close\r\n\r\n'
+GET = b'GET /lookup/a HTTP/1.1\r\n'
+POST = b'POST /order/a HTTP/1.1\r\n'
+PROPER = b''.join((GET, HEAD, b'\r\n'))
+
+
+def say(*pieces):
+    """Send pieces to a node; return the answer and what targets ran."""
+
+    async def scene():
+        async with platform_side.running() as side:
+            answer = await raw.say(side.address, *pieces)
+            ran = [
+                found
+                for target in side.target_by_id.values()
+                for found in target.ran
+            ]
+            return answer, ran
+
+    return anyio.run(scene)
+
+
+@pytest.mark.parametrize(
+    'pieces',
+    [
+        (GET, b'request-id: r-1\r\ndeadline-ms: 900\r\n', LAST),
+        (GET, b'host: calls.example\r\nrequest-id: r-1\r\n', LAST),
+        (GET, b'host: calls.example\r\ndeadline-ms: 900\r\n', LAST),
+        (GET, HEAD.replace(b'900', b'soon'), LAST),
+        (GET, HEAD.replace(b'900', b'0'), LAST),
+        (GET, HEAD, b'request-id: r-2\r\n', LAST),
+        (GET, HEAD, b'host: other.example\r\n', LAST),
+        (GET, HEAD, b'x: a\x01b\r\n', LAST),
+        (GET.replace(b'/lookup', b'http://calls.example/lookup'), HEAD, LAST),
+        (GET.replace(b'/lookup/a', b'/lookup/a#b'), HEAD, LAST),
+        (GET.replace(b'/lookup/a', b'/lookup/\x01'), HEAD, LAST),
+        (POST, HEAD, b'content-length: 1\r\ncontent-length: 2\r\n\r\nab'),
+        (
+            POST,
+            HEAD,
+            b'content-length: 3\r\ntransfer-encoding: chunked\r\n',
+            b'\r\n0\r\n\r\n',
+        ),
+        (POST, HEAD, b'transfer-encoding: gzip, identity\r\n\r\nab'),
+        (POST, HEAD, b'transfer-encoding: chunked\r\n\r\nzz\r\n'),
+        (POST, HEAD, b'content-length: 200000\r\n', LAST, b'x' * 200000),
+        (GET, HEAD, b'x: ', b'y' * 20000, b'\r\n', LAST),
+    ],
+)
+def test_improper_request_is_told_so_and_passed_on_to_nobody(pieces):
+    answer, ran = say(b''.join(pieces))
+    assert b'HTTP/1.1 4' in answer[:10]
+    assert not ran
+
+
+@pytest.mark.parametrize(
+    'target',
+    [b'/lookup/a?', b'/lookup//b?x=%41&&y=?', b'/lookup/%2e%2E/a'],
+)
+def test_target_is_passed_on_byte_for_byte(target):
+    answer, ran = say(GET.replace(b'/lookup/a', target), HEAD, LAST)
+    assert answer.startswith(b'HTTP/1.1 200')
+    assert ran[0].target == target.decode()
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'transfer-encoding: chunked\r\nconnection: close\r\n\r\n'
+        b'2\r\nab\r\n1\r\nc\r\n0\r\n\r\n',
+        b'expect: 100-continue\r\nconnection: close\r\n'
+        b'content-length: 3\r\n\r\nabc',
+    ],
+)
+def test_body_reaches_the_target_whole(body):
+    answer, ran = say(POST, HEAD, body)
+    assert b'HTTP/1.1 200' in answer
+    assert ran[0].body == b'abc'
+
+
+def test_pipelined_requests_are_answered_in_order():
+    second = HEAD.replace(b'r-1', b'r-2')
+    answer, ran = say(PROPER, GET, second, LAST)
+    assert answer.index(b'served r-1') < answer.index(b'served r-2')
+    assert len(ran) == 2
+
+
+def test_bounds_follow_the_configuration_in_force():
+    async def scene():
+        async with platform_side.running() as side:
+            changed = platform_side.configuration(2)
+            changed['limits'].update(idle_ms=100, max_body_bytes=2)
+            side.store.put('op/config', changed)
+            routes = side.node.carrier.state.routes
+            await helper.until(lambda: routes.in_force.number == 2)
+            with anyio.fail_after(2):
+                kept = await raw.say(side.address, PROPER)
+            assert kept.startswith(b'HTTP/1.1 200')
+            large = (POST, HEAD, b'content-length: 3\r\n', LAST, b'abc')
+            answer = await raw.say(side.address, *large)
+            assert answer.startswith(b'HTTP/1.1 413')
+
+    anyio.run(scene)
+
+
+def test_idle_connection_stays_where_its_bound_grows():
+    async def scene():
+        async with platform_side.running() as side:
+            short = platform_side.configuration(2)
+            short['limits'].update(idle_ms=900)
+            side.store.put('op/config', short)
+            routes = side.node.carrier.state.routes
+            await helper.until(lambda: routes.in_force.number == 2)
+            host, _, port = side.address.rpartition(':')
+            async with await anyio.connect_tcp(host, int(port)) as kept:
+                await kept.send(PROPER)
+                await kept.receive()
+                side.store.put('op/config', platform_side.configuration(3))
+                await helper.until(lambda: routes.in_force.number == 3)
+                await anyio.sleep(1)
+                await kept.send(PROPER)
+                assert (await kept.receive()).startswith(b'HTTP/1.1 200')
+
+    anyio.run(scene)
+
+
+@pytest.mark.parametrize('start', [GET, POST])
+def test_call_of_a_caller_that_left_is_dropped_by_its_target(start):
+    async def scene():
+        async with platform_side.running(targets=1) as side:
+            target = side.target_by_id['i-0']
+            target.behaviour = load_targets.Behaviour.HANG
+            host, _, port = side.address.rpartition(':')
+            async with await anyio.connect_tcp(host, int(port)) as left:
+                await left.send(b''.join((start, HEAD, b'\r\n')))
+                await helper.until(lambda: target.running)
+            with anyio.fail_after(0.5):
+                await helper.until(lambda: target.dropped)
+
+    anyio.run(scene)
