Keep second attempts in the fleet's budget, and hedge late calls

Each instance now earns the ratio on its own calls and an equal part of the slack by the largest recent count of instances, counted at each dispatch beyond the first that may have arrived. Idempotent calls that are later than most of their route go to a second target, within 0.8 of the allowance; the loser is cancelled. A failure of an idempotent call is kept back while another target may answer. Targets that fail are barred for growing spans and come back by one trial call; too many bars are not believed. A report fades with its age, none at all counts against the target, and other data centres are asked where the own one is slow.

Ruled out: retrying on own in-flight counts alone. A 500 is often the request's own (both targets gave it), so it costs a repeat for little.

--- /dev/null
+++ b/oleanderstair/domain/calls/learning.py
@@ -0,0 +1,73 @@
+"""Learns from each attempt what to expect of its route and its target."""
+
+from oleanderstair import clock
+from oleanderstair.domain import events, world
+from oleanderstair.domain.calls import seconds
+from oleanderstair.domain.tables import calls, latencies, routed
+from oleanderstair.domain.targets import expecting, trust
+
+
+def learn(
+    state: world.World,
+    call: routed.RoutedCall,
+    ended: calls.Attempt,
+    event: events.AttemptEnded,
+    now_ms: clock.Millis,
+) -> None:
+    """Take what an attempt tells of the target and of the route."""
+    target_id = ended.target_id
+    if event.misdirected:
+        trust.note_misdirected(state, target_id, now_ms)
+    elif event.verdict is events.Verdict.SHED:
+        _learn_shed(state, target_id, event, now_ms)
+    elif _is_success(event):
+        trust.note_success(state, target_id, now_ms)
+        _learn_span(state, call, ended, now_ms)
+        _learn_overdue(state, call, ended, now_ms)
+    else:
+        trust.note_failure(state, target_id, trust.FAILED, now_ms)
+
+
+def _is_success(event: events.AttemptEnded) -> bool:
+    if event.verdict is not events.Verdict.ANSWERED:
+        return False
+    return event.status < seconds.FIRST_FAILURE
+
+
+def _learn_shed(
+    state: world.World,
+    target_id: str,
+    event: events.AttemptEnded,
+    now_ms: clock.Millis,
+) -> None:
+    """Doubt a target that sheds a call though it tells of free slots."""
+    load = event.load
+    if load is not None and load.running < load.slots and not load.waiting:
+        trust.note_failure(state, target_id, trust.SHED_WITH_ROOM, now_ms)
+
+
+def _learn_span(
+    state: world.World,
+    call: routed.RoutedCall,
+    attempt: calls.Attempt,
+    now_ms: clock.Millis,
+) -> None:
+    span_ms = now_ms - attempt.started_at_ms
+    typical_ms = expecting.of_route(state, call.route).typical_ms
+    multiple = span_ms / max(typical_ms, 1)
+    trust.note_pace(state, attempt.target_id, multiple, now_ms)
+    latencies.add(state.latencies, call.route.name, span_ms)
+
+
+def _learn_overdue(
+    state: world.World,
+    call: routed.RoutedCall,
+    answered: calls.Attempt,
+    now_ms: clock.Millis,
+) -> None:
+    """Doubt the targets that a later attempt has overtaken."""
+    for attempt in call.attempts:
+        if attempt.attempt_id >= answered.attempt_id:
+            continue
+        trust.note_failure(state, attempt.target_id, trust.OVERDUE, now_ms)
+        _learn_span(state, call, attempt, now_ms)
--- /dev/null
+++ b/oleanderstair/domain/calls/repeats.py
@@ -0,0 +1,85 @@
+"""Keeps what is sent more than once within the fleet's retry budget.
+
+The budget is one for all instances over any window: a ratio of the calls
+and a fixed slack. Each instance earns the ratio on its own calls and holds
+an equal part of the slack by the largest recent count of instances, so the
+parts add up to no more than the budget without a word between instances.
+"""
+
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import world
+from oleanderstair.domain.tables import repeats
+
+FOR_RETRIES: typing.Final = 1.0
+"""The part of the allowance that retries may use up."""
+
+FOR_HEDGES: typing.Final = 0.8
+"""The part of the allowance that hedges may use up."""
+
+_MARGIN: typing.Final = 0.9
+"""What is used of the budget, as arrivals lie behind dispatches."""
+
+_ARRIVAL_MS: typing.Final = 500
+"""How much longer than the window a repeat counts."""
+
+_MS_PER_S: typing.Final = 1000
+
+
+def note_call(
+    state: world.World,
+    service: str,
+    now_ms: clock.Millis,
+) -> None:
+    """Count a call for a service, which earns a part of a repeat."""
+    if state.repeats.since_ms == clock.NEVER_MS:
+        state.repeats.since_ms = now_ms
+    tally = repeats.tally_of(state.repeats, service)
+    tally.calls_at_ms.append(now_ms)
+    _forget(tally.calls_at_ms, now_ms - _window_ms(state))
+
+
+def may_repeat(
+    state: world.World,
+    service: str,
+    part: float,
+    now_ms: clock.Millis,
+) -> bool:
+    """Return whether one more repeat fits into a part of the allowance."""
+    limits = state.policy
+    tally = repeats.tally_of(state.repeats, service)
+    since_ms = now_ms - _window_ms(state)
+    _forget(tally.calls_at_ms, since_ms)
+    _forget(tally.repeats_at_ms, since_ms - _ARRIVAL_MS)
+    earned = limits.retry_ratio * len(tally.calls_at_ms)
+    allowed = _MARGIN * part * (earned + _own_slack(state, now_ms))
+    return len(tally.repeats_at_ms) + 1 <= allowed
+
+
+def spend(state: world.World, service: str, now_ms: clock.Millis) -> None:
+    """Count a repeat at the moment of its dispatch."""
+    tally = repeats.tally_of(state.repeats, service)
+    tally.repeats_at_ms.append(now_ms)
+
+
+def _own_slack(state: world.World, now_ms: clock.Millis) -> float:
+    """Return this instance's part of the slack.
+
+    A started instance earns it over one window, as the incarnation before
+    it may have spent the part just now.
+    """
+    limits = state.policy
+    count = max(state.instances.largest_count, limits.assumed_instances)
+    age_ms = max(now_ms - state.repeats.since_ms, 0)
+    grown = min(age_ms / max(_window_ms(state), 1), 1)
+    return limits.retry_slack / count * grown
+
+
+def _window_ms(state: world.World) -> clock.Millis:
+    return state.policy.retry_window_s * _MS_PER_S
+
+
+def _forget(moments: repeats.Moments, oldest_ms: clock.Millis) -> None:
+    while moments and moments[0] <= oldest_ms:
+        moments.popleft()
--- a/oleanderstair/domain/calls/routed.py
+++ b/oleanderstair/domain/calls/routed.py
@@ -2,7 +2,13 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, outcomes, world
-from oleanderstair.domain.calls import ending, sending
+from oleanderstair.domain.calls import (
+    ending,
+    learning,
+    repeats,
+    seconds,
+    sending,
+)
 from oleanderstair.domain.configuration import routing
 from oleanderstair.domain.tables import calls, routed
 from oleanderstair.domain.targets import sampling
@@ -29,6 +35,7 @@
         received_at_ms=now_ms,
         due_at_ms=min(event.deadline_ms, now_ms + route.timeout_ms),
     )
+    repeats.note_call(state, call.service, now_ms)
     due = events.CallDue(call.call_id)
     return [
         actions.Schedule(due, call.due_at_ms - now_ms),
@@ -75,27 +82,20 @@
     ending.release(state, ended)
     if event.load is not None:
         sampling.keep(state, ended.target_id, event.load, now_ms)
-    if event.verdict is events.Verdict.ANSWERED:
+    learning.learn(state, call, ended, event, now_ms)
+    if seconds.is_final(call, event):
         return ending.relay(state, call, event.attempt_id)
-    ran = event.verdict not in events.PROVEN_NOT_RUN
-    call = call._replace(
-        attempts=tuple(other for other in call.attempts if other is not ended),
-        may_have_run=call.may_have_run or ran,
-    )
+    call = seconds.without(call, ended, event)
     state.routed.call_by_id[call.call_id] = call
     if call.attempts:
         return []
-    if _may_go_on(call):
+    if seconds.may_go_on(state, call, now_ms):
         return sending.begin(state, call, now_ms)
+    if call.held_attempt_id:
+        return ending.relay(state, call, call.held_attempt_id)
     return ending.refuse(state, call, outcomes.Reason.TARGET_LOST)
 
 
-def _may_go_on(call: routed.RoutedCall) -> bool:
-    if call.sends >= call.route.max_attempts:
-        return False
-    return call.route.idempotent or not call.may_have_run
-
-
 def _find(
     call: routed.RoutedCall | None,
     attempt_id: int,
--- /dev/null
+++ b/oleanderstair/domain/calls/seconds.py
@@ -0,0 +1,64 @@
+"""Says whether a call goes to another target after an attempt ended."""
+
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import events, world
+from oleanderstair.domain.calls import repeats
+from oleanderstair.domain.tables import calls, routed
+
+FIRST_FAILURE: typing.Final = 500
+"""The lowest status by which a target says that it failed."""
+
+_MOST_UNSENT: typing.Final = 3
+
+
+def is_final(call: routed.RoutedCall, event: events.AttemptEnded) -> bool:
+    """Return whether an answer is the one that the caller gets.
+
+    The failure of an idempotent call is kept back while another target may
+    still answer it.
+    """
+    if event.verdict is not events.Verdict.ANSWERED:
+        return False
+    return event.status < FIRST_FAILURE or not call.route.idempotent
+
+
+def without(
+    call: routed.RoutedCall,
+    ended: calls.Attempt,
+    event: events.AttemptEnded,
+) -> routed.RoutedCall:
+    """Return a call without an attempt that has not answered it."""
+    ran = event.verdict not in events.PROVEN_NOT_RUN
+    answered = event.verdict is events.Verdict.ANSWERED
+    unsent = event.verdict is events.Verdict.NOT_SENT
+    return call._replace(
+        attempts=tuple(other for other in call.attempts if other is not ended),
+        may_have_run=call.may_have_run or ran,
+        arrivals=call.arrivals - int(unsent),
+        held_attempt_id=(
+            event.attempt_id if answered else call.held_attempt_id
+        ),
+    )
+
+
+def may_go_on(
+    state: world.World,
+    call: routed.RoutedCall,
+    now_ms: clock.Millis,
+) -> bool:
+    """Return whether a call may be sent to one more target."""
+    if call.may_have_run and not call.route.idempotent:
+        return False
+    unsent = call.sends - call.arrivals
+    if call.arrivals >= call.route.max_attempts or unsent > _MOST_UNSENT:
+        return False
+    if not call.arrivals:
+        return True
+    return repeats.may_repeat(
+        state,
+        call.service,
+        repeats.FOR_RETRIES,
+        now_ms,
+    )
--- a/oleanderstair/domain/calls/sending.py
+++ b/oleanderstair/domain/calls/sending.py
@@ -2,9 +2,9 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, outcomes, world
-from oleanderstair.domain.calls import ending
+from oleanderstair.domain.calls import ending, hedges, repeats
 from oleanderstair.domain.tables import calls, load_reports, registry, routed
-from oleanderstair.domain.targets import sampling
+from oleanderstair.domain.targets import choosing, sampling
 
 
 def begin(
@@ -13,20 +13,35 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Ask targets for their load, or send at once where it is known."""
-    drawn = sampling.draw(state, call.service, call.tried_target_ids, now_ms)
-    call = call._replace(
-        stage=routed.Stage.SAMPLING,
-        sample=drawn.target_ids,
-        awaited=drawn.awaited,
-        round=call.round + 1,
+    drawn = sampling.draw_near(
+        state,
+        call.service,
+        call.tried_target_ids,
+        now_ms,
     )
-    state.routed.call_by_id[call.call_id] = call
-    if not drawn.target_ids:
-        return ending.refuse(state, call, outcomes.Reason.NO_TARGET)
-    if not drawn.awaited:
-        return _send(state, call, now_ms)
-    due = events.SampleDue(call.call_id, call.round)
-    return [*drawn.reads, actions.Schedule(due, sampling.BOUND_MS)]
+    call = call._replace(stage=routed.Stage.SAMPLING, widened=False)
+    return _await_reports(state, call, drawn, now_ms)
+
+
+def on_hedge_due(
+    state: world.World,
+    event: events.HedgeDue,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Ask targets for their load, to send a call to a second one."""
+    call = state.routed.call_by_id.get(event.call_id)
+    if call is None or call.stage is not routed.Stage.SENT:
+        return []
+    if call.sends != event.sends or not hedges.is_due(state, call, now_ms):
+        return []
+    drawn = sampling.draw_near(
+        state,
+        call.service,
+        call.tried_target_ids,
+        now_ms,
+    )
+    call = call._replace(stage=routed.Stage.HEDGING, widened=False)
+    return _await_reports(state, call, drawn, now_ms)
 
 
 def on_load_read(
@@ -36,13 +51,15 @@
 ) -> list[actions.Action]:
     """Send the calls that waited for this report alone."""
     done: list[actions.Action] = []
-    for call in tuple(state.routed.call_by_id.values()):
-        if event.target_id not in call.awaited:
+    waiting = state.routed.waiting_ids_by_target.pop(event.target_id, ())
+    for call_id in waiting:
+        call = state.routed.call_by_id.get(call_id)
+        if call is None or event.target_id not in call.awaited:
             continue
         call = call._replace(awaited=call.awaited - {event.target_id})
         state.routed.call_by_id[call.call_id] = call
-        if not call.awaited and call.stage is routed.Stage.SAMPLING:
-            done.extend(_send(state, call, now_ms))
+        if not call.awaited:
+            done.extend(_decide(state, call, now_ms))
     return done
 
 
@@ -53,58 +70,127 @@
 ) -> list[actions.Action]:
     """Send a call by the reports that came in time."""
     call = state.routed.call_by_id.get(event.call_id)
-    if call is None or call.stage is not routed.Stage.SAMPLING:
-        return []
-    if call.round != event.round:
+    if call is None or call.round != event.round or not call.awaited:
         return []
-    return _send(state, call, now_ms)
+    return _decide(state, call, now_ms)
+
+
+def _await_reports(
+    state: world.World,
+    call: routed.RoutedCall,
+    drawn: sampling.Sample,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    call = call._replace(
+        sample=(*call.sample, *drawn.target_ids)
+        if call.widened
+        else drawn.target_ids,
+        awaited=drawn.awaited,
+        round=call.round + 1,
+    )
+    state.routed.call_by_id[call.call_id] = call
+    if not drawn.awaited:
+        return [*drawn.reads, *_decide(state, call, now_ms)]
+    for target_id in drawn.awaited:
+        state.routed.waiting_ids_by_target.setdefault(target_id, []).append(
+            call.call_id,
+        )
+    due = events.SampleDue(call.call_id, call.round)
+    return [*drawn.reads, actions.Schedule(due, sampling.BOUND_MS)]
 
 
-def _send(
+def _decide(
     state: world.World,
     call: routed.RoutedCall,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    known = state.registry.entry_by_id
-    target_id = sampling.choose(
+    """Dispatch a call, or look further where no near target is quiet."""
+    call = call._replace(awaited=frozenset())
+    state.routed.call_by_id[call.call_id] = call
+    chosen = choosing.choose(
         state,
-        (found for found in call.sample if found in known),
+        call.sample,
+        call.route.idempotent,
+        now_ms,
     )
-    if target_id is None:
+    if not call.widened and (chosen is None or chosen.score > choosing.QUIET):
+        drawn = sampling.draw_far(
+            state,
+            call.service,
+            (*call.tried_target_ids, *call.sample),
+            now_ms,
+        )
+        if drawn.target_ids:
+            call = call._replace(widened=True)
+            return _await_reports(state, call, drawn, now_ms)
+    if call.stage is routed.Stage.HEDGING:
+        return _hedge(state, call, chosen, now_ms)
+    if chosen is None:
         return ending.refuse(state, call, outcomes.Reason.NO_TARGET)
-    return [_dispatch(state, call, known[target_id], now_ms)]
+    return _dispatch(state, call, chosen, now_ms)
+
+
+def _hedge(
+    state: world.World,
+    call: routed.RoutedCall,
+    chosen: choosing.Choice | None,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Send a call to a second target while the first is still at work."""
+    call = call._replace(stage=routed.Stage.SENT)
+    state.routed.call_by_id[call.call_id] = call
+    if chosen is None or not hedges.pays(state, call, chosen, now_ms):
+        return hedges.again(call)
+    return [
+        *_dispatch(state, call, chosen, now_ms),
+        actions.Count('hedges', call.service),
+    ]
 
 
 def _dispatch(
     state: world.World,
     call: routed.RoutedCall,
-    entry: registry.Entry,
+    chosen: choosing.Choice,
     now_ms: clock.Millis,
-) -> actions.Action:
-    attempt_id = state.routed.next_attempt_id
+) -> list[actions.Action]:
+    entry = state.registry.entry_by_id[chosen.target_id]
+    if call.arrivals:
+        repeats.spend(state, call.service, now_ms)
+    attempt = calls.Attempt(
+        state.routed.next_attempt_id,
+        entry.target_id,
+        now_ms,
+        hedge=bool(call.attempts),
+    )
     state.routed.next_attempt_id += 1
-    attempt = calls.Attempt(attempt_id, entry.target_id, now_ms)
-    state.routed.call_by_id[call.call_id] = call._replace(
+    call = call._replace(
         stage=routed.Stage.SENT,
         attempts=(*call.attempts, attempt),
         tried_target_ids=(*call.tried_target_ids, entry.target_id),
         sends=call.sends + 1,
+        arrivals=call.arrivals + 1,
     )
-    known = load_reports.load_of(state.loads, entry.target_id)
-    load_reports.put_load(
-        state.loads,
-        known._replace(
-            sent_since=known.sent_since + 1,
-            in_flight=known.in_flight + 1,
-        ),
-    )
+    state.routed.call_by_id[call.call_id] = call
+    _count_sent(state, entry)
     budget_ms = call.received.deadline_ms - now_ms
-    return actions.Dispatch(
+    sent = actions.Dispatch(
         call_id=call.call_id,
-        attempt_id=attempt_id,
+        attempt_id=attempt.attempt_id,
         target_id=entry.target_id,
         address=entry.address,
         fresh=not call.route.idempotent,
         silence_ms=budget_ms,
         budget_ms=budget_ms,
     )
+    return [sent, *hedges.schedule(state, call)]
+
+
+def _count_sent(state: world.World, entry: registry.Entry) -> None:
+    known = load_reports.load_of(state.loads, entry.target_id)
+    load_reports.put_load(
+        state.loads,
+        known._replace(
+            sent_since=known.sent_since + 1,
+            in_flight=known.in_flight + 1,
+        ),
+    )
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -37,6 +37,13 @@
     round: int
 
 
+class HedgeDue(typing.NamedTuple):
+    """A call that was sent ``sends`` times may be worth another target."""
+
+    call_id: int
+    sends: int
+
+
 class CallDue(typing.NamedTuple):
     """The deadline of a call, or the timeout of its route, has come."""
 
@@ -241,7 +248,13 @@
 
 
 CallEvent: typing.TypeAlias = (
-    CallReceived | SampleDue | CallDue | CallerLeft | AttemptEnded | HomeReplied
+    CallReceived
+    | SampleDue
+    | HedgeDue
+    | CallDue
+    | CallerLeft
+    | AttemptEnded
+    | HomeReplied
 )
 
 StoreEvent: typing.TypeAlias = (
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -17,6 +17,7 @@
     events.CallReceived: (routed.on_call,),
     events.LoadRead: (sampling.on_load_read, sending.on_load_read),
     events.SampleDue: (sending.on_sample_due,),
+    events.HedgeDue: (sending.on_hedge_due,),
     events.CallDue: (routed.on_call_due,),
     events.CallerLeft: (routed.on_caller_left,),
     events.AttemptEnded: (routed.on_attempt_ended,),
--- a/oleanderstair/domain/policy.py
+++ b/oleanderstair/domain/policy.py
@@ -34,3 +34,8 @@
     eject_share: float = 0.5
     suspect_ms: int = 300000
     choice: str = 'slots'
+    retry_ratio: float = 0.2
+    retry_slack: float = 0
+    retry_window_s: float = 10
+    assumed_instances: int = 24
+    probes_per_s: float = 60
--- /dev/null
+++ b/oleanderstair/domain/tables/latencies.py
@@ -0,0 +1,43 @@
+"""How long the last calls of each route took at their targets."""
+
+import collections
+import dataclasses
+import typing
+
+from oleanderstair import clock
+
+_KEPT: typing.Final = 64
+
+Spans: typing.TypeAlias = collections.deque[clock.Millis]
+
+
+@dataclasses.dataclass(slots=True)
+class LatenciesTable:
+    """The last latencies by route, the newest on the right."""
+
+    spans_by_route: dict[str, Spans] = dataclasses.field(default_factory=dict)
+
+
+def create() -> LatenciesTable:
+    """Create a table without latencies."""
+    return LatenciesTable()
+
+
+def add(
+    table: LatenciesTable,
+    route: str,
+    span_ms: clock.Millis,
+) -> None:
+    """Add the latency of one call of a route; old ones go."""
+    spans = table.spans_by_route.get(route)
+    if spans is None:
+        spans = table.spans_by_route.setdefault(
+            route,
+            collections.deque(maxlen=_KEPT),
+        )
+    spans.append(span_ms)
+
+
+def sorted_of(table: LatenciesTable, route: str) -> list[clock.Millis]:
+    """Return the last latencies of a route, the shortest first."""
+    return sorted(table.spans_by_route.get(route, ()))
--- a/oleanderstair/domain/tables/load_reports.py
+++ b/oleanderstair/domain/tables/load_reports.py
@@ -1,4 +1,4 @@
-"""What is known at the moment of each target's load."""
+"""What is known at the moment of each target's load, and of its trust."""
 
 import dataclasses
 import typing
@@ -23,6 +23,10 @@
     """The newest report of a target and what happened since.
 
     ``sent_since`` counts this instance's dispatches after the report.
+    ``pace`` is how long the target's answers took, as a multiple of the
+    usual, and ``doubt`` rises with its failures; both fade with time.
+    ``bars`` counts how often in a row it was barred, and ``reads_left`` is
+    how often this instance may still measure it.
     """
 
     target_id: str
@@ -30,16 +34,39 @@
     reported_at_ms: clock.Millis = clock.NEVER_MS
     sent_since: int = 0
     in_flight: int = 0
-    failures_in_row: int = 0
+    pace: float = 1.0
+    paced_at_ms: clock.Millis = clock.NEVER_MS
+    doubt: float = 0
+    doubted_at_ms: clock.Millis = clock.NEVER_MS
+    bars: int = 0
     barred_until_ms: clock.Millis = clock.NEVER_MS
+    silent_until_ms: clock.Millis = clock.NEVER_MS
+    reads_left: float = 0
+    refilled_at_ms: clock.Millis = clock.NEVER_MS
+
+
+Place: typing.TypeAlias = tuple[str, str]
 
 
 @dataclasses.dataclass(slots=True)
 class LoadsTable:
-    """Loads by target, and the targets whose report is being read."""
+    """Loads by target, and since when a report is being read.
+
+    ``ids_by_place`` are the registered targets by service and data centre,
+    worked out from ``indexed``.
+    """
 
     load_by_id: dict[str, Load] = dataclasses.field(default_factory=dict)
-    reading_ids: set[str] = dataclasses.field(default_factory=set)
+    asked_at_ms_by_id: dict[str, clock.Millis] = dataclasses.field(
+        default_factory=dict,
+    )
+    ids_by_place: dict[Place, tuple[str, ...]] = dataclasses.field(
+        default_factory=dict,
+    )
+    far_ids_by_service: dict[str, tuple[str, ...]] = dataclasses.field(
+        default_factory=dict,
+    )
+    indexed: dict[str, tuple[str, ...]] | None = None
 
 
 def create() -> LoadsTable:
--- a/oleanderstair/domain/tables/routed.py
+++ b/oleanderstair/domain/tables/routed.py
@@ -15,6 +15,7 @@
     SAMPLING = 'sampling'
     QUEUED = 'queued'
     SENT = 'sent'
+    HEDGING = 'hedging'
 
 
 class RoutedCall(typing.NamedTuple):
@@ -22,8 +23,11 @@
 
     ``due_at_ms`` is when it must be ended: at its deadline or at the
     timeout of its route. ``sample`` are the targets to choose from, and
-    ``awaited`` those whose report is still being read. ``sends`` counts the
-    targets that it was sent to.
+    ``awaited`` those whose report is still being read; ``widened`` is true
+    once other data centres are among them. ``sends`` counts the targets that
+    it was sent to, and ``arrivals`` those that it may have reached.
+    ``held_attempt_id`` is the attempt with the failure that is relayed if no
+    target answers better, 0 where there is none.
     """
 
     received: events.CallReceived
@@ -38,6 +42,9 @@
     attempts: tuple[calls.Attempt, ...] = ()
     tried_target_ids: tuple[str, ...] = ()
     sends: int = 0
+    arrivals: int = 0
+    widened: bool = False
+    held_attempt_id: int = 0
     may_have_run: bool = False
 
     @property
@@ -48,9 +55,12 @@
 
 @dataclasses.dataclass(slots=True)
 class RoutedTable:
-    """Routed calls by id."""
+    """Routed calls by id, and those that wait for a target's report."""
 
     call_by_id: dict[int, RoutedCall] = dataclasses.field(default_factory=dict)
+    waiting_ids_by_target: dict[str, list[int]] = dataclasses.field(
+        default_factory=dict,
+    )
     next_attempt_id: int = 1
 
 
--- a/oleanderstair/domain/targets/sampling.py
+++ b/oleanderstair/domain/targets/sampling.py
@@ -1,7 +1,9 @@
-"""Chooses a target by load reports read just before the dispatch.
+"""Draws targets for a call, and has them report just before its dispatch.
 
 Neighbours slow a target several times a second, so that only a report of
-the last moments tells which targets are quick now.
+the last moments tells which targets are quick now. Reads are shared by the
+calls of the same moment, and stay within this instance's part of what all
+may measure a target.
 """
 
 import typing
@@ -9,6 +11,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, world
 from oleanderstair.domain.tables import load_reports, registry
+from oleanderstair.domain.targets import places, trust
 
 SAMPLE_SIZE: typing.Final = 8
 """How many targets are compared for one call."""
@@ -22,8 +25,15 @@
 READ_BOUND_MS: typing.Final = 500
 """When a read of a load report is given up."""
 
-_CROWDING: typing.Final = 0.5
-"""How much slower a target gets, at most, as its slots fill."""
+_SILENT_MS: typing.Final = 250
+"""How long a target is not asked again after it did not answer."""
+
+_MOST_BARRED: typing.Final = 0.5
+"""The share of barred targets above which bars are not believed."""
+
+_MEASURING_MARGIN: typing.Final = 0.8
+_RESERVE_S: typing.Final = 5
+_MS_PER_S: typing.Final = 1000
 
 
 class Sample(typing.NamedTuple):
@@ -34,41 +44,32 @@
     reads: list[actions.Action]
 
 
-def draw(
+def draw_near(
     state: world.World,
     service: str,
     tried_ids: tuple[str, ...],
     now_ms: clock.Millis,
 ) -> Sample:
-    """Draw targets of a service, those of the own data centre first."""
-    usable = [
-        state.registry.entry_by_id[target_id]
-        for target_id in state.registry.ids_by_service.get(service, ())
-        if target_id not in tried_ids and _is_usable(state, target_id, now_ms)
-    ]
-    state.rng.shuffle(usable)
-    own = state.identity.data_centre
-    usable.sort(key=lambda entry: entry.data_centre != own)
-    near = [entry for entry in usable if entry.data_centre == own]
-    drawn = (near or usable)[:SAMPLE_SIZE]
-    stale = [entry for entry in drawn if not _is_fresh(state, entry, now_ms)]
-    return Sample(
-        tuple(entry.target_id for entry in drawn),
-        frozenset(entry.target_id for entry in stale),
-        _reads(state, stale),
+    """Draw targets of the own data centre, or others where it has none."""
+    near = _usable(state, places.near_ids(state, service), tried_ids, now_ms)
+    drawn = near or _usable(
+        state,
+        places.far_ids(state, service),
+        tried_ids,
+        now_ms,
     )
+    return _sample(state, drawn, now_ms)
 
 
-def choose(
+def draw_far(
     state: world.World,
-    target_ids: typing.Iterable[str],
-) -> str | None:
-    """Return the target that would answer soonest."""
-    return min(
-        target_ids,
-        key=lambda found: (_slowness(state, found), state.rng.random()),
-        default=None,
-    )
+    service: str,
+    tried_ids: tuple[str, ...],
+    now_ms: clock.Millis,
+) -> Sample:
+    """Draw targets of the other data centres."""
+    far = _usable(state, places.far_ids(state, service), tried_ids, now_ms)
+    return _sample(state, far, now_ms)
 
 
 def on_load_read(
@@ -76,10 +77,16 @@
     event: events.LoadRead,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Keep what a target told of its load."""
-    state.loads.reading_ids.discard(event.target_id)
+    """Keep what a target told of its load, or that it told nothing."""
+    state.loads.asked_at_ms_by_id.pop(event.target_id, None)
     if event.report is not None:
         keep(state, event.target_id, event.report, now_ms)
+        return []
+    known = load_reports.load_of(state.loads, event.target_id)
+    load_reports.put_load(
+        state.loads,
+        known._replace(report=None, silent_until_ms=now_ms + _SILENT_MS),
+    )
     return []
 
 
@@ -93,62 +100,123 @@
     known = load_reports.load_of(state.loads, target_id)
     load_reports.put_load(
         state.loads,
-        known._replace(report=report, reported_at_ms=now_ms, sent_since=0),
+        known._replace(
+            report=report,
+            reported_at_ms=now_ms,
+            sent_since=0,
+            silent_until_ms=clock.NEVER_MS,
+        ),
     )
 
 
-def _is_usable(
+def _usable(
     state: world.World,
-    target_id: str,
+    target_ids: tuple[str, ...],
+    tried_ids: tuple[str, ...],
     now_ms: clock.Millis,
-) -> bool:
-    if state.registry.entry_by_id[target_id].leaving:
-        return False
-    return (
-        now_ms >= load_reports.load_of(state.loads, target_id).barred_until_ms
+) -> list[registry.Entry]:
+    """Return some of the targets that may take a call now.
+
+    Barred ones are left out, unless so many are that bars mean little.
+    """
+    looked_at = min(len(target_ids), 2 * SAMPLE_SIZE)
+    found = [
+        state.registry.entry_by_id[target_id]
+        for target_id in state.rng.sample(target_ids, looked_at)
+        if target_id not in tried_ids
+    ]
+    staying = [entry for entry in found if not entry.leaving]
+    free = [
+        entry
+        for entry in staying
+        if not trust.is_barred(
+            load_reports.load_of(state.loads, entry.target_id),
+            now_ms,
+        )
+    ]
+    if len(free) < len(staying) * _MOST_BARRED:
+        free = staying
+    return free[:SAMPLE_SIZE]
+
+
+def _sample(
+    state: world.World,
+    drawn: list[registry.Entry],
+    now_ms: clock.Millis,
+) -> Sample:
+    reads: list[actions.Action] = []
+    awaited: list[str] = []
+    for entry in drawn:
+        asked_at_ms = state.loads.asked_at_ms_by_id.get(entry.target_id)
+        if asked_at_ms is not None:
+            # A target that is silent so far holds up no further call.
+            if now_ms - asked_at_ms <= BOUND_MS:
+                awaited.append(entry.target_id)
+            continue
+        reading = _read(state, entry, now_ms)
+        if reading is not None:
+            reads.append(reading)
+            awaited.append(entry.target_id)
+    return Sample(
+        tuple(chosen.target_id for chosen in drawn),
+        frozenset(awaited),
+        reads,
     )
 
 
-def _is_fresh(
+def _read(
     state: world.World,
     entry: registry.Entry,
     now_ms: clock.Millis,
-) -> bool:
+) -> actions.Action | None:
+    """Return the read of a report that is old, where one is left."""
     known = load_reports.load_of(state.loads, entry.target_id)
-    return now_ms - known.reported_at_ms <= FRESH_MS
+    if now_ms - known.reported_at_ms <= FRESH_MS:
+        return None
+    routing = state.routes.in_force
+    service = routing.service_by_name.get(entry.service) if routing else None
+    if service is None or now_ms < known.silent_until_ms:
+        return None
+    known = _refill(state, known, now_ms)
+    load_reports.put_load(
+        state.loads,
+        known._replace(reads_left=max(known.reads_left - 1, 0)),
+    )
+    if known.reads_left < 1:
+        return None
+    state.loads.asked_at_ms_by_id[entry.target_id] = now_ms
+    return actions.ReadLoad(
+        entry.target_id,
+        entry.address,
+        service.health_path,
+        READ_BOUND_MS,
+    )
 
 
-def _reads(
+def _refill(
     state: world.World,
-    stale: list[registry.Entry],
-) -> list[actions.Action]:
-    routing = state.routes.in_force
-    reads: list[actions.Action] = []
-    for entry in stale:
-        service = (
-            routing.service_by_name.get(entry.service) if routing else None
-        )
-        if service is None or entry.target_id in state.loads.reading_ids:
-            continue
-        state.loads.reading_ids.add(entry.target_id)
-        reads.append(
-            actions.ReadLoad(
-                entry.target_id,
-                entry.address,
-                service.health_path,
-                READ_BOUND_MS,
-            ),
-        )
-    return reads
+    known: load_reports.Load,
+    now_ms: clock.Millis,
+) -> load_reports.Load:
+    """Add the reads that this instance has earned since it last asked."""
+    per_s = _own_reads_per_s(state)
+    most = per_s * _RESERVE_S
+    if known.refilled_at_ms == clock.NEVER_MS:
+        return known._replace(reads_left=max(most, 1), refilled_at_ms=now_ms)
+    earned = per_s * (now_ms - known.refilled_at_ms) / _MS_PER_S
+    return known._replace(
+        reads_left=min(known.reads_left + earned, max(most, 1)),
+        refilled_at_ms=now_ms,
+    )
 
 
-def _slowness(state: world.World, target_id: str) -> float:
-    """Return how many times its usual time a call would take there."""
-    known = load_reports.load_of(state.loads, target_id)
-    report = known.report
-    if report is None:
-        return float('inf')
-    busy = report.running + report.waiting + known.sent_since
-    fill = busy / max(report.slots, 1)
-    waits = max(fill - 1 + 1 / max(report.slots, 1), 0)
-    return report.slowness * (1 + _CROWDING * min(fill, 1) + waits)
+def _own_reads_per_s(state: world.World) -> float:
+    """Return how often a second this instance may measure a target.
+
+    A target is measured by the instances of its own data centre for the
+    most part, so each of these has a larger part than an equal one.
+    """
+    limits = state.policy
+    count = max(state.instances.largest_count, limits.assumed_instances)
+    near = max(count / places.count(state), 1)
+    return _MEASURING_MARGIN * limits.probes_per_s / near
--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -12,9 +12,11 @@
     identity,
     instances,
     keys,
+    latencies,
     load_reports,
     reads,
     registry,
+    repeats,
     routed,
     routes,
     services,
@@ -52,6 +54,8 @@
     registry: registry.RegistryTable
     loads: load_reports.LoadsTable
     routed: routed.RoutedTable
+    repeats: repeats.RepeatsTable
+    latencies: latencies.LatenciesTable
     store: store.StoreTable
 
 
@@ -81,5 +85,7 @@
         registry=registry.create(),
         loads=load_reports.create(),
         routed=routed.create(),
+        repeats=repeats.create(),
+        latencies=latencies.create(),
         store=store.create(),
     )
--- a/oleanderstair/settings.py
+++ b/oleanderstair/settings.py
@@ -20,6 +20,7 @@
 _COUNT = typing.Annotated[int, msgspec.Meta(ge=0)]
 _POSITIVE = typing.Annotated[int, msgspec.Meta(ge=1)]
 _SHARE = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
+_AMOUNT = typing.Annotated[float, msgspec.Meta(ge=0)]
 _NAME = typing.Annotated[
     str,
     msgspec.Meta(pattern='^[a-z0-9][a-z0-9-]{0,62}$'),
@@ -133,7 +134,7 @@
         is_span = name.endswith('_ms') and policy.Policy._field_defaults[name]
         return name, _POSITIVE if is_span else _COUNT
     if kind is float:
-        return name, _SHARE
+        return name, _SHARE if name.endswith('_share') else _AMOUNT
     return name, kind
 
 
--- /dev/null
+++ b/test/targets_scene.py
@@ -0,0 +1,330 @@
+"""Instances that carry routed calls to targets on one virtual clock."""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import actions, events, gateway, world
+from oleanderstair.domain.configuration import routing
+from oleanderstair.domain.tables import load_reports, registry, routes
+from test import helper
+
+SERVICE = 'burza'
+HOST = 'exchange.example'
+READ_MS = 1.0
+OWN = 'trnava'
+
+
+class Told(typing.NamedTuple):
+    """What a target makes of one dispatch, ``after_ms`` it arrived."""
+
+    after_ms: float
+    verdict: events.Verdict = events.Verdict.ANSWERED
+    status: int = 200
+    misdirected: bool = False
+
+
+@dataclasses.dataclass
+class Target:
+    """A target with slots, whose neighbours slow it."""
+
+    target_id: str
+    data_centre: str = OWN
+    slots: int = 4
+    work_ms: float = 100
+    slowness: float = 1
+    reports: bool = True
+    running: int = 0
+    behave: typing.Callable[['Target'], Told] | None = None
+
+    def report(self) -> load_reports.Report:
+        """Return the load as the health path tells it."""
+        return load_reports.Report(self.running, 0, self.slots, self.slowness)
+
+    def take(self) -> Told:
+        """Return what becomes of a dispatch that arrives now."""
+        if self.behave is not None:
+            return self.behave(self)
+        return Told(self.work_ms * self.slowness)
+
+
+class Sent(typing.NamedTuple):
+    """One dispatch, at which the target ran or shed a call."""
+
+    at_ms: float
+    instance_id: str
+    call_id: int
+    target_id: str
+    budget_ms: float
+
+
+@dataclasses.dataclass
+class Scene:
+    """Worlds, targets and the events that are due."""
+
+    target_by_id: dict[str, Target]
+    state_by_id: dict[str, world.World] = dataclasses.field(
+        default_factory=dict,
+    )
+    now_ms: float = 100_000
+    sent: list[Sent] = dataclasses.field(default_factory=list)
+    reads: list[tuple[float, str]] = dataclasses.field(default_factory=list)
+    ended: dict[tuple[str, int], tuple[float, actions.Action]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    due: list[tuple[float, int, str, typing.Any]] = dataclasses.field(
+        default_factory=list,
+    )
+    cancelled: set[tuple[str, int]] = dataclasses.field(default_factory=set)
+    counter: typing.Iterator[int] = dataclasses.field(
+        default_factory=itertools.count,
+    )
+    rng: random.Random = dataclasses.field(
+        default_factory=lambda: random.Random(7),
+    )
+
+    def call(self, instance_id: str, path: str = '/look/1') -> int:
+        """Let a call arrive now and return its id."""
+        call_id = next(self.counter) + 1
+        received = events.CallReceived(
+            call_id=call_id,
+            service='',
+            method='GET',
+            path=path,
+            deadline_ms=self.now_ms + 1000,
+            host=HOST,
+        )
+        self._step(instance_id, received)
+        return call_id
+
+    def run_for(self, span_ms: float) -> None:
+        """Handle what is due within a span."""
+        until_ms = self.now_ms + span_ms
+        while self.due and self.due[0][0] <= until_ms:
+            found = heapq.heappop(self.due)
+            self.now_ms = found[0]
+            if callable(found[3]):
+                found[3]()
+            else:
+                self._step(found[2], found[3])
+        self.now_ms = until_ms
+
+    def answered(self, instance_id: str, call_id: int) -> bool:
+        """Return whether a call got the answer of a target."""
+        _, action = self.ended.get((instance_id, call_id), (0, None))
+        return isinstance(action, actions.Relay)
+
+    def sent_of(self, call_id: int) -> list[str]:
+        """Return the targets that a call went to, in order."""
+        return [sent.target_id for sent in self.sent if sent.call_id == call_id]
+
+    def most_repeats(self, window_ms: float) -> int:
+        """Return the most repeats that any window holds."""
+        firsts: set[int] = set()
+        repeated: collections.deque[float] = collections.deque()
+        most = 0
+        for sent in self.sent:
+            if sent.call_id not in firsts:
+                firsts.add(sent.call_id)
+                continue
+            repeated.append(sent.at_ms)
+            while repeated[0] <= sent.at_ms - window_ms:
+                repeated.popleft()
+            most = max(most, len(repeated))
+        return most
+
+    def register(self, *entries: registry.Entry) -> None:
+        """Tell all instances of targets, beside those that they know."""
+        for instance_id, state in self.state_by_id.items():
+            told = events.RegistryChanged(
+                state.registry.revision + 1,
+                entries,
+                (),
+            )
+            self._step(instance_id, told)
+
+    def after(
+        self,
+        after_ms: float,
+        instance_id: str,
+        event: typing.Any,
+    ) -> None:
+        """Handle an event, or run a function, later."""
+        heapq.heappush(
+            self.due,
+            (self.now_ms + after_ms, next(self.counter), instance_id, event),
+        )
+
+    def _step(self, instance_id: str, event: events.Event) -> None:
+        state = self.state_by_id[instance_id]
+        for action in gateway.step(state, event, self.now_ms):
+            self._perform(instance_id, action)
+
+    def _perform(self, instance_id: str, action: actions.Action) -> None:
+        match action:
+            case actions.Schedule():
+                self.after(action.after_ms, instance_id, action.event)
+            case actions.ReadLoad():
+                self._read(instance_id, action)
+            case actions.Dispatch():
+                self._dispatch(instance_id, action)
+            case actions.CancelAttempt():
+                self.cancelled.add((instance_id, action.attempt_id))
+            case actions.Relay() | actions.Refuse():
+                key = (instance_id, action.call_id)
+                self.ended[key] = (self.now_ms, action)
+
+    def _read(self, instance_id: str, action: actions.ReadLoad) -> None:
+        self.reads.append((self.now_ms, action.target_id))
+        target = self.target_by_id[action.target_id]
+        report = target.report() if target.reports else None
+        after_ms = READ_MS if target.reports else action.bound_ms
+        event = events.LoadRead(action.target_id, report, after_ms)
+        self.after(after_ms, instance_id, event)
+
+    def _dispatch(self, instance_id: str, action: actions.Dispatch) -> None:
+        target = self.target_by_id[action.target_id]
+        told = target.take()
+        if told.verdict is not events.Verdict.NOT_SENT:
+            self.sent.append(
+                Sent(
+                    self.now_ms,
+                    instance_id,
+                    action.call_id,
+                    action.target_id,
+                    action.budget_ms,
+                ),
+            )
+        target.running += 1
+
+        def end() -> None:
+            target.running -= 1
+            if (instance_id, action.attempt_id) in self.cancelled:
+                return
+            event = events.AttemptEnded(
+                action.call_id,
+                action.attempt_id,
+                told.verdict,
+                told.status,
+                load=target.report(),
+                misdirected=told.misdirected,
+            )
+            self._step(instance_id, event)
+
+        self.after(min(told.after_ms, action.silence_ms), instance_id, end)
+
+
+def entry_of(
+    target: Target,
+    revision: int = 1,
+    warm_at_ms: clock.Millis = 0,
+) -> registry.Entry:
+    """Return a target as the registry names it."""
+    return registry.Entry(
+        target_id=target.target_id,
+        service=SERVICE,
+        address=f'{target.target_id}:80',
+        data_centre=target.data_centre,
+        slots=target.slots,
+        leaving=False,
+        born_ms=1,
+        warm_at_ms=warm_at_ms,
+        revision=revision,
+    )
+
+
+def create(
+    targets: typing.Iterable[Target],
+    instances: int = 1,
+    max_attempts: int = 3,
+    **limits: typing.Any,
+) -> Scene:
+    """Return instances of one data centre that know all targets."""
+    limits.setdefault('retry_slack', 75)
+    limits.setdefault('assumed_instances', instances)
+    scene = Scene({target.target_id: target for target in targets})
+    entries = tuple(map(entry_of, scene.target_by_id.values()))
+    for number in range(1, instances + 1):
+        state = helper.make_world(f'entry-{number}', **limits)
+        state.rng.seed(number)
+        state.repeats.since_ms = 0
+        scene.state_by_id[f'entry-{number}'] = state
+        for event in (
+            events.RoutingRead(_routing(max_attempts), 'store'),
+            events.RegistryRead(1, entries),
+        ):
+            gateway.step(state, event, scene.now_ms)
+    return scene
+
+
+def always(told: Told) -> typing.Callable[[Target], Told]:
+    """Return the behaviour of a target that always does the same."""
+
+    def behave(target: Target) -> Told:
+        return told
+
+    return behave
+
+
+def many(count: int = 6, work_ms: float = 100) -> list[Target]:
+    """Return targets of the own data centre."""
+    return [
+        Target(f'burza-{number}', work_ms=work_ms)
+        for number in range(1, count + 1)
+    ]
+
+
+def steady(
+    scene: Scene,
+    per_s: float,
+    for_ms: float,
+    path: str = '/look/1',
+) -> list[tuple[str, int]]:
+    """Send calls at even times, to the instances in turn."""
+    ids = itertools.cycle(scene.state_by_id)
+    made: list[tuple[str, int]] = []
+    for _ in range(int(per_s * for_ms / 1000)):
+        instance_id = next(ids)
+        made.append((instance_id, scene.call(instance_id, path)))
+        scene.run_for(1000 / per_s)
+    scene.run_for(2000)
+    return made
+
+
+def _routing(max_attempts: int) -> routes.Routing:
+    return routes.Routing(
+        number=1,
+        routes_by_host=routing.index(
+            [
+                _route('lookup', '/look/', max_attempts, idempotent=True),
+                _route('order', '/order/', max_attempts, idempotent=False),
+            ],
+        ),
+        service_by_name={
+            SERVICE: routes.RoutedService(SERVICE, '/health', 300),
+        },
+        limits=routes.CallerLimits(),
+    )
+
+
+def _route(
+    name: str,
+    prefix: str,
+    max_attempts: int,
+    idempotent: bool,
+) -> routes.Route:
+    return routes.Route(
+        name=name,
+        host=HOST,
+        prefix=prefix,
+        parts=(routes.Part(SERVICE, 1),),
+        idempotent=idempotent,
+        timeout_ms=1000,
+        aim_ms=300,
+        rank=1,
+        max_attempts=max_attempts,
+    )
--- /dev/null
+++ b/test/test_choosing.py
@@ -0,0 +1,141 @@
+"""Where a call goes: by reports, by trust and by place."""
+
+from oleanderstair.domain import events
+from test import targets_scene
+
+
+def _percent(scene: targets_scene.Scene, target_id: str) -> int:
+    found = [sent for sent in scene.sent if sent.target_id == target_id]
+    return 100 * len(found) // len(scene.sent)
+
+
+def test_noisy_neighbours_are_avoided_by_reports_of_the_moment() -> None:
+    targets = targets_scene.many()
+    scene = targets_scene.create(targets)
+    quick = 0
+    for number in range(60):
+        for target in targets:
+            target.slowness = scene.rng.choice((1, 1, 5))
+        targets[number % 6].slowness = 1
+        call_id = scene.call('entry-1')
+        scene.run_for(150)
+        sent_to = scene.sent_of(call_id)[0]
+        quick += scene.target_by_id[sent_to].slowness == 1
+    assert quick > 55
+
+
+def test_a_target_that_does_not_report_counts_as_slow() -> None:
+    targets = targets_scene.many()
+    targets[0].reports = False
+    scene = targets_scene.create(targets)
+    targets_scene.steady(scene, per_s=20, for_ms=3000)
+    assert _percent(scene, 'burza-1') == 0
+
+
+def test_a_silent_target_holds_up_few_calls() -> None:
+    targets = targets_scene.many()
+    targets[0].reports = False
+    scene = targets_scene.create(targets)
+    held_up = 0
+    for _ in range(20):
+        started_ms = scene.now_ms
+        call_id = scene.call('entry-1')
+        scene.run_for(50)
+        sent = [found for found in scene.sent if found.call_id == call_id]
+        held_up += sent[0].at_ms - started_ms > 5
+    assert held_up <= 3
+
+
+def test_a_target_that_fails_fast_is_out_within_a_few_calls() -> None:
+    targets = targets_scene.many()
+    targets[0].behave = targets_scene.always(targets_scene.Told(1, status=500))
+    scene = targets_scene.create(targets)
+    targets_scene.steady(scene, per_s=20, for_ms=5000)
+    assert _percent(scene, 'burza-1') < 6
+
+
+def test_a_target_that_works_again_comes_back_by_evidence() -> None:
+    targets = targets_scene.many()
+    targets[0].behave = targets_scene.always(targets_scene.Told(1, status=500))
+    scene = targets_scene.create(targets)
+    targets_scene.steady(scene, per_s=20, for_ms=5000)
+    targets[0].behave = None
+    scene.run_for(9000)
+    scene.sent.clear()
+    targets_scene.steady(scene, per_s=20, for_ms=10_000)
+    assert _percent(scene, 'burza-1') > 4
+
+
+def test_bars_are_not_believed_where_most_targets_fail() -> None:
+    targets = targets_scene.many()
+    for target in targets[:5]:
+        target.behave = targets_scene.always(
+            targets_scene.Told(
+                1,
+                events.Verdict.BROKEN,
+            )
+        )
+    scene = targets_scene.create(targets)
+    targets_scene.steady(scene, per_s=20, for_ms=5000)
+    targets[5].reports = False
+    for target in targets[:5]:
+        target.behave = None
+    made = targets_scene.steady(scene, per_s=20, for_ms=3000)
+    served = sum(scene.answered(*call) for call in made)
+    assert served > 9 * len(made) // 10
+
+
+def test_a_target_slower_than_it_says_is_learned_by_its_answers() -> None:
+    targets = targets_scene.many()
+    targets[0].behave = targets_scene.always(targets_scene.Told(500))
+    scene = targets_scene.create(targets)
+    targets_scene.steady(scene, per_s=20, for_ms=10_000)
+    assert _percent(scene, 'burza-1') < 10
+
+
+def test_an_address_with_another_owner_is_left_at_once() -> None:
+    targets = targets_scene.many()
+    targets[0].behave = targets_scene.always(
+        targets_scene.Told(
+            1,
+            events.Verdict.SHED,
+            421,
+            misdirected=True,
+        )
+    )
+    scene = targets_scene.create(targets)
+    made = targets_scene.steady(scene, 20, 4000, '/order/1')
+    assert all(scene.answered(*call) for call in made)
+    assert _percent(scene, 'burza-1') < 5
+
+
+def test_another_data_centre_helps_where_the_own_one_is_slow() -> None:
+    targets = targets_scene.many(2)
+    far = [
+        targets_scene.Target(f'far-{number}', data_centre='nitra')
+        for number in range(1, 5)
+    ]
+    scene = targets_scene.create([*targets, *far])
+    targets_scene.steady(scene, per_s=10, for_ms=2000)
+    assert not any(sent.target_id.startswith('far') for sent in scene.sent)
+    for target in targets:
+        target.slowness = 5
+    scene.run_for(1000)
+    scene.sent.clear()
+    targets_scene.steady(scene, per_s=10, for_ms=2000)
+    assert all(sent.target_id.startswith('far') for sent in scene.sent)
+
+
+def test_measuring_stays_in_its_budget() -> None:
+    targets = targets_scene.many()
+    scene = targets_scene.create(targets, instances=10, probes_per_s=60.0)
+    targets_scene.steady(scene, per_s=400, for_ms=10_000)
+    per_target_s = len(scene.reads) / len(targets) / 10
+    assert per_target_s <= 60
+
+
+def test_many_targets_are_sampled_and_not_all_read() -> None:
+    targets = targets_scene.many(1800)
+    scene = targets_scene.create(targets)
+    scene.call('entry-1')
+    assert len(scene.reads) <= 8
