--- a/oleanderstair/domain/policy.py
+++ b/oleanderstair/domain/policy.py
@@ -35,3 +35,8 @@
     suspect_ms: int = 300000
     choice: str = 'slots'
     stop_grace_s: float = 30.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 0
+    retry_window_s: float = 10
+    assumed_instances: int = 24
+    probes_per_s: float = 60
