--- a/oleanderstair/engine/core.py
+++ b/oleanderstair/engine/core.py
@@ -201,6 +201,8 @@
         self.metrics.observe(action.name, action.label, action.span_ms)
 
     def _exit(self, action: actions.Exit) -> None:
+        if self.exit.is_set():
+            return
         logs.event('stopped', instance=self.state.identity.incarnation)
         self.exit.set()
 
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -4,7 +4,6 @@
 import random
 import secrets
 import socket
-import time
 import typing
 
 import anyio
@@ -28,7 +27,6 @@
 """How fresh an answer proves a connection for a call that runs once."""
 
 _SEED_BITS: typing.Final = 64
-_MS_PER_S: typing.Final = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,11 +52,7 @@
             self.carrier = self._create_shell(tasks)
             tasks.start_soon(self.carrier.run_ticks)
             tasks.start_soon(self.carrier.run_peers)
-            logs.event(
-                'started',
-                instance=self.identity.incarnation,
-                processor_ms=round(time.process_time() * _MS_PER_S),
-            )
+            logs.event('started', instance=self.identity.incarnation)
             await self._listen(self.carrier)
             tasks.cancel_scope.cancel()
 
