--- a/oleanderstair/domain/actions.py
+++ b/oleanderstair/domain/actions.py
@@ -125,17 +125,24 @@
 
 
 class ReadStore(typing.NamedTuple):
-    """Read the whole of the configuration and of the registry."""
+    """Read the whole of the configuration and of the registry.
+
+    A page has failed after ``bound_ms``.
+    """
+
+    bound_ms: clock.Millis
 
 
 class WatchStore(typing.NamedTuple):
     """Wait until something changes after a revision of the store.
 
-    The watch ends empty after ``bound_ms``.
+    The watch ends empty after ``bound_ms``, and has failed ``slack_ms``
+    later.
     """
 
     after_revision: int
     bound_ms: clock.Millis
+    slack_ms: clock.Millis
 
 
 class ReadLoad(typing.NamedTuple):
--- a/oleanderstair/domain/configuration/routing.py
+++ b/oleanderstair/domain/configuration/routing.py
@@ -6,6 +6,9 @@
 from oleanderstair.domain import actions, events, world
 from oleanderstair.domain.tables import routes
 
+SPLIT_LIMIT: typing.Final = 1024
+"""How many splits of routes are remembered."""
+
 
 def on_routing(
     state: world.World,
@@ -55,14 +58,34 @@
 
 
 def pick_service(state: world.World, route: routes.Route) -> str:
-    """Return one of the route's services, by their weights."""
+    """Return one of the route's services, so that weights hold soon.
+
+    Each part earns its share of every call, and the one that is owed most
+    pays. Instances begin at drawn credits, so that their errors differ.
+    """
     if len(route.parts) == 1:
         return route.parts[0].service
-    drawn = state.rng.choices(
-        route.parts,
-        weights=[part.weight for part in route.parts],
-    )
-    return drawn[0].service
+    credits = _credits(state, route)
+    whole = sum(part.weight for part in route.parts)
+    for part in route.parts:
+        credits[part.service] += part.weight / whole
+    chosen = max(credits, key=credits.__getitem__)
+    credits[chosen] -= 1
+    return chosen
+
+
+def _credits(state: world.World, route: routes.Route) -> dict[str, float]:
+    """Return what each part of a route is owed, kept for as long as split."""
+    table = state.routes.credit_by_parts
+    key = (route.name, route.parts)
+    if key not in table:
+        while len(table) >= SPLIT_LIMIT:
+            table.pop(next(iter(table)))
+        table[key] = {
+            part.service: state.rng.uniform(-1 / 2, 1 / 2)
+            for part in route.parts
+        }
+    return table[key]
 
 
 def _prefix_length(route: routes.Route) -> int:
--- a/oleanderstair/domain/configuration/watching.py
+++ b/oleanderstair/domain/configuration/watching.py
@@ -1,22 +1,53 @@
-"""Reads the platform's store once, then watches it for changes."""
+"""When this instance reads the platform's store itself.
+
+Two instances in different data centres watch the store and tell the others.
+Each of the others reads for itself as soon as what it knows has not been
+confirmed for a time, one after the other in the readers' order.
+"""
 
 import typing
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, world
+from oleanderstair.domain.configuration import telling
+from oleanderstair.domain.fleet import meeting, members
 from oleanderstair.domain.tables import routes
 
+READERS: typing.Final = 2
+
+CYCLE_MS: typing.Final = 1000
+"""How often a reader confirms that nothing else has changed."""
+
 PAUSE_MS: typing.Final = 300
-"""The pause between two watches; it merges changes that come in a burst."""
+"""The pause after a change; it merges changes that come in a burst."""
+
+TRUST_MS: typing.Final = 1350
+"""How long what is known is trusted without a new confirmation."""
+
+FIRST_MS: typing.Final = 500
+"""How long a started instance waits for peers to tell it all they know."""
 
-WATCH_MS: typing.Final = 20_000
-"""How long a watch waits; the store allows 30 s."""
+SLACK_MS: typing.Final = 250
+"""How much longer than asked for a call to the store may take at first."""
 
-SILENCE_MS: typing.Final = 5000
-"""How long a call to the store may take beyond its own bound."""
+READ_BOUND_MS: typing.Final = 750
+"""How long the read of a page may take at first."""
 
-_FIRST_BACKOFF_MS: typing.Final = 200
-_LONGEST_DOUBLING: typing.Final = 4
+DOUBT_MS: typing.Final = 2500
+"""How long after an outage of the store entries may still come back."""
+
+OUTAGE_MS: typing.Final = 2500
+"""How long nobody could read the store in an outage."""
+
+FAILING_MS: typing.Final = 10_000
+"""How long after a failure an instance comes last in the readers' order."""
+
+_LEAST_WATCH_MS: typing.Final = 50
+_STEP_RANKS: typing.Final = 4
+_STEP_MS: typing.Final = 100
+_LONGEST_STEPS_MS: typing.Final = 3000
+_BACKOFF_MS: typing.Final = 1000
+_LONGEST_DOUBLING: typing.Final = 2
 
 
 def on_tick(
@@ -26,12 +57,20 @@
 ) -> list[actions.Action]:
     """Ask the store where nothing is being asked and the time has come."""
     table = state.store
-    if table.asked_at_ms is not None or now_ms < table.due_at_ms:
-        return []
+    if state.members.first_tick_ms is None:
+        state.members.first_tick_ms = now_ms
+    done = _recover(state, now_ms)
+    if table.asked_at_ms is not None or now_ms < _due_ms(state):
+        return done
     table.asked_at_ms = now_ms
-    if not table.revision:
-        return [actions.ReadStore()]
-    return [actions.WatchStore(table.revision, WATCH_MS)]
+    table.asked_from = telling.position(state)
+    doublings = min(table.failures, _LONGEST_DOUBLING)
+    if not table.asked_from.revision or table.history_lost:
+        return [*done, actions.ReadStore(READ_BOUND_MS << doublings)]
+    wait_ms = max(table.cycle_ends_ms - now_ms, _LEAST_WATCH_MS)
+    revision = table.asked_from.revision
+    watch = actions.WatchStore(revision, wait_ms, SLACK_MS << doublings)
+    return [*done, watch]
 
 
 def on_read(
@@ -39,11 +78,12 @@
     event: events.StoreRead,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Take the whole of the store; watch from its revision on."""
-    _settle(state, event.registry.revision, now_ms)
+    """Take the whole of the store."""
+    doubt_ms = _succeed(state, now_ms)
+    state.store.history_lost = False
     return [
         *_routing_told(event.routing),
-        actions.Notify(event.registry),
+        actions.Notify(event.registry._replace(doubt_ms=doubt_ms)),
     ]
 
 
@@ -53,20 +93,42 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Take what a watch ended with."""
-    _settle(state, event.registry.revision, now_ms)
+    doubt_ms = _succeed(state, now_ms)
+    gone = tuple(
+        ended._replace(doubt_ms=doubt_ms) for ended in event.registry.gone
+    )
     return [
         *_routing_told(event.routing),
-        actions.Notify(event.registry),
+        actions.Notify(event.registry._replace(gone=gone)),
     ]
 
 
+def on_settled(
+    state: world.World,
+    event: events.StoreRead | events.StoreChanged,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Tell the fleet, once what was read is in the tables."""
+    table = state.store
+    table.fresh_at_ms = now_ms
+    before = table.asked_from
+    changed = telling.position(state) != before
+    table.due_at_ms = now_ms
+    if changed:
+        table.due_at_ms += PAUSE_MS
+    table.cycle_ends_ms = now_ms + CYCLE_MS
+    return telling.push(state, before, now_ms)
+
+
 def on_history_lost(
     state: world.World,
     event: events.HistoryLost,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Read the whole of the store again."""
-    _settle(state, 0, now_ms)
+    _succeed(state, now_ms)
+    state.store.history_lost = True
+    state.store.due_at_ms = now_ms
     return [actions.Count('store-history-lost')]
 
 
@@ -75,26 +137,70 @@
     event: events.StoreFailed,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Wait longer after each failure, with jitter."""
+    """Leave it to others, and wait longer after each failure."""
     table = state.store
     doublings = min(table.failures, _LONGEST_DOUBLING)
     table.failures += 1
+    table.failed_at_ms = now_ms
     table.asked_at_ms = None
-    wait_ms = _FIRST_BACKOFF_MS << doublings
+    wait_ms = _BACKOFF_MS << doublings
     table.due_at_ms = now_ms + wait_ms * state.rng.uniform(1 / 2, 1)
-    return [actions.Count('store-failures')]
+    return [
+        actions.Count('store-failures'),
+        *_tell_failing(state, now_ms, failing=True),
+    ]
 
 
-def _settle(
-    state: world.World,
-    revision: int,
-    now_ms: clock.Millis,
-) -> None:
+def _due_ms(state: world.World) -> clock.Millis:
+    """Return when this instance has to ask the store."""
+    table = state.store
+    rank = members.view(state).rank
+    fresh_ms = table.fresh_at_ms
+    first_ms = state.members.first_tick_ms or 0
+    known = bool(state.registry.revision)
+    if rank < READERS:
+        return table.due_at_ms if known else first_ms + FIRST_MS
+    if not known:
+        fresh_ms = first_ms + FIRST_MS
+    # Readers that live are heard; the rest follow them a few at a time.
+    steps_ms = rank // _STEP_RANKS * _STEP_MS
+    trusted_ms = TRUST_MS + min(steps_ms, _LONGEST_STEPS_MS)
+    return max(table.due_at_ms, fresh_ms + trusted_ms)
+
+
+def _succeed(state: world.World, now_ms: clock.Millis) -> clock.Millis:
+    """Note an answer; return how long ends of entries are in doubt."""
     table = state.store
-    table.revision = revision
+    known_before = table.fresh_at_ms != clock.NEVER_MS
+    if known_before and now_ms - table.fresh_at_ms > OUTAGE_MS:
+        table.returned_at_ms = now_ms
     table.failures = 0
     table.asked_at_ms = None
-    table.due_at_ms = now_ms + PAUSE_MS
+    return max(table.returned_at_ms + DOUBT_MS - now_ms, 0)
+
+
+def _recover(
+    state: world.World,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Come back into the readers' order some time after a failure."""
+    table = state.store
+    if not state.members.failing:
+        return []
+    if table.failures and now_ms - table.failed_at_ms < FAILING_MS:
+        return []
+    return _tell_failing(state, now_ms, failing=False)
+
+
+def _tell_failing(
+    state: world.World,
+    now_ms: clock.Millis,
+    failing: bool,
+) -> list[actions.Action]:
+    if state.members.failing == failing:
+        return []
+    state.members.failing = failing
+    return meeting.tell_own(state, now_ms)
 
 
 def _routing_told(found: routes.Routing | None) -> list[actions.Action]:
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -5,7 +5,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import messages, outcomes
-from oleanderstair.domain.tables import load_reports, registry, routes
+from oleanderstair.domain.tables import load_reports, registry, routes, store
 
 # Calls
 
@@ -142,17 +142,18 @@
 
 
 class RegistryRead(typing.NamedTuple):
-    """All registered targets as of a revision of the store."""
+    """All registered targets as of a revision of the store.
 
-    revision: int
-    entries: tuple[registry.Entry, ...]
-
-
-class GoneEntry(typing.NamedTuple):
-    """A target whose entry was removed at a revision of the store."""
+    ``unreadable`` names those whose entry could not be read; within
+    ``doubt_ms`` those that are missing may come back. ``gone`` are ends of
+    entries that a peer still holds in doubt.
+    """
 
-    target_id: str
     revision: int
+    entries: tuple[registry.Entry, ...]
+    unreadable: frozenset[str] = frozenset()
+    doubt_ms: clock.Millis = 0
+    gone: tuple[registry.Gone, ...] = ()
 
 
 class RegistryChanged(typing.NamedTuple):
@@ -160,7 +161,7 @@
 
     revision: int
     entries: tuple[registry.Entry, ...]
-    gone: tuple[GoneEntry, ...]
+    gone: tuple[registry.Gone, ...]
 
 
 class StoreRead(typing.NamedTuple):
@@ -177,6 +178,20 @@
     registry: RegistryChanged
 
 
+class StoreTold(typing.NamedTuple):
+    """A peer's word of the store is in the tables.
+
+    ``before`` is what was known until then; one that was ``pushed`` is to
+    be passed on by a relay. ``age_ms`` is how old the peer's word was.
+    """
+
+    sender: str
+    told: store.Position
+    before: store.Position
+    age_ms: clock.Millis
+    pushed: bool
+
+
 class HistoryLost(typing.NamedTuple):
     """The store no longer has the changes after the known revision."""
 
@@ -247,6 +262,7 @@
 StoreEvent: typing.TypeAlias = (
     StoreRead
     | StoreChanged
+    | StoreTold
     | HistoryLost
     | StoreFailed
     | RoutingRead
--- a/oleanderstair/domain/fleet/codec.py
+++ b/oleanderstair/domain/fleet/codec.py
@@ -25,6 +25,9 @@
     'nb': messages.NoteBody,
     'kc': messages.KeyedCall,
     'ka': messages.KeyedAnswer,
+    'ro': messages.Roster,
+    'sa': messages.StoreAsk,
+    'ss': messages.StoreState,
 }
 _BODY_BY_TAG: typing.Final[dict[str, type[messages.FactBody]]] = {
     'tl': messages.TargetLeaving,
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -9,8 +9,8 @@
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, stepping, world
 from oleanderstair.domain.calls import routed, sending
-from oleanderstair.domain.configuration import routing, watching
-from oleanderstair.domain.fleet import serving, stopping
+from oleanderstair.domain.configuration import routing, telling, watching
+from oleanderstair.domain.fleet import meeting, serving, stopping
 from oleanderstair.domain.targets import registering, sampling
 
 SYSTEMS_BY_EVENT: typing.Final[stepping.SystemsByEvent] = {
@@ -23,13 +23,20 @@
     events.RoutingRead: (routing.on_routing,),
     events.RegistryRead: (registering.on_read,),
     events.RegistryChanged: (registering.on_changed,),
-    events.StoreRead: (watching.on_read,),
-    events.StoreChanged: (watching.on_changed,),
+    events.StoreRead: (watching.on_read, watching.on_settled),
+    events.StoreChanged: (watching.on_changed, watching.on_settled),
     events.HistoryLost: (watching.on_history_lost,),
     events.StoreFailed: (watching.on_failed,),
-    events.PeerHeard: (),
-    events.Tick: (watching.on_tick, serving.on_tick, stopping.on_tick),
-    events.StopRequested: (stopping.on_stop,),
+    events.StoreTold: (telling.on_told,),
+    events.PeerHeard: (meeting.on_peer, telling.on_peer),
+    events.Tick: (
+        meeting.on_tick,
+        watching.on_tick,
+        registering.on_tick,
+        serving.on_tick,
+        stopping.on_tick,
+    ),
+    events.StopRequested: (stopping.on_stop, meeting.on_stop),
 }
 
 
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -4,9 +4,11 @@
 ``codec``. Fields are only ever added at the end, with a default.
 """
 
+import enum
 import typing
 
 from oleanderstair import clock
+from oleanderstair.domain.tables import members, registry, routes
 
 # Fact bodies
 
@@ -198,6 +200,56 @@
     asker: str = ''
 
 
+class Turn(enum.IntEnum):
+    """Where a roster stands in its exchange; only ASKS wants an answer."""
+
+    ASKS = 0
+    ANSWERS = 1
+    ENDS = 2
+
+
+class Roster(typing.NamedTuple):
+    """Members that the sender knows, and how far it knows the store.
+
+    The sender's own row comes first. ``whole`` names the data centres of
+    which all living members are among the rows. ``age_ms`` is how long ago
+    the store is known to have held nothing newer than ``revision``.
+    """
+
+    rows: tuple[members.Member, ...]
+    checksum_by_data_centre: dict[str, int]
+    word_age_ms_by_data_centre: dict[str, clock.Millis]
+    number: int
+    revision: int
+    age_ms: clock.Millis
+    turn: Turn = Turn.ASKS
+    whole: tuple[str, ...] = ()
+
+
+class StoreAsk(typing.NamedTuple):
+    """Ask a peer for what the store held after a known state."""
+
+    number: int
+    revision: int
+
+
+class StoreState(typing.NamedTuple):
+    """What the store held, as changes after ``base``; 0 is from nothing.
+
+    ``routing`` is None where the receiver has configuration ``number``.
+    Times in ``entries`` count from now, as clocks differ.
+    """
+
+    base: int
+    revision: int
+    number: int
+    routing: routes.Routing | None
+    entries: tuple[registry.Entry, ...]
+    gone: tuple[registry.Gone, ...]
+    age_ms: clock.Millis
+    pushed: bool = False
+
+
 Message: typing.TypeAlias = (
     Heartbeat
     | Pulse
@@ -208,4 +260,7 @@
     | NoteBody
     | KeyedCall
     | KeyedAnswer
+    | Roster
+    | StoreAsk
+    | StoreState
 )
--- a/oleanderstair/domain/tables/registry.py
+++ b/oleanderstair/domain/tables/registry.py
@@ -26,13 +26,41 @@
     revision: int
 
 
+class Gone(typing.NamedTuple):
+    """The end of an entry at a revision of the store.
+
+    Within ``doubt_ms`` the entry may come back, as it ended falsely.
+    """
+
+    target_id: str
+    revision: int
+    doubt_ms: clock.Millis = 0
+
+
+class Doubt(typing.NamedTuple):
+    """An entry that ended at a revision, and when it is to be removed."""
+
+    revision: int
+    due_ms: clock.Millis
+
+
 @dataclasses.dataclass(slots=True)
 class RegistryTable:
-    """Entries by target, as of ``revision``; 0 before the first read."""
+    """Entries by target, as of ``revision``; 0 before the first read.
+
+    ``gone_by_id`` remembers the ends of entries after the revision
+    ``horizon``, and ``born_left_by_id`` the incarnation of each target that
+    was seen to leave. ``ids_by_service`` leaves out a target whose address
+    belongs to another by now.
+    """
 
     revision: int = 0
+    horizon: int = 0
     read_at_ms: clock.Millis = clock.NEVER_MS
     entry_by_id: dict[str, Entry] = dataclasses.field(default_factory=dict)
+    gone_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
+    doubt_by_id: dict[str, Doubt] = dataclasses.field(default_factory=dict)
+    born_left_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
     ids_by_service: dict[str, tuple[str, ...]] = dataclasses.field(
         default_factory=dict,
     )
@@ -45,9 +73,18 @@
 
 def index(table: RegistryTable) -> None:
     """Derive the ids by service from the entries."""
+    newest_by_address: dict[str, Entry] = {}
+    for entry in table.entry_by_id.values():
+        other = newest_by_address.get(entry.address)
+        if other is None or _age_key(entry) > _age_key(other):
+            newest_by_address[entry.address] = entry
     ids: dict[str, list[str]] = {}
-    for target_id, entry in table.entry_by_id.items():
-        ids.setdefault(entry.service, []).append(target_id)
+    for holder in newest_by_address.values():
+        ids.setdefault(holder.service, []).append(holder.target_id)
     table.ids_by_service = {
         service: tuple(sorted(found)) for service, found in ids.items()
     }
+
+
+def _age_key(entry: Entry) -> tuple[int, int]:
+    return entry.born_ms, entry.revision
--- a/oleanderstair/domain/tables/routes.py
+++ b/oleanderstair/domain/tables/routes.py
@@ -59,10 +59,16 @@
 
 @dataclasses.dataclass(slots=True)
 class RoutesTable:
-    """The configuration in force here; None before the first is known."""
+    """The configuration in force here; None before the first is known.
+
+    ``credit_by_parts`` is what the parts of each split are owed, in calls.
+    """
 
     in_force: Routing | None = None
     adopted_at_ms: clock.Millis = clock.NEVER_MS
+    credit_by_parts: dict[tuple[str, tuple[Part, ...]], dict[str, float]] = (
+        dataclasses.field(default_factory=dict)
+    )
 
 
 def create() -> RoutesTable:
--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -13,6 +13,7 @@
     instances,
     keys,
     load_reports,
+    members,
     reads,
     registry,
     routed,
@@ -53,6 +54,7 @@
     loads: load_reports.LoadsTable
     routed: routed.RoutedTable
     store: store.StoreTable
+    members: members.MembersTable
 
 
 def create(
@@ -82,4 +84,5 @@
         loads=load_reports.create(),
         routed=routed.create(),
         store=store.create(),
+        members=members.create(),
     )
--- a/oleanderstair/engine/gateway.py
+++ b/oleanderstair/engine/gateway.py
@@ -14,15 +14,22 @@
 class Store(typing.Protocol):
     """The platform's store, which can only be read and watched."""
 
-    async def read(self) -> events.StoreRead | events.StoreFailed:
-        """Return all that the store holds."""
+    async def read(
+        self,
+        bound_ms: clock.Millis,
+    ) -> events.StoreRead | events.StoreFailed:
+        """Return all that the store holds; each page within ``bound_ms``."""
 
     async def watch(
         self,
         after_revision: int,
         bound_ms: clock.Millis,
+        slack_ms: clock.Millis,
     ) -> events.StoreChanged | events.HistoryLost | events.StoreFailed:
-        """Wait up to ``bound_ms`` for a change after a revision."""
+        """Wait up to ``bound_ms`` for a change after a revision.
+
+        It has failed where no answer has come ``slack_ms`` later.
+        """
 
 
 class LoadReader(typing.Protocol):
@@ -48,11 +55,15 @@
 
     async def read_store(self, action: actions.ReadStore) -> events.Event:
         """Read the whole of the store."""
-        return await self.store.read()
+        return await self.store.read(action.bound_ms)
 
     async def watch_store(self, action: actions.WatchStore) -> events.Event:
         """Wait for a change of the store."""
-        return await self.store.watch(action.after_revision, action.bound_ms)
+        return await self.store.watch(
+            action.after_revision,
+            action.bound_ms,
+            action.slack_ms,
+        )
 
     async def read_load(self, action: actions.ReadLoad) -> events.Event:
         """Read the load report of a target."""
--- a/oleanderstair/engine/peers.py
+++ b/oleanderstair/engine/peers.py
@@ -92,8 +92,10 @@
         incarnation: str,
         keys: Keys,
         silence_ms: clock.Millis,
+        heartbeats: bool,
     ) -> None:
         """Bind to ``endpoint`` as ``incarnation``."""
+        self._heartbeats = heartbeats
         self._incarnation = incarnation.encode()
         self._keys = keys
         self._silence_ms = int(silence_ms)
@@ -205,10 +207,12 @@
         made.setsockopt(zmq.LINGER, 0)
         made.setsockopt(zmq.SNDHWM, _QUEUE_LIMIT)
         made.setsockopt(zmq.RCVHWM, _QUEUE_LIMIT)
+        made.setsockopt(zmq.HANDSHAKE_IVL, self._silence_ms)
+        if not self._heartbeats:
+            return
         made.setsockopt(zmq.HEARTBEAT_IVL, self._silence_ms // 3)
         made.setsockopt(zmq.HEARTBEAT_TIMEOUT, self._silence_ms)
         made.setsockopt(zmq.HEARTBEAT_TTL, self._silence_ms)
-        made.setsockopt(zmq.HANDSHAKE_IVL, self._silence_ms)
 
     def _dealer(
         self,
@@ -288,10 +292,15 @@
     incarnation: str,
     keys: Keys,
     silence_ms: clock.Millis = SILENCE_MS,
+    heartbeats: bool = True,
 ) -> ZmqLink:
-    """Create a link that is bound and ready to receive."""
+    """Create a link that is bound and ready to receive.
+
+    Without ``heartbeats`` only a question that stays unanswered shows that
+    a connection went silent; that costs no bytes.
+    """
     endpoint = f'tcp://{host}:{port or "*"}'
-    return ZmqLink(endpoint, incarnation, keys, silence_ms)
+    return ZmqLink(endpoint, incarnation, keys, silence_ms, heartbeats)
 
 
 def _try_send(dealer: 'zmq.Socket[bytes]', frame: bytes) -> bool:
@@ -306,6 +315,8 @@
     """Return whether a live peer answers this message."""
     if isinstance(message, (messages.Pulse, messages.Heartbeat)):
         return not message.reply
+    if isinstance(message, messages.Roster):
+        return message.turn is messages.Turn.ASKS
     return isinstance(message, messages.KeyedCall)
 
 
--- a/oleanderstair/platform/documents.py
+++ b/oleanderstair/platform/documents.py
@@ -17,6 +17,13 @@
 _LEAVING: typing.Final = 'leaving'
 _STATES: typing.Final = frozenset((_READY, _LEAVING))
 _IDEMPOTENT: typing.Final = 'idempotent'
+_NAME = typing.Annotated[str, msgspec.Meta(min_length=1)]
+_ADDRESS = typing.Annotated[
+    str,
+    msgspec.Meta(pattern=r'^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$'),
+]
+_POSITIVE = typing.Annotated[int, msgspec.Meta(ge=1)]
+_SPAN = typing.Annotated[float, msgspec.Meta(ge=0)]
 _REMEDY: typing.Final = 'correct the value and publish it again'
 
 
@@ -68,14 +75,14 @@
 
 
 class _TargetDocument(msgspec.Struct):
-    service: str
-    address: str
-    data_centre: str
-    slots: int
+    service: _NAME
+    address: _ADDRESS
+    data_centre: _NAME
+    slots: _POSITIVE
     state: str
     sequence: int
     # The wire says how much longer, not when.
-    slow_ms: float = 0
+    slow_ms: _SPAN = 0
     born: int = 0
 
 
@@ -141,6 +148,16 @@
     )
 
 
+def is_configuration(item: Item) -> bool:
+    """Return whether an item holds the operator's configuration."""
+    return item.key == CONFIGURATION_KEY and not item.deleted
+
+
+def is_target(item: Item) -> bool:
+    """Return whether an item registers a target, or ends to."""
+    return item.key.startswith(TARGET_PREFIX)
+
+
 def target_id_of(item: Item) -> str:
     """Return the id of the target that an item is about."""
     return item.key.removeprefix(TARGET_PREFIX)
--- a/oleanderstair/platform/listeners.py
+++ b/oleanderstair/platform/listeners.py
@@ -3,7 +3,7 @@
 import typing
 import urllib.parse
 
-from oleanderstair.domain.fleet import serving
+from oleanderstair.domain.fleet import addressing, serving
 from oleanderstair.engine import asgi, gateway
 
 _OK: typing.Final = 200
@@ -40,12 +40,13 @@
     ) -> None:
         query = urllib.parse.parse_qs(scope['query_string'].decode('latin-1'))
         state = self._shell.state
-        query.get('data_centre', [state.identity.data_centre])
+        asked = query.get('data_centre', [state.identity.data_centre])
+        found = addressing.addresses(state, asked[0])
         document = {
-            'addresses': [state.identity.caller_address],
+            'addresses': found,
             'valid_s': state.policy.answer_validity_ms / _MS_PER_S,
         }
-        await asgi.respond_json(send, _OK, document)
+        await asgi.respond_json(send, _OK if found else _UNAVAILABLE, document)
 
 
 def create(carrier: gateway.Gateway) -> PlatformApp:
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 import socket
+import time
 import typing
 
 import anyio
@@ -24,6 +25,8 @@
 
 _INCARNATION_BYTES: typing.Final = 4
 _SEED_BITS: typing.Final = 64
+_PEER_SILENCE_MS: typing.Final = 1000
+_NS_PER_MS: typing.Final = 1_000_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -87,6 +90,8 @@
             settings.limits_of(self.checked),
             random.Random(secrets.randbits(_SEED_BITS)),
         )
+        state.members.seeds = tuple(self.checked.peers.seeds)
+        state.members.started_ms = time.time_ns() // _NS_PER_MS
         return gateway.Gateway(state, sides, tasks)
 
 
@@ -109,7 +114,14 @@
         identity=own,
         checked=checked,
         caller_socket=caller_socket,
-        link=peers.create(host, int(port), incarnation, peers.Keys()),
+        link=peers.create(
+            host,
+            int(port),
+            incarnation,
+            peers.Keys(),
+            _PEER_SILENCE_MS,
+            heartbeats=False,
+        ),
         platform_sockets=[
             _bind(checked.platform.directory_address),
             _bind(checked.platform.readiness_address),
--- a/oleanderstair/platform/store.py
+++ b/oleanderstair/platform/store.py
@@ -1,6 +1,7 @@
 """Reads and watches the platform's store over HTTP."""
 
 import typing
+import urllib.parse
 
 import anyio
 import httpcore
@@ -13,10 +14,8 @@
 from oleanderstair.platform import documents
 
 _OK: typing.Final = 200
-_NOT_FOUND: typing.Final = 404
 _HISTORY_GONE: typing.Final = 410
-_READ_BOUND_MS: typing.Final = 3000
-_WATCH_SLACK_MS: typing.Final = 2000
+_KEPT_MS: typing.Final = 5000
 _CONNECTIONS: typing.Final = 2
 
 
@@ -44,89 +43,85 @@
         self._clock = told
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=_CONNECTIONS,
-            keepalive_expiry=clock.to_seconds(_READ_BOUND_MS),
+            keepalive_expiry=clock.to_seconds(_KEPT_MS),
         )
 
-    async def read(self) -> events.StoreRead | events.StoreFailed:
-        """Return all that the store holds."""
+    async def read(
+        self,
+        bound_ms: clock.Millis,
+    ) -> events.StoreRead | events.StoreFailed:
+        """Return all that the store holds; each page within ``bound_ms``."""
         try:
-            routing = await self._read_configuration()
-            found = await self._read_targets()
+            return self._whole(await self._read_pages(bound_ms))
         except StoreError as error:
+            logs.event('store-failed', call='read', why=str(error))
             return events.StoreFailed(str(error))
-        return events.StoreRead(routing, found)
 
     async def watch(
         self,
         after_revision: int,
         bound_ms: clock.Millis,
+        slack_ms: clock.Millis,
     ) -> events.StoreChanged | events.HistoryLost | events.StoreFailed:
-        """Wait up to ``bound_ms`` for a change after a revision."""
+        """Wait up to ``bound_ms`` for a change after a revision.
+
+        It has failed where no answer has come ``slack_ms`` later.
+        """
         path = (
             f'/-/kv-watch?prefix=&after={after_revision}'
             f'&wait_ms={int(bound_ms)}'
         )
         try:
-            status, body = await self._get(path, bound_ms + _WATCH_SLACK_MS)
+            status, body = await self._get(path, bound_ms + slack_ms)
             if status == _HISTORY_GONE:
                 return events.HistoryLost()
             changes = _decode(status, body, _Changes)
         except StoreError as error:
+            logs.event('store-failed', call='watch', why=str(error))
             return events.StoreFailed(str(error))
         return self._changed(changes)
 
-    async def _read_configuration(self) -> routes.Routing | None:
-        path = f'/-/kv-key?key={documents.CONFIGURATION_KEY}'
-        status, body = await self._get(path, _READ_BOUND_MS)
-        if status == _NOT_FOUND:
-            return None
-        return _logged(
-            documents.read_configuration(
-                _decode(status, body, documents.Item),
-            ),
-        )
-
-    async def _read_targets(self) -> events.RegistryRead:
-        entries: list[registry.Entry] = []
-        first_revision = 0
+    async def _read_pages(self, bound_ms: clock.Millis) -> list[_Page]:
+        pages: list[_Page] = []
         after = ''
         while True:
-            page = await self._read_page(after)
-            # Pages are no snapshot: what changes meanwhile is watched for.
-            first_revision = first_revision or page.at_revision
-            for listed in page.items:
-                entry = self._target(listed)
-                if entry is not None:
-                    entries.append(entry)
+            path = f'/-/kv-range?prefix=&after={after}'
+            status, body = await self._get(path, bound_ms)
+            page = _decode(status, body, _Page)
+            pages.append(page)
             if not page.has_more or not page.items:
-                return events.RegistryRead(first_revision, tuple(entries))
-            after = page.items[-1].key
-
-    async def _read_page(self, after: str) -> _Page:
-        path = f'/-/kv-range?prefix={documents.TARGET_PREFIX}&after={after}'
-        status, body = await self._get(path, _READ_BOUND_MS)
-        return _decode(status, body, _Page)
+                return pages
+            after = urllib.parse.quote(page.items[-1].key, safe='')
+
+    def _whole(self, pages: list[_Page]) -> events.StoreRead:
+        found = [listed for page in pages for listed in page.items]
+        told = [listed for listed in found if documents.is_target(listed)]
+        entries = self._targets(told)
+        readable = {entry.target_id for entry in entries}
+        return events.StoreRead(
+            _configuration(found),
+            events.RegistryRead(
+                # Pages are no snapshot: later changes are watched for.
+                pages[0].at_revision,
+                entries,
+                frozenset(map(documents.target_id_of, told)) - readable,
+            ),
+        )
 
     def _changed(self, changes: _Changes) -> events.StoreChanged:
-        configurations = [
-            _logged(documents.read_configuration(published))
-            for published in changes.events
-            if published.key == documents.CONFIGURATION_KEY
-        ]
-        readable = [found for found in configurations if found is not None]
+        newest = {changed.key: changed for changed in changes.events}
         told = [
-            listed
-            for listed in changes.events
-            if listed.key.startswith(documents.TARGET_PREFIX)
+            changed
+            for changed in newest.values()
+            if documents.is_target(changed)
         ]
-        entries = [self._target(found) for found in told if not found.deleted]
         return events.StoreChanged(
-            readable[-1] if readable else None,
+            _configuration(changes.events),
             events.RegistryChanged(
                 changes.at_revision,
-                tuple(entry for entry in entries if entry is not None),
+                self._targets(told),
                 tuple(
-                    events.GoneEntry(
+                    registry.Gone(
                         documents.target_id_of(ended),
                         ended.revision,
                     )
@@ -136,8 +131,17 @@
             ),
         )
 
-    def _target(self, listed: documents.Item) -> registry.Entry | None:
-        return _logged(documents.read_target(listed, self._clock.now_ms()))
+    def _targets(
+        self,
+        told: list[documents.Item],
+    ) -> tuple[registry.Entry, ...]:
+        now_ms = self._clock.now_ms()
+        read = (
+            _logged(documents.read_target(listed, now_ms), listed)
+            for listed in told
+            if not listed.deleted
+        )
+        return tuple(entry for entry in read if entry is not None)
 
     async def _get(
         self,
@@ -152,7 +156,11 @@
                 )
         except TimeoutError as late:
             raise StoreError('no answer in time') from late
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
             raise StoreError(repr(error)) from error
         return response.status, response.content
 
@@ -175,9 +183,30 @@
         raise StoreError(str(error)) from error
 
 
-def _logged(read: result.Result[_Read, errors.Problem]) -> _Read | None:
+def _configuration(
+    found: list[documents.Item],
+) -> routes.Routing | None:
+    """Return the newest readable configuration among items, if any."""
+    read = [
+        _logged(documents.read_configuration(published), published)
+        for published in found
+        if documents.is_configuration(published)
+    ]
+    readable = [routing for routing in read if routing is not None]
+    return readable[-1] if readable else None
+
+
+def _logged(
+    read: result.Result[_Read, errors.Problem],
+    listed: documents.Item,
+) -> _Read | None:
     """Return what was read; what could not be is logged and left out."""
     if isinstance(read, result.Ok):
         return read.ok_value
-    logs.event('value-refused', why=read.err_value.message)
+    logs.event(
+        'value-refused',
+        key=listed.key,
+        revision=listed.revision,
+        why=read.err_value.message,
+    )
     return None
