--- a/oleanderstair/domain/configuration/routing.py
+++ b/oleanderstair/domain/configuration/routing.py
@@ -68,7 +68,8 @@
     credits = _credits(state, route)
     whole = sum(part.weight for part in route.parts)
     for part in route.parts:
-        credits[part.service] += part.weight / whole
+        if part.weight:
+            credits[part.service] += part.weight / whole
     chosen = max(credits, key=credits.__getitem__)
     credits[chosen] -= 1
     return chosen
@@ -84,6 +85,7 @@
         table[key] = {
             part.service: state.rng.uniform(-1 / 2, 1 / 2)
             for part in route.parts
+            if part.weight
         }
     return table[key]
 
--- /dev/null
+++ b/test/fleets.py
@@ -0,0 +1,255 @@
+"""A fleet of gateways on the virtual clock, with a store and a network."""
+
+import dataclasses
+import heapq
+import itertools
+import random
+
+from oleanderstair.domain import actions, events, gateway, policy, world
+from oleanderstair.domain.fleet import codec
+from oleanderstair.domain.tables import identity, registry, routes
+
+TICK_MS = 50
+LINK_MS = 1
+STORE_MS = 4
+ROUTE = routes.Route(
+    name='r1',
+    host='h',
+    prefix='/a/',
+    parts=(routes.Part('svc', 1),),
+    idempotent=True,
+    timeout_ms=1000,
+    aim_ms=500,
+    rank=0,
+    max_attempts=2,
+)
+
+
+def routing(number):
+    return routes.Routing(
+        number=number,
+        routes_by_host={'h': (ROUTE,)},
+        service_by_name={'svc': routes.RoutedService('svc', '/health', 9)},
+        limits=routes.CallerLimits(),
+    )
+
+
+def entry(target_id, revision=1, leaving=False, born_ms=1, **more):
+    made = registry.Entry(
+        target_id=target_id,
+        service='svc',
+        address=f'10.9.0.{target_id}:80',
+        data_centre='a',
+        slots=4,
+        leaving=leaving,
+        born_ms=born_ms,
+        warm_at_ms=0,
+        revision=revision,
+    )
+    return made._replace(**more)
+
+
+@dataclasses.dataclass
+class Store:
+    """What the platform's store holds, and who asked it."""
+
+    revision: int = 1
+    routing: routes.Routing | None = None
+    entry_by_id: dict = dataclasses.field(default_factory=dict)
+    log: list = dataclasses.field(default_factory=list)
+    refused: set = dataclasses.field(default_factory=set)
+    down: bool = False
+    calls: int = 0
+    asked_by: list = dataclasses.field(default_factory=list)
+
+    def put(self, made):
+        self.revision += 1
+        made = made._replace(revision=self.revision)
+        self.entry_by_id[made.target_id] = made
+        self.log.append((self.revision, made))
+
+    def end(self, target_id):
+        self.revision += 1
+        self.entry_by_id.pop(target_id)
+        self.log.append(
+            (self.revision, registry.Gone(target_id, self.revision)),
+        )
+
+    def publish(self, number):
+        self.revision += 1
+        self.routing = routing(number)
+        self.log.append((self.revision, self.routing))
+
+    def whole(self):
+        return events.StoreRead(
+            self.routing,
+            events.RegistryRead(
+                self.revision,
+                tuple(self.entry_by_id.values()),
+            ),
+        )
+
+    def after(self, revision):
+        news = [made for at, made in self.log if at > revision]
+        found = [made for made in news if isinstance(made, routes.Routing)]
+        return events.StoreChanged(
+            found[-1] if found else None,
+            events.RegistryChanged(
+                self.revision,
+                tuple(
+                    made for made in news if isinstance(made, registry.Entry)
+                ),
+                tuple(made for made in news if isinstance(made, registry.Gone)),
+            ),
+        )
+
+
+@dataclasses.dataclass
+class Instance:
+    """One gateway; ``frozen`` stops its ticks and holds its messages."""
+
+    state: world.World
+    frozen: bool = False
+    dead: bool = False
+    done: list = dataclasses.field(default_factory=list)
+
+
+class Fleet:
+    """Instances, the network between them, and time."""
+
+    def __init__(self, places, seeds=('a1:1',), seed=1):
+        self.now_ms = 0
+        self.rng = random.Random(seed)
+        self.store = Store()
+        self.seeds = seeds
+        self.by_address = {}
+        self.cut_pairs = set()
+        self.away_bytes = 0
+        self._queue = []
+        self._order = itertools.count()
+        for place, count in places.items():
+            for number in range(1, count + 1):
+                self.start(f'{place}{number}', place)
+
+    def start(self, instance_id, place):
+        address = f'{instance_id}:1'
+        own = identity.Identity(
+            instance_id=instance_id,
+            incarnation=f'{instance_id}~{next(self._order)}',
+            region='r',
+            data_centre=place,
+            caller_address=f'{instance_id}:2',
+            peer_address=address,
+        )
+        state = world.create(
+            own,
+            policy.Policy(answer_validity_ms=2000, peer_silence_ms=2000),
+            random.Random(self.rng.random()),
+        )
+        state.members.seeds = tuple(self.seeds)
+        state.members.started_ms = int(self.now_ms)
+        made = Instance(state)
+        self.by_address[address] = made
+        self.later(self.rng.uniform(0, 250), self.tick, made)
+        return made
+
+    def at(self, instance_id):
+        return self.by_address[f'{instance_id}:1']
+
+    def kill(self, instance_id):
+        self.at(instance_id).dead = True
+
+    @property
+    def living(self):
+        return [made for made in self.by_address.values() if not made.dead]
+
+    def cut(self, origin, to):
+        self.cut_pairs.add((f'{origin}:1', f'{to}:1'))
+
+    def later(self, after_ms, do, *given):
+        due_ms = self.now_ms + after_ms
+        heapq.heappush(self._queue, (due_ms, next(self._order), do, given))
+
+    def run(self, for_ms):
+        end_ms = self.now_ms + for_ms
+        while self._queue and self._queue[0][0] <= end_ms:
+            due_ms, _, do, given = heapq.heappop(self._queue)
+            self.now_ms = due_ms
+            do(*given)
+        self.now_ms = end_ms
+
+    def run_until(self, condition, within_ms):
+        """Return the ms after which the condition held."""
+        began_ms = self.now_ms
+        while self.now_ms - began_ms < within_ms:
+            if condition():
+                return self.now_ms - began_ms
+            self.run(1)
+        raise AssertionError(f'not within {within_ms} ms')
+
+    def tick(self, made):
+        if made.dead:
+            return
+        if not made.frozen:
+            self.handle(made, events.Tick())
+        self.later(TICK_MS, self.tick, made)
+
+    def handle(self, made, event):
+        if made.dead:
+            return
+        if made.frozen:
+            self.later(TICK_MS, self.handle, made, event)
+            return
+        for action in gateway.step(made.state, event, self.now_ms):
+            made.done.append(action)
+            self.perform(made, action)
+
+    def perform(self, made, action):
+        if isinstance(action, actions.SendPeer):
+            self._send(made, action)
+        elif isinstance(action, (actions.ReadStore, actions.WatchStore)):
+            self._ask(made, action)
+
+    def _send(self, made, action):
+        origin = made.state.identity
+        other = self.by_address.get(action.address)
+        frame = codec.encode(action.message)
+        if other is None or (origin.peer_address, action.address) in (
+            self.cut_pairs
+        ):
+            return
+        if other.state.identity.data_centre != origin.data_centre:
+            self.away_bytes += len(frame)
+        message = codec.decode(frame).ok_value
+        event = events.PeerHeard(origin.incarnation, message)
+        self.later(LINK_MS, self.handle, other, event)
+
+    def _ask(self, made, action):
+        self.store.calls += 1
+        name = made.state.identity.instance_id
+        self.store.asked_by.append(name)
+        if self.store.down or name in self.store.refused:
+            failed = events.StoreFailed('refused')
+            self.later(STORE_MS, self.handle, made, failed)
+        elif isinstance(action, actions.ReadStore):
+            self.later(STORE_MS, self.handle, made, self.store.whole())
+        else:
+            ends_ms = self.now_ms + action.bound_ms
+            self._watch(made, action.after_revision, ends_ms)
+
+    def _watch(self, made, revision, ends_ms):
+        if self.store.down:
+            self.handle(made, events.StoreFailed('closed'))
+        elif self.store.revision > revision or self.now_ms >= ends_ms:
+            changed = self.store.after(revision)
+            self.later(STORE_MS, self.handle, made, changed)
+        else:
+            self.later(5, self._watch, made, revision, ends_ms)
+
+
+def of_three(count=7, **more):
+    fleet = Fleet({'a': count, 'b': count, 'c': count - 1}, **more)
+    fleet.store.publish(4)
+    for number in range(1, 31):
+        fleet.store.put(entry(str(number)))
+    return fleet
--- /dev/null
+++ b/test/test_registering.py
@@ -0,0 +1,117 @@
+"""The registry of targets: repeated, late, false and forged news."""
+
+import random
+
+from oleanderstair.domain import events, gateway, policy, world
+from oleanderstair.domain.configuration import routing
+from oleanderstair.domain.tables import identity, registry, routes
+from test import fleets
+
+
+def started():
+    own = identity.Identity('a1', 'a1~1', 'r', 'a', 'a1:2', 'a1:1')
+    state = world.create(own, policy.Policy(), random.Random(1))
+    gateway.step(state, events.RoutingRead(fleets.routing(4), 'test'), 0)
+    return state
+
+
+def change(state, revision, *entries, gone=()):
+    told = events.RegistryChanged(revision, entries, gone)
+    return gateway.step(state, told, 0)
+
+
+def ids(state):
+    return set(state.registry.ids_by_service.get('svc', ()))
+
+
+def test_pages_are_no_snapshot_and_a_watch_repeats_changes():
+    state = started()
+    late = fleets.entry('1', revision=12, slots=9)
+    gateway.step(state, events.RegistryRead(10, (late,)), 0)
+    change(state, 11, fleets.entry('1', revision=11, slots=4))
+    assert state.registry.entry_by_id['1'].slots == 9
+
+
+def test_an_entry_made_after_its_page_was_read_is_kept():
+    state = started()
+    change(state, 12, fleets.entry('1', revision=11))
+    gateway.step(state, events.RegistryRead(12, ()), 0)
+    assert not ids(state)
+    change(state, 13, fleets.entry('2', revision=15))
+    gateway.step(state, events.RegistryRead(14, ()), 0)
+    assert ids(state) == {'2'}
+
+
+def test_an_unreadable_entry_keeps_the_last_good_one():
+    state = started()
+    change(state, 5, fleets.entry('1', revision=5))
+    unreadable = frozenset(('1',))
+    gateway.step(state, events.RegistryRead(9, (), unreadable), 0)
+    assert ids(state) == {'1'}
+
+
+def test_a_forged_service_keeps_the_last_good_entry():
+    state = started()
+    change(state, 5, fleets.entry('1', revision=5))
+    told = change(state, 6, fleets.entry('1', revision=6, service='forged'))
+    assert 'refused' in told[0].why
+    assert ids(state) == {'1'}
+
+
+def test_a_leaving_is_never_untold_within_a_start():
+    state = started()
+    change(state, 5, fleets.entry('1', revision=5, leaving=True))
+    change(state, 6, fleets.entry('1', revision=6))
+    assert state.registry.entry_by_id['1'].leaving
+    change(state, 7, gone=(registry.Gone('1', 7),))
+    change(state, 8, fleets.entry('1', revision=8))
+    assert state.registry.entry_by_id['1'].leaving
+    change(state, 9, fleets.entry('1', revision=9, born_ms=2))
+    assert not state.registry.entry_by_id['1'].leaving
+
+
+def test_older_news_do_not_bring_back_what_is_gone():
+    state = started()
+    change(state, 5, fleets.entry('1', revision=5))
+    change(state, 7, gone=(registry.Gone('1', 7),))
+    change(state, 8, fleets.entry('1', revision=6))
+    assert not ids(state)
+
+
+def test_an_address_belongs_to_the_target_that_started_last():
+    state = started()
+    change(state, 5, fleets.entry('1', revision=5))
+    heir = fleets.entry('2', revision=6, born_ms=9, address='10.9.0.1:80')
+    change(state, 6, heir)
+    assert ids(state) == {'2'}
+    change(state, 7, gone=(registry.Gone('2', 7),))
+    assert ids(state) == {'1'}
+
+
+def split(*weights):
+    parts = tuple(
+        routes.Part(f'svc{number}', weight)
+        for number, weight in enumerate(weights)
+    )
+    return fleets.ROUTE._replace(parts=parts)
+
+
+def test_a_split_holds_over_few_calls_of_many_instances():
+    route = split(85, 10, 5)
+    chosen = []
+    for seed in range(20):
+        state = started()
+        state.rng.seed(seed)
+        for _ in range(10):
+            chosen.append(routing.pick_service(state, route))
+    assert abs(chosen.count('svc0') - 170) < 6
+    assert abs(chosen.count('svc1') - 20) < 6
+
+
+def test_a_part_of_weight_zero_gets_nothing():
+    state = started()
+    for seed in range(20):
+        state.rng.seed(seed)
+        route = split(1, 0, 1)._replace(name=f'r{seed}')
+        chosen = {routing.pick_service(state, route) for _ in range(9)}
+        assert chosen == {'svc0', 'svc2'}
