Exchange rows once a second, and ask suspects before they are buried

One round a second in a small data centre, with a direct question to whoever was silent for 1.3 s; one delegate asks one other data centre at a time; a reader that was just confirmed by the other keeps quiet; frames are received without a future each.

Ruled out: rounds without answers (news took too long for the two seconds after which the silent are buried).

A dead instance is still out of its data centre's answers within 3 s and a change at the last of 20 and of 200 instances within 500 ms (test_meeting, test_watching).

--- a/oleanderstair/domain/configuration/watching.py
+++ b/oleanderstair/domain/configuration/watching.py
@@ -18,6 +18,9 @@
 CYCLE_MS: typing.Final = 1000
 """How often a reader confirms that nothing else has changed."""
 
+ENOUGH_MS: typing.Final = 500
+"""How long after another's confirmation one more says nothing new."""
+
 PAUSE_MS: typing.Final = 300
 """The pause after a change; it merges changes that come in a burst."""
 
@@ -110,14 +113,16 @@
 ) -> list[actions.Action]:
     """Tell the fleet, once what was read is in the tables."""
     table = state.store
+    others_ms = table.fresh_at_ms
     table.fresh_at_ms = now_ms
-    before = table.asked_from
-    changed = telling.position(state) != before
     table.due_at_ms = now_ms
-    if changed:
-        table.due_at_ms += PAUSE_MS
     table.cycle_ends_ms = now_ms + CYCLE_MS
-    return telling.push(state, before, now_ms)
+    if telling.position(state) != table.asked_from:
+        table.due_at_ms += PAUSE_MS
+    elif now_ms - others_ms < ENOUGH_MS:
+        # The other reader has said the same just now.
+        return []
+    return telling.push(state, table.asked_from, now_ms)
 
 
 def on_history_lost(
--- a/oleanderstair/domain/fleet/meeting.py
+++ b/oleanderstair/domain/fleet/meeting.py
@@ -12,7 +12,16 @@
 from oleanderstair.domain.fleet import members
 from oleanderstair.domain.tables import members as rows
 
-ROUND_MS: typing.Final = 500
+ROUND_MS: typing.Final = 1000
+"""How often an instance asks one other of a small data centre."""
+
+LARGE_ROUND_MS: typing.Final = 500
+"""How often it asks two others of a large one, where news travel longer."""
+
+SUSPECT_MS: typing.Final = 1300
+"""How long a beat may stand still before the instance itself is asked."""
+
+REVIEW_MS: typing.Final = 250
 AWAY_ROUND_MS: typing.Final = 2000
 GREET_MS: typing.Final = 1000
 JOIN_MS: typing.Final = 150
@@ -24,6 +33,8 @@
 DELEGATES: typing.Final = 2
 
 _SMALL_DATA_CENTRE: typing.Final = 8
+_SUSPECTS_AT_ONCE: typing.Final = 3
+_QUICK_JOINS: typing.Final = 20
 _LONGEST_AGE_MS: typing.Final = 1_000_000_000
 _DELEGATE_KEY: typing.Final = 'delegate'
 
@@ -39,30 +50,63 @@
         members.excuse_silence(state, now_ms)
     table.last_tick_ms = now_ms
     told = announce(state, now_ms)
-    if now_ms < table.round_due_ms:
+    if now_ms >= table.review_due_ms:
+        table.review_due_ms = now_ms + REVIEW_MS
+        members.review(state, now_ms)
+        told.extend(_ask_suspects(state, now_ms))
+    if not _knows_others(state):
         return [*told, *_join(state, now_ms)]
-    table.round_due_ms = now_ms + ROUND_MS
-    table.beat += 1
-    members.review(state, now_ms)
+    return [*told, *_take_rounds(state, now_ms)]
+
+
+def _take_rounds(
+    state: world.World,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    table = state.members
+    if now_ms < table.round_due_ms:
+        return []
+    large = len(members.neighbours(state)) >= _SMALL_DATA_CENTRE
+    round_ms = LARGE_ROUND_MS if large else ROUND_MS
+    table.round_due_ms = now_ms + round_ms
     return [
-        *told,
-        *_ask_neighbours(state, now_ms),
+        *_ask_neighbours(state, now_ms, 1 + large),
         *_ask_away(state, now_ms),
-        *_join(state, now_ms),
         *_greet_lost(state, now_ms),
     ]
 
 
+def _ask_suspects(
+    state: world.World,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Ask those of whom nothing was heard, before they are buried."""
+    risen_at_ms = state.members.risen_at_ms
+    suspects = [
+        row
+        for row in members.neighbours(state)
+        if now_ms - risen_at_ms[row.incarnation] > SUSPECT_MS
+    ]
+    if not suspects:
+        return []
+    suspects.sort(key=lambda row: risen_at_ms[row.incarnation])
+    asked = _roster(state, now_ms, (), ())
+    return [
+        actions.SendPeer(row.incarnation, row.peer_address, asked)
+        for row in suspects[:_SUSPECTS_AT_ONCE]
+    ]
+
+
 def announce(
     state: world.World,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Tell all who have to know at once that this instance has changed."""
     table = state.members
-    own = members.own_row(state)
-    if own.standing is table.told_standing:
+    standing = members.standing(state)
+    if standing is table.told_standing:
         return []
-    table.told_standing = own.standing
+    table.told_standing = standing
     return tell_own(state, now_ms)
 
 
@@ -71,7 +115,6 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Send the own row to the data centre and to the others' delegates."""
-    state.members.beat += 1
     state.members.version += 1
     told = _roster(state, now_ms, (), (), messages.Turn.ENDS)
     return [
@@ -188,11 +231,11 @@
 def _ask_neighbours(
     state: world.World,
     now_ms: clock.Millis,
+    count: int,
 ) -> list[actions.Action]:
     near = {row.incarnation: row for row in members.neighbours(state)}
     own = state.identity.data_centre
     asked = _roster(state, now_ms, _rows_of(state, [own]), [own])
-    count = 1 if len(near) < _SMALL_DATA_CENTRE else 2
     return [
         actions.SendPeer(incarnation, near[incarnation].peer_address, asked)
         for incarnation in _next_turns(state, near, count)
@@ -221,18 +264,19 @@
     state: world.World,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Compare with the other data centres, as one of two delegates."""
+    """Compare with another data centre, as one of two delegates."""
     table = state.members
     if now_ms < table.away_due_ms:
         return []
     table.away_due_ms = now_ms + AWAY_ROUND_MS
     if not is_delegate(state):
         return []
+    away = _away(state, 1)
+    if not away:
+        return []
+    chosen = state.rng.choice(away)
     asked = _roster(state, now_ms, (), ())
-    return [
-        actions.SendPeer(row.incarnation, row.peer_address, asked)
-        for row in _away(state, 1)
-    ]
+    return [actions.SendPeer(chosen.incarnation, chosen.peer_address, asked)]
 
 
 def is_delegate(state: world.World) -> bool:
@@ -263,10 +307,10 @@
 ) -> list[actions.Action]:
     """Ask the seeds while nobody else is known to live."""
     table = state.members
-    if now_ms < table.greet_due_ms or _knows_others(state):
+    if now_ms < table.greet_due_ms:
         return []
     table.greet_due_ms = now_ms + JOIN_MS
-    if table.beat * ROUND_MS > members.SILENCE_MS:
+    if table.beat > _QUICK_JOINS:
         table.greet_due_ms = now_ms + GREET_MS
     asked = _roster(state, now_ms, (), ())
     return [
@@ -321,6 +365,7 @@
     turn: messages.Turn = messages.Turn.ASKS,
 ) -> messages.Roster:
     in_force = state.routes.in_force
+    state.members.beat += 1
     return messages.Roster(
         rows=(members.own_row(state), *told),
         checksum_by_data_centre=members.view(state).checksum_by_data_centre,
--- a/oleanderstair/domain/fleet/members.py
+++ b/oleanderstair/domain/fleet/members.py
@@ -30,13 +30,17 @@
 }
 
 
+def standing(state: world.World) -> members.Standing:
+    """Return how far this instance has come."""
+    if state.instances.stopping_since_ms != clock.NEVER_MS:
+        return members.Standing.LEAVING
+    return _STANDING_BY_PHASE[state.instances.phase]
+
+
 def own_row(state: world.World) -> members.Member:
     """Return what this instance says of itself."""
     own = state.identity
     table = state.members
-    standing = _STANDING_BY_PHASE[state.instances.phase]
-    if state.instances.stopping_since_ms != clock.NEVER_MS:
-        standing = members.Standing.LEAVING
     return members.Member(
         own.incarnation,
         own.data_centre,
@@ -44,7 +48,7 @@
         own.peer_address,
         table.started_ms,
         table.beat,
-        standing,
+        standing(state),
         table.failing,
     )
 
--- a/oleanderstair/domain/tables/members.py
+++ b/oleanderstair/domain/tables/members.py
@@ -82,6 +82,7 @@
     told_standing: Standing = Standing.STARTING
     first_tick_ms: clock.Millis | None = None
     last_tick_ms: clock.Millis = clock.NEVER_MS
+    review_due_ms: clock.Millis = clock.NEVER_MS
     round_due_ms: clock.Millis = clock.NEVER_MS
     away_due_ms: clock.Millis = clock.NEVER_MS
     greet_due_ms: clock.Millis = clock.NEVER_MS
--- a/oleanderstair/engine/peers.py
+++ b/oleanderstair/engine/peers.py
@@ -15,7 +15,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import messages
 from oleanderstair.domain.fleet import codec
-from oleanderstair.engine import strangers
+from oleanderstair.engine import arrivals, strangers
 
 SILENCE_MS: typing.Final = 3000
 """How long a connection may be silent before it is replaced."""
@@ -101,14 +101,12 @@
         self._silence_ms = int(silence_ms)
         self._clock = clock.monotonic()
         self._count: typing.Callable[[str, str], None] = _count_nothing
-        self._context = zmq.asyncio.Context()
-        self._plain: zmq.Context[zmq.Socket[bytes]] = zmq.Context.shadow(
-            self._context,
-        )
+        self._plain: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         self._gate: strangers.Gate | None = None
         if keys.public:
-            self._gate = strangers.create(self._context, keys.public)
-        self._router = self._context.socket(zmq.ROUTER)
+            shadow = zmq.asyncio.Context.shadow(self._plain)
+            self._gate = strangers.create(shadow, keys.public)
+        self._router = self._plain.socket(zmq.ROUTER)
         self._prepare(self._router)
         self._router.setsockopt(zmq.MAXMSGSIZE, _MAX_FRAME_BYTES)
         # A peer whose connection went silent may come back on a new one.
@@ -121,6 +119,7 @@
             self._router.zap_domain = strangers.DOMAIN
         self._refused = strangers.watch_refusals(self._router, self._plain)
         self._router.bind(endpoint)
+        self._arrivals = arrivals.create(self._router)
         self._dealer_by_address: dict[str, _Dealer] = {}
         self._waiting: list[_Waiting] = []
         self._heard_at_ms_by_incarnation: dict[str, clock.Millis] = {}
@@ -155,7 +154,7 @@
     async def receive(self) -> Heard:
         """Return the next message that could be read."""
         while True:
-            frames = await self._router.recv_multipart()
+            frames = await self._arrivals.next()
             heard = _read(frames)
             if heard is not None:
                 self._note_heard(heard.sender)
@@ -164,13 +163,14 @@
 
     def close(self) -> None:
         """Release the sockets."""
+        self._arrivals.close()
         for dealer in self._dealer_by_address.values():
             dealer.socket.close(0)
         self._router.disable_monitor()
         self._refused.close(0)
         if self._gate is not None:
             self._gate.close()
-        self._context.destroy(0)
+        self._plain.destroy(0)
 
     def _wait(self, address: str, frame: bytes) -> bool:
         """Keep a frame for the time that a new connection takes to open."""
@@ -189,7 +189,7 @@
         loop.call_later(clock.to_seconds(_RETRY_MS), self._retry)
 
     def _retry(self) -> None:
-        if self._context.closed:
+        if self._plain.closed:
             return
         now_ms = self._clock.now_ms()
         left = []
--- a/oleanderstair/engine/strangers.py
+++ b/oleanderstair/engine/strangers.py
@@ -47,7 +47,7 @@
 
 
 def watch_refusals(
-    router: 'zmq.asyncio.Socket',
+    router: 'zmq.Socket[bytes]',
     context: 'zmq.Context[zmq.Socket[bytes]]',
 ) -> 'zmq.Socket[bytes]':
     """Return a socket that tells of refused handshakes at ``router``."""
