--- a/oleanderstair/domain/calls/hedges.py
+++ b/oleanderstair/domain/calls/hedges.py
@@ -58,12 +58,7 @@
     """Return whether a hedge to a target is worth a part of the budget."""
     if not chosen.has_room or chosen.score > MOST_SCORE:
         return False
-    return repeats.may_repeat(
-        state,
-        call.service,
-        repeats.FOR_HEDGES,
-        now_ms,
-    )
+    return repeats.may_hedge(state, call.service, now_ms)
 
 
 def _may_hedge(call: routed.RoutedCall) -> bool:
--- a/oleanderstair/domain/calls/learning.py
+++ b/oleanderstair/domain/calls/learning.py
@@ -2,7 +2,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import events, world
-from oleanderstair.domain.calls import seconds
+from oleanderstair.domain.calls import repeats, seconds
 from oleanderstair.domain.tables import calls, latencies, routed
 from oleanderstair.domain.targets import expecting, trust
 
@@ -16,10 +16,14 @@
 ) -> None:
     """Take what an attempt tells of the target and of the route."""
     target_id = ended.target_id
+    shed = seconds.is_shed_with_room(event)
+    repeats.note_shed(state, call.service, shed)
     if event.misdirected:
         trust.note_misdirected(state, target_id, now_ms)
     elif event.verdict is events.Verdict.SHED:
-        _learn_shed(state, target_id, event, now_ms)
+        if shed:
+            doubt = trust.SHED_WITH_ROOM
+            trust.note_failure(state, target_id, doubt, now_ms)
     elif _is_success(event):
         trust.note_success(state, target_id, now_ms)
         _learn_span(state, call, ended, now_ms)
@@ -34,18 +38,6 @@
     return event.status < seconds.FIRST_FAILURE
 
 
-def _learn_shed(
-    state: world.World,
-    target_id: str,
-    event: events.AttemptEnded,
-    now_ms: clock.Millis,
-) -> None:
-    """Doubt a target that sheds a call though it tells of free slots."""
-    load = event.load
-    if load is not None and load.running < load.slots and not load.waiting:
-        trust.note_failure(state, target_id, trust.SHED_WITH_ROOM, now_ms)
-
-
 def _learn_span(
     state: world.World,
     call: routed.RoutedCall,
--- a/oleanderstair/domain/calls/repeats.py
+++ b/oleanderstair/domain/calls/repeats.py
@@ -12,11 +12,14 @@
 from oleanderstair.domain import world
 from oleanderstair.domain.tables import repeats
 
-FOR_RETRIES: typing.Final = 1.0
-"""The part of the allowance that retries may use up."""
+FOR_ORDERS: typing.Final = 1.0
+"""The part of the allowance for retries of non-idempotent calls."""
+
+FOR_RETRIES: typing.Final = 0.9
+"""The part of the allowance for retries of idempotent calls."""
 
 FOR_HEDGES: typing.Final = 0.8
-"""The part of the allowance that hedges may use up."""
+"""The part of the allowance for hedges, while nothing is shed."""
 
 _MARGIN: typing.Final = 0.9
 """What is used of the budget, as arrivals lie behind dispatches."""
@@ -24,6 +27,7 @@
 _ARRIVAL_MS: typing.Final = 500
 """How much longer than the window a repeat counts."""
 
+_SHED_WEIGHT: typing.Final = 0.1
 _MS_PER_S: typing.Final = 1000
 
 
@@ -63,6 +67,23 @@
     tally.repeats_at_ms.append(now_ms)
 
 
+def may_hedge(
+    state: world.World,
+    service: str,
+    now_ms: clock.Millis,
+) -> bool:
+    """Return whether a hedge fits in; retries of what is shed go first."""
+    tally = repeats.tally_of(state.repeats, service)
+    part = FOR_HEDGES * (1 - tally.shed_share)
+    return may_repeat(state, service, part, now_ms)
+
+
+def note_shed(state: world.World, service: str, shed: bool) -> None:
+    """Follow which share of the attempts is shed beside free slots."""
+    tally = repeats.tally_of(state.repeats, service)
+    tally.shed_share += _SHED_WEIGHT * (int(shed) - tally.shed_share)
+
+
 def _own_slack(state: world.World, now_ms: clock.Millis) -> float:
     """Return this instance's part of the slack.
 
--- a/oleanderstair/domain/calls/routed.py
+++ b/oleanderstair/domain/calls/routed.py
@@ -93,7 +93,12 @@
         return sending.begin(state, call, now_ms)
     if call.held_attempt_id:
         return ending.relay(state, call, call.held_attempt_id)
-    return ending.refuse(state, call, outcomes.Reason.TARGET_LOST)
+    return ending.refuse(
+        state,
+        call,
+        outcomes.Reason.TARGET_LOST,
+        seconds.come_back_ms(state, event),
+    )
 
 
 def _find(
--- a/oleanderstair/domain/calls/seconds.py
+++ b/oleanderstair/domain/calls/seconds.py
@@ -11,6 +11,7 @@
 """The lowest status by which a target says that it failed."""
 
 _MOST_UNSENT: typing.Final = 3
+_SOON_MS: typing.Final = 30
 
 
 def is_final(call: routed.RoutedCall, event: events.AttemptEnded) -> bool:
@@ -56,9 +57,28 @@
         return False
     if not call.arrivals:
         return True
-    return repeats.may_repeat(
-        state,
-        call.service,
-        repeats.FOR_RETRIES,
-        now_ms,
-    )
+    part = repeats.FOR_ORDERS
+    if call.route.idempotent:
+        part = repeats.FOR_RETRIES
+    return repeats.may_repeat(state, call.service, part, now_ms)
+
+
+def is_shed_with_room(event: events.AttemptEnded) -> bool:
+    """Return whether a target shed a call though it tells of free slots."""
+    load = event.load
+    if event.verdict is not events.Verdict.SHED or load is None:
+        return False
+    return load.running < load.slots and not load.waiting
+
+
+def come_back_ms(
+    state: world.World,
+    event: events.AttemptEnded,
+) -> clock.Millis:
+    """Return when the caller of a call that was shed finds room, 0 unknown.
+
+    A target that sheds beside free slots may take the next call.
+    """
+    if not is_shed_with_room(event):
+        return 0
+    return _SOON_MS * (1 + state.rng.random())
--- a/oleanderstair/domain/tables/repeats.py
+++ b/oleanderstair/domain/tables/repeats.py
@@ -11,7 +11,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Tally:
-    """When calls of a service came, and when one was sent once more."""
+    """When calls of a service came, and when one was sent once more.
+
+    ``shed_share`` is how many of the last attempts were shed beside free
+    slots.
+    """
 
     calls_at_ms: Moments = dataclasses.field(
         default_factory=collections.deque,
@@ -19,6 +23,7 @@
     repeats_at_ms: Moments = dataclasses.field(
         default_factory=collections.deque,
     )
+    shed_share: float = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/oleanderstair/domain/targets/sampling.py
+++ b/oleanderstair/domain/targets/sampling.py
@@ -14,7 +14,10 @@
 from oleanderstair.domain.targets import places, trust
 
 SAMPLE_SIZE: typing.Final = 8
-"""How many targets are compared for one call."""
+"""How many targets of the own data centre are compared for one call."""
+
+FAR_SAMPLE_SIZE: typing.Final = 4
+"""How many targets of other data centres are compared besides."""
 
 FRESH_MS: typing.Final = 10
 """How old a report may be to count as read just now."""
@@ -31,8 +34,9 @@
 _MOST_BARRED: typing.Final = 0.5
 """The share of barred targets above which bars are not believed."""
 
-_MEASURING_MARGIN: typing.Final = 0.8
-_RESERVE_S: typing.Final = 5
+_MEASURING_MARGIN: typing.Final = 0.85
+_FIRST_RESERVE_S: typing.Final = 4
+_MOST_RESERVE_S: typing.Final = 20
 _MS_PER_S: typing.Final = 1000
 
 
@@ -69,7 +73,7 @@
 ) -> Sample:
     """Draw targets of the other data centres."""
     far = _usable(state, places.far_ids(state, service), tried_ids, now_ms)
-    return _sample(state, far, now_ms)
+    return _sample(state, far[:FAR_SAMPLE_SIZE], now_ms)
 
 
 def on_load_read(
@@ -200,12 +204,13 @@
 ) -> load_reports.Load:
     """Add the reads that this instance has earned since it last asked."""
     per_s = _own_reads_per_s(state)
-    most = per_s * _RESERVE_S
     if known.refilled_at_ms == clock.NEVER_MS:
-        return known._replace(reads_left=max(most, 1), refilled_at_ms=now_ms)
+        first = max(per_s * _FIRST_RESERVE_S, 1)
+        return known._replace(reads_left=first, refilled_at_ms=now_ms)
     earned = per_s * (now_ms - known.refilled_at_ms) / _MS_PER_S
+    most = max(per_s * _MOST_RESERVE_S, 1)
     return known._replace(
-        reads_left=min(known.reads_left + earned, max(most, 1)),
+        reads_left=min(known.reads_left + earned, most),
         refilled_at_ms=now_ms,
     )
 
