Write down what decided each call, and show metrics as text

A failed request could not be explained afterwards: the log told faults and audited changes, not what a call was decided on. One module now looks at each event and its actions, after the step, so that the decisions stay as they are: it keeps a short trail of each call (configuration and registry it was admitted by, targets compared, the report and its age that named the target, why it was sent again, how each attempt ended) and writes it in full where the call was refused, failed, was sent twice or answered late. All others are merged into one line a second and route; above 100 lines a second trails are merged with a count.

Passing the state from before the step was ruled out: a copy at each event costs more than the trail. eliot stays with the daemon that notes steer; the one on the users' platform writes plainly and imports it no more.

Metrics in the usual text format stand on an address of their own: calls by route, outcome and reason, spans, targets by state, ages, peers.

--- a/oleanderstair/daemon.py
+++ b/oleanderstair/daemon.py
@@ -9,7 +9,7 @@
 import cappa
 import zmq
 
-from oleanderstair import errors, logs, running, settings
+from oleanderstair import eliot_logs, errors, running, settings
 from oleanderstair.engine import node
 
 
@@ -37,7 +37,7 @@
 async def _start(path: pathlib.Path) -> None:
     checked = settings.load(path)
     if checked.log.to == 'stderr':
-        logs.start()
+        eliot_logs.start()
     await running.run(_create(checked))
 
 
--- a/oleanderstair/engine/core.py
+++ b/oleanderstair/engine/core.py
@@ -38,6 +38,18 @@
         """Return the trace as it stands."""
 
 
+class Observer(typing.Protocol):
+    """Look at what was decided; it must not fail and must not wait."""
+
+    def observe(
+        self,
+        now_ms: clock.Millis,
+        event: events.Event,
+        done: typing.Sequence[actions.Action],
+    ) -> None:
+        """Take ``event``, handled at ``now_ms``, and what was decided."""
+
+
 class Core:
     """One instance's world, its pending calls, and what performs actions."""
 
@@ -56,6 +68,7 @@
         self.pending = pending.create()
         self.exit = anyio.Event()
         self.recorder: Recorder | None = None
+        self.observer: Observer | None = None
         self.tasks = tasks
         self.settling = settling.create(self.pending, self.metrics)
         self.attempts = attempting.create(self, tasks)
@@ -176,6 +189,20 @@
     ) -> None:
         if self.recorder is not None:
             self.recorder.record(now_ms, event, wanted)
+        if self.observer is not None:
+            self._show(self.observer, now_ms, event, wanted)
+
+    def _show(
+        self,
+        observer: Observer,
+        now_ms: clock.Millis,
+        event: events.Event,
+        wanted: list[actions.Action],
+    ) -> None:
+        try:
+            observer.observe(now_ms, event, wanted)
+        except Exception as error:
+            self.report_fault('observer', error)
 
     async def _sweep(self) -> None:
         now_ms = self.sides.clock.now_ms()
--- a/oleanderstair/engine/gateway.py
+++ b/oleanderstair/engine/gateway.py
@@ -5,10 +5,11 @@
 
 import anyio.abc
 
-from oleanderstair import clock
+from oleanderstair import clock, logs
 from oleanderstair.domain import actions, events, gateway, world
 from oleanderstair.domain.tables import load_reports
 from oleanderstair.engine import core, dialects, exchanges, peering, peers
+from oleanderstair.explaining import decisions
 
 
 class Store(typing.Protocol):
@@ -73,6 +74,7 @@
     ) -> None:
         """Run I/O for ``state`` as tasks of ``tasks``."""
         super().__init__(state, gateway.step, outgoing, tasks)
+        self.observer = decisions.create(state, logs.sink(), self.metrics)
         self._peering = peering.create(self, outgoing.link, self._take)
         self.perform_by(
             {
--- /dev/null
+++ b/oleanderstair/explaining/__init__.py
@@ -0,0 +1,1 @@
+"""Says afterwards why a call ended as it did: decision lines and reports."""
--- /dev/null
+++ b/oleanderstair/explaining/decisions.py
@@ -0,0 +1,288 @@
+"""Writes down the decisions of an instance that carries calls on routes.
+
+Calls that are answered in time at the first attempt are merged into one
+line a second; all others are written in full, up to a rate. What exceeds
+the rate is merged with a count, so that no decision goes unsaid.
+"""
+
+import collections
+import time
+import typing
+
+from oleanderstair import clock, metrics
+from oleanderstair.domain import actions, events, world
+from oleanderstair.explaining import lines, sinks, trails
+
+LINES_PER_S: typing.Final = 100
+"""Lines a second that are written in full, on the long run."""
+
+BURST_LINES: typing.Final = 400
+"""Lines that may be written in full at once."""
+
+_MERGE_MS: typing.Final[clock.Millis] = 1000
+_MS_PER_S: typing.Final = 1000
+_FAILED: typing.Final = 500
+
+WallClock: typing.TypeAlias = typing.Callable[[], float]
+"""Return the time of day in seconds since 1970."""
+
+_Describe: typing.TypeAlias = typing.Callable[
+    [clock.Millis, typing.Any],
+    None,
+]
+
+
+class DecisionLog:
+    """The open trails of an instance, and what waits to be merged."""
+
+    def __init__(
+        self,
+        state: world.World,
+        sink: sinks.Sink,
+        wall: WallClock,
+        counts: metrics.Metrics | None = None,
+    ) -> None:
+        """Write the decisions taken on ``state`` to ``sink``.
+
+        Calls are counted in ``counts`` by route, outcome and reason.
+        """
+        self._counts = counts or metrics.create()
+        self._state = state
+        self._sink = sink
+        self._wall = wall
+        self._trail_by_call: dict[int, trails.Trail] = {}
+        self._merged: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._merged_at_ms = clock.NEVER_MS
+        self._said_dropped = 0
+        self._store_lost_ms: clock.Millis | None = None
+        self._room: float = BURST_LINES
+        self._room_at_ms = clock.NEVER_MS
+        self._describe_event: dict[type[events.Event], _Describe] = {
+            events.CallReceived: self._on_call,
+            events.AttemptEnded: self._on_ended,
+            events.CallerLeft: self._on_left,
+            events.StoreFailed: self._on_store_failed,
+            events.StoreRead: self._on_store_told,
+            events.StoreChanged: self._on_store_told,
+            events.HistoryLost: self._on_history_lost,
+            events.Tick: self._on_tick,
+        }
+        self._describe_action: dict[type[actions.Action], _Describe] = {
+            actions.Dispatch: self._on_dispatch,
+            actions.CancelAttempt: self._on_cancel,
+            actions.Relay: self._on_relay,
+            actions.Refuse: self._on_refuse,
+        }
+
+    def observe(
+        self,
+        now_ms: clock.Millis,
+        event: events.Event,
+        done: typing.Sequence[actions.Action],
+    ) -> None:
+        """Take what was decided at an event."""
+        describe = self._describe_event.get(type(event))
+        if describe is not None:
+            describe(now_ms, event)
+        for action in done:
+            describe = self._describe_action.get(type(action))
+            if describe is not None:
+                describe(now_ms, action)
+
+    # Calls
+
+    def _on_call(
+        self,
+        now_ms: clock.Millis,
+        event: events.CallReceived,
+    ) -> None:
+        trail = trails.open_trail(self._state, event, now_ms)
+        self._trail_by_call[event.call_id] = trail
+        self._note_stage(trail, event.call_id, now_ms)
+
+    def _on_ended(
+        self,
+        now_ms: clock.Millis,
+        event: events.AttemptEnded,
+    ) -> None:
+        trail = self._trail_by_call.get(event.call_id)
+        if trail is not None:
+            trails.note_ended(trail, event, now_ms)
+            self._note_stage(trail, event.call_id, now_ms)
+
+    def _on_left(
+        self,
+        now_ms: clock.Millis,
+        event: events.CallerLeft,
+    ) -> None:
+        trail = self._trail_by_call.get(event.call_id)
+        if trail is not None:
+            waited: lines.Fields = (('after_ms', now_ms - trail.started_ms),)
+            trail.entries.append(trails.Entry(now_ms, 'caller-left', waited))
+
+    def _on_dispatch(
+        self,
+        now_ms: clock.Millis,
+        action: actions.Dispatch,
+    ) -> None:
+        trail = self._trail_by_call.get(action.call_id)
+        if trail is not None:
+            trails.note_sent(trail, self._state, action, now_ms)
+
+    def _on_cancel(
+        self,
+        now_ms: clock.Millis,
+        action: actions.CancelAttempt,
+    ) -> None:
+        trail = self._trail_by_call.get(action.call_id)
+        if trail is not None:
+            trails.note_cancelled(trail, action, now_ms)
+
+    def _on_relay(self, now_ms: clock.Millis, action: actions.Relay) -> None:
+        trail = self._trail_by_call.pop(action.call_id, None)
+        if trail is None:
+            return
+        after_ms = now_ms - trail.started_ms
+        status = _status_in(trail)
+        self._count(trail, 'ran', str(status))
+        self._counts.observe('answer-ms', f'route={trail.route}', after_ms)
+        late_ms = max(after_ms - trail.aim_ms, 0)
+        if not late_ms and trail.sends == 1 and status < _FAILED:
+            self._merged['served', trail.route] += 1
+            return
+        fields: lines.Fields = (
+            ('status', status),
+            ('attempt', action.attempt_id),
+            ('after_ms', after_ms),
+            ('late_ms', late_ms or None),
+        )
+        trail.entries.append(trails.Entry(now_ms, 'answered', fields))
+        self._write(trail, now_ms, 'answered')
+
+    def _on_refuse(self, now_ms: clock.Millis, action: actions.Refuse) -> None:
+        trail = self._trail_by_call.pop(action.call_id, None)
+        if trail is None:
+            return
+        self._count(trail, action.outcome.value, action.reason.value)
+        fields: lines.Fields = (
+            ('outcome', action.outcome.value),
+            ('reason', action.reason.value),
+            ('after_ms', now_ms - trail.started_ms),
+            ('sends', trail.sends),
+            ('retry_after_ms', action.retry_after_ms or None),
+        )
+        trail.entries.append(trails.Entry(now_ms, 'refused', fields))
+        self._write(trail, now_ms, f'refused-{action.reason.value}')
+
+    def _count(self, trail: trails.Trail, outcome: str, why: str) -> None:
+        label = f'route={trail.route} outcome={outcome} reason={why}'
+        self._counts.count('calls', label)
+
+    def _note_stage(
+        self,
+        trail: trails.Trail,
+        call_id: int,
+        now_ms: clock.Millis,
+    ) -> None:
+        call = self._state.routed.call_by_id.get(call_id)
+        trails.note_stage(trail, call, now_ms)
+
+    # What the instance believes
+
+    def _on_store_failed(
+        self,
+        now_ms: clock.Millis,
+        event: events.StoreFailed,
+    ) -> None:
+        if self._store_lost_ms is None:
+            self._store_lost_ms = now_ms
+            self._say(now_ms, 'store-lost', (('why', event.what),))
+
+    def _on_store_told(
+        self,
+        now_ms: clock.Millis,
+        event: events.StoreRead | events.StoreChanged,
+    ) -> None:
+        if self._store_lost_ms is not None:
+            away_ms = now_ms - self._store_lost_ms
+            self._store_lost_ms = None
+            self._say(now_ms, 'store-regained', (('after_ms', away_ms),))
+
+    def _on_history_lost(
+        self,
+        now_ms: clock.Millis,
+        event: events.HistoryLost,
+    ) -> None:
+        known: lines.Fields = (('registry', self._state.registry.revision),)
+        self._say(now_ms, 'store-forgot', known)
+
+    # Writing
+
+    def _on_tick(self, now_ms: clock.Millis, event: events.Tick) -> None:
+        if now_ms - self._merged_at_ms >= _MERGE_MS:
+            self._merged_at_ms = now_ms
+            self._say_merged(now_ms)
+        self._sink.flush()
+
+    def _say_merged(self, now_ms: clock.Millis) -> None:
+        for (kind, route), count in self._merged.items():
+            fields: lines.Fields = (('route', route or None), ('count', count))
+            self._say(now_ms, f'{kind}-merged', fields)
+        self._merged.clear()
+        dropped = self._sink.dropped - self._said_dropped
+        if dropped:
+            self._said_dropped = self._sink.dropped
+            self._say(now_ms, 'lines-dropped', (('count', dropped),))
+
+    def _write(
+        self,
+        trail: trails.Trail,
+        now_ms: clock.Millis,
+        kind: str,
+    ) -> None:
+        if not self._takes_room(len(trail.entries), now_ms):
+            self._merged[kind, trail.route] += 1
+            return
+        for entry in trail.entries:
+            named = (('id', trail.request_id or None), *entry.fields)
+            self._say(entry.at_ms, entry.kind, named, now_ms)
+
+    def _takes_room(self, count: int, now_ms: clock.Millis) -> bool:
+        passed_s = max(now_ms - self._room_at_ms, 0) / _MS_PER_S
+        more = passed_s * LINES_PER_S
+        self._room = min(self._room + more, BURST_LINES)
+        self._room_at_ms = now_ms
+        if self._room < count:
+            return False
+        self._room -= count
+        return True
+
+    def _say(
+        self,
+        at_ms: clock.Millis,
+        kind: str,
+        fields: lines.Fields,
+        now_ms: clock.Millis | None = None,
+    ) -> None:
+        past_ms = 0 if now_ms is None else now_ms - at_ms
+        at_s = self._wall() - past_ms / _MS_PER_S
+        stamped = (('at', f'{at_s:.4f}'), *fields)
+        self._sink.put(lines.write(kind, stamped))
+
+
+def create(
+    state: world.World,
+    sink: sinks.Sink,
+    counts: metrics.Metrics,
+) -> DecisionLog:
+    """Create a log of the decisions on ``state``, by the time of day."""
+    return DecisionLog(state, sink, time.time, counts)
+
+
+def _status_in(trail: trails.Trail) -> int:
+    for entry in reversed(trail.entries):
+        if entry.kind == 'attempt-ended':
+            return int(dict(entry.fields).get('status') or 0)
+    return 0
--- /dev/null
+++ b/oleanderstair/explaining/gauges.py
@@ -0,0 +1,86 @@
+"""What an instance knows and holds at a moment, as figures."""
+
+import collections
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import world
+from oleanderstair.domain.fleet import serving
+from oleanderstair.domain.tables import registry
+
+
+class Gauge(typing.NamedTuple):
+    """One figure; labels are pairs of name and text."""
+
+    name: str
+    labels: tuple[tuple[str, str], ...]
+    figure: float
+
+
+def read(state: world.World, now_ms: clock.Millis) -> list[Gauge]:
+    """Return the figures of an instance that carries calls on routes."""
+    in_force = state.routes.in_force
+    return [
+        Gauge('ready', (), int(serving.is_ready(state))),
+        Gauge(
+            'configuration_number',
+            (),
+            in_force.number if in_force else 0,
+        ),
+        *_age('configuration_age_ms', state.routes.adopted_at_ms, now_ms),
+        Gauge('registry_revision', (), state.registry.revision),
+        *_age('registry_age_ms', state.registry.read_at_ms, now_ms),
+        Gauge('store_failures_in_row', (), state.store.failures),
+        Gauge(
+            'peers_known',
+            (),
+            len(state.instances.peer_by_incarnation),
+        ),
+        *_targets(state, now_ms),
+        *_calls(state),
+    ]
+
+
+def _age(
+    name: str,
+    since_ms: clock.Millis,
+    now_ms: clock.Millis,
+) -> list[Gauge]:
+    if since_ms == clock.NEVER_MS:
+        return []
+    return [Gauge(name, (), now_ms - since_ms)]
+
+
+def _targets(state: world.World, now_ms: clock.Millis) -> list[Gauge]:
+    counted = collections.Counter(
+        (entry.service, _state_of(state, entry, now_ms))
+        for entry in state.registry.entry_by_id.values()
+    )
+    return [
+        Gauge('targets', (('service', service), ('state', kind)), count)
+        for (service, kind), count in sorted(counted.items())
+    ]
+
+
+def _state_of(
+    state: world.World,
+    entry: registry.Entry,
+    now_ms: clock.Millis,
+) -> str:
+    if entry.leaving:
+        return 'leaving'
+    known = state.loads.load_by_id.get(entry.target_id)
+    if known is not None and now_ms < known.barred_until_ms:
+        return 'barred'
+    return 'cold' if now_ms < entry.warm_at_ms else 'usable'
+
+
+def _calls(state: world.World) -> list[Gauge]:
+    counted = collections.Counter(
+        (call.service, call.stage.value)
+        for call in state.routed.call_by_id.values()
+    )
+    return [
+        Gauge('calls_open', (('service', service), ('stage', stage)), count)
+        for (service, stage), count in sorted(counted.items())
+    ]
--- a/oleanderstair/logs.py
+++ b/oleanderstair/logs.py
@@ -1,28 +1,57 @@
-"""Logs: one line of key=value pairs for each event, by eliot."""
+"""Logs: one line of key=value pairs for each event.
+
+What is written goes to one sink, or nowhere before ``start``. A daemon may
+have another writer take events, such as ``eliot_logs``.
+"""
 
 import logging
-import re
-import sys
+import time
 import typing
 
-import eliot
+from oleanderstair.explaining import lines, sinks
+
+Writer: typing.TypeAlias = typing.Callable[[str, dict[str, object]], None]
+
+STANDARD_ERROR: typing.Final = 2
+
+_writers: list[Writer] = []
+_sinks: list[sinks.Sink] = []
+
+
+def start(to: sinks.Sink | None = None) -> sinks.Sink:
+    """Write every event to a sink, or standard error; return the sink."""
+    taking = to or sinks.to_descriptor(STANDARD_ERROR)
+
+    def write(kind: str, fields: dict[str, object]) -> None:
+        taking.put(format_line(kind, fields))
+        taking.flush()
 
-_HIDDEN: typing.Final = frozenset(('task_uuid', 'task_level', 'message_type'))
-_NEEDS_QUOTES: typing.Final = re.compile(r'[^\x21\x23-\x3c\x3e-\x5b\x5d-\x7e]')
+    start_by(write)
+    _sinks.append(taking)
+    return taking
 
 
-def start(stream: typing.TextIO = sys.stderr) -> None:
-    """Write every event to ``stream`` from now on."""
+def sink() -> sinks.Sink:
+    """Return where lines go, for those that write many of them."""
+    return _sinks[-1] if _sinks else sinks.NoSink()
 
-    def write(message: dict[str, typing.Any]) -> None:
-        stream.write(f'{format_line(message)}\n')
 
-    eliot.add_destinations(write)
+def start_by(write: Writer) -> None:
+    """Give every event to ``write`` from now on."""
+    _writers.append(write)
 
 
 def event(kind: str, **fields: object) -> None:
     """Log one event with its fields."""
-    eliot.log_message(message_type=kind, **fields)
+    for write in _writers:
+        write(kind, fields)
+
+
+def format_line(kind: str, fields: typing.Mapping[str, object]) -> str:
+    """Return an event as key=value pairs: its kind, the time, its fields."""
+    pairs = [('at', f'{time.time():.4f}')]
+    pairs.extend((name, str(field)) for name, field in fields.items())
+    return lines.write(kind, pairs)
 
 
 class _Handler(logging.Handler):
@@ -40,22 +69,3 @@
 def handler() -> logging.Handler:
     """Return a handler that turns a library's log records into events."""
     return _Handler()
-
-
-def format_line(message: dict[str, typing.Any]) -> str:
-    """Return an event as key=value pairs, its kind first."""
-    pairs = [f'event={message.get("message_type", "?")}']
-    pairs.extend(
-        f'{name}={_quote(str(field))}'
-        for name, field in message.items()
-        if name not in _HIDDEN
-    )
-    return ' '.join(pairs)
-
-
-def _quote(text: str) -> str:
-    if text and _NEEDS_QUOTES.search(text) is None:
-        return text
-    # Nothing that a caller sends may end a line or forge a pair.
-    escaped = text.encode('unicode_escape').decode('ascii')
-    return '"{0}"'.format(escaped.replace('"', r'\"'))
--- a/oleanderstair/platform/listeners.py
+++ b/oleanderstair/platform/listeners.py
@@ -5,19 +5,29 @@
 
 from oleanderstair.domain.fleet import serving
 from oleanderstair.engine import asgi, gateway
+from oleanderstair.explaining import exposition, gauges
 
 _OK: typing.Final = 200
 _UNAVAILABLE: typing.Final = 503
 _ADDRESSES_PATH: typing.Final = '/-/addresses'
+_METRICS_PATH: typing.Final = '/metrics'
 _MS_PER_S: typing.Final = 1000
 
 
 class PlatformApp:
     """An ASGI application for the directory and readiness listeners."""
 
-    def __init__(self, carrier: gateway.Gateway) -> None:
-        """Answer from the tables of ``carrier``."""
+    def __init__(
+        self,
+        carrier: gateway.Gateway,
+        metrics_address: str = '',
+    ) -> None:
+        """Answer from the tables of ``carrier``.
+
+        Metrics are shown to those who come by ``metrics_address`` alone.
+        """
         self._shell = carrier
+        self._metrics_address = metrics_address
 
     async def __call__(
         self,
@@ -26,6 +36,9 @@
         send: asgi.Send,
     ) -> None:
         """Answer one request."""
+        if scope['path'] == _METRICS_PATH and self._is_for_operators(scope):
+            await self._answer_metrics(send)
+            return
         if scope['path'] == _ADDRESSES_PATH:
             await self._answer_addresses(scope, send)
             return
@@ -33,6 +46,21 @@
         status = _OK if ready else _UNAVAILABLE
         await asgi.respond_json(send, status, {'ready': ready})
 
+    def _is_for_operators(self, scope: asgi.Scope) -> bool:
+        host, port = scope['server']
+        return f'{host}:{port}' == self._metrics_address
+
+    async def _answer_metrics(self, send: asgi.Send) -> None:
+        carrier = self._shell
+        now_ms = carrier.sides.clock.now_ms()
+        told = gauges.read(carrier.state, now_ms)
+        body = exposition.write(carrier.metrics, told).encode()
+        fields = [
+            (b'content-type', exposition.CONTENT_TYPE),
+            (b'content-length', str(len(body)).encode()),
+        ]
+        await asgi.respond(send, _OK, fields, body)
+
     async def _answer_addresses(
         self,
         scope: asgi.Scope,
@@ -48,6 +76,9 @@
         await asgi.respond_json(send, _OK, document)
 
 
-def create(carrier: gateway.Gateway) -> PlatformApp:
+def create(
+    carrier: gateway.Gateway,
+    metrics_address: str = '',
+) -> PlatformApp:
     """Create the application for the platform's questions."""
-    return PlatformApp(carrier)
+    return PlatformApp(carrier, metrics_address)
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -35,6 +35,7 @@
     caller_socket: socket.socket
     platform_sockets: list[socket.socket]
     link: peers.Link
+    metrics_socket: socket.socket | None = None
     carrier: gateway.Gateway | None = None
 
     async def run(self) -> None:
@@ -63,10 +64,15 @@
             routed_callers.create(carrier, dialect.create()),
             _bounds_of(self.checked.callers),
         )
-        asked = listener.create(listeners.create(carrier))
+        asked_sockets = self.platform_sockets
+        shown_at = ''
+        if self.metrics_socket is not None:
+            asked_sockets = [*asked_sockets, self.metrics_socket]
+            shown_at = listener.address_of(self.metrics_socket)
+        asked = listener.create(listeners.create(carrier, shown_at))
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(callers.serve, [self.caller_socket])
-            tasks.start_soon(asked.serve, self.platform_sockets)
+            tasks.start_soon(asked.serve, asked_sockets)
             await carrier.exit.wait()
             # Each server writes the answers that are under way, then ends.
             callers.should_exit = True
@@ -114,6 +120,7 @@
             _bind(checked.platform.directory_address),
             _bind(checked.platform.readiness_address),
         ],
+        metrics_socket=_bind_metrics(checked.admin.metrics_address),
     )
 
 
@@ -122,6 +129,17 @@
     return listener.bind(host, int(port))
 
 
+def _bind_metrics(address: str) -> socket.socket | None:
+    """Return the socket for metrics; an instance serves without it too."""
+    if not address:
+        return None
+    try:
+        return _bind(address)
+    except OSError as error:
+        logs.event('metrics-unavailable', address=address, why=repr(error))
+        return None
+
+
 def _bounds_of(wanted: settings.CallerSettings) -> bounded.Bounds:
     return bounded.Bounds(
         max_header_bytes=wanted.max_header_bytes,
--- a/oleanderstair/settings.py
+++ b/oleanderstair/settings.py
@@ -73,10 +73,11 @@
 
 
 class AdminSettings(msgspec.Struct, forbid_unknown_fields=True):
-    """The listener for operators."""
+    """The listener for operators, and where metrics are read as text."""
 
     host: _HOST
     port: _PORT
+    metrics_address: _ADDRESS
 
 
 class PeerSettings(msgspec.Struct, forbid_unknown_fields=True):
--- a/test/platform_side.py
+++ b/test/platform_side.py
@@ -44,6 +44,12 @@
         """Return where the platform asks for readiness."""
         return listener.address_of(self.node.platform_sockets[1])
 
+    @property
+    def metrics(self) -> str:
+        """Return where metrics are shown."""
+        assert self.node.metrics_socket is not None
+        return listener.address_of(self.node.metrics_socket)
+
     def only_run(self) -> load_targets.Ran:
         """Return the one call that targets ran."""
         ran = [
@@ -100,6 +106,7 @@
         },
         'callers': {'address': free},
         'peers': {'address': free, 'allow_plain': True},
+        'admin': {'metrics_address': free},
         'platform': {
             'store_address': store_address,
             'directory_address': free,
--- a/test/test_metrics.py
+++ b/test/test_metrics.py
@@ -1,10 +1,20 @@
 """Metrics and log lines under hostile names."""
 
 import io
+import re
 
 import pytest
 
-from oleanderstair import logs, metrics
+from oleanderstair import eliot_logs, logs, metrics
+
+HOSTILE = (
+    'a\nevent=forged x=1',
+    'a\r\x1b[2J',
+    'a" event="b',
+    'a\\',
+    '',
+    'č',
+)
 
 
 def test_names_above_the_limit_share_one_series():
@@ -28,12 +38,19 @@
     assert found['p99'] == pytest.approx(990, rel=0.02)
 
 
-@pytest.mark.parametrize(
-    'hostile',
-    ['a\nevent=forged x=1', 'a\r\x1b[2J', 'a" event="b', 'a\\', '', 'č'],
-)
+@pytest.mark.parametrize('hostile', HOSTILE)
 def test_one_event_is_one_line_of_pairs(hostile):
-    line = logs.format_line({'message_type': 'fault', 'where': hostile})
+    line = logs.format_line('fault', {'where': hostile})
+    assert re.match(r'event=fault at=[\d.]+ where="', line)
+    assert line.isascii()
+    assert line.isprintable()
+    assert len(io.StringIO(line).readlines()) == 1
+
+
+@pytest.mark.parametrize('hostile', HOSTILE)
+def test_one_event_of_eliot_is_one_line_of_pairs(hostile):
+    fields = {'message_type': 'fault', 'where': hostile}
+    line = eliot_logs.format_line(fields)
     assert line.startswith('event=fault where="')
     assert line.isascii()
     assert line.isprintable()
--- a/test/test_platform_node.py
+++ b/test/test_platform_node.py
@@ -44,6 +44,27 @@
     anyio.run(scene)
 
 
+def test_metrics_are_shown_as_text_on_their_own_address() -> None:
+    async def scene() -> None:
+        async with platform_side.running() as side:
+            await platform_side.ask(side.address)
+            shown = await platform_side.ask(side.metrics, '/metrics')
+            told = shown.content.decode()
+            for sample in (
+                'oleanderstair_ready 1',
+                'oleanderstair_configuration_number 1',
+                'oleanderstair_targets{service="burza",state="usable"} 2',
+                'oleanderstair_calls_total'
+                '{route="lookup",outcome="ran",reason="200"} 1',
+                'oleanderstair_answer_ms_count{route="lookup"} 1',
+            ):
+                assert f'{sample}\n' in told
+            elsewhere = await platform_side.ask(side.directory, '/metrics')
+            assert b'oleanderstair_' not in elsewhere.content
+
+    anyio.run(scene)
+
+
 def test_an_order_reaches_one_target_unchanged() -> None:
     async def scene() -> None:
         async with platform_side.running() as side:
