Follow a request through the logs to the cause of its end

The lines said what was decided, but reading them took a person who knows the code. explain ID FILE... puts the lines of one request in order over several logs, adds what its instance believed meanwhile (the targets that it was sent to, the configuration, the store) and names the cause; logs check counts the lines by kind and names one that can't be read.

Six ways to fail are tested from the scene to the sentence on the virtual clock.

--- a/oleanderstair/explaining/decisions.py
+++ b/oleanderstair/explaining/decisions.py
@@ -171,6 +171,7 @@
             ('reason', action.reason.value),
             ('after_ms', now_ms - trail.started_ms),
             ('sends', trail.sends),
+            ('working', _working(trail) or None),
             ('retry_after_ms', action.retry_after_ms or None),
         )
         trail.entries.append(trails.Entry(now_ms, 'refused', fields))
@@ -281,6 +282,10 @@
     return DecisionLog(state, sink, time.time, counts)
 
 
+def _working(trail: trails.Trail) -> str:
+    return ','.join(sent.target_id for sent in trail.sent_by_attempt.values())
+
+
 def _status_in(trail: trails.Trail) -> int:
     for entry in reversed(trail.entries):
         if entry.kind == 'attempt-ended':
--- /dev/null
+++ b/oleanderstair/explaining/stories.py
@@ -0,0 +1,109 @@
+"""Follows one request through log lines and names the cause of its end."""
+
+import typing
+
+from oleanderstair.explaining import causes, lines
+
+CONTEXT_S: typing.Final = 5
+"""How long before a request what its instance believed is told, in s."""
+
+_SPOKEN_BY_TARGET: typing.Final = 'audit-target'
+_BELIEFS: typing.Final = frozenset(
+    (
+        _SPOKEN_BY_TARGET,
+        'audit-configuration',
+        'audit-instance',
+        'store-lost',
+        'store-regained',
+        'store-forgot',
+        'started',
+        'stopped',
+        'lines-dropped',
+        'fault',
+    ),
+)
+
+
+class Said(typing.NamedTuple):
+    """A line of one instance; ``at_s`` is wall time in s since 1970."""
+
+    source: str
+    at_s: float
+    kind: str
+    field_by_name: dict[str, str]
+
+
+class Story(typing.NamedTuple):
+    """What was decided on a request, and what was believed around it."""
+
+    request_id: str
+    decisions: tuple[Said, ...]
+    context: tuple[Said, ...]
+    cause: str
+
+
+def read(name: str, text_lines: typing.Iterable[str]) -> list[Said]:
+    """Return the lines of a log; ``name`` stands where none names itself."""
+    said: list[Said] = []
+    for text in text_lines:
+        line = lines.read(text.rstrip('\n'))
+        if line is None:
+            continue
+        fields = dict(line.field_by_name)
+        said.append(
+            Said(
+                line.source.split(' ')[-1] or name,
+                _seconds_of(fields.pop('at', '')),
+                line.kind,
+                fields,
+            ),
+        )
+    return said
+
+
+def follow(request_id: str, said: typing.Iterable[Said]) -> Story:
+    """Return the story of a request; without decisions where none is told."""
+    told = list(said)
+    decisions = sorted(
+        (line for line in told if line.field_by_name.get('id') == request_id),
+        key=_time_of,
+    )
+    context = sorted(
+        (line for line in told if _is_context(line, decisions)),
+        key=_time_of,
+    )
+    facts = [
+        causes.Fact(line.kind, line.field_by_name, line.at_s)
+        for line in decisions
+    ]
+    return Story(
+        request_id,
+        tuple(decisions),
+        tuple(context),
+        causes.name(facts),
+    )
+
+
+def _time_of(line: Said) -> float:
+    return line.at_s
+
+
+def _seconds_of(text: str) -> float:
+    try:
+        return float(text)
+    except ValueError:
+        return 0
+
+
+def _is_context(line: Said, decisions: list[Said]) -> bool:
+    if line.kind not in _BELIEFS or not decisions:
+        return False
+    if line.source not in {told.source for told in decisions}:
+        return False
+    began_s = decisions[0].at_s - CONTEXT_S
+    if not began_s <= line.at_s <= decisions[-1].at_s:
+        return False
+    if line.kind != _SPOKEN_BY_TARGET:
+        return True
+    involved = {told.field_by_name.get('target') for told in decisions}
+    return line.field_by_name.get('subject') in involved
--- a/oleanderstair/explaining/trails.py
+++ b/oleanderstair/explaining/trails.py
@@ -59,6 +59,7 @@
         ('host', None if trail.route else received.host),
         ('path', None if trail.route else received.path),
         ('left_ms', received.deadline_ms - now_ms),
+        ('due_in_ms', call.due_at_ms - now_ms if call else None),
         ('configuration', in_force.number if in_force else 0),
         ('registry', state.registry.revision),
         ('targets', len(state.registry.ids_by_service.get(service, ()))),
--- a/oleanderstair/ui/main.py
+++ b/oleanderstair/ui/main.py
@@ -7,7 +7,7 @@
 import cappa
 
 from oleanderstair import errors
-from oleanderstair.ui import checks, demo, keys, notes, replay, reports
+from oleanderstair.ui import checks, demo, explain, keys, notes, replay, reports
 
 EXIT_WRONG_USE: typing.Final = 2
 
@@ -29,6 +29,8 @@
         | demo.Demo
         | replay.Replay
         | replay.Trace
+        | explain.Explain
+        | explain.Logs
     ]
 
 
--- /dev/null
+++ b/test/test_explain.py
@@ -0,0 +1,120 @@
+"""From a request's id to the cause of its end, by log lines alone."""
+
+import json
+import pathlib
+
+import cappa
+import pytest
+
+from oleanderstair import errors
+from oleanderstair.domain import events
+from oleanderstair.emulator import gateway_fleet, gateway_targets
+from oleanderstair.explaining import causes, sinks, stories
+from oleanderstair.ui import explain
+from test import test_decisions
+
+Behaviour = gateway_targets.Behaviour
+
+
+def told(sink: sinks.ListSink, request_id: str) -> stories.Story:
+    """Return the story of a request as its instance wrote it."""
+    return stories.follow(request_id, stories.read('entry-0', sink.lines))
+
+
+def shed_by_all(fleet: gateway_fleet.GatewayFleet) -> None:
+    for target in fleet.target_by_id.values():
+        target.behaviour = Behaviour.SHED
+    fleet.call('entry-0', 'lookup', request_id='r')
+
+
+def lost_answer(fleet: gateway_fleet.GatewayFleet) -> None:
+    for target in fleet.target_by_id.values():
+        target.behaviour = Behaviour.LOSE_ANSWER
+    fleet.call('entry-0', 'order', request_id='r', deadline_ms=400)
+
+
+def slow_run(fleet: gateway_fleet.GatewayFleet) -> None:
+    for target in fleet.target_by_id.values():
+        target.work = lambda received, rng: 600
+    fleet.call('entry-0', 'order', request_id='r')
+
+
+def gone_caller(fleet: gateway_fleet.GatewayFleet) -> None:
+    slow_run(fleet)
+    left = events.CallerLeft(1)
+    fleet.times.after(50, lambda: fleet.step('entry-0', left))
+
+
+def no_route(fleet: gateway_fleet.GatewayFleet) -> None:
+    fleet.call('entry-0', 'nothing', request_id='r')
+
+
+def failing_target(fleet: gateway_fleet.GatewayFleet) -> None:
+    for target in fleet.target_by_id.values():
+        target.behaviour = Behaviour.FAIL
+    fleet.call('entry-0', 'order', request_id='r')
+
+
+@pytest.mark.parametrize(
+    ('scene', 'cause'),
+    [
+        (shed_by_all, 'it has not run: attempt 1 (first) at burza-'),
+        (lost_answer, 'the deadline of its caller was 400 ms; attempt 1'),
+        (slow_run, 'later than aimed: burza-'),
+        (gone_caller, 'the caller left after 50 ms; attempt 1'),
+        (no_route, 'configuration 1 has no route for calls.example/nothing/'),
+        (failing_target, 'itself answered 500'),
+    ],
+)
+def test_the_lines_alone_name_the_cause(scene, cause: str) -> None:
+    fleet, sink = test_decisions.logged_fleet()
+    scene(fleet)
+    fleet.run_for(3000)
+    assert cause in told(sink, 'r').cause
+
+
+def test_what_the_instance_believed_of_the_targets_is_told() -> None:
+    lines = [
+        'event=audit-target at=8.0 subject=i-1 actor=registry why=leaving',
+        'event=audit-target at=8.0 subject=i-2 actor=registry why=leaving',
+        'event=store-lost at=9.0 why="status 503"',
+        'event=call at=10.0 id=r route=a',
+        'event=sent at=10.0 id=r attempt=1 target=i-1 why=first',
+        'event=store-regained at=30.0',
+    ]
+    story = stories.follow('r', stories.read('entry-1', lines))
+    assert [line.kind for line in story.context] == [
+        'audit-target',
+        'store-lost',
+    ]
+    assert 'has not ended by the last line' in story.cause
+
+
+def test_lines_of_several_instances_are_told_in_order() -> None:
+    later = stories.read('b', ['event=refused at=2.0 id=r reason=stopping'])
+    first = stories.read('a', ['0.1 x event=call at=1.0 id=r', 'other text'])
+    story = stories.follow('r', [*later, *first])
+    assert [line.source for line in story.decisions] == ['x', 'b']
+
+
+def test_a_request_that_no_line_names_is_said_to_be_so(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    path = tmp_path / 'entry-1.log'
+    path.write_text('event=started at=1.0 instance=x\n', encoding='utf-8')
+    with pytest.raises(SystemExit) as ended:
+        cappa.invoke(explain.Explain, argv=['r', str(path), '--json'])
+    assert ended.value.code == 1
+    document = json.loads(capsys.readouterr().out)[0]
+    assert document['cause'] == causes.UNTOLD
+
+
+def test_a_torn_line_is_named_with_its_place(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / 'entry-1.log'
+    path.write_text(
+        'event=call at=1.0 id=r\nevent=call id="x\n',
+        encoding='utf-8',
+    )
+    with pytest.raises(errors.UserError, match='entry-1.log:2'):
+        cappa.invoke(explain.LogsCheck, argv=[str(path)])
