--- a/oleanderstair/emulator/gateway_fleet.py
+++ b/oleanderstair/emulator/gateway_fleet.py
@@ -335,7 +335,16 @@
             )
         for observe in self.on_step:
             observe(member.state, event, done)
+        self._perform(member, done)
+
+    def _perform(
+        self,
+        member: Member,
+        done: typing.Sequence[actions.Action],
+    ) -> None:
         for action in done:
+            if not member.alive:
+                return
             perform = self._perform_by_action.get(type(action))
             if perform is not None:
                 perform(member, action)
