--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -4,7 +4,7 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import messages, outcomes
+from oleanderstair.domain import messages, outcomes, policy
 from oleanderstair.domain.tables import load_reports, registry, routes
 
 # Calls
@@ -37,6 +37,13 @@
     round: int
 
 
+class HedgeDue(typing.NamedTuple):
+    """A call that was sent ``sends`` times may be worth another target."""
+
+    call_id: int
+    sends: int
+
+
 class CallDue(typing.NamedTuple):
     """The deadline of a call, or the timeout of its route, has come."""
 
@@ -240,8 +247,22 @@
     """The operator asked for a planned stop."""
 
 
+class LimitsChanged(typing.NamedTuple):
+    """The settings file gives other limits; ``what`` names the fields."""
+
+    limits: policy.Policy
+    actor: str
+    what: str
+
+
 CallEvent: typing.TypeAlias = (
-    CallReceived | SampleDue | CallDue | CallerLeft | AttemptEnded | HomeReplied
+    CallReceived
+    | SampleDue
+    | HedgeDue
+    | CallDue
+    | CallerLeft
+    | AttemptEnded
+    | HomeReplied
 )
 
 StoreEvent: typing.TypeAlias = (
@@ -266,4 +287,5 @@
     | FactAdopted
     | Tick
     | StopRequested
+    | LimitsChanged
 )
