--- a/oleanderstair/domain/calls/repeats.py
+++ b/oleanderstair/domain/calls/repeats.py
@@ -47,6 +47,16 @@
     now_ms: clock.Millis,
 ) -> bool:
     """Return whether one more repeat fits into a part of the allowance."""
+    return left(state, service, part, now_ms) >= 1
+
+
+def left(
+    state: world.World,
+    service: str,
+    part: float,
+    now_ms: clock.Millis,
+) -> float:
+    """Return how many repeats still fit into a part of the allowance."""
     limits = state.policy
     tally = repeats.tally_of(state.repeats, service)
     since_ms = now_ms - _window_ms(state)
@@ -54,7 +64,7 @@
     _forget(tally.repeats_at_ms, since_ms - _ARRIVAL_MS)
     earned = limits.retry_ratio * len(tally.calls_at_ms)
     allowed = _MARGIN * part * (earned + _own_slack(state, now_ms))
-    return len(tally.repeats_at_ms) + 1 <= allowed
+    return allowed - len(tally.repeats_at_ms)
 
 
 def spend(state: world.World, service: str, now_ms: clock.Millis) -> None:
--- a/oleanderstair/emulator/gateway_stores.py
+++ b/oleanderstair/emulator/gateway_stores.py
@@ -1,6 +1,6 @@
 """Instances' calls to the store of a virtual fleet."""
 
-import functools
+import dataclasses
 import random
 import typing
 
@@ -17,6 +17,16 @@
 Result: typing.TypeAlias = typing.Callable[[], events.Event]
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Watch:
+    """A watch that waits; a silent one waits for an answer that was lost."""
+
+    incarnation: str
+    end: str
+    after_revision: int
+    silent: bool = False
+
+
 class StoreCalls:
     """Reads and watches under way; ``tell`` gives an instance the end.
 
@@ -36,7 +46,7 @@
         self._links = between
         self._rng = rng
         self._tell = tell
-        self._watches: list[tuple[str, str, int]] = []
+        self._watches: list[Watch] = []
         self.store.on_change.append(self._end_watches)
 
     def read(
@@ -56,27 +66,35 @@
     ) -> None:
         """Wait for a change for an instance."""
         self.store.calls += 1
-        watch = (incarnation, end, action.after_revision)
         bound_ms = action.bound_ms + WATCH_SLACK_MS
         if self._is_unreachable(end):
             self._fail(incarnation, 'no answer in time', bound_ms)
         elif self.store.refuses(end):
             self._fail(incarnation, 'status 503', self._trip_ms(end))
         else:
-            self._watches.append(watch)
-            self._times.after(
-                action.bound_ms,
-                functools.partial(self._end_watch, watch),
-            )
-            if self._has_news(action.after_revision):
-                self._end_watch(watch)
+            self._wait(incarnation, end, action, bound_ms)
+
+    def _wait(
+        self,
+        incarnation: str,
+        end: str,
+        action: actions.WatchStore,
+        bound_ms: clock.Millis,
+    ) -> None:
+        watch = Watch(incarnation, end, action.after_revision)
+        self._watches.append(watch)
+        self._times.after(action.bound_ms, lambda: self._end_watch(watch))
+        self._times.after(bound_ms, lambda: self._give_up(watch))
+        if self._has_news(action.after_revision):
+            self._end_watch(watch)
 
     def cut_watches(self) -> None:
         """Fail all watches that wait, as a store that goes down does."""
         waiting = tuple(self._watches)
         self._watches.clear()
-        for incarnation, end, _ in waiting:
-            self._fail(incarnation, 'connection lost', self._trip_ms(end))
+        for watch in waiting:
+            lost_ms = self._trip_ms(watch.end)
+            self._fail(watch.incarnation, 'connection lost', lost_ms)
 
     def _ask(
         self,
@@ -101,19 +119,27 @@
         for watch in tuple(self._watches):
             self._end_watch(watch)
 
-    def _end_watch(self, watch: tuple[str, str, int]) -> None:
-        incarnation, end, after_revision = watch
-        if watch not in self._watches or self._is_unreachable(end):
+    def _end_watch(self, watch: Watch) -> None:
+        if watch not in self._watches or watch.silent:
+            return
+        if self._is_unreachable(watch.end):
+            # What is lost on a connection is not said on it again.
+            watch.silent = True
             return
         self._watches.remove(watch)
         event: events.Event = events.HistoryLost()
-        if not self.store.is_forgotten(after_revision):
-            event = self.store.changes_after(after_revision)
+        if not self.store.is_forgotten(watch.after_revision):
+            event = self.store.changes_after(watch.after_revision)
         self._times.after(
-            self._trip_ms(end),
-            lambda: self._tell(incarnation, event),
+            self._trip_ms(watch.end),
+            lambda: self._tell(watch.incarnation, event),
         )
 
+    def _give_up(self, watch: Watch) -> None:
+        if watch in self._watches:
+            self._watches.remove(watch)
+            self._fail(watch.incarnation, 'no answer in time', 0)
+
     def _fail(
         self,
         incarnation: str,
--- a/oleanderstair/explaining/causes.py
+++ b/oleanderstair/explaining/causes.py
@@ -55,7 +55,22 @@
         'unknown': 'it may have run',
     }.get(end.get('outcome'), '')
     told = f'refused as {reason} after {end.get("after_ms")} ms, {ran}{hint}'
-    return f'{told}: {explain(facts)}'
+    return f'{told}: {explain(facts)}{_why_not_again(facts, end)}'
+
+
+def _why_not_again(facts: typing.Sequence[Fact], end: Fact) -> str:
+    """Return why no further target was tried, '' where that is plain."""
+    call = facts[0]
+    if not end.get('reason').startswith('target-') or not end.get('sends'):
+        return ''
+    if end.get('sends') == call.get('most_sends'):
+        return f'; its route allows {end.get("sends")} targets'
+    if call.get('runs') == 'once' and end.get('outcome') == 'unknown':
+        return '; not sent again, as its route runs once'
+    if end.span_ms('repeats_left') < 1:
+        left = end.get('repeats_left')
+        return f'; not sent again, as the retry budget had {left} left'
+    return '; not sent again, as no other target could be named'
 
 
 def _answered(facts: typing.Sequence[Fact], end: Fact) -> str:
--- a/oleanderstair/explaining/decisions.py
+++ b/oleanderstair/explaining/decisions.py
@@ -11,6 +11,7 @@
 
 from oleanderstair import clock, metrics
 from oleanderstair.domain import actions, events, world
+from oleanderstair.domain.calls import repeats
 from oleanderstair.explaining import lines, sinks, trails
 
 LINES_PER_S: typing.Final = 100
@@ -171,12 +172,28 @@
             ('reason', action.reason.value),
             ('after_ms', now_ms - trail.started_ms),
             ('sends', trail.sends),
+            *self._budget(trail, now_ms),
             ('working', _working(trail) or None),
             ('retry_after_ms', action.retry_after_ms or None),
         )
         trail.entries.append(trails.Entry(now_ms, 'refused', fields))
         self._write(trail, now_ms, f'refused-{action.reason.value}')
 
+    def _budget(
+        self,
+        trail: trails.Trail,
+        now_ms: clock.Millis,
+    ) -> lines.Fields:
+        if not trail.sends:
+            return ()
+        left = repeats.left(
+            self._state,
+            trail.service,
+            repeats.FOR_RETRIES,
+            now_ms,
+        )
+        return (('repeats_left', left),)
+
     def _count(self, trail: trails.Trail, outcome: str, why: str) -> None:
         label = f'route={trail.route} outcome={outcome} reason={why}'
         self._counts.count('calls', label)
--- a/oleanderstair/explaining/gauges.py
+++ b/oleanderstair/explaining/gauges.py
@@ -5,6 +5,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import world
+from oleanderstair.domain.calls import repeats
 from oleanderstair.domain.fleet import serving
 from oleanderstair.domain.tables import registry
 
@@ -38,6 +39,7 @@
         ),
         *_targets(state, now_ms),
         *_calls(state),
+        *_budgets(state, now_ms),
     ]
 
 
@@ -75,6 +77,17 @@
     return 'cold' if now_ms < entry.warm_at_ms else 'usable'
 
 
+def _budgets(state: world.World, now_ms: clock.Millis) -> list[Gauge]:
+    return [
+        Gauge(
+            'repeats_left',
+            (('service', service),),
+            repeats.left(state, service, repeats.FOR_RETRIES, now_ms),
+        )
+        for service in sorted(state.repeats.tally_by_service)
+    ]
+
+
 def _calls(state: world.World) -> list[Gauge]:
     counted = collections.Counter(
         (call.service, call.stage.value)
--- a/oleanderstair/explaining/trails.py
+++ b/oleanderstair/explaining/trails.py
@@ -31,6 +31,7 @@
     request_id: str
     started_ms: clock.Millis
     route: str = ''
+    service: str = ''
     aim_ms: clock.Millis = 0
     entries: list[Entry] = dataclasses.field(default_factory=list)
     sent_by_attempt: dict[int, Sent] = dataclasses.field(default_factory=dict)
@@ -48,26 +49,33 @@
     trail = Trail(received.request_id, now_ms)
     call = state.routed.call_by_id.get(received.call_id)
     in_force = state.routes.in_force
-    service = ''
     if call is not None:
         trail.route = call.route.name
         trail.aim_ms = call.route.aim_ms
-        service = call.service
+        trail.service = call.service
     fields = (
         ('route', trail.route or None),
-        ('service', service or None),
+        ('service', trail.service or None),
+        *_terms(call),
         ('host', None if trail.route else received.host),
         ('path', None if trail.route else received.path),
         ('left_ms', received.deadline_ms - now_ms),
         ('due_in_ms', call.due_at_ms - now_ms if call else None),
         ('configuration', in_force.number if in_force else 0),
         ('registry', state.registry.revision),
-        ('targets', len(state.registry.ids_by_service.get(service, ()))),
+        ('targets', len(state.registry.ids_by_service.get(trail.service, ()))),
     )
     trail.entries.append(Entry(now_ms, 'call', fields))
     return trail
 
 
+def _terms(call: routed.RoutedCall | None) -> lines.Fields:
+    if call is None:
+        return ()
+    runs = 'again' if call.route.idempotent else 'once'
+    return (('runs', runs), ('most_sends', call.route.max_attempts))
+
+
 def note_stage(
     trail: Trail,
     call: routed.RoutedCall | None,
--- a/test/gateway_matrix.py
+++ b/test/gateway_matrix.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import functools
 import typing
 
 from oleanderstair.domain import actions, events, outcomes, world
@@ -80,13 +81,8 @@
         """Send calls to all instances in turn for a time."""
         ids = sorted(PLACES)
         for number in range(for_ms // BETWEEN_CALLS_MS):
-            self.fleet.times.after(
-                number * BETWEEN_CALLS_MS,
-                lambda number=number: self.send(
-                    ids[number % len(ids)],
-                    number,
-                ),
-            )
+            send = functools.partial(self.send, ids[number % len(ids)], number)
+            self.fleet.times.after(number * BETWEEN_CALLS_MS, send)
 
     def is_excused(self, instance_id: str, need: str) -> bool:
         """Return whether a fault excuses what an instance owes."""
@@ -245,27 +241,26 @@
     assert scene.injected, 'the step was not reached'
     runs_by_call = collections.Counter(run.call_id for run in fleet.runs)
     for call_id, sent in scene.sent_by_call.items():
-        told = fleet.told_by_call.get(call_id)
-        runs = runs_by_call[call_id]
-        if sent.order and runs > 1:
-            scene.broken.append(f'order {call_id} ran {runs} times')
-        if told is None:
-            _check_unanswered(scene, call_id, sent)
-        elif told.outcome is outcomes.Outcome.NOT_RUN and runs:
-            scene.broken.append(f'{call_id} refused as not run, but ran')
-        elif told.at_ms > sent.at_ms + CALL_MS + ANSWER_SLACK_MS:
-            if not scene.is_excused(sent.instance_id, 'actor'):
-                scene.broken.append(f'{call_id} answered late')
+        _check_call(scene, call_id, sent, runs_by_call[call_id])
     if fleet.told_twice:
         scene.broken.append(f'answered twice: {fleet.told_twice}')
     _check_agreement(scene)
     assert not scene.broken, '\n'.join(scene.broken[:5])
 
 
-def _check_unanswered(scene: Scene, call_id: int, sent: Sent) -> None:
-    member = scene.fleet.member_by_incarnation[sent.incarnation]
-    if member.alive:
-        scene.broken.append(f'{call_id} never answered by {sent.instance_id}')
+def _check_call(scene: Scene, call_id: int, sent: Sent, runs: int) -> None:
+    told = scene.fleet.told_by_call.get(call_id)
+    if sent.order and runs > 1:
+        scene.broken.append(f'order {call_id} ran {runs} times')
+    if told is None:
+        if scene.fleet.member_by_incarnation[sent.incarnation].alive:
+            scene.broken.append(f'{call_id} never answered')
+        return
+    if told.outcome is outcomes.Outcome.NOT_RUN and runs:
+        scene.broken.append(f'{call_id} refused as not run, but ran')
+    late = told.at_ms > sent.at_ms + CALL_MS + ANSWER_SLACK_MS
+    if late and not scene.is_excused(sent.instance_id, 'actor'):
+        scene.broken.append(f'{call_id} answered late')
 
 
 def _check_agreement(scene: Scene) -> None:
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -71,9 +71,13 @@
 
 def test_a_retry_says_why() -> None:
     fleet, sink = logged_fleet()
+    # Each call earns a part of a repeat.
+    for _ in range(20):
+        fleet.call('entry-0', 'lookup')
+        fleet.run_for(100)
+    fleet.target_by_id['burza-1'].machine.slowed = 3
     shed = gateway_targets.Behaviour.SHED
     fleet.target_by_id['burza-0'].behaviour = shed
-    fleet.target_by_id['burza-1'].machine.slowed = 3
     fleet.call('entry-0', 'lookup', request_id='r-1')
     fleet.run_for(1000)
     assert any(
--- a/test/test_gateway_matrix.py
+++ b/test/test_gateway_matrix.py
@@ -1,5 +1,6 @@
 """Each fault at each step of a gateway's work, on the virtual clock."""
 
+import itertools
 import random
 
 import pytest
@@ -9,11 +10,9 @@
 NAMES = sorted(gateway_faults.FAULT_BY_NAME)
 PAIRS = random.Random(1).sample(
     [
-        (step, first, second)
+        (step, *pair)
         for step in gateway_matrix.STEP_BY_NAME
-        for first in NAMES
-        for second in NAMES
-        if first < second
+        for pair in itertools.combinations(NAMES, 2)
     ],
     40,
 )
