--- a/oleanderstair/explaining/causes.py
+++ b/oleanderstair/explaining/causes.py
@@ -36,7 +36,9 @@
         return UNTOLD
     left = _last(facts, 'caller-left')
     if left is not None:
-        return f'the caller left after {left.get("after_ms")} ms; {_at(facts)}'
+        after = left.get('after_ms')
+        only = _why_only_one(facts)
+        return f'the caller left after {after} ms; {_at(facts)}{only}'
     end = facts[-1]
     if end.kind == 'refused':
         return _refused(facts, end)
@@ -166,7 +168,22 @@
     bound = 'the deadline of its caller'
     if call.span_ms('due_in_ms') < call.span_ms('left_ms'):
         bound = f'the timeout of route {call.get("route")}'
-    return f'{bound} was {call.get("due_in_ms")} ms; {_by_attempts(facts)}'
+    told = f'{bound} was {call.get("due_in_ms")} ms; {_by_attempts(facts)}'
+    return f'{told}{_why_only_one(facts)}'
+
+
+def _why_only_one(facts: typing.Sequence[Fact]) -> str:
+    """Return what kept a slow call from a second target, where one might."""
+    call = facts[0]
+    end = facts[-1]
+    if call.get('runs') != 'again' or end.get('sends') != '1':
+        return ''
+    if call.get('most_sends') == '1':
+        return '; its route allows no second target'
+    if end.span_ms('repeats_left') < 1:
+        left = end.get('repeats_left')
+        return f'; no second attempt, as the retry budget had {left} left'
+    return ''
 
 
 def _last(facts: typing.Sequence[Fact], kind: str) -> Fact | None:
--- a/test/gateway_matrix.py
+++ b/test/gateway_matrix.py
@@ -16,11 +16,13 @@
 ACTOR = 'entry-0'
 TARGET = 'burza-0'
 SETTLE_MS = 3000
+WARM_MS = 1500
 RECOVERY_MS = 20_000
 CALL_MS = 800
 ANSWER_SLACK_MS = 100
-BETWEEN_CALLS_MS = 30
+BETWEEN_CALLS_MS = 10
 DRAIN_MS = 2000
+LIMITS = {'retry_slack': 1000, 'retry_window_s': 1}
 
 Inject: typing.TypeAlias = typing.Callable[[], None]
 
@@ -97,7 +99,7 @@
         fleet.add_target(f'burza-{number}', 'burza', place)
     fleet.publish(LOOKUP, ORDER)
     for instance_id, place in PLACES.items():
-        fleet.add_instance(instance_id, place, ('entry-0', 'entry-1'))
+        add_instance(fleet, instance_id, place)
     fleet.run_for(SETTLE_MS)
     faults = [gateway_faults.FAULT_BY_NAME[name] for name in names]
     scene = Scene(fleet, faults)
@@ -105,11 +107,22 @@
     return scene
 
 
+def add_instance(
+    fleet: gateway_fleet.GatewayFleet,
+    instance_id: str,
+    place: str,
+) -> None:
+    """Start an instance whose retry budget holds nothing back."""
+    seeds = ('entry-0', 'entry-1')
+    fleet.add_instance(instance_id, place, seeds, **LIMITS)
+
+
 def run(step: str, *names: str, seed: int = 1) -> Scene:
     """Run a call, a configuration, a leaving and a return under faults."""
     scene = create(*names, seed=seed)
     fleet = scene.fleet
     scene.start_load(4 * gateway_faults.FAULT_MS)
+    fleet.run_for(WARM_MS)
     STEP_BY_NAME[step](scene)
     fleet.run_for(500)
     _strike_if(scene, step, 'published')
