--- a/oleanderstair/engine/peers.py
+++ b/oleanderstair/engine/peers.py
@@ -15,7 +15,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import messages
 from oleanderstair.domain.fleet import codec
-from oleanderstair.engine import strangers
+from oleanderstair.engine import arrivals, strangers
 
 SILENCE_MS: typing.Final = 3000
 """How long a connection may be silent before it is replaced."""
@@ -92,21 +92,21 @@
         incarnation: str,
         keys: Keys,
         silence_ms: clock.Millis,
+        heartbeats: bool,
     ) -> None:
         """Bind to ``endpoint`` as ``incarnation``."""
+        self._heartbeats = heartbeats
         self._incarnation = incarnation.encode()
         self._keys = keys
         self._silence_ms = int(silence_ms)
         self._clock = clock.monotonic()
         self._count: typing.Callable[[str, str], None] = _count_nothing
-        self._context = zmq.asyncio.Context()
-        self._plain: zmq.Context[zmq.Socket[bytes]] = zmq.Context.shadow(
-            self._context,
-        )
+        self._plain: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         self._gate: strangers.Gate | None = None
         if keys.public:
-            self._gate = strangers.create(self._context, keys.public)
-        self._router = self._context.socket(zmq.ROUTER)
+            shadow = zmq.asyncio.Context.shadow(self._plain)
+            self._gate = strangers.create(shadow, keys.public)
+        self._router = self._plain.socket(zmq.ROUTER)
         self._prepare(self._router)
         self._router.setsockopt(zmq.MAXMSGSIZE, _MAX_FRAME_BYTES)
         # A peer whose connection went silent may come back on a new one.
@@ -119,6 +119,7 @@
             self._router.zap_domain = strangers.DOMAIN
         self._refused = strangers.watch_refusals(self._router, self._plain)
         self._router.bind(endpoint)
+        self._arrivals = arrivals.create(self._router)
         self._dealer_by_address: dict[str, _Dealer] = {}
         self._waiting: list[_Waiting] = []
         self._heard_at_ms_by_incarnation: dict[str, clock.Millis] = {}
@@ -153,7 +154,7 @@
     async def receive(self) -> Heard:
         """Return the next message that could be read."""
         while True:
-            frames = await self._router.recv_multipart()
+            frames = await self._arrivals.next()
             heard = _read(frames)
             if heard is not None:
                 self._note_heard(heard.sender)
@@ -162,13 +163,14 @@
 
     def close(self) -> None:
         """Release the sockets."""
+        self._arrivals.close()
         for dealer in self._dealer_by_address.values():
             dealer.socket.close(0)
         self._router.disable_monitor()
         self._refused.close(0)
         if self._gate is not None:
             self._gate.close()
-        self._context.destroy(0)
+        self._plain.destroy(0)
 
     def _wait(self, address: str, frame: bytes) -> bool:
         """Keep a frame for the time that a new connection takes to open."""
@@ -187,7 +189,7 @@
         loop.call_later(clock.to_seconds(_RETRY_MS), self._retry)
 
     def _retry(self) -> None:
-        if self._context.closed:
+        if self._plain.closed:
             return
         now_ms = self._clock.now_ms()
         left = []
@@ -205,10 +207,12 @@
         made.setsockopt(zmq.LINGER, 0)
         made.setsockopt(zmq.SNDHWM, _QUEUE_LIMIT)
         made.setsockopt(zmq.RCVHWM, _QUEUE_LIMIT)
+        made.setsockopt(zmq.HANDSHAKE_IVL, self._silence_ms)
+        if not self._heartbeats:
+            return
         made.setsockopt(zmq.HEARTBEAT_IVL, self._silence_ms // 3)
         made.setsockopt(zmq.HEARTBEAT_TIMEOUT, self._silence_ms)
         made.setsockopt(zmq.HEARTBEAT_TTL, self._silence_ms)
-        made.setsockopt(zmq.HANDSHAKE_IVL, self._silence_ms)
 
     def _dealer(
         self,
@@ -288,10 +292,15 @@
     incarnation: str,
     keys: Keys,
     silence_ms: clock.Millis = SILENCE_MS,
+    heartbeats: bool = True,
 ) -> ZmqLink:
-    """Create a link that is bound and ready to receive."""
+    """Create a link that is bound and ready to receive.
+
+    Without ``heartbeats`` only a question that stays unanswered shows that
+    a connection went silent; that costs no bytes.
+    """
     endpoint = f'tcp://{host}:{port or "*"}'
-    return ZmqLink(endpoint, incarnation, keys, silence_ms)
+    return ZmqLink(endpoint, incarnation, keys, silence_ms, heartbeats)
 
 
 def _try_send(dealer: 'zmq.Socket[bytes]', frame: bytes) -> bool:
@@ -306,6 +315,8 @@
     """Return whether a live peer answers this message."""
     if isinstance(message, (messages.Pulse, messages.Heartbeat)):
         return not message.reply
+    if isinstance(message, messages.Roster):
+        return message.turn is messages.Turn.ASKS
     return isinstance(message, messages.KeyedCall)
 
 
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 import socket
+import time
 import typing
 
 import anyio
@@ -27,6 +28,8 @@
 """How fresh an answer proves a connection for a call that runs once."""
 
 _SEED_BITS: typing.Final = 64
+_PEER_SILENCE_MS: typing.Final = 1000
+_NS_PER_MS: typing.Final = 1_000_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -122,6 +125,8 @@
             settings.limits_of(self.checked),
             random.Random(secrets.randbits(_SEED_BITS)),
         )
+        state.members.seeds = tuple(self.checked.peers.seeds)
+        state.members.started_ms = time.time_ns() // _NS_PER_MS
         return gateway.Gateway(state, sides, tasks)
 
 
@@ -144,7 +149,14 @@
         identity=own,
         checked=checked,
         caller_socket=caller_socket,
-        link=peers.create(host, int(port), incarnation, peers.Keys()),
+        link=peers.create(
+            host,
+            int(port),
+            incarnation,
+            peers.Keys(),
+            _PEER_SILENCE_MS,
+            heartbeats=False,
+        ),
         platform_sockets=[
             _bind(checked.platform.directory_address),
             _bind(checked.platform.readiness_address),
