--- a/oleanderstair/emulator/gateway_fleet.py
+++ b/oleanderstair/emulator/gateway_fleet.py
@@ -176,6 +176,8 @@
         )
         seeded = random.Random(f'{own.incarnation} {self.seed}')
         member = Member(world.create(own, policy.Policy(**limits), seeded))
+        member.state.members.seeds = seeds
+        member.state.members.started_ms = int(self.times.now_ms()) + 1
         if self.prepare is not None:
             self.prepare(member.state)
         self.member_by_id[instance_id] = member
--- a/oleanderstair/emulator/gateway_stores.py
+++ b/oleanderstair/emulator/gateway_stores.py
@@ -10,8 +10,6 @@
 
 STORE: typing.Final = 'store'
 ANSWER_MS: typing.Final[clock.Millis] = 4
-READ_BOUND_MS: typing.Final[clock.Millis] = 3000
-WATCH_SLACK_MS: typing.Final[clock.Millis] = 2000
 
 Tell: typing.TypeAlias = typing.Callable[[str, events.Event], None]
 Result: typing.TypeAlias = typing.Callable[[], events.Event]
@@ -56,7 +54,7 @@
         action: actions.ReadStore,
     ) -> None:
         """Read the whole store for an instance."""
-        self._ask(incarnation, end, READ_BOUND_MS, self.store.read)
+        self._ask(incarnation, end, action.bound_ms, self.store.read)
 
     def watch(
         self,
@@ -66,7 +64,7 @@
     ) -> None:
         """Wait for a change for an instance."""
         self.store.calls += 1
-        bound_ms = action.bound_ms + WATCH_SLACK_MS
+        bound_ms = action.bound_ms + action.slack_ms
         if self._is_unreachable(end):
             self._fail(incarnation, 'no answer in time', bound_ms)
         elif self.store.refuses(end):
--- a/oleanderstair/explaining/gauges.py
+++ b/oleanderstair/explaining/gauges.py
@@ -35,7 +35,7 @@
         Gauge(
             'peers_known',
             (),
-            len(state.instances.peer_by_incarnation),
+            sum(peer.lives for peer in state.members.by_incarnation.values()),
         ),
         *_targets(state, now_ms),
         *_calls(state),
