--- /dev/null
+++ b/test/test_documents.py
@@ -0,0 +1,94 @@
+"""What lies in the platform's store, readable and not."""
+
+import base64
+import json
+
+import pytest
+import result
+
+from oleanderstair.platform import documents
+
+TARGET = {
+    'service': 'svc',
+    'address': '10.1.0.3:8200',
+    'data_centre': 'a',
+    'slots': 4,
+    'state': 'ready',
+    'sequence': 7,
+    'slow_ms': 1500,
+    'born': 1775244779300,
+}
+ROUTE = {
+    'name': 'r1',
+    'host': 'h',
+    'prefix': '/a/',
+    'kind': 'idempotent',
+    'timeout_ms': 1000,
+    'aim_ms': 250,
+    'rank': 0,
+    'max_attempts': 2,
+    'split': [{'service': 'svc', 'weight': 3}],
+}
+CONFIGURATION = {
+    'number': 4,
+    'routes': [ROUTE],
+    'services': [{'name': 'svc', 'health_path': '/h', 'connections': 9}],
+    'limits': {
+        'max_header_bytes': 1000,
+        'max_body_bytes': 1000,
+        'header_time_ms': 1000,
+        'idle_ms': 1000,
+    },
+}
+
+
+def item(document, key='servers/i-1'):
+    text = json.dumps(document).encode()
+    return documents.Item(key, 5, base64.b64encode(text).decode())
+
+
+def test_a_target_is_read_with_its_start_and_how_long_it_is_slow():
+    entry = documents.read_target(item(TARGET), 1000).ok_value
+    assert (entry.target_id, entry.born_ms) == ('i-1', TARGET['born'])
+    assert entry.warm_at_ms == 2500
+    assert not entry.leaving
+
+
+@pytest.mark.parametrize(
+    'forged',
+    [
+        {'state': 'new'},
+        {'slots': 0},
+        {'slots': 'four'},
+        {'address': 'nowhere'},
+        {'service': ''},
+        {'born': 'today'},
+        {'slow_ms': -1},
+    ],
+)
+def test_a_forged_entry_is_refused_with_its_key(forged):
+    read = documents.read_target(item({**TARGET, **forged}), 0)
+    assert isinstance(read, result.Err)
+    assert read.err_value.where == 'servers/i-1'
+
+
+@pytest.mark.parametrize('value', ['', '!!', 'e30=', 'AAEC'])
+def test_bytes_that_cannot_be_read_are_refused(value):
+    unreadable = documents.Item('servers/i-1', 5, value)
+    assert isinstance(documents.read_target(unreadable, 0), result.Err)
+    assert isinstance(documents.read_configuration(unreadable), result.Err)
+
+
+def test_a_missing_field_refuses_the_entry():
+    missing = {**TARGET}
+    missing.pop('data_centre')
+    assert isinstance(documents.read_target(item(missing), 0), result.Err)
+
+
+def test_a_configuration_is_read_whole():
+    found = documents.read_configuration(item(CONFIGURATION, 'op/config'))
+    routing = found.ok_value
+    found_routes = routing.routes_by_host['h']
+    assert routing.number == 4
+    assert [route.parts[0].weight for route in found_routes] == [3]
+    assert routing.service_by_name['svc'].connections == 9
