--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -12,10 +12,12 @@
     identity,
     instances,
     keys,
+    latencies,
     load_reports,
     members,
     reads,
     registry,
+    repeats,
     routed,
     routes,
     services,
@@ -53,6 +55,8 @@
     registry: registry.RegistryTable
     loads: load_reports.LoadsTable
     routed: routed.RoutedTable
+    repeats: repeats.RepeatsTable
+    latencies: latencies.LatenciesTable
     store: store.StoreTable
     members: members.MembersTable
 
@@ -83,6 +87,8 @@
         registry=registry.create(),
         loads=load_reports.create(),
         routed=routed.create(),
+        repeats=repeats.create(),
+        latencies=latencies.create(),
         store=store.create(),
         members=members.create(),
     )
