Read at once after a cold start, and serve with the first knowledge

A started instance now reads after 80 ms (spread over 150 ms where it has met nobody, later where two others are to read), asks seeds every 50 ms, opens a new connection where one did not open in 200 ms, and is ready in the step in which it first knows both.

Ruled out: no wait at all (each of a large fleet would read).

--- a/oleanderstair/domain/configuration/watching.py
+++ b/oleanderstair/domain/configuration/watching.py
@@ -27,9 +27,15 @@
 TRUST_MS: typing.Final = 1350
 """How long what is known is trusted without a new confirmation."""
 
-FIRST_MS: typing.Final = 500
+FIRST_MS: typing.Final = 80
 """How long a started instance waits for peers to tell it all they know."""
 
+FIRST_SPREAD_MS: typing.Final = 150
+"""Over how long those spread that have met nobody until then."""
+
+FIRST_TRUST_MS: typing.Final = 300
+"""How much longer those wait that have met the two that are to read."""
+
 SLACK_MS: typing.Final = 250
 """How much longer than asked for a call to the store may take at first."""
 
@@ -62,6 +68,7 @@
     table = state.store
     if state.members.first_tick_ms is None:
         state.members.first_tick_ms = now_ms
+        table.first_spread = state.rng.random()
     done = _recover(state, now_ms)
     if table.asked_at_ms is not None or now_ms < _due_ms(state):
         return done
@@ -160,17 +167,27 @@
     """Return when this instance has to ask the store."""
     table = state.store
     rank = members.view(state).rank
-    fresh_ms = table.fresh_at_ms
-    first_ms = state.members.first_tick_ms or 0
-    known = bool(state.registry.revision)
+    if not state.registry.revision:
+        return max(table.due_at_ms, _first_due_ms(state, rank))
     if rank < READERS:
-        return table.due_at_ms if known else first_ms + FIRST_MS
-    if not known:
-        fresh_ms = first_ms + FIRST_MS
+        return table.due_at_ms
     # Readers that live are heard; the rest follow them a few at a time.
-    steps_ms = rank // _STEP_RANKS * _STEP_MS
-    trusted_ms = TRUST_MS + min(steps_ms, _LONGEST_STEPS_MS)
-    return max(table.due_at_ms, fresh_ms + trusted_ms)
+    trusted_ms = TRUST_MS + _steps_ms(rank)
+    return max(table.due_at_ms, table.fresh_at_ms + trusted_ms)
+
+
+def _first_due_ms(state: world.World, rank: int) -> clock.Millis:
+    """Return when an instance that knows nothing reads for itself."""
+    first_ms = state.members.first_tick_ms or 0
+    if rank >= READERS:
+        return first_ms + FIRST_MS + FIRST_TRUST_MS + _steps_ms(rank)
+    alone = len(members.view(state).reader_order) == 1
+    spread_ms = state.store.first_spread * FIRST_SPREAD_MS if alone else 0
+    return first_ms + FIRST_MS + spread_ms
+
+
+def _steps_ms(rank: int) -> clock.Millis:
+    return min(rank // _STEP_RANKS * _STEP_MS, _LONGEST_STEPS_MS)
 
 
 def _succeed(state: world.World, now_ms: clock.Millis) -> clock.Millis:
--- a/oleanderstair/domain/fleet/meeting.py
+++ b/oleanderstair/domain/fleet/meeting.py
@@ -24,7 +24,7 @@
 REVIEW_MS: typing.Final = 250
 AWAY_ROUND_MS: typing.Final = 2000
 GREET_MS: typing.Final = 1000
-JOIN_MS: typing.Final = 150
+JOIN_MS: typing.Final = 50
 """How often seeds are asked while nobody else is known to live."""
 
 SLEPT_MS: typing.Final = 1000
@@ -34,7 +34,7 @@
 
 _SMALL_DATA_CENTRE: typing.Final = 8
 _SUSPECTS_AT_ONCE: typing.Final = 3
-_QUICK_JOINS: typing.Final = 20
+_QUICK_JOINS: typing.Final = 60
 _LONGEST_AGE_MS: typing.Final = 1_000_000_000
 _DELEGATE_KEY: typing.Final = 'delegate'
 
--- a/oleanderstair/domain/fleet/serving.py
+++ b/oleanderstair/domain/fleet/serving.py
@@ -5,6 +5,15 @@
 from oleanderstair.domain.tables import instances
 
 
+def on_known(
+    state: world.World,
+    event: events.StoreRead | events.StoreTold,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Serve at once where this was the first that is known."""
+    return on_tick(state, events.Tick(), now_ms)
+
+
 def on_tick(
     state: world.World,
     event: events.Tick,
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -30,11 +30,15 @@
     events.RoutingRead: (routing.on_routing,),
     events.RegistryRead: (registering.on_read,),
     events.RegistryChanged: (registering.on_changed,),
-    events.StoreRead: (watching.on_read, watching.on_settled),
+    events.StoreRead: (
+        watching.on_read,
+        watching.on_settled,
+        serving.on_known,
+    ),
     events.StoreChanged: (watching.on_changed, watching.on_settled),
     events.HistoryLost: (watching.on_history_lost,),
     events.StoreFailed: (watching.on_failed,),
-    events.StoreTold: (telling.on_told,),
+    events.StoreTold: (telling.on_told, serving.on_known),
     events.PeerHeard: (meeting.on_peer, telling.on_peer),
     events.Tick: (
         meeting.on_tick,
--- a/oleanderstair/domain/tables/store.py
+++ b/oleanderstair/domain/tables/store.py
@@ -23,9 +23,11 @@
     ``asked_at_ms`` is None while no call is under way, ``asked_from`` what
     was known when it began. ``fresh_at_ms`` is the last moment at which
     what is known here was all that the store held, whoever read it.
-    ``returned_at_ms`` is when the store came back from an outage.
+    ``returned_at_ms`` is when the store came back from an outage, and
+    ``first_spread`` a draw that keeps first reads apart.
     """
 
+    first_spread: float = 0
     asked_at_ms: clock.Millis | None = None
     asked_from: Position = Position()
     due_at_ms: clock.Millis = clock.NEVER_MS
--- a/oleanderstair/engine/peers.py
+++ b/oleanderstair/engine/peers.py
@@ -196,13 +196,23 @@
         for waiting in self._waiting:
             dealer = self._dealer_by_address.get(waiting.address)
             if dealer is None or now_ms > waiting.until_ms:
-                self._count('peer-dropped', 'not-connected')
+                self._drop_unconnected(waiting.address)
             elif not _try_send(dealer.socket, waiting.frame):
                 left.append(waiting)
         self._waiting = left
         if left:
             self._retry_soon()
 
+    def _drop_unconnected(self, address: str) -> None:
+        """Give up a connection that did not open; the next one is tried anew.
+
+        Else ever longer pauses between tries would hide that a peer is back.
+        """
+        self._count('peer-dropped', 'not-connected')
+        dealer = self._dealer_by_address.pop(address, None)
+        if dealer is not None:
+            dealer.socket.close(0)
+
     def _prepare(self, made: 'zmq.Socket[typing.Any]') -> None:
         made.setsockopt(zmq.LINGER, 0)
         made.setsockopt(zmq.SNDHWM, _QUEUE_LIMIT)
