--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -15,7 +15,6 @@
     meeting,
     reloading,
     serving,
-    stopping,
 )
 from oleanderstair.domain.targets import registering, sampling
 
@@ -47,7 +46,7 @@
         serving.on_tick,
         finishing.on_tick,
     ),
-    events.StopRequested: (stopping.on_stop, meeting.on_stop),
+    events.StopRequested: (finishing.on_stop, meeting.on_stop),
     events.LimitsChanged: (reloading.on_limits,),
 }
 
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -24,6 +24,9 @@
 from oleanderstair.platform import dialect, listeners, load_reader, store
 
 _INCARNATION_BYTES: typing.Final = 4
+_PROOF_MS: typing.Final = 50
+"""How fresh an answer proves a connection for a call that runs once."""
+
 _SEED_BITS: typing.Final = 64
 _PEER_SILENCE_MS: typing.Final = 1000
 _NS_PER_MS: typing.Final = 1_000_000
@@ -38,6 +41,7 @@
     caller_socket: socket.socket
     platform_sockets: list[socket.socket]
     link: peers.Link
+    metrics_socket: socket.socket | None = None
     carrier: gateway.Gateway | None = None
 
     async def run(self) -> None:
@@ -78,14 +82,25 @@
         self.carrier.handle(events.LimitsChanged(limits, actor, what))
 
     async def _listen(self, carrier: gateway.Gateway) -> None:
-        callers = listener.create(
+        def bounds_of() -> bounded.Bounds:
+            return _bounds_of(self.checked.callers, carrier)
+
+        callers = listener.create_bounded(
             routed_callers.create(carrier, dialect.create()),
-            _bounds_of(self.checked.callers),
+            bounds_of,
+        )
+        asked_sockets = self.platform_sockets
+        shown_at = ''
+        if self.metrics_socket is not None:
+            asked_sockets = [*asked_sockets, self.metrics_socket]
+            shown_at = listener.address_of(self.metrics_socket)
+        asked = listener.create_bounded(
+            listeners.create(carrier, shown_at),
+            bounds_of,
         )
-        asked = listener.create(listeners.create(carrier))
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(callers.serve, [self.caller_socket])
-            tasks.start_soon(asked.serve, self.platform_sockets)
+            tasks.start_soon(asked.serve, asked_sockets)
             await carrier.exit.wait()
             # Each server writes the answers that are under way, then ends.
             callers.should_exit = True
@@ -93,12 +108,17 @@
 
     def _create_shell(self, tasks: anyio.abc.TaskGroup) -> gateway.Gateway:
         told = clock.monotonic()
+        connections = exchanges.create(
+            self.checked.callers.max_answer_bytes,
+            takes_unframed=True,
+            proof_ms=_PROOF_MS,
+        )
         sides = gateway.Sides(
             clock=told,
-            connections=exchanges.create(self.checked.callers.max_answer_bytes),
+            connections=connections,
             dialect=dialect.create(),
             store=store.create(self.checked.platform.store_address, told),
-            load_reader=load_reader.create(),
+            load_reader=load_reader.create(connections),
             link=self.link,
         )
         state = world.create(
@@ -142,6 +162,7 @@
             _bind(checked.platform.directory_address),
             _bind(checked.platform.readiness_address),
         ],
+        metrics_socket=_bind_metrics(checked.admin.metrics_address),
     )
 
 
@@ -150,11 +171,34 @@
     return listener.bind(host, int(port))
 
 
-def _bounds_of(wanted: settings.CallerSettings) -> bounded.Bounds:
-    return bounded.Bounds(
+def _bind_metrics(address: str) -> socket.socket | None:
+    """Return the socket for metrics; an instance serves without it too."""
+    if not address:
+        return None
+    try:
+        return _bind(address)
+    except OSError as error:
+        logs.event('metrics-unavailable', address=address, why=repr(error))
+        return None
+
+
+def _bounds_of(
+    wanted: settings.CallerSettings,
+    carrier: gateway.Gateway,
+) -> bounded.Bounds:
+    """Return the bounds of the configuration in force, or the settings'."""
+    bounds = bounded.Bounds(
         max_header_bytes=wanted.max_header_bytes,
         request_time_ms=wanted.request_time_ms,
         idle_ms=wanted.idle_ms,
         answer_time_ms=wanted.answer_time_ms,
         max_connections=wanted.max_connections,
     )
+    in_force = carrier.state.routes.in_force
+    if in_force is None:
+        return bounds
+    return bounds._replace(
+        max_header_bytes=in_force.limits.max_header_bytes,
+        request_time_ms=in_force.limits.header_time_ms,
+        idle_ms=in_force.limits.idle_ms,
+    )
