--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -9,12 +9,12 @@
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, stepping, world
 from oleanderstair.domain.calls import routed, sending
-from oleanderstair.domain.configuration import routing, watching
+from oleanderstair.domain.configuration import routing, telling, watching
 from oleanderstair.domain.fleet import (
     finishing,
+    meeting,
     reloading,
     serving,
-    stopping,
 )
 from oleanderstair.domain.targets import registering, sampling
 
@@ -29,13 +29,20 @@
     events.RoutingRead: (routing.on_routing,),
     events.RegistryRead: (registering.on_read,),
     events.RegistryChanged: (registering.on_changed,),
-    events.StoreRead: (watching.on_read,),
-    events.StoreChanged: (watching.on_changed,),
+    events.StoreRead: (watching.on_read, watching.on_settled),
+    events.StoreChanged: (watching.on_changed, watching.on_settled),
     events.HistoryLost: (watching.on_history_lost,),
     events.StoreFailed: (watching.on_failed,),
-    events.PeerHeard: (),
-    events.Tick: (watching.on_tick, serving.on_tick, finishing.on_tick),
-    events.StopRequested: (stopping.on_stop,),
+    events.StoreTold: (telling.on_told,),
+    events.PeerHeard: (meeting.on_peer, telling.on_peer),
+    events.Tick: (
+        meeting.on_tick,
+        watching.on_tick,
+        registering.on_tick,
+        serving.on_tick,
+        finishing.on_tick,
+    ),
+    events.StopRequested: (finishing.on_stop, meeting.on_stop),
     events.LimitsChanged: (reloading.on_limits,),
 }
 
--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -14,6 +14,7 @@
     keys,
     latencies,
     load_reports,
+    members,
     reads,
     registry,
     repeats,
@@ -57,6 +58,7 @@
     repeats: repeats.RepeatsTable
     latencies: latencies.LatenciesTable
     store: store.StoreTable
+    members: members.MembersTable
 
 
 def create(
@@ -88,4 +90,5 @@
         repeats=repeats.create(),
         latencies=latencies.create(),
         store=store.create(),
+        members=members.create(),
     )
