Count the instances that share a budget, and keep parts of earned reads

The largest count of instances known in the last ten minutes, the lately dead among them, divides the slack; that of the own data centre divides the reads. An assumed count stays the floor, for a start within a split.

--- a/oleanderstair/domain/calls/repeats.py
+++ b/oleanderstair/domain/calls/repeats.py
@@ -101,7 +101,8 @@
     it may have spent the part just now.
     """
     limits = state.policy
-    count = max(state.instances.largest_count, limits.assumed_instances)
+    known = state.instances.largest_count
+    count = max(known, limits.assumed_instances, 1)
     age_ms = max(now_ms - state.repeats.since_ms, 0)
     grown = min(age_ms / max(_window_ms(state), 1), 1)
     return limits.retry_slack / count * grown
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -11,6 +11,7 @@
 from oleanderstair.domain.calls import routed, sending
 from oleanderstair.domain.configuration import routing, telling, watching
 from oleanderstair.domain.fleet import (
+    counting,
     finishing,
     meeting,
     reloading,
@@ -37,6 +38,7 @@
     events.PeerHeard: (meeting.on_peer, telling.on_peer),
     events.Tick: (
         meeting.on_tick,
+        counting.on_tick,
         watching.on_tick,
         registering.on_tick,
         serving.on_tick,
--- a/oleanderstair/domain/tables/instances.py
+++ b/oleanderstair/domain/tables/instances.py
@@ -74,6 +74,9 @@
     listed_since_ms: clock.Millis = clock.NEVER_MS
     largest_count: int = 1
     own_largest_count: int = 1
+    largest_near_count: int = 1
+    largest_at_ms: clock.Millis = clock.NEVER_MS
+    counted_at_ms: clock.Millis = clock.NEVER_MS
     waits_for: str = ''
     reviewed_at_ms: clock.Millis = clock.NEVER_MS
     listed_at_ms: clock.Millis = clock.NEVER_MS
--- a/oleanderstair/domain/targets/sampling.py
+++ b/oleanderstair/domain/targets/sampling.py
@@ -182,12 +182,13 @@
     if service is None or now_ms < known.silent_until_ms:
         return None
     known = _refill(state, known, now_ms)
+    if known.reads_left < 1:
+        load_reports.put_load(state.loads, known)
+        return None
     load_reports.put_load(
         state.loads,
-        known._replace(reads_left=max(known.reads_left - 1, 0)),
+        known._replace(reads_left=known.reads_left - 1),
     )
-    if known.reads_left < 1:
-        return None
     state.loads.asked_at_ms_by_id[entry.target_id] = now_ms
     return actions.ReadLoad(
         entry.target_id,
@@ -222,6 +223,6 @@
     most part, so each of these has a larger part than an equal one.
     """
     limits = state.policy
-    count = max(state.instances.largest_count, limits.assumed_instances)
-    near = max(count / places.count(state), 1)
+    assumed = limits.assumed_instances / places.count(state)
+    near = max(state.instances.largest_near_count, assumed, 1)
     return _MEASURING_MARGIN * limits.probes_per_s / near
--- a/test/test_repeats.py
+++ b/test/test_repeats.py
@@ -1,6 +1,8 @@
 """The retry budget of all instances, and what is sent more than once."""
 
 from oleanderstair.domain import actions, events, outcomes
+from oleanderstair.domain.fleet import counting
+from oleanderstair.domain.tables import members
 from test import targets_scene
 
 WINDOW_MS = 10_000
@@ -105,3 +107,33 @@
     first, second = [sent for sent in scene.sent if sent.call_id == call_id]
     left_ms = first.budget_ms - (second.at_ms - first.at_ms)
     assert second.budget_ms == left_ms
+
+
+def _members(scene: targets_scene.Scene, count: int) -> None:
+    """Let the first instance know of some others."""
+    state = scene.state_by_id['entry-1']
+    for number in range(2, count + 1):
+        row = members.Member(
+            f'entry-{number}~1',
+            'nitra' if number % 2 else 'trnava',
+            f'entry-{number}:80',
+            f'entry-{number}:90',
+            started_ms=1,
+            beat=1,
+        )
+        state.members.by_incarnation[row.incarnation] = row
+
+
+def test_the_slack_is_shared_by_the_largest_recent_count() -> None:
+    scene = targets_scene.create(targets_scene.many(), assumed_instances=1)
+    state = scene.state_by_id['entry-1']
+    _members(scene, 40)
+    counting.on_tick(state, events.Tick(), scene.now_ms)
+    assert state.instances.largest_count == 40
+    assert state.instances.largest_near_count == 21
+    state.members.by_incarnation.clear()
+    counting.on_tick(state, events.Tick(), scene.now_ms + 5000)
+    assert state.instances.largest_count == 40
+    later_ms = scene.now_ms + counting.HELD_MS + 5001
+    counting.on_tick(state, events.Tick(), later_ms)
+    assert state.instances.largest_count == 1
