--- a/oleanderstair/domain/calls/repeats.py
+++ b/oleanderstair/domain/calls/repeats.py
@@ -9,7 +9,7 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import world
+from oleanderstair.domain import actions, events, world
 from oleanderstair.domain.tables import repeats
 
 FOR_ORDERS: typing.Final = 1.0
@@ -31,14 +31,23 @@
 _MS_PER_S: typing.Final = 1000
 
 
+def on_tick(
+    state: world.World,
+    event: events.Tick,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Let this incarnation earn its part of the slack from its start on."""
+    if state.repeats.since_ms == clock.NEVER_MS:
+        state.repeats.since_ms = now_ms
+    return []
+
+
 def note_call(
     state: world.World,
     service: str,
     now_ms: clock.Millis,
 ) -> None:
     """Count a call for a service, which earns a part of a repeat."""
-    if state.repeats.since_ms == clock.NEVER_MS:
-        state.repeats.since_ms = now_ms
     tally = repeats.tally_of(state.repeats, service)
     tally.calls_at_ms.append(now_ms)
     _forget(tally.calls_at_ms, now_ms - _window_ms(state))
@@ -103,7 +112,9 @@
     limits = state.policy
     known = state.instances.largest_count
     count = max(known, limits.assumed_instances, 1)
-    age_ms = max(now_ms - state.repeats.since_ms, 0)
+    if state.repeats.since_ms == clock.NEVER_MS:
+        return 0
+    age_ms = now_ms - state.repeats.since_ms
     grown = min(age_ms / max(_window_ms(state), 1), 1)
     return limits.retry_slack / count * grown
 
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -8,7 +8,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, stepping, world
-from oleanderstair.domain.calls import routed, sending
+from oleanderstair.domain.calls import repeats, routed, sending
 from oleanderstair.domain.configuration import routing, telling, watching
 from oleanderstair.domain.fleet import (
     counting,
@@ -39,6 +39,7 @@
     events.Tick: (
         meeting.on_tick,
         counting.on_tick,
+        repeats.on_tick,
         watching.on_tick,
         registering.on_tick,
         serving.on_tick,
--- a/test/test_repeats.py
+++ b/test/test_repeats.py
@@ -1,6 +1,7 @@
 """The retry budget of all instances, and what is sent more than once."""
 
-from oleanderstair.domain import actions, events, outcomes
+from oleanderstair import clock
+from oleanderstair.domain import actions, events, gateway, outcomes
 from oleanderstair.domain.fleet import counting
 from oleanderstair.domain.tables import members
 from test import targets_scene
@@ -137,3 +138,17 @@
     later_ms = scene.now_ms + counting.HELD_MS + 5001
     counting.on_tick(state, events.Tick(), later_ms)
     assert state.instances.largest_count == 1
+
+
+def test_the_slack_is_earned_before_the_first_call() -> None:
+    targets = targets_scene.many()
+    for target in targets:
+        target.behave = _shed
+    scene = targets_scene.create(targets, retry_ratio=0)
+    state = scene.state_by_id['entry-1']
+    state.repeats.since_ms = clock.NEVER_MS
+    gateway.step(state, events.Tick(), scene.now_ms)
+    scene.run_for(WINDOW_MS)
+    call_id = scene.call('entry-1')
+    scene.run_for(50)
+    assert len(scene.sent_of(call_id)) > 1
