--- a/oleanderstair/domain/calls/sending.py
+++ b/oleanderstair/domain/calls/sending.py
@@ -104,7 +104,7 @@
     call: routed.RoutedCall,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Dispatch a call, or look further where no near target is quiet."""
+    """Dispatch a call, or look wider where no sampled target is quiet."""
     call = call._replace(awaited=frozenset())
     state.routed.call_by_id[call.call_id] = call
     chosen = choosing.choose(
@@ -114,7 +114,7 @@
         now_ms,
     )
     if not call.widened and (chosen is None or chosen.score > choosing.QUIET):
-        drawn = sampling.draw_far(
+        drawn = sampling.draw_wider(
             state,
             call.service,
             (*call.tried_target_ids, *call.sample),
--- a/oleanderstair/domain/targets/sampling.py
+++ b/oleanderstair/domain/targets/sampling.py
@@ -13,11 +13,11 @@
 from oleanderstair.domain.tables import load_reports, registry
 from oleanderstair.domain.targets import places, trust
 
-SAMPLE_SIZE: typing.Final = 8
+SAMPLE_SIZE: typing.Final = 4
 """How many targets of the own data centre are compared for one call."""
 
-FAR_SAMPLE_SIZE: typing.Final = 4
-"""How many targets of other data centres are compared besides."""
+WIDE_SAMPLE_SIZE: typing.Final = 4
+"""How many more are, of either, where none of these is quick."""
 
 FRESH_MS: typing.Final = 10
 """How old a report may be to count as read just now."""
@@ -65,15 +65,17 @@
     return _sample(state, drawn, now_ms)
 
 
-def draw_far(
+def draw_wider(
     state: world.World,
     service: str,
     tried_ids: tuple[str, ...],
     now_ms: clock.Millis,
 ) -> Sample:
-    """Draw targets of the other data centres."""
+    """Draw more targets of the own data centre, and of the others."""
+    near = _usable(state, places.near_ids(state, service), tried_ids, now_ms)
     far = _usable(state, places.far_ids(state, service), tried_ids, now_ms)
-    return _sample(state, far[:FAR_SAMPLE_SIZE], now_ms)
+    wider = [*near[:WIDE_SAMPLE_SIZE], *far[:WIDE_SAMPLE_SIZE]]
+    return _sample(state, wider, now_ms)
 
 
 def on_load_read(
