Measure gateway policies under the deployed limits

The bench gave the present policy the defaults of the settings, so that it had no slack for repeats.

--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -6,6 +6,7 @@
 import statistics
 import sys
 import time
+import types
 import typing
 
 from bench import baselines, deployments, figures
@@ -16,6 +17,15 @@
 _DRAIN_MS: typing.Final = 5000
 _WORKERS: typing.Final = 2
 _PRESENT: typing.Final = 'present'
+_LIMITS: typing.Final = types.MappingProxyType(
+    {
+        'retry_ratio': 0.2,
+        'retry_slack': 75,
+        'retry_window_s': 10,
+        'probes_per_s': 60,
+        'tick_ms': 100,
+    },
+)
 _HEADINGS: typing.Final = (
     'load',
     'policy',
@@ -68,7 +78,7 @@
 def run(job: Job) -> Result:
     """Run one day and work its figures out."""
     plan = deployments.PLANS[job.plan]
-    day = gateway_days.create(plan, job.seed)
+    day = gateway_days.create(plan, job.seed, **_LIMITS)
     fleet = day.fleet
     fleet.step_by = POLICIES[job.policy]()
     fleet.run_for(gateway_days.SETTLE_MS)
