Say which targets are barred, which instances live, and what is rejected

Lines told the calls and the store; why a target got no calls, whom an instance counted as living, and requests that never became calls (bad, too large, too slow) were not said. They are now, peers and bars only when they change. explain shows the bars of the targets that a request was sent to.

--- a/oleanderstair/engine/gateway.py
+++ b/oleanderstair/engine/gateway.py
@@ -85,7 +85,8 @@
     ) -> None:
         """Run I/O for ``state`` as tasks of ``tasks``."""
         super().__init__(state, gateway.step, outgoing, tasks)
-        self.observer = decisions.create(state, logs.sink(), self.metrics)
+        self.decisions = decisions.create(state, logs.sink(), self.metrics)
+        self.observer = self.decisions
         self._peering = peering.create(self, outgoing.link, self._take)
         self.perform_by(
             {
--- a/oleanderstair/engine/routed_callers.py
+++ b/oleanderstair/engine/routed_callers.py
@@ -137,6 +137,13 @@
         bad: incoming.BadRequest,
     ) -> None:
         self._shell.metrics.count('refused', bad.reason.value)
+        found = headers.index(scope['headers']).field_by_name
+        self._shell.decisions.reject(
+            self._fields.request_id_of(found),
+            bad.reason.value,
+            bad.detail,
+            self._now_ms(),
+        )
         reply = replies.not_run(bad.reason, bad.detail)
         await self._send(send, scope['method'], reply)
 
--- a/oleanderstair/explaining/causes.py
+++ b/oleanderstair/explaining/causes.py
@@ -40,6 +40,8 @@
         only = _why_only_one(facts)
         return f'the caller left after {after} ms; {_at(facts)}{only}'
     end = facts[-1]
+    if end.kind == 'rejected':
+        return f'rejected as {end.get("reason")}: {end.get("detail")}'
     if end.kind == 'refused':
         return _refused(facts, end)
     if end.kind == 'answered':
--- a/oleanderstair/explaining/decisions.py
+++ b/oleanderstair/explaining/decisions.py
@@ -12,7 +12,7 @@
 from oleanderstair import clock, metrics
 from oleanderstair.domain import actions, events, world
 from oleanderstair.domain.calls import repeats
-from oleanderstair.explaining import lines, sinks, trails
+from oleanderstair.explaining import beliefs, lines, sinks, trails
 
 LINES_PER_S: typing.Final = 100
 """Lines a second that are written in full, on the long run."""
@@ -57,17 +57,17 @@
         )
         self._merged_at_ms = clock.NEVER_MS
         self._said_dropped = 0
-        self._store_lost_ms: clock.Millis | None = None
+        self._beliefs = beliefs.Beliefs(state, self._say)
         self._room: float = BURST_LINES
         self._room_at_ms = clock.NEVER_MS
         self._describe_event: dict[type[events.Event], _Describe] = {
             events.CallReceived: self._on_call,
             events.AttemptEnded: self._on_ended,
             events.CallerLeft: self._on_left,
-            events.StoreFailed: self._on_store_failed,
-            events.StoreRead: self._on_store_told,
-            events.StoreChanged: self._on_store_told,
-            events.HistoryLost: self._on_history_lost,
+            events.StoreFailed: self._beliefs.on_store_failed,
+            events.StoreRead: self._beliefs.on_store_told,
+            events.StoreChanged: self._beliefs.on_store_told,
+            events.HistoryLost: self._beliefs.on_history_lost,
             events.Tick: self._on_tick,
         }
         self._describe_action: dict[type[actions.Action], _Describe] = {
@@ -92,6 +92,24 @@
             if describe is not None:
                 describe(now_ms, action)
 
+    def reject(
+        self,
+        request_id: str,
+        reason: str,
+        detail: str,
+        now_ms: clock.Millis,
+    ) -> None:
+        """Take a request that never became a call."""
+        if not self._takes_room(1, now_ms):
+            self._merged[f'rejected-{reason}', ''] += 1
+            return
+        fields: lines.Fields = (
+            ('id', request_id or None),
+            ('reason', reason),
+            ('detail', detail),
+        )
+        self._say(now_ms, 'rejected', fields)
+
     # Calls
 
     def _on_call(
@@ -109,9 +127,13 @@
         event: events.AttemptEnded,
     ) -> None:
         trail = self._trail_by_call.get(event.call_id)
-        if trail is not None:
-            trails.note_ended(trail, event, now_ms)
-            self._note_stage(trail, event.call_id, now_ms)
+        if trail is None:
+            return
+        sent = trail.sent_by_attempt.get(event.attempt_id)
+        trails.note_ended(trail, event, now_ms)
+        self._note_stage(trail, event.call_id, now_ms)
+        if sent is not None:
+            self._beliefs.note_target(now_ms, sent.target_id)
 
     def _on_left(
         self,
@@ -207,35 +229,6 @@
         call = self._state.routed.call_by_id.get(call_id)
         trails.note_stage(trail, call, now_ms)
 
-    # What the instance believes
-
-    def _on_store_failed(
-        self,
-        now_ms: clock.Millis,
-        event: events.StoreFailed,
-    ) -> None:
-        if self._store_lost_ms is None:
-            self._store_lost_ms = now_ms
-            self._say(now_ms, 'store-lost', (('why', event.what),))
-
-    def _on_store_told(
-        self,
-        now_ms: clock.Millis,
-        event: events.StoreRead | events.StoreChanged,
-    ) -> None:
-        if self._store_lost_ms is not None:
-            away_ms = now_ms - self._store_lost_ms
-            self._store_lost_ms = None
-            self._say(now_ms, 'store-regained', (('after_ms', away_ms),))
-
-    def _on_history_lost(
-        self,
-        now_ms: clock.Millis,
-        event: events.HistoryLost,
-    ) -> None:
-        known: lines.Fields = (('registry', self._state.registry.revision),)
-        self._say(now_ms, 'store-forgot', known)
-
     # Writing
 
     def _on_tick(self, now_ms: clock.Millis, event: events.Tick) -> None:
@@ -245,6 +238,7 @@
         self._sink.flush()
 
     def _say_merged(self, now_ms: clock.Millis) -> None:
+        self._beliefs.note_peers(now_ms)
         for (kind, route), count in self._merged.items():
             fields: lines.Fields = (('route', route or None), ('count', count))
             self._say(now_ms, f'{kind}-merged', fields)
--- a/oleanderstair/explaining/stories.py
+++ b/oleanderstair/explaining/stories.py
@@ -7,15 +7,18 @@
 CONTEXT_S: typing.Final = 5
 """How long before a request what its instance believed is told, in s."""
 
-_SPOKEN_BY_TARGET: typing.Final = 'audit-target'
+_OF_TARGETS: typing.Final = frozenset(
+    ('audit-target', 'target-barred', 'target-trusted'),
+)
 _BELIEFS: typing.Final = frozenset(
     (
-        _SPOKEN_BY_TARGET,
+        *_OF_TARGETS,
         'audit-configuration',
         'audit-instance',
         'store-lost',
         'store-regained',
         'store-forgot',
+        'peers',
         'started',
         'stopped',
         'lines-dropped',
@@ -103,7 +106,8 @@
     began_s = decisions[0].at_s - CONTEXT_S
     if not began_s <= line.at_s <= decisions[-1].at_s:
         return False
-    if line.kind != _SPOKEN_BY_TARGET:
+    if line.kind not in _OF_TARGETS:
         return True
+    fields = line.field_by_name
     involved = {told.field_by_name.get('target') for told in decisions}
-    return line.field_by_name.get('subject') in involved
+    return fields.get('subject', fields.get('target')) in involved
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -5,9 +5,10 @@
 import pytest
 
 from oleanderstair.domain import events
+from oleanderstair.domain.targets import trust
 from oleanderstair.emulator import gateway_fleet, gateway_targets
-from oleanderstair.explaining import decisions, lines, sinks
-from test import test_gateway_fleet
+from oleanderstair.explaining import beliefs, decisions, lines, sinks
+from test import helper, test_gateway_fleet
 
 
 def logged_fleet(
@@ -115,6 +116,31 @@
     assert told == ['event=store-lost', 'event=store-regained']
 
 
+def test_a_target_is_said_to_be_barred_and_trusted_again() -> None:
+    state = helper.make_world()
+    said: list[str] = []
+    told = beliefs.Beliefs(state, lambda at_ms, kind, fields: said.append(kind))
+    told.note_target(0, 'burza-0')
+    for _ in range(2):
+        trust.note_failure(state, 'burza-0', trust.FAILED, now_ms=10)
+        told.note_target(10, 'burza-0')
+    trust.note_success(state, 'burza-0', now_ms=20)
+    told.note_target(20, 'burza-0')
+    told.note_target(30, 'burza-0')
+    assert said == ['target-barred', 'target-trusted']
+
+
+def test_instances_that_come_and_go_are_one_line() -> None:
+    fleet, sink = logged_fleet(instances=3)
+    fleet.run_for(3000)
+    fleet.kill('entry-2')
+    fleet.run_for(8000)
+    told = [text for text in sink.lines if 'event=peers' in text]
+    assert 'came=' in told[0]
+    assert 'went=entry-2~3' in told[-1]
+    assert len(told) <= 3
+
+
 def test_no_call_leaves_a_trail_behind() -> None:
     fleet, _ = logged_fleet()
     log = decisions.DecisionLog(
--- a/test/test_gateway_fleet.py
+++ b/test/test_gateway_fleet.py
@@ -18,7 +18,11 @@
         fleet.add_target(f'burza-{number}', 'burza')
     fleet.publish(LOOKUP, ORDER)
     for number in range(instances):
-        fleet.add_instance(f'entry-{number}')
+        fleet.add_instance(
+            f'entry-{number}',
+            seeds=('entry-0',),
+            assumed_instances=1,
+        )
     fleet.run_for(3000)
     return fleet
 
--- a/test/test_platform_node.py
+++ b/test/test_platform_node.py
@@ -29,6 +29,9 @@
             assert ran.target == platform_side.LOOKUP_PATH
             assert 0 < ran.deadline_ms <= 900
 
+            bad = await platform_side.ask(side.address, deadline_ms='soon')
+            assert bad.status == 400
+
             missing = await platform_side.ask(side.address, '/nowhere/')
             assert missing.status == 404
 
