--- a/oleanderstair/explaining/causes.py
+++ b/oleanderstair/explaining/causes.py
@@ -38,7 +38,8 @@
     if left is not None:
         after = left.get('after_ms')
         only = _why_only_one(facts)
-        return f'the caller left after {after} ms; {_at(facts)}{only}'
+        told = _by_attempts(facts)
+        return f'the caller left after {after} ms; {told}{only}'
     end = facts[-1]
     if end.kind == 'rejected':
         return f'rejected as {end.get("reason")}: {end.get("detail")}'
@@ -46,7 +47,7 @@
         return _refused(facts, end)
     if end.kind == 'answered':
         return _answered(facts, end)
-    return f'it has not ended by the last line; {_at(facts)}'
+    return f'it has not ended by the last line; {_by_attempts(facts)}'
 
 
 def _refused(facts: typing.Sequence[Fact], end: Fact) -> str:
@@ -125,8 +126,9 @@
         if fact.get('attempt') != number or fact.kind == 'sent':
             continue
         if fact.kind == 'attempt-ended':
-            verdict = fact.get('verdict')
-            return f'{told} was {verdict} after {fact.get("took_ms")} ms'
+            verdict = ' '.join((fact.get('verdict'), fact.get('status')))
+            took = fact.get('took_ms')
+            return f'{told} was {verdict.strip()} after {took} ms'
         if fact.kind == 'cancelled':
             return f'{told} was given up after {fact.get("took_ms")} ms'
     return f'{told} was still at work ({_chosen_by(facts, sent)})'
@@ -143,11 +145,6 @@
     return 'chosen without a report'
 
 
-def _at(facts: typing.Sequence[Fact]) -> str:
-    sent = _last(facts, 'sent')
-    return _UNSENT if sent is None else _attempt(facts, sent)
-
-
 def _known(facts: typing.Sequence[Fact]) -> str:
     call = facts[0]
     targets = call.get('targets') or '0'
@@ -165,6 +162,10 @@
     )
 
 
+def _stopping(facts: typing.Sequence[Fact]) -> str:
+    return 'its instance was at a planned stop, and no longer in any answer'
+
+
 def _out_of_time(facts: typing.Sequence[Fact]) -> str:
     call = facts[0]
     bound = 'the deadline of its caller'
@@ -201,4 +202,5 @@
     'no-route': _no_route,
     'unconfirmed': _known,
     'timeout': _out_of_time,
+    'stopping': _stopping,
 }
--- a/test/test_explain.py
+++ b/test/test_explain.py
@@ -14,6 +14,7 @@
 from test import test_decisions
 
 Behaviour = gateway_targets.Behaviour
+LOGS = pathlib.Path(__file__).parent / 'logs'
 
 
 def told(sink: sinks.ListSink, request_id: str) -> stories.Story:
@@ -73,6 +74,27 @@
     assert cause in told(sink, 'r').cause
 
 
+@pytest.mark.parametrize(
+    ('request_id', 'cause'),
+    [
+        ('e3aa50bca0e280ea', 'left after 911.4 ms; attempt 19 (first) at i-f'),
+        ('7f88600b8ff1392f', 'report 4+2/4@12.00, 624.5 ms old'),
+        ('8faa5710865126c6', 'not sent again, as its route runs once'),
+        ('225e83f5f3a3a3de', '(hedge) at i-507a5f8281 was answered 500 after'),
+        ('28806133988bf8eb', 'by registry 0 and configuration 0'),
+        ('ae951f093bfcfa5b', 'i-ddd6e5049a took 309.2 ms (chosen on report'),
+        ('46afd3b99f415b1c', 'at a planned stop'),
+    ],
+)
+def test_the_cause_of_a_request_of_a_hunted_day(
+    request_id: str,
+    cause: str,
+) -> None:
+    lines = (LOGS / 'hunted-day.log').read_text(encoding='utf-8').splitlines()
+    story = stories.follow(request_id, stories.read('all', lines))
+    assert cause in story.cause
+
+
 def test_what_the_instance_believed_of_the_targets_is_told() -> None:
     lines = [
         'event=audit-target at=8.0 subject=i-1 actor=registry why=leaving',
