Hold no more connections to a target than this instance's part

Cause: 16 open and 8 idle to each target at 20 instances add up to more than the 300 that a target accepts; beyond that it resets them.

The part is the connections of the service by the largest recent count of instances; idle ones count, and the oldest makes room. The collector runs less often.

--- a/oleanderstair/engine/core.py
+++ b/oleanderstair/engine/core.py
@@ -128,11 +128,16 @@
         while True:
             self.handle(events.Tick())
             try:
-                self._sweep()
+                self._sweep_due()
             except Exception as error:
                 self.report_fault('sweep', error)
             await anyio.sleep(clock.to_seconds(self.state.policy.tick_ms))
 
+    def sweep(self, now_ms: clock.Millis) -> None:
+        """Do what is due about once a second."""
+        self.sides.connections.close_aged()
+        self.settling.settle_overdue(now_ms)
+
     def measure(
         self,
         owed: pending.PendingCall,
@@ -177,13 +182,11 @@
         if self.recorder is not None:
             self.recorder.record(now_ms, event, wanted)
 
-    def _sweep(self) -> None:
+    def _sweep_due(self) -> None:
         now_ms = self.sides.clock.now_ms()
-        if now_ms - self._swept_at_ms < _SWEEP_MS:
-            return
-        self._swept_at_ms = now_ms
-        self.sides.connections.close_aged()
-        self.settling.settle_overdue(now_ms)
+        if now_ms - self._swept_at_ms >= _SWEEP_MS:
+            self._swept_at_ms = now_ms
+            self.sweep(now_ms)
 
     def _schedule(self, action: actions.Schedule) -> None:
         asyncio.get_running_loop().call_later(
--- a/oleanderstair/engine/exchanges.py
+++ b/oleanderstair/engine/exchanges.py
@@ -135,6 +135,7 @@
         kept = self._take_idle(place)
         if kept is not None:
             return kept
+        self._make_room(place.target_id)
         return await streams.connect(
             place.address,
             answers.create(self.max_answer_bytes, self.takes_unframed),
@@ -154,6 +155,16 @@
             entry.connection.close()
         return None
 
+    def _make_room(self, target_id: str) -> None:
+        """Close the oldest idle connection where a new one is one too many."""
+        idle = self.idle_by_target.get(target_id, [])
+        if idle and self._held(target_id) > self.open_limit:
+            idle.pop(0).connection.close()
+
+    def _held(self, target_id: str) -> int:
+        idle = self.idle_by_target.get(target_id, [])
+        return self.open_by_target.get(target_id, 0) + len(idle)
+
     def _give_back(
         self,
         target_id: str,
@@ -170,7 +181,8 @@
         idle = self.idle_by_target.setdefault(target_id, [])
         bound_ms = _idle_bound_ms(ended.answer)
         is_kept = bound_ms > 0 and connection.is_usable()
-        if is_kept and len(idle) < IDLE_PER_TARGET:
+        has_room = self._held(target_id) < self.open_limit
+        if is_kept and has_room and len(idle) < IDLE_PER_TARGET:
             idle.append(_Idle(connection, bound_ms))
             return
         connection.close()
--- a/oleanderstair/engine/gateway.py
+++ b/oleanderstair/engine/gateway.py
@@ -8,6 +8,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, gateway, world
 from oleanderstair.domain.tables import load_reports
+from oleanderstair.domain.targets import connecting
 from oleanderstair.engine import core, dialects, exchanges, peering, peers
 
 
@@ -87,5 +88,11 @@
         """Take what peers send until cancelled."""
         await self._peering.run()
 
+    def sweep(self, now_ms: clock.Millis) -> None:
+        """Do what is due about once a second."""
+        limit = connecting.limit_of(self.state)
+        self.sides.connections.open_limit = limit
+        super().sweep(now_ms)
+
     def _take(self, heard: peers.Heard) -> None:
         self.handle(events.PeerHeard(heard.sender, heard.message))
--- a/oleanderstair/running.py
+++ b/oleanderstair/running.py
@@ -11,6 +11,7 @@
 
 EXIT_WRONG_USE: typing.Final = 2
 _EXIT_AT_ONCE: typing.Final = 1
+_GC_AFTER: typing.Final = 20_000
 
 
 class Instance(typing.Protocol):
@@ -63,6 +64,7 @@
     watch: _Watch,
 ) -> None:
     gc.freeze()
+    gc.set_threshold(_GC_AFTER)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(watch, instance)
         await instance.run()
--- a/test/test_answers.py
+++ b/test/test_answers.py
@@ -1,5 +1,7 @@
 """Answers on kept connections: whose they are, and when they are whole."""
 
+import itertools
+
 import anyio
 import pytest
 
@@ -136,3 +138,24 @@
             assert not table.idle_by_target.get('t')
 
     anyio.run(scenario)
+
+
+def test_connections_held_to_a_target_stay_within_the_limit():
+    async def scenario():
+        script = raw.RawTarget(*itertools.repeat(answer(b'1'), 9), kept=True)
+        async with raw.running(script) as peer:
+            table = exchanges.create()
+            table.open_limit = 2
+            place = exchanges.Place('t', peer.address, False, 300)
+            request = exchanges.Request(b'GET', b'/', [], b'')
+            async with anyio.create_task_group() as tasks:
+                for _ in range(2):
+                    tasks.start_soon(table.exchange, place, request)
+            assert len(table.idle_by_target['t']) == 2
+            fresh = place._replace(fresh=True)
+            ended = await table.exchange(fresh, request)
+            assert ended.verdict is events.Verdict.ANSWERED
+            assert len(table.idle_by_target['t']) == 2
+            assert peer.connections == 3
+
+    anyio.run(scenario)
--- /dev/null
+++ b/test/test_connecting.py
@@ -0,0 +1,32 @@
+"""The connections of a service are shared by all instances."""
+
+import random
+
+import pytest
+
+from oleanderstair.domain import policy, world
+from oleanderstair.domain.tables import identity, routes
+from oleanderstair.domain.targets import connecting
+
+OWN = identity.Identity('entry-1', 'entry-1~1', 'west', 'nitra', 'a:1', 'a:2')
+SERVICES = {
+    name: routes.RoutedService(name, '/health', connections)
+    for name, connections in (('burza', 300), ('sklad', 280))
+}
+
+
+@pytest.mark.parametrize(
+    ('count', 'limit'),
+    [(1, 280), (20, 14), (200, connecting.LEAST)],
+)
+def test_limit_is_the_part_of_one_instance(count, limit):
+    limits = policy.Policy(assumed_instances=1)
+    state = world.create(OWN, limits, random.Random(1))
+    state.instances.largest_count = count
+    state.routes.in_force = routes.Routing(
+        1,
+        {},
+        SERVICES,
+        routes.CallerLimits(),
+    )
+    assert connecting.limit_of(state) == limit
