--- a/oleanderstair/emulator/watched_store.py
+++ b/oleanderstair/emulator/watched_store.py
@@ -85,7 +85,7 @@
         ]
         routings = [change.routing for change in news if change.routing]
         gone = tuple(
-            events.GoneEntry(change.gone, change.revision)
+            registry.Gone(change.gone, change.revision)
             for change in news
             if change.gone
         )
--- a/oleanderstair/platform/store.py
+++ b/oleanderstair/platform/store.py
@@ -3,20 +3,18 @@
 import typing
 import urllib.parse
 
-import anyio
-import httpcore
 import msgspec
 import result
 
 from oleanderstair import clock, errors, logs
 from oleanderstair.domain import events
 from oleanderstair.domain.tables import registry, routes
+from oleanderstair.engine import exchanges, headers
 from oleanderstair.platform import documents
 
 _OK: typing.Final = 200
 _HISTORY_GONE: typing.Final = 410
-_KEPT_MS: typing.Final = 5000
-_CONNECTIONS: typing.Final = 2
+_STORE: typing.Final = 'store'
 
 
 class StoreError(Exception):
@@ -41,10 +39,7 @@
         """Read the store at ``address``, host and port."""
         self._address = address
         self._clock = told
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=_CONNECTIONS,
-            keepalive_expiry=clock.to_seconds(_KEPT_MS),
-        )
+        self._connections = exchanges.create()
 
     async def read(
         self,
@@ -148,21 +143,18 @@
         path: str,
         bound_ms: clock.Millis,
     ) -> tuple[int, bytes]:
-        try:
-            with anyio.fail_after(clock.to_seconds(bound_ms)):
-                response = await self._pool.request(
-                    'GET',
-                    f'http://{self._address}{path}',
-                )
-        except TimeoutError as late:
-            raise StoreError('no answer in time') from late
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
-            raise StoreError(repr(error)) from error
-        return response.status, response.content
+        place = exchanges.Place(
+            _STORE,
+            self._address,
+            fresh=False,
+            silence_ms=bound_ms,
+        )
+        fields = [(headers.HOST, self._address.encode())]
+        request = exchanges.Request(b'GET', path.encode(), fields, b'')
+        ended = await self._connections.exchange(place, request, _take_any)
+        if ended.answer is None:
+            raise StoreError(ended.what or 'no answer in time')
+        return ended.answer.status, ended.answer.body
 
 
 def create(address: str, told: clock.Clock) -> HttpStore:
@@ -174,6 +166,10 @@
 _Read = typing.TypeVar('_Read')
 
 
+def _take_any(answer: exchanges.Answer) -> events.Verdict:
+    return events.Verdict.ANSWERED
+
+
 def _decode(status: int, body: bytes, kind: type[_Document]) -> _Document:
     if status != _OK:
         raise StoreError(f'status {status}')
