Probe the connections to peers a third as often

Cause: ZeroMQ's heartbeat woke each of 20 instances some 20 times a second for connections on which nothing was due.

--- a/oleanderstair/engine/peers.py
+++ b/oleanderstair/engine/peers.py
@@ -210,9 +210,9 @@
         made.setsockopt(zmq.HANDSHAKE_IVL, self._silence_ms)
         if not self._heartbeats:
             return
-        made.setsockopt(zmq.HEARTBEAT_IVL, self._silence_ms // 3)
+        made.setsockopt(zmq.HEARTBEAT_IVL, self._silence_ms)
         made.setsockopt(zmq.HEARTBEAT_TIMEOUT, self._silence_ms)
-        made.setsockopt(zmq.HEARTBEAT_TTL, self._silence_ms)
+        made.setsockopt(zmq.HEARTBEAT_TTL, 3 * self._silence_ms)
 
     def _dealer(
         self,
