--- a/oleanderstair/emulator/gateway_fleet.py
+++ b/oleanderstair/emulator/gateway_fleet.py
@@ -176,6 +176,8 @@
         )
         seeded = random.Random(f'{own.incarnation} {self.seed}')
         member = Member(world.create(own, policy.Policy(**limits), seeded))
+        member.state.members.seeds = seeds
+        member.state.members.started_ms = int(self.times.now_ms()) + 1
         if self.prepare is not None:
             self.prepare(member.state)
         self.member_by_id[instance_id] = member
@@ -335,7 +337,16 @@
             )
         for observe in self.on_step:
             observe(member.state, event, done)
+        self._perform(member, done)
+
+    def _perform(
+        self,
+        member: Member,
+        done: typing.Sequence[actions.Action],
+    ) -> None:
         for action in done:
+            if not member.alive:
+                return
             perform = self._perform_by_action.get(type(action))
             if perform is not None:
                 perform(member, action)
