Keep the idle connections of a target when a call there is cancelled

Cause: a cancelled exchange (a caller left, a hedge lost) looked like a silent one, so it closed every idle connection to that target.

An answer of the last 200 ms now proves a connection for a call that runs once, as reports are read less often than before.

--- a/oleanderstair/engine/exchanges.py
+++ b/oleanderstair/engine/exchanges.py
@@ -96,11 +96,15 @@
         if not self._claim(place.target_id):
             return Ended(events.Verdict.NOT_SENT, what='connection limit')
         connection: streams.Connection | None = None
-        ended = Ended(events.Verdict.SILENT)
+        ended = Ended(events.Verdict.CANCELLED)
         try:
             connection = await self._connect(place)
-            with anyio.move_on_after(clock.to_seconds(place.silence_ms)):
-                ended = await _send(connection, request, judge or verdict_of)
+            ended = await _send(
+                connection,
+                request,
+                judge or verdict_of,
+                place.silence_ms,
+            )
         except streams.CannotConnect as error:
             return Ended(events.Verdict.NOT_SENT, what=str(error))
         finally:
@@ -225,12 +229,17 @@
     connection: streams.Connection,
     request: Request,
     judge: Judge,
+    silence_ms: clock.Millis,
 ) -> Ended:
-    had = await connection.ask(
-        _written(request),
-        request.method,
-        lambda answer: judge(answer) is None,
-    )
+    had: answers.Answer | answers.Fault | None = None
+    with anyio.move_on_after(clock.to_seconds(silence_ms)):
+        had = await connection.ask(
+            _written(request),
+            request.method,
+            lambda answer: judge(answer) is None,
+        )
+    if had is None:
+        return Ended(events.Verdict.SILENT)
     if isinstance(had, answers.Fault):
         return Ended(
             events.Verdict.BROKEN,
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -24,7 +24,7 @@
 from oleanderstair.platform import dialect, listeners, load_reader, store
 
 _INCARNATION_BYTES: typing.Final = 4
-_PROOF_MS: typing.Final = 50
+_PROOF_MS: typing.Final = 200
 """How fresh an answer proves a connection for a call that runs once."""
 
 _SEED_BITS: typing.Final = 64
--- a/test/test_answers.py
+++ b/test/test_answers.py
@@ -159,3 +159,20 @@
             assert peer.connections == 3
 
     anyio.run(scenario)
+
+
+def test_cancelled_exchange_leaves_the_idle_rest():
+    async def scenario():
+        script = raw.RawTarget(answer(b'1'), answer(b'1'), None, kept=True)
+        async with raw.running(script) as peer:
+            table = exchanges.create()
+            place = exchanges.Place('t', peer.address, False, 5000)
+            request = exchanges.Request(b'GET', b'/', [], b'')
+            async with anyio.create_task_group() as tasks:
+                for _ in range(2):
+                    tasks.start_soon(table.exchange, place, request)
+            with anyio.move_on_after(0.05):
+                await table.exchange(place, request)
+            assert len(table.idle_by_target['t']) == 1
+
+    anyio.run(scenario)
