--- a/oleanderstair/domain/fleet/finishing.py
+++ b/oleanderstair/domain/fleet/finishing.py
@@ -14,7 +14,7 @@
 EXIT_MARGIN_MS: typing.Final = 300
 """How long before the kill the process ends, whatever is in flight."""
 
-QUIET_MARGIN_MS: typing.Final = 900
+QUIET_MARGIN_MS: typing.Final = 500
 """How long before the kill an instance with nothing in flight ends."""
 
 RETRY_AFTER_MS: typing.Final = 50
