Let calls wait for routes a moment after a start, and read the store sooner

A call that comes in the first 1.5 s of an instance waits up to a third of its time for routes and targets, and is then carried as usual; it is refused as before where they don't come. Readers wait 200 ms for peers.

--- a/oleanderstair/domain/configuration/watching.py
+++ b/oleanderstair/domain/configuration/watching.py
@@ -27,7 +27,7 @@
 TRUST_MS: typing.Final = 1350
 """How long what is known is trusted without a new confirmation."""
 
-FIRST_MS: typing.Final = 500
+FIRST_MS: typing.Final = 200
 """How long a started instance waits for peers to tell it all they know."""
 
 SLACK_MS: typing.Final = 250
--- a/oleanderstair/engine/routed_callers.py
+++ b/oleanderstair/engine/routed_callers.py
@@ -2,6 +2,8 @@
 
 import typing
 
+import anyio
+
 from oleanderstair import clock
 from oleanderstair.domain import events, outcomes
 from oleanderstair.domain.calls import fingerprints
@@ -16,6 +18,11 @@
     replies,
 )
 
+START_MS: typing.Final = 1500
+"""How long after its start an instance lets calls wait for routes."""
+
+_START_SHARE: typing.Final = 1 / 3
+_START_CHECK_MS: typing.Final = 10
 _DEFAULT_LIMITS: typing.Final = routes.CallerLimits()
 
 
@@ -43,6 +50,7 @@
         """Carry calls through ``carrier``."""
         self._shell = carrier
         self._fields = request_fields
+        self._created_ms = self._now_ms()
 
     async def __call__(
         self,
@@ -88,10 +96,30 @@
             await self._reject(scope, send, received)
             return
         request = incoming.read_request(scope, body)
+        await self._await_start(received)
+        if listener.protocol_of(scope).transport.is_closing():
+            carrier.metrics.count('caller-left', 'at-start')
+            return
         with listener.watching(scope, lambda: carrier.leave(call_id)):
             reply = await carrier.call(received, request)
         await self._send(send, scope['method'], reply)
 
+    async def _await_start(self, received: events.CallReceived) -> None:
+        """Give a started instance a moment to learn what is in force."""
+        now_ms = self._now_ms()
+        left_ms = received.deadline_ms - now_ms
+        until_ms = min(
+            self._created_ms + START_MS,
+            now_ms + left_ms * _START_SHARE,
+        )
+        while not self._knows_routes() and self._now_ms() < until_ms:
+            await anyio.sleep(clock.to_seconds(_START_CHECK_MS))
+
+    def _knows_routes(self) -> bool:
+        state = self._shell.state
+        known = state.routes.in_force is not None
+        return known and bool(state.registry.revision)
+
     def _read_call(
         self,
         scope: asgi.Scope,
--- a/test/test_routed_callers.py
+++ b/test/test_routed_callers.py
@@ -3,7 +3,9 @@
 import anyio
 import pytest
 
-from oleanderstair.emulator import load_targets
+from oleanderstair import settings
+from oleanderstair.emulator import load_targets, store
+from oleanderstair.platform import node
 from test import helper, platform_side, raw
 
 HEAD = b'host: calls.example\r\nrequest-id: r-1\r\ndeadline-ms: 900\r\n'
@@ -147,3 +149,28 @@
                 await helper.until(lambda: target.dropped)
 
     anyio.run(scene)
+
+
+async def _ask_at_the_start(config_after_ms):
+    held = store.create()
+    async with anyio.create_task_group() as tasks:
+        target = load_targets.create('i-0')
+        address = platform_side.serve(tasks, target)
+        held.put('servers/i-0', platform_side.entry_of(address))
+        tree = platform_side.settings_tree(platform_side.serve(tasks, held))
+        started = node.create(settings.build(tree))
+        tasks.start_soon(started.run)
+        tasks.start_soon(_publish, held, config_after_ms)
+        told = await platform_side.ask(started.identity.caller_address)
+        tasks.cancel_scope.cancel()
+    return told.status
+
+
+async def _publish(held, after_ms):
+    await anyio.sleep(after_ms / 1000)
+    held.put('op/config', platform_side.configuration(1))
+
+
+@pytest.mark.parametrize(('after_ms', 'status'), [(0, 200), (5000, 503)])
+def test_call_at_the_start_waits_for_routes_a_moment(after_ms, status):
+    assert anyio.run(_ask_at_the_start, after_ms) == status
