Give a target that joins a call before it is the best

An idempotent call in ten may go to a target of its sample that has answered none from here, up to a score of 2.5.

--- a/oleanderstair/domain/calls/sending.py
+++ b/oleanderstair/domain/calls/sending.py
@@ -113,7 +113,7 @@
         call.route.idempotent,
         now_ms,
     )
-    if not call.widened and (chosen is None or chosen.score > choosing.QUIET):
+    if not call.widened and not (chosen and chosen.settled):
         drawn = sampling.draw_wider(
             state,
             call.service,
--- a/oleanderstair/domain/targets/choosing.py
+++ b/oleanderstair/domain/targets/choosing.py
@@ -26,16 +26,22 @@
 _COLD: typing.Final = 1.5
 _FAR: typing.Final = 1.25
 _TIE: typing.Final = 0.1
+_NEW_SHARE: typing.Final = 0.1
+_NEW_SCORE: typing.Final = 2.5
 _ON_TRIAL: typing.Final = 0.5
 _UNPROVEN: typing.Final = 3.0
 
 
 class Choice(typing.NamedTuple):
-    """A target, and how many times the usual a call would take there."""
+    """A target, and how many times the usual a call would take there.
+
+    ``settled`` is true where no wider sample would change the choice.
+    """
 
     target_id: str
     score: float
     has_room: bool
+    settled: bool = False
 
 
 def choose(
@@ -44,19 +50,41 @@
     idempotent: bool,
     now_ms: clock.Millis,
 ) -> Choice | None:
-    """Return the best of the targets that are still registered."""
+    """Return the best of the targets that are still registered.
+
+    Now and then an idempotent call goes to one that had none so far, so
+    that a target that joins has work before it is the best.
+    """
     known = state.registry.entry_by_id
+    found = [
+        _judge(state, target_id, idempotent, now_ms)
+        for target_id in target_ids
+        if target_id in known and not known[target_id].leaving
+    ]
+    if idempotent and state.rng.random() < _NEW_SHARE:
+        found = _new_ones(state, found) or found
     return min(
-        (
-            _judge(state, target_id, idempotent, now_ms)
-            for target_id in target_ids
-            if target_id in known and not known[target_id].leaving
-        ),
-        key=lambda found: found.score * (1 + _TIE * state.rng.random()),
+        found,
+        key=lambda choice: choice.score * (1 + _TIE * state.rng.random()),
         default=None,
     )
 
 
+def _new_ones(
+    state: world.World,
+    found: list[Choice],
+) -> list[Choice]:
+    """Return the targets that have answered no call from here so far."""
+    loads = state.loads
+    return [
+        choice._replace(settled=True)
+        for choice in found
+        if choice.score <= _NEW_SCORE
+        and load_reports.load_of(loads, choice.target_id).paced_at_ms
+        == clock.NEVER_MS
+    ]
+
+
 def _judge(
     state: world.World,
     target_id: str,
@@ -68,11 +96,12 @@
     score = _by_report(known, now_ms)
     score *= max(trust.pace_of(known, now_ms), 1)
     score *= _by_trust(known, idempotent, now_ms)
-    if now_ms < entry.warm_at_ms:
+    if now_ms < entry.warm_at_ms and known.report is None:
         score *= _COLD
     if entry.data_centre != state.identity.data_centre:
         score *= _FAR
-    return Choice(target_id, score, _has_room(known, entry.slots))
+    has_room = _has_room(known, entry.slots)
+    return Choice(target_id, score, has_room, score <= QUIET)
 
 
 def _by_trust(
--- a/test/test_choosing.py
+++ b/test/test_choosing.py
@@ -153,3 +153,15 @@
     targets_scene.steady(scene, per_s=100, for_ms=10_000)
     per_target_s = len(scene.reads) / len(targets) / 12
     assert 2 < per_target_s <= 60 // 20
+
+
+def test_a_target_that_joins_cold_has_work_within_four_seconds() -> None:
+    scene = targets_scene.create(targets_scene.many(), instances=5)
+    targets_scene.steady(scene, per_s=40, for_ms=4000)
+    joined = targets_scene.Target('burza-9', slowness=2)
+    scene.target_by_id[joined.target_id] = joined
+    warm_at_ms = scene.now_ms + 6000
+    scene.register(targets_scene.entry_of(joined, 2, warm_at_ms))
+    scene.sent.clear()
+    targets_scene.steady(scene, per_s=40, for_ms=4000)
+    assert 0 < _percent(scene, 'burza-9') < 6
