--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -75,6 +75,7 @@
         self.checked = checked
         if self.carrier is None:
             return
+        self.carrier.state.members.seeds = tuple(checked.peers.seeds)
         connections = self.carrier.sides.connections
         connections.max_answer_bytes = checked.callers.max_answer_bytes
         limits = settings.limits_of(checked)
