Read no loads for a hedge that the budget forbids

Cause: a call without an allowance for a second target had loads read for it every 60 ms, which took reads from the crest.

--- a/oleanderstair/domain/calls/sending.py
+++ b/oleanderstair/domain/calls/sending.py
@@ -34,6 +34,8 @@
         return []
     if call.sends != event.sends or not hedges.is_due(state, call, now_ms):
         return []
+    if not repeats.may_hedge(state, call.service, now_ms):
+        return hedges.again(call)
     drawn = sampling.draw_near(
         state,
         call.service,
--- a/test/test_hedges.py
+++ b/test/test_hedges.py
@@ -123,3 +123,13 @@
     call_id = scene.call('entry-1')
     scene.run_for(500)
     assert scene.answered('entry-1', call_id)
+
+
+def test_a_hedge_that_the_budget_forbids_reads_no_loads() -> None:
+    scene = _scene(retry_slack=0, retry_ratio=0)
+    _straggle_once(scene)
+    scene.call('entry-1')
+    scene.run_for(50)
+    reads = len(scene.reads)
+    scene.run_for(600)
+    assert len(scene.reads) == reads
