--- a/oleanderstair/domain/calls/routed.py
+++ b/oleanderstair/domain/calls/routed.py
@@ -2,7 +2,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, outcomes, world
-from oleanderstair.domain.calls import ending, sending
+from oleanderstair.domain.calls import ending, waiting
 from oleanderstair.domain.configuration import routing
 from oleanderstair.domain.tables import calls, routed
 from oleanderstair.domain.targets import sampling
@@ -32,7 +32,7 @@
     due = events.CallDue(call.call_id)
     return [
         actions.Schedule(due, call.due_at_ms - now_ms),
-        *sending.begin(state, call, now_ms),
+        *waiting.admit(state, call, now_ms),
     ]
 
 
@@ -75,7 +75,21 @@
     ending.release(state, ended)
     if event.load is not None:
         sampling.keep(state, ended.target_id, event.load, now_ms)
+    return [
+        *_conclude(state, call, ended, event, now_ms),
+        *waiting.offer(state, ended.target_id, now_ms),
+    ]
+
+
+def _conclude(
+    state: world.World,
+    call: routed.RoutedCall,
+    ended: calls.Attempt,
+    event: events.AttemptEnded,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
     if event.verdict is events.Verdict.ANSWERED:
+        waiting.learn(state, call, now_ms - ended.started_at_ms)
         return ending.relay(state, call, event.attempt_id)
     ran = event.verdict not in events.PROVEN_NOT_RUN
     call = call._replace(
@@ -86,7 +100,7 @@
     if call.attempts:
         return []
     if _may_go_on(call):
-        return sending.begin(state, call, now_ms)
+        return waiting.admit(state, call, now_ms)
     return ending.refuse(state, call, outcomes.Reason.TARGET_LOST)
 
 
--- a/oleanderstair/domain/calls/sending.py
+++ b/oleanderstair/domain/calls/sending.py
@@ -4,7 +4,7 @@
 from oleanderstair.domain import actions, events, outcomes, world
 from oleanderstair.domain.calls import ending
 from oleanderstair.domain.tables import calls, load_reports, registry, routed
-from oleanderstair.domain.targets import sampling
+from oleanderstair.domain.targets import room, sampling
 
 
 def begin(
@@ -13,7 +13,13 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Ask targets for their load, or send at once where it is known."""
-    drawn = sampling.draw(state, call.service, call.tried_target_ids, now_ms)
+    drawn = sampling.draw(
+        state,
+        call.service,
+        call.tried_target_ids,
+        now_ms,
+        wide=call.wide,
+    )
     call = call._replace(
         stage=routed.Stage.SAMPLING,
         sample=drawn.target_ids,
@@ -68,19 +74,24 @@
     known = state.registry.entry_by_id
     target_id = sampling.choose(
         state,
-        (found for found in call.sample if found in known),
+        (
+            found
+            for found in call.sample
+            if found in known and room.free_slots(state, found, now_ms) > 0
+        ),
     )
     if target_id is None:
-        return ending.refuse(state, call, outcomes.Reason.NO_TARGET)
-    return [_dispatch(state, call, known[target_id], now_ms)]
+        return [actions.Notify(events.RoomMissing(call.call_id))]
+    return [dispatch(state, call, known[target_id], now_ms)]
 
 
-def _dispatch(
+def dispatch(
     state: world.World,
     call: routed.RoutedCall,
     entry: registry.Entry,
     now_ms: clock.Millis,
 ) -> actions.Action:
+    """Send a call to a target."""
     attempt_id = state.routed.next_attempt_id
     state.routed.next_attempt_id += 1
     attempt = calls.Attempt(attempt_id, entry.target_id, now_ms)
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -37,6 +37,28 @@
     round: int
 
 
+class RoomMissing(typing.NamedTuple):
+    """None of the targets that reported for a call has room for it."""
+
+    call_id: int
+
+
+class RoomSought(typing.NamedTuple):
+    """The calls that wait for a service are due to look for room again."""
+
+    service: str
+
+
+class PatienceOver(typing.NamedTuple):
+    """A waiting call is due to go, or it is answered too late.
+
+    ``round`` is that of the call when it began to wait.
+    """
+
+    call_id: int
+    round: int
+
+
 class CallDue(typing.NamedTuple):
     """The deadline of a call, or the timeout of its route, has come."""
 
@@ -241,7 +263,15 @@
 
 
 CallEvent: typing.TypeAlias = (
-    CallReceived | SampleDue | CallDue | CallerLeft | AttemptEnded | HomeReplied
+    CallReceived
+    | SampleDue
+    | RoomMissing
+    | RoomSought
+    | PatienceOver
+    | CallDue
+    | CallerLeft
+    | AttemptEnded
+    | HomeReplied
 )
 
 StoreEvent: typing.TypeAlias = (
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -8,15 +8,22 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, stepping, world
-from oleanderstair.domain.calls import routed, sending
+from oleanderstair.domain.calls import routed, sending, waiting
 from oleanderstair.domain.configuration import routing, watching
 from oleanderstair.domain.fleet import serving, stopping
 from oleanderstair.domain.targets import registering, sampling
 
 SYSTEMS_BY_EVENT: typing.Final[stepping.SystemsByEvent] = {
     events.CallReceived: (routed.on_call,),
-    events.LoadRead: (sampling.on_load_read, sending.on_load_read),
+    events.LoadRead: (
+        sampling.on_load_read,
+        sending.on_load_read,
+        waiting.on_load_read,
+    ),
     events.SampleDue: (sending.on_sample_due,),
+    events.RoomMissing: (waiting.on_room_missing,),
+    events.RoomSought: (waiting.on_room_sought,),
+    events.PatienceOver: (waiting.on_patience_over,),
     events.CallDue: (routed.on_call_due,),
     events.CallerLeft: (routed.on_caller_left,),
     events.AttemptEnded: (routed.on_attempt_ended,),
--- a/oleanderstair/domain/tables/routed.py
+++ b/oleanderstair/domain/tables/routed.py
@@ -22,8 +22,9 @@
 
     ``due_at_ms`` is when it must be ended: at its deadline or at the
     timeout of its route. ``sample`` are the targets to choose from, and
-    ``awaited`` those whose report is still being read. ``sends`` counts the
-    targets that it was sent to.
+    ``awaited`` those whose report is still being read; ``wide`` once they
+    are drawn from further data centres too. ``sends`` counts the targets
+    that it was sent to.
     """
 
     received: events.CallReceived
@@ -35,6 +36,7 @@
     sample: tuple[str, ...] = ()
     awaited: frozenset[str] = frozenset()
     round: int = 0
+    wide: bool = False
     attempts: tuple[calls.Attempt, ...] = ()
     tried_target_ids: tuple[str, ...] = ()
     sends: int = 0
@@ -45,13 +47,30 @@
         """Return the id that the shell gave to the call."""
         return self.received.call_id
 
+    @property
+    def aim_at_ms(self) -> clock.Millis:
+        """Return until when an answer is worth most."""
+        return self.received_at_ms + self.route.aim_ms
+
 
 @dataclasses.dataclass(slots=True)
 class RoutedTable:
-    """Routed calls by id."""
+    """Routed calls by id, and those that wait for room by service.
+
+    ``usual_ms_by_route`` is how long answers of a route take lately, from
+    the dispatch on. ``seeking`` names the services for which room is sought
+    at intervals.
+    """
 
     call_by_id: dict[int, RoutedCall] = dataclasses.field(default_factory=dict)
     next_attempt_id: int = 1
+    waiting_ids_by_service: dict[str, list[int]] = dataclasses.field(
+        default_factory=dict,
+    )
+    usual_ms_by_route: dict[str, float] = dataclasses.field(
+        default_factory=dict,
+    )
+    seeking: set[str] = dataclasses.field(default_factory=set)
 
 
 def create() -> RoutedTable:
--- a/oleanderstair/domain/targets/sampling.py
+++ b/oleanderstair/domain/targets/sampling.py
@@ -39,8 +39,12 @@
     service: str,
     tried_ids: tuple[str, ...],
     now_ms: clock.Millis,
+    wide: bool = False,
 ) -> Sample:
-    """Draw targets of a service, those of the own data centre first."""
+    """Draw targets of a service, those of the own data centre alone at first.
+
+    A ``wide`` sample comes from all data centres alike.
+    """
     usable = [
         state.registry.entry_by_id[target_id]
         for target_id in state.registry.ids_by_service.get(service, ())
@@ -48,9 +52,8 @@
     ]
     state.rng.shuffle(usable)
     own = state.identity.data_centre
-    usable.sort(key=lambda entry: entry.data_centre != own)
     near = [entry for entry in usable if entry.data_centre == own]
-    drawn = (near or usable)[:SAMPLE_SIZE]
+    drawn = (usable if wide else near or usable)[:SAMPLE_SIZE]
     stale = [entry for entry in drawn if not _is_fresh(state, entry, now_ms)]
     return Sample(
         tuple(entry.target_id for entry in drawn),
--- a/oleanderstair/engine/replies.py
+++ b/oleanderstair/engine/replies.py
@@ -9,7 +9,6 @@
 from oleanderstair.domain.calls import keys
 from oleanderstair.engine import asgi, exchanges, headers, pending
 
-_MS_PER_S: typing.Final = 1000
 _COME_BACK_MS: typing.Final = 1000
 _CLOSE: typing.Final = (headers.CONNECTION, b'close')
 _NOT_MODIFIED: typing.Final = 304
@@ -45,8 +44,13 @@
     method: str,
     reply: pending.Reply,
     closing: bool,
+    whole_seconds: bool = True,
 ) -> None:
-    """Send a reply; ``closing`` offers to close the connection."""
+    """Send a reply; ``closing`` offers to close the connection.
+
+    Without ``whole_seconds`` a caller is told fractions of when to come
+    back, for callers that are known to read them.
+    """
     if reply.reason is None and reply.answer is not None:
         fields = _relayed_fields(method, reply.outcome, reply.answer)
         if closing:
@@ -54,12 +58,15 @@
         answer = reply.answer
         await asgi.respond(send, answer.status, fields, answer.body)
         return
-    written = write_refusal(reply)
+    written = write_refusal(reply, whole_seconds)
     fields = [*written.headers, _CLOSE] if closing else written.headers
     await asgi.respond_json(send, written.status, written.document, fields)
 
 
-def write_refusal(reply: pending.Reply) -> Written:
+def write_refusal(
+    reply: pending.Reply,
+    whole_seconds: bool = True,
+) -> Written:
     """Return status, fields and body of a reply without an answer."""
     reason = reply.reason or outcomes.Reason.TARGET_LOST
     advice = outcomes.ADVICE[reason]
@@ -69,8 +76,8 @@
         (headers.REASON, reason.value.encode()),
     ]
     if wait_ms:
-        seconds = math.ceil(wait_ms / _MS_PER_S)
-        fields.append((headers.RETRY_AFTER, str(seconds).encode()))
+        seconds = _seconds(wait_ms, whole_seconds)
+        fields.append((headers.RETRY_AFTER, seconds.encode()))
     document = Refusal(
         outcome=reply.outcome.value,
         reason=reason.value,
@@ -101,6 +108,11 @@
     return pending.Reply(outcomes.Outcome.UNKNOWN, reason, detail=detail)
 
 
+def _seconds(wait_ms: clock.Millis, whole: bool) -> str:
+    seconds = clock.to_seconds(wait_ms)
+    return str(math.ceil(seconds)) if whole else f'{seconds:.3f}'
+
+
 def _wait_of(reply: pending.Reply, advice: outcomes.Advice) -> clock.Millis:
     if reply.retry_after_ms or advice.status not in _COME_BACK_STATUS:
         return reply.retry_after_ms
--- a/oleanderstair/engine/routed_callers.py
+++ b/oleanderstair/engine/routed_callers.py
@@ -144,7 +144,13 @@
     ) -> None:
         phase = self._shell.state.instances.phase
         closing = phase is instances.Phase.STOPPING
-        await replies.send_reply(send, method, reply, closing)
+        await replies.send_reply(
+            send,
+            method,
+            reply,
+            closing,
+            whole_seconds=False,
+        )
 
     def _limits(self) -> routes.CallerLimits:
         in_force = self._shell.state.routes.in_force
