--- a/oleanderstair/domain/calls/waiting.py
+++ b/oleanderstair/domain/calls/waiting.py
@@ -263,17 +263,14 @@
     call: routed.RoutedCall,
     now_ms: clock.Millis,
 ) -> str | None:
-    drawn = sampling.draw(
-        state,
-        call.service,
-        call.tried_target_ids,
-        now_ms,
-        wide=True,
-    )
+    """Return the target with the shortest line, if there is a short one."""
+    ids = state.registry.ids_by_service.get(call.service, ())
     short = [
         target_id
-        for target_id in drawn.target_ids
-        if room.free_slots(state, target_id, now_ms) > -LINE_LIMIT
+        for target_id in ids
+        if target_id not in call.tried_target_ids
+        and sampling.is_usable(state, target_id, now_ms)
+        and room.free_slots(state, target_id, now_ms) > -LINE_LIMIT
     ]
     return sampling.choose(state, short)
 
--- a/oleanderstair/domain/targets/sampling.py
+++ b/oleanderstair/domain/targets/sampling.py
@@ -48,7 +48,7 @@
     usable = [
         state.registry.entry_by_id[target_id]
         for target_id in state.registry.ids_by_service.get(service, ())
-        if target_id not in tried_ids and _is_usable(state, target_id, now_ms)
+        if target_id not in tried_ids and is_usable(state, target_id, now_ms)
     ]
     state.rng.shuffle(usable)
     own = state.identity.data_centre
@@ -100,11 +100,12 @@
     )
 
 
-def _is_usable(
+def is_usable(
     state: world.World,
     target_id: str,
     now_ms: clock.Millis,
 ) -> bool:
+    """Return whether a target may be sent calls at all."""
     if state.registry.entry_by_id[target_id].leaving:
         return False
     return (
