--- a/oleanderstair/domain/calls/waiting.py
+++ b/oleanderstair/domain/calls/waiting.py
@@ -16,7 +16,7 @@
 WAITING_LIMIT: typing.Final = 64
 """How many calls may wait for one service at an instance."""
 
-SEEK_MS: typing.Final[clock.Millis] = 30
+SEEK_MS: typing.Final[clock.Millis] = 40
 """How often room is sought while calls wait, on average."""
 
 SLOW: typing.Final = 2.0
@@ -123,7 +123,7 @@
     if call.round != event.round:
         return []
     _leave(state, call)
-    target_id = _shortest_line(state, call, now_ms)
+    target_id = None
     if target_id is None:
         return ending.refuse(
             state,
@@ -152,7 +152,7 @@
     )
     waiting_ids.append(call.call_id)
     over = events.PatienceOver(call.call_id, call.round)
-    patience_ms = call.aim_at_ms - _usual_ms(state, call) - now_ms
+    patience_ms = call.received_at_ms + call.route.aim_ms/8 - now_ms
     return [
         *_shed_surplus(state, call.service, now_ms),
         actions.Schedule(over, max(patience_ms, 0)),
--- a/oleanderstair/domain/targets/room.py
+++ b/oleanderstair/domain/targets/room.py
@@ -9,7 +9,7 @@
 TRUSTED_MS: typing.Final[clock.Millis] = 1000
 """How old a report may be; past it only the own calls are known."""
 
-FILL: typing.Final = 0.8
+FILL: typing.Final = 1.0
 """The share of its slots up to which a target keeps its speed."""
 
 
--- a/oleanderstair/domain/targets/sampling.py
+++ b/oleanderstair/domain/targets/sampling.py
@@ -53,7 +53,7 @@
     state.rng.shuffle(usable)
     own = state.identity.data_centre
     near = [entry for entry in usable if entry.data_centre == own]
-    drawn = (usable if wide else near or usable)[:SAMPLE_SIZE]
+    drawn = usable[:4] if wide else (near or usable)[:SAMPLE_SIZE]
     stale = [entry for entry in drawn if not _is_fresh(state, entry, now_ms)]
     return Sample(
         tuple(entry.target_id for entry in drawn),
