--- a/oleanderstair/domain/calls/waiting.py
+++ b/oleanderstair/domain/calls/waiting.py
@@ -2,7 +2,8 @@
 
 A call behind others at a full target can no longer go elsewhere, and a
 target that is too full never answers. So calls wait here, in the order of
-what their answers will still be worth, and go where room comes first.
+what their answers will still be worth, and go where room comes first. One
+that finds none soon is refused while its caller can still come back.
 """
 
 import typing
@@ -10,26 +11,28 @@
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, outcomes, world
 from oleanderstair.domain.calls import ending, sending
-from oleanderstair.domain.tables import routed
-from oleanderstair.domain.targets import room, sampling
+from oleanderstair.domain.tables import load_reports, routed
+from oleanderstair.domain.targets import expecting, room, sampling, trust
 
 WAITING_LIMIT: typing.Final = 64
 """How many calls may wait for one service at an instance."""
 
+PATIENCE_SHARE: typing.Final = 0.125
+"""The part of its aim that a call may wait for room."""
+
 SEEK_MS: typing.Final[clock.Millis] = 40
 """How often room is sought while calls wait, on average."""
 
-SLOW: typing.Final = 2.0
-"""From what slowness on a free slot is kept for calls without time."""
+SOUGHT_NEAR: typing.Final = 2
+"""How many targets of the own data centre are asked for room at a time."""
 
-LINE_LIMIT: typing.Final = 2
-"""How many calls may stand behind the slots of a target at the last."""
+SOUGHT_FAR: typing.Final = 2
+"""How many targets of the others are asked for room at a time."""
 
-_USUAL_SHARE: typing.Final = 0.4
-"""The part of a route's aim that an answer takes, before one is known."""
+SLOW: typing.Final = 2.0
+"""From what slowness on a free slot is kept for calls without time."""
 
-_LEARNED: typing.Final = 0.1
-"""The weight of the newest answer in how long answers take."""
+_SPREAD: typing.Final = 0.5
 
 
 def admit(
@@ -38,33 +41,20 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Choose a target for a call, or let it stand in line with others."""
-    if state.routed.waiting_ids_by_service.get(call.service):
+    if _waiting(state, call.service):
         return _join(state, call, now_ms)
     return sending.begin(state, call, now_ms)
 
 
-def learn(
-    state: world.World,
-    call: routed.RoutedCall,
-    took_ms: clock.Millis,
-) -> None:
-    """Note how long an answer took from its dispatch on."""
-    known = _usual_ms(state, call)
-    usual_ms = known + _LEARNED * (took_ms - known)
-    state.routed.usual_ms_by_route[call.route.name] = usual_ms
-
-
 def on_room_missing(
     state: world.World,
     event: events.RoomMissing,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Look further for a call without room nearby, then let it wait."""
+    """Let a call wait that no target has room for."""
     call = state.routed.call_by_id.get(event.call_id)
     if call is None:
         return []
-    if not call.wide:
-        return sending.begin(state, call._replace(wide=True), now_ms)
     return _join(state, call, now_ms)
 
 
@@ -77,8 +67,10 @@
     state.routed.seeking.discard(event.service)
     if not _waiting(state, event.service):
         return []
-    drawn = sampling.draw(state, event.service, (), now_ms, wide=True)
-    return [*drawn.reads, *_seek(state, event.service)]
+    service = event.service
+    near = sampling.draw_near(state, service, (), now_ms, SOUGHT_NEAR)
+    far = sampling.draw_far(state, service, (), now_ms, SOUGHT_FAR)
+    return [*near.reads, *far.reads, *_seek(state, service)]
 
 
 def on_load_read(
@@ -98,16 +90,13 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Send waiting calls to a target for as long as it has room."""
-    entry = state.registry.entry_by_id.get(target_id)
-    if entry is None or not state.routed.waiting_ids_by_service:
-        return []
     done: list[actions.Action] = []
-    while room.free_slots(state, target_id, now_ms) > 0:
-        call = _first(state, entry.service, target_id, now_ms)
+    while _takes_calls(state, target_id, now_ms):
+        call = _first(state, target_id, now_ms)
         if call is None:
             break
         _leave(state, call)
-        done.append(sending.dispatch(state, call, entry, now_ms))
+        done.extend(sending.dispatch(state, call, target_id, now_ms))
     return done
 
 
@@ -116,23 +105,13 @@
     event: events.PatienceOver,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Send a call that can't wait longer where the line is shortest."""
+    """Refuse a call that has found no room in time."""
     call = state.routed.call_by_id.get(event.call_id)
     if call is None or call.stage is not routed.Stage.QUEUED:
         return []
     if call.round != event.round:
         return []
-    _leave(state, call)
-    target_id = None
-    if target_id is None:
-        return ending.refuse(
-            state,
-            call,
-            outcomes.Reason.OVERLOADED,
-            _come_back_ms(state, call),
-        )
-    entry = state.registry.entry_by_id[target_id]
-    return [sending.dispatch(state, call, entry, now_ms)]
+    return _turn_away(state, call)
 
 
 def _join(
@@ -152,10 +131,10 @@
     )
     waiting_ids.append(call.call_id)
     over = events.PatienceOver(call.call_id, call.round)
-    patience_ms = call.received_at_ms + call.route.aim_ms/8 - now_ms
+    until_ms = call.received_at_ms + PATIENCE_SHARE * call.route.aim_ms
     return [
         *_shed_surplus(state, call.service, now_ms),
-        actions.Schedule(over, max(patience_ms, 0)),
+        actions.Schedule(over, max(until_ms - now_ms, SEEK_MS)),
         *_seek(state, call.service),
     ]
 
@@ -170,12 +149,24 @@
     if len(waiting) <= WAITING_LIMIT:
         return []
     last = max(waiting, key=lambda call: _order(state, call, now_ms))
-    _leave(state, last)
+    return _turn_away(state, last)
+
+
+def _turn_away(
+    state: world.World,
+    call: routed.RoutedCall,
+) -> list[actions.Action]:
+    """End a waiting call: with a failure that it has, or by a refusal."""
+    _leave(state, call)
+    if call.held_attempt_id:
+        return ending.relay(state, call, call.held_attempt_id)
+    if call.may_have_run:
+        return ending.refuse(state, call, outcomes.Reason.TARGET_LOST)
     return ending.refuse(
         state,
-        last,
+        call,
         outcomes.Reason.OVERLOADED,
-        _come_back_ms(state, last),
+        _come_back_ms(state, call),
     )
 
 
@@ -184,7 +175,7 @@
     if service in state.routed.seeking:
         return []
     state.routed.seeking.add(service)
-    pause_ms = SEEK_MS * (0.5 + state.rng.random())
+    pause_ms = SEEK_MS * _spread(state)
     return [actions.Schedule(events.RoomSought(service), pause_ms)]
 
 
@@ -213,13 +204,29 @@
         state.routed.waiting_ids_by_service.pop(call.service, None)
 
 
+def _takes_calls(
+    state: world.World,
+    target_id: str,
+    now_ms: clock.Millis,
+) -> bool:
+    entry = state.registry.entry_by_id.get(target_id)
+    if entry is None or entry.leaving:
+        return False
+    if entry.service not in state.routed.waiting_ids_by_service:
+        return False
+    known = load_reports.load_of(state.loads, target_id)
+    if trust.is_barred(known, now_ms):
+        return False
+    return room.free_slots(state, target_id, now_ms) > 0
+
+
 def _first(
     state: world.World,
-    service: str,
     target_id: str,
     now_ms: clock.Millis,
 ) -> routed.RoutedCall | None:
     """Return the waiting call that a free slot of a target serves best."""
+    service = state.registry.entry_by_id[target_id].service
     slow = room.slowness(state, target_id) > SLOW
     return min(
         (
@@ -252,27 +259,8 @@
     return now_ms + 2 * _usual_ms(state, call) < call.aim_at_ms
 
 
-def _usual_ms(state: world.World, call: routed.RoutedCall) -> float:
-    route = call.route
-    known = state.routed.usual_ms_by_route.get(route.name)
-    return route.aim_ms * _USUAL_SHARE if known is None else known
-
-
-def _shortest_line(
-    state: world.World,
-    call: routed.RoutedCall,
-    now_ms: clock.Millis,
-) -> str | None:
-    """Return the target with the shortest line, if there is a short one."""
-    ids = state.registry.ids_by_service.get(call.service, ())
-    short = [
-        target_id
-        for target_id in ids
-        if target_id not in call.tried_target_ids
-        and sampling.is_usable(state, target_id, now_ms)
-        and room.free_slots(state, target_id, now_ms) > -LINE_LIMIT
-    ]
-    return sampling.choose(state, short)
+def _usual_ms(state: world.World, call: routed.RoutedCall) -> clock.Millis:
+    return expecting.of_route(state, call.route).typical_ms
 
 
 def _come_back_ms(
@@ -280,4 +268,8 @@
     call: routed.RoutedCall,
 ) -> clock.Millis:
     """Return when room is likely, spread so that calls come back apart."""
-    return _usual_ms(state, call) * (0.5 + state.rng.random())
+    return _usual_ms(state, call) * _spread(state)
+
+
+def _spread(state: world.World) -> float:
+    return 1 + _SPREAD * (2 * state.rng.random() - 1)
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -4,7 +4,7 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import messages, outcomes
+from oleanderstair.domain import messages, outcomes, policy
 from oleanderstair.domain.tables import load_reports, registry, routes
 
 # Calls
@@ -37,6 +37,13 @@
     round: int
 
 
+class HedgeDue(typing.NamedTuple):
+    """A call that was sent ``sends`` times may be worth another target."""
+
+    call_id: int
+    sends: int
+
+
 class RoomMissing(typing.NamedTuple):
     """None of the targets that reported for a call has room for it."""
 
@@ -50,7 +57,7 @@
 
 
 class PatienceOver(typing.NamedTuple):
-    """A waiting call is due to go, or it is answered too late.
+    """A waiting call has waited as long as it may.
 
     ``round`` is that of the call when it began to wait.
     """
@@ -262,9 +269,18 @@
     """The operator asked for a planned stop."""
 
 
+class LimitsChanged(typing.NamedTuple):
+    """The settings file gives other limits; ``what`` names the fields."""
+
+    limits: policy.Policy
+    actor: str
+    what: str
+
+
 CallEvent: typing.TypeAlias = (
     CallReceived
     | SampleDue
+    | HedgeDue
     | RoomMissing
     | RoomSought
     | PatienceOver
@@ -296,4 +312,5 @@
     | FactAdopted
     | Tick
     | StopRequested
+    | LimitsChanged
 )
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -10,7 +10,12 @@
 from oleanderstair.domain import actions, events, stepping, world
 from oleanderstair.domain.calls import routed, sending, waiting
 from oleanderstair.domain.configuration import routing, watching
-from oleanderstair.domain.fleet import serving, stopping
+from oleanderstair.domain.fleet import (
+    finishing,
+    reloading,
+    serving,
+    stopping,
+)
 from oleanderstair.domain.targets import registering, sampling
 
 SYSTEMS_BY_EVENT: typing.Final[stepping.SystemsByEvent] = {
@@ -24,6 +29,7 @@
     events.RoomMissing: (waiting.on_room_missing,),
     events.RoomSought: (waiting.on_room_sought,),
     events.PatienceOver: (waiting.on_patience_over,),
+    events.HedgeDue: (sending.on_hedge_due,),
     events.CallDue: (routed.on_call_due,),
     events.CallerLeft: (routed.on_caller_left,),
     events.AttemptEnded: (routed.on_attempt_ended,),
@@ -35,8 +41,9 @@
     events.HistoryLost: (watching.on_history_lost,),
     events.StoreFailed: (watching.on_failed,),
     events.PeerHeard: (),
-    events.Tick: (watching.on_tick, serving.on_tick, stopping.on_tick),
+    events.Tick: (watching.on_tick, serving.on_tick, finishing.on_tick),
     events.StopRequested: (stopping.on_stop,),
+    events.LimitsChanged: (reloading.on_limits,),
 }
 
 
--- a/oleanderstair/domain/outcomes.py
+++ b/oleanderstair/domain/outcomes.py
@@ -50,6 +50,16 @@
 _BAD_REQUEST = http.HTTPStatus.BAD_REQUEST
 _BAD_GATEWAY = http.HTTPStatus.BAD_GATEWAY
 
+PROMISES: typing.Final = frozenset(
+    (
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        http.HTTPStatus.MISDIRECTED_REQUEST,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        _UNAVAILABLE,
+    ),
+)
+"""The statuses that promise that a call did not run and never will."""
+
 ADVICE: typing.Final[typing.Mapping[Reason, Advice]] = {
     Reason.UNCONFIRMED: Advice(
         _UNAVAILABLE,
@@ -136,3 +146,14 @@
         'send the same key again, or look the order up',
     ),
 }
+
+
+def status_of(outcome: Outcome, reason: Reason) -> http.HTTPStatus:
+    """Return the status that tells a reason.
+
+    A promise is given only where the call is known not to have run.
+    """
+    status = ADVICE[reason].status
+    if status in PROMISES and outcome is not Outcome.NOT_RUN:
+        return _BAD_GATEWAY
+    return status
--- a/oleanderstair/domain/tables/routed.py
+++ b/oleanderstair/domain/tables/routed.py
@@ -15,6 +15,7 @@
     SAMPLING = 'sampling'
     QUEUED = 'queued'
     SENT = 'sent'
+    HEDGING = 'hedging'
 
 
 class RoutedCall(typing.NamedTuple):
@@ -22,9 +23,11 @@
 
     ``due_at_ms`` is when it must be ended: at its deadline or at the
     timeout of its route. ``sample`` are the targets to choose from, and
-    ``awaited`` those whose report is still being read; ``wide`` once they
-    are drawn from further data centres too. ``sends`` counts the targets
-    that it was sent to.
+    ``awaited`` those whose report is still being read; ``widened`` is true
+    once other data centres are among them. ``sends`` counts the targets that
+    it was sent to, and ``arrivals`` those that it may have reached.
+    ``held_attempt_id`` is the attempt with the failure that is relayed if no
+    target answers better, 0 where there is none.
     """
 
     received: events.CallReceived
@@ -36,10 +39,12 @@
     sample: tuple[str, ...] = ()
     awaited: frozenset[str] = frozenset()
     round: int = 0
-    wide: bool = False
     attempts: tuple[calls.Attempt, ...] = ()
     tried_target_ids: tuple[str, ...] = ()
     sends: int = 0
+    arrivals: int = 0
+    widened: bool = False
+    held_attempt_id: int = 0
     may_have_run: bool = False
 
     @property
@@ -55,22 +60,21 @@
 
 @dataclasses.dataclass(slots=True)
 class RoutedTable:
-    """Routed calls by id, and those that wait for room by service.
+    """Routed calls by id, those that await a report, and those in line.
 
-    ``usual_ms_by_route`` is how long answers of a route take lately, from
-    the dispatch on. ``seeking`` names the services for which room is sought
-    at intervals.
+    ``waiting_ids_by_service`` are the calls for which no target has room, and
+    ``seeking`` the services for which room is sought at intervals.
     """
 
     call_by_id: dict[int, RoutedCall] = dataclasses.field(default_factory=dict)
-    next_attempt_id: int = 1
-    waiting_ids_by_service: dict[str, list[int]] = dataclasses.field(
+    waiting_ids_by_target: dict[str, list[int]] = dataclasses.field(
         default_factory=dict,
     )
-    usual_ms_by_route: dict[str, float] = dataclasses.field(
+    waiting_ids_by_service: dict[str, list[int]] = dataclasses.field(
         default_factory=dict,
     )
     seeking: set[str] = dataclasses.field(default_factory=set)
+    next_attempt_id: int = 1
 
 
 def create() -> RoutedTable:
--- a/oleanderstair/domain/targets/room.py
+++ b/oleanderstair/domain/targets/room.py
@@ -6,11 +6,8 @@
 from oleanderstair.domain import world
 from oleanderstair.domain.tables import load_reports
 
-TRUSTED_MS: typing.Final[clock.Millis] = 1000
-"""How old a report may be; past it only the own calls are known."""
-
 FILL: typing.Final = 1.0
-"""The share of its slots up to which a target keeps its speed."""
+"""The share of its slots up to which a target is filled."""
 
 
 def free_slots(
@@ -18,9 +15,14 @@
     target_id: str,
     now_ms: clock.Millis,
 ) -> int:
-    """Return the free slots of a target; negative where calls wait."""
-    entry = state.registry.entry_by_id[target_id]
+    """Return the free slots of a target; negative where calls wait.
+
+    A target that was asked and told nothing has none.
+    """
+    entry = state.registry.entry_by_id.get(target_id)
     known = load_reports.load_of(state.loads, target_id)
+    if entry is None or now_ms < known.silent_until_ms:
+        return 0
     report = known.report
     if report is None:
         return _usable(entry.slots) - known.in_flight
@@ -28,6 +30,19 @@
     return _usable(report.slots) - busy
 
 
+def with_room(
+    state: world.World,
+    target_ids: typing.Iterable[str],
+    now_ms: clock.Millis,
+) -> list[str]:
+    """Return the targets that can run one more call at once."""
+    return [
+        target_id
+        for target_id in target_ids
+        if free_slots(state, target_id, now_ms) > 0
+    ]
+
+
 def slowness(state: world.World, target_id: str) -> float:
     """Return how many times its usual time work takes there, 1 if untold."""
     report = load_reports.load_of(state.loads, target_id).report
--- a/oleanderstair/engine/replies.py
+++ b/oleanderstair/engine/replies.py
@@ -85,7 +85,8 @@
         detail=reply.detail,
         retry_after_ms=int(wait_ms),
     )
-    return Written(advice.status.value, fields, document)
+    status = outcomes.status_of(reply.outcome, reason)
+    return Written(status.value, fields, document)
 
 
 def not_run(reason: outcomes.Reason, detail: str) -> pending.Reply:
