--- a/oleanderstair/domain/calls/learning.py
+++ b/oleanderstair/domain/calls/learning.py
@@ -4,7 +4,7 @@
 from oleanderstair.domain import events, world
 from oleanderstair.domain.calls import seconds
 from oleanderstair.domain.tables import calls, latencies, routed
-from oleanderstair.domain.targets import expecting, trust
+from oleanderstair.domain.targets import crowding, expecting, trust
 
 
 def learn(
@@ -22,6 +22,7 @@
         _learn_shed(state, target_id, event, now_ms)
     elif _is_success(event):
         trust.note_success(state, target_id, now_ms)
+        _learn_crowding(state, call, ended, event, now_ms)
         _learn_span(state, call, ended, now_ms)
         _learn_overdue(state, call, ended, now_ms)
     else:
@@ -59,6 +60,20 @@
     latencies.add(state.latencies, call.route.name, span_ms)
 
 
+def _learn_crowding(
+    state: world.World,
+    call: routed.RoutedCall,
+    attempt: calls.Attempt,
+    event: events.AttemptEnded,
+    now_ms: clock.Millis,
+) -> None:
+    if event.load is None:
+        return
+    typical_ms = expecting.of_route(state, call.route).typical_ms
+    multiple = (now_ms - attempt.started_at_ms) / max(typical_ms, 1)
+    crowding.learn(state, call.service, event.load, multiple)
+
+
 def _learn_overdue(
     state: world.World,
     call: routed.RoutedCall,
--- /dev/null
+++ b/oleanderstair/domain/tables/crowding.py
@@ -0,0 +1,26 @@
+"""How long answers take at nearly full targets and at others, by service."""
+
+import dataclasses
+import typing
+
+
+class Seen(typing.NamedTuple):
+    """The mean of what was seen, in powers of e of the usual, and of how many."""
+
+    mean: float = 0
+    answers: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class CrowdingTable:
+    """What was seen at nearly full targets of a service, and at others."""
+
+    full_by_service: dict[str, Seen] = dataclasses.field(default_factory=dict)
+    other_by_service: dict[str, Seen] = dataclasses.field(
+        default_factory=dict,
+    )
+
+
+def create() -> CrowdingTable:
+    """Create a table in which nothing was seen."""
+    return CrowdingTable()
--- a/oleanderstair/domain/targets/room.py
+++ b/oleanderstair/domain/targets/room.py
@@ -5,9 +5,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import world
 from oleanderstair.domain.tables import load_reports
-
-FILL: typing.Final = 1.0
-"""The share of its slots up to which a target is filled."""
+from oleanderstair.domain.targets import crowding
 
 
 def free_slots(
@@ -25,9 +23,10 @@
         return 0
     report = known.report
     if report is None:
-        return _usable(entry.slots) - known.in_flight
+        usable = crowding.usable_slots(state, entry.service, entry.slots)
+        return usable - known.in_flight
     busy = report.running + report.waiting + known.sent_since
-    return _usable(report.slots) - busy
+    return crowding.usable_slots(state, entry.service, report.slots) - busy
 
 
 def with_room(
@@ -47,7 +46,3 @@
     """Return how many times its usual time work takes there, 1 if untold."""
     report = load_reports.load_of(state.loads, target_id).report
     return report.slowness if report else 1.0
-
-
-def _usable(slots: int) -> int:
-    return max(int(slots * FILL), 1)
--- a/oleanderstair/domain/targets/sampling.py
+++ b/oleanderstair/domain/targets/sampling.py
@@ -32,7 +32,7 @@
 """The share of barred targets above which bars are not believed."""
 
 _MEASURING_MARGIN: typing.Final = 0.8
-_RESERVE_S: typing.Final = 5
+_RESERVE_S: typing.Final = 2.5
 _MS_PER_S: typing.Final = 1000
 
 
--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -8,6 +8,7 @@
     budgets,
     calls,
     catalogue,
+    crowding,
     facts,
     identity,
     instances,
@@ -53,6 +54,7 @@
     routes: routes.RoutesTable
     registry: registry.RegistryTable
     loads: load_reports.LoadsTable
+    crowding: crowding.CrowdingTable
     routed: routed.RoutedTable
     repeats: repeats.RepeatsTable
     latencies: latencies.LatenciesTable
@@ -84,6 +86,7 @@
         routes=routes.create(),
         registry=registry.create(),
         loads=load_reports.create(),
+        crowding=crowding.create(),
         routed=routed.create(),
         repeats=repeats.create(),
         latencies=latencies.create(),
