--- a/oleanderstair/domain/calls/routed.py
+++ b/oleanderstair/domain/calls/routed.py
@@ -3,6 +3,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, outcomes, world
 from oleanderstair.domain.calls import (
+    crashing,
     ending,
     learning,
     repeats,
@@ -29,6 +30,8 @@
         return [ending.not_run(event.call_id, outcomes.Reason.NO_ROUTE)]
     if event.deadline_ms <= now_ms:
         return [ending.not_run(event.call_id, outcomes.Reason.DEADLINE)]
+    if crashing.is_refused(state, event.fingerprint, now_ms):
+        return [ending.not_run(event.call_id, outcomes.Reason.SUSPECTED)]
     due_at_ms = min(event.deadline_ms, now_ms + route.timeout_ms)
     if finishing.refuses(state, due_at_ms, now_ms):
         return [
@@ -95,6 +98,7 @@
         sampling.keep(state, ended.target_id, event.load, now_ms)
     learning.learn(state, call, ended, event, now_ms)
     return [
+        *crashing.learn(state, call, ended, event, now_ms),
         *_conclude(state, call, ended, event, now_ms),
         *waiting.offer(state, ended.target_id, now_ms),
     ]
@@ -113,11 +117,26 @@
     state.routed.call_by_id[call.call_id] = call
     if call.attempts:
         return []
-    if seconds.may_go_on(state, call, now_ms):
+    if _may_go_on(state, call, now_ms):
         return waiting.admit(state, call, now_ms)
     if call.held_attempt_id:
         return ending.relay(state, call, call.held_attempt_id)
-    return ending.refuse(state, call, outcomes.Reason.TARGET_LOST)
+    return ending.refuse(
+        state,
+        call,
+        outcomes.Reason.TARGET_LOST,
+        seconds.come_back_ms(state, event),
+    )
+
+
+def _may_go_on(
+    state: world.World,
+    call: routed.RoutedCall,
+    now_ms: clock.Millis,
+) -> bool:
+    if crashing.is_refused(state, call.received.fingerprint, now_ms):
+        return False
+    return seconds.may_go_on(state, call, now_ms)
 
 
 def _find(
--- a/oleanderstair/domain/calls/waiting.py
+++ b/oleanderstair/domain/calls/waiting.py
@@ -20,6 +20,9 @@
 PATIENCE_SHARE: typing.Final = 0.125
 """The part of its aim that a call may wait for room."""
 
+LEAST_WAIT_MS: typing.Final[clock.Millis] = 25
+"""How long a call waits for room at least, also on a second try."""
+
 SEEK_MS: typing.Final[clock.Millis] = 40
 """How often room is sought while calls wait, on average."""
 
@@ -134,7 +137,7 @@
     until_ms = call.received_at_ms + PATIENCE_SHARE * call.route.aim_ms
     return [
         *_shed_surplus(state, call.service, now_ms),
-        actions.Schedule(over, max(until_ms - now_ms, SEEK_MS)),
+        actions.Schedule(over, max(until_ms - now_ms, LEAST_WAIT_MS)),
         *_seek(state, call.service),
     ]
 
--- a/oleanderstair/domain/outcomes.py
+++ b/oleanderstair/domain/outcomes.py
@@ -34,6 +34,7 @@
     OVERLOADED = 'overloaded'
     DEADLINE = 'deadline'
     CRASHES_TARGETS = 'crashes-targets'
+    SUSPECTED = 'suspected'
     TARGET_REFUSED = 'target-refused'
     TARGET_LOST = 'target-lost'
     TIMEOUT = 'timeout'
@@ -137,6 +138,10 @@
         http.HTTPStatus.UNPROCESSABLE_ENTITY,
         'do not send this request again; it made targets fail',
     ),
+    Reason.SUSPECTED: Advice(
+        _UNAVAILABLE,
+        'change the request; targets crashed that ran it',
+    ),
     Reason.TARGET_REFUSED: Advice(
         _UNAVAILABLE,
         'call again after the time in retry-after',
--- a/oleanderstair/domain/tables/crowding.py
+++ b/oleanderstair/domain/tables/crowding.py
@@ -5,7 +5,7 @@
 
 
 class Seen(typing.NamedTuple):
-    """The mean of what was seen, in powers of e of the usual, and of how many."""
+    """The mean logarithm of what answers took beside the usual."""
 
     mean: float = 0
     answers: int = 0
--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -8,6 +8,7 @@
     budgets,
     calls,
     catalogue,
+    crashes,
     crowding,
     facts,
     identity,
@@ -15,6 +16,7 @@
     keys,
     latencies,
     load_reports,
+    members,
     reads,
     registry,
     repeats,
@@ -55,10 +57,12 @@
     registry: registry.RegistryTable
     loads: load_reports.LoadsTable
     crowding: crowding.CrowdingTable
+    crashes: crashes.CrashesTable
     routed: routed.RoutedTable
     repeats: repeats.RepeatsTable
     latencies: latencies.LatenciesTable
     store: store.StoreTable
+    members: members.MembersTable
 
 
 def create(
@@ -87,8 +91,10 @@
         registry=registry.create(),
         loads=load_reports.create(),
         crowding=crowding.create(),
+        crashes=crashes.create(),
         routed=routed.create(),
         repeats=repeats.create(),
         latencies=latencies.create(),
         store=store.create(),
+        members=members.create(),
     )
--- a/test/test_gateway_fleet.py
+++ b/test/test_gateway_fleet.py
@@ -1,6 +1,7 @@
 """The fleet of gateways on the virtual clock."""
 
 from oleanderstair.domain import events, outcomes
+from oleanderstair.domain.tables import load_reports
 from oleanderstair.emulator import gateway_fleet, gateway_targets, plans
 
 LOOKUP = plans.Kind('lookup', 'burza', 0, plans.Work(40))
@@ -54,6 +55,7 @@
     fleet = make_fleet(targets=1)
     target = fleet.target_by_id['burza-0']
     target.work = lambda received, rng: 10_000
+    target.lying_report = load_reports.Report(0, 0, 100)
     for _ in range(target.slots + target.queue + 1):
         fleet.call('entry-0', 'order', deadline_ms=300)
     fleet.run_for(100)
