--- /dev/null
+++ b/test/test_outcomes.py
@@ -0,0 +1,37 @@
+"""What callers may conclude from a status."""
+
+import itertools
+
+import pytest
+
+from oleanderstair.domain import outcomes
+from oleanderstair.engine import pending, replies
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'reason'),
+    list(
+        itertools.product(
+            (outcomes.Outcome.UNKNOWN, outcomes.Outcome.RAN),
+            outcomes.Reason,
+        )
+    ),
+)
+def test_only_a_call_that_did_not_run_gets_a_promise(
+    outcome: outcomes.Outcome,
+    reason: outcomes.Reason,
+) -> None:
+    written = replies.write_refusal(pending.Reply(outcome, reason))
+    assert written.status not in {408, 421, 429, 503}
+
+
+def test_a_fraction_of_a_second_is_told_to_callers_that_read_it() -> None:
+    reply = pending.Reply(
+        outcomes.Outcome.NOT_RUN,
+        outcomes.Reason.OVERLOADED,
+        retry_after_ms=120,
+    )
+    whole = dict(replies.write_refusal(reply).headers)
+    exact = dict(replies.write_refusal(reply, whole_seconds=False).headers)
+    assert whole[b'retry-after'] == b'1'
+    assert exact[b'retry-after'] == b'0.120'
