--- a/oleanderstair/domain/calls/waiting.py
+++ b/oleanderstair/domain/calls/waiting.py
@@ -128,6 +128,7 @@
         awaited=frozenset(),
     )
     state.routed.call_by_id[call.call_id] = call
+    state.routed.short_at_ms_by_service[call.service] = now_ms
     waiting_ids = state.routed.waiting_ids_by_service.setdefault(
         call.service,
         [],
--- a/oleanderstair/domain/tables/routed.py
+++ b/oleanderstair/domain/tables/routed.py
@@ -64,6 +64,7 @@
 
     ``waiting_ids_by_service`` are the calls for which no target has room, and
     ``seeking`` the services for which room is sought at intervals.
+    ``short_at_ms_by_service`` is when a call last found no room.
     """
 
     call_by_id: dict[int, RoutedCall] = dataclasses.field(default_factory=dict)
@@ -74,6 +75,9 @@
         default_factory=dict,
     )
     seeking: set[str] = dataclasses.field(default_factory=set)
+    short_at_ms_by_service: dict[str, clock.Millis] = dataclasses.field(
+        default_factory=dict,
+    )
     next_attempt_id: int = 1
 
 
