--- a/oleanderstair/domain/calls/waiting.py
+++ b/oleanderstair/domain/calls/waiting.py
@@ -20,7 +20,7 @@
 PATIENCE_SHARE: typing.Final = 0.125
 """The part of its aim that a call may wait for room."""
 
-LEAST_WAIT_MS: typing.Final[clock.Millis] = 25
+LEAST_WAIT_MS: typing.Final[clock.Millis] = 45
 """How long a call waits for room at least, also on a second try."""
 
 SEEK_MS: typing.Final[clock.Millis] = 40
