--- a/oleanderstair/domain/calls/waiting.py
+++ b/oleanderstair/domain/calls/waiting.py
@@ -17,20 +17,17 @@
 WAITING_LIMIT: typing.Final = 64
 """How many calls may wait for one service at an instance."""
 
-PATIENCE_SHARE: typing.Final = 0.125
+PATIENCE_SHARE: typing.Final = 0.06
 """The part of its aim that a call may wait for room."""
 
-LEAST_WAIT_MS: typing.Final[clock.Millis] = 45
+LEAST_WAIT_MS: typing.Final[clock.Millis] = 15
 """How long a call waits for room at least, also on a second try."""
 
 SEEK_MS: typing.Final[clock.Millis] = 40
 """How often room is sought while calls wait, on average."""
 
-SOUGHT_NEAR: typing.Final = 2
-"""How many targets of the own data centre are asked for room at a time."""
-
-SOUGHT_FAR: typing.Final = 2
-"""How many targets of the others are asked for room at a time."""
+SOUGHT: typing.Final = 2
+"""How many near targets are asked for room at a time, and how many far."""
 
 SLOW: typing.Final = 2.0
 """From what slowness on a free slot is kept for calls without time."""
@@ -71,9 +68,8 @@
     if not _waiting(state, event.service):
         return []
     service = event.service
-    near = sampling.draw_near(state, service, (), now_ms, SOUGHT_NEAR)
-    far = sampling.draw_far(state, service, (), now_ms, SOUGHT_FAR)
-    return [*near.reads, *far.reads, *_seek(state, service)]
+    drawn = sampling.draw_wider(state, service, (), now_ms, SOUGHT)
+    return [*drawn.reads, *_seek(state, service)]
 
 
 def on_load_read(
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -8,9 +8,16 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, stepping, world
-from oleanderstair.domain.calls import crashing, routed, sending, waiting
+from oleanderstair.domain.calls import (
+    crashing,
+    repeats,
+    routed,
+    sending,
+    waiting,
+)
 from oleanderstair.domain.configuration import routing, telling, watching
 from oleanderstair.domain.fleet import (
+    counting,
     finishing,
     meeting,
     reloading,
@@ -36,14 +43,20 @@
     events.RoutingRead: (routing.on_routing,),
     events.RegistryRead: (registering.on_read,),
     events.RegistryChanged: (registering.on_changed,),
-    events.StoreRead: (watching.on_read, watching.on_settled),
+    events.StoreRead: (
+        watching.on_read,
+        watching.on_settled,
+        serving.on_known,
+    ),
     events.StoreChanged: (watching.on_changed, watching.on_settled),
     events.HistoryLost: (watching.on_history_lost,),
     events.StoreFailed: (watching.on_failed,),
-    events.StoreTold: (telling.on_told,),
+    events.StoreTold: (telling.on_told, serving.on_known),
     events.PeerHeard: (meeting.on_peer, telling.on_peer, crashing.on_peer),
     events.Tick: (
         meeting.on_tick,
+        counting.on_tick,
+        repeats.on_tick,
         watching.on_tick,
         registering.on_tick,
         serving.on_tick,
--- a/oleanderstair/domain/targets/crowding.py
+++ b/oleanderstair/domain/targets/crowding.py
@@ -15,7 +15,7 @@
 """The fill from which on some targets slow down, as a share of the slots."""
 
 _SLOWED: typing.Final = 0.22
-_EVIDENCE: typing.Final = 30
+_EVIDENCE: typing.Final = 15
 _LEAST_WEIGHT: typing.Final = 0.03
 _LEAST_MULTIPLE: typing.Final = 0.05
 
--- a/oleanderstair/domain/targets/sampling.py
+++ b/oleanderstair/domain/targets/sampling.py
@@ -13,11 +13,11 @@
 from oleanderstair.domain.tables import load_reports, registry
 from oleanderstair.domain.targets import places, trust
 
-SAMPLE_SIZE: typing.Final = 8
+SAMPLE_SIZE: typing.Final = 4
 """How many targets of the own data centre are compared for one call."""
 
-FAR_SAMPLE_SIZE: typing.Final = 4
-"""How many targets of other data centres are compared besides."""
+WIDE_SAMPLE_SIZE: typing.Final = 4
+"""How many more are, of either, where none of these is quick."""
 
 FRESH_MS: typing.Final = 10
 """How old a report may be to count as read just now."""
@@ -53,12 +53,8 @@
     service: str,
     tried_ids: tuple[str, ...],
     now_ms: clock.Millis,
-    most: int = SAMPLE_SIZE,
 ) -> Sample:
-    """Draw targets of the own data centre, or others where it has none.
-
-    At most ``most`` are drawn.
-    """
+    """Draw targets of the own data centre, or others where it has none."""
     near = _usable(state, places.near_ids(state, service), tried_ids, now_ms)
     drawn = near or _usable(
         state,
@@ -66,19 +62,24 @@
         tried_ids,
         now_ms,
     )
-    return _sample(state, drawn[:most], now_ms)
+    return _sample(state, drawn, now_ms)
 
 
-def draw_far(
+def draw_wider(
     state: world.World,
     service: str,
     tried_ids: tuple[str, ...],
     now_ms: clock.Millis,
-    most: int = FAR_SAMPLE_SIZE,
+    most: int = WIDE_SAMPLE_SIZE,
 ) -> Sample:
-    """Draw at most ``most`` targets of the other data centres."""
+    """Draw more targets of the own data centre, and of the others.
+
+    At most ``most`` are drawn of either.
+    """
+    near = _usable(state, places.near_ids(state, service), tried_ids, now_ms)
     far = _usable(state, places.far_ids(state, service), tried_ids, now_ms)
-    return _sample(state, far[:most], now_ms)
+    wider = [*near[:most], *far[:most]]
+    return _sample(state, wider, now_ms)
 
 
 def on_load_read(
@@ -187,12 +188,13 @@
     if service is None or now_ms < known.silent_until_ms:
         return None
     known = _refill(state, known, now_ms)
+    if known.reads_left < 1:
+        load_reports.put_load(state.loads, known)
+        return None
     load_reports.put_load(
         state.loads,
-        known._replace(reads_left=max(known.reads_left - 1, 0)),
+        known._replace(reads_left=known.reads_left - 1),
     )
-    if known.reads_left < 1:
-        return None
     state.loads.asked_at_ms_by_id[entry.target_id] = now_ms
     return actions.ReadLoad(
         entry.target_id,
@@ -227,6 +229,6 @@
     most part, so each of these has a larger part than an equal one.
     """
     limits = state.policy
-    count = max(state.instances.largest_count, limits.assumed_instances)
-    near = max(count / places.count(state), 1)
+    assumed = limits.assumed_instances / places.count(state)
+    near = max(state.instances.largest_near_count, assumed, 1)
     return _MEASURING_MARGIN * limits.probes_per_s / near
