Let calls wait at the entry while no target has room, and refuse early

Cause: calls were dispatched whatever their target's fill, stood behind each other in its queue, and full targets hung; one data centre starved while the others had free slots. Ruled out: waiting until the aim is at risk and then the shortest line (late answers one after the other), one fill for all services (more on one site, less on the other).

--- a/test/test_waiting.py
+++ b/test/test_waiting.py
@@ -1,8 +1,10 @@
 """Calls that wait at the entry, and those that are refused."""
 
+import collections
 import itertools
 
 from oleanderstair.domain import outcomes
+from oleanderstair.domain.tables import routes
 from oleanderstair.emulator import (
     gateway_days,
     gateway_fleet,
@@ -97,6 +99,38 @@
     assert late not in [run.call_id for run in fleet.runs]
 
 
+def test_a_full_part_of_a_split_turns_its_share_away() -> None:
+    fleet = make_fleet(work_ms=5000)
+    fleet.add_target('sklad-0', 'sklad', slots=200)
+    route = plans.route_of(LOOKUP)._replace(
+        parts=(routes.Part('burza', 1), routes.Part('sklad', 1)),
+    )
+    plan = plans.Plan(
+        'west',
+        {},
+        (plans.ServicePlan('burza', {}), plans.ServicePlan('sklad', {})),
+        (LOOKUP,),
+    )
+    fleet.store.publish(
+        plans.routing_of(plan, 9)._replace(
+            routes_by_host={plans.HOST: (route,)},
+        ),
+    )
+    fleet.run_for(2000)
+    made = fill(fleet, *itertools.repeat('lookup', 200))
+    fleet.run_for(200)
+    ran = collections.Counter(run.target_id for run in fleet.runs)
+    refused = [
+        call_id
+        for call_id in made
+        if call_id in fleet.told_by_call
+        and fleet.told_by_call[call_id].outcome is outcomes.Outcome.NOT_RUN
+    ]
+    assert ran['burza-0'] == 4
+    assert 80 <= ran['sklad-0'] <= 120
+    assert len(refused) == 200 - ran.total()
+
+
 def crest(strength: float, crowded_factor: float = 1) -> gateway_days.Day:
     """Play seconds of demand beside targets that can take about 300/s."""
     service = plans.ServicePlan(
