--- a/oleanderstair/domain/calls/routed.py
+++ b/oleanderstair/domain/calls/routed.py
@@ -3,11 +3,12 @@
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, outcomes, world
 from oleanderstair.domain.calls import (
+    crashing,
     ending,
     learning,
     repeats,
     seconds,
-    sending,
+    waiting,
 )
 from oleanderstair.domain.configuration import routing
 from oleanderstair.domain.fleet import finishing
@@ -29,6 +30,8 @@
         return [ending.not_run(event.call_id, outcomes.Reason.NO_ROUTE)]
     if event.deadline_ms <= now_ms:
         return [ending.not_run(event.call_id, outcomes.Reason.DEADLINE)]
+    if crashing.is_refused(state, event.fingerprint, now_ms):
+        return [ending.not_run(event.call_id, outcomes.Reason.SUSPECTED)]
     due_at_ms = min(event.deadline_ms, now_ms + route.timeout_ms)
     if finishing.refuses(state, due_at_ms, now_ms):
         return [
@@ -50,7 +53,7 @@
     due = events.CallDue(call.call_id)
     return [
         actions.Schedule(due, call.due_at_ms - now_ms),
-        *sending.begin(state, call, now_ms),
+        *waiting.admit(state, call, now_ms),
     ]
 
 
@@ -94,14 +97,28 @@
     if event.load is not None:
         sampling.keep(state, ended.target_id, event.load, now_ms)
     learning.learn(state, call, ended, event, now_ms)
+    return [
+        *crashing.learn(state, call, ended, event, now_ms),
+        *_conclude(state, call, ended, event, now_ms),
+        *waiting.offer(state, ended.target_id, now_ms),
+    ]
+
+
+def _conclude(
+    state: world.World,
+    call: routed.RoutedCall,
+    ended: calls.Attempt,
+    event: events.AttemptEnded,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
     if seconds.is_final(call, event):
         return ending.relay(state, call, event.attempt_id)
     call = seconds.without(call, ended, event)
     state.routed.call_by_id[call.call_id] = call
     if call.attempts:
         return []
-    if seconds.may_go_on(state, call, now_ms):
-        return sending.begin(state, call, now_ms)
+    if _may_go_on(state, call, now_ms):
+        return waiting.admit(state, call, now_ms)
     if call.held_attempt_id:
         return ending.relay(state, call, call.held_attempt_id)
     return ending.refuse(
@@ -112,6 +129,16 @@
     )
 
 
+def _may_go_on(
+    state: world.World,
+    call: routed.RoutedCall,
+    now_ms: clock.Millis,
+) -> bool:
+    if crashing.is_refused(state, call.received.fingerprint, now_ms):
+        return False
+    return seconds.may_go_on(state, call, now_ms)
+
+
 def _find(
     call: routed.RoutedCall | None,
     attempt_id: int,
--- a/oleanderstair/domain/calls/sending.py
+++ b/oleanderstair/domain/calls/sending.py
@@ -4,7 +4,7 @@
 from oleanderstair.domain import actions, events, outcomes, world
 from oleanderstair.domain.calls import ending, hedges, repeats
 from oleanderstair.domain.tables import calls, load_reports, registry, routed
-from oleanderstair.domain.targets import choosing, sampling
+from oleanderstair.domain.targets import choosing, room, sampling
 
 
 def begin(
@@ -111,7 +111,7 @@
     state.routed.call_by_id[call.call_id] = call
     chosen = choosing.choose(
         state,
-        call.sample,
+        room.with_room(state, call.sample, now_ms),
         call.route.idempotent,
         now_ms,
     )
@@ -127,9 +127,11 @@
             return _await_reports(state, call, drawn, now_ms)
     if call.stage is routed.Stage.HEDGING:
         return _hedge(state, call, chosen, now_ms)
-    if chosen is None:
-        return ending.refuse(state, call, outcomes.Reason.NO_TARGET)
-    return _dispatch(state, call, chosen, now_ms)
+    if chosen is not None:
+        return dispatch(state, call, chosen.target_id, now_ms)
+    if call.sample:
+        return [actions.Notify(events.RoomMissing(call.call_id))]
+    return ending.refuse(state, call, outcomes.Reason.NO_TARGET)
 
 
 def _hedge(
@@ -144,18 +146,19 @@
     if chosen is None or not hedges.pays(state, call, chosen, now_ms):
         return hedges.again(call)
     return [
-        *_dispatch(state, call, chosen, now_ms),
+        *dispatch(state, call, chosen.target_id, now_ms),
         actions.Count('hedges', call.service),
     ]
 
 
-def _dispatch(
+def dispatch(
     state: world.World,
     call: routed.RoutedCall,
-    chosen: choosing.Choice,
+    target_id: str,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    entry = state.registry.entry_by_id[chosen.target_id]
+    """Send a call to a registered target."""
+    entry = state.registry.entry_by_id[target_id]
     if call.arrivals:
         repeats.spend(state, call.service, now_ms)
     attempt = calls.Attempt(
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -44,6 +44,28 @@
     sends: int
 
 
+class RoomMissing(typing.NamedTuple):
+    """None of the targets that reported for a call has room for it."""
+
+    call_id: int
+
+
+class RoomSought(typing.NamedTuple):
+    """The calls that wait for a service are due to look for room again."""
+
+    service: str
+
+
+class PatienceOver(typing.NamedTuple):
+    """A waiting call has waited as long as it may.
+
+    ``round`` is that of the call when it began to wait.
+    """
+
+    call_id: int
+    round: int
+
+
 class CallDue(typing.NamedTuple):
     """The deadline of a call, or the timeout of its route, has come."""
 
@@ -274,6 +296,9 @@
     CallReceived
     | SampleDue
     | HedgeDue
+    | RoomMissing
+    | RoomSought
+    | PatienceOver
     | CallDue
     | CallerLeft
     | AttemptEnded
--- a/oleanderstair/domain/fleet/codec.py
+++ b/oleanderstair/domain/fleet/codec.py
@@ -25,6 +25,7 @@
     'nb': messages.NoteBody,
     'kc': messages.KeyedCall,
     'ka': messages.KeyedAnswer,
+    'cc': messages.CallCrashed,
     'ro': messages.Roster,
     'sa': messages.StoreAsk,
     'ss': messages.StoreState,
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -8,7 +8,13 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, stepping, world
-from oleanderstair.domain.calls import repeats, routed, sending
+from oleanderstair.domain.calls import (
+    crashing,
+    repeats,
+    routed,
+    sending,
+    waiting,
+)
 from oleanderstair.domain.configuration import routing, telling, watching
 from oleanderstair.domain.fleet import (
     counting,
@@ -21,8 +27,15 @@
 
 SYSTEMS_BY_EVENT: typing.Final[stepping.SystemsByEvent] = {
     events.CallReceived: (routed.on_call,),
-    events.LoadRead: (sampling.on_load_read, sending.on_load_read),
+    events.LoadRead: (
+        sampling.on_load_read,
+        sending.on_load_read,
+        waiting.on_load_read,
+    ),
     events.SampleDue: (sending.on_sample_due,),
+    events.RoomMissing: (waiting.on_room_missing,),
+    events.RoomSought: (waiting.on_room_sought,),
+    events.PatienceOver: (waiting.on_patience_over,),
     events.HedgeDue: (sending.on_hedge_due,),
     events.CallDue: (routed.on_call_due,),
     events.CallerLeft: (routed.on_caller_left,),
@@ -39,7 +52,7 @@
     events.HistoryLost: (watching.on_history_lost,),
     events.StoreFailed: (watching.on_failed,),
     events.StoreTold: (telling.on_told, serving.on_known),
-    events.PeerHeard: (meeting.on_peer, telling.on_peer),
+    events.PeerHeard: (meeting.on_peer, telling.on_peer, crashing.on_peer),
     events.Tick: (
         meeting.on_tick,
         counting.on_tick,
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -226,6 +226,13 @@
     whole: tuple[str, ...] = ()
 
 
+class CallCrashed(typing.NamedTuple):
+    """A target crashed beside a request that it ran."""
+
+    fingerprint: str
+    target_id: str
+
+
 class StoreAsk(typing.NamedTuple):
     """Ask a peer for what the store held after a known state."""
 
@@ -260,6 +267,7 @@
     | NoteBody
     | KeyedCall
     | KeyedAnswer
+    | CallCrashed
     | Roster
     | StoreAsk
     | StoreState
--- a/oleanderstair/domain/outcomes.py
+++ b/oleanderstair/domain/outcomes.py
@@ -34,6 +34,7 @@
     OVERLOADED = 'overloaded'
     DEADLINE = 'deadline'
     CRASHES_TARGETS = 'crashes-targets'
+    SUSPECTED = 'suspected'
     TARGET_REFUSED = 'target-refused'
     TARGET_LOST = 'target-lost'
     TIMEOUT = 'timeout'
@@ -50,6 +51,16 @@
 _BAD_REQUEST = http.HTTPStatus.BAD_REQUEST
 _BAD_GATEWAY = http.HTTPStatus.BAD_GATEWAY
 
+PROMISES: typing.Final = frozenset(
+    (
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        http.HTTPStatus.MISDIRECTED_REQUEST,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        _UNAVAILABLE,
+    ),
+)
+"""The statuses that promise that a call did not run and never will."""
+
 ADVICE: typing.Final[typing.Mapping[Reason, Advice]] = {
     Reason.UNCONFIRMED: Advice(
         _UNAVAILABLE,
@@ -127,6 +138,10 @@
         http.HTTPStatus.UNPROCESSABLE_ENTITY,
         'do not send this request again; it made targets fail',
     ),
+    Reason.SUSPECTED: Advice(
+        _UNAVAILABLE,
+        'change the request; targets crashed that ran it',
+    ),
     Reason.TARGET_REFUSED: Advice(
         _UNAVAILABLE,
         'call again after the time in retry-after',
@@ -136,3 +151,14 @@
         'send the same key again, or look the order up',
     ),
 }
+
+
+def status_of(outcome: Outcome, reason: Reason) -> http.HTTPStatus:
+    """Return the status that tells a reason.
+
+    A promise is given only where the call is known not to have run.
+    """
+    status = ADVICE[reason].status
+    if status in PROMISES and outcome is not Outcome.NOT_RUN:
+        return _BAD_GATEWAY
+    return status
--- a/oleanderstair/domain/tables/routed.py
+++ b/oleanderstair/domain/tables/routed.py
@@ -53,15 +53,32 @@
         """Return the id that the shell gave to the call."""
         return self.received.call_id
 
+    @property
+    def aim_at_ms(self) -> clock.Millis:
+        """Return until when an answer is worth most."""
+        return self.received_at_ms + self.route.aim_ms
+
 
 @dataclasses.dataclass(slots=True)
 class RoutedTable:
-    """Routed calls by id, and those that wait for a target's report."""
+    """Routed calls by id, those that await a report, and those in line.
+
+    ``waiting_ids_by_service`` are the calls for which no target has room, and
+    ``seeking`` the services for which room is sought at intervals.
+    ``short_at_ms_by_service`` is when a call last found no room.
+    """
 
     call_by_id: dict[int, RoutedCall] = dataclasses.field(default_factory=dict)
     waiting_ids_by_target: dict[str, list[int]] = dataclasses.field(
         default_factory=dict,
     )
+    waiting_ids_by_service: dict[str, list[int]] = dataclasses.field(
+        default_factory=dict,
+    )
+    seeking: set[str] = dataclasses.field(default_factory=set)
+    short_at_ms_by_service: dict[str, clock.Millis] = dataclasses.field(
+        default_factory=dict,
+    )
     next_attempt_id: int = 1
 
 
--- /dev/null
+++ b/oleanderstair/domain/targets/room.py
@@ -0,0 +1,48 @@
+"""Tells how many more calls a target can run at once, by its reports."""
+
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import world
+from oleanderstair.domain.tables import load_reports
+from oleanderstair.domain.targets import crowding
+
+
+def free_slots(
+    state: world.World,
+    target_id: str,
+    now_ms: clock.Millis,
+) -> int:
+    """Return the free slots of a target; negative where calls wait.
+
+    A target that was asked and told nothing has none.
+    """
+    entry = state.registry.entry_by_id.get(target_id)
+    known = load_reports.load_of(state.loads, target_id)
+    if entry is None or now_ms < known.silent_until_ms:
+        return 0
+    report = known.report
+    if report is None:
+        usable = crowding.usable_slots(state, entry.service, entry.slots)
+        return usable - known.in_flight
+    busy = report.running + report.waiting + known.sent_since
+    return crowding.usable_slots(state, entry.service, report.slots) - busy
+
+
+def with_room(
+    state: world.World,
+    target_ids: typing.Iterable[str],
+    now_ms: clock.Millis,
+) -> list[str]:
+    """Return the targets that can run one more call at once."""
+    return [
+        target_id
+        for target_id in target_ids
+        if free_slots(state, target_id, now_ms) > 0
+    ]
+
+
+def slowness(state: world.World, target_id: str) -> float:
+    """Return how many times its usual time work takes there, 1 if untold."""
+    report = load_reports.load_of(state.loads, target_id).report
+    return report.slowness if report else 1.0
--- a/oleanderstair/domain/targets/sampling.py
+++ b/oleanderstair/domain/targets/sampling.py
@@ -70,11 +70,15 @@
     service: str,
     tried_ids: tuple[str, ...],
     now_ms: clock.Millis,
+    most: int = WIDE_SAMPLE_SIZE,
 ) -> Sample:
-    """Draw more targets of the own data centre, and of the others."""
+    """Draw more targets of the own data centre, and of the others.
+
+    At most ``most`` are drawn of either.
+    """
     near = _usable(state, places.near_ids(state, service), tried_ids, now_ms)
     far = _usable(state, places.far_ids(state, service), tried_ids, now_ms)
-    wider = [*near[:WIDE_SAMPLE_SIZE], *far[:WIDE_SAMPLE_SIZE]]
+    wider = [*near[:most], *far[:most]]
     return _sample(state, wider, now_ms)
 
 
--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -8,6 +8,8 @@
     budgets,
     calls,
     catalogue,
+    crashes,
+    crowding,
     facts,
     identity,
     instances,
@@ -54,6 +56,8 @@
     routes: routes.RoutesTable
     registry: registry.RegistryTable
     loads: load_reports.LoadsTable
+    crowding: crowding.CrowdingTable
+    crashes: crashes.CrashesTable
     routed: routed.RoutedTable
     repeats: repeats.RepeatsTable
     latencies: latencies.LatenciesTable
@@ -86,6 +90,8 @@
         routes=routes.create(),
         registry=registry.create(),
         loads=load_reports.create(),
+        crowding=crowding.create(),
+        crashes=crashes.create(),
         routed=routed.create(),
         repeats=repeats.create(),
         latencies=latencies.create(),
