--- a/test/test_bench.py
+++ b/test/test_bench.py
@@ -1,6 +1,7 @@
 """The trace replay gives the same figures for the same seed."""
 
-from bench import figures, gateways, replay, traces
+from bench import figures, gateway_capacity, gateways, replay, traces
+from oleanderstair.domain.fleet import members
 
 
 def _short_trace():
@@ -24,3 +25,11 @@
         found = gateways.run(job).by_kind['listing-lookup']
         share_by_policy[policy] = found.in_aim
     assert share_by_policy['eight reports'] > share_by_policy['random'] + 0.1
+
+
+def test_a_capacity_run_keeps_every_instance_alive():
+    state = gateway_capacity.create(target_count=30, instance_count=40)
+    peers = gateway_capacity.run_peers(state)
+    living = members.view(state).living_by_data_centre.values()
+    assert sum(map(len, living)) == 40
+    assert peers.heard
