Split rosters, partners and ramp stages off their systems

What a roster tells and takes is in rosters.py, who exchanges with whom in partners.py, the stages of a ramp in ramp_stages.py; constants say what they are. No behaviour changes; the tests of both pass unchanged.

--- a/oleanderstair/domain/configuration/telling.py
+++ b/oleanderstair/domain/configuration/telling.py
@@ -8,7 +8,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, messages, world
-from oleanderstair.domain.fleet import meeting, members
+from oleanderstair.domain.fleet import members, rosters
 from oleanderstair.domain.tables import registry, store
 
 ASK_AGAIN_MS: typing.Final = 200
@@ -93,7 +93,7 @@
         routing=in_force if lacking else None,
         entries=_entries_after(table, base, now_ms),
         gone=_gone_after(table, base, now_ms),
-        age_ms=meeting.age_of(now_ms, state.store.fresh_at_ms),
+        age_ms=rosters.age_of(now_ms, state.store.fresh_at_ms),
     )
 
 
--- a/oleanderstair/domain/fleet/meeting.py
+++ b/oleanderstair/domain/fleet/meeting.py
@@ -9,8 +9,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, messages, world
-from oleanderstair.domain.fleet import members
-from oleanderstair.domain.tables import members as rows
+from oleanderstair.domain.fleet import members, partners, rosters
 
 ROUND_MS: typing.Final = 1000
 """How often an instance asks one other of a small data centre."""
@@ -22,21 +21,28 @@
 """How long a beat may stand still before the instance itself is asked."""
 
 REVIEW_MS: typing.Final = 250
+"""How often the beats of the data centre are looked at."""
+
 AWAY_ROUND_MS: typing.Final = 2000
+"""How often a delegate compares with another data centre."""
+
 GREET_MS: typing.Final = 1000
+"""How often one of the lost is greeted."""
+
 JOIN_MS: typing.Final = 50
 """How often seeds are asked while nobody else is known to live."""
 
 SLEPT_MS: typing.Final = 1000
 """How long between two ticks means that this instance slept."""
 
-DELEGATES: typing.Final = 2
-
 _SMALL_DATA_CENTRE: typing.Final = 8
+"""From how many neighbours on a data centre is large."""
+
 _SUSPECTS_AT_ONCE: typing.Final = 3
+"""How many silent neighbours are asked in one review."""
+
 _QUICK_JOINS: typing.Final = 60
-_LONGEST_AGE_MS: typing.Final = 1_000_000_000
-_DELEGATE_KEY: typing.Final = 'delegate'
+"""After how many rosters sent the seeds are asked less often."""
 
 
 def on_tick(
@@ -90,7 +96,7 @@
     if not suspects:
         return []
     suspects.sort(key=lambda row: risen_at_ms[row.incarnation])
-    asked = _roster(state, now_ms, (), ())
+    asked = rosters.compose(state, now_ms, (), ())
     return [
         actions.SendPeer(row.incarnation, row.peer_address, asked)
         for row in suspects[:_SUSPECTS_AT_ONCE]
@@ -116,10 +122,10 @@
 ) -> list[actions.Action]:
     """Send the own row to the data centre and to the others' delegates."""
     state.members.version += 1
-    told = _roster(state, now_ms, (), (), messages.Turn.ENDS)
+    told = rosters.compose(state, now_ms, (), (), messages.Turn.ENDS)
     return [
         actions.SendPeer(row.incarnation, row.peer_address, told)
-        for row in (*members.neighbours(state), *_away(state))
+        for row in (*members.neighbours(state), *partners.away_delegates(state))
     ]
 
 
@@ -144,90 +150,21 @@
     sender = heard.rows[0]
     if sender.incarnation != event.sender:
         return [actions.Count('peer-dropped', 'unsigned')]
-    _take(state, heard, now_ms)
+    rosters.take(state, heard, now_ms)
     if heard.turn is messages.Turn.ENDS:
         return []
-    lacking = _lacking(state, sender, heard)
+    lacking = rosters.lacking_places(state, sender, heard)
     if heard.turn is messages.Turn.ANSWERS and not lacking:
         return []
     return [
         actions.SendPeer(
             sender.incarnation,
             sender.peer_address,
-            _answer(state, now_ms, sender, lacking, heard.turn),
+            rosters.answer(state, now_ms, sender, lacking, heard.turn),
         ),
     ]
 
 
-def _take(
-    state: world.World,
-    heard: messages.Roster,
-    now_ms: clock.Millis,
-) -> None:
-    sender = heard.rows[0]
-    for row in heard.rows:
-        members.adopt(state, row, now_ms)
-    members.hear_word(state, sender.data_centre, now_ms)
-    for place, age_ms in heard.word_age_ms_by_data_centre.items():
-        if age_ms < members.AWAY_SILENCE_MS:
-            members.hear_word(state, place, now_ms - age_ms)
-    # Of its own data centre the sender knows best who lives.
-    if sender.data_centre == state.identity.data_centre:
-        return
-    if sender.data_centre in heard.whole:
-        _bury_unnamed(state, heard, sender.data_centre)
-
-
-def _bury_unnamed(
-    state: world.World,
-    heard: messages.Roster,
-    place: str,
-) -> None:
-    named = {row.incarnation for row in heard.rows}
-    for incarnation, row in tuple(state.members.by_incarnation.items()):
-        if row.data_centre == place and incarnation not in named:
-            members.bury(state, incarnation)
-
-
-def _lacking(
-    state: world.World,
-    sender: rows.Member,
-    heard: messages.Roster,
-) -> list[str]:
-    """Return the data centres of which the sender knows something else.
-
-    Between data centres each speaks for its own alone, but for one who asks
-    without knowing others yet.
-    """
-    theirs = heard.checksum_by_data_centre
-    own = state.identity.data_centre
-    all_told = sender.data_centre == own or len(theirs) == 1
-    return [
-        place
-        for place, checksum in members.view(
-            state,
-        ).checksum_by_data_centre.items()
-        if theirs.get(place) != checksum
-        and (all_told or place == own or place not in theirs)
-    ]
-
-
-def _answer(
-    state: world.World,
-    now_ms: clock.Millis,
-    sender: rows.Member,
-    lacking: list[str],
-    turn: messages.Turn,
-) -> messages.Roster:
-    own = state.identity.data_centre
-    asked = turn is messages.Turn.ASKS
-    if asked and sender.data_centre == own and own not in lacking:
-        # Beats are exchanged whatever the checksums say.
-        lacking = [own, *lacking]
-    answer = messages.Turn.ANSWERS if asked else messages.Turn.ENDS
-    return _roster(state, now_ms, _rows_of(state, lacking), lacking, answer)
-
-
 def _ask_neighbours(
     state: world.World,
     now_ms: clock.Millis,
@@ -235,31 +172,13 @@
 ) -> list[actions.Action]:
     near = {row.incarnation: row for row in members.neighbours(state)}
     own = state.identity.data_centre
-    asked = _roster(state, now_ms, _rows_of(state, [own]), [own])
+    asked = rosters.compose(state, now_ms, rosters.rows_of(state, [own]), [own])
     return [
         actions.SendPeer(incarnation, near[incarnation].peer_address, asked)
-        for incarnation in _next_turns(state, near, count)
+        for incarnation in partners.next_turns(state, near, count)
     ]
 
 
-def _next_turns(
-    state: world.World,
-    near: typing.Collection[str],
-    count: int,
-) -> list[str]:
-    """Return those whose turn it is; a turn goes round in a drawn order."""
-    turns = state.members.turns
-    chosen: list[str] = []
-    while near and len(chosen) < min(count, len(near)):
-        if not turns:
-            turns.extend(sorted(near))
-            state.rng.shuffle(turns)
-        turn = turns.pop()
-        if turn in near and turn not in chosen:
-            chosen.append(turn)
-    return chosen
-
-
 def _ask_away(
     state: world.World,
     now_ms: clock.Millis,
@@ -269,38 +188,16 @@
     if now_ms < table.away_due_ms:
         return []
     table.away_due_ms = now_ms + AWAY_ROUND_MS
-    if not is_delegate(state):
+    if not partners.is_delegate(state):
         return []
-    away = _away(state, 1)
+    away = partners.away_delegates(state, 1)
     if not away:
         return []
     chosen = state.rng.choice(away)
-    asked = _roster(state, now_ms, (), ())
+    asked = rosters.compose(state, now_ms, (), ())
     return [actions.SendPeer(chosen.incarnation, chosen.peer_address, asked)]
 
 
-def is_delegate(state: world.World) -> bool:
-    """Return whether this instance compares with other data centres."""
-    own = state.identity
-    here = members.view(state).living_by_data_centre[own.data_centre]
-    chosen = members.delegates(here, _DELEGATE_KEY, DELEGATES)
-    return any(row.incarnation == own.incarnation for row in chosen)
-
-
-def _away(
-    state: world.World,
-    count: int = DELEGATES,
-) -> list[rows.Member]:
-    """Return up to ``count`` delegates of each other data centre."""
-    found: list[rows.Member] = []
-    for place, living in members.view(state).living_by_data_centre.items():
-        if place == state.identity.data_centre:
-            continue
-        chosen = members.delegates(living, _DELEGATE_KEY, DELEGATES)
-        found.extend(state.rng.sample(chosen, min(count, len(chosen))))
-    return found
-
-
 def _join(
     state: world.World,
     now_ms: clock.Millis,
@@ -312,7 +209,7 @@
     table.greet_due_ms = now_ms + JOIN_MS
     if table.beat > _QUICK_JOINS:
         table.greet_due_ms = now_ms + GREET_MS
-    asked = _roster(state, now_ms, (), ())
+    asked = rosters.compose(state, now_ms, (), ())
     return [
         actions.SendPeer('', address, asked)
         for address in members.lost_addresses(state, also_away=True)
@@ -333,51 +230,8 @@
     if now_ms < table.greet_due_ms:
         return []
     table.greet_due_ms = now_ms + GREET_MS
-    lost = members.lost_addresses(state, also_away=is_delegate(state))
+    lost = members.lost_addresses(state, also_away=partners.is_delegate(state))
     if not lost:
         return []
-    asked = _roster(state, now_ms, (), ())
+    asked = rosters.compose(state, now_ms, (), ())
     return [actions.SendPeer('', state.rng.choice(lost), asked)]
-
-
-def age_of(now_ms: clock.Millis, at_ms: clock.Millis) -> int:
-    """Return how long ago something was, in whole ms, as it is told."""
-    return int(min(now_ms - at_ms, _LONGEST_AGE_MS))
-
-
-def _rows_of(
-    state: world.World,
-    places: typing.Collection[str],
-) -> tuple[rows.Member, ...]:
-    own = state.identity.incarnation
-    return tuple(
-        row
-        for incarnation, row in state.members.by_incarnation.items()
-        if row.data_centre in places and incarnation != own
-    )
-
-
-def _roster(
-    state: world.World,
-    now_ms: clock.Millis,
-    told: tuple[rows.Member, ...],
-    whole: typing.Iterable[str],
-    turn: messages.Turn = messages.Turn.ASKS,
-) -> messages.Roster:
-    in_force = state.routes.in_force
-    state.members.beat += 1
-    return messages.Roster(
-        rows=(members.own_row(state), *told),
-        checksum_by_data_centre=members.view(state).checksum_by_data_centre,
-        word_age_ms_by_data_centre={
-            place: int(now_ms - word_at_ms)
-            for place, word_at_ms in (
-                state.members.word_at_ms_by_data_centre.items()
-            )
-        },
-        number=in_force.number if in_force else 0,
-        revision=state.registry.revision,
-        age_ms=age_of(now_ms, state.store.fresh_at_ms),
-        turn=turn,
-        whole=tuple(whole),
-    )
--- a/oleanderstair/domain/targets/ramps.py
+++ b/oleanderstair/domain/targets/ramps.py
@@ -8,20 +8,20 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, messages, world
-from oleanderstair.domain.fleet import sharing
-from oleanderstair.domain.targets import ramp_shares
+from oleanderstair.domain.targets import ramp_stages
 from oleanderstair.domain.tables import calls, catalogue, instances, targets
 
-_FLEET: typing.Final = 'fleet'
 _FAILED_STATUS: typing.Final = 500
+"""The least HTTP status that counts as a failure."""
+
 _DOWN_AFTER: typing.Final = 2
-_RAMPED_CAP: typing.Final = 0.5
-_BACKOFF: typing.Final = 2
-_MAX_WAIT_MS: typing.Final[clock.Millis] = 60000
-_JITTER: typing.Final = 0.25
+"""How many failures in a row make an unreachable target count as down."""
+
 _SLOW_FACTOR: typing.Final = 3
+"""How many times the median latency still is in time."""
+
 _SLOW_MARGIN_MS: typing.Final[clock.Millis] = 5
-_TELL_MS: typing.Final[clock.Millis] = 250
+"""What is added to that bound, for services that answer at once."""
 
 
 def allowance(
@@ -31,7 +31,7 @@
 ) -> int:
     """Return how many calls this instance may have in flight at a target."""
     ramp = state.targets.ramp_by_id.get(target.target_id)
-    if ramp is None or _is_done(state, ramp):
+    if ramp is None or ramp_stages.is_done(state, ramp):
         return target.slots
     return min(ramp.own_slots, target.slots)
 
@@ -42,14 +42,18 @@
     Few instances may use a ramping target, so that they send it what they
     can, but no call that could not be tried again elsewhere.
     """
-    if state.policy.ramp != _FLEET or not call.idempotent or call.attempts:
+    if (
+        state.policy.ramp != ramp_stages.FLEET
+        or not call.idempotent
+        or call.attempts
+    ):
         return []
     in_force = state.catalogue.in_force.target_by_id
     return [
         ramp.target_id
         for ramp in state.targets.ramp_by_id.values()
         if ramp.own_slots
-        and not _is_done(state, ramp)
+        and not ramp_stages.is_done(state, ramp)
         and in_force[ramp.target_id].service == call.received.service
     ]
 
@@ -79,10 +83,10 @@
         wait_ms=state.policy.ramp_wait_ms,
         target_incarnation=incarnation,
     )
-    _enter(state, ramp, now_ms)
+    ramp_stages.enter(state, ramp, now_ms)
     # All take a note at about the same time, so that the canary's word does.
     if tell or state.targets.ramp_by_id[target_id].own_slots:
-        _publish(state, ramp, now_ms)
+        ramp_stages.publish(state, ramp, now_ms)
     return [actions.Audit('ramp', target_id, why, f'generation {generation}')]
 
 
@@ -119,17 +123,17 @@
     if _note_down(state, event, target_id, now_ms):
         return start(state, target_id, 'reachable again', now_ms)
     ramp = state.targets.ramp_by_id.get(target_id)
-    if ramp is None or _is_done(state, ramp):
+    if ramp is None or ramp_stages.is_done(state, ramp):
         return []
     started_at_ms = _started_at(state, event)
     if started_at_ms < ramp.stage_since_ms:
         return []
     if _has_failed(event):
-        return _step_back(state, ramp, now_ms)
+        return ramp_stages.step_back(state, ramp, now_ms)
     if _was_in_time(state, target_id, now_ms - started_at_ms):
         ramp = ramp._replace(served_in_stage=ramp.served_in_stage + 1)
         state.targets.ramp_by_id[target_id] = ramp
-    return _step_up(state, ramp, now_ms)
+    return ramp_stages.step_up(state, ramp, now_ms)
 
 
 def on_fact(
@@ -141,7 +145,7 @@
     body = event.fact.body
     if not isinstance(body, messages.RampState):
         return []
-    if state.policy.ramp != _FLEET:
+    if state.policy.ramp != ramp_stages.FLEET:
         return []
     known = state.targets.ramp_by_id.get(body.target_id)
     told = (body.generation, body.stage)
@@ -149,7 +153,9 @@
         return []
     if known is not None and (known.generation, known.stage) >= told:
         if (known.generation, known.stage) == told:
-            _take_evidence(state, known, event.fact.origin, body.served)
+            ramp_stages.take_evidence(
+                state, known, event.fact.origin, body.served
+            )
         return []
     state.targets.down_since_ms_by_id.pop(body.target_id, None)
     ramp = targets.Ramp(
@@ -160,8 +166,8 @@
         wait_ms=body.wait_ms or state.policy.ramp_wait_ms,
         target_incarnation=body.target_incarnation,
     )
-    _enter(state, ramp, now_ms)
-    _take_evidence(state, ramp, event.fact.origin, body.served)
+    ramp_stages.enter(state, ramp, now_ms)
+    ramp_stages.take_evidence(state, ramp, event.fact.origin, body.served)
     return []
 
 
@@ -173,10 +179,10 @@
     """Pass tokens on between instances, and step up what is due."""
     done: list[actions.Action] = []
     for ramp in tuple(state.targets.ramp_by_id.values()):
-        if not _is_done(state, ramp):
-            _enter(state, ramp, now_ms)
-            _tell_evidence(state, ramp, now_ms)
-            done.extend(_step_up(state, ramp, now_ms))
+        if not ramp_stages.is_done(state, ramp):
+            ramp_stages.enter(state, ramp, now_ms)
+            ramp_stages.tell_evidence(state, ramp, now_ms)
+            done.extend(ramp_stages.step_up(state, ramp, now_ms))
     return done
 
 
@@ -190,39 +196,6 @@
     return ramp.stage == 0 and now_ms - ramp.stage_since_ms < ramp.wait_ms
 
 
-def _is_done(state: world.World, ramp: targets.Ramp) -> bool:
-    return ramp.stage > state.policy.ramp_stages
-
-
-def _enter(
-    state: world.World,
-    ramp: targets.Ramp,
-    now_ms: clock.Millis,
-) -> None:
-    """Store a ramp with the slots that this instance may use now."""
-    target = state.catalogue.in_force.target_by_id[ramp.target_id]
-    own_slots = target.slots
-    table = state.targets.ramp_by_id
-    table[ramp.target_id] = ramp
-    if not _is_capped(state, target.service):
-        share = ramp_shares.SHARE_BY_NAME[state.policy.ramp]
-        own_slots = share(state, target, ramp, now_ms)
-    current = table[ramp.target_id]
-    table[ramp.target_id] = current._replace(own_slots=own_slots)
-
-
-def _is_capped(state: world.World, service: str) -> bool:
-    """Return whether too much of a service would be ramped at once."""
-    ids = state.catalogue.in_force.target_ids_by_service[service]
-    ramped = [
-        target_id
-        for target_id in ids
-        if target_id in state.targets.ramp_by_id
-        and not _is_done(state, state.targets.ramp_by_id[target_id])
-    ]
-    return len(ramped) > _RAMPED_CAP * len(ids)
-
-
 def _note_down(
     state: world.World,
     event: events.AttemptEnded,
@@ -274,107 +247,3 @@
         return True
     median_ms = latencies_ms[len(latencies_ms) // 2]
     return took_ms <= _SLOW_FACTOR * median_ms + _SLOW_MARGIN_MS
-
-
-def _take_evidence(
-    state: world.World,
-    ramp: targets.Ramp,
-    origin: str,
-    served: int,
-) -> None:
-    """Keep what a peer saw served in the stage that this instance is in."""
-    others = [entry for entry in ramp.served_by_origin if entry[0] != origin]
-    current = state.targets.ramp_by_id[ramp.target_id]
-    state.targets.ramp_by_id[ramp.target_id] = current._replace(
-        served_by_origin=(*others, (origin, served)),
-    )
-
-
-def _tell_evidence(
-    state: world.World,
-    ramp: targets.Ramp,
-    now_ms: clock.Millis,
-) -> None:
-    """Tell the peers now and then what was served here in this stage."""
-    if ramp.served_in_stage == ramp.told_served:
-        return
-    if now_ms - ramp.told_at_ms < _TELL_MS:
-        return
-    current = state.targets.ramp_by_id[ramp.target_id]
-    state.targets.ramp_by_id[ramp.target_id] = current._replace(
-        told_served=ramp.served_in_stage,
-        told_at_ms=now_ms,
-    )
-    _publish(state, current, now_ms)
-
-
-def _step_up(
-    state: world.World,
-    ramp: targets.Ramp,
-    now_ms: clock.Millis,
-) -> list[actions.Action]:
-    if not ramp.served_in_stage:
-        return []
-    told = sum(served for _, served in ramp.served_by_origin)
-    if ramp.served_in_stage + told < state.policy.ramp_evidence:
-        return []
-    if now_ms - ramp.stage_since_ms < ramp.wait_ms:
-        return []
-    return _move(
-        state,
-        ramp._replace(stage=ramp.stage + 1),
-        now_ms,
-    )
-
-
-def _step_back(
-    state: world.World,
-    ramp: targets.Ramp,
-    now_ms: clock.Millis,
-) -> list[actions.Action]:
-    jitter = 1 + state.rng.uniform(-_JITTER, _JITTER)
-    wait_ms = min(ramp.wait_ms * _BACKOFF, _MAX_WAIT_MS) * jitter
-    return _move(
-        state,
-        ramp._replace(
-            generation=ramp.generation + 1,
-            stage=max(ramp.stage - 1, 0),
-            wait_ms=wait_ms,
-        ),
-        now_ms,
-    )
-
-
-def _move(
-    state: world.World,
-    ramp: targets.Ramp,
-    now_ms: clock.Millis,
-) -> list[actions.Action]:
-    moved = ramp._replace(
-        stage_since_ms=now_ms,
-        served_in_stage=0,
-        told_served=0,
-        served_by_origin=(),
-    )
-    _enter(state, moved, now_ms)
-    _publish(state, moved, now_ms)
-    where = f'generation {moved.generation} stage {moved.stage}'
-    return [actions.Audit('ramp', moved.target_id, 'evidence', where)]
-
-
-def _publish(
-    state: world.World,
-    ramp: targets.Ramp,
-    now_ms: clock.Millis,
-) -> None:
-    if state.policy.ramp != _FLEET:
-        return
-    body = messages.RampState(
-        ramp.target_id,
-        ramp.generation,
-        ramp.stage,
-        ramp.wait_ms,
-        ramp.target_incarnation,
-        ramp.served_in_stage,
-    )
-    sharing.publish(state, f'ramp/{ramp.target_id}', body, now_ms)
