--- a/oleanderstair/domain/calls/retries.py
+++ b/oleanderstair/domain/calls/retries.py
@@ -9,7 +9,10 @@
 from oleanderstair.domain.tables import calls, services
 
 MOST_UNRUN: typing.Final = 12
+"""How many attempts a call may have that did not run."""
+
 MOST_RETRIES: typing.Final = 2
+"""How many more attempts a call may have that may have run."""
 
 
 def may_retry(
--- a/oleanderstair/domain/calls/seconds.py
+++ b/oleanderstair/domain/calls/seconds.py
@@ -11,7 +11,10 @@
 """The lowest status by which a target says that it failed."""
 
 _MOST_UNSENT: typing.Final = 3
+"""How many sends of a call may end before anything was sent."""
+
 _SOON_MS: typing.Final = 30
+"""When a call may come again that was shed beside free slots."""
 
 
 def is_final(call: routed.RoutedCall, event: events.AttemptEnded) -> bool:
--- a/oleanderstair/domain/calls/suspects.py
+++ b/oleanderstair/domain/calls/suspects.py
@@ -14,8 +14,13 @@
 from oleanderstair.domain.tables import calls, suspects
 
 SAME_DEATH_MS: typing.Final[clock.Millis] = 2000
+"""How far apart one death of a target may be seen by several instances."""
+
 SUSPECT_LIMIT: typing.Final = 1024
+"""How many suspected calls are remembered."""
+
 CONVICTED_DEATHS: typing.Final = 2
+"""After how many deaths a call is refused."""
 
 
 def is_refused(
--- a/oleanderstair/domain/configuration/watching.py
+++ b/oleanderstair/domain/configuration/watching.py
@@ -14,6 +14,7 @@
 from oleanderstair.domain.tables import routes
 
 READERS: typing.Final = 2
+"""How many instances watch the store while all goes well."""
 
 CYCLE_MS: typing.Final = 1000
 """How often a reader confirms that nothing else has changed."""
@@ -52,11 +53,22 @@
 """How long after a failure an instance comes last in the readers' order."""
 
 _LEAST_WATCH_MS: typing.Final = 50
+"""How long a watch waits for a change at least."""
+
 _STEP_RANKS: typing.Final = 4
+"""How many ranks of the order begin to read at the same moment."""
+
 _STEP_MS: typing.Final = 100
+"""How long after those the next ranks begin."""
+
 _LONGEST_STEPS_MS: typing.Final = 3000
+"""How long the last ranks wait for those before them."""
+
 _BACKOFF_MS: typing.Final = 1000
+"""How long an instance waits after its first failed call."""
+
 _LONGEST_DOUBLING: typing.Final = 2
+"""How often bounds and waits double at most."""
 
 
 def on_tick(
--- a/oleanderstair/domain/fleet/addressing.py
+++ b/oleanderstair/domain/fleet/addressing.py
@@ -7,6 +7,7 @@
 from oleanderstair.domain.tables import members as rows
 
 ADDRESS_LIMIT: typing.Final = 64
+"""How many addresses an answer names at most."""
 
 FEWEST: typing.Final = 2
 """How many instances of a data centre are enough on their own."""
--- a/oleanderstair/domain/fleet/members.py
+++ b/oleanderstair/domain/fleet/members.py
@@ -21,6 +21,7 @@
 """How long a dead instance is remembered, and greeted now and then."""
 
 MEMBER_LIMIT: typing.Final = 4096
+"""How many incarnations are remembered, the dead included."""
 
 _READER_KEY: typing.Final = 'store'
 _STANDING_BY_PHASE: typing.Final = {
--- a/oleanderstair/engine/peers.py
+++ b/oleanderstair/engine/peers.py
@@ -21,16 +21,38 @@
 """How long a connection may be silent before it is replaced."""
 
 _QUEUE_LIMIT: typing.Final = 200
+"""How many frames wait in a socket, in either direction."""
+
 _MAX_FRAME_BYTES: typing.Final = 4_000_000
+"""The longest frame that is read."""
+
 _RECONNECT_MS: typing.Final = 100
+"""How long after a lost connection the first try to connect again is."""
+
 _RECONNECT_MAX_MS: typing.Final = 2000
+"""The longest pause between two such tries."""
+
 _BACKLOG: typing.Final = 512
+"""How many connections may wait to be accepted."""
+
 _DEALER_LIMIT: typing.Final = 1024
+"""How many connections to peers are kept, and peers that were heard."""
+
 _WAITING_LIMIT: typing.Final = 64
+"""How many frames wait for connections that open."""
+
 _CONNECT_MS: typing.Final = 200
+"""How long a frame waits for its connection to open."""
+
 _RETRY_MS: typing.Final = 5
+"""How often waiting frames are tried again."""
+
 _UNUSED_MS: typing.Final = 60_000
+"""After how long without use a connection is closed."""
+
 _FRAMES: typing.Final = 2
+"""How many frames the router gives for a message: its sender and itself."""
+
 _INCARNATION: typing.Final = re.compile('[a-z0-9-]{1,63}~[0-9a-z]{1,32}')
 
 
