Open the sockets of the peer link in a module of their own

peers.py held the options of its sockets beside what it sends and keeps; they stand in peer_sockets.py now. No behaviour changes, its tests neither.

--- a/oleanderstair/engine/peers.py
+++ b/oleanderstair/engine/peers.py
@@ -15,26 +15,11 @@
 from oleanderstair import clock
 from oleanderstair.domain import messages
 from oleanderstair.domain.fleet import codec
-from oleanderstair.engine import arrivals, strangers
+from oleanderstair.engine import arrivals, peer_sockets, strangers
 
 SILENCE_MS: typing.Final = 3000
 """How long a connection may be silent before it is replaced."""
 
-_QUEUE_LIMIT: typing.Final = 200
-"""How many frames wait in a socket, in either direction."""
-
-_MAX_FRAME_BYTES: typing.Final = 4_000_000
-"""The longest frame that is read."""
-
-_RECONNECT_MS: typing.Final = 100
-"""How long after a lost connection the first try to connect again is."""
-
-_RECONNECT_MAX_MS: typing.Final = 2000
-"""The longest pause between two such tries."""
-
-_BACKLOG: typing.Final = 512
-"""How many connections may wait to be accepted."""
-
 _DEALER_LIMIT: typing.Final = 1024
 """How many connections to peers are kept, and peers that were heard."""
 
@@ -56,11 +41,7 @@
 _INCARNATION: typing.Final = re.compile('[a-z0-9-]{1,63}~[0-9a-z]{1,32}')
 
 
-class Keys(typing.NamedTuple):
-    """The fleet's CURVE key pair in Z85; empty keys mean plain text."""
-
-    public: str = ''
-    secret: str = ''
+Keys: typing.TypeAlias = peer_sockets.Keys
 
 
 class Heard(typing.NamedTuple):
@@ -117,10 +98,10 @@
         heartbeats: bool,
     ) -> None:
         """Bind to ``endpoint`` as ``incarnation``."""
-        self._heartbeats = heartbeats
         self._incarnation = incarnation.encode()
-        self._keys = keys
         self._silence_ms = int(silence_ms)
+        self._keys = keys
+        self._options = peer_sockets.Options(self._silence_ms, heartbeats)
         self._clock = clock.monotonic()
         self._count: typing.Callable[[str, str], None] = _count_nothing
         self._plain: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
@@ -128,17 +109,9 @@
         if keys.public:
             shadow = zmq.asyncio.Context.shadow(self._plain)
             self._gate = strangers.create(shadow, keys.public)
-        self._router = self._plain.socket(zmq.ROUTER)
-        self._prepare(self._router)
-        self._router.setsockopt(zmq.MAXMSGSIZE, _MAX_FRAME_BYTES)
-        # A peer whose connection went silent may come back on a new one.
-        self._router.setsockopt(zmq.ROUTER_HANDOVER, 1)
-        self._router.setsockopt(zmq.BACKLOG, _BACKLOG)
-        if keys.public:
-            self._router.curve_server = True
-            self._router.curve_secretkey = keys.secret.encode()
-            self._router.curve_publickey = keys.public.encode()
-            self._router.zap_domain = strangers.DOMAIN
+        self._router = peer_sockets.open_router(
+            self._plain, keys, self._options
+        )
         self._refused = strangers.watch_refusals(self._router, self._plain)
         self._router.bind(endpoint)
         self._arrivals = arrivals.create(self._router)
@@ -235,17 +208,6 @@
         if dealer is not None:
             dealer.socket.close(0)
 
-    def _prepare(self, made: 'zmq.Socket[typing.Any]') -> None:
-        made.setsockopt(zmq.LINGER, 0)
-        made.setsockopt(zmq.SNDHWM, _QUEUE_LIMIT)
-        made.setsockopt(zmq.RCVHWM, _QUEUE_LIMIT)
-        made.setsockopt(zmq.HANDSHAKE_IVL, self._silence_ms)
-        if not self._heartbeats:
-            return
-        made.setsockopt(zmq.HEARTBEAT_IVL, self._silence_ms)
-        made.setsockopt(zmq.HEARTBEAT_TIMEOUT, self._silence_ms)
-        made.setsockopt(zmq.HEARTBEAT_TTL, 3 * self._silence_ms)
-
     def _dealer(
         self,
         address: str,
@@ -261,7 +223,10 @@
             self._count('peer-connections', 'replaced')
             dealer = None
         if dealer is None:
-            dealer = _Dealer(self._connect(address), now_ms)
+            dealer = _Dealer(
+                self._connect(address),
+                now_ms,
+            )
         if asks and dealer.asked_at_ms is None:
             dealer = dealer._replace(asked_at_ms=now_ms)
         # Insertion order is the order of use, so the first is the oldest.
@@ -285,19 +250,13 @@
         return now_ms - dealer.asked_at_ms > 2 * self._silence_ms
 
     def _connect(self, address: str) -> 'zmq.Socket[bytes]':
-        dealer = self._plain.socket(zmq.DEALER)
-        self._prepare(dealer)
-        dealer.setsockopt(zmq.ROUTING_ID, self._incarnation)
-        # Nothing is queued for a peer that is away: it would come as news.
-        dealer.setsockopt(zmq.IMMEDIATE, 1)
-        dealer.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
-        dealer.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
-        if self._keys.public:
-            dealer.curve_serverkey = self._keys.public.encode()
-            dealer.curve_publickey = self._keys.public.encode()
-            dealer.curve_secretkey = self._keys.secret.encode()
-        dealer.connect(f'tcp://{address}')
-        return dealer
+        return peer_sockets.connect(
+            self._plain.socket(zmq.DEALER),
+            address,
+            self._incarnation,
+            self._keys,
+            self._options,
+        )
 
     def _close_unused(self, now_ms: clock.Millis) -> None:
         table = self._dealer_by_address
