--- a/test/fleets.py
+++ b/test/fleets.py
@@ -8,6 +8,7 @@
 from oleanderstair.domain import actions, events, gateway, policy, world
 from oleanderstair.domain.fleet import codec
 from oleanderstair.domain.tables import identity, registry, routes
+from oleanderstair.emulator import watched_store
 
 TICK_MS = 50
 LINK_MS = 1
@@ -49,59 +50,23 @@
     return made._replace(**more)
 
 
-@dataclasses.dataclass
-class Store:
-    """What the platform's store holds, and who asked it."""
-
-    revision: int = 1
-    routing: routes.Routing | None = None
-    entry_by_id: dict = dataclasses.field(default_factory=dict)
-    log: list = dataclasses.field(default_factory=list)
-    refused: set = dataclasses.field(default_factory=set)
-    down: bool = False
-    calls: int = 0
-    asked_by: list = dataclasses.field(default_factory=list)
-
-    def put(self, made):
-        self.revision += 1
-        made = made._replace(revision=self.revision)
-        self.entry_by_id[made.target_id] = made
-        self.log.append((self.revision, made))
+class Store(watched_store.WatchedStore):
+    """The platform's store, and who asked it."""
 
-    def end(self, target_id):
-        self.revision += 1
-        self.entry_by_id.pop(target_id)
-        self.log.append(
-            (self.revision, registry.Gone(target_id, self.revision)),
-        )
+    def __init__(self):
+        super().__init__()
+        self.asked_by = []
+
+    @property
+    def refused(self):
+        return self.refused_ids
 
     def publish(self, number):
-        self.revision += 1
-        self.routing = routing(number)
-        self.log.append((self.revision, self.routing))
-
-    def whole(self):
-        return events.StoreRead(
-            self.routing,
-            events.RegistryRead(
-                self.revision,
-                tuple(self.entry_by_id.values()),
-            ),
-        )
+        return super().publish(routing(number))
 
-    def after(self, revision):
-        news = [made for at, made in self.log if at > revision]
-        found = [made for made in news if isinstance(made, routes.Routing)]
-        return events.StoreChanged(
-            found[-1] if found else None,
-            events.RegistryChanged(
-                self.revision,
-                tuple(
-                    made for made in news if isinstance(made, registry.Entry)
-                ),
-                tuple(made for made in news if isinstance(made, registry.Gone)),
-            ),
-        )
+    def end(self, target_id):
+        assert target_id in self.entry_by_id
+        return self.remove(target_id)
 
 
 @dataclasses.dataclass
@@ -228,11 +193,11 @@
         self.store.calls += 1
         name = made.state.identity.instance_id
         self.store.asked_by.append(name)
-        if self.store.down or name in self.store.refused:
+        if self.store.refuses(name):
             failed = events.StoreFailed('refused')
             self.later(STORE_MS, self.handle, made, failed)
         elif isinstance(action, actions.ReadStore):
-            self.later(STORE_MS, self.handle, made, self.store.whole())
+            self.later(STORE_MS, self.handle, made, self.store.read())
         else:
             ends_ms = self.now_ms + action.bound_ms
             self._watch(made, action.after_revision, ends_ms)
@@ -241,7 +206,7 @@
         if self.store.down:
             self.handle(made, events.StoreFailed('closed'))
         elif self.store.revision > revision or self.now_ms >= ends_ms:
-            changed = self.store.after(revision)
+            changed = self.store.changes_after(revision)
             self.later(STORE_MS, self.handle, made, changed)
         else:
             self.later(5, self._watch, made, revision, ends_ms)
