--- a/oleanderstair/ui/explain.py
+++ b/oleanderstair/ui/explain.py
@@ -10,8 +10,6 @@
 from oleanderstair.explaining import lines, stories
 from oleanderstair.ui import output
 
-EXIT_NO: typing.Final = 1
-
 _Files: typing.TypeAlias = typing.Annotated[
     list[pathlib.Path],
     cappa.Arg(help='Logs of instances.', num_args=-1, required=True),
@@ -31,7 +29,7 @@
     else:
         _print(story)
     if not story.decisions:
-        raise SystemExit(EXIT_NO)
+        raise SystemExit(output.EXIT_NO)
 
 
 def check_logs(command: 'LogsCheck') -> None:
--- a/oleanderstair/ui/main.py
+++ b/oleanderstair/ui/main.py
@@ -2,14 +2,20 @@
 
 import dataclasses
 import sys
-import typing
 
 import cappa
 
 from oleanderstair import errors
-from oleanderstair.ui import checks, demo, explain, keys, notes, replay, reports
-
-EXIT_WRONG_USE: typing.Final = 2
+from oleanderstair.ui import (
+    checks,
+    demo,
+    explain,
+    keys,
+    notes,
+    output,
+    replay,
+    reports,
+)
 
 
 @cappa.command(name='oleanderstair')
@@ -41,7 +47,7 @@
     except errors.UserError as error:
         sys.stderr.write(f'{error}\n')
         is_away = error.problem.kind is errors.ProblemKind.CONNECTION
-        code = reports.EXIT_NO if is_away else EXIT_WRONG_USE
+        code = output.EXIT_NO if is_away else output.EXIT_WRONG_USE
         raise SystemExit(code) from error
     except (FileNotFoundError, PermissionError, IsADirectoryError) as unread:
         problem = errors.Problem(
@@ -51,4 +57,4 @@
             'name a file that can be read',
         )
         sys.stderr.write(f'{problem.message}\n')
-        raise SystemExit(EXIT_WRONG_USE) from unread
+        raise SystemExit(output.EXIT_WRONG_USE) from unread
--- a/oleanderstair/ui/output.py
+++ b/oleanderstair/ui/output.py
@@ -6,6 +6,12 @@
 import cappa
 import msgspec
 
+EXIT_NO: typing.Final = 1
+"""The exit code where a command ran and its answer is no."""
+
+EXIT_WRONG_USE: typing.Final = 2
+"""The exit code where a command could not run as it was given."""
+
 AsJson: typing.TypeAlias = typing.Annotated[
     bool,
     cappa.Arg(long='--json', help='Print JSON in place of a table.'),
--- a/oleanderstair/ui/reports.py
+++ b/oleanderstair/ui/reports.py
@@ -12,7 +12,6 @@
 from oleanderstair.ui import output
 
 DEFAULT_ADDRESS: typing.Final = '127.0.0.1:8081'
-EXIT_NO: typing.Final = 1
 _BOUND_S: typing.Final = 2
 _OK: typing.Final = 200
 _SHOWN_IN_STATUS: typing.Final = (
@@ -82,7 +81,7 @@
     else:
         _print_status(reports)
     if any(report['phase'] in _NOT_SERVING for report in reports):
-        raise SystemExit(EXIT_NO)
+        raise SystemExit(output.EXIT_NO)
 
 
 def show_targets(command: 'Targets') -> None:
