Take signals from before an instance says that it has started

Cause: the handlers were set by a task that ran only after the instance had logged its start and first awaited something. A SIGTERM in between ended the process by default, without a planned stop; a test that sends one at the log line then waited for a stop that never began. Now the receiver stands before the instance runs, and what arrives is queued. Ruled out: a second signal is not swallowed, the receiver queues each one.

--- a/oleanderstair/running.py
+++ b/oleanderstair/running.py
@@ -1,5 +1,6 @@
 """Runs an instance until a planned stop, whatever steers it."""
 
+import functools
 import gc
 import os
 import signal
@@ -35,14 +36,19 @@
 
 
 _Watch: typing.TypeAlias = typing.Callable[
-    [Instance],
+    [],
     typing.Coroutine[typing.Any, typing.Any, None],
 ]
+_Signals: typing.TypeAlias = typing.AsyncIterator[signal.Signals]
 
 
 async def run(instance: Instance) -> None:
     """Run one instance; a second signal ends it at once."""
-    await _run(instance, _watch_signals)
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        await _run(
+            instance,
+            functools.partial(_stop_by, signals, instance),
+        )
 
 
 async def run_reloading(instance: Instance, reloader: Reloader) -> None:
@@ -50,50 +56,50 @@
 
     Only an interrupt from the keyboard ends a planned stop early.
     """
-
-    async def watch(stopped: Instance) -> None:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(reloader.watch)
-            await _watch_all_signals(stopped, reloader)
-
-    await _run(instance, watch)
+    with anyio.open_signal_receiver(
+        signal.SIGHUP,
+        signal.SIGTERM,
+        signal.SIGINT,
+    ) as signals:
+        await _run(
+            instance,
+            functools.partial(_steer_by, signals, instance, reloader),
+            reloader.watch,
+        )
 
 
-async def _run(
-    instance: Instance,
-    watch: _Watch,
-) -> None:
+async def _run(instance: Instance, *watches: _Watch) -> None:
+    """Run an instance whose signals are received from the first on."""
     gc.freeze()
     gc.set_threshold(_GC_AFTER)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(watch, instance)
+        for watch in watches:
+            tasks.start_soon(watch)
         await instance.run()
         tasks.cancel_scope.cancel()
 
 
-async def _watch_signals(instance: Instance) -> None:
+async def _stop_by(signals: _Signals, instance: Instance) -> None:
     stopping = False
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            if stopping:
-                os._exit(_EXIT_AT_ONCE)  # noqa: SLF001 (no clean-up)
-            stopping = True
-            instance.stop()
+    async for _ in signals:
+        if stopping:
+            os._exit(_EXIT_AT_ONCE)  # noqa: SLF001 (no clean-up)
+        stopping = True
+        instance.stop()
 
 
-async def _watch_all_signals(instance: Instance, reloader: Reloader) -> None:
+async def _steer_by(
+    signals: _Signals,
+    instance: Instance,
+    reloader: Reloader,
+) -> None:
     stopping = False
-    with anyio.open_signal_receiver(
-        signal.SIGHUP,
-        signal.SIGTERM,
-        signal.SIGINT,
-    ) as signals:
-        async for received in signals:
-            if received is signal.SIGHUP:
-                reloader.reload(received.name)
-            elif stopping and received is signal.SIGINT:
-                os._exit(_EXIT_AT_ONCE)  # noqa: SLF001 (no clean-up)
-            else:
-                logs.event('stop-requested', by=received.name, again=stopping)
-                stopping = True
-                instance.stop()
+    async for received in signals:
+        if received is signal.SIGHUP:
+            reloader.reload(received.name)
+        elif stopping and received is signal.SIGINT:
+            os._exit(_EXIT_AT_ONCE)  # noqa: SLF001 (no clean-up)
+        else:
+            logs.event('stop-requested', by=received.name, again=stopping)
+            stopping = True
+            instance.stop()
