--- a/oleanderstair/domain/fleet/stopping.py
+++ b/oleanderstair/domain/fleet/stopping.py
@@ -6,11 +6,16 @@
 last call in flight has ended, at its deadline at the latest.
 """
 
+import typing
+
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, world
 from oleanderstair.domain.fleet import live
 from oleanderstair.domain.tables import instances
 
+_LAST_REFUSALS_MS: typing.Final = 500
+"""How long a stopping instance goes on refusing after its last call."""
+
 
 def on_stop(
     state: world.World,
@@ -50,12 +55,23 @@
     event: events.Tick,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """End the process once nothing is in flight and answers ran out."""
+    """End the process once nothing is in flight and answers ran out.
+
+    Callers that come back on a kept connection are told before that.
+    """
     table = state.instances
-    stopping = table.stopping_since_ms != clock.NEVER_MS
-    if not stopping or state.calls.call_by_id:
+    if table.stopping_since_ms == clock.NEVER_MS:
+        return []
+    if state.calls.call_by_id or _may_be_called(state, now_ms):
+        table.in_use_at_ms = now_ms
         return []
     named = table.phase is instances.Phase.STOPPING
-    if named and not refuses(state, now_ms):
+    if named and now_ms - table.in_use_at_ms < _LAST_REFUSALS_MS:
         return []
     return [actions.Exit()]
+
+
+def _may_be_called(state: world.World, now_ms: clock.Millis) -> bool:
+    """Return whether answers may still name a stopping instance."""
+    named = state.instances.phase is instances.Phase.STOPPING
+    return named and not refuses(state, now_ms)
--- a/oleanderstair/domain/tables/instances.py
+++ b/oleanderstair/domain/tables/instances.py
@@ -82,6 +82,7 @@
     listed_at_ms: clock.Millis = clock.NEVER_MS
     phase: Phase = Phase.UNCONFIRMED
     stopping_since_ms: clock.Millis = clock.NEVER_MS
+    in_use_at_ms: clock.Millis = clock.NEVER_MS
     last_tick_ms: clock.Millis = clock.NEVER_MS
     wake: Wake = Wake()
     trusted_from_ms: clock.Millis = clock.NEVER_MS
--- a/test/test_stopping.py
+++ b/test/test_stopping.py
@@ -59,3 +59,18 @@
     made.step('entry-9', events.StopRequested())
     made.run_for(200)
     assert not made.instance_by_id['entry-9'].alive
+
+
+def test_caller_that_comes_back_after_the_last_answer_is_still_told():
+    made = helper.make_harness(2)
+    for target in made.target_by_id.values():
+        target.service_time = lambda received: 15000
+    last = made.call(STOPPED, budget_ms=20000)
+    made.step(STOPPED, events.StopRequested())
+    while last not in made.told_by_call:
+        made.run_for(10)
+    made.run_for(300)
+    late = made.call(STOPPED)
+    made.run_for(1000)
+    assert made.told_by_call[late].reason is outcomes.Reason.STOPPING
+    assert not made.instance_by_id[STOPPED].alive
