--- a/test/daemons.py
+++ b/test/daemons.py
@@ -21,6 +21,7 @@
 ROOT = pathlib.Path(__file__).parent.parent
 COMMAND = [sys.executable, '-m', 'oleanderstair.daemon', '--settings']
 BOUND_S = 25
+LAST_LINES = 20
 TRACE_EVENTS = 20_000
 LIMITS = {'confirm_without_peers': True, 'answer_validity_ms': 500}
 
@@ -32,6 +33,7 @@
     instance_id: str
     process: anyio.abc.Process
     address_by_side: dict[str, str] = dataclasses.field(default_factory=dict)
+    lines: list[str] = dataclasses.field(default_factory=list)
 
     @property
     def callers(self) -> str:
@@ -52,7 +54,9 @@
         self.process.send_signal(signal.SIGSTOP)
 
     def thaw(self) -> None:
-        """Let the process go on."""
+        """Let the process go on; one that ended shows why it did."""
+        ended = self.process.returncode
+        assert ended is None, (ended, self.lines[-LAST_LINES:])
         self.process.send_signal(signal.SIGCONT)
 
     async def report(self, path: str) -> typing.Any:
@@ -74,6 +78,7 @@
                     self._take(line.decode())
 
     def _take(self, line: str) -> None:
+        self.lines.append(line)
         if line.startswith('event=started'):
             pairs = (pair.split('=', 1) for pair in line.split())
             self.address_by_side.update(pairs)
