--- a/oleanderstair/domain/fleet/counting.py
+++ b/oleanderstair/domain/fleet/counting.py
@@ -32,8 +32,8 @@
     }
     place_by_id[state.identity.instance_id] = state.identity.data_centre
     near = [
-        place
-        for place in place_by_id.values()
+        instance_id
+        for instance_id, place in place_by_id.items()
         if place == state.identity.data_centre
     ]
     is_over = now_ms - table.largest_at_ms > HELD_MS
@@ -41,4 +41,6 @@
         table.largest_at_ms = now_ms
         table.largest_count = len(place_by_id)
         table.largest_near_count = len(near)
+        table.rank = sorted(place_by_id).index(state.identity.instance_id)
+        table.near_rank = sorted(near).index(state.identity.instance_id)
     return []
--- a/oleanderstair/domain/tables/instances.py
+++ b/oleanderstair/domain/tables/instances.py
@@ -59,7 +59,11 @@
 
 @dataclasses.dataclass(slots=True)
 class InstancesTable:
-    """Listed and heard instances, and this one's own phase."""
+    """Listed and heard instances, and this one's own phase.
+
+    ``rank`` and ``near_rank`` are this instance's place, from 0, among those
+    of the largest count and among those of its data centre.
+    """
 
     listed_by_id: dict[str, events.ListedInstance] = dataclasses.field(
         default_factory=dict,
@@ -75,6 +79,8 @@
     largest_count: int = 1
     own_largest_count: int = 1
     largest_near_count: int = 1
+    rank: int = 0
+    near_rank: int = 0
     largest_at_ms: clock.Millis = clock.NEVER_MS
     counted_at_ms: clock.Millis = clock.NEVER_MS
     waits_for: str = ''
--- a/oleanderstair/domain/tables/load_reports.py
+++ b/oleanderstair/domain/tables/load_reports.py
@@ -25,8 +25,8 @@
     ``sent_since`` counts this instance's dispatches after the report.
     ``pace`` is how long the target's answers took, as a multiple of the
     usual, and ``doubt`` rises with its failures; both fade with time.
-    ``bars`` counts how often in a row it was barred, and ``reads_left`` is
-    how often this instance may still measure it.
+    ``bars`` counts how often in a row it was barred, and ``read_at_ms`` is
+    when this instance read its load of late.
     """
 
     target_id: str
@@ -41,8 +41,7 @@
     bars: int = 0
     barred_until_ms: clock.Millis = clock.NEVER_MS
     silent_until_ms: clock.Millis = clock.NEVER_MS
-    reads_left: float = 0
-    refilled_at_ms: clock.Millis = clock.NEVER_MS
+    read_at_ms: tuple[clock.Millis, ...] = ()
 
 
 Place: typing.TypeAlias = tuple[str, str]
--- a/oleanderstair/domain/targets/sampling.py
+++ b/oleanderstair/domain/targets/sampling.py
@@ -11,7 +11,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, world
 from oleanderstair.domain.tables import load_reports, registry
-from oleanderstair.domain.targets import places, trust
+from oleanderstair.domain.targets import places, reading_parts, trust
 
 SAMPLE_SIZE: typing.Final = 4
 """How many targets of the own data centre are compared for one call."""
@@ -34,11 +34,6 @@
 _MOST_BARRED: typing.Final = 0.5
 """The share of barred targets above which bars are not believed."""
 
-_MEASURING_MARGIN: typing.Final = 0.85
-_FIRST_RESERVE_S: typing.Final = 4
-_MOST_RESERVE_S: typing.Final = 20
-_MS_PER_S: typing.Final = 1000
-
 
 class Sample(typing.NamedTuple):
     """The targets to choose from, and those whose report is to be read."""
@@ -187,14 +182,8 @@
     service = routing.service_by_name.get(entry.service) if routing else None
     if service is None or now_ms < known.silent_until_ms:
         return None
-    known = _refill(state, known, now_ms)
-    if known.reads_left < 1:
-        load_reports.put_load(state.loads, known)
+    if not reading_parts.spend(state, entry, now_ms):
         return None
-    load_reports.put_load(
-        state.loads,
-        known._replace(reads_left=known.reads_left - 1),
-    )
     state.loads.asked_at_ms_by_id[entry.target_id] = now_ms
     return actions.ReadLoad(
         entry.target_id,
@@ -202,33 +191,3 @@
         service.health_path,
         READ_BOUND_MS,
     )
-
-
-def _refill(
-    state: world.World,
-    known: load_reports.Load,
-    now_ms: clock.Millis,
-) -> load_reports.Load:
-    """Add the reads that this instance has earned since it last asked."""
-    per_s = _own_reads_per_s(state)
-    if known.refilled_at_ms == clock.NEVER_MS:
-        first = max(per_s * _FIRST_RESERVE_S, 1)
-        return known._replace(reads_left=first, refilled_at_ms=now_ms)
-    earned = per_s * (now_ms - known.refilled_at_ms) / _MS_PER_S
-    most = max(per_s * _MOST_RESERVE_S, 1)
-    return known._replace(
-        reads_left=min(known.reads_left + earned, most),
-        refilled_at_ms=now_ms,
-    )
-
-
-def _own_reads_per_s(state: world.World) -> float:
-    """Return how often a second this instance may measure a target.
-
-    A target is measured by the instances of its own data centre for the
-    most part, so each of these has a larger part than an equal one.
-    """
-    limits = state.policy
-    assumed = limits.assumed_instances / places.count(state)
-    near = max(state.instances.largest_near_count, assumed, 1)
-    return _MEASURING_MARGIN * limits.probes_per_s / near
