Tell a target what is left until its route's timeout

Cause: a target was handed the caller's whole remaining deadline, so that it worked on past the route's timeout, at which the call ends anyway.

--- a/oleanderstair/domain/calls/sending.py
+++ b/oleanderstair/domain/calls/sending.py
@@ -177,7 +177,7 @@
     )
     state.routed.call_by_id[call.call_id] = call
     _count_sent(state, entry)
-    budget_ms = call.received.deadline_ms - now_ms
+    budget_ms = call.due_at_ms - now_ms
     sent = actions.Dispatch(
         call_id=call.call_id,
         attempt_id=attempt.attempt_id,
--- a/oleanderstair/engine/attempting.py
+++ b/oleanderstair/engine/attempting.py
@@ -90,7 +90,8 @@
             action.silence_ms,
         )
         sides = self._host.sides
-        remaining_ms = owed.received.deadline_ms - sides.clock.now_ms()
+        left_ms = owed.received.deadline_ms - sides.clock.now_ms()
+        remaining_ms = min(left_ms, action.budget_ms)
         request = owed.request._replace(
             headers=sides.dialect.fields_for(owed, action, remaining_ms),
         )
--- a/test/test_choosing.py
+++ b/test/test_choosing.py
@@ -165,3 +165,19 @@
     scene.sent.clear()
     targets_scene.steady(scene, per_s=40, for_ms=4000)
     assert 0 < _percent(scene, 'burza-9') < 6
+
+
+def test_a_target_is_told_when_the_route_gives_up() -> None:
+    scene = targets_scene.create(targets_scene.many())
+    received = events.CallReceived(
+        call_id=1,
+        service='',
+        method='GET',
+        path='/look/1',
+        deadline_ms=scene.now_ms + 5000,
+        host=targets_scene.HOST,
+    )
+    scene.after(0, 'entry-1', received)
+    scene.run_for(100)
+    sent = scene.sent[0]
+    assert sent.budget_ms == 1000 - (sent.at_ms - 100_000)
