--- a/oleanderstair/domain/configuration/watching.py
+++ b/oleanderstair/domain/configuration/watching.py
@@ -27,10 +27,10 @@
 TRUST_MS: typing.Final = 1350
 """How long what is known is trusted without a new confirmation."""
 
-FIRST_MS: typing.Final = 80
+FIRST_MS: typing.Final = 50
 """How long a started instance waits for peers to tell it all they know."""
 
-FIRST_SPREAD_MS: typing.Final = 150
+FIRST_SPREAD_MS: typing.Final = 80
 """Over how long those spread that have met nobody until then."""
 
 FIRST_TRUST_MS: typing.Final = 300
@@ -69,6 +69,24 @@
     if state.members.first_tick_ms is None:
         state.members.first_tick_ms = now_ms
         table.first_spread = state.rng.random()
+        return [*_look_early(state), *_ask_if_due(state, now_ms)]
+    return _ask_if_due(state, now_ms)
+
+
+def _look_early(state: world.World) -> list[actions.Action]:
+    """Tick between the ticks of a start, as callers wait for its end."""
+    spread_ms = state.store.first_spread * FIRST_SPREAD_MS
+    return [
+        actions.Schedule(events.Tick(), FIRST_MS),
+        actions.Schedule(events.Tick(), FIRST_MS + spread_ms),
+    ]
+
+
+def _ask_if_due(
+    state: world.World,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    table = state.store
     done = _recover(state, now_ms)
     if table.asked_at_ms is not None or now_ms < _due_ms(state):
         return done
--- a/test/test_watching.py
+++ b/test/test_watching.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from oleanderstair.domain import events
+from oleanderstair.domain import actions, events, gateway
 from oleanderstair.domain.fleet import members
 from test import fleets
 
@@ -196,3 +196,25 @@
     fleet.store.publish(6)
     fleet.run(1000)
     assert numbers(fleet) == {9}
+
+
+def ticks_of_a_start(made, now_ms):
+    """Return when a started instance looks again, beside its usual ticks."""
+    return [
+        now_ms + action.after_ms
+        for action in gateway.step(made.state, events.Tick(), now_ms)
+        if isinstance(action, actions.Schedule)
+        and isinstance(action.event, events.Tick)
+    ]
+
+
+def reads(made, now_ms):
+    done = gateway.step(made.state, events.Tick(), now_ms)
+    return any(isinstance(action, actions.ReadStore) for action in done)
+
+
+def test_a_lone_start_reads_when_due_and_not_at_the_next_tick():
+    made = fleets.Fleet({'a': 1}).at('a1')
+    looks_ms = ticks_of_a_start(made, 0)
+    assert max(looks_ms) < made.state.policy.tick_ms * 2
+    assert any(reads(made, at_ms) for at_ms in looks_ms)
