--- a/oleanderstair/explaining/causes.py
+++ b/oleanderstair/explaining/causes.py
@@ -166,6 +166,19 @@
     return 'its instance was at a planned stop, and no longer in any answer'
 
 
+def _overloaded(facts: typing.Sequence[Fact]) -> str:
+    queued = _last(facts, 'queued')
+    if queued is None:
+        return _by_attempts(facts)
+    waited_s = facts[-1].at_s - queued.at_s
+    why = 'others waited for its service already'
+    sampled = _last(facts, 'sampled')
+    if sampled is not None:
+        why = f'none of {sampled.get("compared")} had room'
+    told = f'it waited {waited_s:.3f} s at the entry, as {why}'
+    return f'{told}; {_by_attempts(facts)}'
+
+
 def _out_of_time(facts: typing.Sequence[Fact]) -> str:
     call = facts[0]
     bound = 'the deadline of its caller'
@@ -201,6 +214,7 @@
 _EXPLAIN_BY_REASON: typing.Final[dict[str, _Explain]] = {
     'no-route': _no_route,
     'unconfirmed': _known,
+    'overloaded': _overloaded,
     'timeout': _out_of_time,
     'stopping': _stopping,
 }
--- a/oleanderstair/explaining/decisions.py
+++ b/oleanderstair/explaining/decisions.py
@@ -75,6 +75,7 @@
             actions.CancelAttempt: self._on_cancel,
             actions.Relay: self._on_relay,
             actions.Refuse: self._on_refuse,
+            actions.Schedule: self._on_schedule,
         }
 
     def observe(
@@ -201,6 +202,17 @@
         trail.entries.append(trails.Entry(now_ms, 'refused', fields))
         self._write(trail, now_ms, f'refused-{action.reason.value}')
 
+    def _on_schedule(
+        self,
+        now_ms: clock.Millis,
+        action: actions.Schedule,
+    ) -> None:
+        if not isinstance(action.event, events.PatienceOver):
+            return
+        trail = self._trail_by_call.get(action.event.call_id)
+        if trail is not None:
+            self._note_stage(trail, action.event.call_id, now_ms)
+
     def _budget(
         self,
         trail: trails.Trail,
--- a/test/test_explain.py
+++ b/test/test_explain.py
@@ -56,6 +56,17 @@
     fleet.call('entry-0', 'order', request_id='r')
 
 
+def no_room(fleet: gateway_fleet.GatewayFleet) -> None:
+    for target in fleet.target_by_id.values():
+        target.work = lambda received, rng: 900
+    for number in range(100):
+        fleet.call('entry-0', 'lookup', request_id=f'before-{number}')
+    fleet.times.after(
+        100,
+        lambda: fleet.call('entry-0', 'lookup', request_id='r'),
+    )
+
+
 @pytest.mark.parametrize(
     ('scene', 'cause'),
     [
@@ -65,6 +76,7 @@
         (gone_caller, 'the caller left after 50 ms; attempt 1'),
         (no_route, 'configuration 1 has no route for calls.example/nothing/'),
         (failing_target, 'itself answered 500'),
+        (no_room, 's at the entry, as none of burza-'),
     ],
 )
 def test_the_lines_alone_name_the_cause(scene, cause: str) -> None:
