--- a/test/platform_side.py
+++ b/test/platform_side.py
@@ -10,8 +10,9 @@
 
 from oleanderstair import settings
 from oleanderstair.domain.fleet import serving
+from oleanderstair.emulator import load_targets, store
 from oleanderstair.engine import listener
-from oleanderstair.platform import emulated_store, emulated_targets, node
+from oleanderstair.platform import node
 from test import helper
 
 HOST = 'calls.example'
@@ -24,8 +25,8 @@
 class Side:
     """What a test talks to."""
 
-    store: emulated_store.Store
-    target_by_id: dict[str, emulated_targets.LoadTarget]
+    store: store.Store
+    target_by_id: dict[str, load_targets.LoadTarget]
     node: node.Node
 
     @property
@@ -49,7 +50,7 @@
         assert self.node.metrics_socket is not None
         return listener.address_of(self.node.metrics_socket)
 
-    def only_run(self) -> emulated_targets.Ran:
+    def only_run(self) -> load_targets.Ran:
         """Return the one call that targets ran."""
         ran = [
             found
@@ -70,9 +71,9 @@
     """Run a ready node before ``targets`` of one service."""
     with anyio.fail_after(BOUND_S):
         async with anyio.create_task_group() as tasks:
-            held = emulated_store.create()
+            held = store.create()
             made = {
-                f'i-{number}': emulated_targets.create(f'i-{number}')
+                f'i-{number}': load_targets.create(f'i-{number}')
                 for number in range(targets)
             }
             for target_id, target in made.items():
--- a/test/test_fuzz.py
+++ b/test/test_fuzz.py
@@ -11,8 +11,9 @@
 
 from oleanderstair.domain import events, outcomes
 from oleanderstair.domain.fleet import codec
+from oleanderstair.emulator import load_targets, store
 from oleanderstair.engine import headers
-from oleanderstair.platform import documents, emulated_store, emulated_targets
+from oleanderstair.platform import documents
 from test import platform_side, test_gateway_fleet
 
 FIXED = hypothesis.settings(
@@ -254,7 +255,7 @@
         for number, raw in enumerate(answers):
             for target in side.target_by_id.values():
                 target.raw = raw
-                target.behaviour = emulated_targets.Behaviour.GARBLED
+                target.behaviour = load_targets.Behaviour.GARBLED
             answer = await _ask_order(side, f'garbled-{number}')
             assert answer.status in {502, 503, 504}, raw
             assert b'another' not in answer.content
@@ -276,7 +277,7 @@
 
 async def _expect_served(side: platform_side.Side, request_id: str) -> None:
     for target in side.target_by_id.values():
-        target.behaviour = emulated_targets.Behaviour.SERVE
+        target.behaviour = load_targets.Behaviour.SERVE
     # What was said before may keep a target out for a while.
     for _ in range(100):
         answer = await platform_side.ask(side.address, request_id=request_id)
@@ -294,10 +295,10 @@
         async with platform_side.running() as side:
             for number, behaviour in enumerate(
                 (
-                    emulated_targets.Behaviour.OTHER_REQUEST,
-                    emulated_targets.Behaviour.CUT_SHORT,
-                    emulated_targets.Behaviour.CRASH,
-                    emulated_targets.Behaviour.EXTRA_ANSWER,
+                    load_targets.Behaviour.OTHER_REQUEST,
+                    load_targets.Behaviour.CUT_SHORT,
+                    load_targets.Behaviour.CRASH,
+                    load_targets.Behaviour.EXTRA_ANSWER,
                 )
             ):
                 for target in side.target_by_id.values():
@@ -319,7 +320,7 @@
             side.store.put('servers/other', {'service': 5})
             side.store.put('op/config', b'{"number": "high"}')
             await anyio.sleep(0.5)
-            side.store.fault = emulated_store.Fault.GARBLED
+            side.store.fault = store.Fault.GARBLED
             side.store.forget_history()
             await anyio.sleep(0.5)
             assert set(carrier.state.registry.entry_by_id) == {'i-0', 'i-1'}
--- a/test/test_platform_node.py
+++ b/test/test_platform_node.py
@@ -9,8 +9,8 @@
 import anyio
 import msgspec
 
+from oleanderstair.emulator import load_targets
 from oleanderstair.engine import headers
-from oleanderstair.platform import emulated_targets
 from test import helper, platform_side
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -24,7 +24,7 @@
             assert served.content == b'served request-1'
             fields = headers.index(served.headers).field_by_name
             assert fields[b'request-id'] == b'request-1'
-            assert fields[emulated_targets.SIGNATURE] == b'signed'
+            assert fields[load_targets.SIGNATURE] == b'signed'
             ran = side.only_run()
             assert ran.target == platform_side.LOOKUP_PATH
             assert 0 < ran.deadline_ms <= 900
--- a/test/test_routed_callers.py
+++ b/test/test_routed_callers.py
@@ -4,7 +4,8 @@
 import pytest
 
 from oleanderstair import settings
-from oleanderstair.platform import emulated_store, emulated_targets, node
+from oleanderstair.emulator import load_targets, store
+from oleanderstair.platform import node
 from test import helper, platform_side, raw
 
 HEAD = b'host: calls.example\r\nrequest-id: r-1\r\ndeadline-ms: 900\r\n'
@@ -139,7 +140,7 @@
     async def scene():
         async with platform_side.running(targets=1) as side:
             target = side.target_by_id['i-0']
-            target.behaviour = emulated_targets.Behaviour.HANG
+            target.behaviour = load_targets.Behaviour.HANG
             host, _, port = side.address.rpartition(':')
             async with await anyio.connect_tcp(host, int(port)) as left:
                 await left.send(b''.join((start, HEAD, b'\r\n')))
@@ -151,9 +152,9 @@
 
 
 async def _ask_at_the_start(config_after_ms):
-    held = emulated_store.create()
+    held = store.create()
     async with anyio.create_task_group() as tasks:
-        target = emulated_targets.create('i-0')
+        target = load_targets.create('i-0')
         address = platform_side.serve(tasks, target)
         held.put('servers/i-0', platform_side.entry_of(address))
         tree = platform_side.settings_tree(platform_side.serve(tasks, held))
