Find an attempt and begin a sample in one place each

Both daemons looked for an attempt by the same loop, and a call and its hedge drew their sample by the same lines.

--- a/oleanderstair/domain/calls/attempts.py
+++ b/oleanderstair/domain/calls/attempts.py
@@ -39,8 +39,10 @@
 ) -> list[actions.Action]:
     """Relay the answer, try again, or tell the caller what is known."""
     call = state.calls.call_by_id.get(event.call_id)
-    attempt = _find_attempt(call, event.attempt_id)
-    if call is None or attempt is None:
+    if call is None:
+        return []
+    attempt = calls.find_attempt(call.attempts, event.attempt_id)
+    if attempt is None:
         return []
     took_ms = now_ms - attempt.started_at_ms
     learned = conditions.on_attempt_ended(
@@ -82,18 +84,6 @@
     return judged
 
 
-def _find_attempt(
-    call: calls.Call | None,
-    attempt_id: int,
-) -> calls.Attempt | None:
-    if call is None:
-        return None
-    for attempt in call.attempts:
-        if attempt.attempt_id == attempt_id:
-            return attempt
-    return None
-
-
 def _without_attempt(
     state: world.World,
     call: calls.Call,
--- a/oleanderstair/domain/calls/routed.py
+++ b/oleanderstair/domain/calls/routed.py
@@ -90,8 +90,10 @@
 ) -> list[actions.Action]:
     """Relay the answer, try another target, or end the call."""
     call = state.routed.call_by_id.get(event.call_id)
-    ended = _find(call, event.attempt_id)
-    if call is None or ended is None:
+    if call is None:
+        return []
+    ended = calls.find_attempt(call.attempts, event.attempt_id)
+    if ended is None:
         return []
     ending.release(state, ended)
     if event.load is not None:
@@ -137,15 +139,3 @@
     if crashing.is_refused(state, call.received.fingerprint, now_ms):
         return False
     return seconds.may_go_on(state, call, now_ms)
-
-
-def _find(
-    call: routed.RoutedCall | None,
-    attempt_id: int,
-) -> calls.Attempt | None:
-    if call is None:
-        return None
-    for attempt in call.attempts:
-        if attempt.attempt_id == attempt_id:
-            return attempt
-    return None
--- a/oleanderstair/domain/calls/sending.py
+++ b/oleanderstair/domain/calls/sending.py
@@ -13,14 +13,7 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Ask targets for their load, or send at once where it is known."""
-    drawn = sampling.draw_near(
-        state,
-        call.service,
-        call.tried_target_ids,
-        now_ms,
-    )
-    call = call._replace(stage=routed.Stage.SAMPLING, widened=False)
-    return _await_reports(state, call, drawn, now_ms)
+    return _sample(state, call, routed.Stage.SAMPLING, now_ms)
 
 
 def on_hedge_due(
@@ -36,14 +29,7 @@
         return []
     if not repeats.may_hedge(state, call.service, now_ms):
         return hedges.again(call)
-    drawn = sampling.draw_near(
-        state,
-        call.service,
-        call.tried_target_ids,
-        now_ms,
-    )
-    call = call._replace(stage=routed.Stage.HEDGING, widened=False)
-    return _await_reports(state, call, drawn, now_ms)
+    return _sample(state, call, routed.Stage.HEDGING, now_ms)
 
 
 def on_load_read(
@@ -77,6 +63,23 @@
     return _decide(state, call, now_ms)
 
 
+def _sample(
+    state: world.World,
+    call: routed.RoutedCall,
+    stage: routed.Stage,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Begin to compare targets of the own data centre for a call."""
+    drawn = sampling.draw_near(
+        state,
+        call.service,
+        call.tried_target_ids,
+        now_ms,
+    )
+    call = call._replace(stage=stage, widened=False)
+    return _await_reports(state, call, drawn, now_ms)
+
+
 def _await_reports(
     state: world.World,
     call: routed.RoutedCall,
--- a/oleanderstair/domain/tables/calls.py
+++ b/oleanderstair/domain/tables/calls.py
@@ -73,6 +73,17 @@
     next_attempt_id: int = 1
 
 
+def find_attempt(
+    attempts: typing.Iterable[Attempt],
+    attempt_id: int,
+) -> Attempt | None:
+    """Return the attempt of an id, None where there is none."""
+    for attempt in attempts:
+        if attempt.attempt_id == attempt_id:
+            return attempt
+    return None
+
+
 def create_queue() -> ServiceQueue:
     """Create an empty queue; its classes stand in the order of service."""
     return ServiceQueue(
