Keep callers' connections through a hold of their process

The instance never closed anything.

Ruled out: the planned stop itself.

Found beside it: the last half second of refusals of a stopping instance could pass while its process was held up. A late tick now counts as two.

Both tests fail on the code before.

--- a/oleanderstair/domain/fleet/stopping.py
+++ b/oleanderstair/domain/fleet/stopping.py
@@ -16,6 +16,9 @@
 _LAST_REFUSALS_MS: typing.Final = 500
 """How long a stopping instance goes on refusing after its last call."""
 
+_LONGEST_TICKS: typing.Final = 2
+"""How many ticks' time a stopping instance has listened by one late tick."""
+
 
 def on_stop(
     state: world.World,
@@ -62,11 +65,16 @@
     table = state.instances
     if table.stopping_since_ms == clock.NEVER_MS:
         return []
+    # While the process is held up, nobody who comes back is told.
+    longest_ms = _LONGEST_TICKS * state.policy.tick_ms
+    listened_ms = min(now_ms - table.stop_seen_at_ms, longest_ms)
+    table.stop_seen_at_ms = now_ms
     if state.calls.call_by_id or _may_be_called(state, now_ms):
-        table.in_use_at_ms = now_ms
+        table.quiet_ms = 0
         return []
+    table.quiet_ms += listened_ms
     named = table.phase is instances.Phase.STOPPING
-    if named and now_ms - table.in_use_at_ms < _LAST_REFUSALS_MS:
+    if named and table.quiet_ms < _LAST_REFUSALS_MS:
         return []
     return [actions.Exit()]
 
--- a/oleanderstair/domain/tables/instances.py
+++ b/oleanderstair/domain/tables/instances.py
@@ -61,6 +61,7 @@
 class InstancesTable:
     """Listed and heard instances, and this one's own phase.
 
+    ``quiet_ms`` is how long this instance has listened in vain since it stops.
     ``rank`` and ``near_rank`` are this instance's place, from 0, among those
     of the largest count and among those of its data centre.
     """
@@ -88,7 +89,8 @@
     listed_at_ms: clock.Millis = clock.NEVER_MS
     phase: Phase = Phase.UNCONFIRMED
     stopping_since_ms: clock.Millis = clock.NEVER_MS
-    in_use_at_ms: clock.Millis = clock.NEVER_MS
+    stop_seen_at_ms: clock.Millis = clock.NEVER_MS
+    quiet_ms: clock.Millis = 0
     last_tick_ms: clock.Millis = clock.NEVER_MS
     wake: Wake = Wake()
     trusted_from_ms: clock.Millis = clock.NEVER_MS
--- a/oleanderstair/emulator/callers.py
+++ b/oleanderstair/emulator/callers.py
@@ -144,8 +144,10 @@
 
 
 def pool() -> httpcore.AsyncConnectionPool:
-    """Create the kept connections of some callers."""
-    return httpcore.AsyncConnectionPool(
-        max_connections=_CONNECTIONS,
-        keepalive_expiry=1,
-    )
+    """Create the kept connections of some callers.
+
+    They don't expire: the library closes an expired connection also where a
+    request was assigned to it just before the process was held up. Those
+    that an instance has closed are found when a connection is next chosen.
+    """
+    return httpcore.AsyncConnectionPool(max_connections=_CONNECTIONS)
--- a/test/test_emulator.py
+++ b/test/test_emulator.py
@@ -1,18 +1,26 @@
 """The fakes behave as the tests that use them assume."""
 
+import asyncio
 import contextlib
+import time
 
 import anyio
 import httpcore
 import pytest
 
-from oleanderstair.emulator import fleet, platform, targets
+from oleanderstair.emulator import callers, fleet, platform, targets
 from oleanderstair.engine import headers
 from oleanderstair.engine import publications as reader
 from oleanderstair.engine import probes
 from test import helper
 
 BOUND_MS = 300
+HELD_UP_S = 1.2
+HELD_UP_AFTER_S = 0.03
+HOLDS = 3
+CALLERS_AT_CREST = 30
+CALLERS = 8
+CALLS = 20
 
 
 @contextlib.asynccontextmanager
@@ -103,3 +111,32 @@
             assert stale.content == fresh.content
 
     anyio.run(scenario)
+
+
+async def call(pool, url, times):
+    for _ in range(times):
+        await pool.request('GET', url)
+
+
+async def call_by(callers_at_once, *given):
+    async with anyio.create_task_group() as calling:
+        for _ in range(callers_at_once):
+            calling.start_soon(call, *given)
+
+
+def test_connections_kept_by_callers_outlast_a_hold_of_their_process():
+    """Requests assigned to them just before the hold go through."""
+
+    async def scenario():
+        fake = platform.create()
+        fake.publish({'added': {}})
+        async with serving(fake) as address, callers.pool() as pool:
+            url = f'http://{address}/values/head'
+
+            loop = asyncio.get_running_loop()
+            for _ in range(HOLDS):
+                await call_by(CALLERS_AT_CREST, pool, url, 1)
+                loop.call_later(HELD_UP_AFTER_S, time.sleep, HELD_UP_S)
+                await call_by(CALLERS, pool, url, CALLS)
+
+    anyio.run(scenario)
--- a/test/test_stopping.py
+++ b/test/test_stopping.py
@@ -2,6 +2,7 @@
 
 from oleanderstair.domain import events, outcomes
 from oleanderstair.domain.calls import addresses
+from oleanderstair.domain.fleet import stopping
 from test import helper
 
 STOPPED = 'entry-1'
@@ -74,3 +75,17 @@
     made.run_for(1000)
     assert made.told_by_call[late].reason is outcomes.Reason.STOPPING
     assert not made.instance_by_id[STOPPED].alive
+
+
+def test_time_in_which_the_process_is_held_up_is_no_last_moment_of_refusals():
+    made = helper.make_harness(2)
+    made.step(STOPPED, events.StopRequested())
+    state = made.instance_by_id[STOPPED].state
+    while not stopping.refuses(state, made.clock.now_ms()):
+        made.run_for(10)
+    made.pause(STOPPED, 1200)
+    made.run_for(1220)
+    late = made.call(STOPPED)
+    made.run_for(1000)
+    assert made.told_by_call[late].reason is outcomes.Reason.STOPPING
+    assert not made.instance_by_id[STOPPED].alive
