Serve callers by httptools alone and import less at a start

Ruled out: -OO (0.9 MB and no time, and each machine would have to compile the standard library), asyncio without ssl (anyio imports it anyhow).

--- a/oleanderstair/engine/bounded.py
+++ b/oleanderstair/engine/bounded.py
@@ -1,20 +1,25 @@
-"""An HTTP/1.1 server protocol that bounds what a client may hold.
+"""An HTTP/1.1 connection that bounds what a client may hold.
 
-uvicorn's own protocol lets a slow or endless header, a client that never
-reads, and any number of connections stand for ever.
+Without bounds a slow or endless header, a client that never reads, and any
+number of connections stand for ever.
 """
 
 import asyncio
 import enum
-import http
 import typing
 
 import msgspec
-from uvicorn.protocols.http import httptools_impl
 
 from oleanderstair import clock
 from oleanderstair.domain import outcomes
-from oleanderstair.engine import asgi, headers, pending, replies
+from oleanderstair.engine import (
+    asgi,
+    connection,
+    headers,
+    http_exchange,
+    pending,
+    replies,
+)
 
 _LINGER_MS: typing.Final = 500
 _FIELD_OVERHEAD_BYTES: typing.Final = 4
@@ -42,12 +47,17 @@
     BODY = 'body'
 
 
-class BoundedProtocol(httptools_impl.HttpToolsProtocol):
+class BoundedProtocol(connection.Connection):
     """One connection of a client, within ``Bounds``."""
 
-    def __init__(self, bounds_of: BoundsOf, **served: typing.Any) -> None:
+    def __init__(
+        self,
+        bounds_of: BoundsOf,
+        app: asgi.App,
+        held: connection.Open,
+    ) -> None:
         """Serve one connection within what ``bounds_of`` returns."""
-        super().__init__(**served)
+        super().__init__(app, held)
         self.on_lost: typing.Callable[[], None] | None = None
         self._bounds_of = bounds_of
         self._idle_since_s = self.loop.time()
@@ -63,7 +73,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Refuse a connection above the limit."""
-        super().connection_made(typing.cast(asyncio.Transport, transport))
+        super().connection_made(transport)
         bounds = self._bounds_of()
         if len(self.connections) > bounds.max_connections:
             self._refuse(outcomes.Reason.OVERLOADED, 'too many connections')
@@ -135,10 +145,6 @@
         """Bound the time in which the client takes the answer."""
         bounds = self._bounds_of()
         self._idle_since_s = self.loop.time()
-        self.timeout_keep_alive = typing.cast(
-            int,
-            clock.to_seconds(bounds.idle_ms),
-        )
         super().on_response_complete()
         if self.transport.get_write_buffer_size() and not self._write_timer:
             self._write_timer = self.loop.call_later(
@@ -148,45 +154,25 @@
 
     # Faults of the client
 
-    def send_400_response(  # noqa: WPS114 (uvicorn's name)
-        self,
-        msg: str,
-    ) -> None:
+    def refuse_malformed(self, what: str) -> None:
         """Refuse what is no HTTP, but never into another call's answer."""
         is_earlier_busy = bool(self.pipeline) or (
             self._part is not _Part.BODY and self._is_answering()
         )
-        if is_earlier_busy:
+        if is_earlier_busy and self.cycle is not None:
             self._refused = True
             self.cycle.keep_alive = False
             return
-        if self._is_answering():
-            self.cycle.disconnected = True
-            self.cycle.message_event.set()
-        self._refuse(outcomes.Reason.BAD_REQUEST, msg)
-
-    def timeout_keep_alive_handler(self) -> None:
-        """Close an idle connection, at once where the client reads nothing."""
-        left_s = self._idle_left_s()
-        if left_s > 0:
-            self.timeout_keep_alive_task = self.loop.call_later(
-                left_s,
-                self.timeout_keep_alive_handler,
-            )
-            return
-        if self.transport.get_write_buffer_size():
-            self.transport.abort()
-        super().timeout_keep_alive_handler()
+        if self.cycle is not None and self._is_answering():
+            self.cycle.cut()
+        self._refuse(outcomes.Reason.BAD_REQUEST, what)
 
-    def _unsupported_upgrade_warning(self) -> None:
-        # The parser stops at an upgrade, so the connection ends after it.
+    def refuse_upgrade(self) -> None:
+        """End the connection after the answer: the parser stops here."""
         if self.cycle is not None:
             self.cycle.keep_alive = False
 
-    def _is_answering(self) -> bool:
-        return self.cycle is not None and not self.cycle.response_complete
-
-    def _idle_left_s(self) -> float:
+    def idle_bound_s(self) -> float:
         """Return for how long the connection may still stay idle.
 
         The bound may have grown since the connection fell idle.
@@ -194,6 +180,9 @@
         idle_s = self.loop.time() - self._idle_since_s
         return clock.to_seconds(self._bounds_of().idle_ms) - idle_s
 
+    def _is_answering(self) -> bool:
+        return self.cycle is not None and not self.cycle.response_complete
+
     def _arm(self, span_ms: clock.Millis) -> None:
         self._is_timer_of_idle = self._part is _Part.NONE
         if self._part is _Part.BODY:
@@ -216,8 +205,8 @@
             self._refuse(outcomes.Reason.TOO_SLOW, 'the header is too slow')
         elif self._part is _Part.BODY:
             self.transport.abort()
-        elif self._idle_left_s() > 0:
-            self._arm(self._idle_left_s() * _MS_PER_S)
+        elif self.idle_bound_s() > 0:
+            self._arm(self.idle_bound_s() * _MS_PER_S)
         else:
             self.transport.close()
 
@@ -260,7 +249,6 @@
         (headers.CONTENT_LENGTH, str(len(body)).encode()),
         (headers.CONNECTION, b'close'),
     ]
-    phrase = http.HTTPStatus(written.status).phrase
-    lines = [f'HTTP/1.1 {written.status} {phrase}'.encode()]
-    lines.extend(b'%b: %b' % field for field in fields)
-    return b'\r\n'.join([*lines, b'', body])
+    lines = [http_exchange.status_line(written.status)]
+    lines.extend(b'%b: %b\r\n' % field for field in fields)
+    return b''.join([*lines, b'\r\n', body])
--- a/oleanderstair/platform/daemon.py
+++ b/oleanderstair/platform/daemon.py
@@ -1,5 +1,6 @@
 """The daemon of one entry instance on the users' platform."""
 
+import gc
 import importlib
 import os
 import pathlib
@@ -14,6 +15,8 @@
     """Run the instance whose settings the environment names."""
     # A hang-up ends a process that has not got so far as to handle it.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Nothing that is imported becomes garbage; collecting begins after it.
+    gc.disable()
     program = importlib.import_module('oleanderstair.platform.program')
     sys.exit(program.run(pathlib.Path(os.environ[SETTINGS_VARIABLE])))
 
--- a/oleanderstair/running.py
+++ b/oleanderstair/running.py
@@ -72,6 +72,7 @@
     """Run an instance whose signals are received from the first on."""
     gc.freeze()
     gc.set_threshold(_GC_AFTER)
+    gc.enable()
     async with anyio.create_task_group() as tasks:
         for watch in watches:
             tasks.start_soon(watch)
--- a/oleanderstair/settings.py
+++ b/oleanderstair/settings.py
@@ -1,6 +1,5 @@
 """Settings: commented defaults, overlaid by the user's file, checked."""
 
-import importlib.resources
 import pathlib
 import re
 import typing
@@ -188,8 +187,8 @@
 
 def defaults() -> Tree:
     """Return the defaults that ship with the package."""
-    package = importlib.resources.files('oleanderstair')
-    text = (package / DEFAULTS_NAME).read_text(encoding='utf-8')
+    shipped = pathlib.Path(__file__).with_name(DEFAULTS_NAME)
+    text = shipped.read_text(encoding='utf-8')
     return typing.cast(Tree, jsonc.loads(text))
 
 
