Free a client's connection as soon as it is closed

A connection held the record that its requests refer to it by, so each closed one waited for the garbage collector, as it did with uvicorn.

--- a/oleanderstair/engine/bounded.py
+++ b/oleanderstair/engine/bounded.py
@@ -68,6 +68,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._is_timer_of_idle = False
         self._write_timer: asyncio.TimerHandle | None = None
+        self._connection: dict[str, object] = {}
 
     # The connection
 
@@ -86,6 +87,7 @@
         self._disarm()
         if self._write_timer is not None:
             self._write_timer.cancel()
+        self._connection = {}
         if self.on_lost is not None:
             self.on_lost()
 
@@ -111,7 +113,7 @@
     def on_message_begin(self) -> None:
         """Open a request and let the application see its connection."""
         super().on_message_begin()
-        self._connection: dict[str, object] = {'protocol': self}
+        self._connection = {'protocol': self}
         extension: typing.Any = self._connection
         self.scope['extensions'] = {'connection': extension}
         self._part = _Part.HEAD
--- a/test/test_connection.py
+++ b/test/test_connection.py
@@ -1,5 +1,8 @@
 """What an application's response looks like on a client's connection."""
 
+import gc
+import weakref
+
 import anyio
 import pytest
 
@@ -179,3 +182,29 @@
     answer = say(app, GET, GET)
     assert answer.count(b'HTTP/1.1') == 1
     assert not answer.endswith(b'0\r\n\r\n')
+
+
+def test_closed_connection_leaves_nothing_for_the_garbage_collector():
+    async def scenario():
+        bound = listener.bind('127.0.0.1', 0)
+        server = listener.create(echo, PATIENT)
+        with anyio.fail_after(10):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.serve, [bound])
+                address = listener.address_of(bound)
+                host, _, port = address.rpartition(':')
+                async with await anyio.connect_tcp(host, int(port)) as stream:
+                    await stream.send(GET)
+                    await stream.receive()
+                    held = weakref.WeakSet(server.held.connections)
+                    assert len(held) == 1
+                while held:
+                    await anyio.sleep(0.01)
+                server.should_exit = True
+
+    gc.collect()
+    gc.disable()
+    try:
+        anyio.run(scenario)
+    finally:
+        gc.enable()
