--- a/oleanderstair/engine/asgi.py
+++ b/oleanderstair/engine/asgi.py
@@ -11,10 +11,6 @@
 Message: typing.TypeAlias = typing.MutableMapping[str, typing.Any]
 Receive: typing.TypeAlias = typing.Callable[[], typing.Awaitable[Message]]
 Send: typing.TypeAlias = typing.Callable[[Message], typing.Awaitable[None]]
-App: typing.TypeAlias = typing.Callable[
-    [Scope, Receive, Send],
-    typing.Awaitable[None],
-]
 
 HeaderList: typing.TypeAlias = list[tuple[bytes, bytes]]
 
--- a/oleanderstair/engine/bounded.py
+++ b/oleanderstair/engine/bounded.py
@@ -1,25 +1,20 @@
-"""An HTTP/1.1 connection that bounds what a client may hold.
+"""An HTTP/1.1 server protocol that bounds what a client may hold.
 
-Without bounds a slow or endless header, a client that never reads, and any
-number of connections stand for ever.
+uvicorn's own protocol lets a slow or endless header, a client that never
+reads, and any number of connections stand for ever.
 """
 
 import asyncio
 import enum
+import http
 import typing
 
 import msgspec
+from uvicorn.protocols.http import httptools_impl
 
 from oleanderstair import clock
 from oleanderstair.domain import outcomes
-from oleanderstair.engine import (
-    asgi,
-    connection,
-    headers,
-    http_exchange,
-    pending,
-    replies,
-)
+from oleanderstair.engine import asgi, headers, pending, replies
 
 _LINGER_MS: typing.Final = 500
 _FIELD_OVERHEAD_BYTES: typing.Final = 4
@@ -47,17 +42,12 @@
     BODY = 'body'
 
 
-class BoundedProtocol(connection.Connection):
+class BoundedProtocol(httptools_impl.HttpToolsProtocol):
     """One connection of a client, within ``Bounds``."""
 
-    def __init__(
-        self,
-        bounds_of: BoundsOf,
-        app: asgi.App,
-        held: connection.Open,
-    ) -> None:
+    def __init__(self, bounds_of: BoundsOf, **served: typing.Any) -> None:
         """Serve one connection within what ``bounds_of`` returns."""
-        super().__init__(app, held)
+        super().__init__(**served)
         self.on_lost: typing.Callable[[], None] | None = None
         self._bounds_of = bounds_of
         self._idle_since_s = self.loop.time()
@@ -68,13 +58,12 @@
         self._timer: asyncio.TimerHandle | None = None
         self._is_timer_of_idle = False
         self._write_timer: asyncio.TimerHandle | None = None
-        self._connection: dict[str, object] = {}
 
     # The connection
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Refuse a connection above the limit."""
-        super().connection_made(transport)
+        super().connection_made(typing.cast(asyncio.Transport, transport))
         bounds = self._bounds_of()
         if len(self.connections) > bounds.max_connections:
             self._refuse(outcomes.Reason.OVERLOADED, 'too many connections')
@@ -87,7 +76,6 @@
         self._disarm()
         if self._write_timer is not None:
             self._write_timer.cancel()
-        self._connection = {}
         if self.on_lost is not None:
             self.on_lost()
 
@@ -113,7 +101,7 @@
     def on_message_begin(self) -> None:
         """Open a request and let the application see its connection."""
         super().on_message_begin()
-        self._connection = {'protocol': self}
+        self._connection: dict[str, object] = {'protocol': self}
         extension: typing.Any = self._connection
         self.scope['extensions'] = {'connection': extension}
         self._part = _Part.HEAD
@@ -147,6 +135,10 @@
         """Bound the time in which the client takes the answer."""
         bounds = self._bounds_of()
         self._idle_since_s = self.loop.time()
+        self.timeout_keep_alive = typing.cast(
+            int,
+            clock.to_seconds(bounds.idle_ms),
+        )
         super().on_response_complete()
         if self.transport.get_write_buffer_size() and not self._write_timer:
             self._write_timer = self.loop.call_later(
@@ -156,25 +148,45 @@
 
     # Faults of the client
 
-    def refuse_malformed(self, what: str) -> None:
+    def send_400_response(  # noqa: WPS114 (uvicorn's name)
+        self,
+        msg: str,
+    ) -> None:
         """Refuse what is no HTTP, but never into another call's answer."""
         is_earlier_busy = bool(self.pipeline) or (
             self._part is not _Part.BODY and self._is_answering()
         )
-        if is_earlier_busy and self.cycle is not None:
+        if is_earlier_busy:
             self._refused = True
             self.cycle.keep_alive = False
             return
-        if self.cycle is not None and self._is_answering():
-            self.cycle.cut()
-        self._refuse(outcomes.Reason.BAD_REQUEST, what)
+        if self._is_answering():
+            self.cycle.disconnected = True
+            self.cycle.message_event.set()
+        self._refuse(outcomes.Reason.BAD_REQUEST, msg)
+
+    def timeout_keep_alive_handler(self) -> None:
+        """Close an idle connection, at once where the client reads nothing."""
+        left_s = self._idle_left_s()
+        if left_s > 0:
+            self.timeout_keep_alive_task = self.loop.call_later(
+                left_s,
+                self.timeout_keep_alive_handler,
+            )
+            return
+        if self.transport.get_write_buffer_size():
+            self.transport.abort()
+        super().timeout_keep_alive_handler()
 
-    def refuse_upgrade(self) -> None:
-        """End the connection after the answer: the parser stops here."""
+    def _unsupported_upgrade_warning(self) -> None:
+        # The parser stops at an upgrade, so the connection ends after it.
         if self.cycle is not None:
             self.cycle.keep_alive = False
 
-    def idle_bound_s(self) -> float:
+    def _is_answering(self) -> bool:
+        return self.cycle is not None and not self.cycle.response_complete
+
+    def _idle_left_s(self) -> float:
         """Return for how long the connection may still stay idle.
 
         The bound may have grown since the connection fell idle.
@@ -182,9 +194,6 @@
         idle_s = self.loop.time() - self._idle_since_s
         return clock.to_seconds(self._bounds_of().idle_ms) - idle_s
 
-    def _is_answering(self) -> bool:
-        return self.cycle is not None and not self.cycle.response_complete
-
     def _arm(self, span_ms: clock.Millis) -> None:
         self._is_timer_of_idle = self._part is _Part.NONE
         if self._part is _Part.BODY:
@@ -207,8 +216,8 @@
             self._refuse(outcomes.Reason.TOO_SLOW, 'the header is too slow')
         elif self._part is _Part.BODY:
             self.transport.abort()
-        elif self.idle_bound_s() > 0:
-            self._arm(self.idle_bound_s() * _MS_PER_S)
+        elif self._idle_left_s() > 0:
+            self._arm(self._idle_left_s() * _MS_PER_S)
         else:
             self.transport.close()
 
@@ -251,6 +260,7 @@
         (headers.CONTENT_LENGTH, str(len(body)).encode()),
         (headers.CONNECTION, b'close'),
     ]
-    lines = [http_exchange.status_line(written.status)]
-    lines.extend(b'%b: %b\r\n' % field for field in fields)
-    return b''.join([*lines, b'\r\n', body])
+    phrase = http.HTTPStatus(written.status).phrase
+    lines = [f'HTTP/1.1 {written.status} {phrase}'.encode()]
+    lines.extend(b'%b: %b' % field for field in fields)
+    return b'\r\n'.join([*lines, b'', body])
--- a/oleanderstair/engine/listener.py
+++ b/oleanderstair/engine/listener.py
@@ -1,37 +1,29 @@
-"""Runs an ASGI application on bound sockets."""
+"""Runs an ASGI application on a socket, by uvicorn."""
 
 import asyncio
 import contextlib
+import functools
 import logging
 import socket
 import typing
 
+import uvicorn
+
 from oleanderstair import logs
-from oleanderstair.engine import asgi, bounded, connection
+from oleanderstair.engine import asgi, bounded
 
 _BACKLOG: typing.Final = 1024
 _LAST_WRITE_S: typing.Final = 2
-"""How long the last answers may take to be written, in s."""
-
-_LAST_LOOK_S: typing.Final = 0.1
-"""How often a server that ends looks whether they are, in s."""
-
 DEFAULT_BOUNDS: typing.Final = bounded.Bounds()
 
 
-class Server:
-    """Accept connections for an application until told to stop."""
-
-    def __init__(self, app: asgi.App, bounds_of: bounded.BoundsOf) -> None:
-        """Serve ``app`` within what ``bounds_of`` returns."""
-        self._app = app
-        self._bounds_of = bounds_of
-        self.held = connection.Open()
+class _Server(uvicorn.Server):
+    def __init__(self, config: uvicorn.Config) -> None:
         self._exit = asyncio.Event()
+        super().__init__(config)
 
     @property
     def should_exit(self) -> bool:
-        """Return whether the server was told to stop."""
         return self._exit.is_set()
 
     @should_exit.setter
@@ -39,35 +31,14 @@
         if wanted:
             self._exit.set()
 
-    async def serve(self, sockets: typing.Sequence[socket.socket]) -> None:
-        """Serve on bound sockets until told to stop, then write answers."""
-        loop = asyncio.get_running_loop()
-        servers = [
-            await loop.create_server(self._open, sock=bound, backlog=_BACKLOG)
-            for bound in sockets
-        ]
+    async def main_loop(self) -> None:
+        # The library's own loop wakes up ten times a second.
         await self._exit.wait()
-        for server in servers:
-            server.close()
-        for open_connection in list(self.held.connections):
-            open_connection.shutdown()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_LAST_WRITE_S):
-                await self._finish()
-        for task in self.held.tasks:
-            task.cancel()
-
-    async def _finish(self) -> None:
-        await asyncio.sleep(_LAST_LOOK_S)
-        while self.held.connections or self.held.tasks:
-            await asyncio.sleep(_LAST_LOOK_S)
-
-    def _open(self) -> bounded.BoundedProtocol:
-        return bounded.BoundedProtocol(
-            self._bounds_of,
-            self._app,
-            self.held,
-        )
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> typing.Iterator[None]:
+        # The daemon handles signals itself: a planned stop is not an exit.
+        yield
 
 
 def bind(host: str, port: int) -> socket.socket:
@@ -107,21 +78,45 @@
 
 
 def create(
-    app: asgi.App,
+    app: typing.Any,
     bounds: bounded.Bounds = DEFAULT_BOUNDS,
-) -> Server:
+) -> uvicorn.Server:
     """Create a server of ``app`` within bounds that stay as they are."""
     return create_bounded(app, lambda: bounds)
 
 
-def create_bounded(app: asgi.App, bounds_of: bounded.BoundsOf) -> Server:
-    """Create a server of ``app`` within bounds that may change."""
+def create_bounded(
+    app: typing.Any,
+    bounds_of: bounded.BoundsOf,
+) -> uvicorn.Server:
+    """Create a server of ``app`` within bounds that may change.
+
+    It has no signal handlers and no access log.
+    """
     _adopt_logs()
-    return Server(app, bounds_of)
+    config = uvicorn.Config(
+        app,
+        http=typing.cast(
+            typing.Any,
+            functools.partial(bounded.BoundedProtocol, bounds_of),
+        ),
+        ws='none',
+        loop='asyncio',
+        lifespan='off',
+        interface='asgi3',
+        log_config=None,
+        access_log=False,
+        proxy_headers=False,
+        server_header=False,
+        date_header=False,
+        backlog=_BACKLOG,
+        timeout_graceful_shutdown=_LAST_WRITE_S,
+    )
+    return _Server(config)
 
 
 def _adopt_logs() -> None:
-    logger = logging.getLogger('asyncio')
+    logger = logging.getLogger('uvicorn')
     if logger.propagate:
         logger.propagate = False
         logger.addHandler(logs.handler())
--- a/test/test_listener.py
+++ b/test/test_listener.py
@@ -99,10 +99,10 @@
                     await opened.enter_async_context(
                         await anyio.connect_tcp(host, int(port)),
                     )
-                while len(server.held.connections) < 3:
+                while len(server.server_state.connections) < 3:
                     await anyio.sleep(0.01)
                 assert refusal_of(await raw.say(address)) == 503
-            while server.held.connections:
+            while server.server_state.connections:
                 await anyio.sleep(0.01)
 
     anyio.run(scenario)
@@ -114,9 +114,9 @@
             host, _, port = address.rpartition(':')
             async with await anyio.connect_tcp(host, int(port)) as stream:
                 await stream.send(b'GET /large HTTP/1.1\r\nhost: a\r\n\r\n')
-                while not server.held.connections:
+                while not server.server_state.connections:
                     await anyio.sleep(0.01)
-                while server.held.connections:
+                while server.server_state.connections:
                     await anyio.sleep(0.01)
 
     anyio.run(scenario)
