Say in the lines what a failed request waited for and lacked

Four things could not be explained from the log alone: - A call that joined the line at once said only that others waited. It now says how many, of which rank, and at its end what room was known. A call refused because the line was full showed '0 targets known', as it was gone from the tables when its line was made; its route is now found again. - A call held at the start of an instance showed after_ms=0.0. The lines name what each look for a hedge ended with. - attempt-failed named the call by a number that no other line has; it now has the id, so a broken attempt says what was wrong with its connection.

explain leaves out what a former incarnation of an instance believed.

The room is worked out for lines that are written only.

--- a/oleanderstair/engine/attempting.py
+++ b/oleanderstair/engine/attempting.py
@@ -74,7 +74,7 @@
             if ended.answer is not None:
                 owed.answer_by_attempt[action.attempt_id] = ended.answer
         self._host.pending.scope_by_attempt.pop(action.attempt_id, None)
-        self._note_attempt(action, ended)
+        self._note_attempt(action, ended, owed)
         self._host.handle(_attempt_ended(action, ended, judge))
 
     async def _exchange(
@@ -123,12 +123,15 @@
         self,
         action: actions.Dispatch,
         ended: exchanges.Ended,
+        owed: pending.PendingCall | None,
     ) -> None:
         self._host.metrics.count('attempts', ended.verdict.value)
         if ended.what:
             logs.event(
                 'attempt-failed',
+                id=owed.received.request_id if owed else '',
                 call=action.call_id,
+                attempt=action.attempt_id,
                 target=action.target_id,
                 verdict=ended.verdict.value,
                 cause=ended.what,
--- a/oleanderstair/engine/routed_callers.py
+++ b/oleanderstair/engine/routed_callers.py
@@ -60,6 +60,7 @@
     ) -> None:
         """Answer one request."""
         limits = self._limits()
+        began_ms = self._now_ms()
         try:
             body = await asgi.read_body(
                 receive,
@@ -79,7 +80,12 @@
             )
             await self._reject(scope, send, late)
         except asgi.Disconnected:
-            self._shell.metrics.count('caller-left', 'in-body')
+            found = headers.index(scope['headers']).field_by_name
+            self._note_left(
+                self._fields.request_id_of(found),
+                'in-body',
+                self._now_ms() - began_ms,
+            )
         else:
             await self._carry(scope, body, send)
 
@@ -96,16 +102,26 @@
             await self._reject(scope, send, received)
             return
         request = incoming.read_request(scope, body)
-        await self._await_start(received)
+        held_ms = await self._await_start(received)
         if listener.protocol_of(scope).transport.is_closing():
-            carrier.metrics.count('caller-left', 'at-start')
+            self._note_left(received.request_id, 'at-start', held_ms)
             return
+        if held_ms:
+            carrier.decisions.hold(call_id, held_ms)
         with listener.watching(scope, lambda: carrier.leave(call_id)):
             reply = await carrier.call(received, request)
         await self._send(send, scope['method'], reply)
 
-    async def _await_start(self, received: events.CallReceived) -> None:
-        """Give a started instance a moment to learn what is in force."""
+    async def _await_start(
+        self,
+        received: events.CallReceived,
+    ) -> clock.Millis:
+        """Give a started instance a moment to learn what is in force.
+
+        Return how long the call was held for it, 0 where it was not.
+        """
+        if self._knows_routes():
+            return 0
         now_ms = self._now_ms()
         left_ms = received.deadline_ms - now_ms
         until_ms = min(
@@ -114,6 +130,22 @@
         )
         while not self._knows_routes() and self._now_ms() < until_ms:
             await anyio.sleep(clock.to_seconds(_START_CHECK_MS))
+        return self._now_ms() - now_ms
+
+    def _note_left(
+        self,
+        request_id: str,
+        where: str,
+        after_ms: clock.Millis,
+    ) -> None:
+        """Note that a caller left before its request became a call."""
+        self._shell.metrics.count('caller-left', where)
+        self._shell.decisions.leave(
+            request_id,
+            where,
+            after_ms,
+            self._now_ms(),
+        )
 
     def _knows_routes(self) -> bool:
         state = self._shell.state
--- a/oleanderstair/explaining/causes.py
+++ b/oleanderstair/explaining/causes.py
@@ -4,10 +4,19 @@
 
 UNTOLD: typing.Final = (
     'no line names this request: it was answered in time at the first'
-    ' attempt, was merged with others under load, or came to another instance'
+    ' attempt, was merged with others under load, came to another instance,'
+    ' or its instance was killed before it ended'
 )
+"""What is said of a request that no line names."""
+
+_OPENS: typing.Final = frozenset(('call', 'rejected', 'caller-left'))
+"""The kinds of lines that a request may begin with."""
+
+_ENDS: typing.Final = frozenset(('answered', 'refused', 'rejected'))
+"""The kinds of lines that say what its caller was told."""
 
 _FAILED: typing.Final = 500
+"""From what status on a target's own answer counts as failed."""
 _UNSENT: typing.Final = 'it was never sent to a target'
 
 
@@ -32,15 +41,12 @@
 
 def name(facts: typing.Sequence[Fact]) -> str:
     """Return the cause of the end that ``facts``, in order, tell of."""
-    if not facts:
+    if all(fact.kind == 'attempt-failed' for fact in facts):
         return UNTOLD
     left = _last(facts, 'caller-left')
     if left is not None:
-        after = left.get('after_ms')
-        only = _why_only_one(facts)
-        told = _by_attempts(facts)
-        return f'the caller left after {after} ms; {told}{only}'
-    end = facts[-1]
+        return _left(facts, left)
+    end = ending_of(facts)
     if end.kind == 'rejected':
         return f'rejected as {end.get("reason")}: {end.get("detail")}'
     if end.kind == 'refused':
@@ -50,6 +56,39 @@
     return f'it has not ended by the last line; {_by_attempts(facts)}'
 
 
+def opening_of(facts: typing.Sequence[Fact]) -> Fact:
+    """Return the decision that a request begins with."""
+    return next((fact for fact in facts if fact.kind in _OPENS), facts[0])
+
+
+def ending_of(facts: typing.Sequence[Fact]) -> Fact:
+    """Return the decision that a request ended by, or its last so far."""
+    for fact in reversed(facts):
+        if fact.kind in _ENDS:
+            return fact
+    return facts[-1]
+
+
+def _left(facts: typing.Sequence[Fact], left: Fact) -> str:
+    told = f'the caller left after {left.get("after_ms")} ms'
+    where = left.get('where')
+    if where:
+        return f'{told}, while {_DOING_BY_WHERE.get(where, where)}'
+    if _last(facts, 'sent') is None:
+        return f'{told}; {_waiting(facts)}{_by_attempts(facts)}'
+    return f'{told}; {_by_attempts(facts)}{_why_only_one(facts)}'
+
+
+def _waiting(facts: typing.Sequence[Fact]) -> str:
+    """Return what a call that was never sent still waited for."""
+    if _last(facts, 'queued') is not None:
+        return f'{_queued(facts)}; '
+    sampled = _last(facts, 'sampled')
+    if sampled is None:
+        return ''
+    return f'reports of {sampled.get("compared")} were awaited; '
+
+
 def _refused(facts: typing.Sequence[Fact], end: Fact) -> str:
     reason = end.get('reason')
     explain = _EXPLAIN_BY_REASON.get(reason, _by_attempts)
@@ -59,13 +98,16 @@
         'not-run': 'it has not run',
         'unknown': 'it may have run',
     }.get(end.get('outcome'), '')
-    told = f'refused as {reason} after {end.get("after_ms")} ms, {ran}{hint}'
+    held = opening_of(facts).get('held_ms')
+    start = f', {held} ms of them until its instance was ready' if held else ''
+    after = f'{end.get("after_ms")} ms{start}'
+    told = f'refused as {reason} after {after}, {ran}{hint}'
     return f'{told}: {explain(facts)}{_why_not_again(facts, end)}'
 
 
 def _why_not_again(facts: typing.Sequence[Fact], end: Fact) -> str:
     """Return why no further target was tried, '' where that is plain."""
-    call = facts[0]
+    call = opening_of(facts)
     if not end.get('reason').startswith('target-') or not end.get('sends'):
         return ''
     if end.get('sends') == call.get('most_sends'):
@@ -83,8 +125,10 @@
     target = ended.get('target') if ended else 'a target'
     if end.span_ms('status') >= _FAILED:
         status = end.get('status')
+        chosen = f' ({_chosen_by(facts, ended)})' if ended else ''
         return (
-            f'target {target} itself answered {status}; {_by_attempts(facts)}'
+            f'target {target} itself answered {status}{chosen};'
+            f' {_by_attempts(facts)}'
         )
     late = end.get('late_ms')
     if not late:
@@ -93,7 +137,7 @@
 
 
 def _slowest(facts: typing.Sequence[Fact], end: Fact) -> str:
-    began_s = facts[0].at_s
+    began_s = opening_of(facts).at_s
     sent = _last(facts, 'sent')
     first = next((fact for fact in facts if fact.kind == 'sent'), None)
     if first is None or sent is None:
@@ -108,7 +152,7 @@
     return (
         f'{longest.get("target")} took {longest.get("took_ms")} ms'
         f' ({_chosen_by(facts, longest)}); {before_ms:.0f} ms went before'
-        ' the first attempt'
+        f' the first attempt{_why_only_one(facts)}'
     )
 
 
@@ -128,12 +172,21 @@
         if fact.kind == 'attempt-ended':
             verdict = ' '.join((fact.get('verdict'), fact.get('status')))
             took = fact.get('took_ms')
-            return f'{told} was {verdict.strip()} after {took} ms'
+            why = _why_failed(facts, number)
+            return f'{told} was {verdict.strip()} after {took} ms{why}'
         if fact.kind == 'cancelled':
             return f'{told} was given up after {fact.get("took_ms")} ms'
     return f'{told} was still at work ({_chosen_by(facts, sent)})'
 
 
+def _why_failed(facts: typing.Sequence[Fact], number: str) -> str:
+    """Return what went wrong on the connection of an attempt, if it did."""
+    for fact in facts:
+        if fact.kind == 'attempt-failed' and fact.get('attempt') == number:
+            return f' ({fact.get("cause")})'
+    return ''
+
+
 def _chosen_by(facts: typing.Sequence[Fact], attempt: Fact) -> str:
     for fact in facts:
         same = fact.get('attempt') == attempt.get('attempt')
@@ -146,7 +199,7 @@
 
 
 def _known(facts: typing.Sequence[Fact]) -> str:
-    call = facts[0]
+    call = opening_of(facts)
     targets = call.get('targets') or '0'
     return (
         f'{targets} targets were known by registry {call.get("registry")}'
@@ -155,7 +208,7 @@
 
 
 def _no_route(facts: typing.Sequence[Fact]) -> str:
-    call = facts[0]
+    call = opening_of(facts)
     return (
         f'configuration {call.get("configuration")} has no route for'
         f' {call.get("host")}{call.get("path")}'
@@ -167,20 +220,55 @@
 
 
 def _overloaded(facts: typing.Sequence[Fact]) -> str:
-    queued = _last(facts, 'queued')
-    if queued is None:
-        return _by_attempts(facts)
-    waited_s = facts[-1].at_s - queued.at_s
-    why = 'others waited for its service already'
+    if _last(facts, 'queued') is None:
+        waiting = ending_of(facts).get('waiting')
+        full = f'{waiting} others waited already; ' if waiting else ''
+        return f'{full}{_by_attempts(facts)}'
+    return f'{_queued(facts)}; {_by_attempts(facts)}'
+
+
+def _queued(facts: typing.Sequence[Fact]) -> str:
+    """Return how long a call waited for room, and why it got none."""
+    queued = _last(facts, 'queued') or opening_of(facts)
+    end = ending_of(facts)
+    waited_s = end.at_s - queued.at_s
+    why = _others(queued)
     sampled = _last(facts, 'sampled')
     if sampled is not None:
         why = f'none of {sampled.get("compared")} had room'
-    told = f'it waited {waited_s:.3f} s at the entry, as {why}'
-    return f'{told}; {_by_attempts(facts)}'
+    return f'it waited {waited_s:.3f} s at the entry, as {why}{_room(end)}'
+
+
+def _others(queued: Fact) -> str:
+    """Return who waited for its service when a call came."""
+    others = queued.get('others')
+    by_rank = queued.get('others_by_rank')
+    if not by_rank:
+        return 'others waited for its service already'
+    pairs = by_rank.split(',')
+    ranks = ', '.join(
+        '{1} of rank {0}'.format(*pair.split(':')) for pair in pairs
+    )
+    return (
+        f'{others} others waited for its service already'
+        f' ({ranks}; its own is {queued.get("rank")})'
+    )
+
+
+def _room(end: Fact) -> str:
+    """Return what room was known at the end of a wait."""
+    if not end.get('with_room'):
+        return ''
+    return (
+        f'; at its end {end.get("with_room")} of {end.get("targets")} targets'
+        f' had room, {end.get("free_slots")} free slots in all,'
+        f' {end.get("barred")} were barred, and {end.get("waiting")} others'
+        ' waited'
+    )
 
 
 def _out_of_time(facts: typing.Sequence[Fact]) -> str:
-    call = facts[0]
+    call = opening_of(facts)
     bound = 'the deadline of its caller'
     if call.span_ms('due_in_ms') < call.span_ms('left_ms'):
         bound = f'the timeout of route {call.get("route")}'
@@ -189,17 +277,23 @@
 
 
 def _why_only_one(facts: typing.Sequence[Fact]) -> str:
-    """Return what kept a slow call from a second target, where one might."""
-    call = facts[0]
-    end = facts[-1]
-    if call.get('runs') != 'again' or end.get('sends') != '1':
+    """Return what kept a slow call from a second target."""
+    call = opening_of(facts)
+    end = ending_of(facts)
+    if sum(fact.kind == 'sent' for fact in facts) != 1:
         return ''
+    if call.get('runs') == 'once':
+        return '; no second attempt, as its route runs once'
     if call.get('most_sends') == '1':
         return '; its route allows no second target'
+    why = _WHY_BY_HEDGE.get(end.get('hedge'))
+    if why:
+        looks = end.get('hedge_looks')
+        return f'; no second attempt, as {why} (looked for {looks} times)'
     if end.span_ms('repeats_left') < 1:
         left = end.get('repeats_left')
         return f'; no second attempt, as the retry budget had {left} left'
-    return ''
+    return '; it ended before a second attempt was due'
 
 
 def _last(facts: typing.Sequence[Fact], kind: str) -> Fact | None:
@@ -218,3 +312,14 @@
     'timeout': _out_of_time,
     'stopping': _stopping,
 }
+_DOING_BY_WHERE: typing.Final[dict[str, str]] = {
+    'in-body': 'its body was read',
+    'at-start': 'its instance did not know the routes yet',
+}
+_WHY_BY_HEDGE: typing.Final[dict[str, str]] = {
+    'no-quiet-target': 'no other target was quiet',
+    'no-budget': 'the retry budget had no part left for it',
+    'room-short': 'calls had found no room just before',
+    'reports-awaited': 'reports of other targets were awaited',
+    'too-late': 'it could not have answered in time any more',
+}
--- a/oleanderstair/explaining/decisions.py
+++ b/oleanderstair/explaining/decisions.py
@@ -10,7 +10,7 @@
 import typing
 
 from oleanderstair import clock, metrics
-from oleanderstair.domain import actions, events, world
+from oleanderstair.domain import actions, events, outcomes, world
 from oleanderstair.domain.calls import repeats
 from oleanderstair.explaining import beliefs, lines, sinks, trails
 
@@ -52,6 +52,7 @@
         self._sink = sink
         self._wall = wall
         self._trail_by_call: dict[int, trails.Trail] = {}
+        self._held_ms_by_call: dict[int, clock.Millis] = {}
         self._merged: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
@@ -64,6 +65,7 @@
             events.CallReceived: self._on_call,
             events.AttemptEnded: self._on_ended,
             events.CallerLeft: self._on_left,
+            events.HedgeDue: self._on_hedge_due,
             events.StoreFailed: self._beliefs.on_store_failed,
             events.StoreRead: self._beliefs.on_store_told,
             events.StoreChanged: self._beliefs.on_store_told,
@@ -111,6 +113,28 @@
         )
         self._say(now_ms, 'rejected', fields)
 
+    def leave(
+        self,
+        request_id: str,
+        where: str,
+        after_ms: clock.Millis,
+        now_ms: clock.Millis,
+    ) -> None:
+        """Take a request whose caller left before it became a call."""
+        if not self._takes_room(1, now_ms):
+            self._merged[f'caller-left-{where}', ''] += 1
+            return
+        fields: lines.Fields = (
+            ('id', request_id or None),
+            ('where', where),
+            ('after_ms', after_ms),
+        )
+        self._say(now_ms, 'caller-left', fields)
+
+    def hold(self, call_id: int, held_ms: clock.Millis) -> None:
+        """Take how long a call that comes next was held at a start."""
+        self._held_ms_by_call[call_id] = held_ms
+
     # Calls
 
     def _on_call(
@@ -118,7 +142,8 @@
         now_ms: clock.Millis,
         event: events.CallReceived,
     ) -> None:
-        trail = trails.open_trail(self._state, event, now_ms)
+        held_ms = self._held_ms_by_call.pop(event.call_id, 0)
+        trail = trails.open_trail(self._state, event, now_ms, held_ms)
         self._trail_by_call[event.call_id] = trail
         self._note_stage(trail, event.call_id, now_ms)
 
@@ -146,6 +171,15 @@
             waited: lines.Fields = (('after_ms', now_ms - trail.started_ms),)
             trail.entries.append(trails.Entry(now_ms, 'caller-left', waited))
 
+    def _on_hedge_due(
+        self,
+        now_ms: clock.Millis,
+        event: events.HedgeDue,
+    ) -> None:
+        trail = self._trail_by_call.get(event.call_id)
+        if trail is not None:
+            trails.note_hedge_due(trail, self._state, event, now_ms)
+
     def _on_dispatch(
         self,
         now_ms: clock.Millis,
@@ -181,6 +215,7 @@
             ('attempt', action.attempt_id),
             ('after_ms', after_ms),
             ('late_ms', late_ms or None),
+            *trails.hedging_of(trail),
         )
         trail.entries.append(trails.Entry(now_ms, 'answered', fields))
         self._write(trail, now_ms, 'answered')
@@ -196,6 +231,8 @@
             ('after_ms', now_ms - trail.started_ms),
             ('sends', trail.sends),
             *self._budget(trail, now_ms),
+            *trails.hedging_of(trail),
+            *self._room_for(trail, action.reason, now_ms),
             ('working', _working(trail) or None),
             ('retry_after_ms', action.retry_after_ms or None),
         )
@@ -207,11 +244,15 @@
         now_ms: clock.Millis,
         action: actions.Schedule,
     ) -> None:
-        if not isinstance(action.event, events.PatienceOver):
-            return
-        trail = self._trail_by_call.get(action.event.call_id)
-        if trail is not None:
-            self._note_stage(trail, action.event.call_id, now_ms)
+        planned = action.event
+        if isinstance(planned, events.PatienceOver):
+            trail = self._trail_by_call.get(planned.call_id)
+            if trail is not None:
+                self._note_stage(trail, planned.call_id, now_ms)
+        elif isinstance(planned, events.HedgeDue):
+            trail = self._trail_by_call.get(planned.call_id)
+            if trail is not None:
+                trails.note_hedge_planned(trail, self._state, planned, now_ms)
 
     def _budget(
         self,
@@ -228,6 +269,17 @@
         )
         return (('repeats_left', left),)
 
+    def _room_for(
+        self,
+        trail: trails.Trail,
+        reason: outcomes.Reason,
+        now_ms: clock.Millis,
+    ) -> lines.Fields:
+        # All targets are gone through, so only for a line that is written.
+        if reason is not outcomes.Reason.OVERLOADED or self._room < 1:
+            return ()
+        return trails.room_for(self._state, trail.service, now_ms)
+
     def _count(self, trail: trails.Trail, outcome: str, why: str) -> None:
         label = f'route={trail.route} outcome={outcome} reason={why}'
         self._counts.count('calls', label)
@@ -238,8 +290,7 @@
         call_id: int,
         now_ms: clock.Millis,
     ) -> None:
-        call = self._state.routed.call_by_id.get(call_id)
-        trails.note_stage(trail, call, now_ms)
+        trails.note_stage(trail, self._state, call_id, now_ms)
 
     # Writing
 
--- a/oleanderstair/explaining/stories.py
+++ b/oleanderstair/explaining/stories.py
@@ -72,7 +72,11 @@
         key=_time_of,
     )
     context = sorted(
-        (line for line in told if _is_context(line, decisions)),
+        (
+            line
+            for line in _of_incarnations(told, decisions)
+            if _is_context(line, decisions)
+        ),
         key=_time_of,
     )
     facts = [
@@ -87,6 +91,48 @@
     )
 
 
+def _of_incarnations(
+    told: typing.Sequence[Said],
+    decisions: typing.Sequence[Said],
+) -> list[Said]:
+    """Return the lines of the incarnations that decided.
+
+    What an instance believed before its start is nothing that it knows.
+    """
+    starts_s_by_source: dict[str, list[float]] = {}
+    for start in told:
+        if start.kind == 'started':
+            starts_s = starts_s_by_source.setdefault(start.source, [])
+            starts_s.append(start.at_s)
+    decided = {
+        _incarnation(decision, starts_s_by_source) for decision in decisions
+    }
+    return [
+        line
+        for line in told
+        if _incarnation(line, starts_s_by_source) in decided
+    ]
+
+
+def _incarnation(
+    line: Said,
+    starts_s_by_source: typing.Mapping[str, typing.Sequence[float]],
+) -> tuple[str, int]:
+    """Return the source of a line, and how often it had started by then."""
+    starts_s = starts_s_by_source.get(line.source, ())
+    return line.source, sum(start_s <= line.at_s for start_s in starts_s)
+
+
+def group(said: typing.Iterable[Said]) -> dict[str, list[Said]]:
+    """Return the lines that name a request, by its id."""
+    lines_by_id: dict[str, list[Said]] = {}
+    for line in said:
+        request_id = line.field_by_name.get('id')
+        if request_id:
+            lines_by_id.setdefault(request_id, []).append(line)
+    return lines_by_id
+
+
 def _time_of(line: Said) -> float:
     return line.at_s
 
--- a/oleanderstair/explaining/trails.py
+++ b/oleanderstair/explaining/trails.py
@@ -1,11 +1,15 @@
 """What was decided about one call, kept until it is known to matter."""
 
+import collections
 import dataclasses
 import typing
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, world
-from oleanderstair.domain.tables import load_reports, routed
+from oleanderstair.domain.calls import hedges, repeats
+from oleanderstair.domain.configuration import routing
+from oleanderstair.domain.tables import load_reports, routed, routes
+from oleanderstair.domain.targets import room, trust
 from oleanderstair.explaining import lines
 
 
@@ -26,10 +30,17 @@
 
 @dataclasses.dataclass(slots=True)
 class Trail:
-    """The decisions on one call so far."""
+    """The decisions on one call so far.
+
+    ``started_ms`` is when it arrived, and ``held_ms`` how long it was kept
+    until its instance knew what is in force. ``hedge`` is why none of
+    ``hedge_looks`` led to a second attempt; ``hedge_sends`` counts the sends
+    after which a hedge was last planned.
+    """
 
     request_id: str
     started_ms: clock.Millis
+    held_ms: clock.Millis = 0
     route: str = ''
     service: str = ''
     aim_ms: clock.Millis = 0
@@ -38,27 +49,36 @@
     sends: int = 0
     last_verdict: str = ''
     stage: routed.Stage | None = None
+    hedge: str = ''
+    hedge_looks: int = 0
+    hedge_sends: int = 0
 
 
 def open_trail(
     state: world.World,
     received: events.CallReceived,
     now_ms: clock.Millis,
+    held_ms: clock.Millis = 0,
 ) -> Trail:
     """Begin the trail of a call by what admitted it."""
-    trail = Trail(received.request_id, now_ms)
+    trail = Trail(received.request_id, now_ms - held_ms, held_ms)
     call = state.routed.call_by_id.get(received.call_id)
     in_force = state.routes.in_force
     if call is not None:
         trail.route = call.route.name
         trail.aim_ms = call.route.aim_ms
         trail.service = call.service
+    elif in_force is not None:
+        _name_route(
+            trail, routing.match(in_force, received.host, received.path)
+        )
     fields = (
         ('route', trail.route or None),
         ('service', trail.service or None),
         *_terms(call),
         ('host', None if trail.route else received.host),
         ('path', None if trail.route else received.path),
+        ('held_ms', held_ms or None),
         ('left_ms', received.deadline_ms - now_ms),
         ('due_in_ms', call.due_at_ms - now_ms if call else None),
         ('configuration', in_force.number if in_force else 0),
@@ -69,6 +89,16 @@
     return trail
 
 
+def _name_route(trail: Trail, route: routes.Route | None) -> None:
+    """Name the route of a call that was refused as it came."""
+    if route is None:
+        return
+    trail.route = route.name
+    trail.aim_ms = route.aim_ms
+    if len(route.parts) == 1:
+        trail.service = route.parts[0].service
+
+
 def _terms(call: routed.RoutedCall | None) -> lines.Fields:
     if call is None:
         return ()
@@ -78,10 +108,12 @@
 
 def note_stage(
     trail: Trail,
-    call: routed.RoutedCall | None,
+    state: world.World,
+    call_id: int,
     now_ms: clock.Millis,
 ) -> None:
     """Note that a call waits where it did not wait before."""
+    call = state.routed.call_by_id.get(call_id)
     if call is None or call.stage is trail.stage:
         return
     trail.stage = call.stage
@@ -91,9 +123,94 @@
             ('reads', len(call.awaited)),
         )
         trail.entries.append(Entry(now_ms, 'sampled', fields))
-    elif call.stage is not routed.Stage.SENT:
-        waits: lines.Fields = (('due_in_ms', call.due_at_ms - now_ms),)
-        trail.entries.append(Entry(now_ms, call.stage.value, waits))
+    elif call.stage is routed.Stage.QUEUED:
+        due: lines.Fields = (('due_in_ms', call.due_at_ms - now_ms),)
+        queued = (*due, *_line_of(state, call))
+        trail.entries.append(Entry(now_ms, 'queued', queued))
+
+
+def _line_of(state: world.World, call: routed.RoutedCall) -> lines.Fields:
+    """Return who else waits for the service of a call, by rank."""
+    waiting_ids = state.routed.waiting_ids_by_service.get(call.service, ())
+    others = [
+        other
+        for other in map(state.routed.call_by_id.get, waiting_ids)
+        if other is not None and other.call_id != call.call_id
+    ]
+    counts = collections.Counter(other.route.rank for other in others)
+    by_rank = ','.join(f'{rank}:{counts[rank]}' for rank in sorted(counts))
+    return (
+        ('rank', call.route.rank),
+        ('others', len(others)),
+        ('others_by_rank', by_rank or None),
+    )
+
+
+def room_for(
+    state: world.World,
+    service: str,
+    now_ms: clock.Millis,
+) -> lines.Fields:
+    """Return which targets of a service have room, and how many calls wait."""
+    target_ids = state.registry.ids_by_service.get(service, ())
+    waiting_ids = state.routed.waiting_ids_by_service.get(service, ())
+    free = [room.free_slots(state, known, now_ms) for known in target_ids]
+    barred = [
+        trust.is_barred(load_reports.load_of(state.loads, known), now_ms)
+        for known in target_ids
+    ]
+    return (
+        ('targets', len(target_ids)),
+        ('with_room', sum(slots > 0 for slots in free)),
+        ('free_slots', sum(slots for slots in free if slots > 0)),
+        ('barred', sum(barred)),
+        ('waiting', len(waiting_ids)),
+    )
+
+
+def note_hedge_due(
+    trail: Trail,
+    state: world.World,
+    event: events.HedgeDue,
+    now_ms: clock.Millis,
+) -> None:
+    """Note that a second attempt was looked at and is not made now."""
+    call = state.routed.call_by_id.get(event.call_id)
+    if call is None or call.sends != event.sends:
+        return
+    trail.hedge_looks += 1
+    if trail.hedge:
+        return
+    if call.stage is routed.Stage.HEDGING:
+        trail.hedge = 'reports-awaited'
+        return
+    short_at_ms = state.routed.short_at_ms_by_service.get(
+        call.service,
+        clock.NEVER_MS,
+    )
+    is_short = now_ms - short_at_ms < hedges.SHORT_MS
+    trail.hedge = 'room-short' if is_short else 'too-late'
+
+
+def note_hedge_planned(
+    trail: Trail,
+    state: world.World,
+    event: events.HedgeDue,
+    now_ms: clock.Millis,
+) -> None:
+    """Note why a second attempt is put off, where it is not the first plan."""
+    if trail.hedge_sends != event.sends:
+        trail.hedge_sends = event.sends
+        return
+    fits = repeats.may_hedge(state, trail.service, now_ms)
+    trail.hedge = 'no-quiet-target' if fits else 'no-budget'
+
+
+def hedging_of(trail: Trail) -> lines.Fields:
+    """Return why a call had no second attempt, where one was looked at."""
+    if trail.sends != 1 or not trail.hedge:
+        return ()
+    return (('hedge', trail.hedge), ('hedge_looks', trail.hedge_looks))
 
 
 def note_sent(
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from oleanderstair.domain import events
+from oleanderstair.domain import actions, events, outcomes
 from oleanderstair.domain.targets import trust
 from oleanderstair.emulator import gateway_fleet, gateway_targets
 from oleanderstair.explaining import beliefs, decisions, lines, sinks
@@ -188,3 +188,30 @@
     sink.put('event=call id=3')
     sink.flush()
     os.close(writer)
+
+
+def test_a_call_that_was_held_says_so_and_counts_from_its_arrival() -> None:
+    state = helper.make_world()
+    sink = sinks.ListSink()
+    log = decisions.DecisionLog(state, sink, lambda: 1.0)
+    received = events.CallReceived(1, '', 'GET', '/a', 900, request_id='r')
+    log.hold(1, 120)
+    refused = actions.Refuse(
+        1,
+        outcomes.Outcome.NOT_RUN,
+        outcomes.Reason.UNCONFIRMED,
+    )
+    log.observe(500, received, [refused])
+    call, ended = sink.lines
+    assert 'held_ms=120' in call
+    assert 'after_ms=120' in ended
+
+
+def test_callers_that_leave_early_are_told_up_to_a_rate() -> None:
+    sink = sinks.ListSink()
+    log = decisions.DecisionLog(helper.make_world(), sink, lambda: 1.0)
+    for _ in range(decisions.BURST_LINES + 5):
+        log.leave('r', 'in-body', 30, 500)
+    log.observe(500, events.Tick(), [])
+    assert 'event=caller-left at=1.0000 id=r where=in-body' in sink.lines[0]
+    assert sink.lines[-1].endswith('count=5')
--- a/test/test_explain.py
+++ b/test/test_explain.py
@@ -67,6 +67,26 @@
     )
 
 
+def behind_others(
+    fleet: gateway_fleet.GatewayFleet,
+    others: int,
+) -> None:
+    for target in fleet.target_by_id.values():
+        target.work = lambda received, rng: 900
+    for number in range(others):
+        fleet.call('entry-0', 'lookup', request_id=f'before-{number}')
+    fleet.times.after(
+        10,
+        lambda: fleet.call('entry-0', 'lookup', request_id='r'),
+    )
+
+
+def no_second(fleet: gateway_fleet.GatewayFleet) -> None:
+    for target in fleet.target_by_id.values():
+        target.work = lambda received, rng: 900
+    fleet.call('entry-0', 'lookup', request_id='r', deadline_ms=600)
+
+
 @pytest.mark.parametrize(
     ('scene', 'cause'),
     [
@@ -77,6 +97,8 @@
         (no_route, 'configuration 1 has no route for calls.example/nothing/'),
         (failing_target, 'itself answered 500'),
         (no_room, 's at the entry, as none of burza-'),
+        (no_room, 'at its end 0 of 2 targets had room, 0 free slots in all'),
+        (no_second, 'no second attempt, as the retry budget had no part left'),
     ],
 )
 def test_the_lines_alone_name_the_cause(scene, cause: str) -> None:
@@ -86,6 +108,58 @@
     assert cause in told(sink, 'r').cause
 
 
+def test_a_call_that_joins_the_line_says_behind_whom() -> None:
+    fleet, sink = test_decisions.logged_fleet()
+    behind_others(fleet, 40)
+    fleet.run_for(3000)
+    cause = told(sink, 'r').cause
+    assert 'others waited for its service already (' in cause
+    assert ' of rank 0; its own is 0); at its end 0 of 2 targets had' in cause
+
+
+def test_a_call_that_finds_the_line_full_says_so() -> None:
+    fleet, sink = test_decisions.logged_fleet()
+    behind_others(fleet, 90)
+    fleet.run_for(3000)
+    cause = told(sink, 'r').cause
+    assert '64 others waited already; it was never sent' in cause
+    assert '2 targets were known by registry' in cause
+
+
+def test_a_caller_that_leaves_before_its_call_is_told() -> None:
+    text = 'event=caller-left at=1.0 id=r where=at-start after_ms=40.0'
+    story = stories.follow('r', stories.read('entry-1', [text]))
+    assert story.cause == (
+        'the caller left after 40.0 ms, while its instance did not know'
+        ' the routes yet'
+    )
+
+
+def test_a_failed_connection_says_what_was_wrong() -> None:
+    lines = [
+        'event=call at=1.0 id=r runs=once most_sends=2',
+        'event=sent at=1.1 id=r attempt=7 target=i-1 why=first',
+        'event=attempt-failed at=1.2 id=r attempt=7 cause="it ended"',
+        'event=attempt-ended at=1.2 id=r attempt=7 verdict=broken took_ms=9.0',
+        'event=refused at=1.2 id=r outcome=unknown reason=target-lost sends=1',
+    ]
+    story = stories.follow('r', stories.read('entry-1', lines))
+    assert 'i-1 was broken after 9.0 ms (it ended); not sent' in story.cause
+
+
+def test_beliefs_of_a_former_incarnation_are_left_out() -> None:
+    lines = [
+        'event=audit-configuration at=8.0 subject=25 actor=peer',
+        'event=started at=9.0 instance=entry-1~2',
+        'event=store-lost at=9.5 why="status 503"',
+        'event=call at=10.0 id=r',
+        'event=refused at=10.0 id=r reason=unconfirmed',
+        'event=started at=10.0001 instance=entry-1~3',
+    ]
+    story = stories.follow('r', stories.read('entry-1', lines))
+    assert [line.kind for line in story.context] == ['started', 'store-lost']
+
+
 @pytest.mark.parametrize(
     ('request_id', 'cause'),
     [
--- a/test/test_routed_callers.py
+++ b/test/test_routed_callers.py
@@ -3,8 +3,9 @@
 import anyio
 import pytest
 
-from oleanderstair import settings
+from oleanderstair import logs, settings
 from oleanderstair.emulator import load_targets, store
+from oleanderstair.explaining import lines, sinks
 from oleanderstair.platform import node
 from test import helper, platform_side, raw
 
@@ -174,3 +175,14 @@
 @pytest.mark.parametrize(('after_ms', 'status'), [(0, 200), (5000, 503)])
 def test_call_at_the_start_waits_for_routes_a_moment(after_ms, status):
     assert anyio.run(_ask_at_the_start, after_ms) == status
+
+
+def test_a_call_held_at_the_start_is_logged_with_its_wait(monkeypatch):
+    sink = sinks.ListSink()
+    monkeypatch.setattr(logs, 'sink', lambda: sink)
+    assert anyio.run(_ask_at_the_start, 5000) == 503
+    call, refused = [
+        lines.read(text).field_by_name for text in sink.lines if 'id=' in text
+    ]
+    assert float(call['held_ms']) > 100
+    assert float(refused['after_ms']) >= float(call['held_ms'])
