List the failed requests of logs, each with its cause

explain needs an id, which an on-call engineer has of one caller at most. logs failed names all that were refused, failed or late in the logs given, a cause for each in a few words, and how many by cause; those that only a merged line speaks of are counted as such.

A caller that leaves well before the time that it stated has given up by itself, and explain says so too.

--- a/oleanderstair/explaining/causes.py
+++ b/oleanderstair/explaining/causes.py
@@ -15,6 +15,12 @@
 _ENDS: typing.Final = frozenset(('answered', 'refused', 'rejected'))
 """The kinds of lines that say what its caller was told."""
 
+_EARLY_MS: typing.Final = 50
+"""How long before its deadline a caller that leaves has given up, in ms.
+
+What passes between caller and instance at a deadline is less.
+"""
+
 _FAILED: typing.Final = 500
 """From what status on a target's own answer counts as failed."""
 _UNSENT: typing.Final = 'it was never sent to a target'
@@ -76,7 +82,20 @@
         return f'{told}, while {_DOING_BY_WHERE.get(where, where)}'
     if _last(facts, 'sent') is None:
         return f'{told}; {_waiting(facts)}{_by_attempts(facts)}'
-    return f'{told}; {_by_attempts(facts)}{_why_only_one(facts)}'
+    early = ''
+    if left_early(facts):
+        left_ms = opening_of(facts).get('left_ms')
+        early = f'; it had {left_ms} ms, and gave up before'
+    return f'{told}; {_by_attempts(facts)}{_why_only_one(facts)}{early}'
+
+
+def left_early(facts: typing.Sequence[Fact]) -> bool:
+    """Return whether a caller left well before the time that it stated."""
+    left = _last(facts, 'caller-left')
+    if left is None:
+        return False
+    left_ms = opening_of(facts).span_ms('left_ms')
+    return left.span_ms('after_ms') < left_ms - _EARLY_MS
 
 
 def _waiting(facts: typing.Sequence[Fact]) -> str:
@@ -146,6 +165,7 @@
     longest = max(
         (fact for fact in facts if fact.kind == 'attempt-ended'),
         key=lambda fact: fact.span_ms('took_ms'),
+        default=sent,
     )
     if before_ms > longest.span_ms('took_ms'):
         return f'it waited {before_ms:.0f} ms before it was sent'
--- a/oleanderstair/explaining/stories.py
+++ b/oleanderstair/explaining/stories.py
@@ -79,15 +79,11 @@
         ),
         key=_time_of,
     )
-    facts = [
-        causes.Fact(line.kind, line.field_by_name, line.at_s)
-        for line in decisions
-    ]
     return Story(
         request_id,
         tuple(decisions),
         tuple(context),
-        causes.name(facts),
+        causes.name(facts_of(decisions)),
     )
 
 
@@ -123,6 +119,14 @@
     return line.source, sum(start_s <= line.at_s for start_s in starts_s)
 
 
+def facts_of(decisions: typing.Iterable[Said]) -> list[causes.Fact]:
+    """Return lines on one request as the facts that its cause rests on."""
+    return [
+        causes.Fact(line.kind, line.field_by_name, line.at_s)
+        for line in decisions
+    ]
+
+
 def group(said: typing.Iterable[Said]) -> dict[str, list[Said]]:
     """Return the lines that name a request, by its id."""
     lines_by_id: dict[str, list[Said]] = {}
--- a/oleanderstair/ui/explain.py
+++ b/oleanderstair/ui/explain.py
@@ -7,7 +7,7 @@
 import cappa
 
 from oleanderstair import errors
-from oleanderstair.explaining import lines, stories
+from oleanderstair.explaining import failures, lines, stories
 from oleanderstair.ui import output
 
 _Files: typing.TypeAlias = typing.Annotated[
@@ -19,11 +19,7 @@
 
 def explain(command: 'Explain') -> None:
     """Print what was decided on a request, in order, and the cause."""
-    said: list[stories.Said] = []
-    for path in command.files:
-        with path.open(encoding='utf-8', errors='replace') as opened:
-            said.extend(stories.read(path.stem, opened))
-    story = stories.follow(command.id, said)
+    story = stories.follow(command.id, _read(command.files))
     if command.json:
         output.show([_document_of(story)], as_json=True)
     else:
@@ -32,6 +28,20 @@
         raise SystemExit(output.EXIT_NO)
 
 
+def list_failed(command: 'LogsFailed') -> None:
+    """Print the requests that were not answered well, and their causes."""
+    said = _read(command.files)
+    found = failures.find(said)
+    counts = [row._asdict() for row in failures.count(said, found)]
+    rows = [failure._asdict() for failure in found]
+    if command.json:
+        output.show([{'failed': rows, 'counts': counts}], as_json=True)
+        return
+    if not command.counts:
+        output.show([_brief(failure) for failure in found], as_json=False)
+    output.show(counts, as_json=False)
+
+
 def check_logs(command: 'LogsCheck') -> None:
     """Count the lines of each kind; exit 1 where a line can't be read."""
     faulty: list[errors.Problem] = []
@@ -66,12 +76,43 @@
     json: output.AsJson = False
 
 
+@cappa.command(name='failed', invoke=list_failed)
+@dataclasses.dataclass
+class LogsFailed:
+    """List the requests that were refused, failed or late, by cause."""
+
+    files: _Files
+    counts: typing.Annotated[
+        bool,
+        cappa.Arg(long='--counts', help='Print how many by cause alone.'),
+    ] = False
+    json: output.AsJson = False
+
+
 @cappa.command(name='logs')
 @dataclasses.dataclass
 class Logs:
     """Work with logs."""
 
-    command: cappa.Subcommands[LogsCheck]
+    command: cappa.Subcommands[LogsCheck | LogsFailed]
+
+
+def _read(paths: typing.Iterable[pathlib.Path]) -> list[stories.Said]:
+    said: list[stories.Said] = []
+    for path in paths:
+        with path.open(encoding='utf-8', errors='replace') as opened:
+            said.extend(stories.read(path.stem, opened))
+    return said
+
+
+def _brief(failure: failures.Failure) -> dict[str, object]:
+    return {
+        'at': f'{failure.at_s:.4f}',
+        'instance': failure.source,
+        'id': failure.request_id,
+        'told': failure.told,
+        'why': failure.why,
+    }
 
 
 def _print(story: stories.Story) -> None:
