Read bodies of callers in one place

Both listeners turned a body that is too large or too slow into the same refusal by the same three branches. What callers are told is unchanged.

--- a/oleanderstair/engine/callers.py
+++ b/oleanderstair/engine/callers.py
@@ -4,7 +4,6 @@
 import urllib.parse
 
 from oleanderstair import settings
-from oleanderstair.domain import outcomes
 from oleanderstair.domain.calls import addresses
 from oleanderstair.domain.tables import instances
 from oleanderstair.engine import (
@@ -43,22 +42,22 @@
             await self._answer_addresses(scope, send)
             return
         if _is_declared_above(scope, self._bounds.max_body_bytes):
-            await self._reject(scope, send, _BODY_TOO_LARGE)
+            await self._reject(scope, send, incoming.BODY_TOO_LARGE)
             return
+        bounds = incoming.BodyBounds(
+            self._bounds.max_body_bytes,
+            self._bounds.request_time_ms,
+            'within request_time_ms',
+        )
         try:
-            body = await asgi.read_body(
-                receive,
-                self._bounds.max_body_bytes,
-                self._bounds.request_time_ms,
-            )
-        except asgi.BodyTooLarge:
-            await self._reject(scope, send, _BODY_TOO_LARGE)
-        except asgi.BodyTooSlow:
-            await self._reject(scope, send, _BODY_TOO_SLOW)
+            body = await incoming.read_body(receive, bounds)
         except asgi.Disconnected:
             self._shell.metrics.count('caller-left', 'in-body')
-        else:
-            await self._carry(scope, body, send)
+            return
+        if isinstance(body, incoming.BadRequest):
+            await self._reject(scope, send, body)
+            return
+        await self._carry(scope, body, send)
 
     async def _carry(
         self,
@@ -116,16 +115,6 @@
     return bool(declared) and int(declared) > max_bytes
 
 
-_BODY_TOO_LARGE: typing.Final = incoming.BadRequest(
-    outcomes.Reason.TOO_LARGE,
-    'the body is larger than max_body_bytes',
-)
-_BODY_TOO_SLOW: typing.Final = incoming.BadRequest(
-    outcomes.Reason.TOO_SLOW,
-    'the body did not arrive within request_time_ms',
-)
-
-
 def create(
     carrier: shell.Shell,
     bounds: settings.CallerSettings,
--- a/oleanderstair/engine/incoming.py
+++ b/oleanderstair/engine/incoming.py
@@ -41,6 +41,40 @@
     detail: str
 
 
+BODY_TOO_LARGE: typing.Final = BadRequest(
+    outcomes.Reason.TOO_LARGE,
+    'the body is larger than max_body_bytes',
+)
+"""What a caller is told whose body is too large, declared or sent."""
+
+
+class BodyBounds(typing.NamedTuple):
+    """What a body may hold and take; ``within`` names the time to callers."""
+
+    max_bytes: int
+    time_ms: clock.Millis
+    within: str
+
+
+async def read_body(
+    receive: asgi.Receive,
+    bounds: BodyBounds,
+) -> bytes | BadRequest:
+    """Return the whole body, or why it can't be taken.
+
+    Raises ``asgi.Disconnected`` where the caller has left.
+    """
+    try:
+        return await asgi.read_body(receive, bounds.max_bytes, bounds.time_ms)
+    except asgi.BodyTooLarge:
+        return BODY_TOO_LARGE
+    except asgi.BodyTooSlow:
+        return BadRequest(
+            outcomes.Reason.TOO_SLOW,
+            f'the body did not arrive {bounds.within}',
+        )
+
+
 def read_call(
     scope: asgi.Scope,
     body: bytes,
--- a/oleanderstair/engine/routed_callers.py
+++ b/oleanderstair/engine/routed_callers.py
@@ -60,25 +60,14 @@
     ) -> None:
         """Answer one request."""
         limits = self._limits()
+        bounds = incoming.BodyBounds(
+            limits.max_body_bytes,
+            limits.idle_ms,
+            'in time',
+        )
         began_ms = self._now_ms()
         try:
-            body = await asgi.read_body(
-                receive,
-                limits.max_body_bytes,
-                limits.idle_ms,
-            )
-        except asgi.BodyTooLarge:
-            bad = incoming.BadRequest(
-                outcomes.Reason.TOO_LARGE,
-                'the body is larger than max_body_bytes',
-            )
-            await self._reject(scope, send, bad)
-        except asgi.BodyTooSlow:
-            late = incoming.BadRequest(
-                outcomes.Reason.TOO_SLOW,
-                'the body did not arrive in time',
-            )
-            await self._reject(scope, send, late)
+            body = await incoming.read_body(receive, bounds)
         except asgi.Disconnected:
             found = headers.index(scope['headers']).field_by_name
             self._note_left(
@@ -86,8 +75,11 @@
                 'in-body',
                 self._now_ms() - began_ms,
             )
-        else:
-            await self._carry(scope, body, send)
+            return
+        if isinstance(body, incoming.BadRequest):
+            await self._reject(scope, send, body)
+            return
+        await self._carry(scope, body, send)
 
     async def _carry(
         self,
