--- a/oleanderstair/domain/fleet/meeting.py
+++ b/oleanderstair/domain/fleet/meeting.py
@@ -96,7 +96,7 @@
     if not suspects:
         return []
     suspects.sort(key=lambda row: risen_at_ms[row.incarnation])
-    asked = rosters.compose(state, now_ms, (), ())
+    asked = rosters.compose(state, now_ms)
     return [
         actions.SendPeer(row.incarnation, row.peer_address, asked)
         for row in suspects[:_SUSPECTS_AT_ONCE]
@@ -122,7 +122,7 @@
 ) -> list[actions.Action]:
     """Send the own row to the data centre and to the others' delegates."""
     state.members.version += 1
-    told = rosters.compose(state, now_ms, (), (), messages.Turn.ENDS)
+    told = rosters.compose(state, now_ms, turn=messages.Turn.ENDS)
     return [
         actions.SendPeer(row.incarnation, row.peer_address, told)
         for row in (*members.neighbours(state), *partners.away_delegates(state))
@@ -171,8 +171,7 @@
     count: int,
 ) -> list[actions.Action]:
     near = {row.incarnation: row for row in members.neighbours(state)}
-    own = state.identity.data_centre
-    asked = rosters.compose(state, now_ms, rosters.rows_of(state, [own]), [own])
+    asked = rosters.compose(state, now_ms, [state.identity.data_centre])
     return [
         actions.SendPeer(incarnation, near[incarnation].peer_address, asked)
         for incarnation in partners.next_turns(state, near, count)
@@ -194,7 +193,7 @@
     if not away:
         return []
     chosen = state.rng.choice(away)
-    asked = rosters.compose(state, now_ms, (), ())
+    asked = rosters.compose(state, now_ms)
     return [actions.SendPeer(chosen.incarnation, chosen.peer_address, asked)]
 
 
@@ -209,7 +208,7 @@
     table.greet_due_ms = now_ms + JOIN_MS
     if table.beat > _QUICK_JOINS:
         table.greet_due_ms = now_ms + GREET_MS
-    asked = rosters.compose(state, now_ms, (), ())
+    asked = rosters.compose(state, now_ms)
     return [
         actions.SendPeer('', address, asked)
         for address in members.lost_addresses(state, also_away=True)
@@ -233,5 +232,5 @@
     lost = members.lost_addresses(state, also_away=partners.is_delegate(state))
     if not lost:
         return []
-    asked = rosters.compose(state, now_ms, (), ())
+    asked = rosters.compose(state, now_ms)
     return [actions.SendPeer('', state.rng.choice(lost), asked)]
--- a/oleanderstair/domain/fleet/rosters.py
+++ b/oleanderstair/domain/fleet/rosters.py
@@ -14,15 +14,17 @@
 def compose(
     state: world.World,
     now_ms: clock.Millis,
-    told: tuple[rows.Member, ...],
-    whole: typing.Iterable[str],
+    places: typing.Collection[str] = (),
     turn: messages.Turn = messages.Turn.ASKS,
 ) -> messages.Roster:
-    """Return a roster that begins with the own row; it raises the beat."""
+    """Return a roster of the own row and of all rows of data centres.
+
+    It raises the beat.
+    """
     in_force = state.routes.in_force
     state.members.beat += 1
     return messages.Roster(
-        rows=(members.own_row(state), *told),
+        rows=(members.own_row(state), *_rows_of(state, places)),
         checksum_by_data_centre=members.view(state).checksum_by_data_centre,
         word_age_ms_by_data_centre={
             place: int(now_ms - word_at_ms)
@@ -34,11 +36,11 @@
         revision=state.registry.revision,
         age_ms=age_of(now_ms, state.store.fresh_at_ms),
         turn=turn,
-        whole=tuple(whole),
+        whole=tuple(places),
     )
 
 
-def rows_of(
+def _rows_of(
     state: world.World,
     places: typing.Collection[str],
 ) -> tuple[rows.Member, ...]:
@@ -65,7 +67,7 @@
         # Beats are exchanged whatever the checksums say.
         lacking = [own, *lacking]
     next_turn = messages.Turn.ANSWERS if asked else messages.Turn.ENDS
-    return compose(state, now_ms, rows_of(state, lacking), lacking, next_turn)
+    return compose(state, now_ms, lacking, next_turn)
 
 
 def lacking_places(
