--- a/oleanderstair/domain/configuration/adopting.py
+++ b/oleanderstair/domain/configuration/adopting.py
@@ -15,9 +15,17 @@
 from oleanderstair.domain.tables import catalogue
 
 HISTORY_LIMIT: typing.Final = 256
+"""How many of the last notes are kept, to give to peers that lack them."""
+
 HISTORY_BYTES: typing.Final = 1_000_000
+"""How many bytes the kept notes may have together."""
+
 EARLY_LIMIT: typing.Final = 64
+"""How many notes are kept that came before the one that they follow."""
+
 REFUSAL_LIMIT: typing.Final = 64
+"""How many refused values are remembered, so that each is audited once."""
+
 SERVICE: typing.Final = 'configuration service'
 
 
--- a/oleanderstair/domain/configuration/reading.py
+++ b/oleanderstair/domain/configuration/reading.py
@@ -12,15 +12,25 @@
 from oleanderstair.domain.tables import instances
 
 LIST_NAME: typing.Final = 'instances'
+"""The value of the configuration service that lists the instances."""
+
 FLEET_GAP_MS: typing.Final = 5
 """The least time between two reads of the whole fleet, per kind of read."""
 
 READER_PERIODS: typing.Final = 5
+"""After how many periods of the policy a reader reads the list again."""
+
 OTHER_PERIODS: typing.Final = 20
+"""After how many periods the others do, who hear of it from readers."""
+
 BACKOFF_LIMIT_MS: typing.Final = 8000
+"""How long failed reads are put off at most."""
 
 _JITTER: typing.Final = 0.25
+"""By which part of it a wait varies, so that instances don't read at once."""
+
 _LONGEST_BACKOFF: typing.Final = 5
+"""After how many failures in a row the wait doubles no more."""
 
 
 def on_tick(
--- a/oleanderstair/domain/fleet/sharing.py
+++ b/oleanderstair/domain/fleet/sharing.py
@@ -11,12 +11,19 @@
 from oleanderstair.domain.tables import facts
 
 FACT_LIMIT: typing.Final = 20_000
+"""How many facts are kept: ten for each of 1,800 targets, and some room."""
+
 GONE_ORIGIN_MS: typing.Final = 60_000
+"""How long a fact outlives the instance that stated it."""
+
 LOAD_MS: typing.Final = 5000
+"""How long a target's load is worth telling; loads shift within ms."""
+
 NEWS_ROUNDS: typing.Final = 3
 """In how many rounds each holder sends news on; digests repair the rest."""
 
 _EXPIRY_MS: typing.Final = 1000
+"""How often expired facts are looked for, as all are gone through."""
 
 
 def publish(
--- a/oleanderstair/engine/exchanges.py
+++ b/oleanderstair/engine/exchanges.py
@@ -10,14 +10,29 @@
 from oleanderstair.engine import answers, headers, streams
 
 CONNECT_BOUND_MS: typing.Final = 1000
+"""How long a connection may take to open; one lost packet is sent again."""
+
 IDLE_BOUND_MS: typing.Final = 4000
+"""How long a connection is kept idle; common servers close theirs at 5 s."""
+
 IDLE_PER_TARGET: typing.Final = 8
+"""How many idle connections to a target are kept, two for each of 4 slots."""
+
 OPEN_PER_TARGET: typing.Final = 16
+"""How many connections to a target may be open where no note says it."""
+
 MAX_ANSWER_BYTES: typing.Final = 4_194_304
+"""How large an answer may be, as it is held whole until it is relayed."""
+
 _KEEP_ALIVE_MARGIN_MS: typing.Final = 500
+"""How long before a target would close a connection it is used no more."""
+
 _MS_PER_S: typing.Final = 1000
 _UNAVAILABLE: typing.Final = 503
+"""The status by which a target sheds a call, as HTTP has it."""
+
 _TIMEOUT: typing.Final = b'timeout='
+"""The parameter of Keep-Alive that tells the s a connection may stay idle."""
 
 Answer: typing.TypeAlias = answers.Answer
 
