--- a/bench/figures.py
+++ b/bench/figures.py
@@ -5,12 +5,11 @@
 import typing
 
 from bench import replay
-from oleanderstair.domain import outcomes
+from oleanderstair.domain import actions, outcomes
 
 _LONG_FACTOR: typing.Final = 5
 _HOPS_MS: typing.Final = 1
 _WINDOW_MS: typing.Final = 1000
-_READS_PER_PROBE: typing.Final = 2
 _KINDS: typing.Final = ('i', 'o', 'd')
 
 
@@ -108,4 +107,4 @@
     for index, at_ms in enumerate(times_ms):
         until = bisect.bisect_left(times_ms, at_ms + _WINDOW_MS)
         most = max(most, until - index)
-    return most * _READS_PER_PROBE
+    return most * actions.READS_PER_PROBE
--- a/oleanderstair/domain/actions.py
+++ b/oleanderstair/domain/actions.py
@@ -154,6 +154,10 @@
     bound_ms: clock.Millis
 
 
+READS_PER_PROBE: typing.Final = 2
+"""How many requests a probe is: one for health and one for load."""
+
+
 class Probe(typing.NamedTuple):
     """Read the health and load endpoints of a target."""
 
--- a/oleanderstair/domain/proof/evidence.py
+++ b/oleanderstair/domain/proof/evidence.py
@@ -17,7 +17,6 @@
     actions.RelayHome,
     actions.Refuse,
 )
-READS_PER_PROBE: typing.Final = 2
 
 
 class Receipt(typing.NamedTuple):
--- a/oleanderstair/domain/proof/fleet_checks.py
+++ b/oleanderstair/domain/proof/fleet_checks.py
@@ -4,6 +4,7 @@
 import typing
 
 from oleanderstair import clock
+from oleanderstair.domain import actions
 from oleanderstair.domain.proof import evidence, record, violations
 
 LEAVING_BOUND_MS: typing.Final = 2000
@@ -73,7 +74,7 @@
         recent.append(reading)
         while recent[0].at_ms <= reading.at_ms - _SECOND_MS:
             recent.popleft()
-        reads = len(recent) * evidence.READS_PER_PROBE
+        reads = len(recent) * actions.READS_PER_PROBE
         if reads > reading.budget_per_s:
             found.append(
                 violations.Violation(
--- a/oleanderstair/domain/targets/measuring.py
+++ b/oleanderstair/domain/targets/measuring.py
@@ -14,7 +14,6 @@
 from oleanderstair.domain.targets import shares
 from oleanderstair.domain.tables import budgets, catalogue, instances, targets
 
-READS_PER_PROBE: typing.Final = 2
 _BUDGET_USED: typing.Final = 0.8
 _INTERVAL_MS: typing.Final = 1050
 _PERIOD_MS: typing.Final = 200
@@ -84,7 +83,7 @@
 
 def _interval_ms(service: catalogue.Service) -> clock.Millis:
     budget = service.probe_budget_per_s * _BUDGET_USED
-    return max(_INTERVAL_MS, _INTERVAL_MS * READS_PER_PROBE / budget)
+    return max(_INTERVAL_MS, _INTERVAL_MS * actions.READS_PER_PROBE / budget)
 
 
 def _turn_of(
@@ -123,7 +122,7 @@
     if service.probe_budget_per_s <= 0:
         return ()
     reads = service.probe_budget_per_s * _BUDGET_USED
-    probers = max(int(reads / READS_PER_PROBE), 1)
+    probers = max(int(reads / actions.READS_PER_PROBE), 1)
     largest = max(state.instances.largest_count, len(roster))
     allowed = probers * len(roster) // largest
     chosen = rendezvous.first(roster, service.name, allowed)
