--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,21 +1,14 @@
 """Measures the slopes from which docs/CAPACITY.md works out each role."""
 
-import os
-import pathlib
 import random
 import statistics
-import subprocess
-import sys
-import tempfile
 import time
 import tracemalloc
 import typing
 
-import anyio
-import anyio.abc
-import httpcore
 import msgspec
 
+from bench import capacity_figures, daemon_capacity
 from oleanderstair.domain import (
     actions,
     balancer,
@@ -27,8 +20,7 @@
 from oleanderstair.domain.configuration import notes
 from oleanderstair.domain.fleet import codec
 from oleanderstair.domain.tables import catalogue, identity, instances, keys
-from oleanderstair.emulator import fleet, harness
-from oleanderstair.engine import headers
+from oleanderstair.emulator import harness
 
 _TICKS: typing.Final = 40
 _CALLS: typing.Final = 2000
@@ -39,21 +31,11 @@
 _STEP_MS: typing.Final = 10
 _ROWS: typing.Final = 5000
 _US: typing.Final = 1e6
-_LOADS: typing.Final = (400, 1200)
 _SIZES: typing.Final = ((11, 180), (110, 1800))
 _FLEETS: typing.Final = (10, 30)
 _SERVICE_SIZES: typing.Final = (16, 64)
 
 
-class Figure(typing.NamedTuple):
-    """One measured figure."""
-
-    what: str
-    size: str
-    amount: float
-    unit: str
-
-
 def make_fleet(
     service_count: int,
     target_count: int,
@@ -74,14 +56,18 @@
     return made
 
 
-def measure_ticks() -> typing.Iterator[Figure]:
+def measure_ticks() -> typing.Iterator[capacity_figures.Figure]:
     """Measure one tick by catalogue and by fleet."""
     for services, targets in _SIZES:
         made = make_fleet(services, targets, 3)
-        yield Figure('tick', f'{targets} targets', _tick_us(made), 'us')
+        yield capacity_figures.Figure(
+            'tick', f'{targets} targets', _tick_us(made), 'us'
+        )
     for count in _FLEETS:
         made = make_fleet(2, 27, count)
-        yield Figure('tick', f'{count} instances', _tick_us(made), 'us')
+        yield capacity_figures.Figure(
+            'tick', f'{count} instances', _tick_us(made), 'us'
+        )
 
 
 def _tick_us(made: harness.Harness) -> float:
@@ -96,15 +82,17 @@
     return statistics.mean(taken) * _US
 
 
-def measure_calls() -> typing.Iterator[Figure]:
+def measure_calls() -> typing.Iterator[capacity_figures.Figure]:
     """Measure the decisions of one call by size of service and catalogue."""
     for count in _SERVICE_SIZES:
         made = make_fleet(1, count, 1)
         what = 'decide one call'
-        yield Figure(what, f'{count} targets in it', _call_us(made), 'us')
+        yield capacity_figures.Figure(
+            what, f'{count} targets in it', _call_us(made), 'us'
+        )
     for services, targets in _SIZES:
         made = make_fleet(services, targets, 1)
-        yield Figure(
+        yield capacity_figures.Figure(
             'decide one call', f'{targets} in all', _call_us(made), 'us'
         )
 
@@ -142,7 +130,7 @@
             balancer.step(state, ended, now_ms)
 
 
-def measure_notes() -> typing.Iterator[Figure]:
+def measure_notes() -> typing.Iterator[capacity_figures.Figure]:
     """Measure how long a note of one change takes to apply, and its size."""
     for services, targets in _SIZES:
         made = make_fleet(services, targets, 1)
@@ -160,13 +148,17 @@
             notes.apply_note(before, notes.parse(body).unwrap()).unwrap()
             taken.append(time.perf_counter() - started)
         size = f'{targets} targets'
-        yield Figure('apply one note', size, min(taken) * _US, 'us')
-        yield Figure('note of one change', size, len(body), 'bytes')
+        yield capacity_figures.Figure(
+            'apply one note', size, min(taken) * _US, 'us'
+        )
+        yield capacity_figures.Figure(
+            'note of one change', size, len(body), 'bytes'
+        )
         whole = len(made.body_by_name['notes/1'])
-        yield Figure('first note', size, whole, 'bytes')
+        yield capacity_figures.Figure('first note', size, whole, 'bytes')
 
 
-def measure_peers() -> typing.Iterator[Figure]:
+def measure_peers() -> typing.Iterator[capacity_figures.Figure]:
     """Measure what an instance sends to peers, and what a fact weighs."""
     for count in _FLEETS:
         made = make_fleet(2, 27, count)
@@ -182,11 +174,19 @@
         span_s = _MEASURED_MS / 1000
         size = f'{count} instances'
         amount = sum(len(frame) for frame in sent) / span_s
-        yield Figure('sent to peers, idle', size, amount, 'bytes/s')
-        yield Figure('messages to peers, idle', size, len(sent) / span_s, '/s')
+        yield capacity_figures.Figure(
+            'sent to peers, idle', size, amount, 'bytes/s'
+        )
+        yield capacity_figures.Figure(
+            'messages to peers, idle', size, len(sent) / span_s, '/s'
+        )
         amount = (made.platform_reads - reads) / span_s
-        yield Figure('reads of values, whole fleet', size, amount, '/s')
-        yield Figure('note in force everywhere', size, _spread_ms(made), 'ms')
+        yield capacity_figures.Figure(
+            'reads of values, whole fleet', size, amount, '/s'
+        )
+        yield capacity_figures.Figure(
+            'note in force everywhere', size, _spread_ms(made), 'ms'
+        )
     for count in (1, 50):
         facts = tuple(
             messages.Fact(
@@ -199,7 +199,7 @@
             for number in range(count)
         )
         frame = codec.encode(messages.Facts(facts))
-        yield Figure(
+        yield capacity_figures.Figure(
             'message of load facts', f'{count} facts', len(frame), 'bytes'
         )
 
@@ -217,7 +217,7 @@
             return made.clock.now_ms() - published_ms
 
 
-def measure_memory() -> typing.Iterator[Figure]:
+def measure_memory() -> typing.Iterator[capacity_figures.Figure]:
     """Measure the memory of one row of the large tables."""
     tracemalloc.start()
     for services, targets in _SIZES:
@@ -238,10 +238,16 @@
         kept = notes.apply_note(catalogue.empty(), note).unwrap()
         after, _ = tracemalloc.get_traced_memory()
         per_target = (after - base) / len(kept.target_by_id)
-        yield Figure('catalogue row', f'{targets} targets', per_target, 'bytes')
+        yield capacity_figures.Figure(
+            'catalogue row', f'{targets} targets', per_target, 'bytes'
+        )
         del note, kept
-    yield Figure('key record', f'{_ROWS} rows', _key_bytes(), 'bytes')
-    yield Figure('peer row', f'{_ROWS} rows', _peer_bytes(), 'bytes')
+    yield capacity_figures.Figure(
+        'key record', f'{_ROWS} rows', _key_bytes(), 'bytes'
+    )
+    yield capacity_figures.Figure(
+        'peer row', f'{_ROWS} rows', _peer_bytes(), 'bytes'
+    )
     tracemalloc.stop()
 
 
@@ -282,130 +288,18 @@
     return (after - before) / _ROWS
 
 
-def measure_daemon() -> typing.Iterator[Figure]:
-    """Measure a real daemon: processor time of a call, and resident size."""
-    yield from anyio.run(_measure_daemon)
-
-
-async def _measure_daemon() -> list[Figure]:
-    found: list[Figure] = []
-    with tempfile.TemporaryDirectory() as folder:
-        async with anyio.create_task_group() as tasks:
-            deployment = fleet.create(fleet.COOPERATIVE, tasks)
-            deployment.platform.publish(deployment.first_note())
-            with anyio.fail_after(60):
-                found = await _load_daemon(deployment, pathlib.Path(folder))
-            tasks.cancel_scope.cancel()
-    return found
-
-
-async def _load_daemon(
-    deployment: fleet.Fleet,
-    folder: pathlib.Path,
-) -> list[Figure]:
-    tree = deployment.node_settings('entry-1', 'trnava')
-    tree['policy'] = {'confirm_without_peers': True}
-    tree['log'] = {'to': 'stderr'}
-    path = folder / 'entry.jsonc'
-    path.write_bytes(msgspec.json.encode(tree))
-    command = [sys.executable, '-m', 'oleanderstair.daemon', '--settings']
-    process = await anyio.open_process(
-        [*command, str(path)],
-        stdout=subprocess.DEVNULL,
-    )
-    try:
-        pairs = await _read_addresses(process)
-        found = await _figures_of(process.pid, pairs['callers'])
-        return [*found, *await _added_of(pairs['admin'])]
-    finally:
-        process.kill()
-        await process.aclose()
-
-
-async def _added_of(address: str) -> list[Figure]:
-    async with httpcore.AsyncConnectionPool() as pool:
-        answer = await pool.request('GET', f'http://{address}/metrics')
-    return [
-        Figure('added to a call', name, added_ms, 'ms')
-        for found in msgspec.json.decode(answer.content)['histograms']
-        if found['name'] == 'added-ms'
-        for name, added_ms in found['percentiles_ms'].items()
-    ]
-
-
-async def _read_addresses(process: anyio.abc.Process) -> dict[str, str]:
-    assert process.stderr is not None
-    line = (await process.stderr.receive()).decode().split('\n')[0]
-    return dict(pair.split('=', 1) for pair in line.split())
-
-
-async def _figures_of(pid: int, address: str) -> list[Figure]:
-    found = []
-    await anyio.sleep(3)
-    spent_before = _cpu_s(pid)
-    await anyio.sleep(_MEASURED_MS / 1000)
-    idle = (_cpu_s(pid) - spent_before) / (_MEASURED_MS / 1000)
-    found.append(Figure('idle daemon', '1 instance', idle * 100, '% core'))
-    for calls in _LOADS:
-        spent_before = _cpu_s(pid)
-        started = time.perf_counter()
-        took_ms = await _send_calls(address, calls)
-        span_s = time.perf_counter() - started
-        spent = _cpu_s(pid) - spent_before - idle * span_s
-        size = f'{calls} calls'
-        found.append(
-            Figure('whole call in a daemon', size, spent / calls * _US, 'us'),
-        )
-        cuts = statistics.quantiles(took_ms, n=100)
-        found.append(Figure('p50 at the caller', size, cuts[49], 'ms'))
-        found.append(Figure('p99 at the caller', size, cuts[98], 'ms'))
-    status = pathlib.Path(f'/proc/{pid}/status').read_text(encoding='utf-8')
-    resident = next(
-        line for line in status.splitlines() if line.startswith('VmRSS')
-    )
-    resident_mb = int(resident.split()[1]) / 1024
-    found.append(Figure('resident size', '27 targets', resident_mb, 'MB'))
-    return found
-
-
-async def _send_calls(address: str, calls: int) -> list[float]:
-    took_ms = []
-    async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
-        for _ in range(calls):
-            started = time.perf_counter()
-            answer = await pool.request(
-                'GET',
-                f'http://{address}/listings',
-                headers=[(headers.SERVICE, b'burza')],
-            )
-            took_ms.append((time.perf_counter() - started) * 1000)
-            if answer.status != 200:
-                raise SystemExit(f'a call was answered {answer.status}')
-    return took_ms
-
-
-def _cpu_s(pid: int) -> float:
-    text = pathlib.Path(f'/proc/{pid}/stat').read_text(encoding='utf-8')
-    fields = text.rpartition(')')[2].split()
-    ticks = int(fields[11]) + int(fields[12])
-    return ticks / os.sysconf('SC_CLK_TCK')
-
-
 def main() -> None:
     """Print every figure as a row of a table."""
-    sys.stdout.write('| what | size | figure |\n|---|---|---|\n')
-    for measure in (
-        measure_ticks,
-        measure_calls,
-        measure_notes,
-        measure_peers,
-        measure_memory,
-        measure_daemon,
-    ):
-        for found in measure():
-            amount = f'{found.amount:,.1f} {found.unit}'
-            sys.stdout.write(f'| {found.what} | {found.size} | {amount} |\n')
-            sys.stdout.flush()
+    capacity_figures.show(
+        (
+            measure_ticks,
+            measure_calls,
+            measure_notes,
+            measure_peers,
+            measure_memory,
+            daemon_capacity.measure_daemon,
+        ),
+    )
 
 
 if __name__ == '__main__':
--- a/bench/gateway_capacity.py
+++ b/bench/gateway_capacity.py
@@ -4,7 +4,6 @@
 lives, and knows what the instance knows.
 """
 
-import dataclasses
 import random
 import subprocess
 import sys
@@ -12,11 +11,11 @@
 import tracemalloc
 import typing
 
+from bench import capacity_figures, gateway_peers
 from oleanderstair.domain import (
     actions,
     events,
     gateway,
-    messages,
     policy,
     world,
 )
@@ -48,48 +47,16 @@
 _US: typing.Final = 1e6
 
 
-class Figure(typing.NamedTuple):
-    """One measured figure."""
-
-    what: str
-    size: str
-    amount: float
-    unit: str
-
-
-@dataclasses.dataclass(slots=True)
-class Peers:
-    """What the peers of one instance cost it in a span of time.
-
-    Processor time in s, then bytes and messages.
-    """
-
-    tick_s: float = 0
-    heard_s: float = 0
-    sent_bytes: int = 0
-    sent: int = 0
-    heard: int = 0
-
-    def send(self, frames: typing.Iterable[tuple[str, bytes]]) -> None:
-        """Count what is sent."""
-        for _, frame in frames:
-            self.sent += 1
-            self.sent_bytes += len(frame)
-
-
 def main() -> None:
     """Print every figure as a row of a table."""
-    sys.stdout.write('| what | size | figure |\n|---|---|---|\n')
-    for measure in (
-        measure_process,
-        measure_targets,
-        measure_calls,
-        measure_instances,
-    ):
-        for found in measure():
-            amount = f'{found.amount:,.1f} {found.unit}'
-            sys.stdout.write(f'| {found.what} | {found.size} | {amount} |\n')
-            sys.stdout.flush()
+    capacity_figures.show(
+        (
+            measure_process,
+            measure_targets,
+            measure_calls,
+            measure_instances,
+        ),
+    )
 
 
 def create(target_count: int, instance_count: int) -> world.World:
@@ -111,7 +78,7 @@
     return state
 
 
-def measure_process() -> typing.Iterator[Figure]:
+def measure_process() -> typing.Iterator[capacity_figures.Figure]:
     """Measure the resident size of a daemon before it serves."""
     program = (
         'import pathlib, oleanderstair.platform.node;'
@@ -122,10 +89,12 @@
         found for found in status.splitlines() if found.startswith('VmRSS')
     )
     resident_mb = int(line.split()[1]) / 1024
-    yield Figure('resident size', 'modules alone', resident_mb, 'MB')
+    yield capacity_figures.Figure(
+        'resident size', 'modules alone', resident_mb, 'MB'
+    )
 
 
-def measure_targets() -> typing.Iterator[Figure]:
+def measure_targets() -> typing.Iterator[capacity_figures.Figure]:
     """Measure memory, ticks and changes by the number of targets."""
     for count in _TARGETS:
         size = f'{count} targets'
@@ -133,11 +102,15 @@
         state = create(count, _FEW_INSTANCES)
         kept, _ = tracemalloc.get_traced_memory()
         tracemalloc.stop()
-        yield Figure('tables', size, kept / 1024, 'KB')
-        peers = run_peers(state)
+        yield capacity_figures.Figure('tables', size, kept / 1024, 'KB')
+        peers = gateway_peers.run(state, _SPAN_MS)
         ticks = _SPAN_MS / state.policy.tick_ms
-        yield Figure('tick', size, peers.tick_s / ticks * _US, 'us')
-        yield Figure('one target changes', size, _change_us(state), 'us')
+        yield capacity_figures.Figure(
+            'tick', size, peers.tick_s / ticks * _US, 'us'
+        )
+        yield capacity_figures.Figure(
+            'one target changes', size, _change_us(state), 'us'
+        )
         known = telling.position(state)
         yield from _tellings(state, known, size)
 
@@ -146,7 +119,7 @@
     state: world.World,
     known: store.Position,
     size: str,
-) -> typing.Iterator[Figure]:
+) -> typing.Iterator[capacity_figures.Figure]:
     lacking_by_what = {
         'confirmation': known,
         'one change of a target': known._replace(revision=known.revision - 1),
@@ -155,12 +128,16 @@
     }
     for what, lacking in lacking_by_what.items():
         frame = codec.encode(telling.state_since(state, lacking, 0))
-        yield Figure(f'told: {what}', size, len(frame), 'bytes')
+        yield capacity_figures.Figure(
+            f'told: {what}', size, len(frame), 'bytes'
+        )
         started_s = time.thread_time()
         for _ in range(_CHANGES):
             codec.decode(frame).unwrap()
         spent_s = (time.thread_time() - started_s) / _CHANGES
-        yield Figure(f'decoded: {what}', size, spent_s * _US, 'us')
+        yield capacity_figures.Figure(
+            f'decoded: {what}', size, spent_s * _US, 'us'
+        )
 
 
 def _change_us(state: world.World) -> float:
@@ -173,12 +150,14 @@
     return (time.thread_time() - started_s) / _CHANGES * _US
 
 
-def measure_calls() -> typing.Iterator[Figure]:
+def measure_calls() -> typing.Iterator[capacity_figures.Figure]:
     """Measure the decisions of one call, its reads of loads included."""
     for count in _TARGETS:
         spent_s = _decide_all(create(count, _FEW_INSTANCES))
         size = f'{count} targets'
-        yield Figure('decide one call', size, spent_s / _CALLS * _US, 'us')
+        yield capacity_figures.Figure(
+            'decide one call', size, spent_s / _CALLS * _US, 'us'
+        )
 
 
 def _decide_all(state: world.World) -> float:
@@ -224,7 +203,7 @@
                 )
 
 
-def measure_instances() -> typing.Iterator[Figure]:
+def measure_instances() -> typing.Iterator[capacity_figures.Figure]:
     """Measure what the rounds of membership cost by size of fleet."""
     for count in _INSTANCES:
         size = f'{count} instances'
@@ -232,16 +211,24 @@
         state = create(_FEW_TARGETS, count)
         kept, _ = tracemalloc.get_traced_memory()
         tracemalloc.stop()
-        peers = run_peers(state)
+        peers = gateway_peers.run(state, _SPAN_MS)
         span_s = _SPAN_MS / _MS
-        yield Figure('tables', size, kept / 1024, 'KB')
-        yield Figure('ticks', size, peers.tick_s / span_s * _MS, 'ms/s')
-        yield Figure('peers heard', size, peers.heard_s / span_s * _MS, 'ms/s')
-        yield Figure(
+        yield capacity_figures.Figure('tables', size, kept / 1024, 'KB')
+        yield capacity_figures.Figure(
+            'ticks', size, peers.tick_s / span_s * _MS, 'ms/s'
+        )
+        yield capacity_figures.Figure(
+            'peers heard', size, peers.heard_s / span_s * _MS, 'ms/s'
+        )
+        yield capacity_figures.Figure(
             'sent to peers', size, peers.sent_bytes / span_s, 'bytes/s'
         )
-        yield Figure('messages sent', size, peers.sent / span_s, '/s')
-        yield Figure('messages heard', size, peers.heard / span_s, '/s')
+        yield capacity_figures.Figure(
+            'messages sent', size, peers.sent / span_s, '/s'
+        )
+        yield capacity_figures.Figure(
+            'messages heard', size, peers.heard / span_s, '/s'
+        )
         living = sum(
             map(len, members.view(state).living_by_data_centre.values())
         )
@@ -249,91 +236,6 @@
             raise SystemExit(f'{living} of {count} instances are held alive')
 
 
-def run_peers(state: world.World) -> Peers:
-    """Step ticks for a span, and answer for the peers.
-
-    Each of those that are asked asks once as well.
-    """
-    peers = Peers()
-    for now_ms in range(0, _SPAN_MS, int(state.policy.tick_ms)):
-        state.store.fresh_at_ms = now_ms
-        _hear_away(state, now_ms)
-        began_s = time.thread_time()
-        frames = _told(gateway.step(state, events.Tick(), now_ms))
-        peers.tick_s += time.thread_time() - began_s
-        peers.send(frames)
-        for asked, _ in frames:
-            for reply in _replies(state, asked, now_ms):
-                _hear(state, peers, events.PeerHeard(asked, reply), now_ms)
-    return peers
-
-
-def _hear(
-    state: world.World,
-    peers: Peers,
-    event: events.PeerHeard,
-    now_ms: int,
-) -> None:
-    frame = codec.encode(event.message)
-    began_s = time.thread_time()
-    heard = event._replace(message=codec.decode(frame).unwrap())
-    frames = _told(gateway.step(state, heard, now_ms))
-    peers.heard_s += time.thread_time() - began_s
-    peers.heard += 1
-    peers.send(frames)
-
-
-def _hear_away(state: world.World, now_ms: int) -> None:
-    """Let word of each other data centre have come just now."""
-    for place in state.members.word_at_ms_by_data_centre:
-        members.hear_word(state, place, now_ms)
-
-
-def _told(done: typing.Iterable[actions.Action]) -> list[tuple[str, bytes]]:
-    return [
-        (action.incarnation, codec.encode(action.message))
-        for action in done
-        if isinstance(action, actions.SendPeer)
-    ]
-
-
-def _replies(
-    state: world.World,
-    incarnation: str,
-    now_ms: int,
-) -> list[messages.Roster]:
-    """Return a peer's answer to a question, and a question of its own."""
-    table = state.members
-    if incarnation not in table.by_incarnation:
-        return []
-    risen = [
-        row._replace(beat=now_ms // state.policy.tick_ms + 1)
-        for row in table.by_incarnation.values()
-        if row.data_centre == state.identity.data_centre
-    ]
-    sender = table.by_incarnation[incarnation]
-    near = sender.data_centre == state.identity.data_centre
-    if near:
-        others = [row for row in risen if row.incarnation != incarnation]
-        sender = sender._replace(beat=now_ms // state.policy.tick_ms + 1)
-    told = (sender, *others, members.own_row(state)) if near else (sender,)
-    known = telling.position(state)
-    roster = messages.Roster(
-        rows=told,
-        checksum_by_data_centre=members.view(state).checksum_by_data_centre,
-        word_age_ms_by_data_centre=dict.fromkeys(
-            table.word_at_ms_by_data_centre,
-            0,
-        ),
-        number=known.number,
-        revision=known.revision,
-        age_ms=0,
-        whole=(sender.data_centre,) if near else (),
-    )
-    turns = (messages.Turn.ANSWERS, messages.Turn.ASKS)
-    return [roster._replace(turn=turn) for turn in turns]
-
-
 def _place(number: int) -> str:
     return f'place-{number % _PLACES:02}'
 
--- a/test/test_bench.py
+++ b/test/test_bench.py
@@ -1,6 +1,13 @@
 """The trace replay gives the same figures for the same seed."""
 
-from bench import figures, gateway_capacity, gateways, replay, traces
+from bench import (
+    figures,
+    gateway_capacity,
+    gateway_peers,
+    gateways,
+    replay,
+    traces,
+)
 from oleanderstair.domain.fleet import members
 
 
@@ -29,7 +36,7 @@
 
 def test_a_capacity_run_keeps_every_instance_alive():
     state = gateway_capacity.create(target_count=30, instance_count=40)
-    peers = gateway_capacity.run_peers(state)
+    peers = gateway_peers.run(state, span_ms=20_000)
     living = members.view(state).living_by_data_centre.values()
     assert sum(map(len, living)) == 40
     assert peers.heard
