--- a/test/test_notes.py
+++ b/test/test_notes.py
@@ -6,17 +6,14 @@
 import pytest
 from hypothesis import strategies
 
-from oleanderstair.domain import actions, events, messages, outcomes
+from oleanderstair.domain import actions, events, outcomes
 from oleanderstair.domain.configuration import (
     adopting,
-    catalogues,
-    notes,
     spread,
     standing,
 )
-from oleanderstair.domain.tables import catalogue, instances
-from oleanderstair.emulator import harness
-from test import helper
+from oleanderstair.domain.tables import instances
+from test import helper, notes_scene
 
 BOUNDED = hypothesis.settings(
     derandomize=True,
@@ -24,87 +21,6 @@
     max_examples=12,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
-PLACES = ('trnava', 'nitra', 'senec')
-
-
-class Watched(harness.Harness):
-    """A harness that checks after each step that no number fell."""
-
-    def __init__(self, seed):
-        super().__init__(seed)
-        self.highest_by_incarnation = {}
-        self.lag_by_id = {}
-        self.read_rule = self.read_stale
-
-    def _step(self, instance, event):
-        super()._step(instance, event)
-        incarnation = instance.state.identity.incarnation
-        number = instance.state.catalogue.in_force.number
-        before = self.highest_by_incarnation.get(incarnation, 0)
-        assert number >= before, f'{incarnation} fell to note {number}'
-        self.highest_by_incarnation[incarnation] = number
-
-    @property
-    def latest(self):
-        return self._number
-
-    def read_stale(self, reader, name):
-        number = max(self._number - self.lag_by_id.get(reader, 0), 0)
-        if name == spread.HEAD_NAME and number != self._number:
-            body = self.body_by_name.get(spread.note_name(number))
-            if body is None:
-                return None
-            digest = notes.digest(body)
-            return b'{"number":%d,"digest":"%s"}' % (number, digest.encode())
-        if name == catalogues.INDEX_NAME and number != self._number:
-            return None
-        return self.body_by_name.get(name)
-
-
-def note_of(number):
-    entry = harness.target_entry(harness.Target(f'burza-{number}'), 'burza')
-    if number == 1:
-        return harness.first_note({'burza': [harness.Target('burza-1')]})
-    return {'added': {'targets': [entry]}}
-
-
-def make(count, seed, published=3):
-    made = Watched(seed)
-    for number in range(1, published + 1):
-        made.publish(note_of(number))
-    for number in range(count):
-        made.add_instance(f'entry-{number}', PLACES[number % len(PLACES)])
-    return made
-
-
-def place_of(instance_id):
-    return PLACES[int(instance_id.rpartition('-')[2]) % len(PLACES)]
-
-
-def numbers(made):
-    return {
-        instance.state.catalogue.in_force.number
-        for instance in made.instance_by_id.values()
-    }
-
-
-def phases(made):
-    return {
-        instance.state.instances.phase
-        for instance in made.instance_by_id.values()
-    }
-
-
-def publish_compacted(made):
-    whole = catalogue.empty()
-    for number in itertools.count(1):
-        body = made.body_by_name.get(spread.note_name(number))
-        if body is None:
-            break
-        note = notes.parse(body).ok_value
-        whole = notes.apply_note(whole, note).ok_value
-    for published in catalogues.split(whole).ok_value:
-        made.body_by_name[published.name] = published.body
 
 
 NAMES = strategies.sampled_from([f'entry-{number}' for number in range(5)])
@@ -145,12 +61,14 @@
 
 def restart(made, instance_id):
     made.kill(instance_id)
-    made.add_instance(instance_id, place_of(instance_id))
+    made.add_instance(instance_id, notes_scene.place_of(instance_id))
 
 
 ACT_BY_KIND = {
-    'publish': lambda made, network: made.publish(note_of(made.latest + 1)),
-    'compact': lambda made, network: publish_compacted(made),
+    'publish': lambda made, network: made.publish(
+        notes_scene.note_of(made.latest + 1)
+    ),
+    'compact': lambda made, network: notes_scene.publish_compacted(made),
     'restart': lambda made, network, name: restart(made, name),
     'lag': lambda made, network, name, lag: made.lag_by_id.update({name: lag}),
     'cut': lambda made, network, names: setattr(network, 'cut', names),
@@ -162,7 +80,7 @@
 
 
 def run_faults(faults, seed):
-    made = make(5, seed)
+    made = notes_scene.make(5, seed)
     network = Network(made.rng)
     made.link_rule = network
     for fault in faults:
@@ -173,8 +91,8 @@
     made.lag_by_id.clear()
     made.platform_down = False
     made.run_for(40_000)
-    assert numbers(made) == {made.latest}
-    assert phases(made) == {instances.Phase.SERVING}
+    assert notes_scene.numbers(made) == {made.latest}
+    assert notes_scene.phases(made) == {instances.Phase.SERVING}
 
 
 @BOUNDED
@@ -206,15 +124,15 @@
     strategies.integers(0, 1000),
 )
 def test_restarted_instance_takes_the_peers_note_first(lag, loss, seed):
-    made = make(5, seed, published=5)
+    made = notes_scene.make(5, seed, published=5)
     network = Network(made.rng)
     made.link_rule = network
     made.run_for(8000)
-    assert phases(made) == {instances.Phase.SERVING}
+    assert notes_scene.phases(made) == {instances.Phase.SERVING}
     network.loss = loss
     made.lag_by_id = {f'entry-{number}': lag for number in range(5)}
     made.kill('entry-2')
-    state = made.add_instance('entry-2', place_of('entry-2'))
+    state = made.add_instance('entry-2', notes_scene.place_of('entry-2'))
     while state.instances.phase is instances.Phase.UNCONFIRMED:
         refused = made.call('entry-2')
         told = made.told_by_call[refused]
@@ -226,14 +144,14 @@
 
 
 def test_cold_start_needs_a_majority_and_takes_the_highest_head():
-    made = make(5, 1, published=4)
+    made = notes_scene.make(5, 1, published=4)
     made.lag_by_id = {'entry-0': 2, 'entry-1': 2, 'entry-2': 3}
     made.kill('entry-3')
     made.kill('entry-4')
     alone = made.instance_by_id['entry-0'].state
     made.link_rule = lambda sender, receiver, message: ()
     made.run_for(10_000)
-    assert phases(made) == {instances.Phase.UNCONFIRMED}
+    assert notes_scene.phases(made) == {instances.Phase.UNCONFIRMED}
     assert 'majority' in alone.instances.waits_for
     made.link_rule = lambda sender, receiver, message: (1,)
     made.run_for(6000)
@@ -245,15 +163,15 @@
 
 
 def test_one_reader_is_enough_while_the_service_is_down_for_the_others():
-    made = make(5, 1)
+    made = notes_scene.make(5, 1)
     made.run_for(8000)
     read = made.read_rule
     made.read_rule = lambda reader, name: (
         read(reader, name) if reader == 'entry-1' else None
     )
-    made.publish(note_of(4))
+    made.publish(notes_scene.note_of(4))
     made.run_for(2000)
-    assert numbers(made) == {4}
+    assert notes_scene.numbers(made) == {4}
     states = [found.state for found in made.instance_by_id.values()]
     now_ms = made.clock.now_ms()
     assert {standing.accepted(state, now_ms) for state in states} == {
@@ -262,7 +180,7 @@
 
 
 def test_note_is_only_seen_by_a_minority():
-    made = make(5, 1)
+    made = notes_scene.make(5, 1)
     made.run_for(8000)
     network = Network(made.rng)
     network.cut = {'entry-1', 'entry-2'}
@@ -270,7 +188,7 @@
     made.read_rule = lambda reader, name: (
         made.body_by_name.get(name) if reader in network.cut else None
     )
-    made.publish(note_of(4))
+    made.publish(notes_scene.note_of(4))
     made.run_for(8000)
     state = made.instance_by_id['entry-1'].state
     report = standing.report(state, made.clock.now_ms())
@@ -282,7 +200,7 @@
 
 
 def test_fork_is_refused_once_and_healed_by_a_whole_catalogue():
-    made = make(4, 1)
+    made = notes_scene.make(4, 1)
     made.run_for(8000)
     other = {
         'number': 4,
@@ -290,7 +208,7 @@
         'withdrawn': {'targets': ['burza-3']},
     }
     forked = helper.encode_json(other)
-    made.publish(note_of(4))
+    made.publish(notes_scene.note_of(4))
     made.link_rule = lambda sender, receiver, message: ()
     made.step('entry-0', events.ValueRead(spread.note_name(4), forked))
     made.run_for(3000)
@@ -302,10 +220,10 @@
     assert standing.report(first, made.clock.now_ms())['forks']
     audits = helper.audit_of(made, 'entry-3')
     assert 1 <= audits.count(('note-fork', '4')) <= 3
-    made.publish(note_of(5))
-    publish_compacted(made)
+    made.publish(notes_scene.note_of(5))
+    notes_scene.publish_compacted(made)
     made.run_for(10_000)
-    assert numbers(made) == {5}
+    assert notes_scene.numbers(made) == {5}
     assert first.catalogue.in_force == last.catalogue.in_force
 
 
@@ -319,7 +237,7 @@
     ],
 )
 def test_bad_note_is_refused_once_and_the_last_good_one_stays(body):
-    made = make(1, 1)
+    made = notes_scene.make(1, 1)
     made.run_for(6000)
     state = made.instance_by_id['entry-0'].state
     body = body.replace(b'%s', state.catalogue.in_force.digest.encode())
@@ -336,7 +254,7 @@
 
 
 def test_reads_stay_far_below_the_budget_and_few_instances_watch():
-    made = make(18, 1)
+    made = notes_scene.make(18, 1)
     made.run_for(10_000)
     reads = made.platform_reads
     made.run_for(60_000)
@@ -347,79 +265,4 @@
         for at_ms, action in instance.action_log
         if isinstance(action, actions.WatchValue) and at_ms > 20_000
     }
-    assert len(watchers) == 2 * len(PLACES)
-
-
-@BOUNDED
-@hypothesis.given(
-    strategies.lists(
-        strategies.tuples(
-            strategies.sampled_from(['added', 'changed', 'withdrawn']),
-            strategies.integers(0, 6),
-            strategies.integers(0, 2),
-        ),
-        max_size=30,
-    ),
-)
-def test_applying_small_notes_equals_building_the_whole(steps):
-    current = catalogue.empty()
-    for kind, target, service in steps:
-        name = f'service-{service}'
-        target_id = f'target-{target}'
-        change = {'services': [name], 'targets': [target_id]}
-        if kind != 'withdrawn':
-            made = harness.target_entry(harness.Target(target_id), name)
-            change = {'targets': [made]}
-            if name not in current.service_by_name:
-                change['services'] = [{'name': name, 'region': 'west'}]
-        body = helper.encode_json(
-            {
-                'number': current.number + 1,
-                'parent': current.digest,
-                kind: change,
-            },
-        )
-        applied = notes.apply_note(current, notes.parse(body).ok_value)
-        current = applied.unwrap_or(current)
-    whole = catalogues.parse(catalogues.encode(current))
-    if current.number:
-        assert whole.ok_value == current
-
-
-def test_catalogue_is_split_by_service_below_a_megabyte():
-    targets = {
-        f'service-{number}': [
-            harness.Target(f'target-{number}-{member}') for member in range(120)
-        ]
-        for number in range(110)
-    }
-    note = {'number': 1, 'parent': '', **harness.first_note(targets)}
-    parsed = notes.parse(helper.encode_json(note)).ok_value
-    whole = notes.apply_note(catalogue.empty(), parsed).ok_value
-    values = catalogues.split(whole).ok_value
-    assert len(values) > 2
-    assert max(len(found.body) for found in values) < 1_000_000
-    body_by_name = dict(values)
-    index = catalogues.parse_index(
-        body_by_name.pop(catalogues.INDEX_NAME),
-    ).ok_value
-    assert catalogues.join(index, body_by_name).ok_value == whole
-
-
-def test_large_catalogue_reaches_a_peer_without_the_service():
-    made = make(3, 1)
-    made.run_for(8000)
-    publish_compacted(made)
-    state = made.instance_by_id['entry-0'].state
-    request = messages.NoteRequest(1, 'of another chain')
-    heard = events.PeerHeard(state_incarnation(made, 'entry-1'), request)
-    made.step('entry-0', heard)
-    sent = helper.actions_of(made, 'entry-0', actions.SendPeer)[-1]
-    assert sent.message.whole_catalogue
-    assert catalogues.parse(sent.message.body).ok_value == (
-        state.catalogue.in_force
-    )
-
-
-def state_incarnation(made, instance_id):
-    return made.instance_by_id[instance_id].state.identity.incarnation
+    assert len(watchers) == 2 * len(notes_scene.PLACES)
