Name the targets that a call was compared with at once

Where all reports are fresh, targets are compared in the step that admits the call, so no sampled line was written and explain said that others had waited, with others=0. The room that is told leaves out barred targets, and says which of it is at slow machines, as that is kept for calls without time.

--- a/oleanderstair/explaining/causes.py
+++ b/oleanderstair/explaining/causes.py
@@ -254,8 +254,9 @@
     waited_s = end.at_s - queued.at_s
     why = _others(queued)
     sampled = _last(facts, 'sampled')
-    if sampled is not None:
-        why = f'none of {sampled.get("compared")} had room'
+    compared = (sampled or queued).get('compared')
+    if compared:
+        why = f'none of {compared} had room'
     return f'it waited {waited_s:.3f} s at the entry, as {why}{_room(end)}'
 
 
@@ -281,7 +282,7 @@
         return ''
     return (
         f'; at its end {end.get("with_room")} of {end.get("targets")} targets'
-        f' had room, {end.get("free_slots")} free slots in all,'
+        f' had room, {end.get("slow_of_them")} of them on slow machines,'
         f' {end.get("barred")} were barred, and {end.get("waiting")} others'
         ' waited'
     )
--- a/oleanderstair/explaining/failures.py
+++ b/oleanderstair/explaining/failures.py
@@ -132,7 +132,7 @@
         return 'no room for another attempt'
     if 'queued' not in kinds:
         return 'the line was full'
-    if 'sampled' in kinds:
+    if 'sampled' in kinds or any(fact.get('compared') for fact in facts):
         return 'no target compared had room'
     return 'others waited already'
 
--- a/oleanderstair/explaining/trails.py
+++ b/oleanderstair/explaining/trails.py
@@ -6,7 +6,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, world
-from oleanderstair.domain.calls import hedges, repeats
+from oleanderstair.domain.calls import hedges, repeats, waiting
 from oleanderstair.domain.configuration import routing
 from oleanderstair.domain.tables import load_reports, routed, routes
 from oleanderstair.domain.targets import room, trust
@@ -125,10 +125,17 @@
         trail.entries.append(Entry(now_ms, 'sampled', fields))
     elif call.stage is routed.Stage.QUEUED:
         due: lines.Fields = (('due_in_ms', call.due_at_ms - now_ms),)
-        queued = (*due, *_line_of(state, call))
+        # Where all reports are fresh, targets are compared in the same step.
+        compared = '' if _was_sampled(trail) else ','.join(call.sample)
+        at_once: lines.Fields = (('compared', compared or None),)
+        queued = (*due, *at_once, *_line_of(state, call))
         trail.entries.append(Entry(now_ms, 'queued', queued))
 
 
+def _was_sampled(trail: Trail) -> bool:
+    return any(entry.kind == 'sampled' for entry in trail.entries)
+
+
 def _line_of(state: world.World, call: routed.RoutedCall) -> lines.Fields:
     """Return who else waits for the service of a call, by rank."""
     waiting_ids = state.routed.waiting_ids_by_service.get(call.service, ())
@@ -154,16 +161,22 @@
     """Return which targets of a service have room, and how many calls wait."""
     target_ids = state.registry.ids_by_service.get(service, ())
     waiting_ids = state.routed.waiting_ids_by_service.get(service, ())
-    free = [room.free_slots(state, known, now_ms) for known in target_ids]
-    barred = [
-        trust.is_barred(load_reports.load_of(state.loads, known), now_ms)
+    trusted = [
+        known
         for known in target_ids
+        if not trust.is_barred(load_reports.load_of(state.loads, known), now_ms)
+    ]
+    with_room = room.with_room(state, trusted, now_ms)
+    slow = [
+        known
+        for known in with_room
+        if room.slowness(state, known) > waiting.SLOW
     ]
     return (
         ('targets', len(target_ids)),
-        ('with_room', sum(slots > 0 for slots in free)),
-        ('free_slots', sum(slots for slots in free if slots > 0)),
-        ('barred', sum(barred)),
+        ('with_room', len(with_room)),
+        ('slow_of_them', len(slow)),
+        ('barred', len(target_ids) - len(trusted)),
         ('waiting', len(waiting_ids)),
     )
 
--- a/test/test_explain.py
+++ b/test/test_explain.py
@@ -97,7 +97,7 @@
         (no_route, 'configuration 1 has no route for calls.example/nothing/'),
         (failing_target, 'itself answered 500'),
         (no_room, 's at the entry, as none of burza-'),
-        (no_room, 'at its end 0 of 2 targets had room, 0 free slots in all'),
+        (no_room, 'at its end 0 of 2 targets had room, 0 of them on slow'),
         (no_second, 'no second attempt, as the retry budget had no part left'),
     ],
 )
@@ -117,6 +117,15 @@
     assert ' of rank 0; its own is 0); at its end 0 of 2 targets had' in cause
 
 
+def test_a_call_that_is_compared_at_once_says_with_which_targets() -> None:
+    fleet, sink = test_decisions.logged_fleet()
+    behind_others(fleet, 8)
+    fleet.run_for(3000)
+    kinds = [line.kind for line in told(sink, 'r').decisions]
+    assert kinds == ['call', 'queued', 'refused']
+    assert 'as none of burza-' in told(sink, 'r').cause
+
+
 def test_a_call_that_finds_the_line_full_says_so() -> None:
     fleet, sink = test_decisions.logged_fleet()
     behind_others(fleet, 90)
