Share load reports among neighbours while reads run short (trial)

Cause: at the crest an instance's part of the reads of a target is used up and its calls go by reports of up to 200 ms, while a neighbour has read the same target just before.

An instance that was denied fifteen reads in a second asks its living neighbours; they tell it what they read, and with it what answers carried, with ages. A told report never goes against own evidence, and one that can have been under way for long is not taken.

--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -1,6 +1,7 @@
 """Runs the deployments' load by policy and prints the figures as a table."""
 
 import argparse
+import collections
 import itertools
 import multiprocessing
 import statistics
@@ -10,11 +11,17 @@
 import typing
 
 from bench import baselines, deployments, figures
-from oleanderstair.domain import gateway, stepping
-from oleanderstair.emulator import gateway_callers, gateway_days
+from oleanderstair import clock
+from oleanderstair.domain import actions, events, gateway, stepping, world
+from oleanderstair.emulator import (
+    gateway_callers,
+    gateway_days,
+    gateway_fleet,
+)
 
 _SPAN_MS: typing.Final = 17_000
 _DRAIN_MS: typing.Final = 5000
+_SECOND_MS: typing.Final = 1000
 _WORKERS: typing.Final = 2
 _PRESENT: typing.Final = 'present'
 _LIMITS: typing.Final = types.MappingProxyType(
@@ -38,9 +45,12 @@
     'failed',
     'runs a call',
     'reads/target/s',
+    'most reads in a second',
+    'peer messages/s',
 )
 POLICIES: typing.Final[dict[str, typing.Callable[[], stepping.Step]]] = {
     _PRESENT: lambda: gateway.step,
+    'own reads': lambda: _alone,
     'eight reports': lambda: _baseline(baselines.Reports(8, is_wide=False)),
     'one report': lambda: _baseline(baselines.Reports(1, is_wide=True)),
     'least in flight': lambda: _baseline(baselines.Least()),
@@ -73,6 +83,8 @@
     by_kind: dict[str, KindFigures]
     runs_a_call: float
     reads_a_target_and_s: float
+    most_reads_in_a_second: int
+    peer_messages_per_s: float
 
 
 def run(job: Job) -> Result:
@@ -81,9 +93,12 @@
     day = gateway_days.create(plan, job.seed, **_LIMITS)
     fleet = day.fleet
     fleet.step_by = POLICIES[job.policy]()
+    busiest = _watch_reads(fleet)
     fleet.run_for(gateway_days.SETTLE_MS)
+    told_before = fleet.peer_messages
     day.demand.strength = job.strength
     day.demand.run_for(_SPAN_MS)
+    told = fleet.peer_messages - told_before
     targets = fleet.target_by_id.values()
     reads = sum(target.reads for target in targets)
     fleet.run_for(_DRAIN_MS)
@@ -98,6 +113,8 @@
         by_kind,
         len(fleet.runs) / max(sum(found.attempts for found in requests), 1),
         reads / len(targets) / (_SPAN_MS / 1000),
+        max(busiest.values(), default=0),
+        told / len(fleet.member_by_id) / (_SPAN_MS / 1000),
     )
 
 
@@ -128,6 +145,44 @@
     return 0
 
 
+def _alone(
+    state: world.World,
+    event: events.Event,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Step an instance that never asks its neighbours for reports."""
+    state.pool.denied_at_ms = ()
+    return gateway.step(state, event, now_ms)
+
+
+def _watch_reads(
+    fleet: gateway_fleet.GatewayFleet,
+) -> collections.Counter[str]:
+    """Return the most reads of each target in a second, as they come."""
+    busiest: collections.Counter[str] = collections.Counter()
+    recent: dict[str, collections.deque[float]] = collections.defaultdict(
+        collections.deque,
+    )
+
+    def note(
+        state: world.World,
+        event: events.Event,
+        done: typing.Sequence[actions.Action],
+    ) -> None:
+        now_ms = fleet.times.now_ms()
+        for action in done:
+            if isinstance(action, actions.ReadLoad):
+                reads = recent[action.target_id]
+                reads.append(now_ms)
+                while reads[0] <= now_ms - _SECOND_MS:
+                    reads.popleft()
+                most = max(busiest[action.target_id], len(reads))
+                busiest[action.target_id] = most
+
+    fleet.on_step.append(note)
+    return busiest
+
+
 def _baseline(chooser: baselines.Chooser) -> stepping.Step:
     return baselines.Fleet(chooser).step
 
@@ -203,6 +258,8 @@
         f'{_mean(one.failed for one in of_kind):.3f}',
         f'{_mean(one.runs_a_call for one in found):.3f}',
         f'{_mean(one.reads_a_target_and_s for one in found):.1f}',
+        f'{max(one.most_reads_in_a_second for one in found)}',
+        f'{_mean(one.peer_messages_per_s for one in found):.0f}',
     ]
 
 
--- a/oleanderstair/domain/calls/sending.py
+++ b/oleanderstair/domain/calls/sending.py
@@ -1,11 +1,16 @@
 """Sends routed calls: has targets report, then picks one and dispatches."""
 
+import typing
+
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, outcomes, world
 from oleanderstair.domain.calls import ending, hedges, repeats
 from oleanderstair.domain.tables import calls, load_reports, registry, routed
 from oleanderstair.domain.targets import choosing, room, sampling
 
+_MOST_SENT: typing.Final = 256
+"""How many dispatches since the last report of a target are remembered."""
+
 
 def begin(
     state: world.World,
@@ -179,7 +184,7 @@
         arrivals=call.arrivals + 1,
     )
     state.routed.call_by_id[call.call_id] = call
-    _count_sent(state, entry)
+    _count_sent(state, entry, now_ms)
     budget_ms = call.due_at_ms - now_ms
     sent = actions.Dispatch(
         call_id=call.call_id,
@@ -190,15 +195,24 @@
         silence_ms=budget_ms,
         budget_ms=budget_ms,
     )
-    return [sent, *hedges.schedule(state, call)]
+    by_peer = load_reports.load_of(state.loads, target_id).told_by
+    return [
+        sent,
+        *hedges.schedule(state, call),
+        *([actions.Count('choices-by-peer', call.service)] if by_peer else ()),
+    ]
 
 
-def _count_sent(state: world.World, entry: registry.Entry) -> None:
+def _count_sent(
+    state: world.World,
+    entry: registry.Entry,
+    now_ms: clock.Millis,
+) -> None:
     known = load_reports.load_of(state.loads, entry.target_id)
     load_reports.put_load(
         state.loads,
         known._replace(
-            sent_since=known.sent_since + 1,
+            sent_at_ms=(*known.sent_at_ms, now_ms)[-_MOST_SENT:],
             in_flight=known.in_flight + 1,
         ),
     )
--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -17,6 +17,7 @@
     latencies,
     load_reports,
     members,
+    pool,
     reads,
     registry,
     repeats,
@@ -63,6 +64,7 @@
     latencies: latencies.LatenciesTable
     store: store.StoreTable
     members: members.MembersTable
+    pool: pool.PoolTable
 
 
 def create(
@@ -97,4 +99,5 @@
         latencies=latencies.create(),
         store=store.create(),
         members=members.create(),
+        pool=pool.create(),
     )
