--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -11,7 +11,6 @@
 import typing
 
 from bench import baselines, deployments, figures
-from oleanderstair import clock
 from oleanderstair.domain import actions, events, gateway, stepping, world
 from oleanderstair.emulator import (
     gateway_callers,
@@ -50,7 +49,6 @@
 )
 POLICIES: typing.Final[dict[str, typing.Callable[[], stepping.Step]]] = {
     _PRESENT: lambda: gateway.step,
-    'own reads': lambda: _alone,
     'eight reports': lambda: _baseline(baselines.Reports(8, is_wide=False)),
     'one report': lambda: _baseline(baselines.Reports(1, is_wide=True)),
     'least in flight': lambda: _baseline(baselines.Least()),
@@ -145,16 +143,6 @@
     return 0
 
 
-def _alone(
-    state: world.World,
-    event: events.Event,
-    now_ms: clock.Millis,
-) -> list[actions.Action]:
-    """Step an instance that never asks its neighbours for reports."""
-    state.pool.denied_at_ms = ()
-    return gateway.step(state, event, now_ms)
-
-
 def _watch_reads(
     fleet: gateway_fleet.GatewayFleet,
 ) -> collections.Counter[str]:
--- a/oleanderstair/domain/calls/routed.py
+++ b/oleanderstair/domain/calls/routed.py
@@ -96,12 +96,10 @@
     if ended is None:
         return []
     ending.release(state, ended)
-    told: list[actions.Action] = []
     if event.load is not None:
-        told = sampling.keep(state, ended.target_id, event.load, now_ms)
+        sampling.keep(state, ended.target_id, event.load, now_ms)
     learning.learn(state, call, ended, event, now_ms)
     return [
-        *told,
         *crashing.learn(state, call, ended, event, now_ms),
         *_conclude(state, call, ended, event, now_ms),
         *waiting.offer(state, ended.target_id, now_ms),
--- a/oleanderstair/domain/calls/sending.py
+++ b/oleanderstair/domain/calls/sending.py
@@ -1,16 +1,11 @@
 """Sends routed calls: has targets report, then picks one and dispatches."""
 
-import typing
-
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, outcomes, world
 from oleanderstair.domain.calls import ending, hedges, repeats
 from oleanderstair.domain.tables import calls, load_reports, registry, routed
 from oleanderstair.domain.targets import choosing, room, sampling
 
-_MOST_SENT: typing.Final = 256
-"""How many dispatches since the last report of a target are remembered."""
-
 
 def begin(
     state: world.World,
@@ -184,7 +179,7 @@
         arrivals=call.arrivals + 1,
     )
     state.routed.call_by_id[call.call_id] = call
-    _count_sent(state, entry, now_ms)
+    _count_sent(state, entry)
     budget_ms = call.due_at_ms - now_ms
     sent = actions.Dispatch(
         call_id=call.call_id,
@@ -195,24 +190,15 @@
         silence_ms=budget_ms,
         budget_ms=budget_ms,
     )
-    by_peer = load_reports.load_of(state.loads, target_id).told_by
-    return [
-        sent,
-        *hedges.schedule(state, call),
-        *([actions.Count('choices-by-peer', call.service)] if by_peer else ()),
-    ]
+    return [sent, *hedges.schedule(state, call)]
 
 
-def _count_sent(
-    state: world.World,
-    entry: registry.Entry,
-    now_ms: clock.Millis,
-) -> None:
+def _count_sent(state: world.World, entry: registry.Entry) -> None:
     known = load_reports.load_of(state.loads, entry.target_id)
     load_reports.put_load(
         state.loads,
         known._replace(
-            sent_at_ms=(*known.sent_at_ms, now_ms)[-_MOST_SENT:],
+            sent_since=known.sent_since + 1,
             in_flight=known.in_flight + 1,
         ),
     )
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -239,10 +239,6 @@
     took_ms: clock.Millis
 
 
-class LoadsDue(typing.NamedTuple):
-    """Load reports that peers want are to be told to them."""
-
-
 class TargetReport(typing.NamedTuple):
     """What a target's health and load endpoints said."""
 
@@ -324,7 +320,6 @@
     CallEvent
     | StoreEvent
     | LoadRead
-    | LoadsDue
     | ValueRead
     | ReadFailed
     | InstancesRead
--- a/oleanderstair/domain/fleet/codec.py
+++ b/oleanderstair/domain/fleet/codec.py
@@ -29,8 +29,6 @@
     'ro': messages.Roster,
     'sa': messages.StoreAsk,
     'ss': messages.StoreState,
-    'lw': messages.LoadsWanted,
-    'lt': messages.LoadsTold,
 }
 _BODY_BY_TAG: typing.Final[dict[str, type[messages.FactBody]]] = {
     'tl': messages.TargetLeaving,
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -23,7 +23,7 @@
     reloading,
     serving,
 )
-from oleanderstair.domain.targets import pooling, registering, sampling
+from oleanderstair.domain.targets import registering, sampling
 
 SYSTEMS_BY_EVENT: typing.Final[stepping.SystemsByEvent] = {
     events.CallReceived: (routed.on_call,),
@@ -32,7 +32,6 @@
         sending.on_load_read,
         waiting.on_load_read,
     ),
-    events.LoadsDue: (pooling.on_loads_due,),
     events.SampleDue: (sending.on_sample_due,),
     events.RoomMissing: (waiting.on_room_missing,),
     events.RoomSought: (waiting.on_room_sought,),
@@ -53,12 +52,7 @@
     events.HistoryLost: (watching.on_history_lost,),
     events.StoreFailed: (watching.on_failed,),
     events.StoreTold: (telling.on_told, serving.on_known),
-    events.PeerHeard: (
-        meeting.on_peer,
-        telling.on_peer,
-        crashing.on_peer,
-        pooling.on_peer,
-    ),
+    events.PeerHeard: (meeting.on_peer, telling.on_peer, crashing.on_peer),
     events.Tick: (
         meeting.on_tick,
         counting.on_tick,
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -257,42 +257,6 @@
     pushed: bool = False
 
 
-class LoadsWanted(typing.NamedTuple):
-    """Ask a neighbour for what it reads of targets, for a short while.
-
-    ``number`` counts the sender's asks.
-    """
-
-    number: int
-
-
-class ToldLoad(typing.NamedTuple):
-    """What a target reported to the sender ``age_ms`` ago.
-
-    ``born_ms`` names the incarnation of the target; ``running`` counts what
-    the sender has dispatched to it since.
-    """
-
-    target_id: str
-    born_ms: int
-    running: int
-    waiting: int
-    slots: int
-    slowness: float
-    age_ms: clock.Millis
-
-
-class LoadsTold(typing.NamedTuple):
-    """The newest reports that the sender had from targets itself.
-
-    ``number`` is that of the receiver's last ask, which shows it how long
-    this message can have been under way.
-    """
-
-    number: int
-    loads: tuple[ToldLoad, ...]
-
-
 Message: typing.TypeAlias = (
     Heartbeat
     | Pulse
@@ -307,6 +271,4 @@
     | Roster
     | StoreAsk
     | StoreState
-    | LoadsWanted
-    | LoadsTold
 )
--- a/oleanderstair/domain/tables/load_reports.py
+++ b/oleanderstair/domain/tables/load_reports.py
@@ -22,8 +22,7 @@
 class Load(typing.NamedTuple):
     """The newest report of a target and what happened since.
 
-    ``sent_at_ms`` is when this instance dispatched calls after the report,
-    and ``told_by`` the peer that told it, empty for an own one.
+    ``sent_since`` counts this instance's dispatches after the report.
     ``pace`` is how long the target's answers took, as a multiple of the
     usual, and ``doubt`` rises with its failures; both fade with time.
     ``bars`` counts how often in a row it was barred, and ``read_at_ms`` is
@@ -33,7 +32,7 @@
     target_id: str
     report: Report | None = None
     reported_at_ms: clock.Millis = clock.NEVER_MS
-    sent_at_ms: tuple[clock.Millis, ...] = ()
+    sent_since: int = 0
     in_flight: int = 0
     pace: float = 1.0
     paced_at_ms: clock.Millis = clock.NEVER_MS
@@ -43,12 +42,6 @@
     barred_until_ms: clock.Millis = clock.NEVER_MS
     silent_until_ms: clock.Millis = clock.NEVER_MS
     read_at_ms: tuple[clock.Millis, ...] = ()
-    told_by: str = ''
-
-    @property
-    def sent_since(self) -> int:
-        """Return how many calls were dispatched after the report."""
-        return len(self.sent_at_ms)
 
 
 Place: typing.TypeAlias = tuple[str, str]
--- a/oleanderstair/domain/targets/sampling.py
+++ b/oleanderstair/domain/targets/sampling.py
@@ -11,12 +11,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, world
 from oleanderstair.domain.tables import load_reports, registry
-from oleanderstair.domain.targets import (
-    places,
-    pooling,
-    reading_parts,
-    trust,
-)
+from oleanderstair.domain.targets import places, reading_parts, trust
 
 SAMPLE_SIZE: typing.Final = 4
 """How many targets of the own data centre are compared for one call."""
@@ -33,9 +28,6 @@
 READ_BOUND_MS: typing.Final = 500
 """When a read of a load report is given up."""
 
-MOST_POOLED: typing.Final = 24
-"""How many targets are looked at for a young report while reads are short."""
-
 _SILENT_MS: typing.Final = 250
 """How long a target is not asked again after it did not answer."""
 
@@ -93,7 +85,8 @@
     """Keep what a target told of its load, or that it told nothing."""
     state.loads.asked_at_ms_by_id.pop(event.target_id, None)
     if event.report is not None:
-        return keep(state, event.target_id, event.report, now_ms, is_read=True)
+        keep(state, event.target_id, event.report, now_ms)
+        return []
     known = load_reports.load_of(state.loads, event.target_id)
     load_reports.put_load(
         state.loads,
@@ -107,8 +100,7 @@
     target_id: str,
     report: load_reports.Report,
     now_ms: clock.Millis,
-    is_read: bool = False,
-) -> list[actions.Action]:
+) -> None:
     """Keep a report of a target, from its health path or an answer."""
     known = load_reports.load_of(state.loads, target_id)
     load_reports.put_load(
@@ -116,12 +108,10 @@
         known._replace(
             report=report,
             reported_at_ms=now_ms,
-            sent_at_ms=(),
-            told_by='',
+            sent_since=0,
             silent_until_ms=clock.NEVER_MS,
         ),
     )
-    return pooling.on_reported(state, target_id, is_read, now_ms)
 
 
 def _usable(
@@ -133,11 +123,8 @@
     """Return some of the targets that may take a call now.
 
     Barred ones are left out, unless so many are that bars mean little.
-    While reads are short, all with a young report are among them.
     """
-    short = pooling.is_short(state, now_ms)
-    most = MOST_POOLED if short else 2 * SAMPLE_SIZE
-    looked_at = min(len(target_ids), most)
+    looked_at = min(len(target_ids), 2 * SAMPLE_SIZE)
     found = [
         state.registry.entry_by_id[target_id]
         for target_id in state.rng.sample(target_ids, looked_at)
@@ -154,14 +141,7 @@
     ]
     if len(free) < len(staying) * _MOST_BARRED:
         free = staying
-    if not short:
-        return free[:SAMPLE_SIZE]
-    young = [
-        entry
-        for entry in free[SAMPLE_SIZE:]
-        if pooling.spares_read(state, entry.target_id, now_ms)
-    ]
-    return [*free[:SAMPLE_SIZE], *young]
+    return free[:SAMPLE_SIZE]
 
 
 def _sample(
@@ -182,7 +162,6 @@
         if reading is not None:
             reads.append(reading)
             awaited.append(entry.target_id)
-    reads.extend(pooling.ask(state, now_ms))
     return Sample(
         tuple(chosen.target_id for chosen in drawn),
         frozenset(awaited),
@@ -199,14 +178,11 @@
     known = load_reports.load_of(state.loads, entry.target_id)
     if now_ms - known.reported_at_ms <= FRESH_MS:
         return None
-    if pooling.spares_read(state, entry.target_id, now_ms):
-        return None
     routing = state.routes.in_force
     service = routing.service_by_name.get(entry.service) if routing else None
     if service is None or now_ms < known.silent_until_ms:
         return None
     if not reading_parts.spend(state, entry, now_ms):
-        pooling.note_short(state, entry, now_ms)
         return None
     state.loads.asked_at_ms_by_id[entry.target_id] = now_ms
     return actions.ReadLoad(
--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -17,7 +17,6 @@
     latencies,
     load_reports,
     members,
-    pool,
     reads,
     registry,
     repeats,
@@ -64,7 +63,6 @@
     latencies: latencies.LatenciesTable
     store: store.StoreTable
     members: members.MembersTable
-    pool: pool.PoolTable
 
 
 def create(
@@ -99,5 +97,4 @@
         latencies=latencies.create(),
         store=store.create(),
         members=members.create(),
-        pool=pool.create(),
     )
--- a/oleanderstair/explaining/trails.py
+++ b/oleanderstair/explaining/trails.py
@@ -111,8 +111,6 @@
         ('why', _why_sent(trail)),
         ('report', _text_of(known.report)),
         ('report_age_ms', now_ms - known.reported_at_ms if told else None),
-        ('report_by', known.told_by or None),
-        ('from_peers', _from_peers(state, action.call_id, now_ms)),
         ('own_in_flight', known.in_flight),
         ('left_ms', action.budget_ms),
     )
@@ -164,25 +162,6 @@
     return f'retry-after-{trail.last_verdict}' if trail.sends else 'first'
 
 
-def _from_peers(
-    state: world.World,
-    call_id: int,
-    now_ms: clock.Millis,
-) -> str | None:
-    """Return the compared targets whose report a peer told, with its age."""
-    call = state.routed.call_by_id.get(call_id)
-    sample = call.sample if call else ()
-    found = (
-        load_reports.load_of(state.loads, target_id) for target_id in sample
-    )
-    told = [
-        f'{known.target_id}@{now_ms - known.reported_at_ms:.0f}'
-        for known in found
-        if known.told_by
-    ]
-    return ','.join(told) or None
-
-
 def _text_of(report: load_reports.Report | None) -> str | None:
     if report is None:
         return None
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -5,7 +5,6 @@
 import pytest
 
 from oleanderstair.domain import events
-from oleanderstair.domain.tables import load_reports
 from oleanderstair.domain.targets import trust
 from oleanderstair.emulator import gateway_fleet, gateway_targets
 from oleanderstair.explaining import beliefs, decisions, lines, sinks
@@ -189,23 +188,3 @@
     sink.put('event=call id=3')
     sink.flush()
     os.close(writer)
-
-
-def test_a_choice_by_a_peers_report_says_so() -> None:
-    fleet, sink = logged_fleet(targets=1)
-    state = fleet.member_by_id['entry-0'].state
-    fleet.target_by_id['burza-0'].crashing_paths.add('/order/')
-    load_reports.put_load(
-        state.loads,
-        load_reports.Load(
-            'burza-0',
-            load_reports.Report(0, 0, 4),
-            reported_at_ms=fleet.times.now_ms() - 8,
-            told_by='entry-1~2',
-        ),
-    )
-    fleet.call('entry-0', 'order', request_id='r-1')
-    fleet.run_for(1000)
-    sent = [text for text in sink.lines if 'event=sent' in text]
-    assert 'report_age_ms=8 report_by=entry-1~2' in sent[0]
-    assert 'from_peers=burza-0@8' in sent[0]
--- a/test/test_fuzz.py
+++ b/test/test_fuzz.py
@@ -111,9 +111,7 @@
         strategies.binary(max_size=60),
         JSON.map(lambda found: b'\x01%b' % _packed(found)),
         strategies.tuples(
-            strategies.sampled_from(
-                ('hb', 'pu', 'fa', 'fd', 'nh', 'nb', 'lw', 'lt')
-            ),
+            strategies.sampled_from(('hb', 'pu', 'fa', 'fd', 'nh', 'nb')),
             JSON,
         ).map(lambda found: b'\x01%b' % _packed(found)),
     ),
