Send on recent reports only, newest first, while calls find no room

A refused call came back after a whole usual answer, too late for its aim, which counts from its first attempt.

--- a/oleanderstair/domain/calls/hedges.py
+++ b/oleanderstair/domain/calls/hedges.py
@@ -11,14 +11,11 @@
 from oleanderstair.domain import actions, events, world
 from oleanderstair.domain.calls import repeats
 from oleanderstair.domain.tables import routed
-from oleanderstair.domain.targets import choosing, expecting
+from oleanderstair.domain.targets import choosing, expecting, shortage
 
 MOST_SCORE: typing.Final = 2.0
 """How slow a target may be, as a multiple of the usual, to take a hedge."""
 
-SHORT_MS: typing.Final[clock.Millis] = 500
-"""How long after a call found no room the others get no second target."""
-
 _AGAIN_MS: typing.Final = 60
 _LEAST_MS: typing.Final = 20
 
@@ -48,11 +45,7 @@
     """Return whether a second target could still answer in time."""
     if not _may_hedge(call) or not call.attempts:
         return False
-    short_at_ms = state.routed.short_at_ms_by_service.get(
-        call.service,
-        clock.NEVER_MS,
-    )
-    if now_ms - short_at_ms < SHORT_MS:
+    if shortage.is_short(state, call.service, now_ms):
         return False
     expected = expecting.of_route(state, call.route)
     return now_ms + expected.typical_ms < call.due_at_ms
--- a/oleanderstair/domain/calls/waiting.py
+++ b/oleanderstair/domain/calls/waiting.py
@@ -2,8 +2,10 @@
 
 A call behind others at a full target can no longer go elsewhere, and a
 target that is too full never answers. So calls wait here, in the order of
-what their answers will still be worth, and go where room comes first. One
-that finds none soon is refused while its caller can still come back.
+what their answers will still be worth, and go where room comes first. Of
+equal ones the newest goes first: it has most of its aim left, while the
+oldest would all be answered late. One that finds no room soon is refused
+while its caller can still come back.
 """
 
 import typing
@@ -17,8 +19,12 @@
 WAITING_LIMIT: typing.Final = 64
 """How many calls may wait for one service at an instance."""
 
-PATIENCE_SHARE: typing.Final = 0.06
-"""The part of its aim that a call may wait for room."""
+PATIENCE_SHARE: typing.Final = 0.125
+"""The part of its aim that a call may wait for room; docs/decisions/crest."""
+
+RETURN_SHARE: typing.Final = 0.15
+"""When a refused call comes back, as a part of a usual answer: early enough
+to be answered within its aim, which counts from its first attempt."""
 
 LEAST_WAIT_MS: typing.Final[clock.Millis] = 15
 """How long a call waits for room at least, also on a second try."""
@@ -245,9 +251,9 @@
     call: routed.RoutedCall,
     now_ms: clock.Millis,
 ) -> tuple[bool, int, clock.Millis]:
-    """Rank calls: those that can be in aim first, then urgent ones."""
+    """Rank calls: those that can be in aim, then urgent, then new ones."""
     late = now_ms + _usual_ms(state, call) > call.aim_at_ms
-    return late, call.route.rank, call.due_at_ms
+    return late, call.route.rank, -call.received_at_ms
 
 
 def _has_time(
@@ -268,7 +274,7 @@
     call: routed.RoutedCall,
 ) -> clock.Millis:
     """Return when room is likely, spread so that calls come back apart."""
-    return _usual_ms(state, call) * _spread(state)
+    return RETURN_SHARE * _usual_ms(state, call) * _spread(state)
 
 
 def _spread(state: world.World) -> float:
--- a/oleanderstair/domain/targets/room.py
+++ b/oleanderstair/domain/targets/room.py
@@ -5,7 +5,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import world
 from oleanderstair.domain.tables import load_reports
-from oleanderstair.domain.targets import crowding
+from oleanderstair.domain.targets import crowding, shortage
 
 
 def free_slots(
@@ -15,7 +15,8 @@
 ) -> int:
     """Return the free slots of a target; negative where calls wait.
 
-    A target that was asked and told nothing has none.
+    A target that was asked and told nothing has none, and neither has one
+    with an outdated report while its service is short of room.
     """
     entry = state.registry.entry_by_id.get(target_id)
     known = load_reports.load_of(state.loads, target_id)
@@ -26,7 +27,14 @@
         usable = crowding.usable_slots(state, entry.service, entry.slots)
         return usable - known.in_flight
     busy = report.running + report.waiting + known.sent_since
-    return crowding.usable_slots(state, entry.service, report.slots) - busy
+    free = crowding.usable_slots(state, entry.service, report.slots) - busy
+    if shortage.is_outdated(known, now_ms) and shortage.is_short(
+        state,
+        entry.service,
+        now_ms,
+    ):
+        return min(free, 0)
+    return free
 
 
 def with_room(
--- /dev/null
+++ b/test/test_shortage.py
@@ -0,0 +1,76 @@
+"""The load at which many instances compete for the last slots."""
+
+import typing
+
+import pytest
+
+from oleanderstair import clock
+from oleanderstair.domain import world
+from oleanderstair.domain.tables import load_reports
+from oleanderstair.domain.targets import room, shortage
+from oleanderstair.emulator import gateway_fleet, plans
+
+TARGET_ID: typing.Final = 'burza-0'
+LOOKUP: typing.Final = plans.Kind('lookup', 'burza', 0, plans.Work(40))
+
+
+def make_state(age_ms: clock.Millis) -> tuple[world.World, clock.Millis]:
+    """Return an instance with a report of some age that shows three slots."""
+    fleet = gateway_fleet.create(1)
+    fleet.add_target(TARGET_ID, 'burza')
+    fleet.publish(LOOKUP)
+    fleet.add_instance('entry-0')
+    fleet.run_for(3000)
+    now_ms = fleet.times.now_ms()
+    state = fleet.member_by_id['entry-0'].state
+    known = load_reports.load_of(state.loads, TARGET_ID)
+    load_reports.put_load(
+        state.loads,
+        known._replace(
+            report=load_reports.Report(1, 0, 4, 1.0),
+            reported_at_ms=now_ms - age_ms,
+            sent_since=0,
+            silent_until_ms=clock.NEVER_MS,
+        ),
+    )
+    return state, now_ms
+
+
+@pytest.mark.parametrize(
+    ('age_ms', 'free'),
+    [
+        (0, 3),
+        (shortage.OUTDATED_MS, 3),
+        (shortage.OUTDATED_MS + 1, 0),
+        (shortage.FORGOTTEN_MS - 1, 0),
+        (shortage.FORGOTTEN_MS, 3),
+    ],
+)
+def test_at_the_crest_only_a_report_of_moments_ago_shows_room(
+    age_ms: clock.Millis,
+    free: int,
+) -> None:
+    state, now_ms = make_state(age_ms)
+    state.routed.short_at_ms_by_service['burza'] = now_ms
+    assert room.free_slots(state, TARGET_ID, now_ms) == free
+
+
+def test_on_a_quiet_day_an_older_report_shows_room() -> None:
+    state, now_ms = make_state(300)
+    assert room.free_slots(state, TARGET_ID, now_ms) == 3
+
+
+def test_a_crest_is_over_a_moment_after_the_last_call_without_room() -> None:
+    state, now_ms = make_state(300)
+    state.routed.short_at_ms_by_service['burza'] = now_ms - shortage.SHORT_MS
+    assert not shortage.is_short(state, 'burza', now_ms)
+    assert room.free_slots(state, TARGET_ID, now_ms) == 3
+
+
+def test_a_full_target_with_an_outdated_report_stays_full() -> None:
+    state, now_ms = make_state(300)
+    known = load_reports.load_of(state.loads, TARGET_ID)
+    overfull = load_reports.Report(4, 2, 4, 1.0)
+    load_reports.put_load(state.loads, known._replace(report=overfull))
+    state.routed.short_at_ms_by_service['burza'] = now_ms
+    assert room.free_slots(state, TARGET_ID, now_ms) < 0
--- a/test/test_waiting.py
+++ b/test/test_waiting.py
@@ -90,6 +90,27 @@
     assert lookup not in [run.call_id for run in fleet.runs]
 
 
+def test_at_the_crest_the_newest_of_equal_calls_goes_first() -> None:
+    fleet = make_fleet(work_ms=60)
+    fill(fleet, *itertools.repeat('patient', 4))
+    fleet.run_for(44)
+    older, newer = fill(fleet, 'patient', 'patient')
+    fleet.run_for(300)
+    started = [run.call_id for run in fleet.runs]
+    assert started.index(newer) < started.index(older)
+
+
+def test_a_refused_call_comes_back_with_most_of_its_aim_left() -> None:
+    fleet = make_fleet(work_ms=800)
+    fill(fleet, *itertools.repeat('patient', 4))
+    lookup = fill(fleet, 'lookup')[0]
+    started_ms = fleet.times.now_ms()
+    fleet.run_for(100)
+    told = fleet.told_by_call[lookup]
+    back_ms = told.at_ms - started_ms + told.retry_after_ms
+    assert back_ms < LOOKUP.aim_ms / 3
+
+
 def test_a_waiting_call_whose_caller_left_never_runs() -> None:
     fleet = make_fleet()
     fill(fleet, *itertools.repeat('patient', 4))
