--- a/oleanderstair/explaining/trails.py
+++ b/oleanderstair/explaining/trails.py
@@ -6,10 +6,10 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, world
-from oleanderstair.domain.calls import hedges, repeats, waiting
+from oleanderstair.domain.calls import repeats, waiting
 from oleanderstair.domain.configuration import routing
 from oleanderstair.domain.tables import load_reports, routed, routes
-from oleanderstair.domain.targets import room, trust
+from oleanderstair.domain.targets import room, shortage, trust
 from oleanderstair.explaining import lines
 
 
@@ -197,11 +197,7 @@
     if call.stage is routed.Stage.HEDGING:
         trail.hedge = 'reports-awaited'
         return
-    short_at_ms = state.routed.short_at_ms_by_service.get(
-        call.service,
-        clock.NEVER_MS,
-    )
-    is_short = now_ms - short_at_ms < hedges.SHORT_MS
+    is_short = shortage.is_short(state, call.service, now_ms)
     trail.hedge = 'room-short' if is_short else 'too-late'
 
 
