Let twins share one piece each

Behaviour is as it was. Lines on requests that are no call are written or merged in one place; a call's route is named in one place. What others saw of a target is searched by time and no longer gone through whole for each failed request. bench.gateways counts reads by figures.most_in_a_second, and the capacity of a daemon is measured with the daemon that bench.daemons runs. Two tests of waiting calls share their scene; their assertions stand.

--- a/bench/daemon_capacity.py
+++ b/bench/daemon_capacity.py
@@ -1,20 +1,16 @@
 """Measures one real daemon: processor time, times of calls, resident size."""
 
-import os
 import pathlib
 import statistics
-import subprocess
-import sys
 import tempfile
 import time
 import typing
 
 import anyio
-import anyio.abc
 import httpcore
 import msgspec
 
-from bench import capacity_figures
+from bench import capacity_figures, daemons
 from oleanderstair.emulator import fleet
 from oleanderstair.engine import headers
 
@@ -51,20 +47,12 @@
     tree = deployment.node_settings('entry-1', 'trnava')
     tree['policy'] = {'confirm_without_peers': True}
     tree['log'] = {'to': 'stderr'}
-    path = folder / 'entry.jsonc'
-    path.write_bytes(msgspec.json.encode(tree))
-    command = [sys.executable, '-m', 'oleanderstair.daemon', '--settings']
-    process = await anyio.open_process(
-        [*command, str(path)],
-        stdout=subprocess.DEVNULL,
-    )
+    daemon = await daemons.run('entry-1', tree, folder, deployment.tasks)
     try:
-        pairs = await _read_addresses(process)
-        found = await _figures_of(process.pid, pairs['callers'])
-        return [*found, *await _added_of(pairs['admin'])]
+        found = await _figures_of(daemon)
+        return [*found, *await _added_of(daemon.address_by_side['admin'])]
     finally:
-        process.kill()
-        await process.aclose()
+        daemon.kill()
 
 
 async def _added_of(address: str) -> list[capacity_figures.Figure]:
@@ -78,29 +66,25 @@
     ]
 
 
-async def _read_addresses(process: anyio.abc.Process) -> dict[str, str]:
-    assert process.stderr is not None
-    line = (await process.stderr.receive()).decode().split('\n')[0]
-    return dict(pair.split('=', 1) for pair in line.split())
-
-
-async def _figures_of(pid: int, address: str) -> list[capacity_figures.Figure]:
+async def _figures_of(
+    daemon: daemons.Daemon,
+) -> list[capacity_figures.Figure]:
     found = []
     await anyio.sleep(3)
-    spent_before = _cpu_s(pid)
+    spent_before = daemon.cpu_s()
     await anyio.sleep(_MEASURED_MS / 1000)
-    idle = (_cpu_s(pid) - spent_before) / (_MEASURED_MS / 1000)
+    idle = (daemon.cpu_s() - spent_before) / (_MEASURED_MS / 1000)
     found.append(
         capacity_figures.Figure(
             'idle daemon', '1 instance', idle * 100, '% core'
         )
     )
     for calls in _LOADS:
-        spent_before = _cpu_s(pid)
+        spent_before = daemon.cpu_s()
         started = time.perf_counter()
-        took_ms = await _send_calls(address, calls)
+        took_ms = await _send_calls(daemon.address_by_side['callers'], calls)
         span_s = time.perf_counter() - started
-        spent = _cpu_s(pid) - spent_before - idle * span_s
+        spent = daemon.cpu_s() - spent_before - idle * span_s
         size = f'{calls} calls'
         found.append(
             capacity_figures.Figure(
@@ -114,14 +98,9 @@
         found.append(
             capacity_figures.Figure('p99 at the caller', size, cuts[98], 'ms')
         )
-    status = pathlib.Path(f'/proc/{pid}/status').read_text(encoding='utf-8')
-    resident = next(
-        line for line in status.splitlines() if line.startswith('VmRSS')
-    )
-    resident_mb = int(resident.split()[1]) / 1024
     found.append(
         capacity_figures.Figure(
-            'resident size', '27 targets', resident_mb, 'MB'
+            'resident size', '27 targets', daemon.memory_mb(), 'MB'
         )
     )
     return found
@@ -141,10 +120,3 @@
             if answer.status != 200:
                 raise SystemExit(f'a call was answered {answer.status}')
     return took_ms
-
-
-def _cpu_s(pid: int) -> float:
-    text = pathlib.Path(f'/proc/{pid}/stat').read_text(encoding='utf-8')
-    fields = text.rpartition(')')[2].split()
-    ticks = int(fields[11]) + int(fields[12])
-    return ticks / os.sysconf('SC_CLK_TCK')
--- a/bench/daemons.py
+++ b/bench/daemons.py
@@ -79,7 +79,7 @@
         tree['log'] = {'to': 'stderr'}
         if is_down:
             tree['platform']['configuration_url'] = DOWN_URL
-        started = await self._run(instance_id, tree)
+        started = await run(instance_id, tree, self.directory, self.fakes.tasks)
         self.daemon_by_id[instance_id] = started
         self._list(instance_id, place, started)
         return started
@@ -127,24 +127,6 @@
             await anyio.sleep(POLL_S)
         return anyio.current_time()
 
-    async def _run(self, instance_id: str, tree: settings.Tree) -> Daemon:
-        path = self.directory / f'{instance_id}.json'
-        path.write_bytes(msgspec.json.encode(tree))
-        process = await anyio.open_process(
-            [
-                sys.executable,
-                '-m',
-                'oleanderstair.daemon',
-                '--settings',
-                str(path),
-            ],
-            cwd=ROOT,
-            stdout=subprocess.DEVNULL,
-        )
-        addresses = await _read_addresses(process)
-        self.fakes.tasks.start_soon(_drain, process)
-        return Daemon(instance_id, process, addresses)
-
     def _list(self, instance_id: str, place: str, started: Daemon) -> None:
         kept = [
             entry
@@ -186,6 +168,31 @@
                 tasks.cancel_scope.cancel()
 
 
+async def run(
+    instance_id: str,
+    tree: settings.Tree,
+    directory: pathlib.Path,
+    tasks: anyio.abc.TaskGroup,
+) -> Daemon:
+    """Run a daemon by settings that log to standard error."""
+    path = directory / f'{instance_id}.json'
+    path.write_bytes(msgspec.json.encode(tree))
+    process = await anyio.open_process(
+        [
+            sys.executable,
+            '-m',
+            'oleanderstair.daemon',
+            '--settings',
+            str(path),
+        ],
+        cwd=ROOT,
+        stdout=subprocess.DEVNULL,
+    )
+    addresses = await _read_addresses(process)
+    tasks.start_soon(_drain, process)
+    return Daemon(instance_id, process, addresses)
+
+
 async def _read_addresses(process: anyio.abc.Process) -> dict[str, str]:
     assert process.stderr is not None  # noqa: S101 (opened as a pipe)
     text = ''
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -78,7 +78,9 @@
         shed=done.shed,
         shed_per_call=done.shed / total,
         repeats_per_call=done.attempts_beyond_first / total,
-        most_reads_per_s=_most_reads(done.probe_times_ms),
+        most_reads_per_s=(
+            most_in_a_second(done.probe_times_ms) * actions.READS_PER_PROBE
+        ),
     )
 
 
@@ -102,9 +104,10 @@
     return {kind: refused[kind] / max(calls[kind], 1) for kind in _KINDS}
 
 
-def _most_reads(times_ms: typing.Sequence[float]) -> int:
+def most_in_a_second(times_ms: typing.Sequence[float]) -> int:
+    """Return how many of the sorted times lie within one second at most."""
     most = 0
     for index, at_ms in enumerate(times_ms):
         until = bisect.bisect_left(times_ms, at_ms + _WINDOW_MS)
         most = max(most, until - index)
-    return most * actions.READS_PER_PROBE
+    return most
--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -20,7 +20,6 @@
 
 _SPAN_MS: typing.Final = 17_000
 _DRAIN_MS: typing.Final = 5000
-_SECOND_MS: typing.Final = 1000
 _WORKERS: typing.Final = 2
 _PRESENT: typing.Final = 'present'
 _LIMITS: typing.Final = types.MappingProxyType(
@@ -91,7 +90,7 @@
     day = gateway_days.create(plan, job.seed, **_LIMITS)
     fleet = day.fleet
     fleet.step_by = POLICIES[job.policy]()
-    busiest = _watch_reads(fleet)
+    read_at_ms_by_id = _note_reads(fleet)
     fleet.run_for(gateway_days.SETTLE_MS)
     told_before = fleet.peer_messages
     day.demand.strength = job.strength
@@ -111,7 +110,10 @@
         by_kind,
         len(fleet.runs) / max(sum(found.attempts for found in requests), 1),
         reads / len(targets) / (_SPAN_MS / 1000),
-        max(busiest.values(), default=0),
+        max(
+            map(figures.most_in_a_second, read_at_ms_by_id.values()),
+            default=0,
+        ),
         told / len(fleet.member_by_id) / (_SPAN_MS / 1000),
     )
 
@@ -143,32 +145,24 @@
     return 0
 
 
-def _watch_reads(
+def _note_reads(
     fleet: gateway_fleet.GatewayFleet,
-) -> collections.Counter[str]:
-    """Return the most reads of each target in a second, as they come."""
-    busiest: collections.Counter[str] = collections.Counter()
-    recent: dict[str, collections.deque[float]] = collections.defaultdict(
-        collections.deque,
-    )
+) -> dict[str, list[float]]:
+    """Return when each target is read, as the reads come."""
+    times_ms_by_id: dict[str, list[float]] = collections.defaultdict(list)
 
     def note(
         state: world.World,
         event: events.Event,
         done: typing.Sequence[actions.Action],
     ) -> None:
-        now_ms = fleet.times.now_ms()
         for action in done:
             if isinstance(action, actions.ReadLoad):
-                reads = recent[action.target_id]
-                reads.append(now_ms)
-                while reads[0] <= now_ms - _SECOND_MS:
-                    reads.popleft()
-                most = max(busiest[action.target_id], len(reads))
-                busiest[action.target_id] = most
+                times_ms = times_ms_by_id[action.target_id]
+                times_ms.append(fleet.times.now_ms())
 
     fleet.on_step.append(note)
-    return busiest
+    return times_ms_by_id
 
 
 def _baseline(chooser: baselines.Chooser) -> stepping.Step:
--- a/oleanderstair/domain/calls/learning.py
+++ b/oleanderstair/domain/calls/learning.py
@@ -1,7 +1,7 @@
 """Learns from each attempt what to expect of its route and its target."""
 
 from oleanderstair import clock
-from oleanderstair.domain import events, world
+from oleanderstair.domain import events, outcomes, world
 from oleanderstair.domain.calls import repeats, seconds
 from oleanderstair.domain.tables import calls, latencies, routed
 from oleanderstair.domain.targets import crowding, expecting, trust
@@ -36,7 +36,7 @@
 def _is_success(event: events.AttemptEnded) -> bool:
     if event.verdict is not events.Verdict.ANSWERED:
         return False
-    return event.status < seconds.FIRST_FAILURE
+    return event.status < outcomes.FIRST_FAILURE
 
 
 def _learn_span(
--- a/oleanderstair/domain/calls/seconds.py
+++ b/oleanderstair/domain/calls/seconds.py
@@ -3,13 +3,10 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import events, world
+from oleanderstair.domain import events, outcomes, world
 from oleanderstair.domain.calls import repeats
 from oleanderstair.domain.tables import calls, routed
 
-FIRST_FAILURE: typing.Final = 500
-"""The lowest status by which a target says that it failed."""
-
 _MOST_UNSENT: typing.Final = 3
 """How many sends of a call may end before anything was sent."""
 
@@ -25,7 +22,7 @@
     """
     if event.verdict is not events.Verdict.ANSWERED:
         return False
-    return event.status < FIRST_FAILURE or not call.route.idempotent
+    return event.status < outcomes.FIRST_FAILURE or not call.route.idempotent
 
 
 def without(
--- a/oleanderstair/domain/outcomes.py
+++ b/oleanderstair/domain/outcomes.py
@@ -4,6 +4,9 @@
 import http
 import typing
 
+FIRST_FAILURE: typing.Final = 500
+"""The lowest status by which a target says that it failed, as HTTP has it."""
+
 
 class Outcome(enum.Enum):
     """What a caller may conclude about its call."""
--- a/oleanderstair/domain/targets/conditions.py
+++ b/oleanderstair/domain/targets/conditions.py
@@ -3,13 +3,12 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, world
+from oleanderstair.domain import actions, events, outcomes, world
 from oleanderstair.domain.configuration import pauses
 from oleanderstair.domain.targets import latencies, ramps
 from oleanderstair.domain.tables import targets
 
 _FULL_MS: typing.Final = 2
-_FAILED: typing.Final = 500
 _RATE_WEIGHT: typing.Final = 0.2
 _FAILURES: typing.Final = frozenset(
     (events.Verdict.BROKEN, events.Verdict.NOT_SENT, events.Verdict.SILENT),
@@ -103,7 +102,7 @@
     A server error counts however fast it came.
     """
     if event.verdict is events.Verdict.ANSWERED:
-        return event.status >= _FAILED
+        return event.status >= outcomes.FIRST_FAILURE
     return event.verdict in _FAILURES
 
 
--- a/oleanderstair/domain/targets/ramps.py
+++ b/oleanderstair/domain/targets/ramps.py
@@ -7,13 +7,10 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, messages, world
+from oleanderstair.domain import actions, events, messages, outcomes, world
 from oleanderstair.domain.targets import ramp_stages
 from oleanderstair.domain.tables import calls, catalogue, instances, targets
 
-_FAILED_STATUS: typing.Final = 500
-"""The least HTTP status that counts as a failure."""
-
 _DOWN_AFTER: typing.Final = 2
 """How many failures in a row make an unreachable target count as down."""
 
@@ -224,7 +221,7 @@
 
 def _has_failed(event: events.AttemptEnded) -> bool:
     answered = event.verdict is events.Verdict.ANSWERED
-    return not answered or event.status >= _FAILED_STATUS
+    return not answered or event.status >= outcomes.FIRST_FAILURE
 
 
 def _was_in_time(
--- a/oleanderstair/domain/targets/services_load.py
+++ b/oleanderstair/domain/targets/services_load.py
@@ -3,7 +3,7 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import events, world
+from oleanderstair.domain import events, outcomes, world
 from oleanderstair.domain.targets import latencies
 from oleanderstair.domain.tables import calls, services
 
@@ -12,7 +12,6 @@
 _FIRST_WAIT_SHARE: typing.Final = 0.25
 _MOST_WAITS: typing.Final = 1
 _GAIN_WEIGHT: typing.Final = 0.4
-_FAILED: typing.Final = 500
 
 
 def on_dispatch(state: world.World, service: str) -> None:
@@ -44,7 +43,10 @@
     on_released(state, call.received.service)
     if event.verdict is events.Verdict.SILENT:
         _lengthen(state, call.received.service, took_ms)
-    if event.verdict is not events.Verdict.ANSWERED or event.status >= _FAILED:
+    if (
+        event.verdict is not events.Verdict.ANSWERED
+        or event.status >= outcomes.FIRST_FAILURE
+    ):
         return
     load = services.load_of(state.services, call.received.service)
     learned = latencies.learn(load, took_ms)
--- a/oleanderstair/emulator/callers.py
+++ b/oleanderstair/emulator/callers.py
@@ -17,7 +17,7 @@
 _PAUSE_MS: typing.Final = 5
 _CONNECTIONS: typing.Final = 64
 _MS_PER_S: typing.Final = 1000
-_PATIENCE_S: typing.Final = 12
+_PATIENCE_MS: typing.Final = 12_000
 """How long a caller waits at most: more than the longest deadline it states."""
 
 
@@ -118,7 +118,8 @@
         """Make lookups one after another until cancelled."""
         for service in itertools.cycle(services):
             # Without a bound it would wait for instances that have ended.
-            with anyio.move_on_after(_PATIENCE_S, shield=True):
+            patience_s = clock.to_seconds(_PATIENCE_MS)
+            with anyio.move_on_after(patience_s, shield=True):
                 await self.look_up(service)
             await anyio.sleep(clock.to_seconds(_PAUSE_MS))
 
--- a/oleanderstair/emulator/gateway_callers.py
+++ b/oleanderstair/emulator/gateway_callers.py
@@ -14,7 +14,6 @@
 """One way between a caller and an instance."""
 
 _MS_PER_S: typing.Final = 1000
-_FAILED: typing.Final = 500
 _LONGEST_WAIT_SHARE: typing.Final = 1 / 3
 
 
@@ -148,7 +147,7 @@
         now_ms = self._fleet.times.now_ms()
         ran = told.outcome is outcomes.Outcome.RAN
         request.ended_ms = now_ms
-        request.served = ran and told.status < _FAILED
+        request.served = ran and told.status < outcomes.FIRST_FAILURE
         request.refused = told.outcome is outcomes.Outcome.NOT_RUN
         if request.served or request.attempts > request.kind.retries:
             return
--- a/oleanderstair/explaining/causes.py
+++ b/oleanderstair/explaining/causes.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from oleanderstair.domain import outcomes
+
 UNTOLD: typing.Final = (
     'no line names this request: it was answered in time at the first'
     ' attempt, was merged with others under load, came to another instance,'
@@ -21,8 +23,6 @@
 What passes between caller and instance at a deadline is less.
 """
 
-_FAILED: typing.Final = 500
-"""From what status on a target's own answer counts as failed."""
 _UNSENT: typing.Final = 'it was never sent to a target'
 
 
@@ -142,7 +142,7 @@
 def _answered(facts: typing.Sequence[Fact], end: Fact) -> str:
     ended = _last(facts, 'attempt-ended')
     target = ended.get('target') if ended else 'a target'
-    if end.span_ms('status') >= _FAILED:
+    if end.span_ms('status') >= outcomes.FIRST_FAILURE:
         status = end.get('status')
         chosen = f' ({_chosen_by(facts, ended)})' if ended else ''
         return (
--- a/oleanderstair/explaining/decisions.py
+++ b/oleanderstair/explaining/decisions.py
@@ -22,7 +22,6 @@
 
 _MERGE_MS: typing.Final[clock.Millis] = 1000
 _MS_PER_S: typing.Final = 1000
-_FAILED: typing.Final = 500
 
 WallClock: typing.TypeAlias = typing.Callable[[], float]
 """Return the time of day in seconds since 1970."""
@@ -103,15 +102,12 @@
         now_ms: clock.Millis,
     ) -> None:
         """Take a request that never became a call."""
-        if not self._takes_room(1, now_ms):
-            self._merged[f'rejected-{reason}', ''] += 1
-            return
         fields: lines.Fields = (
             ('id', request_id or None),
             ('reason', reason),
             ('detail', detail),
         )
-        self._say(now_ms, 'rejected', fields)
+        self._say_or_merge(now_ms, 'rejected', reason, fields)
 
     def leave(
         self,
@@ -121,15 +117,12 @@
         now_ms: clock.Millis,
     ) -> None:
         """Take a request whose caller left before it became a call."""
-        if not self._takes_room(1, now_ms):
-            self._merged[f'caller-left-{where}', ''] += 1
-            return
         fields: lines.Fields = (
             ('id', request_id or None),
             ('where', where),
             ('after_ms', after_ms),
         )
-        self._say(now_ms, 'caller-left', fields)
+        self._say_or_merge(now_ms, 'caller-left', where, fields)
 
     def hold(self, call_id: int, held_ms: clock.Millis) -> None:
         """Take how long a call that comes next was held at a start."""
@@ -207,7 +200,7 @@
         self._count(trail, 'ran', str(status))
         self._counts.observe('answer-ms', f'route={trail.route}', after_ms)
         late_ms = max(after_ms - trail.aim_ms, 0)
-        if not late_ms and trail.sends == 1 and status < _FAILED:
+        if not late_ms and trail.sends == 1 and status < outcomes.FIRST_FAILURE:
             self._merged['served', trail.route] += 1
             return
         fields: lines.Fields = (
@@ -324,6 +317,19 @@
             named = (('id', trail.request_id or None), *entry.fields)
             self._say(entry.at_ms, entry.kind, named, now_ms)
 
+    def _say_or_merge(
+        self,
+        now_ms: clock.Millis,
+        kind: str,
+        why: str,
+        fields: lines.Fields,
+    ) -> None:
+        """Write a line on a request that is no call, or count it."""
+        if self._takes_room(1, now_ms):
+            self._say(now_ms, kind, fields)
+        else:
+            self._merged[f'{kind}-{why}', ''] += 1
+
     def _takes_room(self, count: int, now_ms: clock.Millis) -> bool:
         passed_s = max(now_ms - self._room_at_ms, 0) / _MS_PER_S
         more = passed_s * LINES_PER_S
--- a/oleanderstair/explaining/failures.py
+++ b/oleanderstair/explaining/failures.py
@@ -3,6 +3,7 @@
 import collections
 import typing
 
+from oleanderstair.domain import outcomes
 from oleanderstair.explaining import causes, reports, sights, stories
 
 UNKNOWN: typing.Final = 'unknown'
@@ -17,9 +18,6 @@
 _OLD_MS: typing.Final = 500
 """From what age on a report counts as old; most are read for the call."""
 
-_FAILED: typing.Final = 500
-"""From what status on a target's own answer counts as failed."""
-
 Fact: typing.TypeAlias = causes.Fact
 Facts: typing.TypeAlias = typing.Sequence[causes.Fact]
 
@@ -96,7 +94,7 @@
         return ''
     if end.kind != 'answered':
         return 'not-ended'
-    if end.span_ms('status') >= _FAILED:
+    if end.span_ms('status') >= outcomes.FIRST_FAILURE:
         return f'status-{end.get("status")}'
     return _LATE if end.get('late_ms') else ''
 
--- a/oleanderstair/explaining/sights.py
+++ b/oleanderstair/explaining/sights.py
@@ -4,6 +4,7 @@
 target may have the reason in a report, or have failed there.
 """
 
+import bisect
 import collections
 import typing
 
@@ -53,13 +54,18 @@
 ) -> collections.Counter[str]:
     """Count what requests but one saw of a target in a span of time."""
     first_s, last_s = span_s
+    of_target = sights.get(target_id, [])
+    first = bisect.bisect_left(of_target, first_s, key=_time_of)
+    last = bisect.bisect_right(of_target, last_s, key=_time_of)
     return collections.Counter(
-        seen.what
-        for seen in sights.get(target_id, ())
-        if first_s <= seen.at_s <= last_s and seen.request_id != but_id
+        seen.what for seen in of_target[first:last] if seen.request_id != but_id
     )
 
 
+def _time_of(seen: Sight) -> float:
+    return seen.at_s
+
+
 def _kinds(fact: causes.Fact) -> list[str]:
     """Return what a line says of its target."""
     kinds: list[str] = []
--- a/oleanderstair/explaining/trails.py
+++ b/oleanderstair/explaining/trails.py
@@ -65,13 +65,9 @@
     call = state.routed.call_by_id.get(received.call_id)
     in_force = state.routes.in_force
     if call is not None:
-        trail.route = call.route.name
-        trail.aim_ms = call.route.aim_ms
-        trail.service = call.service
+        _name_route(trail, call.route, call.service)
     elif in_force is not None:
-        _name_route(
-            trail, routing.match(in_force, received.host, received.path)
-        )
+        _name_refused(trail, in_force, received)
     fields = (
         ('route', trail.route or None),
         ('service', trail.service or None),
@@ -89,14 +85,22 @@
     return trail
 
 
-def _name_route(trail: Trail, route: routes.Route | None) -> None:
+def _name_refused(
+    trail: Trail,
+    in_force: routes.Routing,
+    received: events.CallReceived,
+) -> None:
     """Name the route of a call that was refused as it came."""
-    if route is None:
-        return
+    route = routing.match(in_force, received.host, received.path)
+    if route is not None:
+        only = route.parts[0].service if len(route.parts) == 1 else ''
+        _name_route(trail, route, only)
+
+
+def _name_route(trail: Trail, route: routes.Route, service: str) -> None:
     trail.route = route.name
     trail.aim_ms = route.aim_ms
-    if len(route.parts) == 1:
-        trail.service = route.parts[0].service
+    trail.service = service
 
 
 def _terms(call: routed.RoutedCall | None) -> lines.Fields:
--- a/test/test_emulator.py
+++ b/test/test_emulator.py
@@ -132,7 +132,6 @@
         fake.publish({'added': {}})
         async with serving(fake) as address, callers.pool() as pool:
             url = f'http://{address}/values/head'
-
             loop = asyncio.get_running_loop()
             for _ in range(HOLDS):
                 await call_by(CALLERS_AT_CREST, pool, url, 1)
--- a/test/test_waiting.py
+++ b/test/test_waiting.py
@@ -53,6 +53,16 @@
     return made
 
 
+def run_behind_full_targets(*kinds: str) -> tuple[list[int], list[int]]:
+    """Return calls that wait for room, and all calls as they were started."""
+    fleet = make_fleet(work_ms=60)
+    fill(fleet, *itertools.repeat('patient', 4))
+    fleet.run_for(44)
+    made = fill(fleet, *kinds)
+    fleet.run_for(300)
+    return made, [run.call_id for run in fleet.runs]
+
+
 def test_no_call_lines_up_behind_the_slots_of_a_target() -> None:
     fleet = make_fleet()
     target = fleet.target_by_id['burza-0']
@@ -67,12 +77,7 @@
 
 
 def test_the_more_urgent_of_the_waiting_calls_goes_first() -> None:
-    fleet = make_fleet(work_ms=60)
-    fill(fleet, *itertools.repeat('patient', 4))
-    fleet.run_for(44)
-    lookup, order = fill(fleet, 'lookup', 'order')
-    fleet.run_for(300)
-    started = [run.call_id for run in fleet.runs]
+    (lookup, order), started = run_behind_full_targets('lookup', 'order')
     assert started.index(order) < started.index(lookup)
 
 
@@ -91,12 +96,7 @@
 
 
 def test_at_the_crest_the_newest_of_equal_calls_goes_first() -> None:
-    fleet = make_fleet(work_ms=60)
-    fill(fleet, *itertools.repeat('patient', 4))
-    fleet.run_for(44)
-    older, newer = fill(fleet, 'patient', 'patient')
-    fleet.run_for(300)
-    started = [run.call_id for run in fleet.runs]
+    (older, newer), started = run_behind_full_targets('patient', 'patient')
     assert started.index(newer) < started.index(older)
 
 
