Believe a count of instances that has stood for a while

The reads of a target are divided by the number of instances, and by at least `assumed_instances` (24) so that those that start within a split don't spend the part of others. With 18 instances a quarter of the budget was spent by nobody, with 4 in a data centre a third of the near reads: the floor for these was 6.

A count that stood for 5 s, with an instance in each data centre that has targets, replaces the floor. Ruled out: pacing the reads as the part is used up, and two targets at first in place of four: both read as much and serve the same.

--- a/oleanderstair/domain/fleet/counting.py
+++ b/oleanderstair/domain/fleet/counting.py
@@ -36,6 +36,10 @@
         for instance_id, place in place_by_id.items()
         if place == state.identity.data_centre
     ]
+    table.counted_data_centres = frozenset(place_by_id.values())
+    is_first = table.largest_at_ms == clock.NEVER_MS
+    if is_first or len(place_by_id) > table.largest_count:
+        table.grown_at_ms = now_ms
     is_over = now_ms - table.largest_at_ms > HELD_MS
     if is_over or len(place_by_id) >= table.largest_count:
         table.largest_at_ms = now_ms
--- a/oleanderstair/domain/tables/instances.py
+++ b/oleanderstair/domain/tables/instances.py
@@ -63,7 +63,8 @@
 
     ``quiet_ms`` is how long this instance has listened in vain since it stops.
     ``rank`` and ``near_rank`` are this instance's place, from 0, among those
-    of the largest count and among those of its data centre.
+    of the largest count and among those of its data centre. The count has
+    stood since ``grown_at_ms`` and has instances in ``counted_data_centres``.
     """
 
     listed_by_id: dict[str, events.ListedInstance] = dataclasses.field(
@@ -83,6 +84,8 @@
     rank: int = 0
     near_rank: int = 0
     largest_at_ms: clock.Millis = clock.NEVER_MS
+    grown_at_ms: clock.Millis = clock.NEVER_MS
+    counted_data_centres: frozenset[str] = frozenset()
     counted_at_ms: clock.Millis = clock.NEVER_MS
     waits_for: str = ''
     reviewed_at_ms: clock.Millis = clock.NEVER_MS
--- a/oleanderstair/domain/tables/load_reports.py
+++ b/oleanderstair/domain/tables/load_reports.py
@@ -62,6 +62,7 @@
     ids_by_place: dict[Place, tuple[str, ...]] = dataclasses.field(
         default_factory=dict,
     )
+    data_centres: frozenset[str] = frozenset()
     far_ids_by_service: dict[str, tuple[str, ...]] = dataclasses.field(
         default_factory=dict,
     )
--- a/oleanderstair/domain/targets/places.py
+++ b/oleanderstair/domain/targets/places.py
@@ -17,10 +17,15 @@
     return state.loads.far_ids_by_service.get(service, ())
 
 
+def data_centres(state: world.World) -> frozenset[str]:
+    """Return the data centres in which there are targets."""
+    _index(state)
+    return state.loads.data_centres
+
+
 def count(state: world.World) -> int:
     """Return in how many data centres there are targets, at least 1."""
-    _index(state)
-    return max(len({place for _, place in state.loads.ids_by_place}), 1)
+    return max(len(data_centres(state)), 1)
 
 
 def _index(state: world.World) -> None:
@@ -38,6 +43,7 @@
             far[entry.service] = (*far.get(entry.service, ()), target_id)
     table.ids_by_place = by_place
     table.far_ids_by_service = far
+    table.data_centres = frozenset(place for _, place in by_place)
     _forget_gone(state)
 
 
--- a/oleanderstair/domain/targets/reading_parts.py
+++ b/oleanderstair/domain/targets/reading_parts.py
@@ -2,7 +2,9 @@
 
 Each instance has a whole number of reads of a target in any second. The
 parts add up to the budget without a word between instances: those of the
-target's data centre share most of it, the others the rest.
+target's data centre share most of it, the others the rest. Who can't tell yet
+how many there are assumes a number, so that those that start while some are cut
+off don't spend the part of these.
 """
 
 import typing
@@ -16,6 +18,9 @@
 WINDOW_MS: typing.Final[clock.Millis] = 1050
 """How long a read counts: a second, and what reads may come together."""
 
+STANDS_MS: typing.Final[clock.Millis] = 5000
+"""How long a count stands until it is believed; all meet within 2 s."""
+
 _USED: typing.Final = 0.95
 _NEAR_SHARE: typing.Final = 0.75
 
@@ -30,7 +35,7 @@
     recent = tuple(
         read_ms for read_ms in known.read_at_ms if now_ms - read_ms < WINDOW_MS
     )
-    if len(recent) >= own_part(state, entry):
+    if len(recent) >= own_part(state, entry, now_ms):
         return False
     load_reports.put_load(
         state.loads,
@@ -39,13 +44,17 @@
     return True
 
 
-def own_part(state: world.World, entry: registry.Entry) -> int:
+def own_part(
+    state: world.World,
+    entry: registry.Entry,
+    now_ms: clock.Millis,
+) -> int:
     """Return how often this instance may read a target in any second.
 
     What can't be divided goes to some instances, others for each target.
     """
     table = state.instances
-    assumed = state.policy.assumed_instances
+    assumed = 0 if _knows_all(state, now_ms) else state.policy.assumed_instances
     near = max(table.largest_near_count, assumed / places.count(state), 1)
     every = max(table.largest_count, assumed, 1)
     budget = _USED * state.policy.probes_per_s
@@ -55,6 +64,17 @@
     return _part((1 - _NEAR_SHARE) * budget, every, table.rank, entry)
 
 
+def _knows_all(state: world.World, now_ms: clock.Millis) -> bool:
+    """Return whether nobody seems to be missing from the count.
+
+    A data centre that has targets and no instance is likely cut off.
+    """
+    table = state.instances
+    if now_ms - table.grown_at_ms < STANDS_MS:
+        return False
+    return places.data_centres(state) <= table.counted_data_centres
+
+
 def _part(
     budget: float,
     count: float,
--- a/test/test_reading_parts.py
+++ b/test/test_reading_parts.py
@@ -7,6 +7,7 @@
 from oleanderstair.domain import events
 from oleanderstair.domain.fleet import counting
 from oleanderstair.domain.tables import members
+from oleanderstair.domain.targets import reading_parts
 from test import targets_scene
 
 BUDGET = 60
@@ -14,7 +15,11 @@
 FAR = 'nitra'
 
 
-def _scene(count: int, near: int) -> targets_scene.Scene:
+def _scene(
+    count: int,
+    near: int,
+    assumed: int = 1,
+) -> targets_scene.Scene:
     """Return instances of two data centres that know one another."""
     targets = targets_scene.many(4)
     for target in targets:
@@ -23,7 +28,7 @@
     scene = targets_scene.create(
         [*targets, other],
         instances=count,
-        assumed_instances=1,
+        assumed_instances=assumed,
         probes_per_s=BUDGET,
     )
     rows = [
@@ -79,3 +84,35 @@
         target.running = target.slots
     targets_scene.steady(scene, per_s=800, for_ms=2000)
     assert _most_in_a_second(scene) <= BUDGET
+
+
+def _part(scene: targets_scene.Scene, target_id: str) -> int:
+    state = scene.state_by_id['entry-1']
+    entry = state.registry.entry_by_id[target_id]
+    return reading_parts.own_part(state, entry, scene.now_ms)
+
+
+def test_a_count_that_stands_is_believed() -> None:
+    scene = _scene(6, 3, assumed=24)
+    before = _part(scene, 'burza-1')
+    scene.run_for(reading_parts.STANDS_MS)
+    assert _part(scene, 'burza-1') > 2 * before
+
+
+def test_a_count_that_grows_is_not_believed_yet() -> None:
+    scene = _scene(6, 3, assumed=24)
+    before = _part(scene, 'burza-1')
+    scene.run_for(reading_parts.STANDS_MS - 1)
+    state = scene.state_by_id['entry-1']
+    added = members.Member('late~1', NEAR, 'late:80', 'late:90', 1, 1)
+    state.members.by_incarnation[added.incarnation] = added
+    counting.on_tick(state, events.Tick(), scene.now_ms)
+    scene.run_for(reading_parts.STANDS_MS - 1)
+    assert _part(scene, 'burza-1') <= before
+
+
+def test_a_data_centre_with_targets_alone_is_taken_for_cut_off() -> None:
+    scene = _scene(6, 6, assumed=24)
+    before = _part(scene, 'burza-1')
+    scene.run_for(2 * reading_parts.STANDS_MS)
+    assert _part(scene, 'burza-1') == before
