Reckon with what neighbours send between two reports

At the crest and after a common start reads are scarce, so that an instance sent call after call to a target that a report of some moments ago showed free, and so did its neighbours.

Own sends since a report older than 20 ms count once for each instance of the data centre, as callers are spread evenly; a target that nobody has read is filled up to the own part of its slots. Sends that have ended count no more, so that an instance that may not read a target doesn't lose it.

--- a/oleanderstair/domain/targets/room.py
+++ b/oleanderstair/domain/targets/room.py
@@ -1,4 +1,8 @@
-"""Tells how many more calls a target can run at once, by its reports."""
+"""Tells how many more calls a target can run at once, by its reports.
+
+What neighbours send is seen in a report alone. Between two reports each is
+taken to send as much as this instance does, as callers are spread evenly.
+"""
 
 import typing
 
@@ -7,6 +11,9 @@
 from oleanderstair.domain.tables import load_reports
 from oleanderstair.domain.targets import crowding, shortage
 
+RECENT_MS: typing.Final[clock.Millis] = 20
+"""Up to which age a report counts as of now; a read takes a few ms."""
+
 
 def free_slots(
     state: world.World,
@@ -16,7 +23,8 @@
     """Return the free slots of a target; negative where calls wait.
 
     A target that was asked and told nothing has none, and neither has one
-    with an outdated report while its service is short of room.
+    with an outdated report while its service is short of room. Where nothing
+    was read so far, each instance has its part of the slots, at least one.
     """
     entry = state.registry.entry_by_id.get(target_id)
     known = load_reports.load_of(state.loads, target_id)
@@ -25,8 +33,12 @@
     report = known.report
     if report is None:
         usable = crowding.usable_slots(state, entry.service, entry.slots)
-        return usable - known.in_flight
-    busy = report.running + report.waiting + known.sent_since
+        return usable - known.in_flight * _senders(state)
+    sent = known.sent_since
+    if now_ms - known.reported_at_ms > RECENT_MS:
+        # What has ended since without a report takes no slot any more.
+        sent = min(sent, known.in_flight) * _senders(state)
+    busy = report.running + report.waiting + sent
     free = crowding.usable_slots(state, entry.service, report.slots) - busy
     if shortage.is_outdated(known, now_ms) and shortage.is_short(
         state,
@@ -37,6 +49,11 @@
     return free
 
 
+def _senders(state: world.World) -> int:
+    """Return how many instances are likely to send as much as this one."""
+    return max(state.instances.largest_near_count, 1)
+
+
 def with_room(
     state: world.World,
     target_ids: typing.Iterable[str],
--- a/test/test_shortage.py
+++ b/test/test_shortage.py
@@ -74,3 +74,45 @@
     load_reports.put_load(state.loads, known._replace(report=overfull))
     state.routed.short_at_ms_by_service['burza'] = now_ms
     assert room.free_slots(state, TARGET_ID, now_ms) < 0
+
+
+def _among_neighbours(
+    age_ms: clock.Millis,
+    sent: int,
+    near: int,
+    in_flight: int = 1,
+) -> int:
+    """Return the free slots of three after own sends, beside neighbours."""
+    state, now_ms = make_state(age_ms)
+    state.instances.largest_near_count = near
+    known = load_reports.load_of(state.loads, TARGET_ID)
+    load_reports.put_load(
+        state.loads,
+        known._replace(sent_since=sent, in_flight=in_flight),
+    )
+    return room.free_slots(state, TARGET_ID, now_ms)
+
+
+def test_neighbours_are_taken_to_send_as_much_between_reports() -> None:
+    assert _among_neighbours(room.RECENT_MS + 1, sent=1, near=3) == 0
+    assert _among_neighbours(room.RECENT_MS + 1, sent=0, near=3) == 3
+
+
+def test_a_send_that_ended_without_a_report_keeps_no_target_closed() -> None:
+    age_ms = shortage.FORGOTTEN_MS
+    assert _among_neighbours(age_ms, sent=1, near=40, in_flight=0) == 3
+
+
+def test_a_report_of_now_shows_what_neighbours_have_sent() -> None:
+    assert _among_neighbours(room.RECENT_MS, sent=1, near=3) == 2
+
+
+def test_after_a_start_each_has_its_part_of_slots_that_none_has_read() -> None:
+    state, now_ms = make_state(0)
+    state.instances.largest_near_count = 8
+    known = load_reports.load_of(state.loads, TARGET_ID)
+    untold = known._replace(report=None, in_flight=0)
+    load_reports.put_load(state.loads, untold)
+    assert room.free_slots(state, TARGET_ID, now_ms) > 0
+    load_reports.put_load(state.loads, untold._replace(in_flight=1))
+    assert room.free_slots(state, TARGET_ID, now_ms) <= 0
