Import what admits peers with keys only where there is a key

A gateway of the platform speaks plain to its peers, so zmq.asyncio and zmq.auth (8 modules with glob and z85) waited for nobody; zmq.utils.monitor was imported for nothing, as a socket's own monitor() takes the events.

--- a/oleanderstair/engine/peers.py
+++ b/oleanderstair/engine/peers.py
@@ -10,7 +10,6 @@
 
 import result
 import zmq
-import zmq.asyncio
 
 from oleanderstair import clock
 from oleanderstair.domain import messages
@@ -107,8 +106,7 @@
         self._plain: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         self._gate: strangers.Gate | None = None
         if keys.public:
-            shadow = zmq.asyncio.Context.shadow(self._plain)
-            self._gate = strangers.create(shadow, keys.public)
+            self._gate = strangers.create(self._plain, keys.public)
         self._router = peer_sockets.open_router(
             self._plain, keys, self._options
         )
--- a/oleanderstair/engine/strangers.py
+++ b/oleanderstair/engine/strangers.py
@@ -1,11 +1,9 @@
 """Admits peers that hold the fleet's key, and counts who is refused."""
 
+import importlib
 import typing
 
 import zmq
-import zmq.asyncio
-import zmq.auth.asyncio
-import zmq.utils.monitor
 
 DOMAIN: typing.Final = b'fleet'
 
@@ -27,9 +25,9 @@
 class Gate:
     """The ZAP handler of one context."""
 
-    def __init__(self, context: zmq.asyncio.Context, public: str) -> None:
+    def __init__(self, authenticator: typing.Any, public: str) -> None:
         """Admit the holder of the ``public`` key only."""
-        self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(context)
+        self._authenticator = authenticator
         self._authenticator.start()
         self._authenticator.configure_curve_callback(
             domain=DOMAIN.decode(),
@@ -41,9 +39,13 @@
         self._authenticator.stop()
 
 
-def create(context: zmq.asyncio.Context, public: str) -> Gate:
+def create(context: 'zmq.Context[zmq.Socket[bytes]]', public: str) -> Gate:
     """Create a gate; it must be made inside a running event loop."""
-    return Gate(context, public)
+    # A link without keys starts without what only a gate needs.
+    awaited = importlib.import_module('zmq.asyncio')
+    handlers = importlib.import_module('zmq.auth.asyncio')
+    shadow = awaited.Context.shadow(context)
+    return Gate(handlers.AsyncioAuthenticator(shadow), public)
 
 
 def watch_refusals(
--- a/test/test_platform_start.py
+++ b/test/test_platform_start.py
@@ -26,6 +26,8 @@
     'importlib.resources',
     'json5',
     'rich',
+    'zmq.asyncio',
+    'zmq.auth',
     'oleanderstair.domain.proof',
     'oleanderstair.emulator',
     'oleanderstair.ui',
