Read loads on kept connections without tasks

Cause: by a profile of a gateway on loopback, 9 cancel scopes were entered per call (two reads each), and every read was a task: started in one round of the event loop, woken in another, each round with a system call of its own.

A read whose target has a kept connection is now begun at once and ends in a callback of that connection; only one that must connect is a task. A connection bounds what it awaits by a timer in place of a cancel scope.

--- a/oleanderstair/engine/exchanges.py
+++ b/oleanderstair/engine/exchanges.py
@@ -3,8 +3,6 @@
 import dataclasses
 import typing
 
-import anyio
-
 from oleanderstair import clock
 from oleanderstair.domain import events
 from oleanderstair.engine import answers, headers, streams
@@ -110,22 +108,55 @@
         """
         if not self._claim(place.target_id):
             return Ended(events.Verdict.NOT_SENT, what='connection limit')
+        judge = judge or verdict_of
         connection: streams.Connection | None = None
         ended = Ended(events.Verdict.CANCELLED)
         try:
             connection = await self._connect(place)
-            ended = await _send(
-                connection,
-                request,
-                judge or verdict_of,
-                place.silence_ms,
+            had = await connection.ask(
+                _written(request),
+                _expected(request, judge, place.silence_ms),
             )
+            ended = _ended(had, judge)
         except streams.CannotConnect as error:
             return Ended(events.Verdict.NOT_SENT, what=str(error))
         finally:
             self._give_back(place.target_id, connection, ended)
         return ended
 
+    def begin_kept(
+        self,
+        place: Place,
+        request: Request,
+        judge: Judge,
+        take: typing.Callable[[Ended], None],
+    ) -> bool:
+        """Exchange on a kept connection without a task.
+
+        Return False, with nothing sent, where there is none. ``take`` is told
+        the end once, after this has returned.
+        """
+        if not self.idle_by_target.get(place.target_id):
+            return False
+        if not self._claim(place.target_id):
+            return False
+        kept = self._take_idle(place)
+        if kept is None:
+            self._release(place.target_id)
+            return False
+
+        def end(had: streams.Outcome) -> None:
+            ended = _ended(had, judge)
+            self._give_back(place.target_id, kept, ended)
+            take(ended)
+
+        kept.begin(
+            _written(request),
+            _expected(request, judge, place.silence_ms),
+            end,
+        )
+        return True
+
     def close_idle(self, target_id: str) -> None:
         """Close the idle connections to a target."""
         for entry in self.idle_by_target.pop(target_id, []):
@@ -184,17 +215,20 @@
         idle = self.idle_by_target.get(target_id, [])
         return self.open_by_target.get(target_id, 0) + len(idle)
 
+    def _release(self, target_id: str) -> None:
+        left = self.open_by_target[target_id] - 1
+        if left:
+            self.open_by_target[target_id] = left
+        else:
+            self.open_by_target.pop(target_id)
+
     def _give_back(
         self,
         target_id: str,
         connection: streams.Connection | None,
         ended: Ended,
     ) -> None:
-        left = self.open_by_target[target_id] - 1
-        if left:
-            self.open_by_target[target_id] = left
-        else:
-            self.open_by_target.pop(target_id)
+        self._release(target_id)
         if connection is None:
             return
         idle = self.idle_by_target.setdefault(target_id, [])
@@ -240,19 +274,19 @@
     return events.Verdict.ANSWERED
 
 
-async def _send(
-    connection: streams.Connection,
+def _expected(
     request: Request,
     judge: Judge,
-    silence_ms: clock.Millis,
-) -> Ended:
-    had: answers.Answer | answers.Fault | None = None
-    with anyio.move_on_after(clock.to_seconds(silence_ms)):
-        had = await connection.ask(
-            _written(request),
-            request.method,
-            lambda answer: judge(answer) is None,
-        )
+    bound_ms: clock.Millis,
+) -> streams.Expected:
+    return streams.Expected(
+        request.method,
+        lambda answer: judge(answer) is None,
+        bound_ms,
+    )
+
+
+def _ended(had: streams.Outcome, judge: Judge) -> Ended:
     if had is None:
         return Ended(events.Verdict.SILENT)
     if isinstance(had, answers.Fault):
--- a/oleanderstair/engine/gateway.py
+++ b/oleanderstair/engine/gateway.py
@@ -43,6 +43,13 @@
     ) -> load_reports.Report | None:
         """Return the report of a target, None where it can't be had."""
 
+    def begin_kept(
+        self,
+        action: actions.ReadLoad,
+        take: typing.Callable[[load_reports.Report | None], None],
+    ) -> bool:
+        """Read without a task; False where no connection is at hand."""
+
 
 @dataclasses.dataclass(slots=True)
 class Sides:
@@ -88,12 +95,14 @@
         super().__init__(state, gateway.step, outgoing, tasks)
         self.decisions = decisions.create(state, logs.sink(), self.metrics)
         self.observer = self.decisions
+        self._outgoing = outgoing
+        self._start_read = self.start(outgoing.read_load)
         self._peering = peering.create(self, outgoing.link, self._take)
         self.perform_by(
             {
                 actions.ReadStore: self.start(outgoing.read_store),
                 actions.WatchStore: self.start(outgoing.watch_store),
-                actions.ReadLoad: self.start(outgoing.read_load),
+                actions.ReadLoad: self._read_load,
                 actions.SendPeer: self._peering.send,
             },
         )
@@ -108,5 +117,18 @@
         self.sides.connections.open_limit = limit
         super().sweep(now_ms)
 
+    def _read_load(self, action: actions.ReadLoad) -> None:
+        """Read on a kept connection, else in a task that may open one."""
+        started_ms = self.sides.clock.now_ms()
+
+        def take(report: load_reports.Report | None) -> None:
+            took_ms = self.sides.clock.now_ms() - started_ms
+            event = events.LoadRead(action.target_id, report, took_ms)
+            self.note_read(event)
+            self.handle(event)
+
+        if not self._outgoing.load_reader.begin_kept(action, take):
+            self._start_read(action)
+
     def _take(self, heard: peers.Heard) -> None:
         self.handle(events.PeerHeard(heard.sender, heard.message))
--- a/oleanderstair/engine/streams.py
+++ b/oleanderstair/engine/streams.py
@@ -33,6 +33,20 @@
     """No connection was made, so that nothing was sent."""
 
 
+class Expected(typing.NamedTuple):
+    """Which answer a request awaits, and for how long."""
+
+    method: bytes
+    is_other: answers.IsOther
+    bound_ms: clock.Millis
+
+
+Outcome: typing.TypeAlias = answers.Answer | answers.Fault | None
+"""What a request brought; None where nothing came within its bound."""
+
+Take: typing.TypeAlias = typing.Callable[[Outcome], None]
+
+
 class Connection(asyncio.Protocol):
     """One connection to a target; times are of the event loop, in s."""
 
@@ -40,7 +54,8 @@
         """Hand what arrives to ``reader``."""
         self._reader = reader
         self._loop = asyncio.get_running_loop()
-        self._waiter: asyncio.Future[None] | None = None
+        self._take: Take | None = None
+        self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
         self._is_over = False
         self.answered_at_s = self._loop.time()
@@ -76,26 +91,49 @@
 
     # The side of exchanges
 
-    async def ask(
+    def begin(
         self,
         request: bytes,
-        method: bytes,
-        is_other: answers.IsOther,
-    ) -> answers.Answer | answers.Fault:
-        """Write a request and return its answer, or why there is none.
+        expected: Expected,
+        take: Take,
+    ) -> None:
+        """Write a request, and hand to ``take`` what it brings.
 
         Raises ``CannotConnect`` where the connection ended before that.
         """
         if self._transport is None or self._is_over:
             raise CannotConnect('the connection ended before its use')
         self.uses += 1
-        self._reader.expect(method, is_other)
+        self._take = take
+        self._timer = self._loop.call_later(
+            clock.to_seconds(expected.bound_ms),
+            self._finish,
+            None,
+        )
+        self._reader.expect(expected.method, expected.is_other)
         self._transport.write(request)
-        while self._reader.outcome is None:
-            self._waiter = self._loop.create_future()
-            await self._waiter
-        self.answered_at_s = self._loop.time()
-        return self._reader.outcome
+
+    async def ask(
+        self,
+        request: bytes,
+        expected: Expected,
+    ) -> Outcome:
+        """Write a request and return what it brings.
+
+        Raises ``CannotConnect`` where the connection ended before that.
+        """
+        brought: asyncio.Future[Outcome] = self._loop.create_future()
+
+        def take(outcome: Outcome) -> None:
+            if not brought.done():
+                brought.set_result(outcome)
+
+        self.begin(request, expected, take)
+        try:
+            return await brought
+        finally:
+            # Whoever gave up takes nothing any more.
+            self._forget()
 
     def is_usable(self) -> bool:
         """Return whether another request may be written."""
@@ -116,10 +154,23 @@
             self._transport.abort()
 
     def _wake(self) -> None:
-        if self._waiter is None or self._waiter.done():
+        outcome = self._reader.outcome
+        if outcome is None or self._take is None:
             return
-        if self._reader.outcome is not None:
-            self._waiter.set_result(None)
+        self.answered_at_s = self._loop.time()
+        self._finish(outcome)
+
+    def _finish(self, outcome: Outcome) -> None:
+        take = self._take
+        self._forget()
+        if take is not None:
+            take(outcome)
+
+    def _forget(self) -> None:
+        self._take = None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
 
 
 async def connect(
--- a/test/test_exchanges.py
+++ b/test/test_exchanges.py
@@ -188,3 +188,53 @@
         assert not gone.crashed
 
     anyio.run(scenario)
+
+
+def begin_read(table, target, brought, silence_ms=100):
+    return table.begin_kept(
+        place_at(target, silence_ms=silence_ms),
+        make_request(),
+        exchanges.verdict_of,
+        brought.append,
+    )
+
+
+def test_a_kept_connection_needs_no_task_and_a_silent_one_is_closed():
+    async def scenario():
+        script = raw.RawTarget(WHOLE, WHOLE, None, kept=True)
+        async with raw.running(script) as target:
+            table = exchanges.create()
+            brought = []
+            assert not begin_read(table, target, brought)
+            assert not target.requests
+            await table.exchange(place_at(target), make_request())
+            for expected in (events.Verdict.ANSWERED, events.Verdict.SILENT):
+                assert begin_read(table, target, brought)
+                # It is busy, and nothing else is kept.
+                assert not begin_read(table, target, brought)
+                await anyio.sleep(0.2)
+                assert brought.pop().verdict is expected
+                assert not brought
+            assert not table.open_by_target
+            assert not any(table.idle_by_target.values())
+            assert target.connections == 1
+
+    anyio.run(scenario)
+
+
+def test_a_kept_connection_that_ends_under_a_read_is_broken():
+    async def scenario():
+        script = raw.RawTarget(WHOLE, raw.RESET, kept=True)
+        async with raw.running(script) as target:
+            table = exchanges.create()
+            await table.exchange(place_at(target), make_request())
+            target.kept = False
+            brought = []
+            assert begin_read(table, target, brought)
+            await anyio.sleep(0.1)
+            assert [ended.verdict for ended in brought] == [
+                events.Verdict.BROKEN,
+            ]
+            assert not table.open_by_target
+
+    anyio.run(scenario)
