Write an answer's head and body together, and bound only bodies still to come

Cause: uvicorn writes the head and the body of an answer apart, a system call each, which was 800 of 2,200 sends per 400 calls. Each call also entered a cancel scope to bound the time of its body, though the body of most has come with its head.

The head now waits for the body's first part in the same answer; later parts go out as they come, an answer without a body is written at its end. The application asks the connection whether a request is whole, and bounds only one that is not.

--- a/oleanderstair/engine/asgi.py
+++ b/oleanderstair/engine/asgi.py
@@ -30,12 +30,14 @@
 async def read_body(
     receive: Receive,
     max_bytes: int,
-    bound_ms: clock.Millis,
+    bound_ms: clock.Millis | None,
 ) -> bytes:
-    """Return the whole body.
+    """Return the whole body; without a bound where all of it has come.
 
     Raises ``BodyTooLarge``, ``BodyTooSlow`` or ``Disconnected``.
     """
+    if bound_ms is None:
+        return await _read_whole(receive, max_bytes)
     try:
         with anyio.fail_after(clock.to_seconds(bound_ms)):
             return await _read_whole(receive, max_bytes)
--- a/oleanderstair/engine/bounded.py
+++ b/oleanderstair/engine/bounded.py
@@ -20,6 +20,9 @@
 _FIELD_OVERHEAD_BYTES: typing.Final = 4
 _BODY_TIMES: typing.Final = 2
 _MS_PER_S: typing.Final = 1000
+_INTERIM: typing.Final = b'HTTP/1.1 1'
+_JOINED_BYTES: typing.Final = 65536
+"""Up to which size a body is copied to be written with its head."""
 
 
 class Bounds(typing.NamedTuple):
@@ -42,6 +45,53 @@
     BODY = 'body'
 
 
+class _JoinedWrites:
+    """The transport of one answer, whose head waits for its body.
+
+    uvicorn writes the two apart, and each write is a system call.
+    """
+
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        on_response: typing.Callable[[], None],
+    ) -> None:
+        self._transport = transport
+        self._on_response = on_response
+        self._head: bytes | None = None
+        self._has_begun = False
+
+    def write(self, chunk: bytes) -> None:
+        is_head = not self._has_begun and not chunk.startswith(_INTERIM)
+        if is_head:
+            self._has_begun = True
+            self._head = chunk
+        elif self._head is not None and len(chunk) <= _JOINED_BYTES:
+            chunk = self._head + chunk
+            self._head = None
+            self._transport.write(chunk)
+        else:
+            self._flush()
+            self._transport.write(chunk)
+
+    def close(self) -> None:
+        self._flush()
+        self._transport.close()
+
+    def is_closing(self) -> bool:
+        return self._transport.is_closing()
+
+    def complete(self) -> None:
+        """End an answer, which may have no body."""
+        self._flush()
+        self._on_response()
+
+    def _flush(self) -> None:
+        if self._head is not None:
+            self._transport.write(self._head)
+            self._head = None
+
+
 class BoundedProtocol(httptools_impl.HttpToolsProtocol):
     """One connection of a client, within ``Bounds``."""
 
@@ -116,17 +166,21 @@
             len(name) + len(field) + _FIELD_OVERHEAD_BYTES
             for name, field in self.headers
         )
+        earlier = self.cycle
         if size <= self._bounds_of().max_header_bytes:
             super().on_headers_complete()
-            return
-        app = self.app
-        self.app = _refuse_header
-        super().on_headers_complete()
-        self.app = app
+        else:
+            app = self.app
+            self.app = _refuse_header
+            super().on_headers_complete()
+            self.app = app
+        if self.cycle is not earlier:
+            self._join_writes()
 
     def on_message_complete(self) -> None:
         """Close the request; nothing of it is awaited any more."""
         super().on_message_complete()
+        self._connection['is_whole'] = True
         self._part = _Part.NONE
         # What follows in the same chunk may belong to this message's body.
         self._chunk_bytes = 0
@@ -183,6 +237,11 @@
         if self.cycle is not None:
             self.cycle.keep_alive = False
 
+    def _join_writes(self) -> None:
+        joined = _JoinedWrites(self.transport, self.cycle.on_response)
+        self.cycle.transport = typing.cast(asyncio.Transport, joined)
+        self.cycle.on_response = joined.complete
+
     def _is_answering(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
 
--- a/oleanderstair/engine/incoming.py
+++ b/oleanderstair/engine/incoming.py
@@ -49,10 +49,13 @@
 
 
 class BodyBounds(typing.NamedTuple):
-    """What a body may hold and take; ``within`` names the time to callers."""
+    """What a body may hold and take; ``within`` names the time to callers.
+
+    ``time_ms`` is None where all of it has come.
+    """
 
     max_bytes: int
-    time_ms: clock.Millis
+    time_ms: clock.Millis | None
     within: str
 
 
--- a/oleanderstair/engine/listener.py
+++ b/oleanderstair/engine/listener.py
@@ -77,6 +77,11 @@
     return typing.cast(bounded.BoundedProtocol, extension['protocol'])
 
 
+def is_whole(scope: asgi.Scope) -> bool:
+    """Return whether all of a request has come."""
+    return 'is_whole' in scope['extensions']['connection']
+
+
 def create(
     app: typing.Any,
     bounds: bounded.Bounds = DEFAULT_BOUNDS,
--- a/oleanderstair/engine/routed_callers.py
+++ b/oleanderstair/engine/routed_callers.py
@@ -62,7 +62,7 @@
         limits = self._limits()
         bounds = incoming.BodyBounds(
             limits.max_body_bytes,
-            limits.idle_ms,
+            None if listener.is_whole(scope) else limits.idle_ms,
             'in time',
         )
         began_ms = self._now_ms()
--- a/test/test_listener.py
+++ b/test/test_listener.py
@@ -139,3 +139,54 @@
             assert answer.count(b'HTTP/1.1') == 1
 
     anyio.run(scenario)
+
+
+async def answer_in_parts(scope, receive, send):
+    fields = [(b'content-length', b'4')]
+    await send(
+        {'type': 'http.response.start', 'status': 200, 'headers': fields},
+    )
+    if scope['path'] == '/broken':
+        raise RuntimeError
+    for part in (b'tw', b'ig'):
+        await send(
+            {
+                'type': 'http.response.body',
+                'body': part,
+                'more_body': part == b'tw',
+            },
+        )
+        if part == b'tw':
+            await anyio.sleep(0.1)
+
+
+@pytest.mark.parametrize(
+    ('request_head', 'ends'),
+    [
+        (b'GET / HTTP/1.1\r\nhost: a\r\n', b'\r\n\r\ntwig'),
+        (b'GET / HTTP/1.0\r\nhost: a\r\n', b'\r\n\r\ntwig'),
+        (b'HEAD / HTTP/1.1\r\nhost: a\r\n', b'content-length: 4\r\n\r\n'),
+        (b'GET /broken HTTP/1.1\r\nhost: a\r\n', b'content-length: 4\r\n\r\n'),
+    ],
+)
+def test_an_answer_in_parts_is_written_whole(request_head, ends):
+    async def scenario():
+        async with serving(app=answer_in_parts) as (address, _):
+            answer = await raw.say(address, request_head, b'\r\n')
+            assert answer.startswith(b'HTTP/1.1 200')
+            assert answer.count(b'HTTP/1.1') == 1
+            assert answer.endswith(ends)
+
+    anyio.run(scenario)
+
+
+def test_a_first_part_does_not_wait_for_the_next():
+    async def scenario():
+        async with serving(app=answer_in_parts) as (address, _):
+            host, _, port = address.rpartition(':')
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+                assert (await stream.receive()).endswith(b'\r\n\r\ntw')
+                assert await stream.receive() == b'ig'
+
+    anyio.run(scenario)
