Attempt on kept connections without tasks

Cause: each attempt was a task with a cancel scope, and its answer went through two rounds of the event loop before its caller's task was woken.

An attempt that must connect stays a task.

--- a/oleanderstair/engine/attempting.py
+++ b/oleanderstair/engine/attempting.py
@@ -50,11 +50,42 @@
 
     def dispatch(self, action: actions.Dispatch) -> None:
         """Start an attempt; it reports its end as an event."""
+        owed = self._host.pending.call_by_id.get(action.call_id)
+        try:
+            if owed is not None and self._begin_kept(action, owed):
+                return
+        except Exception as error:
+            # Nothing was written, and the task reports its own end.
+            self._host.report_fault('exchange', error)
         # The scope stands before the task runs, so no cancel comes too early.
         scope = anyio.CancelScope()
-        self._host.pending.scope_by_attempt[action.attempt_id] = scope
+        self._host.pending.cancel_by_attempt[action.attempt_id] = scope.cancel
         self._tasks.start_soon(self._attempt, action, scope)
 
+    def _begin_kept(
+        self,
+        action: actions.Dispatch,
+        owed: pending.PendingCall,
+    ) -> bool:
+        """Attempt on a kept connection, without a task."""
+        started_ms = self._host.sides.clock.now_ms()
+        judge = _Judge(self._host.sides.dialect, owed)
+
+        def take(ended: exchanges.Ended) -> None:
+            self._end(action, owed, judge, ended, started_ms)
+
+        cancel = self._host.sides.connections.begin_kept(
+            _place_of(action),
+            self._request_of(action, owed),
+            judge.verdict_of,
+            take,
+        )
+        if cancel is None:
+            return False
+        self._host.pending.cancel_by_attempt[action.attempt_id] = cancel
+        self._note_start(owed, started_ms)
+        return True
+
     async def _attempt(
         self,
         action: actions.Dispatch,
@@ -70,10 +101,21 @@
             self._note_start(owed, started_ms)
             with scope:
                 ended = await self._exchange(action, owed, judge)
+        self._end(action, owed, judge, ended, started_ms)
+
+    def _end(
+        self,
+        action: actions.Dispatch,
+        owed: pending.PendingCall | None,
+        judge: '_Judge',
+        ended: exchanges.Ended,
+        started_ms: clock.Millis,
+    ) -> None:
+        if owed is not None:
             owed.target_ms += self._host.sides.clock.now_ms() - started_ms
             if ended.answer is not None:
                 owed.answer_by_attempt[action.attempt_id] = ended.answer
-        self._host.pending.scope_by_attempt.pop(action.attempt_id, None)
+        self._host.pending.cancel_by_attempt.pop(action.attempt_id, None)
         self._note_attempt(action, ended, owed)
         self._host.handle(_attempt_ended(action, ended, judge))
 
@@ -83,28 +125,27 @@
         owed: pending.PendingCall,
         judge: '_Judge',
     ) -> exchanges.Ended:
-        place = exchanges.Place(
-            action.target_id,
-            action.address,
-            action.fresh,
-            action.silence_ms,
-        )
-        sides = self._host.sides
-        left_ms = owed.received.deadline_ms - sides.clock.now_ms()
-        remaining_ms = min(left_ms, action.budget_ms)
-        request = owed.request._replace(
-            headers=sides.dialect.fields_for(owed, action, remaining_ms),
-        )
         try:
-            return await sides.connections.exchange(
-                place,
-                request,
+            return await self._host.sides.connections.exchange(
+                _place_of(action),
+                self._request_of(action, owed),
                 judge.verdict_of,
             )
         except Exception as error:
             self._host.report_fault('exchange', error)
             return exchanges.Ended(events.Verdict.BROKEN, what=repr(error))
 
+    def _request_of(
+        self,
+        action: actions.Dispatch,
+        owed: pending.PendingCall,
+    ) -> exchanges.Request:
+        sides = self._host.sides
+        left_ms = owed.received.deadline_ms - sides.clock.now_ms()
+        remaining_ms = min(left_ms, action.budget_ms)
+        fields = sides.dialect.fields_for(owed, action, remaining_ms)
+        return owed.request._replace(headers=fields)
+
     def _note_start(
         self,
         owed: pending.PendingCall,
@@ -139,9 +180,9 @@
 
     def cancel(self, action: actions.CancelAttempt) -> None:
         """Abandon an attempt and close its connection."""
-        scope = self._host.pending.scope_by_attempt.get(action.attempt_id)
-        if scope is not None:
-            scope.cancel()
+        cancel = self._host.pending.cancel_by_attempt.get(action.attempt_id)
+        if cancel is not None:
+            cancel()
 
     def close_idle(self, action: actions.CloseIdle) -> None:
         """Close the idle connections to a target."""
@@ -177,6 +218,15 @@
     return Attempts(host, tasks)
 
 
+def _place_of(action: actions.Dispatch) -> exchanges.Place:
+    return exchanges.Place(
+        action.target_id,
+        action.address,
+        action.fresh,
+        action.silence_ms,
+    )
+
+
 def _attempt_ended(
     action: actions.Dispatch,
     ended: exchanges.Ended,
--- a/oleanderstair/engine/exchanges.py
+++ b/oleanderstair/engine/exchanges.py
@@ -130,32 +130,30 @@
         request: Request,
         judge: Judge,
         take: typing.Callable[[Ended], None],
-    ) -> bool:
+    ) -> streams.Cancel | None:
         """Exchange on a kept connection without a task.
 
-        Return False, with nothing sent, where there is none. ``take`` is told
-        the end once, after this has returned.
+        Return what cancels it; None, with nothing sent, where there is no
+        such connection. ``take`` is told the end once, after this has
+        returned, and after a cancel too.
         """
         if not self.idle_by_target.get(place.target_id):
-            return False
+            return None
+        written = _written(request)
         if not self._claim(place.target_id):
-            return False
+            return None
         kept = self._take_idle(place)
         if kept is None:
             self._release(place.target_id)
-            return False
+            return None
 
         def end(had: streams.Outcome) -> None:
             ended = _ended(had, judge)
             self._give_back(place.target_id, kept, ended)
             take(ended)
 
-        kept.begin(
-            _written(request),
-            _expected(request, judge, place.silence_ms),
-            end,
-        )
-        return True
+        expected = _expected(request, judge, place.silence_ms)
+        return kept.begin(written, expected, end)
 
     def close_idle(self, target_id: str) -> None:
         """Close the idle connections to a target."""
@@ -289,6 +287,8 @@
 def _ended(had: streams.Outcome, judge: Judge) -> Ended:
     if had is None:
         return Ended(events.Verdict.SILENT)
+    if isinstance(had, streams.Cancelled):
+        return Ended(events.Verdict.CANCELLED)
     if isinstance(had, answers.Fault):
         return Ended(
             events.Verdict.BROKEN,
--- a/oleanderstair/engine/pending.py
+++ b/oleanderstair/engine/pending.py
@@ -8,7 +8,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import events, outcomes
-from oleanderstair.engine import exchanges
+from oleanderstair.engine import exchanges, streams
 
 _ID_START_BITS: typing.Final = 40
 
@@ -52,7 +52,7 @@
     call_by_id: dict[int, PendingCall] = dataclasses.field(
         default_factory=dict,
     )
-    scope_by_attempt: dict[int, anyio.CancelScope] = dataclasses.field(
+    cancel_by_attempt: dict[int, streams.Cancel] = dataclasses.field(
         default_factory=dict,
     )
     recorded_by_call_id: dict[int, exchanges.Answer] = dataclasses.field(
--- a/oleanderstair/engine/streams.py
+++ b/oleanderstair/engine/streams.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import functools
 import socket
 import typing
 
@@ -41,10 +42,15 @@
     bound_ms: clock.Millis
 
 
-Outcome: typing.TypeAlias = answers.Answer | answers.Fault | None
+class Cancelled(typing.NamedTuple):
+    """Whoever asked wants no answer any more."""
+
+
+Outcome: typing.TypeAlias = answers.Answer | answers.Fault | Cancelled | None
 """What a request brought; None where nothing came within its bound."""
 
 Take: typing.TypeAlias = typing.Callable[[Outcome], None]
+Cancel: typing.TypeAlias = typing.Callable[[], None]
 
 
 class Connection(asyncio.Protocol):
@@ -96,10 +102,11 @@
         request: bytes,
         expected: Expected,
         take: Take,
-    ) -> None:
+    ) -> Cancel:
         """Write a request, and hand to ``take`` what it brings.
 
-        Raises ``CannotConnect`` where the connection ended before that.
+        Return what has it bring ``Cancelled``, in the next round of the event
+        loop. Raises ``CannotConnect`` where the connection ended before that.
         """
         if self._transport is None or self._is_over:
             raise CannotConnect('the connection ended before its use')
@@ -112,6 +119,7 @@
         )
         self._reader.expect(expected.method, expected.is_other)
         self._transport.write(request)
+        return functools.partial(self._cancel, take)
 
     async def ask(
         self,
@@ -166,6 +174,14 @@
         if take is not None:
             take(outcome)
 
+    def _cancel(self, take: Take) -> None:
+        self._loop.call_soon(self._finish_of, take, Cancelled())
+
+    def _finish_of(self, take: Take, outcome: Outcome) -> None:
+        # The answer may have come first, and another request gone out.
+        if self._take is take:
+            self._finish(outcome)
+
     def _forget(self) -> None:
         self._take = None
         if self._timer is not None:
--- a/oleanderstair/platform/load_reader.py
+++ b/oleanderstair/platform/load_reader.py
@@ -37,12 +37,13 @@
         take: typing.Callable[[load_reports.Report | None], None],
     ) -> bool:
         """Read on a kept connection without a task; False if there is none."""
-        return self._connections.begin_kept(
+        cancel = self._connections.begin_kept(
             _place_of(action),
             _request_of(action),
             _judge,
             lambda ended: take(_report_in(ended)),
         )
+        return cancel is not None
 
 
 def create(connections: exchanges.Connections) -> HealthPathReader:
--- a/test/test_exchanges.py
+++ b/test/test_exchanges.py
@@ -238,3 +238,45 @@
             assert not table.open_by_target
 
     anyio.run(scenario)
+
+
+def test_a_cancelled_kept_exchange_ends_later_and_once_and_is_closed():
+    async def scenario():
+        script = raw.RawTarget(WHOLE, None, kept=True)
+        async with raw.running(script) as target:
+            table = exchanges.create()
+            await table.exchange(place_at(target), make_request())
+            brought = []
+            cancel = begin_read(table, target, brought)
+            cancel()
+            cancel()
+            assert not brought
+            await anyio.sleep(0.2)
+            assert [ended.verdict for ended in brought] == [
+                events.Verdict.CANCELLED,
+            ]
+            assert not table.open_by_target
+            assert not any(table.idle_by_target.values())
+
+    anyio.run(scenario)
+
+
+def test_a_late_cancel_leaves_the_next_exchange_of_a_connection_alone():
+    async def scenario():
+        script = raw.RawTarget(WHOLE, WHOLE, WHOLE, kept=True)
+        async with raw.running(script) as target:
+            table = exchanges.create()
+            await table.exchange(place_at(target), make_request())
+            brought = []
+            cancel = begin_read(table, target, brought)
+            while not brought:
+                await anyio.sleep(0.01)
+            assert begin_read(table, target, brought)
+            cancel()
+            await anyio.sleep(0.1)
+            assert [ended.verdict for ended in brought] == [
+                events.Verdict.ANSWERED,
+                events.Verdict.ANSWERED,
+            ]
+
+    anyio.run(scenario)
