--- a/oleanderstair/engine/exchanges.py
+++ b/oleanderstair/engine/exchanges.py
@@ -3,7 +3,6 @@
 import typing
 
 import msgspec
-import anyio
 
 from oleanderstair import clock
 from oleanderstair.domain import events
@@ -109,22 +108,53 @@
         """
         if not self._claim(place.target_id):
             return Ended(events.Verdict.NOT_SENT, what='connection limit')
+        judge = judge or verdict_of
         connection: streams.Connection | None = None
         ended = Ended(events.Verdict.CANCELLED)
         try:
             connection = await self._connect(place)
-            ended = await _send(
-                connection,
-                request,
-                judge or verdict_of,
-                place.silence_ms,
+            had = await connection.ask(
+                _written(request),
+                _expected(request, judge, place.silence_ms),
             )
+            ended = _ended(had, judge)
         except streams.CannotConnect as error:
             return Ended(events.Verdict.NOT_SENT, what=str(error))
         finally:
             self._give_back(place.target_id, connection, ended)
         return ended
 
+    def begin_kept(
+        self,
+        place: Place,
+        request: Request,
+        judge: Judge,
+        take: typing.Callable[[Ended], None],
+    ) -> streams.Cancel | None:
+        """Exchange on a kept connection without a task.
+
+        Return what cancels it; None, with nothing sent, where there is no
+        such connection. ``take`` is told the end once, after this has
+        returned, and after a cancel too.
+        """
+        if not self.idle_by_target.get(place.target_id):
+            return None
+        written = _written(request)
+        if not self._claim(place.target_id):
+            return None
+        kept = self._take_idle(place)
+        if kept is None:
+            self._release(place.target_id)
+            return None
+
+        def end(had: streams.Outcome) -> None:
+            ended = _ended(had, judge)
+            self._give_back(place.target_id, kept, ended)
+            take(ended)
+
+        expected = _expected(request, judge, place.silence_ms)
+        return kept.begin(written, expected, end)
+
     def close_idle(self, target_id: str) -> None:
         """Close the idle connections to a target."""
         for entry in self.idle_by_target.pop(target_id, []):
@@ -183,17 +213,20 @@
         idle = self.idle_by_target.get(target_id, [])
         return self.open_by_target.get(target_id, 0) + len(idle)
 
+    def _release(self, target_id: str) -> None:
+        left = self.open_by_target[target_id] - 1
+        if left:
+            self.open_by_target[target_id] = left
+        else:
+            self.open_by_target.pop(target_id)
+
     def _give_back(
         self,
         target_id: str,
         connection: streams.Connection | None,
         ended: Ended,
     ) -> None:
-        left = self.open_by_target[target_id] - 1
-        if left:
-            self.open_by_target[target_id] = left
-        else:
-            self.open_by_target.pop(target_id)
+        self._release(target_id)
         if connection is None:
             return
         idle = self.idle_by_target.setdefault(target_id, [])
@@ -239,21 +272,23 @@
     return events.Verdict.ANSWERED
 
 
-async def _send(
-    connection: streams.Connection,
+def _expected(
     request: Request,
     judge: Judge,
-    silence_ms: clock.Millis,
-) -> Ended:
-    had: answers.Answer | answers.Fault | None = None
-    with anyio.move_on_after(clock.to_seconds(silence_ms)):
-        had = await connection.ask(
-            _written(request),
-            request.method,
-            lambda answer: judge(answer) is None,
-        )
+    bound_ms: clock.Millis,
+) -> streams.Expected:
+    return streams.Expected(
+        request.method,
+        lambda answer: judge(answer) is None,
+        bound_ms,
+    )
+
+
+def _ended(had: streams.Outcome, judge: Judge) -> Ended:
     if had is None:
         return Ended(events.Verdict.SILENT)
+    if isinstance(had, streams.Cancelled):
+        return Ended(events.Verdict.CANCELLED)
     if isinstance(had, answers.Fault):
         return Ended(
             events.Verdict.BROKEN,
--- a/oleanderstair/engine/pending.py
+++ b/oleanderstair/engine/pending.py
@@ -8,7 +8,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import events, outcomes
-from oleanderstair.engine import exchanges
+from oleanderstair.engine import exchanges, streams
 
 _ID_START_BITS: typing.Final = 40
 
@@ -50,7 +50,7 @@
     call_by_id: dict[int, PendingCall] = msgspec.field(
         default_factory=dict,
     )
-    scope_by_attempt: dict[int, anyio.CancelScope] = msgspec.field(
+    cancel_by_attempt: dict[int, streams.Cancel] = msgspec.field(
         default_factory=dict,
     )
     recorded_by_call_id: dict[int, exchanges.Answer] = msgspec.field(
