Soak real gateway daemons with faults from outside

Cause: daemons of the platform were tested in one process or on the virtual clock; no test struck real processes by signals and harmed links in series and overlapping, while callers went on using open connections.

Ruled out: harming links between peers beyond the first contact, as instances tell each other the address that they listen at.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 
-.PHONY: run test bench install check-format lint types unit examples clean
+.PHONY: run test bench soak install check-format lint types unit examples clean
 
 run: install
 	$(BIN)/python -m oleanderstair.ui demo
@@ -13,6 +13,12 @@
 	$(BIN)/python -m bench.gateways
 	$(BIN)/python -m bench
 
+SEEDS ?= 1-8
+SECONDS ?= 20
+
+soak: install
+	$(BIN)/python -m soak --seeds $(SEEDS) --seconds $(SECONDS)
+
 # Installs only when the pinned lists differ from what the venv was made from.
 install:
 	@test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -22,10 +28,10 @@
 	     && cat requirements.txt requirements-dev.txt > $(VENV)/installed.txt; }
 
 check-format:
-	$(BIN)/ruff format --check -q oleanderstair test bench
+	$(BIN)/ruff format --check -q oleanderstair test bench soak
 
 lint:
-	$(BIN)/flake8 oleanderstair test bench
+	$(BIN)/flake8 oleanderstair test bench soak
 
 types:
 	$(BIN)/mypy
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A fault soak: real daemons, faults from outside, promises checked."""
--- /dev/null
+++ b/soak/bounds.py
@@ -0,0 +1,40 @@
+"""Bounds of the users' pages, in seconds, and of the soak's own waiting."""
+
+import typing
+
+from oleanderstair import clock
+
+STABLE_S: typing.Final = 3
+"""How long an instance is calm before bounds hold for it."""
+
+CONFIGURATION_S: typing.Final = 2
+"""From the store's acknowledgement until a configuration is in force."""
+
+REVERT_S: typing.Final = 0.25
+"""From the first effect of a version until none older may show."""
+
+LEAVE_S: typing.Final = 2
+"""From the acknowledgement until a leaving target gets nothing new."""
+
+STOP_S: typing.Final = 6
+"""From the signal of a planned stop until the process is killed."""
+
+LOSS_S: typing.Final = 0.2
+"""How long after its last byte a call counts as read by the instance."""
+
+RECOVER_S: typing.Final = 15
+"""From the last fault until calls are served again."""
+
+RECOVERED_SHARE: typing.Final = 0.25
+
+STALL_S: typing.Final = 0.2
+"""A gap in the soak's own ticks that makes bounds of time unjudged."""
+
+START_S: typing.Final = 60
+"""How long the first start is waited for, however busy the machine."""
+
+LATE_RUNS_S: typing.Final = 2
+"""How long refused calls are watched after the last call: their deadline."""
+
+DEADLINE_MS: typing.Final[clock.Millis] = 1500
+TIMEOUT_MS: typing.Final[clock.Millis] = 2000
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,241 @@
+"""The promises, each checked on what callers and targets have seen."""
+
+import math
+import typing
+
+from soak import bounds, record
+
+NOT_RUN: typing.Final = frozenset((408, 421, 429, 503))
+DENIALS: typing.Final = frozenset(range(300, 500)) - NOT_RUN
+SERVED: typing.Final = 200
+MISSING: typing.Final = 404
+CUT: typing.Final = 'cut'
+NEVER_S: typing.Final = math.inf
+
+_RECENT_CALLS: typing.Final = 8
+_LINKS: typing.Final = ('callers', 'store', 'peers')
+
+
+class Finding(typing.NamedTuple):
+    """A broken promise and what shows it.
+
+    One that rests on a bound of time names the time, in s, in which a
+    stall of the machine would explain it as well.
+    """
+
+    promise: str
+    evidence: str
+    from_s: float = NEVER_S
+    until_s: float = -NEVER_S
+
+
+Findings: typing.TypeAlias = typing.Iterator[Finding]
+
+
+class Verdict(typing.NamedTuple):
+    """What was broken, and what may have been but can't be judged."""
+
+    violations: tuple[Finding, ...]
+    unjudged: tuple[Finding, ...]
+
+
+def judge(seen: record.Record) -> Verdict:
+    """Return what all checks find, parted by whether it can be judged."""
+    found = [one for check in CHECKS for one in check(seen)]
+    unjudged = [
+        one
+        for one in found
+        if record.touches(seen.stalls, {'soak'}, one.from_s, one.until_s)
+    ]
+    violations = [one for one in found if one not in unjudged]
+    return Verdict(tuple(violations), tuple(unjudged))
+
+
+def refused_calls_never_run(seen: record.Record) -> Findings:
+    """Find calls that were refused as not run, and that a target ran."""
+    runs_by_id = seen.runs_by_id()
+    for call in seen.calls:
+        runs = runs_by_id.get(call.request_id)
+        if runs and call.status in NOT_RUN:
+            yield Finding('refused-ran', f'{_told(call)}: {_targets(runs)}')
+
+
+def once_calls_run_once(seen: record.Record) -> Findings:
+    """Find calls that may run once, and that ran more often."""
+    runs_by_id = seen.runs_by_id()
+    for call in seen.calls:
+        runs = runs_by_id.get(call.request_id, ())
+        if call.once and len(runs) > 1:
+            yield Finding('ran-twice', f'{_told(call)}: {_targets(runs)}')
+
+
+def answers_belong(seen: record.Record) -> Findings:
+    """Find answers that are incomplete or another call's."""
+    for call in seen.calls:
+        is_whole = call.body == f'served {call.request_id}'.encode()
+        is_own = call.signed and call.answered_id == call.request_id
+        if call.status == SERVED and not (is_whole and is_own):
+            got = f'got {call.body[:60]!r} of {call.answered_id!r}'
+            yield Finding('mixed', f'{_told(call)} {got}')
+
+
+def runs_are_as_sent(seen: record.Record) -> Findings:
+    """Find runs that no caller asked for, or not so."""
+    for run in seen.runs:
+        ran = record.Sent(run.method, run.path, run.body)
+        if seen.sent_by_id.get(run.request_id) != ran:
+            what = f'{run.request_id} ran as {run.method} {run.path}'
+            yield Finding('altered', f'{what} at {run.target}')
+
+
+def allowed_calls_are_not_denied(seen: record.Record) -> Findings:
+    """Find calls denied though every configuration allows them."""
+    for call in seen.calls:
+        if call.status in DENIALS and not call.version:
+            yield Finding('denied', _told(call))
+
+
+def planned_work_cuts_nothing(seen: record.Record) -> Findings:
+    """Find calls cut where nothing but planned work struck."""
+    runs_by_id = seen.runs_by_id()
+    for call in seen.calls:
+        if call.end != CUT or _is_harmed(seen, call):
+            continue
+        if call.request_id in runs_by_id:
+            yield Finding('cut', f'{_told(call)} after it had run')
+        elif call.ended_s - call.sent_s > bounds.LOSS_S:
+            told = f'{_told(call)} after it was read'
+            yield Finding('cut', told, call.sent_s, call.ended_s)
+
+
+def leaving_targets_get_nothing_new(seen: record.Record) -> Findings:
+    """Find calls that reach a target long after its leaving was known."""
+    call_by_id = {call.request_id: call for call in seen.calls}
+    for run in seen.runs:
+        call = call_by_id.get(run.request_id)
+        left_s = _left_s(seen, run)
+        if call is None or left_s == NEVER_S:
+            continue
+        if _is_in_touch(seen, call, f'target:{run.target}'):
+            late = f'{run.target} after {run.at_s - left_s:.2f} s'
+            told = f'{_told(call)} reached {late}'
+            yield Finding('leaving', told, left_s, run.at_s)
+
+
+def configurations_are_in_force(seen: record.Record) -> Findings:
+    """Find calls handled by an older configuration long after a newer."""
+    known_s_by_version = dict(seen.published)
+    for call in _version_calls(seen):
+        late_s = call.sent_s - known_s_by_version[call.version]
+        is_late = late_s > bounds.CONFIGURATION_S
+        if call.status == MISSING and is_late and _is_in_touch(seen, call):
+            told = f'{_told(call)} after {late_s:.2f} s'
+            calm_s = call.sent_s - bounds.STABLE_S
+            yield Finding('not-in-force', told, calm_s, call.ended_s)
+
+
+def configurations_never_revert(seen: record.Record) -> Findings:
+    """Find calls handled by an older configuration than was in force."""
+    first_s_by_key: dict[tuple[str, int, int], float] = {}
+    calls = [call for call in _version_calls(seen) if len(set(call.lives)) == 1]
+    for call in sorted(calls, key=_ended_s):
+        key = (call.instance, call.lives[0], call.version)
+        if call.status == SERVED:
+            first_s_by_key.setdefault(key, call.ended_s)
+        shown_s = first_s_by_key.get(key, NEVER_S) + bounds.REVERT_S
+        if call.status == MISSING and call.sent_s > shown_s:
+            yield Finding('reverted', f'{_told(call)} though served before')
+
+
+def calls_are_served_again(seen: record.Record) -> Findings:
+    """Find instances that don't serve, or too late, after all faults."""
+    for instance in seen.instances:
+        late_s = recovered_s(seen, instance) - seen.quiet_from_s
+        if late_s == NEVER_S:
+            yield Finding('not-recovered', f'{instance} never')
+        elif late_s > bounds.RECOVER_S:
+            told = f'{instance} after {late_s:.2f} s'
+            due_s = seen.quiet_from_s + late_s
+            yield Finding('not-recovered', told, seen.quiet_from_s, due_s)
+
+
+def recovered_s(seen: record.Record, instance: str) -> float:
+    """Return when an instance served again after the last fault."""
+    served: list[bool] = []
+    for call in seen.calls:
+        if call.instance == instance and call.sent_s > seen.quiet_from_s:
+            served.append(call.status == SERVED)
+            is_enough = len(served) >= _RECENT_CALLS
+            share = sum(served[-_RECENT_CALLS:]) / _RECENT_CALLS
+            if is_enough and share >= bounds.RECOVERED_SHARE:
+                return call.ended_s
+    return NEVER_S
+
+
+CHECKS: typing.Final = (
+    refused_calls_never_run,
+    once_calls_run_once,
+    answers_belong,
+    runs_are_as_sent,
+    allowed_calls_are_not_denied,
+    planned_work_cuts_nothing,
+    leaving_targets_get_nothing_new,
+    configurations_are_in_force,
+    configurations_never_revert,
+    calls_are_served_again,
+)
+
+
+def _told(call: record.Call) -> str:
+    return (
+        f'{call.request_id} ({call.route}, {call.instance}, {call.status} '
+        f'{call.end}, {call.sent_s:.2f} to {call.ended_s:.2f} s)'
+    )
+
+
+def _targets(runs: typing.Iterable[record.Run]) -> str:
+    return ' '.join(f'{run.target} at {run.at_s:.2f} s' for run in runs)
+
+
+def _ended_s(call: record.Call) -> float:
+    return call.ended_s
+
+
+def _version_calls(seen: record.Record) -> list[record.Call]:
+    """Return calls on a version's own route while none newer was sent."""
+    pairs = zip(seen.published, seen.published[1:], strict=False)
+    newer_s = {one[0]: later[1] for one, later in pairs}
+    return [
+        call
+        for call in seen.calls
+        if call.version and call.ended_s < newer_s.get(call.version, NEVER_S)
+    ]
+
+
+def _left_s(seen: record.Record, run: record.Run) -> float:
+    """Return when the leaving that a run is too late for was known."""
+    for span in seen.leaving:
+        due_s = span.from_s + bounds.LEAVE_S
+        if span.where == run.target and due_s < run.at_s < span.until_s:
+            return span.from_s
+    return NEVER_S
+
+
+def _is_in_touch(seen: record.Record, call: record.Call, *also: str) -> bool:
+    """Return whether nothing struck a call's instance, or its links."""
+    spans = (*seen.harmed, *seen.planned)
+    wheres = {*_places_of(call.instance), *also}
+    calm_s = call.sent_s - bounds.STABLE_S
+    return not record.touches(spans, wheres, calm_s, call.ended_s)
+
+
+def _is_harmed(seen: record.Record, call: record.Call) -> bool:
+    """Return whether anything unplanned may have cut a call."""
+    wheres = _places_of(call.instance)
+    wheres.update(f'target:{run.target}' for run in seen.runs)
+    calm_s = call.sent_s - bounds.STABLE_S
+    return record.touches(seen.harmed, wheres, calm_s, call.ended_s)
+
+
+def _places_of(instance: str) -> set[str]:
+    return {instance, *(f'{link}:{instance}' for link in _LINKS)}
--- /dev/null
+++ b/soak/instances.py
@@ -0,0 +1,169 @@
+"""Starts daemons of the platform as processes, and signals only those."""
+
+import contextlib
+import dataclasses
+import os
+import pathlib
+import signal
+import sys
+import typing
+
+import anyio
+import anyio.abc
+import httpcore
+import msgspec
+
+from oleanderstair import settings
+from soak import bounds
+
+ROOT: typing.Final = pathlib.Path(__file__).parent.parent
+_POLL_S: typing.Final = 0.05
+_PORT_BY_SIDE: typing.Final = {
+    'callers': 8161,
+    'directory': 8164,
+    'readiness': 8167,
+    'peers': 8166,
+}
+_READY: typing.Final = 200
+_ASK_S: typing.Final = 1
+_PLACES: typing.Final = ('trnava', 'nitra')
+
+
+@dataclasses.dataclass(slots=True)
+class Instance:
+    """One entry instance on a loopback address of its own."""
+
+    name: str
+    host: str
+    folder: pathlib.Path
+    tree: settings.Tree
+    process: anyio.abc.Process | None = None
+    life: int = 0
+    reloads: int = 0
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether its process has not ended."""
+        return self.process is not None and self.process.returncode is None
+
+    def address(self, side: str) -> str:
+        """Return where a side listens."""
+        return f'{self.host}:{_PORT_BY_SIDE[side]}'
+
+    def write_settings(self, **policy: object) -> None:
+        """Write the settings file, with some values of policy anew."""
+        self.tree['policy'].update(policy)
+        self._path.write_bytes(msgspec.json.encode(self.tree))
+
+    def reload(self) -> None:
+        """Change the settings file and say so."""
+        self.reloads += 1
+        self.write_settings(queue_limit=_QUEUE_LIMITS[self.reloads % 2])
+        self.signal(signal.SIGHUP)
+
+    async def start(self) -> None:
+        """Start the process anew; its lines go to a file."""
+        self.life += 1
+        with self.folder.joinpath(f'{self.name}.log').open('ab') as log:
+            self.process = await anyio.open_process(
+                [sys.executable, '-m', 'oleanderstair.platform.daemon'],
+                cwd=ROOT,
+                env={**os.environ, 'OLEANDERSTAIR_CONFIG': str(self._path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> bool:
+        """Signal the process; return whether it was there."""
+        if self.process is None or self.process.returncode is not None:
+            return False
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(number)
+        return True
+
+    async def end(self, within_s: float) -> bool:
+        """Wait for the end; kill what still runs then, and return True."""
+        # Another fault may start the next process meanwhile.
+        process = self.process
+        if process is None:
+            return False
+        with anyio.move_on_after(within_s):
+            await process.wait()
+        was_late = process.returncode is None
+        with anyio.CancelScope(shield=True):
+            if was_late:
+                process.kill()
+            await process.wait()
+        return was_late
+
+    async def until_ready(self) -> None:
+        """Wait until the instance says that it is ready."""
+        while not await self._is_ready():
+            await anyio.sleep(_POLL_S)
+
+    async def _is_ready(self) -> bool:
+        url = f'http://{self.address("readiness")}/-/readiness'
+        with contextlib.suppress(*_UNREADY), anyio.fail_after(_ASK_S):
+            async with httpcore.AsyncConnectionPool() as pool:
+                return (await pool.request('GET', url)).status == _READY
+        return False
+
+    @property
+    def _path(self) -> pathlib.Path:
+        return self.folder / f'{self.name}.json'
+
+
+_QUEUE_LIMITS: typing.Final = (256, 255)
+_UNREADY: typing.Final = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    TimeoutError,
+)
+
+
+def create(
+    name: str,
+    number: int,
+    folder: pathlib.Path,
+    store_address: str,
+    seeds: list[str],
+) -> Instance:
+    """Create an instance that has not been started."""
+    # Each soak on a machine has a network of its own in 127.0.0.0/8.
+    high, low = divmod(os.getpid() % _NETWORKS, _BYTE)
+    made = Instance(name, f'127.{high + 1}.{low}.{number}', folder, {})
+    made.tree = {
+        'instance': {
+            'id': name,
+            'region': 'west',
+            'data_centre': _PLACES[number % len(_PLACES)],
+        },
+        'callers': {'address': made.address('callers')},
+        'peers': {
+            'address': made.address('peers'),
+            'seeds': seeds,
+            'allow_plain': True,
+        },
+        'platform': {
+            'store_address': store_address,
+            'directory_address': made.address('directory'),
+            'readiness_address': made.address('readiness'),
+        },
+        'policy': {
+            'stop_grace_s': bounds.STOP_S,
+            'answer_validity_ms': _VALID_MS,
+            'tick_ms': _TICK_MS,
+            'peer_silence_ms': _SILENCE_MS,
+            'retry_slack': _RETRY_SLACK,
+        },
+    }
+    return made
+
+
+_BYTE: typing.Final = 256
+_NETWORKS: typing.Final = 250 * _BYTE
+_VALID_MS: typing.Final = 2000
+"""This and the next four are what the deploy file sets."""
+_TICK_MS: typing.Final = 100
+_SILENCE_MS: typing.Final = 2000
+_RETRY_SLACK: typing.Final = 75
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,134 @@
+"""Draws the faults of one scenario from a seed, and from nothing else."""
+
+import enum
+import random
+import typing
+
+from oleanderstair import clock
+
+INSTANCES: typing.Final = tuple(f'entry-{number}' for number in range(1, 5))
+TARGETS: typing.Final = tuple(
+    f'{service}-{number}'
+    for service in ('burza', 'sklad')
+    for number in range(1, 4)
+)
+
+_MS_PER_S: typing.Final = 1000
+_PER_S: typing.Final = 0.8
+_CALM_MS: typing.Final = 1500
+_DELAYS_MS: typing.Final = (5, 50, 300)
+_SPANS_MS: typing.Final = (200, 700, 1500, 3000)
+_SERIES_MS: typing.Final = 400
+_SERIES_SHARE: typing.Final = 0.25
+
+
+class Kind(enum.Enum):
+    """What happens to an instance, a link, a target or the configuration."""
+
+    STOP = 'stop'
+    KILL = 'kill'
+    PAUSE = 'pause'
+    RELOAD = 'reload'
+    DELAY = 'delay'
+    RESET = 'reset'
+    CUT_UP = 'cut-up'
+    CUT_DOWN = 'cut-down'
+    SILENT = 'silent'
+    PUBLISH = 'publish'
+    LEAVE = 'leave'
+
+
+PLANNED: typing.Final = (Kind.STOP, Kind.RELOAD, Kind.PUBLISH, Kind.LEAVE)
+SIGNALS: typing.Final = (Kind.STOP, Kind.KILL, Kind.PAUSE, Kind.RELOAD)
+LINKS: typing.Final = (
+    Kind.DELAY,
+    Kind.RESET,
+    Kind.CUT_UP,
+    Kind.CUT_DOWN,
+    Kind.SILENT,
+)
+OPERATOR: typing.Final = (Kind.PUBLISH, Kind.LEAVE)
+_SCENES: typing.Final = (
+    PLANNED,
+    SIGNALS + OPERATOR,
+    LINKS + OPERATOR,
+    SIGNALS + LINKS + OPERATOR,
+)
+
+
+class Fault(typing.NamedTuple):
+    """One fault: what, where, from when and for how long."""
+
+    kind: Kind
+    where: str
+    at_ms: clock.Millis
+    span_ms: clock.Millis
+    delay_ms: clock.Millis = 0
+
+    @property
+    def end_ms(self) -> clock.Millis:
+        """Return when it is over, by plan."""
+        return self.at_ms + self.span_ms
+
+
+class Plan(typing.NamedTuple):
+    """A scenario: its seed, how long it plays, and its faults by time."""
+
+    seed: int
+    seconds: float
+    faults: tuple[Fault, ...]
+
+
+def draw(seed: int, seconds: float) -> Plan:
+    """Return the scenario of a seed; every fourth has planned work only."""
+    rng = random.Random(seed)
+    kinds = _SCENES[seed % len(_SCENES)]
+    count = max(int(seconds * _PER_S), 1)
+    last_ms = max(seconds * _MS_PER_S - _CALM_MS, _CALM_MS)
+    found: list[Fault] = []
+    while len(found) < count:
+        at_ms = round(rng.uniform(_CALM_MS, last_ms))
+        found.append(_draw_fault(rng, rng.choice(kinds), at_ms))
+        # A series strikes one place again before it has recovered.
+        if rng.random() < _SERIES_SHARE:
+            again = _draw_fault(rng, rng.choice(kinds), at_ms + _SERIES_MS)
+            if _is_alike(again, found[-1]):
+                again = again._replace(where=found[-1].where)
+            found.append(again)
+    return Plan(seed, seconds, tuple(sorted(found, key=order)))
+
+
+def links() -> list[str]:
+    """Return the names of all links that can be harmed."""
+    return [
+        *(f'callers:{name}' for name in INSTANCES),
+        *(f'store:{name}' for name in INSTANCES),
+        *(f'peers:{name}' for name in INSTANCES),
+        *(f'target:{name}' for name in TARGETS),
+    ]
+
+
+def _draw_fault(rng: random.Random, kind: Kind, at_ms: clock.Millis) -> Fault:
+    span_ms = rng.choice(_SPANS_MS)
+    if kind in SIGNALS:
+        return Fault(kind, rng.choice(INSTANCES), at_ms, span_ms)
+    if kind is Kind.PUBLISH:
+        return Fault(kind, 'store', at_ms, 0)
+    if kind is Kind.LEAVE:
+        # It serves on for longer than the bound after which nothing comes.
+        return Fault(kind, rng.choice(TARGETS), at_ms, _LEAVE_SPAN_MS)
+    delay_ms = rng.choice(_DELAYS_MS)
+    return Fault(kind, rng.choice(links()), at_ms, span_ms, delay_ms)
+
+
+_LEAVE_SPAN_MS: typing.Final = 4000
+
+
+def _is_alike(one: Fault, other: Fault) -> bool:
+    families = (SIGNALS, LINKS)
+    return any(one.kind in kind and other.kind in kind for kind in families)
+
+
+def order(fault: Fault) -> tuple[clock.Millis, str, str]:
+    """Return what faults are sorted by."""
+    return fault.at_ms, fault.kind.value, fault.where
--- /dev/null
+++ b/soak/scene.py
@@ -0,0 +1,361 @@
+"""Plays a plan: stand-ins in this process, instances in their own."""
+
+import dataclasses
+import pathlib
+import random
+import signal
+import time
+import typing
+
+import anyio
+import anyio.abc
+
+from oleanderstair import clock
+from oleanderstair.emulator import load_targets, store
+from oleanderstair.engine import bounded, listener
+from oleanderstair.platform import documents
+from soak import bounds, callers, checks, instances, plan, proxy, record
+
+_CALLERS: typing.Final = 8
+_SERVICE_MS: typing.Final = 25
+_POLL_S: typing.Final = 0.1
+_FAR_S: typing.Final = 60
+_TICK_S: typing.Final = 0.02
+_IDLE_MS: typing.Final[clock.Millis] = 60_000
+_MS_PER_S: typing.Final = 1000
+
+Tell: typing.TypeAlias = typing.Callable[..., None]
+"""Writes one event as a line of key=value pairs."""
+
+
+class SeenTarget(load_targets.LoadTarget):
+    """A target that notes when it begins to run a call."""
+
+    __slots__ = ('seen',)
+
+    seen: record.Record
+
+    async def _behave(
+        self,
+        scope: typing.Any,
+        send: typing.Any,
+        request_id: bytes,
+    ) -> None:
+        ran = self.ran[-1]
+        self.seen.runs.append(
+            record.Run(
+                ran.request_id,
+                self.target_id,
+                anyio.current_time(),
+                ran.method,
+                ran.target,
+                ran.body,
+            ),
+        )
+        await super()._behave(scope, send, request_id)
+
+
+@dataclasses.dataclass(slots=True)
+class Scene:
+    """The parts of a running scenario."""
+
+    drawn: plan.Plan
+    tasks: anyio.abc.TaskGroup
+    tell: Tell
+    seen: record.Record = dataclasses.field(default_factory=record.Record)
+    kept: store.Store = dataclasses.field(default_factory=store.create)
+    link_by_name: dict[str, proxy.Link] = dataclasses.field(
+        default_factory=dict,
+    )
+    entry_by_name: dict[str, instances.Instance] = dataclasses.field(
+        default_factory=dict,
+    )
+    held: dict[str, anyio.Lock] = dataclasses.field(default_factory=dict)
+    version: int = 0
+
+    def serve(self, app: typing.Any) -> str:
+        """Serve a stand-in on a free port and return its address."""
+        bound = listener.bind('127.0.0.1', 0)
+        idle = bounded.Bounds(idle_ms=_IDLE_MS)
+        self.tasks.start_soon(listener.create(app, idle).serve, [bound])
+        return listener.address_of(bound)
+
+    def link(self, name: str, address: str) -> str:
+        """Put a link before an address and return where it listens."""
+        made = proxy.start(address, self.tasks)
+        self.link_by_name[name] = made
+        return made.near
+
+    def newest(self) -> int:
+        """Return the newest version that the store has confirmed."""
+        return self.version
+
+    def publish(self) -> None:
+        """Publish the next configuration; the store confirms at once."""
+        self.version += 1
+        number = self.version
+        self.kept.put(documents.CONFIGURATION_KEY, _configuration(number))
+        self.seen.published.append((number, anyio.current_time()))
+
+    def register(self, target_id: str, state: str) -> None:
+        """Let a target say of itself what it is."""
+        entry = {
+            'service': target_id.rpartition('-')[0],
+            'address': self.link_by_name[f'target:{target_id}'].near,
+            'data_centre': 'trnava',
+            'slots': 4,
+            'state': state,
+            'sequence': self.kept.revision,
+            'slow_ms': 0,
+            'born': time.time_ns() // _NS_PER_MS,
+        }
+        self.kept.put(f'{documents.TARGET_PREFIX}{target_id}', entry)
+
+
+_NS_PER_MS: typing.Final = 1_000_000
+
+
+async def play(
+    drawn: plan.Plan,
+    folder: pathlib.Path,
+    tell: Tell,
+) -> record.Record:
+    """Play a plan in a folder for logs, and return what was seen."""
+    async with anyio.create_task_group() as tasks:
+        scene = Scene(drawn, tasks, tell)
+        _set_up(scene, folder)
+        try:
+            await _play(scene)
+        finally:
+            for entry in scene.entry_by_name.values():
+                entry.signal(signal.SIGKILL)
+                await entry.end(0)
+            tasks.cancel_scope.cancel()
+    return scene.seen
+
+
+def _set_up(scene: Scene, folder: pathlib.Path) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    for target_id in plan.TARGETS:
+        target = SeenTarget(target_id, service_ms=_SERVICE_MS)
+        target.seen = scene.seen
+        scene.link(f'target:{target_id}', scene.serve(target))
+        scene.register(target_id, 'ready')
+    scene.publish()
+    store_address = scene.serve(scene.kept)
+    seeds: list[str] = []
+    for number, name in enumerate(plan.INSTANCES, start=1):
+        at = scene.link(f'store:{name}', store_address)
+        made = instances.create(name, number, folder, at, seeds)
+        scene.link(f'callers:{name}', made.address('callers'))
+        seeds.append(scene.link(f'peers:{name}', made.address('peers')))
+        scene.entry_by_name[name] = made
+        scene.held[name] = anyio.Lock()
+    scene.seen.instances = plan.INSTANCES
+
+
+async def _play(scene: Scene) -> None:
+    with anyio.fail_after(bounds.START_S):
+        for entry in scene.entry_by_name.values():
+            entry.write_settings()
+            await entry.start()
+        for entry in scene.entry_by_name.values():
+            await entry.until_ready()
+    async with anyio.create_task_group() as around:
+        around.start_soon(_watch_stalls, scene.seen)
+        await _call_and_harm(scene)
+        # What was refused may not run later either.
+        await anyio.sleep(bounds.LATE_RUNS_S)
+        around.cancel_scope.cancel()
+    scene.seen.ended_s = anyio.current_time()
+
+
+async def _call_and_harm(scene: Scene) -> None:
+    began_s = anyio.current_time()
+    async with anyio.create_task_group() as calling:
+        for caller in _callers(scene):
+            calling.start_soon(caller.keep_calling)
+        async with anyio.create_task_group() as harming:
+            for fault in scene.drawn.faults:
+                harming.start_soon(_strike, scene, fault, began_s)
+            harming.start_soon(anyio.sleep, scene.drawn.seconds)
+        scene.seen.quiet_from_s = anyio.current_time()
+        for entry in scene.entry_by_name.values():
+            if not entry.is_running:
+                scene.tell('ended-alone', where=entry.name)
+        with anyio.move_on_after(_FAR_S):
+            while not _is_recovered(scene.seen):
+                await anyio.sleep(_POLL_S)
+        calling.cancel_scope.cancel()
+
+
+def _callers(scene: Scene) -> list[callers.Caller]:
+    return [
+        callers.Caller(
+            name=f'{scene.drawn.seed}-{number}',
+            rng=random.Random(f'{scene.drawn.seed} {number}'),
+            seen=scene.seen,
+            entries=list(scene.entry_by_name.values()),
+            address_by_name={
+                name: scene.link_by_name[f'callers:{name}'].near
+                for name in scene.entry_by_name
+            },
+            version=scene.newest,
+        )
+        for number in range(_CALLERS)
+    ]
+
+
+def _is_recovered(seen: record.Record) -> bool:
+    return all(
+        checks.recovered_s(seen, name) < checks.NEVER_S
+        for name in seen.instances
+    )
+
+
+async def _watch_stalls(seen: record.Record) -> None:
+    before_s = anyio.current_time()
+    while True:
+        await anyio.sleep(_TICK_S)
+        now_s = anyio.current_time()
+        if now_s - before_s > bounds.STALL_S:
+            seen.stalls.append(record.Span('soak', before_s, now_s))
+        before_s = now_s
+
+
+# Faults
+
+
+async def _strike(scene: Scene, fault: plan.Fault, began_s: float) -> None:
+    await anyio.sleep_until(began_s + clock.to_seconds(fault.at_ms))
+    from_s = anyio.current_time()
+    if fault.kind is plan.Kind.PUBLISH:
+        scene.publish()
+        scene.tell('published', version=scene.version)
+        return
+    scene.tell('fault', what=fault.kind.value, where=fault.where)
+    spans = scene.seen.harmed
+    if fault.kind in plan.PLANNED:
+        spans = scene.seen.planned
+    # While it lasts it has no end.
+    open_span = record.Span(fault.where, from_s, checks.NEVER_S)
+    if fault.kind not in (plan.Kind.RELOAD, plan.Kind.LEAVE):
+        spans.append(open_span)
+    await _STRIKE_BY_KIND[fault.kind](scene, fault)
+    if open_span in spans:
+        spans.remove(open_span)
+        spans.append(open_span._replace(until_s=anyio.current_time()))
+    scene.tell('over', what=fault.kind.value, where=fault.where)
+
+
+async def _stop(scene: Scene, fault: plan.Fault) -> None:
+    entry = scene.entry_by_name[fault.where]
+    life = entry.life
+    if entry.signal(signal.SIGTERM) and await entry.end(bounds.STOP_S):
+        scene.tell('stopped-late', where=fault.where)
+    await _start(scene, fault, life)
+
+
+async def _kill(scene: Scene, fault: plan.Fault) -> None:
+    entry = scene.entry_by_name[fault.where]
+    life = entry.life
+    entry.signal(signal.SIGKILL)
+    await entry.end(0)
+    await _start(scene, fault, life)
+
+
+async def _start(scene: Scene, fault: plan.Fault, life: int) -> None:
+    """Start an ended instance, unless another fault has done so."""
+    await anyio.sleep(clock.to_seconds(fault.span_ms))
+    entry = scene.entry_by_name[fault.where]
+    async with scene.held[fault.where]:
+        if entry.life == life and not entry.is_running:
+            await entry.start()
+    with anyio.move_on_after(_FAR_S):
+        await entry.until_ready()
+
+
+async def _pause(scene: Scene, fault: plan.Fault) -> None:
+    entry = scene.entry_by_name[fault.where]
+    entry.signal(signal.SIGSTOP)
+    await anyio.sleep(clock.to_seconds(fault.span_ms))
+    entry.signal(signal.SIGCONT)
+
+
+async def _reload(scene: Scene, fault: plan.Fault) -> None:
+    scene.entry_by_name[fault.where].reload()
+
+
+async def _leave(scene: Scene, fault: plan.Fault) -> None:
+    if any(
+        span.where == fault.where and span.until_s == checks.NEVER_S
+        for span in scene.seen.leaving
+    ):
+        # It leaves already, and comes back once.
+        return
+    scene.register(fault.where, 'leaving')
+    span = record.Span(fault.where, anyio.current_time(), checks.NEVER_S)
+    scene.seen.leaving.append(span)
+    await anyio.sleep(clock.to_seconds(fault.span_ms))
+    scene.register(fault.where, 'ready')
+    until_s = anyio.current_time()
+    scene.seen.leaving.remove(span)
+    scene.seen.leaving.append(span._replace(until_s=until_s))
+
+
+async def _harm(scene: Scene, fault: plan.Fault) -> None:
+    link = scene.link_by_name[fault.where]
+    with link.harmed(fault):
+        await anyio.sleep(clock.to_seconds(fault.span_ms))
+
+
+_Strike: typing.TypeAlias = typing.Callable[
+    [Scene, plan.Fault],
+    typing.Coroutine[typing.Any, typing.Any, None],
+]
+_STRIKE_BY_KIND: typing.Final[dict[plan.Kind, _Strike]] = {
+    plan.Kind.STOP: _stop,
+    plan.Kind.KILL: _kill,
+    plan.Kind.PAUSE: _pause,
+    plan.Kind.RELOAD: _reload,
+    plan.Kind.LEAVE: _leave,
+    **dict.fromkeys(plan.LINKS, _harm),
+}
+
+
+def _configuration(number: int) -> dict[str, typing.Any]:
+    """Return a configuration whose number a route of its own shows."""
+    names = {
+        'lookup': ('idempotent', 'burza'),
+        'stock': ('idempotent', 'sklad'),
+        'order': ('once', 'burza'),
+        f'v{number}': ('idempotent', 'sklad'),
+    }
+    routes = [
+        {
+            'name': name,
+            'host': callers.HOST,
+            'prefix': f'/{name}/',
+            'kind': kind,
+            'timeout_ms': bounds.TIMEOUT_MS,
+            'aim_ms': 250,
+            'rank': 1,
+            'max_attempts': 2,
+            'service': service,
+        }
+        for name, (kind, service) in names.items()
+    ]
+    return {
+        'number': number,
+        'routes': routes,
+        'services': [
+            {'name': name, 'health_path': '/health', 'connections': 200}
+            for name in ('burza', 'sklad')
+        ],
+        'limits': {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 100000,
+            'header_time_ms': 3000,
+            'idle_ms': _IDLE_MS,
+        },
+    }
--- /dev/null
+++ b/test/test_soak.py
@@ -0,0 +1,261 @@
+"""The soak: plans from seeds, harmed links, checks that can fail, one run.
+
+The run judges what was seen; a bound of time that a stall of the machine
+may have broken is left unjudged, so its verdict depends on no speed.
+"""
+
+import contextlib
+import socket
+
+import anyio
+import pytest
+
+from oleanderstair import clock
+from soak import bounds, checks, command, plan, proxy, record
+
+SEED = 3
+SECONDS = 4
+
+
+# Plans
+
+
+def test_a_seed_is_a_scenario():
+    assert plan.draw(7, 20) == plan.draw(7, 20)
+    assert plan.draw(7, 20) != plan.draw(11, 20)
+    for seed in range(1, 9):
+        drawn = plan.draw(seed, 20)
+        assert list(drawn.faults) == sorted(drawn.faults, key=plan.order)
+        assert len(drawn.faults) >= 16
+
+
+def test_every_fourth_seed_has_planned_work_only():
+    for seed in (4, 8, 12):
+        drawn = plan.draw(seed, 20)
+        assert {fault.kind for fault in drawn.faults} <= set(plan.PLANNED)
+
+
+def test_seeds_bring_every_kind_of_fault():
+    faults = [one for seed in range(50) for one in plan.draw(seed, 20).faults]
+    assert {fault.kind for fault in faults} == set(plan.Kind)
+    links = {fault.where for fault in faults if fault.kind in plan.LINKS}
+    assert links == set(plan.links())
+
+
+# Links
+
+
+async def echo(stream):
+    """Send back what comes."""
+    async with stream:
+        with contextlib.suppress(anyio.BrokenResourceError):
+            async for chunk in stream:
+                await stream.send(chunk)
+
+
+def through_link(scenario):
+    """Run a scenario with a link to an echo and a stream through it."""
+
+    async def run():
+        with anyio.fail_after(bounds.START_S):
+            async with anyio.create_task_group() as tasks:
+                far = await anyio.create_tcp_listener(local_host='127.0.0.1')
+                tasks.start_soon(far.serve, echo)
+                port = far.extra(anyio.abc.SocketAttribute.local_port)
+                link = proxy.start(f'127.0.0.1:{port}', tasks)
+                async with await connect(link) as stream:
+                    await stream.send(b'first')
+                    assert await stream.receive() == b'first'
+                    await scenario(link, stream)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+async def connect(link):
+    """Connect to the near end of a link."""
+    host, _, port = link.near.rpartition(':')
+    return await anyio.connect_tcp(host, int(port))
+
+
+@pytest.mark.parametrize(
+    'kind',
+    [plan.Kind.CUT_UP, plan.Kind.CUT_DOWN, plan.Kind.SILENT],
+)
+def test_what_a_cut_holds_up_arrives_after_it(kind):
+    async def scenario(link, stream):
+        with link.harmed(plan.Fault(kind, '', 0, 0)):
+            await stream.send(b'second')
+            with anyio.move_on_after(0.1) as waited:
+                await stream.receive()
+            assert waited.cancelled_caught
+        assert await stream.receive() == b'second'
+
+    through_link(scenario)
+
+
+def test_delay_holds_each_way_up():
+    told = clock.monotonic()
+
+    async def scenario(link, stream):
+        with link.harmed(plan.Fault(plan.Kind.DELAY, '', 0, 0, 50)):
+            began_ms = told.now_ms()
+            await stream.send(b'second')
+            assert await stream.receive() == b'second'
+            assert told.now_ms() - began_ms >= 100
+
+    through_link(scenario)
+
+
+def test_reset_breaks_open_and_new_connections():
+    async def scenario(link, stream):
+        with link.harmed(plan.Fault(plan.Kind.RESET, '', 0, 0)):
+            with pytest.raises(anyio.BrokenResourceError) as broken:
+                await stream.receive()
+            assert isinstance(broken.value.__cause__, ConnectionResetError)
+            async with await connect(link) as new:
+                with pytest.raises(anyio.BrokenResourceError):
+                    await new.receive()
+        async with await connect(link) as later:
+            await later.send(b'again')
+            assert await later.receive() == b'again'
+
+    through_link(scenario)
+
+
+def test_link_passes_the_end_on_and_refuses_for_a_dead_end():
+    async def scenario(link, stream):
+        await stream.send_eof()
+        with pytest.raises(anyio.EndOfStream):
+            await stream.receive()
+        with socket.create_server(('127.0.0.1', 0)) as gone:
+            link.address = '127.0.0.1:{}'.format(gone.getsockname()[1])
+        async with await connect(link) as new:
+            with pytest.raises(anyio.BrokenResourceError):
+                await new.receive()
+
+    through_link(scenario)
+
+
+# Checks
+
+LOOKUP = record.Call(
+    request_id='c-1',
+    route='lookup',
+    once=False,
+    instance='entry-1',
+    lives=(1, 1),
+    sent_s=10,
+    ended_s=10.5,
+    status=200,
+    end='answered',
+    answered_id='c-1',
+    signed=True,
+    body=b'served c-1',
+)
+RUN = record.Run('c-1', 'burza-1', 10.2, 'GET', '/lookup/', b'')
+VERSION = LOOKUP._replace(version=2, status=404)
+SERVED_BEFORE = VERSION._replace(status=200, sent_s=8, ended_s=8.1)
+
+
+def scene_of(*calls, runs=(RUN,), **fields):
+    """Return a record of calls and runs."""
+    return record.Record(
+        calls=list(calls),
+        runs=list(runs),
+        sent_by_id={'c-1': record.Sent('GET', '/lookup/', b'')},
+        **fields,
+    )
+
+
+KNOWN = {'published': [(1, 1), (2, 6)]}
+LEFT = {'leaving': [record.Span('burza-1', 7, 20)]}
+BROKEN = {
+    'refused-ran': scene_of(LOOKUP._replace(status=503)),
+    'ran-twice': scene_of(LOOKUP._replace(once=True), runs=(RUN, RUN)),
+    'mixed': scene_of(LOOKUP._replace(body=b'served c-')),
+    'altered': scene_of(runs=(RUN._replace(path='/other/'),)),
+    'denied': scene_of(LOOKUP._replace(status=404)),
+    'cut': scene_of(LOOKUP._replace(status=0, end='cut')),
+    'leaving': scene_of(LOOKUP, **LEFT),
+    'not-in-force': scene_of(VERSION, **KNOWN),
+    'reverted': scene_of(SERVED_BEFORE, VERSION, published=[(1, 1), (2, 8)]),
+    'not-recovered': scene_of(instances=('entry-1',)),
+}
+STALL = {'stalls': [record.Span('soak', 9, 9.5)]}
+STRUCK = record.Span('entry-1', 3, 8)
+
+
+def found(seen):
+    """Return the promises that are broken."""
+    return {one.promise for one in checks.judge(seen).violations}
+
+
+@pytest.mark.parametrize('promise', BROKEN)
+def test_each_check_can_fail(promise):
+    assert found(BROKEN[promise]) == {promise}
+
+
+def test_each_check_has_its_violation():
+    assert len(BROKEN) == len(checks.CHECKS)
+    assert not found(scene_of(LOOKUP))
+
+
+@pytest.mark.parametrize('promise', ['leaving', 'not-in-force'])
+def test_a_bound_of_time_is_not_judged_after_a_stall(promise):
+    seen = BROKEN[promise]
+    seen = record.Record(**{**fields_of(seen), **STALL})
+    verdict = checks.judge(seen)
+    assert not verdict.violations
+    assert [one.promise for one in verdict.unjudged] == [promise]
+
+
+@pytest.mark.parametrize('promise', ['leaving', 'not-in-force', 'cut'])
+def test_bounds_hold_only_for_calm_instances(promise):
+    fields = fields_of(BROKEN[promise])
+    assert not found(record.Record(**{**fields, 'harmed': [STRUCK]}))
+
+
+def test_a_planned_stop_excuses_no_cut():
+    fields = fields_of(BROKEN['cut'])
+    assert found(record.Record(**{**fields, 'planned': [STRUCK]})) == {'cut'}
+
+
+def test_late_recovery_is_told_from_none():
+    calls = [
+        LOOKUP._replace(sent_s=at_s, ended_s=at_s) for at_s in range(20, 28)
+    ]
+    seen = scene_of(*calls, instances=('entry-1',), quiet_from_s=1)
+    assert checks.recovered_s(seen, 'entry-1') == 27
+    assert found(seen) == {'not-recovered'}
+    seen.quiet_from_s = 15
+    assert not found(seen)
+
+
+def fields_of(seen):
+    """Return the fields of a record by name."""
+    return {name: getattr(seen, name) for name in seen.__slots__}
+
+
+# Runs
+
+
+def test_failed_seeds_are_kept_and_read_again(tmp_path):
+    path = tmp_path / 'failed.txt'
+    assert not command.failed_seeds(path)
+    command.keep(path, 12, 'abc', 'cut: c-1')
+    command.keep(path, 3, 'abc', 'denied: c-2')
+    command.keep(path, 12, 'def', 'cut: c-3')
+    assert command.failed_seeds(path) == [3, 12]
+
+
+def test_short_soak_breaks_no_promise(tmp_path):
+    told = []
+
+    def tell(kind, **fields):
+        told.append((kind, fields))
+
+    seen, verdict = command.play(SEED, SECONDS, tmp_path, tell)
+    assert not verdict.violations, (verdict, told)
+    assert any(call.status == checks.SERVED for call in seen.calls)
+    assert 'fault' in dict(told)
