End the instances of a soak that fails or is asked to end

Cause: a cancelled scene left the waits of its clean-up unshielded, so all instances but the first stayed behind; SIGTERM ended the soak alone.

--- a/soak/command.py
+++ b/soak/command.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import pathlib
+import signal
 import subprocess
 import sys
 import time
@@ -20,6 +21,8 @@
 
 def run_soak(command: 'Soak') -> None:
     """Play all seeds; exit 1 where a promise was broken."""
+    # Asked to end, it ends its instances first.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     seeds = _seeds_of(command.seeds)
     failed = [seed for seed in failed_seeds(FAILED) if seed not in seeds]
     outcomes = [_run_seed(seed, command.seconds) for seed in failed + seeds]
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -127,9 +127,10 @@
         try:
             await _play(scene)
         finally:
-            for entry in scene.entry_by_name.values():
-                entry.signal(signal.SIGKILL)
-                await entry.end(0)
+            # Also where the scene itself has failed, no process is left.
+            with anyio.CancelScope(shield=True):
+                for entry in scene.entry_by_name.values():
+                    await entry.end(0)
             tasks.cancel_scope.cancel()
     return scene.seen
 
