Judge a cut at a stop that a stall drew out as unjudged

Cause: where the machine stalls, the kill after the grace time comes before the instance could end by itself; that cut shows nothing of the product. Without a stall it still counts.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -102,7 +102,8 @@
         if call.end != CUT or _is_harmed(seen, call):
             continue
         if call.request_id in runs_by_id:
-            yield Finding('cut', f'{_told(call)} after it had run')
+            told = f'{_told(call)} after it had run'
+            yield Finding('cut', told, *_stop_span(seen, call))
         elif call.ended_s - call.sent_s > bounds.LOSS_S:
             told = f'{_told(call)} after it was read'
             yield Finding('cut', told, call.sent_s, call.ended_s)
@@ -212,6 +213,15 @@
     ]
 
 
+def _stop_span(seen: record.Record, call: record.Call) -> tuple[float, float]:
+    """Return the time of a stop that was too long for the call to end."""
+    for span in seen.late_stops:
+        until_s = span.until_s + bounds.LOSS_S
+        if span.where == call.instance and call.ended_s <= until_s:
+            return span.from_s, until_s
+    return NEVER_S, -NEVER_S
+
+
 def _left_s(seen: record.Record, run: record.Run) -> float:
     """Return when the leaving that a run is too late for was known."""
     for span in seen.leaving:
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -252,7 +252,10 @@
 async def _stop(scene: Scene, fault: plan.Fault) -> None:
     entry = scene.entry_by_name[fault.where]
     life = entry.life
+    from_s = anyio.current_time()
     if entry.signal(signal.SIGTERM) and await entry.end(bounds.STOP_S):
+        span = record.Span(fault.where, from_s, anyio.current_time())
+        scene.seen.late_stops.append(span)
         scene.tell('stopped-late', where=fault.where)
     await _start(scene, fault, life)
 
