Send no hang-up to a process whose program does not run yet

A hang-up ends a process until its program ignores it; by /proc that took 51 to 86 ms of ten starts on a busy machine, and each of the ten lived on after a hang-up then. One at 1 ms and one at 5 ms ended it. Ruled out: a fault of the program at later moments. Of what it could do earlier, its own imports are some 17 ms by -X importtime; the rest is the start of Python, so the window can't be closed in the program.

An instance that ends though nobody ended it is now a violation by itself. The shapes of configurations and entries are shared with the tests of nodes.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,12 +9,11 @@
 import httpcore
 
 from oleanderstair import clock
-from oleanderstair.emulator import load_targets
+from oleanderstair.emulator import load_targets, published
 from oleanderstair.engine import headers
 from oleanderstair.platform import dialect
 from soak import bounds, checks, record
 
-HOST: typing.Final = 'calls.example'
 _PAUSE_S: typing.Final = 0.04
 _PATIENCE_S: typing.Final = clock.to_seconds(bounds.DEADLINE_MS) + 1
 _BODY_BYTES: typing.Final = 20_000
@@ -103,7 +102,7 @@
                 sent.method,
                 f'http://{self.address_by_name[made.instance]}{sent.path}',
                 headers=[
-                    (headers.HOST, HOST.encode()),
+                    (headers.HOST, published.HOST.encode()),
                     (dialect.REQUEST_ID, made.request_id.encode()),
                     (dialect.DEADLINE_MS, str(bounds.DEADLINE_MS).encode()),
                 ],
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -148,6 +148,12 @@
             yield Finding('reverted', f'{_told(call)} though served before')
 
 
+def instances_go_on(seen: record.Record) -> Findings:
+    """Find instances that have ended though nobody ended them."""
+    for instance in seen.ended_alone:
+        yield Finding('ended', instance)
+
+
 def calls_are_served_again(seen: record.Record) -> Findings:
     """Find instances that don't serve, or too late, after all faults."""
     for instance in seen.instances:
@@ -183,6 +189,7 @@
     leaving_targets_get_nothing_new,
     configurations_are_in_force,
     configurations_never_revert,
+    instances_go_on,
     calls_are_served_again,
 )
 
--- a/soak/command.py
+++ b/soak/command.py
@@ -24,10 +24,10 @@
     # Asked to end, it ends its instances first.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     seeds = _seeds_of(command.seeds)
-    failed = [seed for seed in failed_seeds(FAILED) if seed not in seeds]
-    outcomes = [_run_seed(seed, command.seconds) for seed in failed + seeds]
+    ordered = dict.fromkeys([*failed_seeds(FAILED), *seeds])
+    outcomes = [_run_seed(seed, command.seconds) for seed in ordered]
     broken = sum(outcomes)
-    _tell('soak', seeds=len(failed) + len(seeds), broken=broken)
+    _tell('soak', seeds=len(ordered), broken=broken)
     raise SystemExit(1 if broken else 0)
 
 
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import site
 import sys
 import typing
 
@@ -18,6 +19,8 @@
 
 ROOT: typing.Final = pathlib.Path(__file__).parent.parent
 _POLL_S: typing.Final = 0.05
+_NEAR_S: typing.Final = 0.001
+_HANGUP_BIT: typing.Final = 1 << (signal.SIGHUP - 1)
 _PORT_BY_SIDE: typing.Final = {
     'callers': 8161,
     'directory': 8164,
@@ -55,20 +58,38 @@
         self.tree['policy'].update(policy)
         self._path.write_bytes(msgspec.json.encode(self.tree))
 
-    def reload(self) -> None:
-        """Change the settings file and say so."""
+    async def reload(self) -> None:
+        """Change the settings file and say so, once that ends no process.
+
+        Until its program runs, nothing can keep a process from ending.
+        """
         self.reloads += 1
         self.write_settings(queue_limit=_QUEUE_LIMITS[self.reloads % 2])
+        while self.is_running and not self._bears_hangups():
+            await anyio.sleep(_NEAR_S)
         self.signal(signal.SIGHUP)
 
+    def _bears_hangups(self) -> bool:
+        assert self.process is not None  # noqa: S101 (it runs)
+        status = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
+        masks = [
+            int(row.split()[1], base=16)
+            for row in status.splitlines()
+            if row.startswith(('SigIgn', 'SigCgt'))
+        ]
+        return any(mask & _HANGUP_BIT for mask in masks)
+
     async def start(self) -> None:
         """Start the process anew; its lines go to a file."""
         self.life += 1
         with self.folder.joinpath(f'{self.name}.log').open('ab') as log:
             self.process = await anyio.open_process(
-                [sys.executable, '-m', 'oleanderstair.platform.daemon'],
+                [sys.executable, '-S', '-m', 'oleanderstair.platform.daemon'],
                 cwd=ROOT,
-                env={**os.environ, 'OLEANDERSTAIR_CONFIG': str(self._path)},
+                env={
+                    'OLEANDERSTAIR_CONFIG': str(self._path),
+                    'PYTHONPATH': os.pathsep.join(site.getsitepackages()),
+                },
                 stdout=log,
                 stderr=log,
             )
@@ -97,8 +118,8 @@
         return was_late
 
     async def until_ready(self) -> None:
-        """Wait until the instance says that it is ready."""
-        while not await self._is_ready():
+        """Wait until the instance says that it is ready, or has ended."""
+        while self.is_running and not await self._is_ready():
             await anyio.sleep(_POLL_S)
 
     async def _is_ready(self) -> bool:
--- a/soak/record.py
+++ b/soak/record.py
@@ -66,6 +66,7 @@
     harmed: list[Span] = dataclasses.field(default_factory=list)
     planned: list[Span] = dataclasses.field(default_factory=list)
     late_stops: list[Span] = dataclasses.field(default_factory=list)
+    ended_alone: list[str] = dataclasses.field(default_factory=list)
     stalls: list[Span] = dataclasses.field(default_factory=list)
     instances: tuple[str, ...] = ()
     quiet_from_s: float = 0
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -11,7 +11,7 @@
 import anyio.abc
 
 from oleanderstair import clock
-from oleanderstair.emulator import load_targets, store
+from oleanderstair.emulator import load_targets, published, store
 from oleanderstair.engine import bounded, listener
 from oleanderstair.platform import documents
 from soak import bounds, callers, checks, instances, plan, proxy, record
@@ -22,7 +22,7 @@
 _FAR_S: typing.Final = 60
 _TICK_S: typing.Final = 0.02
 _IDLE_MS: typing.Final[clock.Millis] = 60_000
-_MS_PER_S: typing.Final = 1000
+_NS_PER_MS: typing.Final = 1_000_000
 
 Tell: typing.TypeAlias = typing.Callable[..., None]
 """Writes one event as a line of key=value pairs."""
@@ -99,22 +99,15 @@
 
     def register(self, target_id: str, state: str) -> None:
         """Let a target say of itself what it is."""
-        entry = {
-            'service': target_id.rpartition('-')[0],
-            'address': self.link_by_name[f'target:{target_id}'].near,
-            'data_centre': 'trnava',
-            'slots': 4,
-            'state': state,
-            'sequence': self.kept.revision,
-            'slow_ms': 0,
-            'born': time.time_ns() // _NS_PER_MS,
-        }
+        entry = published.entry(
+            self.link_by_name[f'target:{target_id}'].near,
+            service=target_id.rpartition('-')[0],
+            state=state,
+            born=time.time_ns() // _NS_PER_MS,
+        )
         self.kept.put(f'{documents.TARGET_PREFIX}{target_id}', entry)
 
 
-_NS_PER_MS: typing.Final = 1_000_000
-
-
 async def play(
     drawn: plan.Plan,
     folder: pathlib.Path,
@@ -183,7 +176,7 @@
         scene.seen.quiet_from_s = anyio.current_time()
         for entry in scene.entry_by_name.values():
             if not entry.is_running:
-                scene.tell('ended-alone', where=entry.name)
+                scene.seen.ended_alone.append(entry.name)
         with anyio.move_on_after(_FAR_S):
             while not _is_recovered(scene.seen):
                 await anyio.sleep(_POLL_S)
@@ -287,7 +280,7 @@
 
 
 async def _reload(scene: Scene, fault: plan.Fault) -> None:
-    scene.entry_by_name[fault.where].reload()
+    await scene.entry_by_name[fault.where].reload()
 
 
 async def _leave(scene: Scene, fault: plan.Fault) -> None:
@@ -327,39 +320,16 @@
 }
 
 
-def _configuration(number: int) -> dict[str, typing.Any]:
+def _configuration(number: int) -> published.Document:
     """Return a configuration whose number a route of its own shows."""
-    names = {
+    told_by_name = {
         'lookup': ('idempotent', 'burza'),
         'stock': ('idempotent', 'sklad'),
         'order': ('once', 'burza'),
         f'v{number}': ('idempotent', 'sklad'),
     }
     routes = [
-        {
-            'name': name,
-            'host': callers.HOST,
-            'prefix': f'/{name}/',
-            'kind': kind,
-            'timeout_ms': bounds.TIMEOUT_MS,
-            'aim_ms': 250,
-            'rank': 1,
-            'max_attempts': 2,
-            'service': service,
-        }
-        for name, (kind, service) in names.items()
+        published.route(name, kind, service, bounds.TIMEOUT_MS)
+        for name, (kind, service) in told_by_name.items()
     ]
-    return {
-        'number': number,
-        'routes': routes,
-        'services': [
-            {'name': name, 'health_path': '/health', 'connections': 200}
-            for name in ('burza', 'sklad')
-        ],
-        'limits': {
-            'max_header_bytes': 16384,
-            'max_body_bytes': 100000,
-            'header_time_ms': 3000,
-            'idle_ms': _IDLE_MS,
-        },
-    }
+    return published.configuration(number, routes, _IDLE_MS)
--- a/test/platform_side.py
+++ b/test/platform_side.py
@@ -10,12 +10,12 @@
 
 from oleanderstair import settings
 from oleanderstair.domain.fleet import serving
-from oleanderstair.emulator import load_targets, store
+from oleanderstair.emulator import load_targets, published, store
 from oleanderstair.engine import listener
 from oleanderstair.platform import node
 from test import helper
 
-HOST = 'calls.example'
+HOST = published.HOST
 LOOKUP_PATH = '/lookup/some?of=these'
 ORDER_PATH = '/order/one'
 BOUND_S = 20
@@ -118,48 +118,16 @@
 
 def entry_of(address: str, **fields: typing.Any) -> dict[str, typing.Any]:
     """Return what a target registers."""
-    return {
-        'service': 'burza',
-        'address': address,
-        'data_centre': 'trnava',
-        'slots': 4,
-        'state': 'ready',
-        'sequence': 1,
-        'slow_ms': 0,
-        'born': 1,
-        **fields,
-    }
+    return published.entry(address, **fields)
 
 
 def configuration(number: int) -> dict[str, typing.Any]:
     """Return a configuration with a route that may be repeated and one not."""
+    kinds = {'lookup': 'idempotent', 'order': 'once'}
     routes = [
-        {
-            'name': name,
-            'host': HOST,
-            'prefix': f'/{name}/',
-            'kind': kind,
-            'timeout_ms': 1000,
-            'aim_ms': 250,
-            'rank': 1,
-            'max_attempts': 2,
-            'service': 'burza',
-        }
-        for name, kind in (('lookup', 'idempotent'), ('order', 'once'))
+        published.route(name, kind, 'burza') for name, kind in kinds.items()
     ]
-    return {
-        'number': number,
-        'routes': routes,
-        'services': [
-            {'name': 'burza', 'health_path': '/health', 'connections': 100},
-        ],
-        'limits': {
-            'max_header_bytes': 16384,
-            'max_body_bytes': 100000,
-            'header_time_ms': 3000,
-            'idle_ms': 5000,
-        },
-    }
+    return published.configuration(number, routes)
 
 
 async def ask(
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -182,6 +182,7 @@
     'leaving': scene_of(LOOKUP, **LEFT),
     'not-in-force': scene_of(VERSION, **KNOWN),
     'reverted': scene_of(SERVED_BEFORE, VERSION, published=[(1, 1), (2, 8)]),
+    'ended': scene_of(ended_alone=['entry-1']),
     'not-recovered': scene_of(instances=('entry-1',)),
 }
 STALL = {'stalls': [record.Span('soak', 9, 9.5)]}
