Give each soak settings files of its own

Cause: two soaks that began with the kept seed 5 at once wrote the settings of their instances to one folder, and started instances by each other's. Their logs show it: 'Address already in use' seven times in seed 5, and three times in seed 7 of the one soak, where the other's instances held two of its addresses and answered by another store's configuration (925 violations). Ruled out: the product; no process of it had ended without that error.

At most five findings of each promise are told, and the count.

--- a/soak/command.py
+++ b/soak/command.py
@@ -1,6 +1,8 @@
 """The soak's command line: which seeds, how long, and what is kept."""
 
+import collections
 import dataclasses
+import os
 import pathlib
 import signal
 import subprocess
@@ -16,6 +18,7 @@
 
 FAILED: typing.Final = pathlib.Path(__file__).parent / 'failed-seeds.txt'
 _LOGS: typing.Final = instances.ROOT / 'target' / 'soak'
+_TOLD_OF_EACH: typing.Final = 5
 _PARTED: typing.Final = ' | '
 
 
@@ -72,15 +75,12 @@
 
 
 def _run_seed(seed: int, seconds: float) -> bool:
-    folder = _LOGS / f'seed-{seed}'
-    for old in folder.glob('*.log'):
-        old.unlink()
-    _tell('scenario', seed=seed, seconds=seconds)
+    # Two soaks may play one seed at once, each by settings of its own.
+    folder = _LOGS / f'{os.getpid()}' / f'seed-{seed}'
+    _tell('scenario', seed=seed, seconds=seconds, logs=folder)
     seen, verdict = play(seed, seconds, folder, _tell)
-    for unsure in verdict.unjudged:
-        _tell('unjudged', promise=unsure.promise, what=unsure.evidence)
-    for bad in verdict.violations:
-        _tell('violation', seed=seed, promise=bad.promise, what=bad.evidence)
+    _tell_findings('unjudged', seed, verdict.unjudged)
+    _tell_findings('violation', seed, verdict.violations)
     if verdict.violations:
         keep(FAILED, seed, _commit(), _summary(verdict, seconds))
     _tell(
@@ -98,6 +98,19 @@
     return bool(verdict.violations)
 
 
+def _tell_findings(
+    kind: str,
+    seed: int,
+    findings: typing.Iterable[checks.Finding],
+) -> None:
+    """Tell the first findings of each promise; the count follows later."""
+    told: collections.Counter[str] = collections.Counter()
+    for one in findings:
+        told[one.promise] += 1
+        if told[one.promise] <= _TOLD_OF_EACH:
+            _tell(kind, seed=seed, promise=one.promise, what=one.evidence)
+
+
 def _summary(verdict: checks.Verdict, seconds: float) -> str:
     promises = sorted({bad.promise for bad in verdict.violations})
     first = verdict.violations[0].evidence
