Let a watch of the store stand-in skip no change at its end

The stand-in ended a timed-out watch with no events but with the revision of that moment, so a change in the last 10 ms before it was skipped for good. Ruled out: peers that skip a revision, which telling asks for again.

A leaving target of the soak keeps the moment of its start.

--- a/oleanderstair/emulator/store.py
+++ b/oleanderstair/emulator/store.py
@@ -139,9 +139,10 @@
         bound_ms: clock.Millis,
         send: asgi.Send,
     ) -> None:
-        news: list[documents.Item] = []
         with anyio.move_on_after(clock.to_seconds(bound_ms)):
-            news = await self._wait_for_news(prefix, after)
+            await self._wait_for_news(prefix, after)
+        # Read with the revision, or a change just before the end is skipped.
+        news = self._news_after(prefix, after)
         if after < self.known_from:
             await asgi.respond(send, _HISTORY_GONE, [], b'')
             return
@@ -151,21 +152,16 @@
         }
         await asgi.respond_json(send, _OK, document)
 
-    async def _wait_for_news(
-        self,
-        prefix: str,
-        after: int,
-    ) -> list[documents.Item]:
-        news: list[documents.Item] = []
-        while not news and after >= self.known_from:
-            news = [
-                item
-                for item in self.history
-                if item.revision > after and item.key.startswith(prefix)
-            ]
-            if not news:
-                await anyio.sleep(clock.to_seconds(_POLL_MS))
-        return news
+    async def _wait_for_news(self, prefix: str, after: int) -> None:
+        while after >= self.known_from and not self._news_after(prefix, after):
+            await anyio.sleep(clock.to_seconds(_POLL_MS))
+
+    def _news_after(self, prefix: str, after: int) -> list[documents.Item]:
+        return [
+            item
+            for item in self.history
+            if item.revision > after and item.key.startswith(prefix)
+        ]
 
 
 def create() -> Store:
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -71,6 +71,7 @@
         default_factory=dict,
     )
     held: dict[str, anyio.Lock] = dataclasses.field(default_factory=dict)
+    born_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
     version: int = 0
 
     def serve(self, app: typing.Any) -> str:
@@ -99,11 +100,14 @@
 
     def register(self, target_id: str, state: str) -> None:
         """Let a target say of itself what it is."""
+        if state == 'ready':
+            # Who comes back after leaving has started anew.
+            self.born_by_id[target_id] = time.time_ns() // _NS_PER_MS
         entry = published.entry(
             self.link_by_name[f'target:{target_id}'].near,
             service=target_id.rpartition('-')[0],
             state=state,
-            born=time.time_ns() // _NS_PER_MS,
+            born=self.born_by_id[target_id],
         )
         self.kept.put(f'{documents.TARGET_PREFIX}{target_id}', entry)
 
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -8,9 +8,11 @@
 import socket
 
 import anyio
+import msgspec
 import pytest
 
 from oleanderstair import clock
+from oleanderstair.emulator import store
 from soak import bounds, checks, command, plan, proxy, record
 
 SEEDS = (4, 7)
@@ -247,6 +249,35 @@
     return {name: getattr(seen, name) for name in seen.__slots__}
 
 
+# Stand-ins
+
+
+def test_a_watch_that_times_out_skips_no_change():
+    answers = []
+
+    async def receive():
+        return {'type': 'http.request', 'body': b'', 'more_body': False}
+
+    async def send(message):
+        answers.append(message)
+
+    async def scenario():
+        held = store.create()
+        query = f'prefix=servers/&after={held.revision}&wait_ms=5'
+        scope = {'path': '/-/kv-watch', 'query_string': query.encode()}
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(held, scope, receive, send)
+            await anyio.sleep(0)
+            await anyio.sleep(0)
+            # Its end comes before it looks again.
+            held.put('servers/burza-1', {})
+
+    anyio.run(scenario)
+    told = msgspec.json.decode(answers[-1]['body'])
+    assert [item['revision'] for item in told['events']] == [2]
+    assert told['at_revision'] == 2
+
+
 # Runs
 
 
