Count no call as read while its instance has no process

A gap of the soak's ticks counts as a stall from 0.05 s on, well below the smallest bound. Ruled out: calls cut after they ran; none was seen.

--- a/soak/bounds.py
+++ b/soak/bounds.py
@@ -27,7 +27,7 @@
 
 RECOVERED_SHARE: typing.Final = 0.25
 
-STALL_S: typing.Final = 0.2
+STALL_S: typing.Final = 0.05
 """A gap in the soak's own ticks that makes bounds of time unjudged."""
 
 START_S: typing.Final = 60
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -104,7 +104,7 @@
         if call.request_id in runs_by_id:
             told = f'{_told(call)} after it had run'
             yield Finding('cut', told, *_stop_span(seen, call))
-        elif call.ended_s - call.sent_s > bounds.LOSS_S:
+        elif _may_be_read(seen, call):
             told = f'{_told(call)} after it was read'
             yield Finding('cut', told, call.sent_s, call.ended_s)
 
@@ -220,6 +220,17 @@
     ]
 
 
+def _may_be_read(seen: record.Record, call: record.Call) -> bool:
+    """Return whether a process had the time to read a call."""
+    is_down = record.touches(
+        seen.down,
+        {call.instance},
+        call.sent_s,
+        call.sent_s,
+    )
+    return not is_down and call.ended_s - call.sent_s > bounds.LOSS_S
+
+
 def _stop_span(seen: record.Record, call: record.Call) -> tuple[float, float]:
     """Return the time of a stop that was too long for the call to end."""
     for span in seen.late_stops:
--- a/soak/record.py
+++ b/soak/record.py
@@ -65,6 +65,7 @@
     leaving: list[Span] = dataclasses.field(default_factory=list)
     harmed: list[Span] = dataclasses.field(default_factory=list)
     planned: list[Span] = dataclasses.field(default_factory=list)
+    down: list[Span] = dataclasses.field(default_factory=list)
     late_stops: list[Span] = dataclasses.field(default_factory=list)
     ended_alone: list[str] = dataclasses.field(default_factory=list)
     stalls: list[Span] = dataclasses.field(default_factory=list)
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -267,10 +267,13 @@
 
 async def _start(scene: Scene, fault: plan.Fault, life: int) -> None:
     """Start an ended instance, unless another fault has done so."""
+    ended_s = anyio.current_time()
     await anyio.sleep(clock.to_seconds(fault.span_ms))
     entry = scene.entry_by_name[fault.where]
     async with scene.held[fault.where]:
         if entry.life == life and not entry.is_running:
+            now_s = anyio.current_time()
+            scene.seen.down.append(record.Span(fault.where, ended_s, now_s))
             await entry.start()
     with anyio.move_on_after(_FAR_S):
         await entry.until_ready()
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -233,6 +233,13 @@
     assert not found(record.Record(**{**fields, 'late_stops': [late]}))
 
 
+def test_what_comes_while_there_is_no_process_was_not_read():
+    cut = LOOKUP._replace(status=0, end='cut')
+    assert found(scene_of(cut, runs=())) == {'cut'}
+    down = [record.Span('entry-1', 9, 11)]
+    assert not found(scene_of(cut, runs=(), down=down))
+
+
 def test_late_recovery_is_told_from_none():
     calls = [
         LOOKUP._replace(sent_s=at_s, ended_s=at_s) for at_s in range(20, 28)
