Send beats and differences between instances instead of whole data centres

Every round sent all rows of a data centre, 95 bytes each, two ways with two neighbours every 500 ms: bytes grew with the fleet while nothing changed. Now those whose checksums agree exchange two bytes a member; where they differ, marks of all members go one way and what differs comes back. One that its own data centre may not have heard of yet isn't buried for that.

Looked at and left: probes of single members (a second design).

--- a/oleanderstair/domain/fleet/meeting.py
+++ b/oleanderstair/domain/fleet/meeting.py
@@ -1,15 +1,16 @@
 """Instances meet by seeds, and tell each other who lives.
 
-Inside a data centre each exchanges all rows with one or two others in every
-round. Between data centres two delegates of each compare checksums, and
-rows cross only where these differ.
+Inside a data centre each exchanges beats with one or two others in every
+round, and checksums. Between data centres two delegates of each compare
+checksums. What is more than beats crosses only where these differ.
 """
 
+import math
 import typing
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, messages, world
-from oleanderstair.domain.fleet import members, partners, rosters
+from oleanderstair.domain.fleet import members, partners, replies, rosters
 
 ROUND_MS: typing.Final = 1000
 """How often an instance asks one other of a small data centre."""
@@ -24,7 +25,7 @@
 """How often the beats of the data centre are looked at."""
 
 AWAY_ROUND_MS: typing.Final = 2000
-"""How often a delegate compares with another data centre."""
+"""How often a delegate of few data centres compares with another."""
 
 GREET_MS: typing.Final = 1000
 """How often one of the lost is greeted."""
@@ -35,6 +36,9 @@
 SLEPT_MS: typing.Final = 1000
 """How long between two ticks means that this instance slept."""
 
+_FEW_DATA_CENTRES: typing.Final = 4
+"""Up to how many data centres there are few."""
+
 _SMALL_DATA_CENTRE: typing.Final = 8
 """From how many neighbours on a data centre is large."""
 
@@ -96,7 +100,7 @@
     if not suspects:
         return []
     suspects.sort(key=lambda row: risen_at_ms[row.incarnation])
-    asked = rosters.compose(state, now_ms)
+    asked = _near_question(state, now_ms)
     return [
         actions.SendPeer(row.incarnation, row.peer_address, asked)
         for row in suspects[:_SUSPECTS_AT_ONCE]
@@ -122,7 +126,7 @@
 ) -> list[actions.Action]:
     """Send the own row to the data centre and to the others' delegates."""
     state.members.version += 1
-    told = rosters.compose(state, now_ms, turn=messages.Turn.ENDS)
+    told = rosters.compose(state, now_ms, messages.Turn.ENDS)
     return [
         actions.SendPeer(row.incarnation, row.peer_address, told)
         for row in (*members.neighbours(state), *partners.away_delegates(state))
@@ -151,27 +155,36 @@
     if sender.incarnation != event.sender:
         return [actions.Count('peer-dropped', 'unsigned')]
     rosters.take(state, heard, now_ms)
-    if heard.turn is messages.Turn.ENDS:
-        return []
-    lacking = rosters.lacking_places(state, sender, heard)
-    if heard.turn is messages.Turn.ANSWERS and not lacking:
+    reply = replies.reply(state, heard, now_ms)
+    if reply is None:
         return []
     return [
-        actions.SendPeer(
-            sender.incarnation,
-            sender.peer_address,
-            rosters.answer(state, now_ms, sender, lacking, heard.turn),
-        ),
+        actions.SendPeer(sender.incarnation, sender.peer_address, reply),
     ]
 
 
+def _near_question(
+    state: world.World,
+    now_ms: clock.Millis,
+) -> messages.Roster:
+    """Return what a neighbour is asked, which mostly knows the same."""
+    asked = rosters.compose(state, now_ms)
+    return rosters.with_beats(state, asked, now_ms)
+
+
+def _question(state: world.World, now_ms: clock.Millis) -> messages.Roster:
+    """Return what others are asked, of whom that isn't known."""
+    asked = rosters.compose(state, now_ms)
+    return rosters.with_checksums(state, asked, now_ms)
+
+
 def _ask_neighbours(
     state: world.World,
     now_ms: clock.Millis,
     count: int,
 ) -> list[actions.Action]:
     near = {row.incarnation: row for row in members.neighbours(state)}
-    asked = rosters.compose(state, now_ms, [state.identity.data_centre])
+    asked = _near_question(state, now_ms)
     return [
         actions.SendPeer(incarnation, near[incarnation].peer_address, asked)
         for incarnation in partners.next_turns(state, near, count)
@@ -182,19 +195,52 @@
     state: world.World,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Compare with another data centre, as one of two delegates."""
+    """Compare with other data centres, as one of two delegates.
+
+    With all of them where the own has changed, else with one.
+    """
     table = state.members
     if now_ms < table.away_due_ms:
         return []
-    table.away_due_ms = now_ms + AWAY_ROUND_MS
+    table.away_due_ms = now_ms + _away_round_ms(state)
     if not partners.is_delegate(state):
         return []
     away = partners.away_delegates(state, 1)
-    if not away:
-        return []
-    chosen = state.rng.choice(away)
-    asked = rosters.compose(state, now_ms)
-    return [actions.SendPeer(chosen.incarnation, chosen.peer_address, asked)]
+    own = state.identity.data_centre
+    checksum = members.view(state).checksum_by_data_centre[own]
+    if away and checksum == table.compared_checksum:
+        away = [state.rng.choice(away)]
+    table.compared_checksum = checksum
+    return [
+        actions.SendPeer(
+            row.incarnation,
+            row.peer_address,
+            _away_question(state, row.data_centre, now_ms),
+        )
+        for row in away
+    ]
+
+
+def _away_question(
+    state: world.World,
+    place: str,
+    now_ms: clock.Millis,
+) -> messages.Roster:
+    """Return what a delegate asks another data centre's."""
+    composed = rosters.compose(state, now_ms)
+    asked = rosters.with_beats(state, composed, now_ms, near=False)
+    ours = members.view(state).checksum_by_data_centre
+    own = state.identity.data_centre
+    return asked._replace(
+        checksum_by_data_centre={own: ours[own], place: ours[place]},
+    )
+
+
+def _away_round_ms(state: world.World) -> clock.Millis:
+    """Return the time between two comparisons; news travel log-many."""
+    count = len(members.view(state).living_by_data_centre)
+    steps = math.log2(max(count, _FEW_DATA_CENTRES))
+    return AWAY_ROUND_MS * math.log2(_FEW_DATA_CENTRES) / steps
 
 
 def _join(
@@ -208,7 +254,7 @@
     table.greet_due_ms = now_ms + JOIN_MS
     if table.beat > _QUICK_JOINS:
         table.greet_due_ms = now_ms + GREET_MS
-    asked = rosters.compose(state, now_ms)
+    asked = _question(state, now_ms)
     return [
         actions.SendPeer('', address, asked)
         for address in members.lost_addresses(state, also_away=True)
@@ -232,5 +278,5 @@
     lost = members.lost_addresses(state, also_away=partners.is_delegate(state))
     if not lost:
         return []
-    asked = rosters.compose(state, now_ms)
+    asked = _question(state, now_ms)
     return [actions.SendPeer('', state.rng.choice(lost), asked)]
--- a/oleanderstair/domain/fleet/members.py
+++ b/oleanderstair/domain/fleet/members.py
@@ -152,6 +152,14 @@
     return tuple(by_incarnation[incarnation] for incarnation in ranked)
 
 
+def checksum(found: typing.Iterable[members.Member]) -> int:
+    """Return a number that is the same where the same members live."""
+    told = sorted(
+        f'{row.incarnation} {row.standing.value} {row.failing}' for row in found
+    )
+    return zlib.crc32('\n'.join(told).encode())
+
+
 def neighbours(state: world.World) -> tuple[members.Member, ...]:
     """Return the other living instances of this data centre."""
     own = state.identity
@@ -159,6 +167,16 @@
     return tuple(row for row in here if row.incarnation != own.incarnation)
 
 
+def known_rows(state: world.World, place: str) -> list[members.Member]:
+    """Return the rows of other instances of a data centre, dead or alive."""
+    own = state.identity.incarnation
+    return [
+        row
+        for incarnation, row in state.members.by_incarnation.items()
+        if row.data_centre == place and incarnation != own
+    ]
+
+
 def lost_addresses(state: world.World, also_away: bool) -> list[str]:
     """Return peer addresses at which nobody is known to live any more."""
     table = state.members
@@ -224,14 +242,17 @@
         if row.lives and row.data_centre in heard:
             living.setdefault(row.data_centre, []).append(row)
     order = _reader_order(living)
+    checksum_by_data_centre = {
+        place: checksum(rows) for place, rows in living.items()
+    }
+    places = sorted(checksum_by_data_centre.items())
     return members.View(
         version=table.version,
         living_by_data_centre={
             place: tuple(sorted(rows)) for place, rows in living.items()
         },
-        checksum_by_data_centre={
-            place: _checksum(rows) for place, rows in living.items()
-        },
+        checksum_by_data_centre=checksum_by_data_centre,
+        checksum=zlib.crc32(repr(places).encode()),
         reader_order=order,
         rank=order.index(own.incarnation),
     )
@@ -261,10 +282,3 @@
     leaving = row.standing is members.Standing.LEAVING
     rank = rendezvous.rank(row.incarnation, _READER_KEY)
     return row.failing, leaving, rank
-
-
-def _checksum(rows: list[members.Member]) -> int:
-    told = sorted(
-        f'{row.incarnation} {row.standing.value} {row.failing}' for row in rows
-    )
-    return zlib.crc32('\n'.join(told).encode())
--- a/oleanderstair/domain/fleet/rosters.py
+++ b/oleanderstair/domain/fleet/rosters.py
@@ -4,93 +4,61 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import messages, world
-from oleanderstair.domain.fleet import members
-from oleanderstair.domain.tables import members as rows
+from oleanderstair.domain.fleet import beats, marks, members
 
 _LONGEST_AGE_MS: typing.Final = 1_000_000_000
 """The age that is told of what never was, or was longer ago."""
 
+_NEWS_MS: typing.Final = 1000
+"""How long its own data centre may take to hear of an instance."""
+
 
 def compose(
     state: world.World,
     now_ms: clock.Millis,
-    places: typing.Collection[str] = (),
     turn: messages.Turn = messages.Turn.ASKS,
 ) -> messages.Roster:
-    """Return a roster of the own row and of all rows of data centres.
-
-    It raises the beat.
-    """
+    """Return a roster of the own row alone; it raises the beat."""
     in_force = state.routes.in_force
     state.members.beat += 1
+    view = members.view(state)
     return messages.Roster(
-        rows=(members.own_row(state), *_rows_of(state, places)),
-        checksum_by_data_centre=members.view(state).checksum_by_data_centre,
-        word_age_ms_by_data_centre={
-            place: int(now_ms - word_at_ms)
-            for place, word_at_ms in (
-                state.members.word_at_ms_by_data_centre.items()
-            )
-        },
+        rows=(members.own_row(state),),
+        checksum=view.checksum,
+        near_checksum=view.checksum_by_data_centre[state.identity.data_centre],
         number=in_force.number if in_force else 0,
         revision=state.registry.revision,
         age_ms=age_of(now_ms, state.store.fresh_at_ms),
         turn=turn,
-        whole=tuple(places),
     )
 
 
-def _rows_of(
+def with_beats(
     state: world.World,
-    places: typing.Collection[str],
-) -> tuple[rows.Member, ...]:
-    """Return the rows of other instances in these data centres."""
-    own = state.identity.incarnation
-    return tuple(
-        row
-        for incarnation, row in state.members.by_incarnation.items()
-        if row.data_centre in places and incarnation != own
+    roster: messages.Roster,
+    now_ms: clock.Millis,
+    near: bool = True,
+) -> messages.Roster:
+    """Add what one who holds the same members needs."""
+    return roster._replace(
+        beats=beats.pack(state) if near else b'',
+        word_ages=beats.pack_ages(state, now_ms),
     )
 
 
-def answer(
+def with_checksums(
     state: world.World,
+    roster: messages.Roster,
     now_ms: clock.Millis,
-    sender: rows.Member,
-    lacking: list[str],
-    turn: messages.Turn,
 ) -> messages.Roster:
-    """Return the roster that goes on with an exchange."""
-    own = state.identity.data_centre
-    asked = turn is messages.Turn.ASKS
-    if asked and sender.data_centre == own and own not in lacking:
-        # Beats are exchanged whatever the checksums say.
-        lacking = [own, *lacking]
-    next_turn = messages.Turn.ANSWERS if asked else messages.Turn.ENDS
-    return compose(state, now_ms, lacking, next_turn)
-
-
-def lacking_places(
-    state: world.World,
-    sender: rows.Member,
-    heard: messages.Roster,
-) -> list[str]:
-    """Return the data centres of which the sender knows something else.
-
-    Between data centres each speaks for its own alone, but for one who asks
-    without knowing others yet.
-    """
-    theirs = heard.checksum_by_data_centre
-    own = state.identity.data_centre
-    all_told = sender.data_centre == own or len(theirs) == 1
-    return [
-        place
-        for place, checksum in members.view(
-            state,
-        ).checksum_by_data_centre.items()
-        if theirs.get(place) != checksum
-        and (all_told or place == own or place not in theirs)
-    ]
+    """Add what one who may hold other members needs."""
+    word_at_ms = state.members.word_at_ms_by_data_centre
+    return roster._replace(
+        checksum_by_data_centre=members.view(state).checksum_by_data_centre,
+        word_age_ms_by_data_centre={
+            place: int(now_ms - at_ms) for place, at_ms in word_at_ms.items()
+        },
+    )
 
 
 def take(
@@ -102,15 +70,16 @@
     sender = heard.rows[0]
     for row in heard.rows:
         members.adopt(state, row, now_ms)
+    for told in (*heard.marks_by_data_centre.values(), heard.newer):
+        marks.take(state, told, now_ms)
     members.hear_word(state, sender.data_centre, now_ms)
     for place, age_ms in heard.word_age_ms_by_data_centre.items():
         if age_ms < members.AWAY_SILENCE_MS:
             members.hear_word(state, place, now_ms - age_ms)
+    beats.take(state, heard, now_ms)
     # Of its own data centre the sender knows best who lives.
-    if sender.data_centre == state.identity.data_centre:
-        return
-    if sender.data_centre in heard.whole:
-        _bury_unnamed(state, heard, sender.data_centre)
+    if sender.data_centre != state.identity.data_centre:
+        _bury_unnamed(state, heard, sender.data_centre, now_ms)
 
 
 def age_of(now_ms: clock.Millis, at_ms: clock.Millis) -> int:
@@ -122,8 +91,16 @@
     state: world.World,
     heard: messages.Roster,
     place: str,
+    now_ms: clock.Millis,
 ) -> None:
-    named = {row.incarnation for row in heard.rows}
-    for incarnation, row in tuple(state.members.by_incarnation.items()):
-        if row.data_centre == place and incarnation not in named:
-            members.bury(state, incarnation)
+    told = heard.marks_by_data_centre.get(place)
+    if told is None and place not in heard.whole:
+        return
+    named = {mark.key for mark in told or ()}
+    named.update(marks.key_of(row.incarnation) for row in heard.rows)
+    for row in members.known_rows(state, place):
+        risen_ms = now_ms - state.members.risen_at_ms[row.incarnation]
+        if risen_ms < _NEWS_MS:
+            continue
+        if marks.key_of(row.incarnation) not in named:
+            members.bury(state, row.incarnation)
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -208,22 +208,47 @@
     ENDS = 2
 
 
+class Mark(typing.NamedTuple):
+    """A row in short, for those who know the rest of it.
+
+    ``key`` stands for the incarnation, see ``marks.key_of``.
+    """
+
+    key: int
+    beat: int
+    standing: members.Standing
+    failing: bool = False
+
+
 class Roster(typing.NamedTuple):
     """Members that the sender knows, and how far it knows the store.
 
-    The sender's own row comes first. ``whole`` names the data centres of
-    which all living members are among the rows. ``age_ms`` is how long ago
-    the store is known to have held nothing newer than ``revision``.
+    The sender's own row comes first. ``age_ms`` is how long ago the store is
+    known to have held nothing newer than ``revision``.
+
+    ``checksum`` is over all data centres, ``near_checksum`` over the
+    sender's; ``beats`` and ``word_ages`` are read by those who have the same,
+    see ``beats``. Others get a checksum of each data centre, and the marks
+    of those that differ. ``whole`` names the data centres of which all living
+    members are among the rows, ``newer`` are marks of which the receiver had
+    older ones, and ``wanted`` the keys of rows that the sender lacks.
     """
 
     rows: tuple[members.Member, ...]
-    checksum_by_data_centre: dict[str, int]
-    word_age_ms_by_data_centre: dict[str, clock.Millis]
+    checksum: int
+    near_checksum: int
     number: int
     revision: int
     age_ms: clock.Millis
     turn: Turn = Turn.ASKS
+    beats: bytes = b''
+    word_ages: bytes = b''
+    checksum_by_data_centre: dict[str, int] = {}
+    word_age_ms_by_data_centre: dict[str, clock.Millis] = {}
     whole: tuple[str, ...] = ()
+    marks_by_data_centre: dict[str, tuple[Mark, ...]] = {}
+    newer: tuple[Mark, ...] = ()
+    wanted: tuple[int, ...] = ()
 
 
 class CallCrashed(typing.NamedTuple):
--- a/oleanderstair/domain/tables/members.py
+++ b/oleanderstair/domain/tables/members.py
@@ -47,12 +47,14 @@
 class View(typing.NamedTuple):
     """What follows from the members, for as long as they stay the same.
 
-    ``reader_order`` holds incarnations, the readers of the store first.
+    ``checksum`` is over those of all data centres. ``reader_order`` holds
+    incarnations, the readers of the store first.
     """
 
     version: int = -1
     living_by_data_centre: dict[str, tuple[Member, ...]] = {}
     checksum_by_data_centre: dict[str, int] = {}
+    checksum: int = 0
     reader_order: tuple[str, ...] = ()
     rank: int = 0
 
@@ -63,6 +65,7 @@
 
     ``word_at_ms_by_data_centre`` is when another data centre was last heard
     of. ``version`` changes with whatever the view depends on.
+    ``compared_checksum`` is what others' delegates were last asked with.
     """
 
     seeds: tuple[str, ...] = ()
@@ -81,6 +84,7 @@
     turns: list[str] = dataclasses.field(default_factory=list)
     told_standing: Standing = Standing.STARTING
     first_tick_ms: clock.Millis | None = None
+    compared_checksum: int = 0
     last_tick_ms: clock.Millis = clock.NEVER_MS
     review_due_ms: clock.Millis = clock.NEVER_MS
     round_due_ms: clock.Millis = clock.NEVER_MS
