Encode what goes to many once, and enter rows without parsing all ids

A message to a whole data centre was encoded once for each receiver; the link keeps the frame of the last message. A watch that ended without a change rebuilt the index of targets. Each row that entered parsed the ids of all rows twice: 11.2 million times in the first 400 ms of 200 instances on the virtual clock, 12.6 of 22.7 s under the profiler. The review passes rows that rose lately by, and the rank of an instance as a reader is kept.

--- a/bench/gateway_peers.py
+++ b/bench/gateway_peers.py
@@ -86,29 +86,21 @@
     table = state.members
     if incarnation not in table.by_incarnation:
         return []
-    risen = [
-        row._replace(beat=now_ms // state.policy.tick_ms + 1)
-        for row in table.by_incarnation.values()
-        if row.data_centre == state.identity.data_centre
-    ]
-    sender = table.by_incarnation[incarnation]
+    beat = int(now_ms // state.policy.tick_ms) + 1
+    view = members.view(state)
+    sender = table.by_incarnation[incarnation]._replace(beat=beat)
+    here = view.living_by_data_centre[state.identity.data_centre]
     near = sender.data_centre == state.identity.data_centre
-    if near:
-        others = [row for row in risen if row.incarnation != incarnation]
-        sender = sender._replace(beat=now_ms // state.policy.tick_ms + 1)
-    told = (sender, *others, members.own_row(state)) if near else (sender,)
     known = telling.position(state)
     roster = messages.Roster(
-        rows=told,
-        checksum_by_data_centre=members.view(state).checksum_by_data_centre,
-        word_age_ms_by_data_centre=dict.fromkeys(
-            table.word_at_ms_by_data_centre,
-            0,
-        ),
+        rows=(sender,),
+        checksum=view.checksum,
+        near_checksum=view.checksum_by_data_centre[sender.data_centre],
         number=known.number,
         revision=known.revision,
         age_ms=0,
-        whole=(sender.data_centre,) if near else (),
+        beats=beat.to_bytes(2) * len(here) if near else b'',
+        word_ages=bytes(len(view.checksum_by_data_centre)),
     )
     turns = (messages.Turn.ANSWERS, messages.Turn.ASKS)
     return [roster._replace(turn=turn) for turn in turns]
--- a/oleanderstair/domain/fleet/members.py
+++ b/oleanderstair/domain/fleet/members.py
@@ -4,6 +4,7 @@
 centre its own instances decide, for as long as any of them is heard of.
 """
 
+import functools
 import typing
 import zlib
 
@@ -96,8 +97,12 @@
     own = state.identity.data_centre
     for incarnation, row in tuple(table.by_incarnation.items()):
         still_ms = now_ms - table.risen_at_ms[incarnation]
+        near = row.data_centre == own
+        bound_ms = SILENCE_MS if near else FORGET_MS
+        if still_ms <= bound_ms:
+            continue
         if row.lives:
-            if row.data_centre == own and still_ms > SILENCE_MS:
+            if near:
                 bury(state, incarnation)
         elif still_ms > FORGET_MS:
             table.by_incarnation.pop(incarnation)
@@ -226,10 +231,12 @@
     table: members.MembersTable,
     row: members.Member,
 ) -> list[members.Member]:
+    # Incarnations begin with the id; this runs over all for each that enters.
+    prefix = f'{row.instance_id}~'
     return [
         other
-        for other in table.by_incarnation.values()
-        if other.instance_id == row.instance_id
+        for incarnation, other in table.by_incarnation.items()
+        if incarnation.startswith(prefix)
     ]
 
 
@@ -280,5 +287,9 @@
 
 def _reader_key(row: members.Member) -> tuple[bool, bool, bytes]:
     leaving = row.standing is members.Standing.LEAVING
-    rank = rendezvous.rank(row.incarnation, _READER_KEY)
-    return row.failing, leaving, rank
+    return row.failing, leaving, _reader_rank(row.incarnation)
+
+
+@functools.lru_cache(maxsize=MEMBER_LIMIT)
+def _reader_rank(incarnation: str) -> bytes:
+    return rendezvous.rank(incarnation, _READER_KEY)
--- a/oleanderstair/domain/fleet/rosters.py
+++ b/oleanderstair/domain/fleet/rosters.py
@@ -71,7 +71,8 @@
     for row in heard.rows:
         members.adopt(state, row, now_ms)
     for told in (*heard.marks_by_data_centre.values(), heard.newer):
-        marks.take(state, told, now_ms)
+        if told:
+            marks.take(state, told, now_ms)
     members.hear_word(state, sender.data_centre, now_ms)
     for place, age_ms in heard.word_age_ms_by_data_centre.items():
         if age_ms < members.AWAY_SILENCE_MS:
--- a/oleanderstair/domain/targets/registering.py
+++ b/oleanderstair/domain/targets/registering.py
@@ -76,7 +76,8 @@
     table.revision = event.revision
     table.read_at_ms = now_ms
     _forget_oldest(table)
-    registry.index(table)
+    if event.entries or event.gone:
+        registry.index(table)
     return [action for action in told if action is not None]
 
 
--- a/oleanderstair/engine/peers.py
+++ b/oleanderstair/engine/peers.py
@@ -15,7 +15,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import messages
 from oleanderstair.domain.fleet import codec
-from oleanderstair.engine import arrivals, peer_sockets, strangers
+from oleanderstair.engine import arrivals, frames, peer_sockets, strangers
 
 SILENCE_MS: typing.Final = 3000
 """How long a connection may be silent before it is replaced."""
@@ -117,6 +117,7 @@
         self._arrivals = arrivals.create(self._router)
         self._dealer_by_address: dict[str, _Dealer] = {}
         self._waiting: list[_Waiting] = []
+        self._frames = frames.create()
         self._heard_at_ms_by_incarnation: dict[str, clock.Millis] = {}
 
     @property
@@ -140,7 +141,7 @@
         A connection on which ``incarnation`` does not answer is replaced.
         """
         self._count_strangers()
-        frame = codec.encode(message)
+        frame = self._frames.frame_of(message)
         dealer = self._dealer(address, incarnation, _asks(message))
         if _try_send(dealer, frame):
             return len(frame)
@@ -149,8 +150,7 @@
     async def receive(self) -> Heard:
         """Return the next message that could be read."""
         while True:
-            frames = await self._arrivals.next()
-            heard = _read(frames)
+            heard = _read(await self._arrivals.next())
             if heard is not None:
                 self._note_heard(heard.sender)
                 return heard
@@ -311,13 +311,13 @@
     return isinstance(message, messages.KeyedCall)
 
 
-def _read(frames: list[bytes]) -> Heard | None:
-    if len(frames) != _FRAMES:
+def _read(parts: list[bytes]) -> Heard | None:
+    if len(parts) != _FRAMES:
         return None
-    sender = frames[0].decode('latin-1')
+    sender = parts[0].decode('latin-1')
     if not _INCARNATION.fullmatch(sender):
         return None
-    decoded = codec.decode(frames[1])
+    decoded = codec.decode(parts[1])
     if isinstance(decoded, result.Err):
         return None
     return Heard(sender, decoded.ok_value)
--- a/test/fleets.py
+++ b/test/fleets.py
@@ -90,6 +90,8 @@
         self.by_address = {}
         self.cut_pairs = set()
         self.away_bytes = 0
+        self.peer_bytes = 0
+        self.peer_messages = 0
         self._queue = []
         self._order = itertools.count()
         for place, count in places.items():
@@ -179,6 +181,8 @@
         origin = made.state.identity
         other = self.by_address.get(action.address)
         frame = codec.encode(action.message)
+        self.peer_bytes += len(frame)
+        self.peer_messages += 1
         if other is None or (origin.peer_address, action.address) in (
             self.cut_pairs
         ):
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -10,7 +10,7 @@
 from oleanderstair import errors, settings
 from oleanderstair.domain import messages
 from oleanderstair.domain.fleet import codec
-from oleanderstair.engine import peers
+from oleanderstair.engine import frames, peers
 
 BOUND_S = 10
 HEAD = messages.NoteHead(1, 'digest', confirmed=True)
@@ -225,3 +225,12 @@
 def test_settings_without_usable_keys_are_refused(section, remedy):
     with pytest.raises(errors.UserError, match=remedy):
         settings.build({'instance': {'id': 'entry-1'}, 'peers': section})
+
+
+def test_what_goes_to_many_is_encoded_once():
+    encoder = frames.create()
+    body = messages.NoteBody(1, 'digest', b'all of it')
+    first = encoder.frame_of(body)
+    assert encoder.frame_of(body) is first
+    assert encoder.frame_of(HEAD) == codec.encode(HEAD)
+    assert encoder.frame_of(body) == first
