--- a/oleanderstair/domain/fleet/members.py
+++ b/oleanderstair/domain/fleet/members.py
@@ -94,25 +94,30 @@
 def review(state: world.World, now_ms: clock.Millis) -> None:
     """Bury those whose beat stands still; forget the long dead."""
     table = state.members
-    own = state.identity.data_centre
     for incarnation, row in tuple(table.by_incarnation.items()):
         still_ms = now_ms - table.risen_at_ms[incarnation]
-        near = row.data_centre == own
-        bound_ms = SILENCE_MS if near else FORGET_MS
-        if still_ms <= bound_ms:
-            continue
-        if row.lives:
-            if near:
-                bury(state, incarnation)
-        elif still_ms > FORGET_MS:
-            table.by_incarnation.pop(incarnation)
-            table.risen_at_ms.pop(incarnation)
+        if still_ms > SILENCE_MS:
+            _review_silent(state, row, still_ms)
     for away, word_at_ms in tuple(table.word_at_ms_by_data_centre.items()):
         if now_ms - word_at_ms > AWAY_SILENCE_MS:
             table.word_at_ms_by_data_centre.pop(away)
             table.version += 1
 
 
+def _review_silent(
+    state: world.World,
+    row: members.Member,
+    still_ms: clock.Millis,
+) -> None:
+    table = state.members
+    if row.lives:
+        if row.data_centre == state.identity.data_centre:
+            bury(state, row.incarnation)
+    elif still_ms > FORGET_MS:
+        table.by_incarnation.pop(row.incarnation)
+        table.risen_at_ms.pop(row.incarnation)
+
+
 def excuse_silence(state: world.World, now_ms: clock.Millis) -> None:
     """Begin all spans of silence anew: it was this instance that slept."""
     table = state.members
