--- a/oleanderstair/domain/fleet/members.py
+++ b/oleanderstair/domain/fleet/members.py
@@ -4,6 +4,7 @@
 centre its own instances decide, for as long as any of them is heard of.
 """
 
+import functools
 import typing
 import zlib
 
@@ -93,21 +94,30 @@
 def review(state: world.World, now_ms: clock.Millis) -> None:
     """Bury those whose beat stands still; forget the long dead."""
     table = state.members
-    own = state.identity.data_centre
     for incarnation, row in tuple(table.by_incarnation.items()):
         still_ms = now_ms - table.risen_at_ms[incarnation]
-        if row.lives:
-            if row.data_centre == own and still_ms > SILENCE_MS:
-                bury(state, incarnation)
-        elif still_ms > FORGET_MS:
-            table.by_incarnation.pop(incarnation)
-            table.risen_at_ms.pop(incarnation)
+        if still_ms > SILENCE_MS:
+            _review_silent(state, row, still_ms)
     for away, word_at_ms in tuple(table.word_at_ms_by_data_centre.items()):
         if now_ms - word_at_ms > AWAY_SILENCE_MS:
             table.word_at_ms_by_data_centre.pop(away)
             table.version += 1
 
 
+def _review_silent(
+    state: world.World,
+    row: members.Member,
+    still_ms: clock.Millis,
+) -> None:
+    table = state.members
+    if row.lives:
+        if row.data_centre == state.identity.data_centre:
+            bury(state, row.incarnation)
+    elif still_ms > FORGET_MS:
+        table.by_incarnation.pop(row.incarnation)
+        table.risen_at_ms.pop(row.incarnation)
+
+
 def excuse_silence(state: world.World, now_ms: clock.Millis) -> None:
     """Begin all spans of silence anew: it was this instance that slept."""
     table = state.members
@@ -152,6 +162,14 @@
     return tuple(by_incarnation[incarnation] for incarnation in ranked)
 
 
+def checksum(found: typing.Iterable[members.Member]) -> int:
+    """Return a number that is the same where the same members live."""
+    told = sorted(
+        f'{row.incarnation} {row.standing.value} {row.failing}' for row in found
+    )
+    return zlib.crc32('\n'.join(told).encode())
+
+
 def neighbours(state: world.World) -> tuple[members.Member, ...]:
     """Return the other living instances of this data centre."""
     own = state.identity
@@ -159,6 +177,16 @@
     return tuple(row for row in here if row.incarnation != own.incarnation)
 
 
+def known_rows(state: world.World, place: str) -> list[members.Member]:
+    """Return the rows of other instances of a data centre, dead or alive."""
+    own = state.identity.incarnation
+    return [
+        row
+        for incarnation, row in state.members.by_incarnation.items()
+        if row.data_centre == place and incarnation != own
+    ]
+
+
 def lost_addresses(state: world.World, also_away: bool) -> list[str]:
     """Return peer addresses at which nobody is known to live any more."""
     table = state.members
@@ -208,10 +236,12 @@
     table: members.MembersTable,
     row: members.Member,
 ) -> list[members.Member]:
+    # Incarnations begin with the id; this runs over all for each that enters.
+    prefix = f'{row.instance_id}~'
     return [
         other
-        for other in table.by_incarnation.values()
-        if other.instance_id == row.instance_id
+        for incarnation, other in table.by_incarnation.items()
+        if incarnation.startswith(prefix)
     ]
 
 
@@ -224,14 +254,17 @@
         if row.lives and row.data_centre in heard:
             living.setdefault(row.data_centre, []).append(row)
     order = _reader_order(living)
+    checksum_by_data_centre = {
+        place: checksum(rows) for place, rows in living.items()
+    }
+    places = sorted(checksum_by_data_centre.items())
     return members.View(
         version=table.version,
         living_by_data_centre={
             place: tuple(sorted(rows)) for place, rows in living.items()
         },
-        checksum_by_data_centre={
-            place: _checksum(rows) for place, rows in living.items()
-        },
+        checksum_by_data_centre=checksum_by_data_centre,
+        checksum=zlib.crc32(repr(places).encode()),
         reader_order=order,
         rank=order.index(own.incarnation),
     )
@@ -259,12 +292,9 @@
 
 def _reader_key(row: members.Member) -> tuple[bool, bool, bytes]:
     leaving = row.standing is members.Standing.LEAVING
-    rank = rendezvous.rank(row.incarnation, _READER_KEY)
-    return row.failing, leaving, rank
+    return row.failing, leaving, _reader_rank(row.incarnation)
 
 
-def _checksum(rows: list[members.Member]) -> int:
-    told = sorted(
-        f'{row.incarnation} {row.standing.value} {row.failing}' for row in rows
-    )
-    return zlib.crc32('\n'.join(told).encode())
+@functools.lru_cache(maxsize=MEMBER_LIMIT)
+def _reader_rank(incarnation: str) -> bytes:
+    return rendezvous.rank(incarnation, _READER_KEY)
