--- a/oleanderstair/domain/fleet/beats.py
+++ b/oleanderstair/domain/fleet/beats.py
@@ -11,6 +11,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import messages, world
 from oleanderstair.domain.fleet import members
+from oleanderstair.domain.tables import members as rows
 
 _BEAT_BITS: typing.Final = 16
 _BEAT_MASK: typing.Final = (1 << _BEAT_BITS) - 1
@@ -98,7 +99,8 @@
             members.hear_word(state, place, now_ms - age * _AGE_UNIT_MS)
 
 
-def _living(state: world.World) -> tuple[typing.Any, ...]:
+def _living(state: world.World) -> tuple[rows.Member, ...]:
+    """Return the members of the own data centre, in their order."""
     view = members.view(state)
     return view.living_by_data_centre[state.identity.data_centre]
 
--- a/oleanderstair/domain/fleet/replies.py
+++ b/oleanderstair/domain/fleet/replies.py
@@ -9,8 +9,17 @@
 from oleanderstair import clock
 from oleanderstair.domain import messages, world
 from oleanderstair.domain.fleet import marks, members, rosters
+from oleanderstair.domain.tables import members as rows
 
-_Fields: typing.TypeAlias = dict[str, typing.Any]
+
+class _Told(typing.NamedTuple):
+    """What a roster tells besides the row of its sender."""
+
+    lacking: tuple[rows.Member, ...] = ()
+    whole: tuple[str, ...] = ()
+    marks_by_data_centre: dict[str, tuple[messages.Mark, ...]] = {}
+    newer: tuple[messages.Mark, ...] = ()
+    wanted: tuple[int, ...] = ()
 
 
 def reply(
@@ -23,13 +32,11 @@
         return _answer(state, heard, now_ms)
     told = _differences(state, heard)
     if heard.turn is messages.Turn.ANSWERS and heard.checksum_by_data_centre:
-        unequal = _unequal_places(state, heard)
-        told['rows'] += unequal.pop('rows')
-        told.update(unequal)
-    if not any(told.values()):
+        told = _add_unequal(state, heard, told)
+    if not any(told):
         return None
     composed = rosters.compose(state, now_ms, messages.Turn.ENDS)
-    if told.get('marks_by_data_centre') or told.get('whole'):
+    if told.marks_by_data_centre or told.whole:
         composed = rosters.with_checksums(state, composed, now_ms)
     return _with(composed, told)
 
@@ -50,11 +57,11 @@
     )
     if heard.checksum == view.checksum:
         return composed
-    told: _Fields = {}
+    told = _Told()
     if _knows_nobody(heard):
         told = _everything(state)
     elif _own_differs(state, heard, near):
-        told = {'marks_by_data_centre': {own: marks.of_place(state, own)}}
+        told = _Told(marks_by_data_centre={own: marks.of_place(state, own)})
     composed = rosters.with_checksums(state, composed, now_ms)
     return _with(composed, told)
 
@@ -65,18 +72,18 @@
     return heard.checksum_by_data_centre == alone
 
 
-def _everything(state: world.World) -> _Fields:
+def _everything(state: world.World) -> _Told:
     known = members.view(state).living_by_data_centre
     own_incarnation = state.identity.incarnation
-    return {
-        'rows': tuple(
+    return _Told(
+        lacking=tuple(
             state.members.by_incarnation[row.incarnation]
             for living in known.values()
             for row in living
             if row.incarnation != own_incarnation
         ),
-        'whole': tuple(known),
-    }
+        whole=tuple(known),
+    )
 
 
 def _own_differs(
@@ -91,13 +98,18 @@
     return told != members.view(state).checksum_by_data_centre[own]
 
 
-def _with(composed: messages.Roster, told: _Fields) -> messages.Roster:
+def _with(composed: messages.Roster, told: _Told) -> messages.Roster:
     """Add to a roster; its own row stays the first."""
-    lacking = told.pop('rows', ())
-    return composed._replace(rows=(*composed.rows, *lacking), **told)
+    return composed._replace(
+        rows=(*composed.rows, *told.lacking),
+        whole=told.whole,
+        marks_by_data_centre=told.marks_by_data_centre,
+        newer=told.newer,
+        wanted=told.wanted,
+    )
 
 
-def _differences(state: world.World, heard: messages.Roster) -> _Fields:
+def _differences(state: world.World, heard: messages.Roster) -> _Told:
     """Return what answers the marks of a roster, and its wishes."""
     near = heard.rows[0].data_centre == state.identity.data_centre
     found = [
@@ -113,18 +125,22 @@
         )
         if near or not told
     ]
-    return {
-        'rows': (
+    return _Told(
+        lacking=(
             *marks.rows_for(state, heard.wanted),
             *(row for told in spoken for row in told.lacking),
         ),
-        'newer': tuple(mark for told in spoken for mark in told.newer),
-        'wanted': tuple(key for told in found for key in told.wanted),
-    }
+        newer=tuple(mark for told in spoken for mark in told.newer),
+        wanted=tuple(key for told in found for key in told.wanted),
+    )
 
 
-def _unequal_places(state: world.World, heard: messages.Roster) -> _Fields:
-    """Return marks of what the sender knows otherwise, rows of the unknown.
+def _add_unequal(
+    state: world.World,
+    heard: messages.Roster,
+    told: _Told,
+) -> _Told:
+    """Add marks of what the sender knows otherwise, rows of the unknown.
 
     Between data centres each speaks for its own alone.
     """
@@ -141,16 +157,17 @@
     ]
     # Without marks the whole data centre comes back.
     unknown = dict.fromkeys(theirs.keys() - ours.keys() - settled, ())
-    return {
-        'rows': tuple(
-            row
-            for place in whole
-            for row in members.known_rows(state, place)
-            if row.lives
-        ),
-        'whole': tuple(whole),
-        'marks_by_data_centre': {
+    rows_of_whole = tuple(
+        row
+        for place in whole
+        for row in members.known_rows(state, place)
+        if row.lives
+    )
+    return told._replace(
+        lacking=told.lacking + rows_of_whole,
+        whole=tuple(whole),
+        marks_by_data_centre={
             **unknown,
             **{place: marks.of_place(state, place) for place in differing},
         },
-    }
+    )
