--- a/oleanderstair/engine/gateway.py
+++ b/oleanderstair/engine/gateway.py
@@ -2,8 +2,8 @@
 
 import typing
 
-import msgspec
 import anyio.abc
+import msgspec
 
 from oleanderstair import clock, logs
 from oleanderstair.domain import actions, events, gateway, world
--- a/oleanderstair/engine/node.py
+++ b/oleanderstair/engine/node.py
@@ -5,9 +5,9 @@
 import socket
 import typing
 
-import msgspec
 import anyio
 import anyio.abc
+import msgspec
 
 from oleanderstair import clock, logs, settings
 from oleanderstair.domain import events, world
--- a/oleanderstair/engine/pending.py
+++ b/oleanderstair/engine/pending.py
@@ -3,8 +3,8 @@
 import secrets
 import typing
 
-import msgspec
 import anyio
+import msgspec
 
 from oleanderstair import clock
 from oleanderstair.domain import events, outcomes
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -6,9 +6,9 @@
 import time
 import typing
 
-import msgspec
 import anyio
 import anyio.abc
+import msgspec
 
 from oleanderstair import clock, logs, settings
 from oleanderstair.domain import events, world
