Let one piece serve stand-ins, end reads and note spans of faults

Found on reading the change again; behaviour stays: - emulator/standing.py serves a stand-in for the fleet and for the soak, which each had the same function and idle time. - A read of load that needs no task ends like the others (core.end_read), and its event is made in one place. - Rosters index the known rows by mark once, not once for each data centre; living rows of data centres are gathered by one function (their order in a message is now that of the table in both cases). - The soak notes the span of a fault and of a leaving by one context, and its constants stand at the top; one comment counted them wrong.

--- a/oleanderstair/domain/fleet/marks.py
+++ b/oleanderstair/domain/fleet/marks.py
@@ -40,10 +40,12 @@
 
 def take(
     state: world.World,
-    told: typing.Iterable[messages.Mark],
+    told: typing.Sequence[messages.Mark],
     now_ms: clock.Millis,
 ) -> None:
     """Renew the known rows for which there are newer marks."""
+    if not told:
+        return
     own = members.own_row(state)
     row_by_key = {key_of(own.incarnation): own}
     for incarnation, row in state.members.by_incarnation.items():
--- a/oleanderstair/domain/fleet/replies.py
+++ b/oleanderstair/domain/fleet/replies.py
@@ -74,15 +74,19 @@
 
 def _everything(state: world.World) -> _Told:
     known = members.view(state).living_by_data_centre
-    own_incarnation = state.identity.incarnation
-    return _Told(
-        lacking=tuple(
-            state.members.by_incarnation[row.incarnation]
-            for living in known.values()
-            for row in living
-            if row.incarnation != own_incarnation
-        ),
-        whole=tuple(known),
+    return _Told(lacking=_living_rows(state, known), whole=tuple(known))
+
+
+def _living_rows(
+    state: world.World,
+    places: typing.Iterable[str],
+) -> tuple[rows.Member, ...]:
+    """Return the rows of the other living instances of data centres."""
+    return tuple(
+        row
+        for place in places
+        for row in members.known_rows(state, place)
+        if row.lives
     )
 
 
@@ -157,14 +161,8 @@
     ]
     # Without marks the whole data centre comes back.
     unknown = dict.fromkeys(theirs.keys() - ours.keys() - settled, ())
-    rows_of_whole = tuple(
-        row
-        for place in whole
-        for row in members.known_rows(state, place)
-        if row.lives
-    )
     return told._replace(
-        lacking=told.lacking + rows_of_whole,
+        lacking=told.lacking + _living_rows(state, whole),
         whole=tuple(whole),
         marks_by_data_centre={
             **unknown,
--- a/oleanderstair/domain/fleet/rosters.py
+++ b/oleanderstair/domain/fleet/rosters.py
@@ -1,5 +1,6 @@
 """What a roster tells of the members, and what is taken from one."""
 
+import itertools
 import typing
 
 from oleanderstair import clock
@@ -70,9 +71,8 @@
     sender = heard.rows[0]
     for row in heard.rows:
         members.adopt(state, row, now_ms)
-    for told in (*heard.marks_by_data_centre.values(), heard.newer):
-        if told:
-            marks.take(state, told, now_ms)
+    of_places = itertools.chain(*heard.marks_by_data_centre.values())
+    marks.take(state, (*of_places, *heard.newer), now_ms)
     members.hear_word(state, sender.data_centre, now_ms)
     for place, age_ms in heard.word_age_ms_by_data_centre.items():
         if age_ms < members.AWAY_SILENCE_MS:
--- a/oleanderstair/emulator/fleet.py
+++ b/oleanderstair/emulator/fleet.py
@@ -7,12 +7,8 @@
 import anyio.abc
 
 from oleanderstair import settings
-from oleanderstair.emulator import platform, targets
-from oleanderstair.engine import bounded, listener, node
-
-_IDLE_MS: typing.Final = 60_000
-"""How long idle connections stay open here: longer than any scene, as one
-that is closed in the moment in which it is chosen looks like a cut call."""
+from oleanderstair.emulator import platform, standing, targets
+from oleanderstair.engine import node
 
 
 class ServicePlan(typing.NamedTuple):
@@ -79,10 +75,7 @@
 
     def serve(self, app: typing.Any) -> str:
         """Serve ``app`` on a free loopback port and return its address."""
-        bound = listener.bind('127.0.0.1', 0)
-        bounds = bounded.Bounds(idle_ms=_IDLE_MS)
-        self.tasks.start_soon(listener.create(app, bounds).serve, [bound])
-        return listener.address_of(bound)
+        return standing.serve(app, self.tasks)
 
     def start_target(self, target: targets.Target, service: str) -> None:
         """Start a target and keep the entry that adds it by a note."""
@@ -133,7 +126,7 @@
                 'region': self.plan.region,
                 'data_centre': place,
             },
-            'callers': {'port': 0, 'idle_ms': _IDLE_MS},
+            'callers': {'port': 0, 'idle_ms': standing.IDLE_MS},
             'admin': {'port': 0},
             'peers': {'port': 0, 'allow_plain': True},
             'platform': {
--- a/oleanderstair/engine/core.py
+++ b/oleanderstair/engine/core.py
@@ -174,14 +174,18 @@
             except Exception as error:
                 self.report_fault(type(action).__name__, error)
                 return
-            self.note_read(event)
-            self.handle(event)
+            self.end_read(event)
 
         def perform(action: actions.Action) -> None:
             self.tasks.start_soon(run, action)
 
         return perform
 
+    def end_read(self, event: events.Event) -> None:
+        """Count a read and handle what it brought."""
+        self.note_read(event)
+        self.handle(event)
+
     def note_read(self, event: events.Event) -> None:
         """Count a read that ended."""
         self.metrics.count('reads', type(event).__name__)
--- a/oleanderstair/engine/gateway.py
+++ b/oleanderstair/engine/gateway.py
@@ -77,8 +77,18 @@
         """Read the load report of a target."""
         started_ms = self.clock.now_ms()
         report = await self.load_reader.read(action)
-        took_ms = self.clock.now_ms() - started_ms
-        return events.LoadRead(action.target_id, report, took_ms)
+        return _load_read(self, action, report, started_ms)
+
+
+def _load_read(
+    sides: Sides,
+    action: actions.ReadLoad,
+    report: load_reports.Report | None,
+    started_ms: clock.Millis,
+) -> events.LoadRead:
+    """Return the end of a read that began at ``started_ms``."""
+    took_ms = sides.clock.now_ms() - started_ms
+    return events.LoadRead(action.target_id, report, took_ms)
 
 
 class Gateway(core.Core):
@@ -121,10 +131,8 @@
         started_ms = self.sides.clock.now_ms()
 
         def take(report: load_reports.Report | None) -> None:
-            took_ms = self.sides.clock.now_ms() - started_ms
-            event = events.LoadRead(action.target_id, report, took_ms)
-            self.note_read(event)
-            self.handle(event)
+            sides = self._outgoing
+            self.end_read(_load_read(sides, action, report, started_ms))
 
         if not self._outgoing.load_reader.begin_kept(action, take):
             self._start_read(action)
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -30,6 +30,20 @@
 _READY: typing.Final = 200
 _ASK_S: typing.Final = 1
 _PLACES: typing.Final = ('trnava', 'nitra')
+_BYTE: typing.Final = 256
+_NETWORKS: typing.Final = 250 * _BYTE
+_QUEUE_LIMITS: typing.Final = (256, 255)
+_UNREADY: typing.Final = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    TimeoutError,
+)
+_VALID_MS: typing.Final = 2000
+"""This and the next three are what the deploy file sets."""
+
+_TICK_MS: typing.Final = 100
+_SILENCE_MS: typing.Final = 2000
+_RETRY_SLACK: typing.Final = 75
 
 
 @dataclasses.dataclass(slots=True)
@@ -134,14 +148,6 @@
         return self.folder / f'{self.name}.json'
 
 
-_QUEUE_LIMITS: typing.Final = (256, 255)
-_UNREADY: typing.Final = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    TimeoutError,
-)
-
-
 def create(
     name: str,
     number: int,
@@ -179,12 +185,3 @@
         },
     }
     return made
-
-
-_BYTE: typing.Final = 256
-_NETWORKS: typing.Final = 250 * _BYTE
-_VALID_MS: typing.Final = 2000
-"""This and the next four are what the deploy file sets."""
-_TICK_MS: typing.Final = 100
-_SILENCE_MS: typing.Final = 2000
-_RETRY_SLACK: typing.Final = 75
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -18,6 +18,7 @@
 _CALM_MS: typing.Final = 1500
 _DELAYS_MS: typing.Final = (5, 50, 300)
 _SPANS_MS: typing.Final = (200, 700, 1500, 3000)
+_LEAVE_SPAN_MS: typing.Final = 4000
 _SERIES_MS: typing.Final = 400
 _SERIES_SHARE: typing.Final = 0.25
 
@@ -121,9 +122,6 @@
     return Fault(kind, rng.choice(links()), at_ms, span_ms, delay_ms)
 
 
-_LEAVE_SPAN_MS: typing.Final = 4000
-
-
 def _is_alike(one: Fault, other: Fault) -> bool:
     families = (SIGNALS, LINKS)
     return any(one.kind in kind and other.kind in kind for kind in families)
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -1,5 +1,6 @@
 """Plays a plan: stand-ins in this process, instances in their own."""
 
+import contextlib
 import dataclasses
 import pathlib
 import random
@@ -11,8 +12,7 @@
 import anyio.abc
 
 from oleanderstair import clock
-from oleanderstair.emulator import load_targets, published, store
-from oleanderstair.engine import bounded, listener
+from oleanderstair.emulator import load_targets, published, standing, store
 from oleanderstair.platform import documents
 from soak import bounds, callers, checks, instances, plan, proxy, record
 
@@ -21,7 +21,6 @@
 _POLL_S: typing.Final = 0.1
 _FAR_S: typing.Final = 60
 _TICK_S: typing.Final = 0.02
-_IDLE_MS: typing.Final[clock.Millis] = 60_000
 _NS_PER_MS: typing.Final = 1_000_000
 
 Tell: typing.TypeAlias = typing.Callable[..., None]
@@ -76,10 +75,7 @@
 
     def serve(self, app: typing.Any) -> str:
         """Serve a stand-in on a free port and return its address."""
-        bound = listener.bind('127.0.0.1', 0)
-        idle = bounded.Bounds(idle_ms=_IDLE_MS)
-        self.tasks.start_soon(listener.create(app, idle).serve, [bound])
-        return listener.address_of(bound)
+        return standing.serve(app, self.tasks)
 
     def link(self, name: str, address: str) -> str:
         """Put a link before an address and return where it listens."""
@@ -226,7 +222,6 @@
 
 async def _strike(scene: Scene, fault: plan.Fault, began_s: float) -> None:
     await anyio.sleep_until(began_s + clock.to_seconds(fault.at_ms))
-    from_s = anyio.current_time()
     if fault.kind is plan.Kind.PUBLISH:
         scene.publish()
         scene.tell('published', version=scene.version)
@@ -235,17 +230,28 @@
     spans = scene.seen.harmed
     if fault.kind in plan.PLANNED:
         spans = scene.seen.planned
-    # While it lasts it has no end.
-    open_span = record.Span(fault.where, from_s, checks.NEVER_S)
-    if fault.kind not in (plan.Kind.RELOAD, plan.Kind.LEAVE):
-        spans.append(open_span)
-    await _STRIKE_BY_KIND[fault.kind](scene, fault)
-    if open_span in spans:
-        spans.remove(open_span)
-        spans.append(open_span._replace(until_s=anyio.current_time()))
+    strike = _STRIKE_BY_KIND[fault.kind]
+    if fault.kind in (plan.Kind.RELOAD, plan.Kind.LEAVE):
+        await strike(scene, fault)
+    else:
+        with _noted(spans, fault.where):
+            await strike(scene, fault)
     scene.tell('over', what=fault.kind.value, where=fault.where)
 
 
+@contextlib.contextmanager
+def _noted(
+    spans: list[record.Span],
+    where: str,
+) -> typing.Iterator[None]:
+    """Keep a span among others; while it lasts it has no end."""
+    span = record.Span(where, anyio.current_time(), checks.NEVER_S)
+    spans.append(span)
+    yield
+    spans.remove(span)
+    spans.append(span._replace(until_s=anyio.current_time()))
+
+
 async def _stop(scene: Scene, fault: plan.Fault) -> None:
     entry = scene.entry_by_name[fault.where]
     life = entry.life
@@ -298,13 +304,9 @@
         # It leaves already, and comes back once.
         return
     scene.register(fault.where, 'leaving')
-    span = record.Span(fault.where, anyio.current_time(), checks.NEVER_S)
-    scene.seen.leaving.append(span)
-    await anyio.sleep(clock.to_seconds(fault.span_ms))
-    scene.register(fault.where, 'ready')
-    until_s = anyio.current_time()
-    scene.seen.leaving.remove(span)
-    scene.seen.leaving.append(span._replace(until_s=until_s))
+    with _noted(scene.seen.leaving, fault.where):
+        await anyio.sleep(clock.to_seconds(fault.span_ms))
+        scene.register(fault.where, 'ready')
 
 
 async def _harm(scene: Scene, fault: plan.Fault) -> None:
@@ -339,4 +341,4 @@
         published.route(name, kind, service, bounds.TIMEOUT_MS)
         for name, (kind, service) in told_by_name.items()
     ]
-    return published.configuration(number, routes, _IDLE_MS)
+    return published.configuration(number, routes, standing.IDLE_MS)
