Serve downloads, and tell which configuration can't be read

A download may be repeated. A kind that this release doesn't know is served and never repeated: the store accepts valid configurations only, so the word is a later one, and running at most once breaks no promise. What can't be read at all is refused whole; its number and field stand in the log, the readiness answer, the metrics and the refusals of callers, and peers hear of it, as few instances read the store.

--- a/oleanderstair/domain/calls/routed.py
+++ b/oleanderstair/domain/calls/routed.py
@@ -23,6 +23,9 @@
 ) -> list[actions.Action]:
     """Refuse a request, or begin to choose a target for it."""
     in_force = state.routes.in_force
+    if in_force is None and state.routes.refused is not None:
+        reason = outcomes.Reason.CONFIGURATION_REFUSED
+        return [ending.not_run(event.call_id, reason)]
     if in_force is None or not state.registry.revision:
         return [ending.not_run(event.call_id, outcomes.Reason.UNCONFIRMED)]
     route = routing.match(in_force, event.host, event.path)
--- a/oleanderstair/domain/configuration/routing.py
+++ b/oleanderstair/domain/configuration/routing.py
@@ -22,12 +22,42 @@
         return []
     table.in_force = event.routing
     table.adopted_at_ms = now_ms
+    if table.refused and table.refused.number <= event.routing.number:
+        table.refused = None
+    unknown = ', '.join(event.routing.unknown_kinds)
+    doubt = f'; calls of kind {unknown} run at most once' if unknown else ''
     return [
         actions.Audit(
             'configuration',
             str(event.routing.number),
             event.source,
-            f'in force after {known.number if known else "none"}',
+            f'in force after {known.number if known else "none"}{doubt}',
+        ),
+    ]
+
+
+def refuse(
+    state: world.World,
+    refused: routes.Refused | None,
+    source: str,
+) -> list[actions.Action]:
+    """Note the newest configuration where that can't be read.
+
+    The last good one stays in force.
+    """
+    table = state.routes
+    if refused is None or refused == table.refused:
+        return []
+    if table.in_force and 0 < refused.number <= table.in_force.number:
+        return []
+    table.refused = refused
+    return [
+        actions.Count('configurations-refused'),
+        actions.Audit(
+            'configuration',
+            str(refused.number),
+            source,
+            f'refused: {refused.why}',
         ),
     ]
 
--- a/oleanderstair/domain/configuration/telling.py
+++ b/oleanderstair/domain/configuration/telling.py
@@ -8,6 +8,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, messages, world
+from oleanderstair.domain.configuration import routing
 from oleanderstair.domain.fleet import members, rosters
 from oleanderstair.domain.tables import registry, store
 
@@ -94,6 +95,7 @@
         entries=_entries_after(table, base, now_ms),
         gone=_gone_after(table, base, now_ms),
         age_ms=rosters.age_of(now_ms, state.store.fresh_at_ms),
+        refused=state.routes.refused,
     )
 
 
@@ -107,7 +109,7 @@
     if told.base > before.revision:
         at = store.Position(told.number, told.revision)
         return _hear(state, sender, at, told.age_ms, now_ms)
-    done: list[actions.Action] = []
+    done = routing.refuse(state, told.refused, f'peer {sender}')
     if told.routing is not None:
         source = f'peer {sender}'
         done.append(
--- a/oleanderstair/domain/configuration/watching.py
+++ b/oleanderstair/domain/configuration/watching.py
@@ -9,7 +9,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, world
-from oleanderstair.domain.configuration import telling
+from oleanderstair.domain.configuration import routing, telling
 from oleanderstair.domain.fleet import meeting, members
 from oleanderstair.domain.tables import routes
 
@@ -70,6 +70,8 @@
 _LONGEST_DOUBLING: typing.Final = 2
 """How often bounds and waits double at most."""
 
+_SOURCE: typing.Final = 'store'
+
 
 def on_tick(
     state: world.World,
@@ -122,6 +124,7 @@
     doubt_ms = _succeed(state, now_ms)
     state.store.history_lost = False
     return [
+        *routing.refuse(state, event.refused, _SOURCE),
         *_routing_told(event.routing),
         actions.Notify(event.registry._replace(doubt_ms=doubt_ms)),
     ]
@@ -138,6 +141,7 @@
         ended._replace(doubt_ms=doubt_ms) for ended in event.registry.gone
     )
     return [
+        *routing.refuse(state, event.refused, _SOURCE),
         *_routing_told(event.routing),
         actions.Notify(event.registry._replace(gone=gone)),
     ]
@@ -258,4 +262,4 @@
 def _routing_told(found: routes.Routing | None) -> list[actions.Action]:
     if found is None:
         return []
-    return [actions.Notify(events.RoutingRead(found, 'store'))]
+    return [actions.Notify(events.RoutingRead(found, _SOURCE))]
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -194,10 +194,14 @@
 
 
 class StoreRead(typing.NamedTuple):
-    """The store as a whole; ``routing`` is None before the first one."""
+    """The store as a whole; ``routing`` is None before the first one.
+
+    ``refused`` is the newest configuration where that can't be read.
+    """
 
     routing: routes.Routing | None
     registry: RegistryRead
+    refused: routes.Refused | None = None
 
 
 class StoreChanged(typing.NamedTuple):
@@ -205,6 +209,7 @@
 
     routing: routes.Routing | None
     registry: RegistryChanged
+    refused: routes.Refused | None = None
 
 
 class StoreTold(typing.NamedTuple):
--- a/oleanderstair/domain/fleet/serving.py
+++ b/oleanderstair/domain/fleet/serving.py
@@ -29,7 +29,7 @@
         return []
     in_force = state.routes.in_force
     if in_force is None or not state.registry.revision:
-        table.waits_for = 'configuration and registry'
+        table.waits_for = _awaited(state)
         return []
     table.phase = instances.Phase.SERVING
     table.waits_for = ''
@@ -43,6 +43,13 @@
     ]
 
 
+def _awaited(state: world.World) -> str:
+    refused = state.routes.refused
+    if refused is not None and state.routes.in_force is None:
+        return f'a readable configuration; {refused.number} {refused.why}'
+    return 'configuration and registry'
+
+
 def is_ready(state: world.World) -> bool:
     """Return whether new callers may be sent to this instance."""
     return state.instances.phase is instances.Phase.SERVING
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -268,7 +268,8 @@
 class StoreState(typing.NamedTuple):
     """What the store held, as changes after ``base``; 0 is from nothing.
 
-    ``routing`` is None where the receiver has configuration ``number``.
+    ``routing`` is None where the receiver has configuration ``number``, and
+    ``refused`` is the newest one where that can't be read.
     Times in ``entries`` count from now, as clocks differ.
     """
 
@@ -280,6 +281,7 @@
     gone: tuple[registry.Gone, ...]
     age_ms: clock.Millis
     pushed: bool = False
+    refused: routes.Refused | None = None
 
 
 Message: typing.TypeAlias = (
--- a/oleanderstair/domain/outcomes.py
+++ b/oleanderstair/domain/outcomes.py
@@ -20,6 +20,7 @@
     """Why the system answered in place of a target."""
 
     UNCONFIRMED = 'unconfirmed'
+    CONFIGURATION_REFUSED = 'configuration-refused'
     STOPPING = 'stopping'
     PAUSED = 'paused'
     NO_SERVICE = 'no-service'
@@ -69,6 +70,10 @@
         _UNAVAILABLE,
         'use another address; this instance has no confirmed note yet',
     ),
+    Reason.CONFIGURATION_REFUSED: Advice(
+        _UNAVAILABLE,
+        'call again later; the published configuration cannot be read',
+    ),
     Reason.STOPPING: Advice(
         _UNAVAILABLE,
         'ask for the addresses again; this instance is stopping',
--- a/oleanderstair/domain/tables/routes.py
+++ b/oleanderstair/domain/tables/routes.py
@@ -50,21 +50,38 @@
 
 
 class Routing(typing.NamedTuple):
-    """One whole configuration; ``routes_by_host`` has long prefixes first."""
+    """One whole configuration; ``routes_by_host`` has long prefixes first.
+
+    ``unknown_kinds`` are kinds of routes that this release doesn't know: their
+    calls run at most once, whatever the kind would allow.
+    """
 
     number: int
     routes_by_host: dict[str, tuple[Route, ...]]
     service_by_name: dict[str, RoutedService]
     limits: CallerLimits
+    unknown_kinds: tuple[str, ...] = ()
+
+
+class Refused(typing.NamedTuple):
+    """A published configuration that can't be read, and its remedy.
+
+    ``number`` is 0 where not even that is readable.
+    """
+
+    number: int
+    why: str
 
 
 class RoutesTable(msgspec.Struct):
     """The configuration in force here; None before the first is known.
 
+    ``refused`` is the newest one where that can't be read.
     ``credit_by_parts`` is what the parts of each split are owed, in calls.
     """
 
     in_force: Routing | None = None
+    refused: Refused | None = None
     adopted_at_ms: clock.Millis = clock.NEVER_MS
     credit_by_parts: dict[tuple[str, tuple[Part, ...]], dict[str, float]] = (
         msgspec.field(default_factory=dict)
--- a/oleanderstair/explaining/causes.py
+++ b/oleanderstair/explaining/causes.py
@@ -329,6 +329,7 @@
 _EXPLAIN_BY_REASON: typing.Final[dict[str, _Explain]] = {
     'no-route': _no_route,
     'unconfirmed': _known,
+    'configuration-refused': _known,
     'overloaded': _overloaded,
     'timeout': _out_of_time,
     'stopping': _stopping,
--- a/oleanderstair/explaining/failures.py
+++ b/oleanderstair/explaining/failures.py
@@ -235,6 +235,7 @@
 _WHY_BY_REASON: typing.Final[dict[str, str]] = {
     'no-route': 'no route for its host and path',
     'unconfirmed': 'its instance knew no routes yet',
+    'configuration-refused': 'no published configuration could be read',
     'stopping': 'its instance was at a planned stop',
     'deadline': 'it came without time left',
     'suspected': 'requests like it had made targets crash',
--- a/oleanderstair/explaining/gauges.py
+++ b/oleanderstair/explaining/gauges.py
@@ -28,6 +28,12 @@
             (),
             in_force.number if in_force else 0,
         ),
+        Gauge(
+            'configuration_refused_number',
+            (),
+            state.routes.refused.number if state.routes.refused else 0,
+        ),
+        Gauge('configuration_refused', (), int(bool(state.routes.refused))),
         *_age('configuration_age_ms', state.routes.adopted_at_ms, now_ms),
         Gauge('registry_revision', (), state.registry.revision),
         *_age('registry_age_ms', state.registry.read_at_ms, now_ms),
--- a/oleanderstair/platform/documents.py
+++ b/oleanderstair/platform/documents.py
@@ -16,7 +16,9 @@
 _READY: typing.Final = 'ready'
 _LEAVING: typing.Final = 'leaving'
 _STATES: typing.Final = frozenset((_READY, _LEAVING))
-_IDEMPOTENT: typing.Final = 'idempotent'
+_ONCE: typing.Final = 'once'
+_REPEATED: typing.Final = frozenset(('idempotent', 'download'))
+_KINDS: typing.Final = _REPEATED.union((_ONCE,))
 _NAME = typing.Annotated[str, msgspec.Meta(min_length=1)]
 _ADDRESS = typing.Annotated[
     str,
@@ -45,7 +47,7 @@
     name: str
     host: str
     prefix: str
-    kind: typing.Literal['idempotent', 'once']
+    kind: str
     timeout_ms: float
     aim_ms: float
     rank: int
@@ -74,6 +76,10 @@
     limits: _LimitsDocument
 
 
+class _NumberDocument(msgspec.Struct):
+    number: int
+
+
 class _TargetDocument(msgspec.Struct):
     service: _NAME
     address: _ADDRESS
@@ -97,6 +103,7 @@
         )
     except ValueError as error:
         return result.Err(_problem(item, str(error)))
+    unknown = {route.kind for route in document.routes} - _KINDS
     return result.Ok(
         routes.Routing(
             number=document.number,
@@ -115,10 +122,24 @@
                 document.limits.header_time_ms,
                 document.limits.idle_ms,
             ),
+            unknown_kinds=tuple(sorted(unknown)),
         ),
     )
 
 
+def number_of(item: Item) -> int:
+    """Return the number of a configuration, 0 where it can't be read."""
+    try:
+        document = msgspec.json.decode(
+            base64.b64decode(item.value, validate=True),
+            type=_NumberDocument,
+        )
+    except ValueError:
+        # Whoever asks has refused the whole, and says why.
+        return 0
+    return document.number
+
+
 def read_target(
     item: Item,
     now_ms: clock.Millis,
@@ -172,7 +193,7 @@
         host=document.host,
         prefix=document.prefix,
         parts=parts or (routes.Part(document.service, 1),),
-        idempotent=document.kind == _IDEMPOTENT,
+        idempotent=document.kind in _REPEATED,
         timeout_ms=document.timeout_ms,
         aim_ms=document.aim_ms,
         rank=document.rank,
--- a/oleanderstair/platform/listeners.py
+++ b/oleanderstair/platform/listeners.py
@@ -44,7 +44,11 @@
             return
         ready = serving.is_ready(self._shell.state)
         status = _OK if ready else _UNAVAILABLE
-        await asgi.respond_json(send, status, {'ready': ready})
+        document = {
+            'ready': ready,
+            'waits_for': self._shell.state.instances.waits_for,
+        }
+        await asgi.respond_json(send, status, document)
 
     def _is_for_operators(self, scope: asgi.Scope) -> bool:
         host, port = scope['server']
--- a/oleanderstair/platform/store.py
+++ b/oleanderstair/platform/store.py
@@ -93,14 +93,16 @@
         told = [listed for listed in found if documents.is_target(listed)]
         entries = self._targets(told)
         readable = {entry.target_id for entry in entries}
+        published = _configuration(found)
         return events.StoreRead(
-            _configuration(found),
+            published.routing,
             events.RegistryRead(
                 # Pages are no snapshot: later changes are watched for.
                 pages[0].at_revision,
                 entries,
                 frozenset(map(documents.target_id_of, told)) - readable,
             ),
+            published.refused,
         )
 
     def _changed(self, changes: _Changes) -> events.StoreChanged:
@@ -110,8 +112,9 @@
             for changed in newest.values()
             if documents.is_target(changed)
         ]
+        published = _configuration(changes.events)
         return events.StoreChanged(
-            _configuration(changes.events),
+            published.routing,
             events.RegistryChanged(
                 changes.at_revision,
                 self._targets(told),
@@ -124,6 +127,7 @@
                     if ended.deleted
                 ),
             ),
+            published.refused,
         )
 
     def _targets(
@@ -179,17 +183,28 @@
         raise StoreError(str(error)) from error
 
 
-def _configuration(
-    found: list[documents.Item],
-) -> routes.Routing | None:
-    """Return the newest readable configuration among items, if any."""
-    read = [
-        _logged(documents.read_configuration(published), published)
-        for published in found
-        if documents.is_configuration(published)
-    ]
-    readable = [routing for routing in read if routing is not None]
-    return readable[-1] if readable else None
+class _Published(typing.NamedTuple):
+    """The newest readable configuration, and the newest if that isn't."""
+
+    routing: routes.Routing | None = None
+    refused: routes.Refused | None = None
+
+
+def _configuration(found: list[documents.Item]) -> _Published:
+    """Return the newest configuration among items, if any."""
+    newest = _Published()
+    for published in found:
+        if not documents.is_configuration(published):
+            continue
+        read = documents.read_configuration(published)
+        routing = _logged(read, published)
+        if routing is None:
+            why = read.unwrap_err().message
+            number = documents.number_of(published)
+            newest = newest._replace(refused=routes.Refused(number, why))
+        else:
+            newest = _Published(routing)
+    return newest
 
 
 def _logged(
--- a/test/platform_side.py
+++ b/test/platform_side.py
@@ -28,6 +28,7 @@
     store: store.Store
     target_by_id: dict[str, load_targets.LoadTarget]
     node: node.Node
+    store_address: str
 
     @property
     def address(self) -> str:
@@ -80,14 +81,26 @@
                 entry = entry_of(serve(tasks, target))
                 held.put(f'servers/{target_id}', entry)
             held.put('op/config', configuration(1))
-            tree = settings_tree(serve(tasks, held))
-            side = Side(held, made, node.create(settings.build(tree)))
+            store_address = serve(tasks, held)
+            checked = settings.build(settings_tree(store_address))
+            side = Side(held, made, node.create(checked), store_address)
             tasks.start_soon(side.node.run)
             await helper.until(side.is_ready)
             yield side
             tasks.cancel_scope.cancel()
 
 
+@contextlib.asynccontextmanager
+async def started(tree: settings.Tree) -> typing.AsyncIterator[node.Node]:
+    """Run a node that need not get ready, from its shell on."""
+    async with anyio.create_task_group() as tasks:
+        made = node.create(settings.build(tree))
+        tasks.start_soon(made.run)
+        await helper.until(lambda: made.carrier is not None)
+        yield made
+        tasks.cancel_scope.cancel()
+
+
 def serve(tasks: anyio.abc.TaskGroup, app: typing.Any) -> str:
     """Serve an application on a free port and return its address."""
     bound = listener.bind('127.0.0.1', 0)
--- a/test/test_documents.py
+++ b/test/test_documents.py
@@ -92,3 +92,26 @@
     assert routing.number == 4
     assert [route.parts[0].weight for route in found_routes] == [3]
     assert routing.service_by_name['svc'].connections == 9
+
+
+def kind_read(kind):
+    told = {**CONFIGURATION, 'routes': [{**ROUTE, 'kind': kind}]}
+    return documents.read_configuration(item(told, 'op/config'))
+
+
+def test_a_download_may_be_repeated():
+    route = kind_read('download').ok_value.routes_by_host['h'][0]
+    assert route.idempotent
+
+
+@pytest.mark.parametrize('kind', ['stream', 'a-later-kind'])
+def test_a_route_of_an_unknown_kind_is_served_but_never_repeated(kind):
+    routing = kind_read(kind).ok_value
+    assert not routing.routes_by_host['h'][0].idempotent
+    assert routing.unknown_kinds == (kind,)
+
+
+def test_a_kind_that_is_no_word_refuses_the_configuration_with_its_field():
+    read = kind_read(7)
+    assert isinstance(read, result.Err)
+    assert 'kind' in read.err_value.message
--- a/test/test_platform_node.py
+++ b/test/test_platform_node.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from oleanderstair.emulator import load_targets
-from oleanderstair.engine import headers
+from oleanderstair.engine import headers, listener
 from test import helper, platform_side
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -109,6 +109,46 @@
     anyio.run(scene)
 
 
+def test_a_start_with_only_an_unreadable_configuration_says_so() -> None:
+    async def scene() -> None:
+        async with platform_side.running() as side:
+            broken = platform_side.configuration(7)
+            broken['routes'][0].pop('timeout_ms')
+            side.store.put('op/config', broken)
+            tree = platform_side.settings_tree(side.store_address)
+            async with platform_side.started(tree) as late:
+                await helper.until(
+                    lambda: late.carrier.state.routes.refused is not None
+                )
+                ready = listener.address_of(late.platform_sockets[1])
+                told = await platform_side.ask(ready, '/-/ready')
+                assert told.status == 503
+                waits_for = msgspec.json.decode(told.content)['waits_for']
+                assert '7' in waits_for
+                assert 'timeout_ms' in waits_for
+                address = late.identity.caller_address
+                refused = await platform_side.ask(address)
+                assert refused.status == 503
+                reason = headers.find(refused.headers, headers.REASON)
+                assert reason == b'configuration-refused'
+            carrier = side.node.carrier
+            assert carrier is not None
+            table = carrier.state.routes
+            await helper.until(lambda: table.refused is not None)
+            assert table.in_force is not None
+            assert table.in_force.number == 1
+            served = await platform_side.ask(side.address)
+            assert served.status == 200
+            shown = await platform_side.ask(side.metrics, '/metrics')
+            assert b'oleanderstair_configuration_refused_number 7' in (
+                shown.content
+            )
+            side.store.put('op/config', platform_side.configuration(8))
+            await helper.until(lambda: table.refused is None)
+
+    anyio.run(scene)
+
+
 def test_pages_of_the_registry_are_all_read() -> None:
     async def scene() -> None:
         async with platform_side.running() as side:
--- a/test/test_registering.py
+++ b/test/test_registering.py
@@ -2,7 +2,7 @@
 
 import random
 
-from oleanderstair.domain import events, gateway, policy, world
+from oleanderstair.domain import events, gateway, messages, policy, world
 from oleanderstair.domain.configuration import routing
 from oleanderstair.domain.tables import identity, registry, routes
 from test import fleets
@@ -115,3 +115,15 @@
         route = split(1, 0, 1)._replace(name=f'r{seed}')
         chosen = {routing.pick_service(state, route) for _ in range(9)}
         assert chosen == {'svc0', 'svc2'}
+
+
+def test_a_refused_configuration_is_heard_of_from_peers():
+    state = started()
+    refused = routes.Refused(7, 'routes[0].kind: not a word')
+    told = messages.StoreState(0, 0, 4, None, (), (), 0, refused=refused)
+    done = gateway.step(state, events.PeerHeard('a2~1', told), 0)
+    assert state.routes.refused == refused
+    assert state.routes.in_force.number == 4
+    assert any('refused' in getattr(act, 'why', '') for act in done)
+    gateway.step(state, events.RoutingRead(fleets.routing(9), 'test'), 0)
+    assert state.routes.refused is None
