Bound every part of an answer, and what comes when nothing is awaited

The trailers of a caller's body were kept as fields, without a bound.

Framing, fields and answers to one request are counted; an answer that trickles below 256 bytes a second for 3 s is given up; bytes that nobody awaits close the connection as they come. The attempt is broken at once, so that an idempotent call goes on elsewhere. Peers' frames were bounded already; the store is read by the same reader.

Ruled out: a bound on silence. A server's silence alone is no reason to end an answer sooner; the call's own deadline and the hedge cover it.

--- a/oleanderstair/engine/answers.py
+++ b/oleanderstair/engine/answers.py
@@ -11,6 +11,29 @@
 
 from oleanderstair.engine import headers
 
+MAX_FRAMING_BYTES: typing.Final = 65_536
+"""What heads, trailers and chunk framing may hold beside a body; four times
+what servers commonly allow for a head."""
+
+MAX_FIELDS: typing.Final = 256
+"""How many fields an answer may have, its trailers among them."""
+
+MAX_MESSAGES: typing.Final = 32
+"""How many answers may come for one request: interim ones, and others'."""
+
+TRICKLE_GRACE_MS: typing.Final = 3000
+"""How long an answer may be slow from its first byte on: a packet that is
+lost twice comes within it."""
+
+LEAST_BYTES_PER_S: typing.Final = 256
+"""How fast an answer has to come then; any usable link is faster."""
+
+_FRAMING_PER_BODY_BYTE: typing.Final = 16
+"""The framing of a chunk of one byte, with a padded size."""
+
+_BODIES: typing.Final = 2
+"""How many bodies of the largest size may come: a late one and its own."""
+
 _FIRST_FINAL: typing.Final = 200
 _FIRST_UNDEFINED: typing.Final = 600
 _NO_BODY: typing.Final = frozenset((204, 304))
@@ -62,6 +85,9 @@
         self._size = 0
         self._status = 0
         self._has_status = False
+        self._messages = 0
+        self._body_bytes = 0
+        self.received_bytes = 0
 
     def expect(self, method: bytes, is_other: IsOther) -> None:
         """Await the answer to a request that is about to be written."""
@@ -70,15 +96,31 @@
         self.has_begun = False
         self._method = method
         self._is_other = is_other
+        self._messages = 0
+        self._body_bytes = 0
+        self.received_bytes = 0
 
     def feed(self, chunk: bytes) -> None:
         """Read what arrived; ``outcome`` is set once the answer is had."""
+        if not self.is_awaited:
+            self.is_spoiled = True
+        self.received_bytes += len(chunk)
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserError as error:
             self._fail(Fault(repr(error), is_lost=not self._has_status))
         except httptools.HttpParserUpgrade:
             self._fail(Fault('the protocol was switched'))
+        framing_bytes = self.received_bytes - self._body_bytes
+        allowed = self._body_bytes * _FRAMING_PER_BODY_BYTE
+        if framing_bytes > MAX_FRAMING_BYTES + allowed:
+            self.give_up('head, trailers or framing without end')
+        elif self._body_bytes > self._max_bytes * _BODIES:
+            self.give_up('answers to others without end')
+
+    def give_up(self, what: str) -> None:
+        """Take no more of an answer, which its target still sends."""
+        self._fail(Fault(what, is_lost=False))
 
     def end(self, error: Exception | None) -> None:
         """Note that nothing more will come, cleanly where ``error`` is None."""
@@ -94,6 +136,9 @@
         if not self.is_awaited:
             self.is_spoiled = True
         self.has_begun = True
+        self._messages += 1
+        if self._messages > MAX_MESSAGES:
+            self.give_up('too many answers to one request')
         self._fields = []
         self._chunks = []
         self._size = 0
@@ -106,7 +151,10 @@
 
     def on_header(self, name: bytes, field: bytes) -> None:
         """Keep a header field."""
-        self._fields.append((name, field.rstrip(b' \t')))
+        if len(self._fields) < MAX_FIELDS:
+            self._fields.append((name, field.rstrip(b' \t')))
+        else:
+            self.give_up('too many fields')
 
     def on_headers_complete(self) -> None:
         """Read the status; the answer to HEAD has no more than this."""
@@ -119,10 +167,11 @@
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body, within the bound."""
         self._size += len(body)
+        self._body_bytes += len(body)
         if self._size <= self._max_bytes:
             self._chunks.append(body)
         else:
-            self._fail(Fault('answer too large', is_lost=False))
+            self.give_up('answer too large')
 
     def on_message_complete(self) -> None:
         """Take a final answer; interim ones are left out."""
--- a/oleanderstair/engine/bounded.py
+++ b/oleanderstair/engine/bounded.py
@@ -103,6 +103,7 @@
         self._idle_since_s = self.loop.time()
         self._part = _Part.NONE
         self._head_bytes = 0
+        self._trailer_bytes = 0
         self._chunk_bytes = 0
         self._refused = False
         self._timer: asyncio.TimerHandle | None = None
@@ -156,6 +157,16 @@
         self.scope['extensions'] = {'connection': extension}
         self._part = _Part.HEAD
         self._head_bytes = self._chunk_bytes
+        self._trailer_bytes = 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a field of the head; those of a trailer are not passed on."""
+        if self._part is _Part.HEAD:
+            super().on_header(name, value)
+            return
+        self._trailer_bytes += len(name) + len(value) + _FIELD_OVERHEAD_BYTES
+        if self._trailer_bytes > self._bounds_of().max_header_bytes:
+            self.transport.abort()
 
     def on_headers_complete(self) -> None:
         """Start the application, or refuse a header that is too large."""
--- a/oleanderstair/engine/streams.py
+++ b/oleanderstair/engine/streams.py
@@ -64,6 +64,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
         self._is_over = False
+        self._begun_at_s: float | None = None
         self.answered_at_s = self._loop.time()
         self.uses = 0
 
@@ -79,8 +80,12 @@
                 made.setsockopt(level, option, wanted)
 
     def data_received(self, chunk: bytes) -> None:
-        """Read what arrived."""
+        """Read what arrived; what nobody awaits ends the connection."""
         self._reader.feed(chunk)
+        if self._take is None:
+            self.close()
+            return
+        self._bound_pace()
         self._wake()
 
     def eof_received(self) -> None:
@@ -111,6 +116,7 @@
         if self._transport is None or self._is_over:
             raise CannotConnect('the connection ended before its use')
         self.uses += 1
+        self._begun_at_s = None
         self._take = take
         self._timer = self._loop.call_later(
             clock.to_seconds(expected.bound_ms),
@@ -161,6 +167,17 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _bound_pace(self) -> None:
+        """Give up an answer that trickles, from its first byte on."""
+        now_s = self._loop.time()
+        if self._begun_at_s is None:
+            self._begun_at_s = now_s
+        slow_s = now_s - self._begun_at_s
+        if slow_s <= clock.to_seconds(answers.TRICKLE_GRACE_MS):
+            return
+        if self._reader.received_bytes < slow_s * answers.LEAST_BYTES_PER_S:
+            self._reader.give_up('the answer comes too slow')
+
     def _wake(self) -> None:
         outcome = self._reader.outcome
         if outcome is None or self._take is None:
--- /dev/null
+++ b/test/test_endless_answers.py
@@ -0,0 +1,134 @@
+"""Targets whose bytes never end, in any part of an answer."""
+
+import itertools
+import tracemalloc
+
+import anyio
+import pytest
+
+from oleanderstair.domain import events
+from oleanderstair.engine import answers, exchanges
+from test import raw
+
+STATUS = b'HTTP/1.1 200 OK\r\n'
+CHUNKED = b'%btransfer-encoding: chunked\r\n\r\n' % STATUS
+OTHER = b'%bid: 9\r\ncontent-length: 0\r\n\r\n' % STATUS
+EMPTY = b'%bcontent-length: 0\r\n\r\n' % STATUS
+LONG = b'%bcontent-length: 9000\r\n\r\n' % STATUS
+MAX_ANSWER_BYTES = 262_144
+PIECE = bytes(8192).replace(b'\x00', b'a')
+FLAT_BYTES = 4_000_000
+
+ENDLESS = {
+    'one field': (b'%bx: ' % STATUS, PIECE),
+    'fields': (STATUS, b'x: a\r\n' * 1000),
+    'status line': (b'HTTP/1.1 200 ', PIECE),
+    'line ends before it': (b'', b'\r\n' * 4000),
+    'interim answers': (b'', b'HTTP/1.1 103 Early\r\n\r\n' * 400),
+    'body without a length': (b'%b\r\n' % STATUS, PIECE),
+    'chunks': (CHUNKED, b'2000\r\n%b\r\n' % PIECE),
+    'tiny chunks': (CHUNKED, b'000001\r\na\r\n' * 1000),
+    'chunk extension': (b'%b4;x=' % CHUNKED, PIECE),
+    'trailers': (b'%b0\r\n' % CHUNKED, b'x: a\r\n' * 1000),
+    'answers to others': (b'', OTHER * 200),
+    'no protocol': (b'\x00\xff', bytes(8192)),
+}
+
+
+class EndlessTarget(raw.RawTarget):
+    """Begins an answer and sends without end until the caller closes."""
+
+    def __init__(self, begins, goes_on, pause_s=0, after_s=0):
+        super().__init__()
+        self.pieces = itertools.chain([begins], itertools.repeat(goes_on))
+        self.pause_s = pause_s
+        self.after_s = after_s
+        self.sent = 0
+        self.ended = anyio.Event()
+
+    async def _answer(self, stream):
+        try:
+            for piece in self.pieces:
+                if piece:
+                    await stream.send(piece)
+                    self.sent += len(piece)
+                await anyio.sleep(self.pause_s)
+        finally:
+            self.ended.set()
+
+
+def judge(answer):
+    if dict(answer.headers).get(b'id') == b'9':
+        return None
+    return events.Verdict.ANSWERED
+
+
+def exchange_with(target, bound_ms=8000):
+    async def scenario():
+        with anyio.fail_after(20):
+            async with raw.running(target):
+                table = exchanges.create(MAX_ANSWER_BYTES, takes_unframed=True)
+                place = exchanges.Place('t', target.address, False, bound_ms)
+                request = exchanges.Request(b'GET', b'/', [], b'')
+                began_s = anyio.current_time()
+                ended = await table.exchange(place, request, judge)
+                took_s = anyio.current_time() - began_s
+                await target.ended.wait()
+                assert not table.idle_by_target.get('t')
+                return ended, took_s
+
+    return anyio.run(scenario)
+
+
+@pytest.mark.parametrize('part', ENDLESS)
+def test_an_answer_without_end_is_a_fault_long_before_the_deadline(part):
+    target = EndlessTarget(*ENDLESS[part])
+    tracemalloc.start()
+    try:
+        ended, took_s = exchange_with(target)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert ended.verdict is events.Verdict.BROKEN
+    assert took_s < 4
+    assert peak_bytes < FLAT_BYTES
+
+
+def test_an_answer_that_trickles_is_a_fault():
+    slow = EndlessTarget(LONG, b'a', 0.05)
+    ended, took_s = exchange_with(slow, bound_ms=15_000)
+    assert ended.verdict is events.Verdict.BROKEN
+    assert 'slow' in ended.what
+    assert took_s < answers.TRICKLE_GRACE_MS / 1000 + 1
+
+
+def test_bytes_that_nobody_awaits_close_a_kept_connection_at_once():
+    async def scenario():
+        with anyio.fail_after(10):
+            target = EndlessTarget(EMPTY, STATUS, 0.05)
+            async with raw.running(target):
+                table = exchanges.create()
+                place = exchanges.Place('t', target.address, False, 1000)
+                request = exchanges.Request(b'GET', b'/', [], b'')
+                ended = await table.exchange(place, request)
+                assert ended.verdict is events.Verdict.ANSWERED
+                await target.ended.wait()
+
+    anyio.run(scenario)
+
+
+def test_a_large_answer_in_many_small_chunks_is_whole():
+    chunks = b'10\r\naaaaaaaaaaaaaaaa\r\n' * 12_000
+    target = raw.RawTarget(b'%b%b0\r\n\r\n' % (CHUNKED, chunks))
+
+    async def scenario():
+        with anyio.fail_after(10):
+            async with raw.running(target):
+                table = exchanges.create(MAX_ANSWER_BYTES)
+                place = exchanges.Place('t', target.address, False, 5000)
+                request = exchanges.Request(b'GET', b'/', [], b'')
+                return await table.exchange(place, request)
+
+    ended = anyio.run(scenario)
+    assert ended.verdict is events.Verdict.ANSWERED
+    assert len(ended.answer.body) == 192_000
--- a/test/test_listener.py
+++ b/test/test_listener.py
@@ -190,3 +190,33 @@
                 assert await stream.receive() == b'ig'
 
     anyio.run(scenario)
+
+
+async def send_trailers(stream):
+    await stream.send(
+        b'POST / HTTP/1.1\r\nhost: a\r\n'
+        b'transfer-encoding: chunked\r\n\r\n0\r\n',
+    )
+    for _ in range(10_000):
+        await stream.send(b'x: a\r\n' * 100)
+        await anyio.sleep(0)
+
+
+def test_trailers_without_end_close_the_connection_and_stay_out():
+    seen = []
+
+    async def keep_fields(scope, receive, send):
+        more = True
+        while more:
+            more = (await receive()).get('more_body', False)
+        seen.extend(scope['headers'])
+
+    async def scenario():
+        async with serving(app=keep_fields) as (address, _):
+            host, _, port = address.rpartition(':')
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                with pytest.raises(anyio.BrokenResourceError):
+                    await send_trailers(stream)
+
+    anyio.run(scenario)
+    assert all(name != b'x' for name, _ in seen)
