Take a reset by a full target for load, and one on a forgotten connection for nothing

A reset at once, by a target whose report of the last half second shows waiting calls, is a refusal without the promise: no bar and no suspicion, as what is reset before it could begin to run has crashed nothing. A reset within 100 ms on a connection that had rested 200 ms or more is told as stale; the other idle ones to that target go with it, and later ones are used for half of that rest at most.

--- a/oleanderstair/domain/calls/learning.py
+++ b/oleanderstair/domain/calls/learning.py
@@ -4,7 +4,7 @@
 from oleanderstair.domain import events, outcomes, world
 from oleanderstair.domain.calls import repeats, seconds
 from oleanderstair.domain.tables import calls, latencies, routed
-from oleanderstair.domain.targets import crowding, expecting, trust
+from oleanderstair.domain.targets import crowding, expecting, room, trust
 
 
 def learn(
@@ -16,6 +16,8 @@
 ) -> None:
     """Take what an attempt tells of the target and of the route."""
     target_id = ended.target_id
+    if event.stale or is_refusal_by_reset(state, ended, event, now_ms):
+        return
     shed = seconds.is_shed_with_room(event)
     repeats.note_shed(state, call.service, shed)
     if event.misdirected:
@@ -33,6 +35,23 @@
         trust.note_failure(state, target_id, trust.FAILED, now_ms)
 
 
+def is_refusal_by_reset(
+    state: world.World,
+    ended: calls.Attempt,
+    event: events.AttemptEnded,
+    now_ms: clock.Millis,
+) -> bool:
+    """Return whether a full target turned an attempt away by a reset."""
+    after_ms = now_ms - ended.started_at_ms
+    return room.is_refusal_by_reset(
+        state,
+        ended.target_id,
+        event,
+        after_ms,
+        now_ms,
+    )
+
+
 def _is_success(event: events.AttemptEnded) -> bool:
     if event.verdict is not events.Verdict.ANSWERED:
         return False
--- a/oleanderstair/domain/calls/routed.py
+++ b/oleanderstair/domain/calls/routed.py
@@ -101,6 +101,8 @@
     ending.release(state, ended)
     if event.load is not None:
         sampling.keep(state, ended.target_id, event.load, now_ms)
+    if learning.is_refusal_by_reset(state, ended, event, now_ms):
+        event = event._replace(crashed=False)
     learning.learn(state, call, ended, event, now_ms)
     return [
         *crashing.learn(state, call, ended, event, now_ms),
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -100,6 +100,8 @@
     in the middle of the exchange. ``passed_on`` is true where the target
     sheds a call only because a call below it was refused after retries.
     ``misdirected`` is true where another target has its address now.
+    ``unanswered`` is true where the connection ended before any byte of an
+    answer, and ``stale`` where the target had likely forgotten it before.
     """
 
     call_id: int
@@ -113,6 +115,8 @@
     passed_on: bool = False
     load: load_reports.Report | None = None
     misdirected: bool = False
+    unanswered: bool = False
+    stale: bool = False
 
 
 class HomeReplied(typing.NamedTuple):
--- a/oleanderstair/domain/targets/room.py
+++ b/oleanderstair/domain/targets/room.py
@@ -7,13 +7,19 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import world
+from oleanderstair.domain import events, world
 from oleanderstair.domain.tables import load_reports
 from oleanderstair.domain.targets import crowding, resting, shortage
 
 RECENT_MS: typing.Final[clock.Millis] = 20
 """Up to which age a report counts as of now; a read takes a few ms."""
 
+FULL_MS: typing.Final[clock.Millis] = 500
+"""Up to which age a report of waiting calls shows that a target is full."""
+
+AT_ONCE_MS: typing.Final[clock.Millis] = 50
+"""How soon a full target resets a connection, links included."""
+
 
 def free_slots(
     state: world.World,
@@ -56,6 +62,26 @@
     return max(state.instances.largest_near_count, 1)
 
 
+def is_refusal_by_reset(
+    state: world.World,
+    target_id: str,
+    event: events.AttemptEnded,
+    after_ms: clock.Millis,
+    now_ms: clock.Millis,
+) -> bool:
+    """Return whether a target reset a connection because it is full.
+
+    What is reset at once could not begin to run where others already wait,
+    so that it has not made the target crash either.
+    """
+    known = load_reports.load_of(state.loads, target_id)
+    report = known.report
+    if report is None or now_ms - known.reported_at_ms > FULL_MS:
+        return False
+    is_full = report.running >= report.slots and report.waiting
+    return bool(event.unanswered and is_full and after_ms <= AT_ONCE_MS)
+
+
 def with_room(
     state: world.World,
     target_ids: typing.Iterable[str],
--- a/oleanderstair/engine/answers.py
+++ b/oleanderstair/engine/answers.py
@@ -55,11 +55,13 @@
     """Why an answer can't be had any more.
 
     ``is_lost`` is true where the connection ended or its bytes are none of
-    an HTTP answer, from the first on.
+    an HTTP answer, from the first on, and ``is_unanswered`` where it ended
+    before any byte came.
     """
 
     what: str
     is_lost: bool = True
+    is_unanswered: bool = False
 
 
 IsOther: typing.TypeAlias = typing.Callable[[Answer], bool]
@@ -127,7 +129,8 @@
         is_body_by_close = error is None and self._size_known_at_end()
         if self.is_awaited and is_body_by_close:
             self._conclude()
-        self._fail(Fault(repr(error) if error else 'the connection ended'))
+        what = repr(error) if error else 'the connection ended'
+        self._fail(Fault(what, is_unanswered=not self.received_bytes))
 
     # The parser's callbacks
 
--- a/oleanderstair/engine/attempting.py
+++ b/oleanderstair/engine/attempting.py
@@ -241,6 +241,8 @@
             action.attempt_id,
             ended.verdict,
             crashed=ended.crashed,
+            unanswered=ended.unanswered,
+            stale=ended.stale,
         )
     return events.AttemptEnded(
         action.call_id,
--- a/oleanderstair/engine/exchanges.py
+++ b/oleanderstair/engine/exchanges.py
@@ -1,5 +1,6 @@
 """Exchanges with targets: one at a time on a connection, our own table."""
 
+import math
 import typing
 
 import msgspec
@@ -23,6 +24,18 @@
 MAX_ANSWER_BYTES: typing.Final = 4_194_304
 """How large an answer may be, as it is held whole until it is relayed."""
 
+STALE_MS: typing.Final = 100
+"""How soon a request on a connection that its target forgot is reset."""
+
+STALE_FROM_MS: typing.Final = 200
+"""How long a connection has rested at least that its target forgot."""
+
+_STALE_SHARE: typing.Final = 0.5
+"""What part of the rest after which one was forgotten is allowed next."""
+
+_CAPS_LIMIT: typing.Final = 4096
+"""For how many targets it is remembered how soon they forget."""
+
 _KEEP_ALIVE_MARGIN_MS: typing.Final = 500
 """How long before a target would close a connection it is used no more."""
 
@@ -52,6 +65,8 @@
     answer: Answer | None = None
     crashed: bool = False
     what: str = ''
+    unanswered: bool = False
+    stale: bool = False
 
 
 Judge: typing.TypeAlias = typing.Callable[[Answer], events.Verdict | None]
@@ -91,8 +106,9 @@
 
     An exchange that wants a fresh one takes one that was answered on in the
     last ``proof_ms`` too. ``takes_unframed`` says whether an answer may end
-    with its connection. Each answer is told to ``listen``, with the place
-    that its request went to.
+    with its connection. ``forgets_ms_by_target`` is after what rest a target
+    is expected to forget a connection without a word. Each answer is told to
+    ``listen``, with the place that its request went to.
     """
 
     max_answer_bytes: int = MAX_ANSWER_BYTES
@@ -104,6 +120,9 @@
         default_factory=dict,
     )
     open_by_target: dict[str, int] = msgspec.field(default_factory=dict)
+    forgets_ms_by_target: dict[str, clock.Millis] = msgspec.field(
+        default_factory=dict,
+    )
 
     async def exchange(
         self,
@@ -128,7 +147,7 @@
                 _written(request),
                 self._expected(place, request, judge),
             )
-            ended = _ended(had, judge)
+            ended = self._note_stale(place, connection, _ended(had, judge))
         except streams.CannotConnect as error:
             return Ended(events.Verdict.NOT_SENT, what=str(error))
         finally:
@@ -159,7 +178,7 @@
             return None
 
         def end(had: streams.Outcome) -> None:
-            ended = _ended(had, judge)
+            ended = self._note_stale(place, kept, _ended(had, judge))
             self._give_back(place, kept, ended)
             take(ended)
 
@@ -245,6 +264,29 @@
 
         return streams.Expected(request.method, is_other, place.silence_ms)
 
+    def _note_stale(
+        self,
+        place: Place,
+        connection: streams.Connection,
+        ended: Ended,
+    ) -> Ended:
+        """Tell whether a connection was likely forgotten by its target.
+
+        The others that rested as long go with it, and none rests so long
+        any more.
+        """
+        rested_ms = connection.rested_s * _MS_PER_S
+        soon = connection.written_s() * _MS_PER_S <= STALE_MS
+        is_kept = connection.uses > 1 and rested_ms >= STALE_FROM_MS
+        if not (ended.unanswered and is_kept and soon):
+            return ended
+        caps = self.forgets_ms_by_target
+        while len(caps) >= _CAPS_LIMIT:
+            caps.pop(next(iter(caps)))
+        caps[place.target_id] = max(rested_ms * _STALE_SHARE, STALE_FROM_MS)
+        self.close_idle(place.target_id)
+        return ended._replace(stale=True, crashed=False)
+
     def _give_back(
         self,
         place: Place,
@@ -256,7 +298,10 @@
         if connection is None:
             return
         idle = self.idle_by_target.setdefault(target_id, [])
-        bound_ms = _idle_bound_ms(ended.answer)
+        bound_ms = min(
+            _idle_bound_ms(ended.answer),
+            self.forgets_ms_by_target.get(target_id, math.inf),
+        )
         is_kept = bound_ms > 0 and connection.is_usable()
         has_room = self._held(target_id) < self.open_limit
         if is_kept and has_room and len(idle) < IDLE_PER_TARGET:
@@ -308,6 +353,7 @@
             events.Verdict.BROKEN,
             crashed=had.is_lost,
             what=had.what,
+            unanswered=had.is_unanswered,
         )
     verdict = judge(had)
     if verdict is None or verdict is events.Verdict.BROKEN:
--- a/oleanderstair/engine/streams.py
+++ b/oleanderstair/engine/streams.py
@@ -66,6 +66,8 @@
         self._is_over = False
         self._begun_at_s: float | None = None
         self.answered_at_s = self._loop.time()
+        self._written_at_s = self.answered_at_s
+        self.rested_s: float = 0
         self.uses = 0
 
     # The event loop's side
@@ -117,6 +119,8 @@
             raise CannotConnect('the connection ended before its use')
         self.uses += 1
         self._begun_at_s = None
+        self.rested_s = self.idle_s()
+        self._written_at_s = self._loop.time()
         self._take = take
         self._timer = self._loop.call_later(
             clock.to_seconds(expected.bound_ms),
@@ -158,6 +162,10 @@
             return False
         return not self._reader.is_spoiled
 
+    def written_s(self) -> float:
+        """Return how long ago the last request was written."""
+        return self._loop.time() - self._written_at_s
+
     def idle_s(self) -> float:
         """Return how long ago the last answer came."""
         return self._loop.time() - self.answered_at_s
--- a/test/raw.py
+++ b/test/raw.py
@@ -45,6 +45,8 @@
             await stream.receive()
         elif reply == RESET:
             _reset_on_close(stream)
+            await stream.aclose()
+            raise anyio.EndOfStream
         else:
             await stream.send(reply)
 
--- a/test/targets_scene.py
+++ b/test/targets_scene.py
@@ -26,6 +26,8 @@
     verdict: events.Verdict = events.Verdict.ANSWERED
     status: int = 200
     misdirected: bool = False
+    unanswered: bool = False
+    stale: bool = False
 
 
 @dataclasses.dataclass
@@ -39,11 +41,17 @@
     slowness: float = 1
     reports: bool = True
     running: int = 0
+    waiting: int = 0
     behave: typing.Callable[['Target'], Told] | None = None
 
     def report(self) -> load_reports.Report:
         """Return the load as the health path tells it."""
-        return load_reports.Report(self.running, 0, self.slots, self.slowness)
+        return load_reports.Report(
+            self.running,
+            self.waiting,
+            self.slots,
+            self.slowness,
+        )
 
     def take(self) -> Told:
         """Return what becomes of a dispatch that arrives now."""
@@ -210,8 +218,11 @@
                 action.attempt_id,
                 told.verdict,
                 told.status,
-                load=target.report(),
+                load=None if told.unanswered else target.report(),
                 misdirected=told.misdirected,
+                crashed=told.unanswered and not told.stale,
+                unanswered=told.unanswered,
+                stale=told.stale,
             )
             self._step(instance_id, event)
 
