Let instances wait for each other where the whole fleet starts first

At the first start of all no caller comes for seconds, so all wait 1.5 s longer for peers. Virtual clock, 200 instances over 1.2 s: at most 8 reads.

--- a/oleanderstair/domain/configuration/watching.py
+++ b/oleanderstair/domain/configuration/watching.py
@@ -37,6 +37,10 @@
 FIRST_TRUST_MS: typing.Final = 300
 """How much longer those wait that have met the two that are to read."""
 
+FIRST_START_MS: typing.Final = 1500
+"""How much longer all wait where the whole fleet starts for the first time:
+callers come seconds later, and the slowest has met the others by then."""
+
 SLACK_MS: typing.Final = 250
 """How much longer than asked for a call to the store may take at first."""
 
@@ -213,6 +217,8 @@
 def _first_due_ms(state: world.World, rank: int) -> clock.Millis:
     """Return when an instance that knows nothing reads for itself."""
     first_ms = state.members.first_tick_ms or 0
+    if state.policy.first_start:
+        first_ms += FIRST_START_MS
     if rank >= READERS:
         return first_ms + FIRST_MS + FIRST_TRUST_MS + _steps_ms(rank)
     alone = len(members.view(state).reader_order) == 1
--- a/oleanderstair/domain/policy.py
+++ b/oleanderstair/domain/policy.py
@@ -51,3 +51,4 @@
     assumed_instances: int = 24
     probes_per_s: float = 60
     rest_limit_ms: int = 600_000
+    first_start: bool = False
--- a/test/fleets.py
+++ b/test/fleets.py
@@ -82,7 +82,20 @@
 class Fleet:
     """Instances, the network between them, and time."""
 
-    def __init__(self, places, seeds=('a1:1',), seed=1):
+    def __init__(
+        self,
+        places,
+        seeds=('a1:1',),
+        seed=1,
+        start_ms=250,
+        **limits,
+    ):
+        self.start_ms = start_ms
+        self.limits = {
+            'answer_validity_ms': 2000,
+            'peer_silence_ms': 2000,
+            **limits,
+        }
         self.now_ms = 0
         self.rng = random.Random(seed)
         self.store = Store()
@@ -110,14 +123,14 @@
         )
         state = world.create(
             own,
-            policy.Policy(answer_validity_ms=2000, peer_silence_ms=2000),
+            policy.Policy(**self.limits),
             random.Random(self.rng.random()),
         )
         state.members.seeds = tuple(self.seeds)
         state.members.started_ms = int(self.now_ms)
         made = Instance(state)
         self.by_address[address] = made
-        self.later(self.rng.uniform(0, 250), self.tick, made)
+        self.later(self.rng.uniform(0, self.start_ms), self.tick, made)
         return made
 
     def at(self, instance_id):
--- a/test/test_watching.py
+++ b/test/test_watching.py
@@ -51,6 +51,29 @@
     assert fleet.store.calls <= 8
 
 
+@pytest.mark.parametrize('count', [7, 67])
+def test_a_first_start_at_unequal_speeds_reads_few_times(count):
+    fleet = fleets.of_three(
+        count,
+        start_ms=1200,
+        first_start=True,
+        seeds=('a1:1', 'b1:1', 'c1:1'),
+    )
+    fleet.run_until(
+        lambda: all(made.state.routes.in_force for made in fleet.living),
+        4000,
+    )
+    assert fleet.store.calls <= 8
+
+
+def test_a_first_start_without_seeds_still_knows_before_callers_come():
+    fleet = fleets.of_three(7, first_start=True, seeds=('nobody:1',))
+    fleet.run_until(
+        lambda: all(made.state.routes.in_force for made in fleet.living),
+        4000,
+    )
+
+
 def test_a_calm_minute_takes_few_calls_by_two_data_centres():
     fleet = ready()
     fleet.store.calls = 0
