--- a/oleanderstair/domain/calls/sending.py
+++ b/oleanderstair/domain/calls/sending.py
@@ -2,7 +2,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, outcomes, world
-from oleanderstair.domain.calls import ending, hedges, repeats
+from oleanderstair.domain.calls import ending, hedges, repeats, worth
 from oleanderstair.domain.tables import calls, load_reports, registry, routed
 from oleanderstair.domain.targets import choosing, resting, room, sampling
 
@@ -130,7 +130,12 @@
             return _await_reports(state, call, drawn, now_ms)
     if call.stage is routed.Stage.HEDGING:
         return _hedge(state, call, chosen, now_ms)
-    if chosen is not None:
+    if chosen is not None and not worth.is_wasted(
+        state,
+        call,
+        chosen.target_id,
+        now_ms,
+    ):
         return dispatch(state, call, chosen.target_id, now_ms)
     if call.sample:
         return [actions.Notify(events.RoomMissing(call.call_id))]
--- a/oleanderstair/domain/calls/waiting.py
+++ b/oleanderstair/domain/calls/waiting.py
@@ -12,7 +12,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, outcomes, world
-from oleanderstair.domain.calls import ending, sending
+from oleanderstair.domain.calls import ending, sending, worth
 from oleanderstair.domain.tables import load_reports, routed
 from oleanderstair.domain.targets import expecting, room, sampling, trust
 
@@ -35,9 +35,6 @@
 SOUGHT: typing.Final = 2
 """How many near targets are asked for room at a time, and how many far."""
 
-SLOW: typing.Final = 2.0
-"""From what slowness on a free slot is kept for calls without time."""
-
 _SPREAD: typing.Final = 0.5
 
 
@@ -231,13 +228,12 @@
 ) -> routed.RoutedCall | None:
     """Return the waiting call that a free slot of a target serves best."""
     service = state.registry.entry_by_id[target_id].service
-    slow = room.slowness(state, target_id) > SLOW
     return min(
         (
             call
             for call in _waiting(state, service)
             if target_id not in call.tried_target_ids
-            and not (slow and _has_time(state, call, now_ms))
+            and not worth.is_wasted(state, call, target_id, now_ms)
         ),
         key=lambda call: _order(state, call, now_ms),
         default=None,
@@ -254,15 +250,6 @@
     return late, call.route.rank, -call.received_at_ms
 
 
-def _has_time(
-    state: world.World,
-    call: routed.RoutedCall,
-    now_ms: clock.Millis,
-) -> bool:
-    """Return whether a call may wait for a better slot."""
-    return now_ms + 2 * _usual_ms(state, call) < call.aim_at_ms
-
-
 def _usual_ms(state: world.World, call: routed.RoutedCall) -> clock.Millis:
     return expecting.of_route(state, call.route).typical_ms
 
--- /dev/null
+++ b/oleanderstair/domain/calls/worth.py
@@ -0,0 +1,36 @@
+"""Says which slots a call would waste, as it would be answered late there.
+
+A call keeps its slot for as long as its machine was slow when it began, also
+once the neighbours have gone. While calls compete for slots, one that is late
+anyway takes the time of several that would not be.
+"""
+
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import world
+from oleanderstair.domain.tables import load_reports, routed
+from oleanderstair.domain.targets import expecting
+
+SLOW: typing.Final = 2.0
+"""From what slowness on a machine counts as slowed by its neighbours."""
+
+KNOWN_MS: typing.Final[clock.Millis] = 150
+"""Up to which age a report tells of the neighbours, which come and go."""
+
+
+def is_wasted(
+    state: world.World,
+    call: routed.RoutedCall,
+    target_id: str,
+    now_ms: clock.Millis,
+) -> bool:
+    """Return whether a call would be late at a target that is slow now."""
+    known = load_reports.load_of(state.loads, target_id)
+    report = known.report
+    if report is None or now_ms - known.reported_at_ms > KNOWN_MS:
+        return False
+    if report.slowness <= SLOW:
+        return False
+    usual_ms = expecting.of_route(state, call.route).typical_ms
+    return now_ms + usual_ms * report.slowness > call.aim_at_ms
