Send a call that has waited to the best target with room, and wait longer

At the end of its patience a call was refused though slots on slowed machines were free; now it takes the best target of its sample. A quarter of the aim, not an eighth, since quick slots are worth waiting for.

--- a/oleanderstair/domain/calls/waiting.py
+++ b/oleanderstair/domain/calls/waiting.py
@@ -14,12 +14,12 @@
 from oleanderstair.domain import actions, events, outcomes, world
 from oleanderstair.domain.calls import ending, sending, worth
 from oleanderstair.domain.tables import load_reports, routed
-from oleanderstair.domain.targets import expecting, room, sampling, trust
+from oleanderstair.domain.targets import choosing, expecting, room, sampling, trust
 
 WAITING_LIMIT: typing.Final = 64
 """How many calls may wait for one service at an instance."""
 
-PATIENCE_SHARE: typing.Final = 0.125
+PATIENCE_SHARE: typing.Final = 0.25
 """The part of its aim that a call may wait for room; docs/decisions/crest."""
 
 RETURN_SHARE: typing.Final = 0.15
@@ -113,7 +113,30 @@
         return []
     if call.round != event.round:
         return []
-    return _turn_away(state, call)
+    chosen = _last_choice(state, call, now_ms)
+    if chosen is None:
+        return _turn_away(state, call)
+    _leave(state, call)
+    return sending.dispatch(state, call, chosen.target_id, now_ms)
+
+
+def _last_choice(
+    state: world.World,
+    call: routed.RoutedCall,
+    now_ms: clock.Millis,
+) -> choosing.Choice | None:
+    """Return the best target with room, though a call may be late there."""
+    looked_at = [
+        target_id
+        for target_id in call.sample
+        if target_id not in call.tried_target_ids
+    ]
+    return choosing.choose(
+        state,
+        room.with_room(state, looked_at, now_ms),
+        call.route.idempotent,
+        now_ms,
+    )
 
 
 def _join(
