Leave the slots of slowed machines free while a call would be late there

Their logs show calls sent to targets that told a slowness of five with a slot left: such a call takes 800 of its aim of 400 ms, and keeps its slot that long though the neighbours are gone after 150. While quick slots were sought, slow ones were filled.

Late answers still count as served, so none is refused beside a free slot.

The old policy is 'any slot' in make bench, and spare_slow_slots in the settings.

--- a/bench/gateways.py
+++ b/bench/gateways.py
@@ -48,6 +48,7 @@
 )
 POLICIES: typing.Final[dict[str, typing.Callable[[], stepping.Step]]] = {
     _PRESENT: lambda: gateway.step,
+    'any slot': lambda: _take_any_slot,
     'eight reports': lambda: _baseline(baselines.Reports(8, is_wide=False)),
     'one report': lambda: _baseline(baselines.Reports(1, is_wide=True)),
     'least in flight': lambda: _baseline(baselines.Least()),
@@ -55,6 +56,16 @@
 }
 
 
+def _take_any_slot(
+    state: world.World,
+    event: events.Event,
+    now_ms: float,
+) -> list[actions.Action]:
+    """Step as the gateway did that filled the slots of slowed targets."""
+    state.policy = state.policy._replace(spare_slow_slots=False)
+    return gateway.step(state, event, now_ms)
+
+
 class Job(typing.NamedTuple):
     """One run: a deployment, how strong its demand is, a policy, a seed."""
 
--- a/oleanderstair/domain/calls/waiting.py
+++ b/oleanderstair/domain/calls/waiting.py
@@ -2,7 +2,8 @@
 
 A call behind others at a full target can no longer go elsewhere, and a
 target that is too full never answers. So calls wait here, in the order of
-what their answers will still be worth, and go where room comes first. Of
+what their answers will still be worth, and go where room comes first, but not
+to a slowed machine where they would be late, before their patience is over. Of
 equal ones the newest goes first: it has most of its aim left, while the
 oldest would all be answered late. One that finds no room soon is refused
 while its caller can still come back.
@@ -14,7 +15,13 @@
 from oleanderstair.domain import actions, events, outcomes, world
 from oleanderstair.domain.calls import ending, sending, worth
 from oleanderstair.domain.tables import load_reports, routed
-from oleanderstair.domain.targets import choosing, expecting, room, sampling, trust
+from oleanderstair.domain.targets import (
+    choosing,
+    expecting,
+    room,
+    sampling,
+    trust,
+)
 
 WAITING_LIMIT: typing.Final = 64
 """How many calls may wait for one service at an instance."""
--- a/oleanderstair/domain/calls/worth.py
+++ b/oleanderstair/domain/calls/worth.py
@@ -26,6 +26,8 @@
     now_ms: clock.Millis,
 ) -> bool:
     """Return whether a call would be late at a target that is slow now."""
+    if not state.policy.spare_slow_slots:
+        return False
     known = load_reports.load_of(state.loads, target_id)
     report = known.report
     if report is None or now_ms - known.reported_at_ms > KNOWN_MS:
--- a/oleanderstair/domain/policy.py
+++ b/oleanderstair/domain/policy.py
@@ -52,3 +52,4 @@
     probes_per_s: float = 60
     rest_limit_ms: int = 600_000
     first_start: bool = False
+    spare_slow_slots: bool = True
--- a/oleanderstair/explaining/trails.py
+++ b/oleanderstair/explaining/trails.py
@@ -7,7 +7,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, world
-from oleanderstair.domain.calls import repeats, waiting
+from oleanderstair.domain.calls import repeats, worth
 from oleanderstair.domain.configuration import routing
 from oleanderstair.domain.tables import load_reports, routed, routes
 from oleanderstair.domain.targets import room, shortage, trust
@@ -174,7 +174,7 @@
     slow = [
         known
         for known in with_room
-        if room.slowness(state, known) > waiting.SLOW
+        if room.slowness(state, known) > worth.SLOW
     ]
     return (
         ('targets', len(target_ids)),
