--- a/oleanderstair/domain/fleet/members.py
+++ b/oleanderstair/domain/fleet/members.py
@@ -52,6 +52,7 @@
         table.beat,
         standing(state),
         table.failing,
+        own.capacity,
     )
 
 
--- a/oleanderstair/domain/tables/identity.py
+++ b/oleanderstair/domain/tables/identity.py
@@ -4,7 +4,10 @@
 
 
 class Identity(typing.NamedTuple):
-    """The name and place of this instance for the life of the process."""
+    """The name and place of this instance for the life of the process.
+
+    ``capacity`` is how many calls a second it can carry beside others.
+    """
 
     instance_id: str
     incarnation: str
@@ -12,3 +15,4 @@
     data_centre: str
     caller_address: str
     peer_address: str
+    capacity: int = 1
--- a/oleanderstair/domain/tables/members.py
+++ b/oleanderstair/domain/tables/members.py
@@ -22,7 +22,8 @@
 
     ``beat`` counts up while it lives, so that of two rows the one with the
     higher beat is newer. ``started_ms`` is the wall time of its start, in ms
-    since 1970. ``failing`` is true where the store does not answer it.
+    since 1970. ``failing`` is true where the store does not answer it, and
+    ``capacity`` is that of its identity.
     """
 
     incarnation: str
@@ -33,6 +34,7 @@
     beat: int
     standing: Standing = Standing.STARTING
     failing: bool = False
+    capacity: int = 1
 
     @property
     def instance_id(self) -> str:
--- a/oleanderstair/explaining/trails.py
+++ b/oleanderstair/explaining/trails.py
@@ -172,9 +172,7 @@
     ]
     with_room = room.with_room(state, trusted, now_ms)
     slow = [
-        known
-        for known in with_room
-        if room.slowness(state, known) > worth.SLOW
+        known for known in with_room if room.slowness(state, known) > worth.SLOW
     ]
     return (
         ('targets', len(target_ids)),
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -145,6 +145,7 @@
         data_centre=checked.instance.data_centre,
         caller_address=listener.address_of(caller_socket),
         peer_address=checked.peers.address,
+        capacity=settings.capacity_of(checked),
     )
     host, _, port = checked.peers.address.rpartition(':')
     return Node(
--- a/oleanderstair/settings.py
+++ b/oleanderstair/settings.py
@@ -12,6 +12,15 @@
 
 DEFAULTS_NAME: typing.Final = 'default_settings.jsonc'
 
+CALL_PROCESSOR_MS: typing.Final = 2
+"""What a call takes of a core, its load reads included; docs/CAPACITY.md."""
+
+CALL_BYTES: typing.Final = 50_000
+"""What a call brings to a link and takes from it; a large download has ten
+times as many."""
+
+_MS_PER_S: typing.Final = 1000
+_BYTES_PER_S_IN_MBPS: typing.Final = 125_000
 _HIGHEST_PORT: typing.Final = 65535
 _PORT = typing.Annotated[int, msgspec.Meta(ge=0, le=_HIGHEST_PORT)]
 _COUNT = typing.Annotated[int, msgspec.Meta(ge=0)]
@@ -47,12 +56,21 @@
 Tree: typing.TypeAlias = dict[str, typing.Any]
 
 
+class CapacitySettings(msgspec.Struct, forbid_unknown_fields=True):
+    """What the machine gives the instance."""
+
+    cpu_share: _SPAN_S
+    cores: _SPAN_S
+    link_mbps: _SPAN_S
+
+
 class InstanceSettings(msgspec.Struct, forbid_unknown_fields=True):
-    """The name and place of the instance."""
+    """The name and place of the instance, and its machine."""
 
     id: _NAME
     region: _NAME
     data_centre: _NAME
+    capacity: CapacitySettings
 
 
 class CallerSettings(msgspec.Struct, forbid_unknown_fields=True):
@@ -180,6 +198,18 @@
     return checked
 
 
+def capacity_of(checked: Settings) -> int:
+    """Return how many calls a second an instance can carry, at least 1.
+
+    By its processor or by its link, whichever is less.
+    """
+    machine = checked.instance.capacity
+    cores = machine.cpu_share * machine.cores
+    by_processor = cores * _MS_PER_S / CALL_PROCESSOR_MS
+    by_link = machine.link_mbps * _BYTES_PER_S_IN_MBPS / CALL_BYTES
+    return max(int(min(by_processor, by_link)), 1)
+
+
 def limits_of(checked: Settings) -> policy.Policy:
     """Return the limits of the decision code."""
     return policy.Policy(**checked.policy)
--- a/test/fleets.py
+++ b/test/fleets.py
@@ -88,8 +88,10 @@
         seeds=('a1:1',),
         seed=1,
         start_ms=250,
+        capacity_by_id=None,
         **limits,
     ):
+        self.capacity_by_id = capacity_by_id or {}
         self.start_ms = start_ms
         self.limits = {
             'answer_validity_ms': 2000,
@@ -120,6 +122,7 @@
             data_centre=place,
             caller_address=f'{instance_id}:2',
             peer_address=address,
+            capacity=self.capacity_by_id.get(instance_id, 1),
         )
         state = world.create(
             own,
