Read the store on connections of their own, and start on fresh word

A second copy of a page, late on a connection in use again, was taken for the next page: its targets were gone until the next read. Answers of the store bear no id, so each call to it has a connection of its own. And a restarted instance served by the first word that it heard, also of a peer that had been cut off: servers that had left since were in use again. It waits up to 500 ms for fresher word than 3 s.

Ruled out by tests: the end of an entry neither repeats nor gives up what runs at its target.

--- a/oleanderstair/domain/fleet/serving.py
+++ b/oleanderstair/domain/fleet/serving.py
@@ -1,10 +1,21 @@
 """When an instance that follows the store may take calls."""
 
+import typing
+
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, world
 from oleanderstair.domain.tables import instances
 
 
+FRESHER_MS: typing.Final = 500
+"""How long a started instance that has heard only old word waits for fresher;
+others tell all they know within two rounds of 200 ms."""
+
+OLD_MS: typing.Final = 3000
+"""From what age word of the store may lack servers that have left; beyond the
+outages that are ridden out as if nothing had happened."""
+
+
 def on_known(
     state: world.World,
     event: events.StoreRead | events.StoreTold,
@@ -31,6 +42,11 @@
     if in_force is None or not state.registry.revision:
         table.waits_for = _awaited(state)
         return []
+    first_ms = state.members.first_tick_ms or 0
+    age_ms = now_ms - state.store.fresh_at_ms
+    if age_ms > OLD_MS and now_ms - first_ms < FRESHER_MS:
+        table.waits_for = 'fresher word of the store than a peer has'
+        return []
     table.phase = instances.Phase.SERVING
     table.waits_for = ''
     return [
--- a/oleanderstair/platform/store.py
+++ b/oleanderstair/platform/store.py
@@ -147,10 +147,12 @@
         path: str,
         bound_ms: clock.Millis,
     ) -> tuple[int, bytes]:
+        # Answers bear no id: on a connection that was used before, a late copy
+        # of the last one would be taken for this.
         place = exchanges.Place(
             _STORE,
             self._address,
-            fresh=False,
+            fresh=True,
             silence_ms=bound_ms,
         )
         fields = [(headers.HOST, self._address.encode())]
--- a/test/test_choosing.py
+++ b/test/test_choosing.py
@@ -1,6 +1,7 @@
 """Where a call goes: by reports, by trust and by place."""
 
 from oleanderstair.domain import events
+from oleanderstair.domain.tables import registry
 from test import targets_scene
 
 
@@ -181,3 +182,20 @@
     scene.run_for(100)
     sent = scene.sent[0]
     assert sent.budget_ms == 1000 - (sent.at_ms - 100_000)
+
+
+def test_the_end_of_an_entry_neither_repeats_nor_gives_up_running_calls() -> (
+    None
+):
+    for path in ('/order/1', '/look/1'):
+        scene = targets_scene.create(targets_scene.many(work_ms=120))
+        call_id = scene.call('entry-1', path)
+        scene.run_for(20)
+        target_id = scene.sent_of(call_id)[0]
+        state = scene.state_by_id['entry-1']
+        lapsed = events.RegistryChanged(9, (), (registry.Gone(target_id, 9),))
+        scene.after(0, 'entry-1', lapsed)
+        scene.run_for(300)
+        assert target_id not in state.registry.entry_by_id
+        assert scene.answered('entry-1', call_id)
+        assert scene.sent_of(call_id) == [target_id]
--- a/test/test_registering.py
+++ b/test/test_registering.py
@@ -4,6 +4,7 @@
 
 from oleanderstair.domain import events, gateway, messages, policy, world
 from oleanderstair.domain.configuration import routing
+from oleanderstair.domain.fleet import serving
 from oleanderstair.domain.tables import identity, registry, routes
 from test import fleets
 
@@ -127,3 +128,46 @@
     assert any('refused' in getattr(act, 'why', '') for act in done)
     gateway.step(state, events.RoutingRead(fleets.routing(9), 'test'), 0)
     assert state.routes.refused is None
+
+
+def stale_state(number, revision, age_ms, *entries):
+    found = fleets.routing(number)
+    return messages.StoreState(
+        0,
+        revision,
+        number,
+        found,
+        entries,
+        (),
+        age_ms,
+    )
+
+
+def hear(state, told, now_ms):
+    gateway.step(state, events.PeerHeard('b1~1', told), now_ms)
+    return serving.is_ready(state)
+
+
+def starting():
+    own = identity.Identity('a1', 'a1~2', 'r', 'a', 'a1:2', 'a1:1')
+    state = world.create(own, policy.Policy(), random.Random(1))
+    gateway.step(state, events.Tick(), 0)
+    return state
+
+
+def test_a_restarted_instance_waits_a_moment_for_fresher_word():
+    state = starting()
+    old = stale_state(4, 40, 20_000, fleets.entry('1'))
+    assert not hear(state, old, 60)
+    left = fleets.entry('1', revision=50, leaving=True)
+    assert hear(state, stale_state(5, 50, 100, left), 300)
+    assert state.routes.in_force.number == 5
+    assert state.registry.entry_by_id['1'].leaving
+
+
+def test_a_restarted_instance_serves_by_old_word_where_there_is_no_other():
+    state = starting()
+    old = stale_state(4, 40, 20_000, fleets.entry('1'))
+    assert not hear(state, old, 60)
+    gateway.step(state, events.Tick(), 60 + serving.FRESHER_MS)
+    assert serving.is_ready(state)
--- /dev/null
+++ b/test/test_store_reads.py
@@ -0,0 +1,65 @@
+"""The store over sockets: answers that come twice, and pages."""
+
+import base64
+import json
+
+import anyio
+
+from oleanderstair import clock
+from oleanderstair.domain import events
+from oleanderstair.emulator import published
+from oleanderstair.platform import store
+from test import raw
+
+
+def page_of(*names, has_more):
+    entry = json.dumps(published.entry('10.0.0.1:80')).encode()
+    document = {
+        'items': [
+            {
+                'key': f'servers/{name}',
+                'revision': 4,
+                'value': base64.b64encode(entry).decode(),
+            }
+            for name in names
+        ],
+        'has_more': has_more,
+        'at_revision': 9,
+    }
+    body = json.dumps(document).encode()
+    head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(body)
+    return head + body
+
+
+class RepeatingStore(raw.RawTarget):
+    """Sends each answer again on a connection that is used once more."""
+
+    def __init__(self, *pages):
+        super().__init__(*pages, kept=True)
+
+    async def _converse(self, stream):
+        sent = b''
+        async with stream:
+            while True:
+                self.requests.append(await stream.receive())
+                if sent:
+                    await stream.send(sent)
+                sent = self.replies.pop(0)
+                await stream.send(sent)
+
+
+def test_a_second_copy_of_a_page_is_not_taken_for_the_next():
+    async def scene():
+        pages = (
+            page_of('a', 'b', has_more=True),
+            page_of('c', 'd', has_more=False),
+        )
+        with anyio.fail_after(10):
+            async with raw.running(RepeatingStore(*pages)) as served:
+                reader = store.create(served.address, clock.monotonic())
+                return await reader.read(1000)
+
+    whole = anyio.run(scene)
+    assert isinstance(whole, events.StoreRead)
+    named = [entry.target_id for entry in whole.registry.entries]
+    assert named == ['a', 'b', 'c', 'd']
