Divide the reads of a preferred target among those that prefer it

Subsets by rendezvous hash differed by a fifth in how many instances prefer a target, and an instance without a part of its reads by rank (10 of 52) could not read what it preferred. Windows of one ring by rank spread evenly, so that the holders are known without a word and get four fifths of its reads.

--- a/oleanderstair/domain/tables/load_reports.py
+++ b/oleanderstair/domain/tables/load_reports.py
@@ -54,8 +54,7 @@
     """Loads by target, and since when a report is being read.
 
     ``ids_by_place`` are the registered targets by service and data centre,
-    and ``preferred_ids_by_service`` the few near ones that this instance goes
-    to first, where there are many. Both are worked out from ``indexed``.
+    worked out from ``indexed``.
     """
 
     load_by_id: dict[str, Load] = msgspec.field(default_factory=dict)
@@ -65,9 +64,6 @@
     ids_by_place: dict[Place, tuple[str, ...]] = msgspec.field(
         default_factory=dict,
     )
-    preferred_ids_by_service: dict[str, tuple[str, ...]] = msgspec.field(
-        default_factory=dict,
-    )
     data_centres: frozenset[str] = frozenset()
     far_ids_by_service: dict[str, tuple[str, ...]] = msgspec.field(
         default_factory=dict,
--- a/oleanderstair/domain/targets/places.py
+++ b/oleanderstair/domain/targets/places.py
@@ -1,29 +1,8 @@
-"""Finds the registered targets of a service, near ones and far ones.
+"""Finds the registered targets of a service, near ones and far ones."""
 
-Where a data centre has many targets of a service, each instance prefers a few
-of them, others than its neighbours do: its connections to these stay in use
-and its reports of them recent.
-"""
-
-import typing
-
-from oleanderstair.domain import rendezvous, world
+from oleanderstair.domain import world
 from oleanderstair.domain.tables import load_reports
 
-PREFERRED: typing.Final = 8
-"""How many targets an instance prefers: twice those compared for one call, so
-that a third may be slow, leaving or barred."""
-
-PREFERRED_FROM: typing.Final = 12
-"""From how many near targets on some are preferred."""
-
-
-def preferred_ids(state: world.World, service: str) -> tuple[str, ...]:
-    """Return the few near targets that this instance goes to first."""
-    _index(state)
-    near = near_ids(state, service)
-    return state.loads.preferred_ids_by_service.get(service, near)
-
 
 def near_ids(state: world.World, service: str) -> tuple[str, ...]:
     """Return the targets of a service in the own data centre."""
@@ -63,15 +42,6 @@
         if entry.data_centre != state.identity.data_centre:
             far[entry.service] = (*far.get(entry.service, ()), target_id)
     table.ids_by_place = by_place
-    table.preferred_ids_by_service = {
-        service: rendezvous.first(
-            found,
-            state.identity.instance_id,
-            PREFERRED,
-        )
-        for (service, place), found in by_place.items()
-        if place == state.identity.data_centre and len(found) >= PREFERRED_FROM
-    }
     table.far_ids_by_service = far
     table.data_centres = frozenset(place for _, place in by_place)
     _forget_gone(state)
--- a/oleanderstair/domain/targets/reading_parts.py
+++ b/oleanderstair/domain/targets/reading_parts.py
@@ -13,16 +13,15 @@
 from oleanderstair import clock
 from oleanderstair.domain import world
 from oleanderstair.domain.tables import load_reports, registry
-from oleanderstair.domain.targets import places
+from oleanderstair.domain.targets import counts, places, preferring
 
 WINDOW_MS: typing.Final[clock.Millis] = 1050
 """How long a read counts: a second, and what reads may come together."""
 
-STANDS_MS: typing.Final[clock.Millis] = 5000
-"""How long a count stands until it is believed; all meet within 2 s."""
-
 _USED: typing.Final = 0.95
 _NEAR_SHARE: typing.Final = 0.75
+_PREFERRED_SHARE: typing.Final = 0.8
+"""The share of a near target's reads of those that prefer it."""
 
 
 def spend(
@@ -54,25 +53,36 @@
     What can't be divided goes to some instances, others for each target.
     """
     table = state.instances
-    assumed = 0 if _knows_all(state, now_ms) else state.policy.assumed_instances
+    if counts.knows_all(state, now_ms):
+        assumed = 0
+    else:
+        assumed = state.policy.assumed_instances
     near = max(table.largest_near_count, assumed / places.count(state), 1)
     every = max(table.largest_count, assumed, 1)
     budget = _USED * state.policy.probes_per_s
     near_share = _NEAR_SHARE if every > near else 1
     if entry.data_centre == state.identity.data_centre:
-        return _part(near_share * budget, near, table.near_rank, entry)
+        return _near_part(state, entry, near_share * budget, near, now_ms)
     return _part((1 - _NEAR_SHARE) * budget, every, table.rank, entry)
 
 
-def _knows_all(state: world.World, now_ms: clock.Millis) -> bool:
-    """Return whether nobody seems to be missing from the count.
-
-    A data centre that has targets and no instance is likely cut off.
-    """
-    table = state.instances
-    if now_ms - table.grown_at_ms < STANDS_MS:
-        return False
-    return places.data_centres(state) <= table.counted_data_centres
+def _near_part(
+    state: world.World,
+    entry: registry.Entry,
+    budget: float,
+    near: float,
+    now_ms: clock.Millis,
+) -> int:
+    """Return the part of a near target's reads, most for who prefers it."""
+    every = places.near_ids(state, entry.service)
+    found = preferring.preferred_ids(state, entry.service, now_ms)
+    rank = state.instances.near_rank
+    if len(found) == len(every):
+        return _part(budget, near, rank, entry)
+    if entry.target_id in found:
+        holders = preferring.holders(state, entry.service)
+        return int(_PREFERRED_SHARE * budget / holders)
+    return _part((1 - _PREFERRED_SHARE) * budget, near, rank, entry)
 
 
 def _part(
--- a/oleanderstair/domain/targets/sampling.py
+++ b/oleanderstair/domain/targets/sampling.py
@@ -13,6 +13,7 @@
 from oleanderstair.domain.tables import load_reports, registry
 from oleanderstair.domain.targets import (
     places,
+    preferring,
     reading_parts,
     resting,
     trust,
@@ -62,7 +63,7 @@
 
     The preferred ones go first, unless most of them can't be used.
     """
-    preferred = places.preferred_ids(state, service)
+    preferred = preferring.preferred_ids(state, service, now_ms)
     drawn = _usable(state, preferred, tried_ids, now_ms)
     if len(drawn) < min(len(preferred), _FEWEST):
         near = places.near_ids(state, service)
--- a/test/test_reading_parts.py
+++ b/test/test_reading_parts.py
@@ -7,7 +7,7 @@
 from oleanderstair.domain import events
 from oleanderstair.domain.fleet import counting
 from oleanderstair.domain.tables import members
-from oleanderstair.domain.targets import reading_parts
+from oleanderstair.domain.targets import counts, reading_parts
 from test import targets_scene
 
 BUDGET = 60
@@ -95,24 +95,24 @@
 def test_a_count_that_stands_is_believed() -> None:
     scene = _scene(6, 3, assumed=24)
     before = _part(scene, 'burza-1')
-    scene.run_for(reading_parts.STANDS_MS)
+    scene.run_for(counts.STANDS_MS)
     assert _part(scene, 'burza-1') > 2 * before
 
 
 def test_a_count_that_grows_is_not_believed_yet() -> None:
     scene = _scene(6, 3, assumed=24)
     before = _part(scene, 'burza-1')
-    scene.run_for(reading_parts.STANDS_MS - 1)
+    scene.run_for(counts.STANDS_MS - 1)
     state = scene.state_by_id['entry-1']
     added = members.Member('late~1', NEAR, 'late:80', 'late:90', 1, 1)
     state.members.by_incarnation[added.incarnation] = added
     counting.on_tick(state, events.Tick(), scene.now_ms)
-    scene.run_for(reading_parts.STANDS_MS - 1)
+    scene.run_for(counts.STANDS_MS - 1)
     assert _part(scene, 'burza-1') <= before
 
 
 def test_a_data_centre_with_targets_alone_is_taken_for_cut_off() -> None:
     scene = _scene(6, 6, assumed=24)
     before = _part(scene, 'burza-1')
-    scene.run_for(2 * reading_parts.STANDS_MS)
+    scene.run_for(2 * counts.STANDS_MS)
     assert _part(scene, 'burza-1') == before
