Pass on only as a relay, and keep no connection to the store

A last reading: every instance worked out what to pass on to its data centre for each push, though only relays do; calls to the store left their connections idle, as none is used again.

--- a/oleanderstair/domain/configuration/telling.py
+++ b/oleanderstair/domain/configuration/telling.py
@@ -50,7 +50,7 @@
     """Count a peer's word as fresh, and pass it on into the data centre."""
     state.store.peer_asked_at_ms = clock.NEVER_MS
     done = _hear(state, event.sender, event.told, event.age_ms, now_ms)
-    if not event.pushed:
+    if not event.pushed or not spreading.is_relay(state, event.sender):
         return done
     passed = state_since(state, event.before, now_ms)
     return [*done, *spreading.pass_on(state, event.sender, passed)]
--- a/oleanderstair/domain/fleet/spreading.py
+++ b/oleanderstair/domain/fleet/spreading.py
@@ -25,12 +25,17 @@
     message: messages.Message,
 ) -> list[actions.Action]:
     """Tell the own data centre what came from another."""
-    row = state.members.by_incarnation.get(sender)
-    if row is None or row.data_centre == state.identity.data_centre:
+    if not is_relay(state, sender):
         return []
     return send_all(members.neighbours(state), message)
 
 
+def is_relay(state: world.World, sender: str) -> bool:
+    """Return whether what a peer spreads is to be passed on from here."""
+    row = state.members.by_incarnation.get(sender)
+    return row is not None and row.data_centre != state.identity.data_centre
+
+
 def send_all(
     to: typing.Iterable[rows.Member],
     message: messages.Message,
--- a/oleanderstair/domain/targets/room.py
+++ b/oleanderstair/domain/targets/room.py
@@ -74,12 +74,13 @@
     What is reset at once could not begin to run where others already wait,
     so that it has not made the target crash either.
     """
+    if not event.unanswered or after_ms > AT_ONCE_MS:
+        return False
     known = load_reports.load_of(state.loads, target_id)
     report = known.report
     if report is None or now_ms - known.reported_at_ms > FULL_MS:
         return False
-    is_full = report.running >= report.slots and report.waiting
-    return bool(event.unanswered and is_full and after_ms <= AT_ONCE_MS)
+    return report.running >= report.slots and report.waiting > 0
 
 
 def with_room(
--- a/oleanderstair/platform/store.py
+++ b/oleanderstair/platform/store.py
@@ -158,6 +158,7 @@
         fields = [(headers.HOST, self._address.encode())]
         request = exchanges.Request(b'GET', path.encode(), fields, b'')
         ended = await self._connections.exchange(place, request, _take_any)
+        self._connections.close_idle(_STORE)
         if ended.answer is None:
             raise StoreError(ended.what or 'no answer in time')
         return ended.answer.status, ended.answer.body
