--- a/oleanderstair/domain/targets/room.py
+++ b/oleanderstair/domain/targets/room.py
@@ -9,7 +9,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import events, world
 from oleanderstair.domain.tables import load_reports
-from oleanderstair.domain.targets import crowding, places, resting, shortage
+from oleanderstair.domain.targets import crowding, resting, shortage
 
 RECENT_MS: typing.Final[clock.Millis] = 20
 """Up to which age a report counts as of now; a read takes a few ms."""
@@ -45,8 +45,7 @@
     sent = known.sent_since
     if now_ms - known.reported_at_ms > RECENT_MS:
         # What has ended since without a report takes no slot any more.
-        sent = min(sent, known.in_flight)
-        sent += _sent_by_others(state, entry.service, known, now_ms)
+        sent = min(sent, known.in_flight) * _senders(state)
     busy = report.running + report.waiting + sent
     free = crowding.usable_slots(state, entry.service, report.slots) - busy
     if shortage.is_outdated(known, now_ms) and shortage.is_short(
@@ -58,29 +57,6 @@
     return free
 
 
-def _sent_by_others(
-    state: world.World,
-    service: str,
-    known: load_reports.Load,
-    now_ms: clock.Millis,
-) -> int:
-    """Return what neighbours are likely to have sent a target since its report.
-
-    Each has about as many calls under way that began since as this instance,
-    over all near targets; what went to this very target from here says little
-    of where theirs went.
-    """
-    under_way = sum(
-        attempt.started_at_ms > known.reported_at_ms
-        for call in state.routed.call_by_id.values()
-        if call.service == service
-        for attempt in call.attempts
-    )
-    own = max(min(known.sent_since, known.in_flight), under_way)
-    targets = max(len(places.near_ids(state, service)), 1)
-    return own * (_senders(state) - 1) // targets
-
-
 def _senders(state: world.World) -> int:
     """Return how many instances are likely to send as much as this one."""
     return max(state.instances.largest_near_count, 1)
