Record the rate limits that targets name, and count the calls to these

Change: `Server-Limit` is read from all answers and recorded for the incarnation that named it; two successful answers in a row without it, to attempts sent after it was last named, end it. A malformed limit is ignored. Audit lines say when a target becomes limited and when that ends; `sent` lines carry limit_per_s, the counter sends_to_limited_total counts attempts by target and reason, the gauge target_limit_per_s shows the limit. No choice of a target changes. The stand-ins can name a limit.

--- a/oleanderstair/domain/calls/routed_calls.py
+++ b/oleanderstair/domain/calls/routed_calls.py
@@ -14,7 +14,7 @@
 from oleanderstair.domain.configuration import routing
 from oleanderstair.domain.fleet import grace_period_stop
 from oleanderstair.domain.tables import calls, routed
-from oleanderstair.domain.targets import backoffs, sampling
+from oleanderstair.domain.targets import backoffs, rate_limits, sampling
 
 
 def on_call(
@@ -135,6 +135,7 @@
     attempt_feedback.record_attempt(state, call, ended, event, now_ms)
     return [
         *crashing_requests.record_attempt(state, call, ended, event, now_ms),
+        *rate_limits.record_answer(state, ended, event),
         *_relay_retry_or_refuse(state, call, ended, event, now_ms),
         *routed_queueing.dispatch_queued(state, ended.target_id, now_ms),
     ]
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -278,17 +278,20 @@
 
 
 class TargetTold(typing.NamedTuple):
-    """A target's response says that it is draining or asks for a pause.
+    """A target's response says that it is draining, or limits its requests.
 
     ``born_ms`` is the start time of the target to which the connection was
     opened. ``rest_ms`` is how long no requests are to be sent, 0 if the
-    response doesn't ask for that.
+    response doesn't ask for that. ``limit_per_s`` is the number of requests
+    per second that the target accepts from all instances together, None if
+    the response doesn't limit them.
     """
 
     target_id: str
     born_ms: int
     leaving: bool = False
     rest_ms: clock.Millis = 0
+    limit_per_s: float | None = None
 
 
 class TargetReport(typing.NamedTuple):
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -28,6 +28,7 @@
 from oleanderstair.domain.targets import (
     backoffs,
     leaving_announcements,
+    rate_limits,
     registry_updates,
     sampling,
 )
@@ -43,6 +44,7 @@
     events.TargetTold: (
         leaving_announcements.on_target_told,
         backoffs.on_target_told,
+        rate_limits.on_target_told,
     ),
     events.RoomMissing: (routed_queueing.on_no_free_slot,),
     events.RoomSought: (routed_queueing.on_load_reads_due,),
--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -20,6 +20,7 @@
     latencies,
     load_reports,
     members,
+    rate_limits,
     reads,
     registry,
     retry_budget,
@@ -61,6 +62,7 @@
     routes: routes.RoutesTable
     registry: registry.RegistryTable
     loads: load_reports.LoadsTable
+    rate_limits: rate_limits.RateLimitsTable
     concurrency: concurrency.ConcurrencyTable
     crashes: crashes.CrashesTable
     routed: routed.RoutedTable
@@ -97,6 +99,7 @@
         routes=routes.create(),
         registry=registry.create(),
         loads=load_reports.create(),
+        rate_limits=rate_limits.create(),
         concurrency=concurrency.create(),
         crashes=crashes.create(),
         routed=routed.create(),
--- a/oleanderstair/emulator/gateway_attempts.py
+++ b/oleanderstair/emulator/gateway_attempts.py
@@ -201,6 +201,13 @@
             self._drop(attempt)
         if reply.verdict is events.Verdict.ANSWERED:
             self._status_by_key[attempt.key] = reply.status
+        if reply.limit_per_s is not None:
+            limited = events.TargetTold(
+                attempt.action.target_id,
+                attempt.action.born_ms,
+                limit_per_s=reply.limit_per_s,
+            )
+            self._host.tell_later(0, attempt.member, limited)
         ended = events.AttemptEnded(
             attempt.action.call_id,
             attempt.action.attempt_id,
--- a/oleanderstair/emulator/gateway_targets.py
+++ b/oleanderstair/emulator/gateway_targets.py
@@ -37,6 +37,7 @@
     misdirected: bool = False
     load: load_reports.Report | None = None
     leaving: bool = False
+    limit_per_s: float | None = None
 
 
 Answer: typing.TypeAlias = typing.Callable[[Reply], None]
@@ -55,8 +56,8 @@
 class GatewayTarget:
     """A target of an instance that carries calls on routes.
 
-    Tests change ``behaviour``, ``leaving``, ``fail_share`` and the fields
-    of ``machine`` while it runs. ``work`` draws the ms of a run.
+    Tests change ``behaviour``, ``leaving``, ``limit_per_s``, ``fail_share``
+    and the fields of ``machine`` while it runs. ``work`` draws the ms of a run.
     """
 
     def __init__(
@@ -90,6 +91,7 @@
         self.fail_share: float = 0
         self.crashing_paths: set[str] = set()
         self.leaving = False
+        self.limit_per_s: float | None = None
         self.lying_report: load_reports.Report | None = None
         self.reads = 0
         self.arrivals = 0
@@ -158,6 +160,7 @@
         self.born_ms += 1
         self.behaviour = Behaviour.SERVE
         self.leaving = False
+        self.limit_per_s = None
         self.machine.cold_until_ms = self.times.now_ms() + cold_ms
         self.machine.cold_factor = cold_factor
 
@@ -168,6 +171,7 @@
                 events.Verdict.SHED,
                 load=self.load(),
                 leaving=self.leaving,
+                limit_per_s=self.limit_per_s,
             ),
         )
 
@@ -213,6 +217,7 @@
                 status,
                 load=self.load(),
                 leaving=self.leaving,
+                limit_per_s=self.limit_per_s,
             ),
         )
 
--- a/oleanderstair/emulator/load_targets.py
+++ b/oleanderstair/emulator/load_targets.py
@@ -63,6 +63,7 @@
     leaving: bool = False
     says_leaving: bool = False
     rest: bytes = b''
+    limit: bytes = b''
     raw: bytes = b'\x00\xff nothing of the protocol\r\n\r\n'
     running: int = 0
     reads: int = 0
@@ -191,6 +192,8 @@
             listed.append((headers.CONNECTION, b'close'))
         if self.says_leaving:
             listed.append((dialect.SERVER_LEAVING, b'1'))
+        if self.limit:
+            listed.append((dialect.SERVER_LIMIT, self.limit))
         if self.rest and status == _UNAVAILABLE:
             listed.append((headers.RETRY_AFTER, self.rest))
         await asgi.respond(send, status, listed, body)
--- a/oleanderstair/engine/dialects.py
+++ b/oleanderstair/engine/dialects.py
@@ -35,11 +35,14 @@
     """The state of a target according to an answer to any call.
 
     ``leaving`` is true if the target is shutting down. ``rest_ms`` is the time
-    for which it accepts no new calls, 0 if it accepts them.
+    for which it accepts no new calls, 0 if it accepts them. ``limit_per_s`` is
+    the number of requests per second that it accepts from all instances
+    together, None if it names no limit.
     """
 
     leaving: bool = False
     rest_ms: clock.Millis = 0
+    limit_per_s: float | None = None
 
 
 class Dialect(typing.Protocol):
--- a/oleanderstair/engine/headers.py
+++ b/oleanderstair/engine/headers.py
@@ -121,14 +121,20 @@
     return int(text)
 
 
-def parse_duration_ms(text: bytes) -> clock.Millis | None:
-    """Return a duration given in decimal seconds, or None if invalid."""
+def parse_decimal(text: bytes) -> float | None:
+    """Return a decimal number of up to 9 whole digits, or None if invalid."""
     whole, _, fraction = text.partition(b'.')
     if fraction and not fraction.isdigit():
         return None
     if parse_count(whole) is None:
         return None
-    return float(text) * _MS_PER_S
+    return float(text)
+
+
+def parse_duration_ms(text: bytes) -> clock.Millis | None:
+    """Return a duration given in decimal seconds, or None if invalid."""
+    seconds = parse_decimal(text)
+    return None if seconds is None else seconds * _MS_PER_S
 
 
 def parse_retry_after_ms(fields: AnyFields) -> clock.Millis:
--- a/oleanderstair/explaining/decisions.py
+++ b/oleanderstair/explaining/decisions.py
@@ -12,6 +12,7 @@
 from oleanderstair import clock, metrics
 from oleanderstair.domain import actions, events, outcomes, world
 from oleanderstair.domain.calls import retry_budget
+from oleanderstair.domain.targets import rate_limits
 from oleanderstair.explaining import beliefs, lines, sinks, trails
 
 LINES_PER_S: typing.Final = 100
@@ -179,8 +180,13 @@
         action: actions.Dispatch,
     ) -> None:
         trail = self._trail_by_call.get(action.call_id)
-        if trail is not None:
-            trails.note_sent(trail, self._state, action, now_ms)
+        if trail is None:
+            return
+        if rate_limits.limit_of(self._state, action.target_id) is not None:
+            why = trails.why_sent(trail)
+            label = f'target={action.target_id} why={why}'
+            self._counts.count('sends-to-limited', label)
+        trails.note_sent(trail, self._state, action, now_ms)
 
     def _on_cancel(
         self,
--- a/oleanderstair/explaining/gauges.py
+++ b/oleanderstair/explaining/gauges.py
@@ -8,6 +8,7 @@
 from oleanderstair.domain.calls import retry_budget
 from oleanderstair.domain.fleet import readiness
 from oleanderstair.domain.tables import registry
+from oleanderstair.domain.targets import rate_limits
 
 
 class Gauge(typing.NamedTuple):
@@ -47,6 +48,7 @@
             ),
         ),
         *_targets(state, now_ms),
+        *_limits(state),
         *_calls(state),
         *_budgets(state, now_ms),
     ]
@@ -73,6 +75,18 @@
     ]
 
 
+def _limits(state: world.World) -> list[Gauge]:
+    limits = (
+        rate_limits.limit_of(state, target_id)
+        for target_id in sorted(state.rate_limits.limit_by_id)
+    )
+    return [
+        Gauge('target_limit_per_s', (('target', limit.target_id),), limit.per_s)
+        for limit in limits
+        if limit is not None
+    ]
+
+
 def _state_of(
     state: world.World,
     entry: registry.Entry,
--- a/oleanderstair/explaining/trails.py
+++ b/oleanderstair/explaining/trails.py
@@ -14,6 +14,7 @@
     slot_estimates,
     slot_shortage,
     outlier_detection,
+    rate_limits,
 )
 from oleanderstair.explaining import lines
 
@@ -244,10 +245,12 @@
     """Note an attempt, why it is made, and what named its target."""
     known = load_reports.load_of(state.loads, action.target_id)
     told = known.report is not None
+    limit = rate_limits.limit_of(state, action.target_id)
     fields = (
         ('attempt', action.attempt_id),
         ('target', action.target_id),
-        ('why', _why_sent(trail)),
+        ('why', why_sent(trail)),
+        ('limit_per_s', limit.per_s if limit else None),
         ('report', _text_of(known.report)),
         ('report_age_ms', now_ms - known.reported_at_ms if told else None),
         ('own_in_flight', known.in_flight),
@@ -295,7 +298,8 @@
     trail.entries.append(Entry(now_ms, 'cancelled', fields))
 
 
-def _why_sent(trail: Trail) -> str:
+def why_sent(trail: Trail) -> str:
+    """Return why the next attempt of a call is made."""
     if trail.sent_by_attempt:
         return 'hedge'
     return f'retry-after-{trail.last_verdict}' if trail.sends else 'first'
--- a/oleanderstair/platform/dialect.py
+++ b/oleanderstair/platform/dialect.py
@@ -13,6 +13,7 @@
 SERVER_LOAD: typing.Final = b'server-load'
 NOT_RUN: typing.Final = b'not-executed'
 SERVER_LEAVING: typing.Final = b'server-leaving'
+SERVER_LIMIT: typing.Final = b'server-limit'
 
 _MISDIRECTED: typing.Final = 421
 _UNAVAILABLE: typing.Final = 503
@@ -117,8 +118,9 @@
 ) -> dialects.TargetNotice | None:
     """Return what an answer announces about its target, or None.
 
-    A target may announce that it is leaving or, with status 503, for how long
-    it accepts no calls. Status 421 means that the call reached another target
+    A target may announce that it is leaving, limit its requests per second
+    or, with status 503, state for how long it accepts no calls. A malformed
+    limit is ignored. Status 421 means that the call reached another target
     than intended, so the answer is ignored.
     """
     if answer.status == _MISDIRECTED:
@@ -131,8 +133,11 @@
     if answer.status == _UNAVAILABLE:
         retry_after = headers.find_field(answer.headers, headers.RETRY_AFTER)
         rest_ms = headers.parse_duration_ms(retry_after.strip())
-    if leaving or rest_ms:
-        return dialects.TargetNotice(leaving, rest_ms or 0)
+    limit_per_s = headers.parse_decimal(
+        headers.find_field(answer.headers, SERVER_LIMIT).strip()
+    )
+    if leaving or rest_ms or limit_per_s is not None:
+        return dialects.TargetNotice(leaving, rest_ms or 0, limit_per_s)
     return None
 
 
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -220,6 +220,7 @@
                     destination.born_ms,
                     notice.leaving,
                     notice.rest_ms,
+                    notice.limit_per_s,
                 ),
             )
 
