Send no call to a target in back-off that is queued for an untested slot

What callers saw: a call whose time in the queue was over could be sent to a target that had just asked for a pause, and be turned away. Cause: sampling, free slots, queue and untested slots each checked on their own what a target says of itself; the last one looked at its leaving only. Change: targets/availability.py decides once whether a target accepts calls from this instance, and all four ways ask it. Retry times come from there too.

--- a/oleanderstair/domain/calls/routed_calls.py
+++ b/oleanderstair/domain/calls/routed_calls.py
@@ -14,7 +14,7 @@
 from oleanderstair.domain.configuration import routing
 from oleanderstair.domain.fleet import grace_period_stop
 from oleanderstair.domain.tables import calls, routed
-from oleanderstair.domain.targets import backoffs, rate_limits, sampling
+from oleanderstair.domain.targets import availability, rate_limits, sampling
 
 
 def on_call(
@@ -160,7 +160,7 @@
         state,
         call,
         outcomes.Reason.TARGET_LOST,
-        backoffs.backoff_left_ms(state, call.service, now_ms)
+        availability.retry_after_ms(state, call.service, now_ms)
         or routed_retries.retry_after_ms(state, event),
     )
 
--- a/oleanderstair/domain/calls/routed_dispatching.py
+++ b/oleanderstair/domain/calls/routed_dispatching.py
@@ -10,7 +10,7 @@
 )
 from oleanderstair.domain.tables import calls, load_reports, registry, routed
 from oleanderstair.domain.targets import (
-    backoffs,
+    availability,
     sampling,
     slot_estimates,
     target_scoring,
@@ -170,7 +170,7 @@
         state,
         call,
         outcomes.Reason.NO_TARGET,
-        backoffs.backoff_left_ms(state, call.service, now_ms),
+        availability.retry_after_ms(state, call.service, now_ms),
     )
 
 
--- a/oleanderstair/domain/calls/routed_queueing.py
+++ b/oleanderstair/domain/calls/routed_queueing.py
@@ -299,10 +299,10 @@
 ) -> bool:
     """Return whether a target has a free slot and its service queued calls.
 
-    False also if the target is leaving, ejected or no longer registered.
+    False also if the target is ejected or accepts no calls from here.
     """
     entry = state.registry.entry_by_id.get(target_id)
-    if entry is None or entry.leaving:
+    if entry is None:
         return False
     if entry.service not in state.routed.queued_ids_by_service:
         return False
--- /dev/null
+++ b/oleanderstair/domain/targets/availability.py
@@ -0,0 +1,79 @@
+"""Decides when a target accepts calls from this instance, by its own word."""
+
+import math
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import world
+from oleanderstair.domain.tables import load_reports
+from oleanderstair.domain.targets import backoffs
+
+RETURN_SPREAD_SHARE: typing.Final = 0.25
+"""Jitter of the retry time sent to callers, as a share of the wait.
+
+It keeps refused callers from returning all at once.
+"""
+
+
+def accepts_calls(
+    state: world.World,
+    target_id: str,
+    now_ms: clock.Millis,
+) -> bool:
+    """Return whether this instance may send a target a call now.
+
+    False if the target is leaving or no longer registered, or if it has
+    requested a back-off.
+    """
+    return not wait_ms(state, target_id, now_ms)
+
+
+def wait_ms(
+    state: world.World,
+    target_id: str,
+    now_ms: clock.Millis,
+) -> clock.Millis:
+    """Return the ms until a target accepts a call from this instance.
+
+    Return 0 if it does now, and infinity if it is leaving or no longer
+    registered.
+    """
+    entry = state.registry.entry_by_id.get(target_id)
+    if entry is None or entry.leaving:
+        return math.inf
+    load = load_reports.load_of(state.loads, target_id)
+    return backoffs.left_ms(load, now_ms)
+
+
+def service_wait_ms(
+    state: world.World,
+    service: str,
+    now_ms: clock.Millis,
+) -> clock.Millis:
+    """Return the ms until a target of a service accepts a call from here.
+
+    Return 0 if one does now, or if none is expected to.
+    """
+    shortest_ms = min(
+        (
+            wait_ms(state, target_id, now_ms)
+            for target_id in state.registry.ids_by_service.get(service, ())
+        ),
+        default=0,
+    )
+    return shortest_ms if shortest_ms < math.inf else 0
+
+
+def retry_after_ms(
+    state: world.World,
+    service: str,
+    now_ms: clock.Millis,
+) -> clock.Millis:
+    """Return when callers should retry, in ms; 0 if a target accepts calls.
+
+    It is the time until one does, with jitter.
+    """
+    left_ms = service_wait_ms(state, service, now_ms)
+    if not left_ms:
+        return 0
+    return left_ms * (1 + RETURN_SPREAD_SHARE * state.rng.random())
--- a/oleanderstair/domain/targets/backoffs.py
+++ b/oleanderstair/domain/targets/backoffs.py
@@ -4,18 +4,10 @@
 its load. Calls that the target refused are retried elsewhere at once.
 """
 
-import typing
-
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, world
 from oleanderstair.domain.tables import load_reports
 
-RETURN_SPREAD_SHARE: typing.Final = 0.25
-"""Jitter of the retry time sent to callers, as a share of the wait.
-
-It keeps refused callers from returning all at once.
-"""
-
 
 def on_target_told(
     state: world.World,
@@ -48,23 +40,6 @@
     return now_ms < load.backoff_until_ms
 
 
-def backoff_left_ms(
-    state: world.World,
-    service: str,
-    now_ms: clock.Millis,
-) -> clock.Millis:
-    """Return the ms until the first target of a service ends its back-off.
-
-    Targets that are leaving are not considered. Return 0 if a target is not
-    in back-off, or if there is none. Otherwise jitter is added, so that
-    callers don't return all at once.
-    """
-    ends_ms = [
-        load_reports.load_of(state.loads, target_id).backoff_until_ms
-        for target_id in state.registry.ids_by_service.get(service, ())
-        if not state.registry.entry_by_id[target_id].leaving
-    ]
-    left_ms = min(ends_ms, default=now_ms) - now_ms
-    if left_ms <= 0:
-        return 0
-    return left_ms * (1 + RETURN_SPREAD_SHARE * state.rng.random())
+def left_ms(load: load_reports.Load, now_ms: clock.Millis) -> clock.Millis:
+    """Return the ms until a target's back-off ends, 0 if there is none."""
+    return max(load.backoff_until_ms - now_ms, 0)
--- a/oleanderstair/domain/targets/sampling.py
+++ b/oleanderstair/domain/targets/sampling.py
@@ -11,7 +11,7 @@
 from oleanderstair.domain import actions, events, world
 from oleanderstair.domain.tables import load_reports, registry
 from oleanderstair.domain.targets import (
-    backoffs,
+    availability,
     locality,
     outlier_detection,
     read_budgets,
@@ -175,21 +175,13 @@
 ) -> list[registry.Entry]:
     """Return the entries of the targets that accept calls.
 
-    Left out are targets that were tried, are leaving or in back-off.
+    Left out are targets that were tried.
     """
-    untried = [
+    return [
         state.registry.entry_by_id[target_id]
         for target_id in target_ids
         if target_id not in tried_ids
-    ]
-    return [
-        entry
-        for entry in untried
-        if not entry.leaving
-        and not backoffs.is_in_backoff(
-            load_reports.load_of(state.loads, entry.target_id),
-            now_ms,
-        )
+        and availability.accepts_calls(state, target_id, now_ms)
     ]
 
 
--- a/oleanderstair/domain/targets/slot_estimates.py
+++ b/oleanderstair/domain/targets/slot_estimates.py
@@ -12,7 +12,11 @@
 from oleanderstair.domain.fleet import host_assignment
 from oleanderstair.domain.tables import concurrency as concurrency_table
 from oleanderstair.domain.tables import load_reports
-from oleanderstair.domain.targets import backoffs, concurrency, slot_shortage
+from oleanderstair.domain.targets import (
+    availability,
+    concurrency,
+    slot_shortage,
+)
 
 RECENT_REPORT_MS: typing.Final[clock.Millis] = 20
 """The age up to which a report is taken as current; a read takes a few ms."""
@@ -35,8 +39,8 @@
     """Return the number of free slots of a target.
 
     Only slots that add throughput count. The number is negative if the target
-    has more calls than these. Return 0 if the target is not registered, did
-    not answer the last read, or has requested a back-off. Return at most 0 if
+    has more calls than these. Return 0 if the target did not answer the last
+    read, or accepts no calls from this instance. Return at most 0 if
     its report is outdated while its service lacks free slots. Before the first
     report each sender may use an equal part of the slots, at least one.
     """
@@ -44,7 +48,7 @@
     load = load_reports.load_of(state.loads, target_id)
     if entry is None or now_ms < load.unreachable_until_ms:
         return 0
-    if backoffs.is_in_backoff(load, now_ms):
+    if not availability.accepts_calls(state, target_id, now_ms):
         return 0
     report = load.report
     slots = report.slots if report else entry.slots
@@ -150,7 +154,9 @@
     """
     entry = state.registry.entry_by_id.get(target_id)
     upcoming = load_at_start(state, target_id, now_ms)
-    if entry is None or entry.leaving or upcoming is None:
+    if entry is None or upcoming is None:
+        return False
+    if not availability.accepts_calls(state, target_id, now_ms):
         return False
     if upcoming.running > entry.slots:
         return False
