Keep the calls to a target within the rate limit that it names

Cause: no instance read the limit; targets were chosen by load reports alone, and a target in need reports free slots. A limit kept by each instance for itself would have been exceeded as well: the sum of all instances counts. Change: a limit is broadcast like a leaving, and again every 5 s while answers name it. Instances divide it without messages: by rendezvous hash as many senders as whole calls a second, of those assigned to the service in the target's data centre, each with a token bucket; all others send nothing there. Two successful answers in a row without the header end it, and that is broadcast too; the report with the newer answer wins. A limit of 0 leaves a call in 33 s, since only an answer can end it. Where all targets are limited, a call is queued while a permit comes within its time in the queue; otherwise it is refused at once, with the time of the next permit as retry-after. Refusals tell how many targets are limited.

--- a/oleanderstair/domain/calls/routed_calls.py
+++ b/oleanderstair/domain/calls/routed_calls.py
@@ -135,7 +135,7 @@
     attempt_feedback.record_attempt(state, call, ended, event, now_ms)
     return [
         *crashing_requests.record_attempt(state, call, ended, event, now_ms),
-        *rate_limits.record_answer(state, ended, event),
+        *rate_limits.record_answer(state, ended, event, now_ms),
         *_relay_retry_or_refuse(state, call, ended, event, now_ms),
         *routed_queueing.dispatch_queued(state, ended.target_id, now_ms),
     ]
--- a/oleanderstair/domain/calls/routed_dispatching.py
+++ b/oleanderstair/domain/calls/routed_dispatching.py
@@ -11,6 +11,7 @@
 from oleanderstair.domain.tables import calls, load_reports, registry, routed
 from oleanderstair.domain.targets import (
     availability,
+    rate_limits,
     sampling,
     slot_estimates,
     target_scoring,
@@ -164,7 +165,9 @@
         now_ms,
     ):
         return dispatch_to_target(state, call, chosen.target_id, now_ms)
-    if call.sampled_target_ids:
+    if call.sampled_target_ids or availability.service_wait_ms(
+        state, call.service, now_ms, call.tried_target_ids
+    ):
         return [actions.Notify(events.RoomMissing(call.call_id))]
     return routed_answering.relay_failure_or_refuse(
         state,
@@ -229,6 +232,7 @@
     )
     state.routed.call_by_id[call.call_id] = call
     _count_sent(state, entry)
+    rate_limits.count_send(state, entry.target_id, now_ms)
     budget_ms = call.due_at_ms - now_ms
     sent = actions.Dispatch(
         call_id=call.call_id,
--- a/oleanderstair/domain/calls/routed_queueing.py
+++ b/oleanderstair/domain/calls/routed_queueing.py
@@ -21,6 +21,7 @@
 )
 from oleanderstair.domain.tables import load_reports, routed
 from oleanderstair.domain.targets import (
+    availability,
     expected_latencies,
     locality,
     outlier_detection,
@@ -84,11 +85,25 @@
     event: events.RoomMissing,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Queue a call for which no target has a free slot."""
+    """Queue a call for which no target has a free slot.
+
+    If no target accepts calls while it may be queued, relay an earlier error
+    response or refuse it.
+    """
     call = state.routed.call_by_id.get(event.call_id)
     if call is None:
         return []
-    return _queue_call(state, call, now_ms)
+    wait_ms = availability.service_wait_ms(
+        state, call.service, now_ms, call.tried_target_ids
+    )
+    if now_ms + wait_ms < _max_queued_until_ms(state, call, now_ms):
+        return _queue_call(state, call, now_ms)
+    return routed_answering.relay_failure_or_refuse(
+        state,
+        call,
+        outcomes.Reason.NO_TARGET,
+        availability.retry_after_ms(state, call.service, now_ms),
+    )
 
 
 def on_load_reads_due(
@@ -153,7 +168,7 @@
         return []
     target_id = _untested_target(state, call, now_ms)
     if target_id is None:
-        return _refuse_queued(state, call)
+        return _refuse_queued(state, call, now_ms)
     _remove_queued(state, call)
     return routed_dispatching.dispatch_to_target(state, call, target_id, now_ms)
 
@@ -203,23 +218,26 @@
     )
     queued_ids.append(call.call_id)
     timeout = events.PatienceOver(call.call_id, call.round)
-    until_ms = call.received_at_ms + _max_wait_ms(state, call, now_ms)
+    until_ms = _max_queued_until_ms(state, call, now_ms)
     return [
         *_refuse_excess(state, call.service, now_ms),
-        actions.Schedule(timeout, max(until_ms - now_ms, MIN_WAIT_MS)),
+        actions.Schedule(timeout, until_ms - now_ms),
         *_schedule_load_reads(state, call.service),
     ]
 
 
-def _max_wait_ms(
+def _max_queued_until_ms(
     state: world.World,
     call: routed.RoutedCall,
     now_ms: clock.Millis,
 ) -> clock.Millis:
-    """Return how long a call may be queued, counted from its arrival."""
+    """Return until when a call may be queued."""
+    max_wait_ms = MAX_WAIT_SHARE * call.route.aim_ms
     if slot_use.is_expected_late(state, call, now_ms):
-        return LATE_MAX_WAIT_SHARE * (call.due_at_ms - call.received_at_ms)
-    return MAX_WAIT_SHARE * call.route.aim_ms
+        max_wait_ms = LATE_MAX_WAIT_SHARE * (
+            call.due_at_ms - call.received_at_ms
+        )
+    return max(call.received_at_ms + max_wait_ms, now_ms + MIN_WAIT_MS)
 
 
 def _refuse_excess(
@@ -232,12 +250,13 @@
     if len(queued_calls) <= MAX_QUEUED_CALLS:
         return []
     last = max(queued_calls, key=lambda call: _queue_rank(state, call, now_ms))
-    return _refuse_queued(state, last)
+    return _refuse_queued(state, last, now_ms)
 
 
 def _refuse_queued(
     state: world.World,
     call: routed.RoutedCall,
+    now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """End a queued call: relay an earlier error response, or refuse it."""
     _remove_queued(state, call)
@@ -249,7 +268,10 @@
         state,
         call,
         outcomes.Reason.OVERLOADED,
-        _retry_after_ms(state, call),
+        max(
+            _retry_after_ms(state, call),
+            availability.retry_after_ms(state, call.service, now_ms),
+        ),
     )
 
 
--- a/oleanderstair/domain/fleet/codec.py
+++ b/oleanderstair/domain/fleet/codec.py
@@ -27,6 +27,7 @@
     'ka': messages.KeyedAnswer,
     'cc': messages.CallCrashed,
     'lt': messages.TargetLeft,
+    'ls': messages.TargetLimited,
     'ro': messages.Roster,
     'sa': messages.StoreAsk,
     'ss': messages.StoreState,
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -73,6 +73,7 @@
         store_sync.on_peer,
         crashing_requests.on_peer,
         leaving_announcements.on_peer,
+        rate_limits.on_peer,
     ),
     events.Tick: (
         roster_exchange.on_tick,
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -294,6 +294,22 @@
     born_ms: int
 
 
+class TargetLimited(typing.NamedTuple):
+    """A target named a rate limit in an answer, or no longer does.
+
+    ``per_s`` is the number of requests per second that it accepts from all
+    instances together. ``born_ms`` is its start time, and ``age_ms`` the time
+    since the answer that showed this. ``is_over`` is true if its answers no
+    longer name the limit.
+    """
+
+    target_id: str
+    born_ms: int
+    per_s: float
+    age_ms: clock.Millis
+    is_over: bool = False
+
+
 class StoreAsk(typing.NamedTuple):
     """A request for the changes of the store after the sender's own state."""
 
@@ -332,6 +348,7 @@
     | KeyedAnswer
     | CallCrashed
     | TargetLeft
+    | TargetLimited
     | Roster
     | StoreAsk
     | StoreState
--- a/oleanderstair/domain/targets/availability.py
+++ b/oleanderstair/domain/targets/availability.py
@@ -6,7 +6,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import world
 from oleanderstair.domain.tables import load_reports
-from oleanderstair.domain.targets import backoffs
+from oleanderstair.domain.targets import backoffs, rate_limits
 
 RETURN_SPREAD_SHARE: typing.Final = 0.25
 """Jitter of the retry time sent to callers, as a share of the wait.
@@ -22,8 +22,8 @@
 ) -> bool:
     """Return whether this instance may send a target a call now.
 
-    False if the target is leaving or no longer registered, or if it has
-    requested a back-off.
+    False if the target is leaving or no longer registered, if it has
+    requested a back-off, or if its rate limit allows no call from here.
     """
     return not wait_ms(state, target_id, now_ms)
 
@@ -35,29 +35,35 @@
 ) -> clock.Millis:
     """Return the ms until a target accepts a call from this instance.
 
-    Return 0 if it does now, and infinity if it is leaving or no longer
-    registered.
+    Return 0 if it does now, and infinity if it is leaving, no longer
+    registered, or limited and left to other instances.
     """
     entry = state.registry.entry_by_id.get(target_id)
     if entry is None or entry.leaving:
         return math.inf
     load = load_reports.load_of(state.loads, target_id)
-    return backoffs.left_ms(load, now_ms)
+    return max(
+        backoffs.left_ms(load, now_ms),
+        rate_limits.permit_wait_ms(state, target_id, now_ms),
+    )
 
 
 def service_wait_ms(
     state: world.World,
     service: str,
     now_ms: clock.Millis,
+    excluded_ids: typing.Collection[str] = (),
 ) -> clock.Millis:
     """Return the ms until a target of a service accepts a call from here.
 
-    Return 0 if one does now, or if none is expected to.
+    Return 0 if one does now, or if none is expected to. The targets in
+    ``excluded_ids`` are left out.
     """
     shortest_ms = min(
         (
             wait_ms(state, target_id, now_ms)
             for target_id in state.registry.ids_by_service.get(service, ())
+            if target_id not in excluded_ids
         ),
         default=0,
     )
--- a/oleanderstair/explaining/causes.py
+++ b/oleanderstair/explaining/causes.py
@@ -284,10 +284,25 @@
         f'; at its end {end.get("with_room")} of {end.get("targets")} targets'
         f' had room, {end.get("slow_of_them")} of them on slow machines,'
         f' {end.get("barred")} were barred, and {end.get("waiting")} others'
-        ' waited'
+        f' waited{_limited(end)}'
     )
 
 
+def _limited(end: Fact) -> str:
+    """Return how many targets a rate limit kept from a call, if any."""
+    limited = end.get('limited')
+    if not limited:
+        return ''
+    return (
+        f'; the rate limits of {limited} targets allowed no call from its'
+        ' instance'
+    )
+
+
+def _no_target(facts: typing.Sequence[Fact]) -> str:
+    return f'{_by_attempts(facts)}{_limited(ending_of(facts))}'
+
+
 def _out_of_time(facts: typing.Sequence[Fact]) -> str:
     call = opening_of(facts)
     bound = 'the deadline of its caller'
@@ -328,6 +343,7 @@
 
 _EXPLAIN_BY_REASON: typing.Final[dict[str, _Explain]] = {
     'no-route': _no_route,
+    'no-target': _no_target,
     'unconfirmed': _known,
     'configuration-refused': _known,
     'overloaded': _overloaded,
--- a/oleanderstair/explaining/decisions.py
+++ b/oleanderstair/explaining/decisions.py
@@ -21,6 +21,11 @@
 BURST_LINES: typing.Final = 400
 """Lines that may be written in full at once."""
 
+_NO_ROOM: typing.Final = frozenset(
+    (outcomes.Reason.OVERLOADED, outcomes.Reason.NO_TARGET)
+)
+"""The reasons whose lines say which targets have room."""
+
 _MERGE_MS: typing.Final[clock.Millis] = 1000
 _MS_PER_S: typing.Final = 1000
 
@@ -279,9 +284,12 @@
         now_ms: clock.Millis,
     ) -> lines.Fields:
         # All targets are gone through, so only for a line that is written.
-        if reason is not outcomes.Reason.OVERLOADED or self._room < 1:
+        if reason not in _NO_ROOM or self._room < 1:
             return ()
-        return trails.room_for(self._state, trail.service, now_ms)
+        return (
+            *trails.room_for(self._state, trail.service, now_ms),
+            *trails.limited_for(self._state, trail.service, now_ms),
+        )
 
     def _count(self, trail: trails.Trail, outcome: str, why: str) -> None:
         label = f'route={trail.route} outcome={outcome} reason={why}'
--- a/oleanderstair/explaining/failures.py
+++ b/oleanderstair/explaining/failures.py
@@ -107,6 +107,9 @@
 
 
 def _why(facts: Facts, told: str, seen: sights.Sights) -> str:
+    end = causes.ending_of(facts)
+    if end.get('limited') and end.get('limited') == end.get('targets'):
+        return 'all targets limit their calls per second'
     why = _WHY_BY_REASON.get(told)
     if why:
         return why
--- a/oleanderstair/explaining/trails.py
+++ b/oleanderstair/explaining/trails.py
@@ -195,6 +195,19 @@
     )
 
 
+def limited_for(
+    state: world.World,
+    service: str,
+    now_ms: clock.Millis,
+) -> lines.Fields:
+    """Return how many targets' rate limits allow no call from here now."""
+    limited_count = sum(
+        rate_limits.permit_wait_ms(state, known, now_ms) > 0
+        for known in state.registry.ids_by_service.get(service, ())
+    )
+    return (('limited', limited_count or None),)
+
+
 def note_hedge_due(
     trail: Trail,
     state: world.World,
--- a/test/test_rate_limits.py
+++ b/test/test_rate_limits.py
@@ -2,13 +2,20 @@
 
 import pytest
 
-from oleanderstair.domain import events, gateway
+from oleanderstair import metrics
+from oleanderstair.domain import actions, events, gateway, messages
+from oleanderstair.domain.fleet import codec
 from oleanderstair.domain.targets import rate_limits
 from oleanderstair.engine import exchanges
-from oleanderstair.explaining import decisions, gauges, sinks
+from oleanderstair.explaining import (
+    decisions,
+    failures,
+    gauges,
+    sinks,
+    stories,
+)
 from oleanderstair.platform import dialect
-from oleanderstair import metrics
-from test import test_gateway_fleet
+from test import test_decisions, test_gateway_fleet
 
 
 def announce(fleet, target_id, per_s, born_ms=1):
@@ -97,6 +104,7 @@
         ),
     )
     announce(fleet, 'burza-0', 5)
+    fleet.run_for(500)
     fleet.call('entry-0', 'lookup')
     fleet.run_for(500)
     label = 'target=burza-0 why=first'
@@ -104,3 +112,97 @@
     shown = gauges.read(state, fleet.times.now_ms())
     limit = gauges.Gauge('target_limit_per_s', (('target', 'burza-0'),), 5)
     assert limit in shown
+
+
+def tell_peer(fleet, *fields, sender='entry-9~1'):
+    state = fleet.member_by_id['entry-0'].state
+    told = events.PeerHeard(sender, messages.TargetLimited(*fields))
+    return state, gateway.step(state, told, fleet.times.now_ms())
+
+
+def test_an_older_report_of_a_peer_changes_nothing():
+    fleet = test_gateway_fleet.make_fleet()
+    state = announce(fleet, 'burza-0', 5)
+    fleet.run_for(500)
+    tell_peer(fleet, 'burza-0', 1, 5, 1000, True)
+    assert rate_limits.limit_of(state, 'burza-0') is not None
+    tell_peer(fleet, 'burza-0', 1, 5, 100, True)
+    assert rate_limits.limit_of(state, 'burza-0') is None
+    tell_peer(fleet, 'burza-0', 1, 5, 200)
+    assert rate_limits.limit_of(state, 'burza-0') is None
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        ('burza-0', 1, float('nan'), 0),
+        ('burza-0', 1, float('inf'), 0),
+        ('burza-0', 1, -1, 0),
+        ('burza-0', 1, 5, float('nan')),
+        ('burza-0', 1, 5, -1),
+        ('burza-0', 7, 5, 0),
+        ('unknown', 1, 5, 0),
+    ],
+)
+def test_an_invalid_report_of_a_peer_changes_nothing(fields):
+    fleet = test_gateway_fleet.make_fleet()
+    state, _ = tell_peer(fleet, *fields)
+    assert not state.rate_limits.limit_by_id
+    fleet.call('entry-0', 'lookup')
+    fleet.run_for(500)
+
+
+def test_a_limit_is_broadcast_at_once_and_then_seldom():
+    fleet = test_gateway_fleet.make_fleet(instances=2)
+    state = fleet.member_by_id['entry-0'].state
+    sent = []
+    for _ in range(100):
+        told = events.TargetTold('burza-0', 1, limit_per_s=5)
+        done = gateway.step(state, told, fleet.times.now_ms())
+        sent.extend(one for one in done if isinstance(one, actions.SendPeer))
+        fleet.run_for(100)
+    assert len(sent) == 2
+    decoded = codec.decode(codec.encode(sent[0].message))
+    assert decoded.unwrap() == sent[0].message
+
+
+def test_a_target_that_accepts_nothing_gets_a_call_now_and_then():
+    fleet = test_gateway_fleet.make_fleet(targets=1)
+    fleet.target_by_id['burza-0'].limit_per_s = 0
+    call_steadily(fleet, 2000)
+    fleet.target_by_id['burza-0'].arrivals = 0
+    call_steadily(fleet, 70_000, interval_ms=100)
+    assert fleet.target_by_id['burza-0'].arrivals == 2
+
+
+def test_a_limit_ends_if_no_answer_shows_it_for_long():
+    fleet = test_gateway_fleet.make_fleet()
+    state = announce(fleet, 'burza-0', 0)
+    assert rate_limits.permit_wait_ms(state, 'burza-0', fleet.times.now_ms())
+    fleet.run_for(rate_limits.LIMIT_KEPT_MS + 1)
+    wait_ms = rate_limits.permit_wait_ms(state, 'burza-0', fleet.times.now_ms())
+    assert not wait_ms
+
+
+def test_a_call_waits_for_a_permit_within_its_time_in_the_queue():
+    fleet = test_gateway_fleet.make_fleet(targets=1)
+    announce(fleet, 'burza-0', 20)
+    call_id = fleet.call('entry-0', 'lookup')
+    assert call_id not in fleet.told_by_call
+    fleet.run_for(500)
+    assert fleet.told_by_call[call_id].status == 200
+
+
+def test_a_refusal_for_rate_limits_is_explained():
+    fleet, sink = test_decisions.logged_fleet(targets=2)
+    announce(fleet, 'burza-0', 0.1)
+    announce(fleet, 'burza-1', 0.1)
+    fleet.call('entry-0', 'lookup', request_id='r-1')
+    fleet.run_for(100)
+    said = stories.read('entry-0', sink.lines)
+    story = stories.follow('r-1', said)
+    assert 'refused as no-target' in story.cause
+    assert 'may come back after' in story.cause
+    assert 'rate limits of 2 targets allowed no call' in story.cause
+    found = failures.find(said)
+    assert found[0].why == 'all targets limit their calls per second'
