Let the soak limit the calls of targets and check that this is kept

The soak's targets name a limit of 2 requests a second for 9 s; a new check finds targets that instances which nothing struck sent more than 1.5 times that and 5 requests in any 4 s. A stall of the soak makes the window longer.

--- a/soak/bounds.py
+++ b/soak/bounds.py
@@ -16,6 +16,15 @@
 LEAVE_S: typing.Final = 2
 """From the acknowledgement until a leaving target gets nothing new."""
 
+LIMIT_PER_S: typing.Final = 2
+"""The requests a second that a target accepts while it limits them."""
+
+LIMIT_WINDOW_S: typing.Final = 4
+LIMIT_FACTOR: typing.Final = 1.5
+LIMIT_SLACK: typing.Final = 5
+"""A limited target gets no more in a window than the factor times what its
+limit allows there, and the slack."""
+
 STOP_S: typing.Final = 6
 """From the signal of a planned stop until the process is killed."""
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -123,6 +123,62 @@
             yield Finding('leaving', told, left_s, run.at_s)
 
 
+def limits_are_kept(seen: record.Record) -> Findings:
+    """Find targets that were sent more calls than they accept.
+
+    Calls by instances that something struck just before don't count.
+    """
+    call_by_id = {call.request_id: call for call in seen.calls}
+    for span in seen.limited:
+        if record.touches(
+            seen.leaving, {span.where}, span.from_s, span.until_s
+        ):
+            # It comes back as another incarnation.
+            continue
+        sent_s = [
+            run.at_s
+            for run in _limited_runs(seen, span)
+            if run.request_id in call_by_id
+            and _is_in_touch(
+                seen, call_by_id[run.request_id], f'target:{run.target}'
+            )
+        ]
+        yield from _above_limit(seen, span.where, sent_s)
+
+
+def _limited_runs(seen: record.Record, span: record.Span) -> list[record.Run]:
+    """Return the runs at a target since its limit has to be kept."""
+    due_s = span.from_s + bounds.STABLE_S
+    return [
+        run
+        for run in seen.runs
+        if run.target == span.where and due_s < run.at_s < span.until_s
+    ]
+
+
+def _above_limit(
+    seen: record.Record, target: str, sent_s: list[float]
+) -> Findings:
+    """Find the first window in which a target was sent too many calls.
+
+    What arrives during a stall of the soak is seen after it, so a stall makes
+    a window longer.
+    """
+    for from_s in sorted(sent_s):
+        until_s = from_s + bounds.LIMIT_WINDOW_S
+        count = sum(from_s <= at_s < until_s for at_s in sent_s)
+        span_s = bounds.LIMIT_WINDOW_S + sum(
+            stall.until_s - stall.from_s
+            for stall in seen.stalls
+            if stall.from_s <= until_s and stall.until_s >= from_s
+        )
+        allowed = bounds.LIMIT_FACTOR * bounds.LIMIT_PER_S * span_s
+        if count > allowed + bounds.LIMIT_SLACK:
+            told = f'{target} got {count} calls from {from_s:.2f} s on'
+            yield Finding('limit', told)
+            return
+
+
 def configurations_are_in_force(seen: record.Record) -> Findings:
     """Find calls handled by an older configuration long after a newer."""
     known_s_by_version = dict(seen.published)
@@ -187,6 +243,7 @@
     allowed_calls_are_not_denied,
     planned_work_cuts_nothing,
     leaving_targets_get_nothing_new,
+    limits_are_kept,
     configurations_are_in_force,
     configurations_never_revert,
     instances_go_on,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -19,6 +19,7 @@
 _DELAYS_MS: typing.Final = (5, 50, 300)
 _SPANS_MS: typing.Final = (200, 700, 1500, 3000)
 _LEAVE_SPAN_MS: typing.Final = 4000
+_LIMIT_SPAN_MS: typing.Final = 9000
 _SERIES_MS: typing.Final = 400
 _SERIES_SHARE: typing.Final = 0.25
 
@@ -37,9 +38,11 @@
     SILENT = 'silent'
     PUBLISH = 'publish'
     LEAVE = 'leave'
+    LIMIT = 'limit'
 
 
-PLANNED: typing.Final = (Kind.STOP, Kind.RELOAD, Kind.PUBLISH, Kind.LEAVE)
+OPERATOR: typing.Final = (Kind.PUBLISH, Kind.LEAVE, Kind.LIMIT)
+PLANNED: typing.Final = (Kind.STOP, Kind.RELOAD, *OPERATOR)
 SIGNALS: typing.Final = (Kind.STOP, Kind.KILL, Kind.PAUSE, Kind.RELOAD)
 LINKS: typing.Final = (
     Kind.DELAY,
@@ -48,7 +51,6 @@
     Kind.CUT_DOWN,
     Kind.SILENT,
 )
-OPERATOR: typing.Final = (Kind.PUBLISH, Kind.LEAVE)
 _SCENES: typing.Final = (
     PLANNED,
     SIGNALS + OPERATOR,
@@ -118,6 +120,8 @@
     if kind is Kind.LEAVE:
         # It serves on for longer than the bound after which nothing comes.
         return Fault(kind, rng.choice(TARGETS), at_ms, _LEAVE_SPAN_MS)
+    if kind is Kind.LIMIT:
+        return Fault(kind, rng.choice(TARGETS), at_ms, _LIMIT_SPAN_MS)
     delay_ms = rng.choice(_DELAYS_MS)
     return Fault(kind, rng.choice(links()), at_ms, span_ms, delay_ms)
 
--- a/soak/record.py
+++ b/soak/record.py
@@ -63,6 +63,7 @@
         default_factory=list,
     )
     leaving: list[Span] = dataclasses.field(default_factory=list)
+    limited: list[Span] = dataclasses.field(default_factory=list)
     harmed: list[Span] = dataclasses.field(default_factory=list)
     planned: list[Span] = dataclasses.field(default_factory=list)
     down: list[Span] = dataclasses.field(default_factory=list)
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -70,6 +70,9 @@
         default_factory=dict,
     )
     held: dict[str, anyio.Lock] = dataclasses.field(default_factory=dict)
+    target_by_id: dict[str, SeenTarget] = dataclasses.field(
+        default_factory=dict,
+    )
     born_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
     version: int = 0
 
@@ -133,6 +136,7 @@
     for target_id in plan.TARGETS:
         target = SeenTarget(target_id, service_ms=_SERVICE_MS)
         target.seen = scene.seen
+        scene.target_by_id[target_id] = target
         scene.link(f'target:{target_id}', scene.serve(target))
         scene.register(target_id, 'ready')
     scene.publish()
@@ -231,7 +235,7 @@
     if fault.kind in plan.PLANNED:
         spans = scene.seen.planned
     strike = _STRIKE_BY_KIND[fault.kind]
-    if fault.kind in (plan.Kind.RELOAD, plan.Kind.LEAVE):
+    if fault.kind in _NOT_STRIKING:
         await strike(scene, fault)
     else:
         with _noted(spans, fault.where):
@@ -309,6 +313,17 @@
         scene.register(fault.where, 'ready')
 
 
+async def _limit(scene: Scene, fault: plan.Fault) -> None:
+    target = scene.target_by_id[fault.where]
+    if target.limit:
+        # It limits its calls already, and ends that once.
+        return
+    target.limit = str(bounds.LIMIT_PER_S).encode()
+    with _noted(scene.seen.limited, fault.where):
+        await anyio.sleep(clock.to_seconds(fault.span_ms))
+    target.limit = b''
+
+
 async def _harm(scene: Scene, fault: plan.Fault) -> None:
     link = scene.link_by_name[fault.where]
     with link.harmed(fault):
@@ -319,12 +334,18 @@
     [Scene, plan.Fault],
     typing.Coroutine[typing.Any, typing.Any, None],
 ]
+_NOT_STRIKING: typing.Final = frozenset(
+    (plan.Kind.RELOAD, plan.Kind.LEAVE, plan.Kind.LIMIT),
+)
+"""The kinds of faults that excuse no instance."""
+
 _STRIKE_BY_KIND: typing.Final[dict[plan.Kind, _Strike]] = {
     plan.Kind.STOP: _stop,
     plan.Kind.KILL: _kill,
     plan.Kind.PAUSE: _pause,
     plan.Kind.RELOAD: _reload,
     plan.Kind.LEAVE: _leave,
+    plan.Kind.LIMIT: _limit,
     **dict.fromkeys(plan.LINKS, _harm),
 }
 
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -16,7 +16,8 @@
 from soak import bounds, checks, command, plan, proxy, record
 
 SEEDS = (4, 7)
-"""Two stops and new configurations; a pause, a silent link and a reload."""
+"""Two stops, a new configuration and a rate limit; a pause, a silent link and a
+reload."""
 
 SECONDS = 4
 
@@ -174,6 +175,7 @@
 
 KNOWN = {'published': [(1, 1), (2, 6)]}
 LEFT = {'leaving': [record.Span('burza-1', 7, 20)]}
+LIMITED = {'limited': [record.Span('burza-1', 7, 20)]}
 BROKEN = {
     'refused-ran': scene_of(LOOKUP._replace(status=503)),
     'ran-twice': scene_of(LOOKUP._replace(once=True), runs=(RUN, RUN)),
@@ -182,6 +184,7 @@
     'denied': scene_of(LOOKUP._replace(status=404)),
     'cut': scene_of(LOOKUP._replace(status=0, end='cut')),
     'leaving': scene_of(LOOKUP, **LEFT),
+    'limit': scene_of(LOOKUP, runs=(RUN,) * 18, **LIMITED),
     'not-in-force': scene_of(VERSION, **KNOWN),
     'reverted': scene_of(SERVED_BEFORE, VERSION, published=[(1, 1), (2, 8)]),
     'ended': scene_of(ended_alone=['entry-1']),
@@ -215,7 +218,7 @@
     assert [one.promise for one in verdict.unjudged] == [promise]
 
 
-@pytest.mark.parametrize('promise', ['leaving', 'not-in-force', 'cut'])
+@pytest.mark.parametrize('promise', ['leaving', 'limit', 'not-in-force', 'cut'])
 def test_bounds_hold_only_for_calm_instances(promise):
     fields = fields_of(BROKEN[promise])
     assert not found(record.Record(**{**fields, 'harmed': [STRUCK]}))
