--- a/bench/gateway_capacity.py
+++ b/bench/gateway_capacity.py
@@ -158,6 +158,30 @@
         yield capacity_figures.Figure(
             'decide one call', size, spent_s / _CALLS * _US, 'us'
         )
+        state = create(count, _FEW_INSTANCES)
+        frame = _limit_every_second_target(state)
+        yield capacity_figures.Figure(
+            'told: a rate limit', size, len(frame), 'bytes'
+        )
+        spent_s = _decide_all(state)
+        yield capacity_figures.Figure(
+            'decide one call, half of the targets limited',
+            size,
+            spent_s / _CALLS * _US,
+            'us',
+        )
+
+
+def _limit_every_second_target(state: world.World) -> bytes:
+    """Let every second target accept no calls; return the last message."""
+    frame = b''
+    for target_id in sorted(state.registry.entry_by_id)[::2]:
+        born_ms = state.registry.entry_by_id[target_id].born_ms
+        told = events.TargetTold(target_id, born_ms, limit_per_s=0)
+        for action in gateway.step(state, told, 0):
+            if isinstance(action, actions.SendPeer):
+                frame = codec.encode(action.message)
+    return frame
 
 
 def _decide_all(state: world.World) -> float:
--- a/oleanderstair/domain/targets/rate_limits.py
+++ b/oleanderstair/domain/targets/rate_limits.py
@@ -23,12 +23,17 @@
 MIN_UNNAMED_ANSWERS: typing.Final = 2
 """The number of successful answers in a row without a limit that end it."""
 
-BROADCAST_INTERVAL_MS: typing.Final[clock.Millis] = 5000
+MIN_BROADCAST_INTERVAL_MS: typing.Final[clock.Millis] = 5000
+MAX_BROADCAST_INTERVAL_MS: typing.Final[clock.Millis] = 60_000
 """How often a limit is broadcast again while answers name it.
 
 It reaches instances that have started, or that missed an earlier message.
 """
 
+BROADCAST_SPACING_MS: typing.Final[clock.Millis] = 50
+"""The interval between two broadcasts of all instances together that lets the
+interval of one limit grow with the number of limits."""
+
 LIMIT_KEPT_MS: typing.Final[clock.Millis] = 120_000
 """How long a limit holds after an answer last showed it."""
 
@@ -106,7 +111,7 @@
     known = _row_of(state, limit.target_id)
     told_at_ms = known.told_at_ms if known else clock.NEVER_MS
     audits = _store(state, limit._replace(told_at_ms=told_at_ms), 'answer')
-    is_told = now_ms - told_at_ms < BROADCAST_INTERVAL_MS
+    is_told = now_ms - told_at_ms < _broadcast_interval_ms(state)
     if is_told and not audits:
         return []
     return [*audits, *_broadcast(state, limit.target_id, now_ms)]
@@ -253,6 +258,14 @@
     return broadcast.broadcast_message(state, message)
 
 
+def _broadcast_interval_ms(state: world.World) -> clock.Millis:
+    """Return after which time a limit is broadcast again."""
+    spaced_ms = BROADCAST_SPACING_MS * len(state.rate_limits.limit_by_id)
+    return min(
+        max(spaced_ms, MIN_BROADCAST_INTERVAL_MS), MAX_BROADCAST_INTERVAL_MS
+    )
+
+
 def _own_rate_per_s(state: world.World, limit: rate_limits.RateLimit) -> float:
     """Return this instance's part of a limit; 0 if it is not a sender.
 
