Log the era and the revision of each whole read of the store

Callers got 404 for routes of an acknowledged configuration after the store came back from a copy. The logs couldn't tell which revision was read.

--- a/oleanderstair/platform/store.py
+++ b/oleanderstair/platform/store.py
@@ -15,12 +15,25 @@
 _OK: typing.Final = 200
 _GONE: typing.Final = 410
 _DESTINATION_ID: typing.Final = 'store'
+_STORE_ERA: typing.Final = b'store-era'
 
 
 class StoreError(Exception):
     """A request to the store failed; the message gives the reason."""
 
 
+class _Response(typing.NamedTuple):
+    """A response of the store.
+
+    ``era`` rises each time the store is restored from a copy, after which
+    revisions go back. It is 0 if the store doesn't tell it.
+    """
+
+    status: int
+    body: bytes
+    era: int
+
+
 class _Page(msgspec.Struct):
     items: list[documents.Item]
     has_more: bool
@@ -51,10 +64,19 @@
         or can't be read.
         """
         try:
-            return self._store_read_of(await self._read_pages(bound_ms))
+            era, pages = await self._read_pages(bound_ms)
         except StoreError as error:
             logs.log_event('store-failed', call='read', why=str(error))
             return events.StoreFailed(str(error))
+        read = self._store_read_of(pages)
+        logs.log_event(
+            'store-read',
+            era=era,
+            revision=read.registry.revision,
+            configuration=read.routing.number if read.routing else 0,
+            targets=len(read.registry.entries),
+        )
+        return read
 
     async def watch(
         self,
@@ -73,25 +95,28 @@
             f'&wait_ms={int(bound_ms)}'
         )
         try:
-            status, body = await self._get(path, bound_ms + slack_ms)
-            if status == _GONE:
+            response = await self._get(path, bound_ms + slack_ms)
+            if response.status == _GONE:
                 return events.HistoryLost()
-            changes = _decode(status, body, _Changes)
+            changes = _decode(response, _Changes)
         except StoreError as error:
             logs.log_event('store-failed', call='watch', why=str(error))
             return events.StoreFailed(str(error))
         return self._store_changed_of(changes)
 
-    async def _read_pages(self, bound_ms: clock.Millis) -> list[_Page]:
+    async def _read_pages(
+        self, bound_ms: clock.Millis
+    ) -> tuple[int, list[_Page]]:
+        """Return the era of the store and all pages."""
         pages: list[_Page] = []
         after = ''
         while True:
             path = f'/-/kv-range?prefix=&after={after}'
-            status, body = await self._get(path, bound_ms)
-            page = _decode(status, body, _Page)
+            response = await self._get(path, bound_ms)
+            page = _decode(response, _Page)
             pages.append(page)
             if not page.has_more or not page.items:
-                return pages
+                return response.era, pages
             after = urllib.parse.quote(page.items[-1].key, safe='')
 
     def _store_read_of(self, pages: list[_Page]) -> events.StoreRead:
@@ -154,7 +179,7 @@
         self,
         path: str,
         bound_ms: clock.Millis,
-    ) -> tuple[int, bytes]:
+    ) -> _Response:
         # Answers have no id. On a reused connection a delayed duplicate of
         # the previous answer would be taken for the answer to this request.
         destination = exchanges.Destination(
@@ -171,7 +196,8 @@
         self._connections.close_idle(_DESTINATION_ID)
         if exchange.answer is None:
             raise StoreError(exchange.cause or 'no answer in time')
-        return exchange.answer.status, exchange.answer.body
+        answer = exchange.answer
+        return _Response(answer.status, answer.body, _era_of(answer))
 
 
 def create(address: str, time_source: clock.Clock) -> HttpStore:
@@ -187,11 +213,22 @@
     return events.Verdict.ANSWERED
 
 
-def _decode(status: int, body: bytes, kind: type[_Document]) -> _Document:
-    if status != _OK:
-        raise StoreError(f'status {status}')
+def _era_of(answer: exchanges.Answer) -> int:
+    """Return the era of the store, 0 if the response doesn't tell it."""
+    field = headers.find_field(answer.headers, _STORE_ERA).strip()
+    if not field:
+        return 0
+    era = headers.parse_count(field)
+    if era is None:
+        raise StoreError('its era is not a number')
+    return era
+
+
+def _decode(response: _Response, kind: type[_Document]) -> _Document:
+    if response.status != _OK:
+        raise StoreError(f'status {response.status}')
     try:
-        return msgspec.json.decode(body, type=kind)
+        return msgspec.json.decode(response.body, type=kind)
     except msgspec.MsgspecError as error:
         raise StoreError(str(error)) from error
 
