Show that a configuration is skipped after a restore of the store (known red)

Evidence: both stand-ins of the store can come back from a copy now. Where the store gives out the known revision again before the next watch, what was written below it is skipped: on fleets of 20 and 311 instances, and on a node over HTTP.

--- a/oleanderstair/emulator/store.py
+++ b/oleanderstair/emulator/store.py
@@ -20,6 +20,14 @@
 _POLL_MS: typing.Final = 10
 
 
+class Copy(typing.NamedTuple):
+    """What the store held at a moment."""
+
+    item_by_key: dict[str, documents.Item]
+    history: list[documents.Item]
+    revision: int
+
+
 class Fault(enum.Enum):
     """What is wrong with the store."""
 
@@ -39,7 +47,7 @@
     """Items by key; tests change its fields while it runs.
 
     ``page_items`` bounds a page, ``known_from`` is the oldest revision
-    after which changes are still known.
+    after which changes are still known. ``era`` counts the starts from a copy.
     """
 
     item_by_key: dict[str, documents.Item] = dataclasses.field(
@@ -48,6 +56,7 @@
     history: list[documents.Item] = dataclasses.field(default_factory=list)
     revision: int = 1
     known_from: int = 1
+    era: int = 1
     page_items: int = 500
     fault: Fault = Fault.NONE
     slow_ms: clock.Millis = 200
@@ -78,6 +87,18 @@
         self.history.clear()
         self.known_from = self.revision
 
+    def copy(self) -> Copy:
+        """Return what the store holds now."""
+        return Copy(dict(self.item_by_key), list(self.history), self.revision)
+
+    def restore(self, kept: Copy) -> None:
+        """Hold what a copy holds, and lose everything written since."""
+        self.item_by_key = dict(kept.item_by_key)
+        self.history = list(kept.history)
+        self.revision = kept.revision
+        self.known_from = min(self.known_from, self.revision)
+        self.era += 1
+
     async def __call__(
         self,
         scope: asgi.Scope,
@@ -92,9 +113,9 @@
         if self.fault is Fault.SLOW:
             await anyio.sleep(clock.to_seconds(self.slow_ms))
         if self.fault is Fault.DOWN:
-            await asgi.respond(send, _UNAVAILABLE, [], b'')
+            await self._respond(send, _UNAVAILABLE)
         elif self.fault is Fault.GARBLED:
-            await asgi.respond_json(send, _OK, {'items': 0, 'events': 0})
+            await self._respond(send, _OK, {'items': 0, 'events': 0})
         else:
             await self._answer(scope['path'], query, send)
 
@@ -104,20 +125,29 @@
         if path == '/-/kv-key':
             await self._answer_key(query['key'][0], send)
         elif path == '/-/kv-range':
-            await asgi.respond_json(send, _OK, self._page(prefix, after))
+            await self._respond(send, _OK, self._page(prefix, after))
         elif path == '/-/kv-watch':
             bound_ms = int(query['wait_ms'][0])
             await self._answer_watch(prefix, int(after), bound_ms, send)
         else:
-            await asgi.respond(send, _NOT_FOUND, [], b'')
+            await self._respond(send, _NOT_FOUND)
+
+    async def _respond(
+        self, send: asgi.Send, status: int, document: Document | None = None
+    ) -> None:
+        fields = [(documents.STORE_ERA, str(self.era).encode())]
+        if document is None:
+            await asgi.respond(send, status, fields, b'')
+        else:
+            await asgi.respond_json(send, status, document, fields)
 
     async def _answer_key(self, key: str, send: asgi.Send) -> None:
         held = self.item_by_key.get(key)
         if held is None:
-            await asgi.respond(send, _NOT_FOUND, [], b'')
+            await self._respond(send, _NOT_FOUND)
             return
         document = {**_document(held), 'at_revision': self.revision}
-        await asgi.respond_json(send, _OK, document)
+        await self._respond(send, _OK, document)
 
     def _page(self, prefix: str, after: str) -> Document:
         held = [
@@ -143,17 +173,23 @@
             await self._wait_for_news(prefix, after)
         # Read with the revision, or a change just before the end is skipped.
         news = self._news_after(prefix, after)
-        if after < self.known_from:
-            await asgi.respond(send, _HISTORY_GONE, [], b'')
+        if self._is_forgotten(after):
+            await self._respond(send, _HISTORY_GONE)
             return
         document = {
             'events': [_document(item) for item in news],
             'at_revision': self.revision,
         }
-        await asgi.respond_json(send, _OK, document)
+        await self._respond(send, _OK, document)
+
+    def _is_forgotten(self, after: int) -> bool:
+        """Return whether the store doesn't have a revision, or not since it."""
+        return not self.known_from <= after <= self.revision
 
     async def _wait_for_news(self, prefix: str, after: int) -> None:
-        while after >= self.known_from and not self._news_after(prefix, after):
+        while not self._is_forgotten(after) and not self._news_after(
+            prefix, after
+        ):
             await anyio.sleep(clock.to_seconds(_POLL_MS))
 
     def _news_after(self, prefix: str, after: int) -> list[documents.Item]:
--- a/oleanderstair/emulator/watched_store.py
+++ b/oleanderstair/emulator/watched_store.py
@@ -15,6 +15,15 @@
     gone: str = ''
 
 
+class Copy(typing.NamedTuple):
+    """What the store held at a moment."""
+
+    revision: int
+    routing: routes.Routing | None
+    entry_by_id: dict[str, registry.Entry]
+    history: list[Change]
+
+
 class WatchedStore:
     """What the store holds, and what it still knows of its changes.
 
@@ -60,6 +69,23 @@
         self._history.clear()
         self._known_from = self.revision
 
+    def copy(self) -> Copy:
+        """Return what the store holds now."""
+        return Copy(
+            self.revision,
+            self.routing,
+            dict(self.entry_by_id),
+            list(self._history),
+        )
+
+    def restore(self, kept: Copy) -> None:
+        """Hold what a copy holds, and lose everything written since."""
+        self.revision = kept.revision
+        self._known_from = min(self._known_from, self.revision)
+        self.routing = kept.routing
+        self.entry_by_id = dict(kept.entry_by_id)
+        self._history = list(kept.history)
+
     def refuses(self, instance_id: str) -> bool:
         """Return whether an instance gets 503."""
         return self.down or instance_id in self.refused_ids
@@ -73,8 +99,8 @@
         )
 
     def is_forgotten(self, after_revision: int) -> bool:
-        """Return whether the changes after a revision are gone."""
-        return after_revision < self._known_from
+        """Return whether the store doesn't have a revision, or not since it."""
+        return not self._known_from <= after_revision <= self.revision
 
     def changes_after(self, after_revision: int) -> events.StoreChanged:
         """Return what changed after a revision; it may be nothing."""
--- a/oleanderstair/platform/documents.py
+++ b/oleanderstair/platform/documents.py
@@ -12,6 +12,8 @@
 
 CONFIGURATION_KEY: typing.Final = 'op/config'
 TARGET_PREFIX: typing.Final = 'servers/'
+STORE_ERA: typing.Final = b'store-era'
+"""The header field that counts how often the store was restored."""
 
 _READY: typing.Final = 'ready'
 _LEAVING: typing.Final = 'leaving'
--- a/oleanderstair/platform/store.py
+++ b/oleanderstair/platform/store.py
@@ -15,7 +15,6 @@
 _OK: typing.Final = 200
 _GONE: typing.Final = 410
 _DESTINATION_ID: typing.Final = 'store'
-_STORE_ERA: typing.Final = b'store-era'
 
 
 class StoreError(Exception):
@@ -215,7 +214,7 @@
 
 def _era_of(answer: exchanges.Answer) -> int:
     """Return the era of the store, 0 if the response doesn't tell it."""
-    field = headers.find_field(answer.headers, _STORE_ERA).strip()
+    field = headers.find_field(answer.headers, documents.STORE_ERA).strip()
     if not field:
         return 0
     era = headers.parse_count(field)
--- a/test/fleets.py
+++ b/test/fleets.py
@@ -229,6 +229,8 @@
     def _watch(self, instance, revision, ends_ms):
         if self.store.down:
             self.handle(instance, events.StoreFailed('closed'))
+        elif self.store.is_forgotten(revision):
+            self.later(STORE_MS, self.handle, instance, events.HistoryLost())
         elif self.store.revision > revision or self.now_ms >= ends_ms:
             changed = self.store.changes_after(revision)
             self.later(STORE_MS, self.handle, instance, changed)
