Follow a store that comes back from a copy, by its era

Cause: after a restore revisions go back. What was read whole counted as older than what was known and was dropped; all instances watched from a revision that the store didn't have (410) and read again, every 0.1 s, until the store gave that revision out anew. What had been written below it was then skipped for good. Change: a revision has the era of the store (`Store-Era`) in its high bits, so it rises over restores, in tables and in messages alike, and nothing that compares revisions had to change. platform/store.py combines them; a watch that is answered in a later era counts as lost history, one in an earlier era as failed, pages of two eras are read again. The known changes begin with the first read of an era. A configuration still goes by its number, so that none from the copy is taken. Audit line audit-store, gauge store_era; lines and gauges show the store's own revision.

--- a/oleanderstair/domain/targets/registry_updates.py
+++ b/oleanderstair/domain/targets/registry_updates.py
@@ -4,7 +4,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, world
-from oleanderstair.domain.tables import load_reports, registry
+from oleanderstair.domain.tables import load_reports, registry, revisions
 
 MAX_REMEMBERED_TARGETS: typing.Final = 4096
 """The maximum number of removed entries, and of leaving targets, in memory."""
@@ -24,8 +24,7 @@
     table = state.registry
     if event.revision < table.revision:
         return []
-    if not table.revision:
-        table.removals_since_revision = event.revision
+    restores = _record_era(table, event.revision)
     present = event.unreadable.union(entry.target_id for entry in event.entries)
     missing = tuple(
         registry.RemovedEntry(entry.target_id, event.revision, event.doubt_ms)
@@ -37,7 +36,7 @@
         event.entries,
         (*missing, *event.gone),
     )
-    return _apply_change(state, changed, now_ms)
+    return [*restores, *_apply_change(state, changed, now_ms)]
 
 
 def on_registry_changed(
@@ -51,6 +50,23 @@
     return _apply_change(state, event, now_ms)
 
 
+def _record_era(
+    table: registry.RegistryTable, revision: int
+) -> list[actions.Action]:
+    """Note that the known changes begin with a read of a new era.
+
+    Return an audit entry if the store was restored, nothing at a first read.
+    """
+    era = revisions.era_of(revision)
+    if table.revision and era == revisions.era_of(table.revision):
+        return []
+    table.removals_since_revision = revision
+    if not table.revision:
+        return []
+    why = 'restored from a copy; the whole store was read'
+    return [actions.Audit('store', str(era), 'registry', why)]
+
+
 def on_tick(
     state: world.World,
     event: events.Tick,
--- a/oleanderstair/emulator/watched_store.py
+++ b/oleanderstair/emulator/watched_store.py
@@ -3,7 +3,7 @@
 import typing
 
 from oleanderstair.domain import events
-from oleanderstair.domain.tables import registry, routes
+from oleanderstair.domain.tables import registry, revisions, routes
 
 
 class Change(typing.NamedTuple):
@@ -21,7 +21,6 @@
     revision: int
     routing: routes.Routing | None
     entry_by_id: dict[str, registry.Entry]
-    history: list[Change]
 
 
 class WatchedStore:
@@ -75,16 +74,21 @@
             self.revision,
             self.routing,
             dict(self.entry_by_id),
-            list(self._history),
         )
 
     def restore(self, kept: Copy) -> None:
-        """Hold what a copy holds, and lose everything written since."""
-        self.revision = kept.revision
-        self._known_from = min(self._known_from, self.revision)
+        """Hold what a copy holds, and lose everything written since.
+
+        Its revisions are given out again, in the next era.
+        """
+        era = revisions.era_of(self.revision) + 1
+        self.revision = _in_era(era, kept.revision)
         self.routing = kept.routing
-        self.entry_by_id = dict(kept.entry_by_id)
-        self._history = list(kept.history)
+        self.entry_by_id = {
+            target_id: entry._replace(revision=_in_era(era, entry.revision))
+            for target_id, entry in kept.entry_by_id.items()
+        }
+        self.forget_history()
 
     def refuses(self, instance_id: str) -> bool:
         """Return whether an instance gets 503."""
@@ -129,6 +133,10 @@
         return change.revision
 
 
+def _in_era(era: int, revision: int) -> int:
+    return revisions.combine(era, revisions.within_era(revision))
+
+
 def create() -> WatchedStore:
     """Create a store that holds nothing."""
     return WatchedStore()
--- a/oleanderstair/explaining/beliefs.py
+++ b/oleanderstair/explaining/beliefs.py
@@ -4,7 +4,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import events, world
-from oleanderstair.domain.tables import load_reports
+from oleanderstair.domain.tables import load_reports, revisions
 from oleanderstair.explaining import lines
 
 
@@ -59,7 +59,8 @@
         event: events.HistoryLost,
     ) -> None:
         """Say that the store has to be read anew."""
-        known: lines.Fields = (('registry', self._state.registry.revision),)
+        revision = revisions.within_era(self._state.registry.revision)
+        known: lines.Fields = (('registry', revision),)
         self._say(now_ms, 'store-forgot', known)
 
     def note_target(self, now_ms: clock.Millis, target_id: str) -> None:
--- a/oleanderstair/explaining/gauges.py
+++ b/oleanderstair/explaining/gauges.py
@@ -7,7 +7,7 @@
 from oleanderstair.domain import world
 from oleanderstair.domain.calls import retry_budget
 from oleanderstair.domain.fleet import readiness
-from oleanderstair.domain.tables import registry
+from oleanderstair.domain.tables import registry, revisions
 from oleanderstair.domain.targets import rate_limits
 
 
@@ -36,7 +36,7 @@
         ),
         Gauge('configuration_refused', (), int(bool(state.routes.refused))),
         *_age('configuration_age_ms', state.routes.adopted_at_ms, now_ms),
-        Gauge('registry_revision', (), state.registry.revision),
+        *_revision(state.registry.revision),
         *_age('registry_age_ms', state.registry.read_at_ms, now_ms),
         Gauge('store_failures_in_row', (), state.store.failures_in_row),
         Gauge(
@@ -54,6 +54,13 @@
     ]
 
 
+def _revision(revision: int) -> list[Gauge]:
+    return [
+        Gauge('registry_revision', (), revisions.within_era(revision)),
+        Gauge('store_era', (), revisions.era_of(revision)),
+    ]
+
+
 def _age(
     name: str,
     since_ms: clock.Millis,
--- a/oleanderstair/explaining/stories.py
+++ b/oleanderstair/explaining/stories.py
@@ -15,6 +15,7 @@
         *_OF_TARGETS,
         'audit-configuration',
         'audit-instance',
+        'audit-store',
         'store-lost',
         'store-regained',
         'store-forgot',
--- a/oleanderstair/explaining/trails.py
+++ b/oleanderstair/explaining/trails.py
@@ -9,7 +9,7 @@
 from oleanderstair.domain import actions, events, world
 from oleanderstair.domain.calls import retry_budget, slot_use
 from oleanderstair.domain.configuration import routing
-from oleanderstair.domain.tables import load_reports, routed, routes
+from oleanderstair.domain.tables import load_reports, revisions, routed, routes
 from oleanderstair.domain.targets import (
     slot_estimates,
     slot_shortage,
@@ -83,7 +83,7 @@
         ('left_ms', received.deadline_ms - now_ms),
         ('due_in_ms', call.due_at_ms - now_ms if call else None),
         ('configuration', in_force.number if in_force else 0),
-        ('registry', state.registry.revision),
+        ('registry', revisions.within_era(state.registry.revision)),
         ('targets', len(state.registry.ids_by_service.get(trail.service, ()))),
     )
     trail.entries.append(Entry(now_ms, 'call', fields))
--- a/oleanderstair/platform/store.py
+++ b/oleanderstair/platform/store.py
@@ -8,12 +8,15 @@
 
 from oleanderstair import clock, errors, logs
 from oleanderstair.domain import events
-from oleanderstair.domain.tables import registry, routes
+from oleanderstair.domain.tables import registry, revisions, routes
 from oleanderstair.engine import exchanges, headers
 from oleanderstair.platform import documents
 
 _OK: typing.Final = 200
 _GONE: typing.Final = 410
+_MAX_READS: typing.Final = 3
+"""How often a read begins again because the store is restored meanwhile."""
+
 _DESTINATION_ID: typing.Final = 'store'
 
 
@@ -25,7 +28,8 @@
     """A response of the store.
 
     ``era`` rises each time the store is restored from a copy, after which
-    revisions go back. It is 0 if the store doesn't tell it.
+    revisions go back. It is 0 if the store doesn't tell it, and wraps around
+    like that of a combined revision.
     """
 
     status: int
@@ -60,18 +64,19 @@
         """Read all items of the store, in pages.
 
         Log and return ``StoreFailed`` if a page takes longer than ``bound_ms``
-        or can't be read.
+        or can't be read. Revisions have the era of the store in their high
+        bits.
         """
         try:
-            era, pages = await self._read_pages(bound_ms)
+            pages = await self._read_all_pages(bound_ms)
         except StoreError as error:
             logs.log_event('store-failed', call='read', why=str(error))
             return events.StoreFailed(str(error))
         read = self._store_read_of(pages)
         logs.log_event(
             'store-read',
-            era=era,
-            revision=read.registry.revision,
+            era=revisions.era_of(read.registry.revision),
+            revision=revisions.within_era(read.registry.revision),
             configuration=read.routing.number if read.routing else 0,
             targets=len(read.registry.entries),
         )
@@ -87,35 +92,44 @@
 
         Log and return ``StoreFailed`` if the request fails or there is no
         answer ``slack_ms`` after that. Return ``HistoryLost`` if the store no
-        longer has all of the changes.
+        longer has all of the changes, or was restored since.
         """
-        path = (
-            f'/-/kv-watch?prefix=&after={after_revision}'
-            f'&wait_ms={int(bound_ms)}'
-        )
+        after = revisions.within_era(after_revision)
+        path = f'/-/kv-watch?prefix=&after={after}&wait_ms={int(bound_ms)}'
         try:
             response = await self._get(path, bound_ms + slack_ms)
-            if response.status == _GONE:
-                return events.HistoryLost()
-            changes = _decode(response, _Changes)
+            return self._watched_of(response, after_revision)
         except StoreError as error:
             logs.log_event('store-failed', call='watch', why=str(error))
             return events.StoreFailed(str(error))
-        return self._store_changed_of(changes)
 
-    async def _read_pages(
-        self, bound_ms: clock.Millis
-    ) -> tuple[int, list[_Page]]:
-        """Return the era of the store and all pages."""
+    def _watched_of(
+        self, response: _Response, after_revision: int
+    ) -> events.StoreChanged | events.HistoryLost:
+        era_rise = response.era - revisions.era_of(after_revision)
+        if response.status == _GONE or era_rise > 0:
+            return events.HistoryLost()
+        if era_rise < 0:
+            raise StoreError(f'a response of the past era {response.era}')
+        return self._store_changed_of(_decode_changes(response))
+
+    async def _read_all_pages(self, bound_ms: clock.Millis) -> list[_Page]:
+        for _ in range(_MAX_READS):
+            pages = await self._read_pages(bound_ms)
+            eras = {revisions.era_of(page.at_revision) for page in pages}
+            if len(eras) == 1:
+                return pages
+        raise StoreError('it was restored while it was read')
+
+    async def _read_pages(self, bound_ms: clock.Millis) -> list[_Page]:
         pages: list[_Page] = []
         after = ''
         while True:
             path = f'/-/kv-range?prefix=&after={after}'
-            response = await self._get(path, bound_ms)
-            page = _decode(response, _Page)
+            page = _decode_page(await self._get(path, bound_ms))
             pages.append(page)
             if not page.has_more or not page.items:
-                return response.era, pages
+                return pages
             after = urllib.parse.quote(page.items[-1].key, safe='')
 
     def _store_read_of(self, pages: list[_Page]) -> events.StoreRead:
@@ -220,7 +234,34 @@
     era = headers.parse_count(field)
     if era is None:
         raise StoreError('its era is not a number')
-    return era
+    return revisions.era_of(revisions.combine(era, 0))
+
+
+def _decode_page(response: _Response) -> _Page:
+    """Decode a page, with revisions that rise over eras."""
+    page = _decode(response, _Page)
+    page.at_revision = _combine(response, page.at_revision)
+    _combine_all(response, page.items)
+    return page
+
+
+def _decode_changes(response: _Response) -> _Changes:
+    """Decode the changes of a watch, with revisions that rise over eras."""
+    changes = _decode(response, _Changes)
+    changes.at_revision = _combine(response, changes.at_revision)
+    _combine_all(response, changes.events)
+    return changes
+
+
+def _combine_all(response: _Response, items: list[documents.Item]) -> None:
+    for item in items:
+        item.revision = _combine(response, item.revision)
+
+
+def _combine(response: _Response, revision: int) -> int:
+    if not 0 <= revision <= revisions.MAX_REVISION:
+        raise StoreError(f'its revision {revision} is out of range')
+    return revisions.combine(response.era, revision)
 
 
 def _decode(response: _Response, kind: type[_Document]) -> _Document:
--- a/test/test_store_restored.py
+++ b/test/test_store_restored.py
@@ -77,3 +77,67 @@
                     served = answer.status
 
     anyio.run(scene)
+
+
+def shown(fleet, target_id):
+    """Return the entry of a target at each instance, None where unknown."""
+    return [
+        instance.state.registry.entry_by_id.get(target_id)
+        for instance in fleet.living
+    ]
+
+
+def restore_after(fleet, change):
+    """Restore the store to what it was before a change."""
+    copy = fleet.store.copy()
+    change()
+    fleet.run(3000)
+    fleet.store.down = True
+    fleet.run(500)
+    fleet.store.down = False
+    fleet.store.restore(copy)
+    fleet.run(1500)
+
+
+def test_a_leaving_target_that_the_copy_holds_as_ready_stays_leaving():
+    fleet = make_fleet(SMALL)
+    restore_after(
+        fleet, lambda: fleet.store.put(fleets.entry('6', leaving=True))
+    )
+    assert all(entry.leaving for entry in shown(fleet, '6'))
+
+
+def test_a_restore_takes_few_calls_of_the_store():
+    fleet = make_fleet(SMALL)
+    lose_writes(fleet, 3)
+    calls = fleet.store.calls
+    fleet.run(10_000)
+    assert fleet.store.calls - calls < 80
+
+
+def test_an_older_configuration_of_the_copy_is_not_adopted():
+    fleet = make_fleet(SMALL)
+    restore_after(fleet, lambda: fleet.store.publish(6))
+    assert numbers_in_force(fleet) == {6}
+    fleet.store.publish(5)
+    fleet.run(1000)
+    assert numbers_in_force(fleet) == {6}
+
+
+def test_a_started_instance_learns_what_the_copy_lacks_from_its_peers():
+    fleet = make_fleet(SMALL)
+    restore_after(fleet, lambda: fleet.store.publish(6))
+    fleet.kill('b2')
+    fleet.start('b2', 'b')
+    fleet.run(3000)
+    assert numbers_in_force(fleet) == {6}
+
+
+def test_a_second_restore_is_followed_as_well():
+    fleet = make_fleet(SMALL)
+    for number in (5, 6):
+        lose_writes(fleet, 2)
+        fleet.run(3000)
+        fleet.store.publish(number)
+        fleet.run(2000)
+        assert numbers_in_force(fleet) == {number}
