Keep targets that a restored store lacks until they may register again

What callers would see: targets that registered within the last seconds before a restore drop out at once, and come back a second or two later. Cause: removals are in doubt only after an outage of 2.5 s; a store may come back from a copy within less, and instances that heard of the restore from a peer had no doubt at all. Evidence: test_targets_that_the_copy_lacks_may_register_again failed before. Change: a new era puts removals in doubt as the end of an outage does, however an instance learns of it. Measured: test_store_restored, 11 passed.

--- a/oleanderstair/domain/configuration/store_watch.py
+++ b/oleanderstair/domain/configuration/store_watch.py
@@ -12,7 +12,7 @@
 from oleanderstair.domain import actions, events, world
 from oleanderstair.domain.configuration import routing, store_sync
 from oleanderstair.domain.fleet import member_list, roster_exchange
-from oleanderstair.domain.tables import routes
+from oleanderstair.domain.tables import revisions, routes
 
 READER_COUNT: typing.Final = 2
 """How many instances watch the store in normal operation."""
@@ -146,7 +146,10 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Handle the result of a read of the whole store."""
-    doubt_ms = _record_answer(state, now_ms)
+    is_restored = revisions.era_of(event.registry.revision) > revisions.era_of(
+        state.registry.revision
+    )
+    doubt_ms = _record_answer(state, now_ms, is_restored)
     state.store.history_lost = False
     return [
         *routing.record_refused(state, event.refused, _SOURCE),
@@ -265,15 +268,19 @@
     return min(rank // _RANKS_PER_STEP * _STEP_DELAY_MS, _MAX_STEP_DELAY_MS)
 
 
-def _record_answer(state: world.World, now_ms: clock.Millis) -> clock.Millis:
+def _record_answer(
+    state: world.World, now_ms: clock.Millis, is_restored: bool = False
+) -> clock.Millis:
     """Record that the store answered.
 
     Return for how many ms from now removals remain in doubt: 0 unless the
-    store came back from an outage within ``REMOVAL_DOUBT_MS``.
+    store came back from an outage, or from a copy, within
+    ``REMOVAL_DOUBT_MS``.
     """
     table = state.store
     was_confirmed = table.current_at_ms != clock.NEVER_MS
-    if was_confirmed and now_ms - table.current_at_ms > MIN_OUTAGE_MS:
+    was_away = now_ms - table.current_at_ms > MIN_OUTAGE_MS
+    if was_confirmed and (was_away or is_restored):
         table.returned_at_ms = now_ms
     table.failures_in_row = 0
     table.request_started_at_ms = None
--- a/oleanderstair/domain/targets/registry_updates.py
+++ b/oleanderstair/domain/targets/registry_updates.py
@@ -24,7 +24,7 @@
     table = state.registry
     if event.revision < table.revision:
         return []
-    restores = _record_era(table, event.revision)
+    restores = _record_era(state, event.revision, now_ms)
     present = event.unreadable.union(entry.target_id for entry in event.entries)
     missing = tuple(
         registry.RemovedEntry(entry.target_id, event.revision, event.doubt_ms)
@@ -51,18 +51,23 @@
 
 
 def _record_era(
-    table: registry.RegistryTable, revision: int
+    state: world.World,
+    revision: int,
+    now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Note that the known changes begin with a read of a new era.
 
-    Return an audit entry if the store was restored, nothing at a first read.
+    Removals are then in doubt, as after an outage. Return an audit entry if
+    the store was restored, nothing at a first read.
     """
+    table = state.registry
     era = revisions.era_of(revision)
     if table.revision and era == revisions.era_of(table.revision):
         return []
     table.removals_since_revision = revision
     if not table.revision:
         return []
+    state.store.returned_at_ms = now_ms
     why = 'restored from a copy; the whole store was read'
     return [actions.Audit('store', str(era), 'registry', why)]
 
--- a/test/test_store_restored.py
+++ b/test/test_store_restored.py
@@ -99,6 +99,21 @@
     fleet.run(1500)
 
 
+def test_targets_that_the_copy_lacks_may_register_again():
+    fleet = make_fleet(SMALL)
+
+    def add_targets():
+        fleet.store.put(fleets.entry('late-1'))
+        fleet.store.put(fleets.entry('late-2'))
+
+    restore_after(fleet, add_targets)
+    assert all(shown(fleet, 'late-1') + shown(fleet, 'late-2'))
+    fleet.store.put(fleets.entry('late-1'))
+    fleet.run(5000)
+    assert all(shown(fleet, 'late-1'))
+    assert not any(shown(fleet, 'late-2'))
+
+
 def test_a_leaving_target_that_the_copy_holds_as_ready_stays_leaving():
     fleet = make_fleet(SMALL)
     restore_after(
