Send no calls to a removed target that a restore has brought back

What callers would see: calls to targets that have left and whose entries are in the copy again: they fail, or reach a server that is leaving. Cause: an entry of a new era is newer than the removal that was known. Change: instances remember the incarnation of removed entries. If it is back only by a restore, it gets no calls for 8 s, within which the entry of an ended target expires; a later change of the entry comes from the target itself and ends that. A target that was seen leaving stays leaving, as before.

--- a/oleanderstair/domain/tables/registry.py
+++ b/oleanderstair/domain/tables/registry.py
@@ -50,9 +50,12 @@
     """Entries by target, as of ``revision``; 0 before the first read.
 
     ``removal_revision_by_id`` holds the revisions of removals that came after
-    the revision ``removals_since_revision``. ``leaving_born_ms_by_id`` holds
-    the ``born_ms`` of each target that announced its leaving.
-    ``ids_by_service`` omits a target whose address now belongs to a newer one.
+    the revision ``removals_since_revision``, and ``removed_born_ms_by_id`` the
+    ``born_ms`` of the removed entries. ``leaving_born_ms_by_id`` holds the
+    ``born_ms`` of each target that announced its leaving. A target in
+    ``held_until_ms_by_id`` gets no calls until then, as its entry came back
+    only with a restore of the store. ``ids_by_service`` omits a target whose
+    address now belongs to a newer one.
     """
 
     revision: int = 0
@@ -63,6 +66,10 @@
     pending_removal_by_id: dict[str, PendingRemoval] = msgspec.field(
         default_factory=dict
     )
+    removed_born_ms_by_id: dict[str, int] = msgspec.field(default_factory=dict)
+    held_until_ms_by_id: dict[str, clock.Millis] = msgspec.field(
+        default_factory=dict
+    )
     leaving_born_ms_by_id: dict[str, int] = msgspec.field(default_factory=dict)
     ids_by_service: dict[str, tuple[str, ...]] = msgspec.field(
         default_factory=dict,
--- a/oleanderstair/domain/targets/availability.py
+++ b/oleanderstair/domain/targets/availability.py
@@ -22,8 +22,9 @@
 ) -> bool:
     """Return whether this instance may send a target a call now.
 
-    False if the target is leaving or no longer registered, if it has
-    requested a back-off, or if its rate limit allows no call from here.
+    False if the target is leaving, no longer registered or held back after a
+    restore, if it has requested a back-off, or if its rate limit allows no
+    call from here.
     """
     return not wait_ms(state, target_id, now_ms)
 
@@ -41,8 +42,10 @@
     entry = state.registry.entry_by_id.get(target_id)
     if entry is None or entry.leaving:
         return math.inf
+    held_until_ms = state.registry.held_until_ms_by_id.get(target_id, now_ms)
     load = load_reports.load_of(state.loads, target_id)
     return max(
+        held_until_ms - now_ms,
         backoffs.left_ms(load, now_ms),
         rate_limits.permit_wait_ms(state, target_id, now_ms),
     )
--- a/oleanderstair/domain/targets/registry_updates.py
+++ b/oleanderstair/domain/targets/registry_updates.py
@@ -9,6 +9,12 @@
 MAX_REMEMBERED_TARGETS: typing.Final = 4096
 """The maximum number of removed entries, and of leaving targets, in memory."""
 
+RESTORED_HOLD_MS: typing.Final[clock.Millis] = 8000
+"""How long a removed target that is back after a restore gets no calls.
+
+The entry of a target that has ended expires again within this time.
+"""
+
 
 def on_registry_read(
     state: world.World,
@@ -99,7 +105,7 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     table = state.registry
-    records = [_apply_entry(state, entry) for entry in event.entries]
+    records = [_apply_entry(state, entry, now_ms) for entry in event.entries]
     records.extend(
         _apply_removal(table, removal, now_ms) for removal in event.gone
     )
@@ -114,6 +120,7 @@
 def _apply_entry(
     state: world.World,
     entry: registry.Entry,
+    now_ms: clock.Millis,
 ) -> actions.Action | None:
     """Adopt an entry if it is newer than the known state of its target.
 
@@ -146,11 +153,41 @@
     if previous is not None and previous.born_ms != entry.born_ms:
         load_reports.reset_load(state.loads, target_id)
     table.entry_by_id[target_id] = entry
+    is_held = _hold_if_restored(table, entry, now_ms)
     table.removal_revision_by_id.pop(target_id, None)
+    table.removed_born_ms_by_id.pop(target_id, None)
     table.pending_removal_by_id.pop(target_id, None)
+    if is_held:
+        return _audit_target(target_id, 'back with a restore; gets no calls')
     return _audit_target(target_id, _describe_change(previous, entry))
 
 
+def _hold_if_restored(
+    table: registry.RegistryTable,
+    entry: registry.Entry,
+    now_ms: clock.Millis,
+) -> bool:
+    """Hold back a removed target whose entry only a restore has brought back.
+
+    A later change of the entry comes from the target itself and ends that.
+    """
+    target_id = entry.target_id
+    removed_born_ms = table.removed_born_ms_by_id.get(target_id)
+    removal_era = revisions.era_of(
+        table.removal_revision_by_id.get(target_id, entry.revision)
+    )
+    is_held = (
+        removed_born_ms is not None
+        and entry.born_ms <= removed_born_ms
+        and removal_era < revisions.era_of(entry.revision)
+    )
+    if is_held:
+        table.held_until_ms_by_id[target_id] = now_ms + RESTORED_HOLD_MS
+    else:
+        table.held_until_ms_by_id.pop(target_id, None)
+    return is_held
+
+
 def _apply_removal(
     table: registry.RegistryTable,
     removal: registry.RemovedEntry,
@@ -165,6 +202,7 @@
     table.removal_revision_by_id[target_id] = removal.revision
     if previous is None:
         return None
+    table.removed_born_ms_by_id[target_id] = previous.born_ms
     if removal.doubt_ms:
         remove_at_ms = now_ms + removal.doubt_ms
         table.pending_removal_by_id[target_id] = registry.PendingRemoval(
@@ -193,6 +231,7 @@
     while len(table.removal_revision_by_id) > MAX_REMEMBERED_TARGETS:
         oldest = next(iter(table.removal_revision_by_id))
         revision = table.removal_revision_by_id.pop(oldest)
+        table.removed_born_ms_by_id.pop(oldest, None)
         table.removals_since_revision = max(
             table.removals_since_revision, revision
         )
--- a/test/test_store_restored.py
+++ b/test/test_store_restored.py
@@ -6,6 +6,7 @@
 import anyio
 import pytest
 
+from oleanderstair.domain.targets import availability
 from oleanderstair.emulator import published
 from test import fleets, helper, loopback_node
 
@@ -87,6 +88,14 @@
     ]
 
 
+def accepting(fleet, target_id):
+    """Return how many instances may send a target a call."""
+    return sum(
+        availability.accepts_calls(instance.state, target_id, fleet.now_ms)
+        for instance in fleet.living
+    )
+
+
 def restore_after(fleet, change):
     """Restore the store to what it was before a change."""
     copy = fleet.store.copy()
@@ -114,6 +123,33 @@
     assert not any(shown(fleet, 'late-2'))
 
 
+def test_a_removed_target_that_the_copy_holds_gets_no_calls():
+    fleet = make_fleet(SMALL)
+    restore_after(fleet, lambda: fleet.store.end('7'))
+    assert all(shown(fleet, '7'))
+    assert not accepting(fleet, '7')
+    assert accepting(fleet, '8') == 20
+    fleet.store.end('7')
+    fleet.run(4000)
+    assert not any(shown(fleet, '7'))
+
+
+def test_a_removed_target_that_lives_gets_calls_again():
+    fleet = make_fleet(SMALL)
+
+    def end_targets():
+        fleet.store.end('7')
+        fleet.store.end('8')
+
+    restore_after(fleet, end_targets)
+    fleet.store.put(fleets.entry('8'))
+    fleet.run(500)
+    assert not accepting(fleet, '7')
+    assert accepting(fleet, '8') == 20
+    fleet.run(8000)
+    assert accepting(fleet, '7') == 20
+
+
 def test_a_leaving_target_that_the_copy_holds_as_ready_stays_leaving():
     fleet = make_fleet(SMALL)
     restore_after(
