Let no earlier incarnation from a restored copy replace a target

What callers would see: a target that restarted within the last seconds before a restore is used as what it was before, without what is known of its new start. Cause: an entry of a new era is newer than the known one, also where the copy is older than the restart. Evidence: test_an_earlier_incarnation_in_the_copy_does_not_replace_a_later_one failed before (some instances had the earlier one, some the later). Change: in a read of the whole store, an entry of an earlier start than that known from before the restore is left out. Changes count as they come.

--- a/oleanderstair/domain/targets/registry_updates.py
+++ b/oleanderstair/domain/targets/registry_updates.py
@@ -25,7 +25,8 @@
 
     They are removed after ``doubt_ms``, as they may come back after an
     outage. An unreadable entry counts as present, so the last good one is
-    kept.
+    kept. After a restore of the store, an entry of an earlier incarnation
+    than the known one is ignored.
     """
     table = state.registry
     if event.revision < table.revision:
@@ -37,9 +38,12 @@
         for entry in table.entry_by_id.values()
         if entry.target_id not in present and entry.revision <= event.revision
     )
+    entries = tuple(
+        entry for entry in event.entries if not _is_superseded(table, entry)
+    )
     changed = events.RegistryChanged(
         event.revision,
-        event.entries,
+        entries,
         (*missing, *event.gone),
     )
     return [*restores, *_apply_change(state, changed, now_ms)]
@@ -78,6 +82,16 @@
     return [actions.Audit('store', str(era), 'registry', why)]
 
 
+def _is_superseded(
+    table: registry.RegistryTable, entry: registry.Entry
+) -> bool:
+    """Return whether a later incarnation is known from before a restore."""
+    known = table.entry_by_id.get(entry.target_id)
+    if known is None or entry.born_ms >= known.born_ms:
+        return False
+    return revisions.era_of(known.revision) < revisions.era_of(entry.revision)
+
+
 def on_tick(
     state: world.World,
     event: events.Tick,
--- a/test/test_store_restored.py
+++ b/test/test_store_restored.py
@@ -158,6 +158,15 @@
     assert all(entry.leaving for entry in shown(fleet, '6'))
 
 
+def test_an_earlier_incarnation_in_the_copy_does_not_replace_a_later_one():
+    fleet = make_fleet(SMALL)
+    restore_after(fleet, lambda: fleet.store.put(fleets.entry('5', born_ms=9)))
+    assert {entry.born_ms for entry in shown(fleet, '5')} == {9}
+    fleet.store.put(fleets.entry('5', born_ms=9))
+    fleet.run(5000)
+    assert {entry.born_ms for entry in shown(fleet, '5')} == {9}
+
+
 def test_a_restore_takes_few_calls_of_the_store():
     fleet = make_fleet(SMALL)
     lose_writes(fleet, 3)
