Play a restored store and limited targets at each step of the gateway matrix

The store comes back from a copy, and what was lost is written again a second later; a target limits its calls. 24 cells and 40 pairs more; the pairs drawn before stay.

--- a/test/gateway_faults.py
+++ b/test/gateway_faults.py
@@ -2,11 +2,17 @@
 
 import typing
 
-from oleanderstair.emulator import gateway_fleet, gateway_targets
+from oleanderstair.emulator import (
+    gateway_fleet,
+    gateway_targets,
+    watched_store,
+)
 
 FAULT_MS = 2500
 BACK_MS = 1500
 SLOW_MS = 1500
+REWRITE_MS = 1000
+LIMIT_PER_S = 2
 
 Fleet: typing.TypeAlias = gateway_fleet.GatewayFleet
 Heal: typing.TypeAlias = typing.Callable[[], None]
@@ -69,6 +75,44 @@
     return _nothing
 
 
+def _store_restored(fleet: Fleet, actor: str, target_id: str) -> Heal:
+    copy = fleet.store.copy()
+
+    def restore() -> None:
+        lost = fleet.store.copy()
+        fleet.store.restore(copy)
+        fleet.stores.cut_watches()
+        fleet.times.after(REWRITE_MS, lambda: _write_again(fleet, lost))
+        # The entries of targets that have ended expire again.
+        fleet.times.after(
+            gateway_fleet.EXPIRY_MS,
+            lambda: _expire_ended(fleet),
+        )
+
+    return restore
+
+
+def _write_again(fleet: Fleet, lost: watched_store.Copy) -> None:
+    if lost.routing is not None:
+        fleet.store.publish(lost.routing)
+    for target in fleet.target_by_id.values():
+        if target.behaviour is not gateway_targets.Behaviour.GONE:
+            fleet.register(target)
+
+
+def _expire_ended(fleet: Fleet) -> None:
+    for target_id in tuple(fleet.store.entry_by_id):
+        target = fleet.target_by_id[target_id]
+        if target.behaviour is gateway_targets.Behaviour.GONE:
+            fleet.store.remove(target_id)
+
+
+def _limit_target(fleet: Fleet, actor: str, target_id: str) -> Heal:
+    target = fleet.target_by_id[target_id]
+    target.limit_per_s = LIMIT_PER_S
+    return lambda: setattr(target, 'limit_per_s', None)
+
+
 def _store_refuses(fleet: Fleet, actor: str, target_id: str) -> Heal:
     fleet.store.refused_ids.add(actor)
     return fleet.store.refused_ids.clear
@@ -121,6 +165,8 @@
     'store-silent': Fault(_store_silent, 'store'),
     'store-slow': Fault(_store_slow, 'store'),
     'store-forgets': Fault(_store_forgets, 'store'),
+    'store-restored': Fault(_store_restored, 'store'),
+    'target-limited': Fault(_limit_target),
     'store-refuses': Fault(_store_refuses, 'actor'),
     'instance-killed': Fault(_kill, 'actor'),
     'instance-frozen': Fault(_freeze, 'actor'),
--- a/test/test_gateway_matrix.py
+++ b/test/test_gateway_matrix.py
@@ -8,14 +8,25 @@
 from test import gateway_faults, gateway_matrix
 
 NAMES = sorted(gateway_faults.FAULT_BY_NAME)
-PAIRS = random.Random(1).sample(
-    [
+LATER_NAMES = ('store-restored', 'target-limited')
+
+
+def draw_pairs(names, needed, count):
+    """Draw pairs of faults at steps, one of them among the needed ones."""
+    pairs = [
         (step, *pair)
         for step in gateway_matrix.STEP_BY_NAME
-        for pair in itertools.combinations(NAMES, 2)
-    ],
-    40,
-)
+        for pair in itertools.combinations(names, 2)
+        if set(pair) & set(needed)
+    ]
+    return random.Random(1).sample(pairs, count)
+
+
+EARLIER_NAMES = [name for name in NAMES if name not in LATER_NAMES]
+PAIRS = [
+    *draw_pairs(EARLIER_NAMES, EARLIER_NAMES, 40),
+    *draw_pairs(NAMES, LATER_NAMES, 40),
+]
 
 
 @pytest.mark.parametrize('fault', NAMES)
