Let the soak restore its store from a copy

The store goes away for 0.4 s and comes back without a configuration that instances know; 0.8 s later the next configuration is the first that is written, then all targets write their entries again. A restore excuses bounds of the configuration as a disruption of the store does, and of a leaving only where it was written meanwhile.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,7 +3,7 @@
 import math
 import typing
 
-from soak import bounds, record
+from soak import bounds, plan, record
 
 NOT_RUN: typing.Final = frozenset((408, 421, 429, 503))
 DENIALS: typing.Final = frozenset(range(300, 500)) - NOT_RUN
@@ -117,6 +117,11 @@
         left_s = _left_s(seen, run)
         if call is None or left_s == NEVER_S:
             continue
+        if record.touches(
+            seen.harmed, {plan.STORE_PLACE}, left_s, left_s + bounds.LEAVE_S
+        ):
+            # The store may have lost what the target wrote.
+            continue
         if _is_in_touch(seen, call, f'target:{run.target}'):
             late = f'{run.target} after {run.at_s - left_s:.2f} s'
             told = f'{_told(call)} reached {late}'
@@ -185,7 +190,11 @@
     for call in _version_calls(seen):
         late_s = call.sent_s - known_s_by_version[call.version]
         is_late = late_s > bounds.CONFIGURATION_S
-        if call.status == MISSING and is_late and _is_in_touch(seen, call):
+        if (
+            call.status == MISSING
+            and is_late
+            and _is_in_touch(seen, call, plan.STORE_PLACE)
+        ):
             told = f'{_told(call)} after {late_s:.2f} s'
             calm_s = call.sent_s - bounds.STABLE_S
             yield Finding('not-in-force', told, calm_s, call.ended_s)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -7,6 +7,7 @@
 from oleanderstair import clock
 
 INSTANCES: typing.Final = tuple(f'entry-{number}' for number in range(1, 5))
+STORE_PLACE: typing.Final = 'store'
 TARGETS: typing.Final = tuple(
     f'{service}-{number}'
     for service in ('burza', 'sklad')
@@ -39,10 +40,12 @@
     PUBLISH = 'publish'
     LEAVE = 'leave'
     LIMIT = 'limit'
+    RESTORE = 'restore'
 
 
 OPERATOR: typing.Final = (Kind.PUBLISH, Kind.LEAVE, Kind.LIMIT)
 PLANNED: typing.Final = (Kind.STOP, Kind.RELOAD, *OPERATOR)
+STORE: typing.Final = (Kind.RESTORE,)
 SIGNALS: typing.Final = (Kind.STOP, Kind.KILL, Kind.PAUSE, Kind.RELOAD)
 LINKS: typing.Final = (
     Kind.DELAY,
@@ -53,9 +56,9 @@
 )
 _SCENES: typing.Final = (
     PLANNED,
-    SIGNALS + OPERATOR,
-    LINKS + OPERATOR,
-    SIGNALS + LINKS + OPERATOR,
+    SIGNALS + STORE + OPERATOR,
+    LINKS + STORE + OPERATOR,
+    SIGNALS + LINKS + STORE + OPERATOR,
 )
 
 
@@ -116,7 +119,9 @@
     if kind in SIGNALS:
         return Fault(kind, rng.choice(INSTANCES), at_ms, span_ms)
     if kind is Kind.PUBLISH:
-        return Fault(kind, 'store', at_ms, 0)
+        return Fault(kind, STORE_PLACE, at_ms, 0)
+    if kind is Kind.RESTORE:
+        return Fault(kind, STORE_PLACE, at_ms, span_ms)
     if kind is Kind.LEAVE:
         # It serves on for longer than the bound after which nothing comes.
         return Fault(kind, rng.choice(TARGETS), at_ms, _LEAVE_SPAN_MS)
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -21,6 +21,8 @@
 _POLL_S: typing.Final = 0.1
 _FAR_S: typing.Final = 60
 _TICK_S: typing.Final = 0.02
+_STORE_AWAY_S: typing.Final = 0.4
+_REWRITE_S: typing.Final = 0.8
 _NS_PER_MS: typing.Final = 1_000_000
 
 Tell: typing.TypeAlias = typing.Callable[..., None]
@@ -74,6 +76,7 @@
         default_factory=dict,
     )
     born_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
+    state_by_id: dict[str, str] = dataclasses.field(default_factory=dict)
     version: int = 0
 
     def serve(self, app: typing.Any) -> str:
@@ -93,19 +96,28 @@
     def publish(self) -> None:
         """Publish the next configuration; the store confirms at once."""
         self.version += 1
-        number = self.version
-        self.kept.put(documents.CONFIGURATION_KEY, _configuration(number))
-        self.seen.published.append((number, anyio.current_time()))
+        document = _configuration(self.version)
+        self.kept.put(documents.CONFIGURATION_KEY, document)
+        self.seen.published.append((self.version, anyio.current_time()))
 
     def register(self, target_id: str, state: str) -> None:
         """Let a target say of itself what it is."""
         if state == 'ready':
             # Who comes back after leaving has started anew.
             self.born_by_id[target_id] = time.time_ns() // _NS_PER_MS
+        self.state_by_id[target_id] = state
+        self._write_entry(target_id)
+
+    def write_entries(self) -> None:
+        """Write again what the targets have last written."""
+        for target_id in self.state_by_id:
+            self._write_entry(target_id)
+
+    def _write_entry(self, target_id: str) -> None:
         entry = published.entry(
             self.link_by_name[f'target:{target_id}'].near,
             service=target_id.rpartition('-')[0],
-            state=state,
+            state=self.state_by_id[target_id],
             born=self.born_by_id[target_id],
         )
         self.kept.put(f'{documents.TARGET_PREFIX}{target_id}', entry)
@@ -324,6 +336,26 @@
     target.limit = b''
 
 
+async def _restore(scene: Scene, fault: plan.Fault) -> None:
+    """Let the store come back from a copy as old as the fault is long.
+
+    The copy lacks a configuration that instances know. The next one is the
+    first that is written afterwards.
+    """
+    copy = scene.kept.copy()
+    await anyio.sleep(clock.to_seconds(fault.span_ms))
+    scene.publish()
+    await anyio.sleep(_STORE_AWAY_S)
+    with _noted(scene.seen.harmed, fault.where):
+        scene.kept.fault = store.Fault.DOWN
+        await anyio.sleep(_STORE_AWAY_S)
+        scene.kept.restore(copy)
+        scene.kept.fault = store.Fault.NONE
+        await anyio.sleep(_REWRITE_S)
+        scene.publish()
+        scene.write_entries()
+
+
 async def _harm(scene: Scene, fault: plan.Fault) -> None:
     link = scene.link_by_name[fault.where]
     with link.harmed(fault):
@@ -335,9 +367,14 @@
     typing.Coroutine[typing.Any, typing.Any, None],
 ]
 _NOT_STRIKING: typing.Final = frozenset(
-    (plan.Kind.RELOAD, plan.Kind.LEAVE, plan.Kind.LIMIT),
+    (
+        plan.Kind.RELOAD,
+        plan.Kind.LEAVE,
+        plan.Kind.LIMIT,
+        plan.Kind.RESTORE,
+    ),
 )
-"""The kinds of faults that excuse no instance."""
+"""The kinds of faults that excuse no instance for as long as they take."""
 
 _STRIKE_BY_KIND: typing.Final[dict[plan.Kind, _Strike]] = {
     plan.Kind.STOP: _stop,
@@ -346,6 +383,7 @@
     plan.Kind.RELOAD: _reload,
     plan.Kind.LEAVE: _leave,
     plan.Kind.LIMIT: _limit,
+    plan.Kind.RESTORE: _restore,
     **dict.fromkeys(plan.LINKS, _harm),
 }
 
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -15,9 +15,9 @@
 from oleanderstair.emulator import store
 from soak import bounds, checks, command, plan, proxy, record
 
-SEEDS = (4, 7)
+SEEDS = (4, 7, 10)
 """Two stops, a new configuration and a rate limit; a pause, a silent link and a
-reload."""
+reload; targets that leave, a restore of the store and a new configuration."""
 
 SECONDS = 4
 
