--- a/bench/gateway_capacity.py
+++ b/bench/gateway_capacity.py
@@ -26,6 +26,7 @@
     instances,
     load_reports,
     registry,
+    revisions,
     routes,
     store,
 )
@@ -35,6 +36,7 @@
 _TARGETS: typing.Final = (30, 300, 1800)
 _INSTANCES: typing.Final = (20, 200, 1000)
 _PLACES: typing.Final = 13
+_ERA: typing.Final = 1
 _TARGETS_A_SERVICE: typing.Final = 16
 _FEW_TARGETS: typing.Final = 30
 _FEW_INSTANCES: typing.Final = 20
@@ -69,7 +71,9 @@
     state.members.started_ms = 1
     gateway.step(state, events.RoutingRead(_routing(target_count), 'store'), 0)
     entries = tuple(map(_entry, range(target_count)))
-    gateway.step(state, events.RegistryRead(target_count, entries), 0)
+    gateway.step(
+        state, events.RegistryRead(_revision(target_count), entries), 0
+    )
     for number in range(1, instance_count):
         member_list.adopt_row(state, _member(number), 0)
     for other in range(1, min(_PLACES, instance_count)):
@@ -290,10 +294,14 @@
         leaving=False,
         born_ms=1_700_000_000_000 + number,
         slow_start_until_ms=0,
-        revision=number + 1,
+        revision=_revision(number + 1),
     )
 
 
+def _revision(number: int) -> int:
+    return revisions.combine(_ERA, number)
+
+
 def _routing(target_count: int) -> routes.Routing:
     """Return a configuration with one route to each service."""
     count = -(-target_count // _TARGETS_A_SERVICE)
