Hold back only targets that were removed, not those whose removal is in doubt

What callers would see: a target that was missing for a moment after an outage gets no calls for 8 s if the store is then restored. Cause: the incarnation was remembered as removed while its removal was still in doubt. Evidence: test_a_target_that_is_missing_for_a_moment_is_not_held_back failed before. Change: it is remembered when the entry is dropped. Measured: test_store_restored, 15 passed.

--- a/oleanderstair/domain/targets/registry_updates.py
+++ b/oleanderstair/domain/targets/registry_updates.py
@@ -216,7 +216,6 @@
     table.removal_revision_by_id[target_id] = removal.revision
     if previous is None:
         return None
-    table.removed_born_ms_by_id[target_id] = previous.born_ms
     if removal.doubt_ms:
         remove_at_ms = now_ms + removal.doubt_ms
         table.pending_removal_by_id[target_id] = registry.PendingRemoval(
@@ -225,6 +224,7 @@
         return _audit_target(target_id, 'missing after an outage')
     table.pending_removal_by_id.pop(target_id, None)
     table.entry_by_id.pop(target_id)
+    table.removed_born_ms_by_id[target_id] = previous.born_ms
     return _audit_target(target_id, 'gone')
 
 
--- a/test/test_store_restored.py
+++ b/test/test_store_restored.py
@@ -150,6 +150,20 @@
     assert accepting(fleet, '7') == 20
 
 
+def test_a_target_that_is_missing_for_a_moment_is_not_held_back():
+    fleet = make_fleet(SMALL)
+    copy = fleet.store.copy()
+    fleet.store.down = True
+    fleet.store.end('7')
+    fleet.run(4000)
+    fleet.store.down = False
+    fleet.run(1000)
+    # Its removal is in doubt as the store is restored.
+    fleet.store.restore(copy)
+    fleet.run(1000)
+    assert accepting(fleet, '7') == 20
+
+
 def test_a_leaving_target_that_the_copy_holds_as_ready_stays_leaving():
     fleet = make_fleet(SMALL)
     restore_after(
