Judge the status of a watch before its era, and look at all targets less often

A watch that the store answers 503 without its era said "a response of the past era" in the log, and with a later era it led to a read of all; now the status counts first. A malformed era is a failed request (four cases over HTTP). A call that was compared with targets that accept calls is queued without a look at all targets of its service. Imports and two texts are put in order.

--- a/oleanderstair/domain/calls/routed_queueing.py
+++ b/oleanderstair/domain/calls/routed_queueing.py
@@ -93,9 +93,11 @@
     call = state.routed.call_by_id.get(event.call_id)
     if call is None:
         return []
-    wait_ms = availability.service_wait_ms(
-        state, call.service, now_ms, call.tried_target_ids
-    )
+    wait_ms: clock.Millis = 0
+    if not call.sampled_target_ids:
+        wait_ms = availability.service_wait_ms(
+            state, call.service, now_ms, call.tried_target_ids
+        )
     if now_ms + wait_ms < _max_queued_until_ms(state, call, now_ms):
         return _queue_call(state, call, now_ms)
     return routed_answering.relay_failure_or_refuse(
--- a/oleanderstair/domain/targets/availability.py
+++ b/oleanderstair/domain/targets/availability.py
@@ -1,4 +1,8 @@
-"""Decides when a target accepts calls from this instance, by its own word."""
+"""Decides when targets accept calls from this instance.
+
+A target may be leaving, request a back-off or limit its requests, and a target
+that only a restore of the store has brought back is held back for a while.
+"""
 
 import math
 import typing
--- a/oleanderstair/domain/targets/rate_limits.py
+++ b/oleanderstair/domain/targets/rate_limits.py
@@ -15,10 +15,16 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, messages, outcomes, world
+from oleanderstair.domain import (
+    actions,
+    events,
+    messages,
+    outcomes,
+    rendezvous,
+    world,
+)
 from oleanderstair.domain.fleet import broadcast, host_assignment
 from oleanderstair.domain.tables import budgets, calls, rate_limits, registry
-from oleanderstair.domain import rendezvous
 
 MIN_UNNAMED_ANSWERS: typing.Final = 2
 """The number of successful answers in a row without a limit that end it."""
@@ -31,8 +37,8 @@
 """
 
 BROADCAST_SPACING_MS: typing.Final[clock.Millis] = 50
-"""The interval between two broadcasts of all instances together that lets the
-interval of one limit grow with the number of limits."""
+"""The interval for each known limit, so that many of them are broadcast less
+often."""
 
 LIMIT_KEPT_MS: typing.Final[clock.Millis] = 120_000
 """How long a limit holds after an answer last showed it."""
--- a/oleanderstair/platform/store.py
+++ b/oleanderstair/platform/store.py
@@ -106,12 +106,15 @@
     def _watched_of(
         self, response: _Response, after_revision: int
     ) -> events.StoreChanged | events.HistoryLost:
-        era_rise = response.era - revisions.era_of(after_revision)
-        if response.status == _GONE or era_rise > 0:
+        if response.status == _GONE:
             return events.HistoryLost()
-        if era_rise < 0:
+        changes = _decode_changes(response)
+        known_era = revisions.era_of(after_revision)
+        if response.era < known_era:
             raise StoreError(f'a response of the past era {response.era}')
-        return self._store_changed_of(_decode_changes(response))
+        if response.era > known_era:
+            return events.HistoryLost()
+        return self._store_changed_of(changes)
 
     async def _read_all_pages(self, bound_ms: clock.Millis) -> list[_Page]:
         for _ in range(_MAX_READS):
--- a/test/test_store_restored.py
+++ b/test/test_store_restored.py
@@ -80,6 +80,27 @@
     anyio.run(scene)
 
 
+@pytest.mark.parametrize('era', ['x', '-1', '9' * 30, ''])
+def test_a_malformed_era_is_a_failed_request(era):
+    async def scene():
+        async with loopback_node.run_ready_node() as fixture:
+            runtime = fixture.node.runtime
+            fixture.store.era = era
+            fixture.store.put('servers/i-0', {})
+            await helper.wait_until(
+                lambda: runtime.state.store.failures_in_row > 0
+            )
+            answer = await loopback_node.send_request(fixture.address)
+            assert answer.status == 200
+            fixture.store.era = 1
+            fixture.store.put('op/config', loopback_node.configuration(2))
+            await helper.wait_until(
+                lambda: runtime.state.routes.in_force.number == 2
+            )
+
+    anyio.run(scene)
+
+
 def shown(fleet, target_id):
     """Return the entry of a target at each instance, None where unknown."""
     return [
