Give a bad request of a test the time to arrive on a new connection

Cause: the listener of the test closes a connection after 200 ms without a request, as it should. If the test's process stands still for longer just after the connection is accepted, the idle timeout is due before the client sends. Evidence: with a hold of 0.25 s put into connection_made (a trial) the old test fails in the same way, with the idle timeout as the cause; with 0.1 s it passes. Change: the idle timeout of this test is 5 s. What it checks, a refusal with its status and a close by the listener, doesn't depend on it and is as strict as before. With a hold of 0.25 s and 0.5 s it passes. Measured: test_listener, 18 passed.

--- a/test/test_listener.py
+++ b/test/test_listener.py
@@ -73,7 +73,9 @@
 )
 def test_bad_request_is_refused_and_closed(pieces, status):
     async def scenario():
-        async with serving() as (address, _):
+        # The process may stand still before the first byte is sent.
+        long_idle = BOUNDS._replace(idle_ms=5000)
+        async with serving(long_idle) as (address, _):
             assert (
                 refusal_of(await raw.send_and_receive(address, *pieces))
                 == status
