--- a/test/test_grace_period_stop.py
+++ b/test/test_grace_period_stop.py
@@ -77,3 +77,13 @@
 def test_second_stop_request_changes_nothing(stopping):
     gateway.step(stopping, events.StopRequested(), 5000)
     assert is_exiting(stopping, GRACE_MS - 300)
+
+
+def test_a_signal_that_came_during_a_pause_does_not_outlast_the_kill():
+    # The supervisor counts the grace period from the signal, which a paused
+    # process handles only when it runs again.
+    state = world.create(OWN, policy.Policy(stop_grace_s=6), random.Random(1))
+    state.instances.phase = instances.Phase.SERVING
+    gateway.step(state, events.Tick(), 0)
+    gateway.step(state, events.StopRequested(), 3000)
+    assert is_exiting(state, GRACE_MS - 200)
