Decide in one place whether a call without a free slot waits or is refused

The dispatch and the queue each looked at when the targets of a service accept calls, and each had the same refusal. Now the dispatch says that no target has a free slot, and the queue decides. The refusal, its reason and its retry-after are the same.

--- a/oleanderstair/domain/calls/routed_dispatching.py
+++ b/oleanderstair/domain/calls/routed_dispatching.py
@@ -1,16 +1,14 @@
 """Dispatches routed calls: samples load reports, then chooses a target."""
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, outcomes, world
+from oleanderstair.domain import actions, events, world
 from oleanderstair.domain.calls import (
     retry_budget,
-    routed_answering,
     routed_hedges,
     slot_use,
 )
 from oleanderstair.domain.tables import calls, load_reports, registry, routed
 from oleanderstair.domain.targets import (
-    availability,
     rate_limits,
     sampling,
     slot_estimates,
@@ -132,9 +130,9 @@
 ) -> list[actions.Action]:
     """Dispatch a call to the best sampled target.
 
-    If none is good enough, draw a wider sample once. If none has a usable
-    free slot, queue the call. If there is no target at all, relay an earlier
-    error response or refuse the call. A hedge is rescheduled instead.
+    If none is good enough, draw a wider sample once. If there is none with a
+    usable free slot, the call is queued or refused. A hedge is rescheduled
+    instead.
     """
     call = call._replace(awaited_target_ids=frozenset())
     state.routed.call_by_id[call.call_id] = call
@@ -165,16 +163,7 @@
         now_ms,
     ):
         return dispatch_to_target(state, call, chosen.target_id, now_ms)
-    if call.sampled_target_ids or availability.service_wait_ms(
-        state, call.service, now_ms, call.tried_target_ids
-    ):
-        return [actions.Notify(events.RoomMissing(call.call_id))]
-    return routed_answering.relay_failure_or_refuse(
-        state,
-        call,
-        outcomes.Reason.NO_TARGET,
-        availability.retry_after_ms(state, call.service, now_ms),
-    )
+    return [actions.Notify(events.RoomMissing(call.call_id))]
 
 
 def _dispatch_hedge(
--- a/oleanderstair/domain/calls/routed_queueing.py
+++ b/oleanderstair/domain/calls/routed_queueing.py
@@ -87,18 +87,19 @@
 ) -> list[actions.Action]:
     """Queue a call for which no target has a free slot.
 
-    If no target accepts calls while it may be queued, relay an earlier error
-    response or refuse it.
+    If there is no target, or none accepts calls while it may be queued, relay
+    an earlier error response or refuse it.
     """
     call = state.routed.call_by_id.get(event.call_id)
     if call is None:
         return []
-    wait_ms: clock.Millis = 0
-    if not call.sampled_target_ids:
-        wait_ms = availability.service_wait_ms(
-            state, call.service, now_ms, call.tried_target_ids
-        )
-    if now_ms + wait_ms < _max_queued_until_ms(state, call, now_ms):
+    if call.sampled_target_ids:
+        return _queue_call(state, call, now_ms)
+    wait_ms = availability.service_wait_ms(
+        state, call.service, now_ms, call.tried_target_ids
+    )
+    left_ms = _max_queued_until_ms(state, call, now_ms) - now_ms
+    if 0 < wait_ms < left_ms:
         return _queue_call(state, call, now_ms)
     return routed_answering.relay_failure_or_refuse(
         state,
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -54,7 +54,7 @@
 
 
 class RoomMissing(typing.NamedTuple):
-    """None of the sampled targets of a call has a usable free slot."""
+    """No target of a call, if there is any, has a usable free slot."""
 
     call_id: int
 
