Judge in one place whether an attempt was a success

The same two conditions stood in attempt_feedback, service_loads and ramps, and the rate limits wrote them once more; events.is_success serves all four. backoffs had two functions on the end of a back-off, one of which said whether the other is above 0. Nothing is judged otherwise.

--- a/oleanderstair/domain/calls/attempt_feedback.py
+++ b/oleanderstair/domain/calls/attempt_feedback.py
@@ -1,7 +1,7 @@
 """Updates the statistics of routes and targets after each attempt."""
 
 from oleanderstair import clock
-from oleanderstair.domain import events, outcomes, world
+from oleanderstair.domain import events, world
 from oleanderstair.domain.calls import retry_budget, routed_retries
 from oleanderstair.domain.tables import calls, latencies, routed
 from oleanderstair.domain.targets import (
@@ -35,7 +35,7 @@
         if shed_with_free_slots:
             penalty = outlier_detection.SHED_WITH_FREE_SLOTS_PENALTY
             outlier_detection.record_failure(state, target_id, penalty, now_ms)
-    elif _is_success(event):
+    elif events.is_success(event):
         outlier_detection.record_success(state, target_id, now_ms)
         _record_slowdown(state, call, ended, event, now_ms)
         _record_latency(state, call, ended, now_ms)
@@ -63,12 +63,6 @@
     )
 
 
-def _is_success(event: events.AttemptEnded) -> bool:
-    if event.verdict is not events.Verdict.ANSWERED:
-        return False
-    return event.status < outcomes.MIN_ERROR_STATUS
-
-
 def _record_latency(
     state: world.World,
     call: routed.RoutedCall,
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -136,6 +136,12 @@
     stale: bool = False
 
 
+def is_success(ended: AttemptEnded) -> bool:
+    """Return whether a target answered an attempt without a server error."""
+    is_answered = ended.verdict is Verdict.ANSWERED
+    return is_answered and ended.status < outcomes.MIN_ERROR_STATUS
+
+
 class HomeReplied(typing.NamedTuple):
     """The home of a forwarded call answered; the shell keeps the response.
 
--- a/oleanderstair/domain/targets/backoffs.py
+++ b/oleanderstair/domain/targets/backoffs.py
@@ -26,7 +26,7 @@
     backoff_ms = min(event.rest_ms, state.policy.rest_limit_ms)
     until_ms = max(load.backoff_until_ms, now_ms + backoff_ms)
     load_reports.put_load(state.loads, load._replace(backoff_until_ms=until_ms))
-    if is_in_backoff(load, now_ms):
+    if left_ms(load, now_ms):
         return []
     requested_text = (
         '' if backoff_ms == event.rest_ms else f' of {event.rest_ms:.0f}'
@@ -35,11 +35,6 @@
     return [actions.Audit('target', event.target_id, 'answer', why)]
 
 
-def is_in_backoff(load: load_reports.Load, now_ms: clock.Millis) -> bool:
-    """Return whether a target has requested a back-off that still lasts."""
-    return now_ms < load.backoff_until_ms
-
-
 def left_ms(load: load_reports.Load, now_ms: clock.Millis) -> clock.Millis:
     """Return the ms until a target's back-off ends, 0 if there is none."""
     return max(load.backoff_until_ms - now_ms, 0)
--- a/oleanderstair/domain/targets/ramps.py
+++ b/oleanderstair/domain/targets/ramps.py
@@ -7,7 +7,7 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, messages, outcomes, world
+from oleanderstair.domain import actions, events, messages, world
 from oleanderstair.domain.targets import ramp_stages
 from oleanderstair.domain.tables import calls, catalogue, instances, targets
 
@@ -135,7 +135,7 @@
     started_at_ms = _attempt_started_at_ms(state, event)
     if started_at_ms < ramp.stage_since_ms:
         return []
-    if _has_failed(event):
+    if not events.is_success(event):
         return ramp_stages.step_back(state, ramp, now_ms)
     if _was_in_time(state, target_id, now_ms - started_at_ms):
         ramp = ramp._replace(served_in_stage=ramp.served_in_stage + 1)
@@ -234,11 +234,6 @@
     return clock.NEVER_MS
 
 
-def _has_failed(event: events.AttemptEnded) -> bool:
-    answered = event.verdict is events.Verdict.ANSWERED
-    return not answered or event.status >= outcomes.MIN_ERROR_STATUS
-
-
 def _was_in_time(
     state: world.World,
     target_id: str,
--- a/oleanderstair/domain/targets/rate_limits.py
+++ b/oleanderstair/domain/targets/rate_limits.py
@@ -19,7 +19,6 @@
     actions,
     events,
     messages,
-    outcomes,
     rendezvous,
     world,
 )
@@ -137,10 +136,7 @@
     limit = limit_of(state, ended.target_id)
     if limit is None or ended.started_at_ms <= limit.known_at_ms:
         return []
-    if (
-        event.verdict is not events.Verdict.ANSWERED
-        or event.status >= outcomes.MIN_ERROR_STATUS
-    ):
+    if not events.is_success(event):
         return []
     unnamed_count = limit.unnamed_count + 1
     if unnamed_count < MIN_UNNAMED_ANSWERS:
--- a/oleanderstair/domain/targets/service_loads.py
+++ b/oleanderstair/domain/targets/service_loads.py
@@ -3,7 +3,7 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import events, outcomes, world
+from oleanderstair.domain import events, world
 from oleanderstair.domain.targets import latency_quantiles
 from oleanderstair.domain.tables import calls, services
 
@@ -56,10 +56,7 @@
     decrement_in_flight(state, call.received.service)
     if event.verdict is events.Verdict.SILENT:
         _raise_longest(state, call.received.service, took_ms)
-    if (
-        event.verdict is not events.Verdict.ANSWERED
-        or event.status >= outcomes.MIN_ERROR_STATUS
-    ):
+    if not events.is_success(event):
         return
     load = services.load_of(state.services, call.received.service)
     learned = latency_quantiles.add_latency(load, took_ms)
