Count the copies of configurations that are sent to peers

The logs told when a configuration was in force and from whom it came, but not how often it was sent, so that one narrow link and repeated copies could not be told apart. Counted are pushes, forwards by relays and answers to requests. The test fleet gets links of a limited rate; its fleets of hundreds can be introduced to each other, in place of a join through one seed.

--- a/oleanderstair/domain/configuration/store_sync.py
+++ b/oleanderstair/domain/configuration/store_sync.py
@@ -41,7 +41,10 @@
     if isinstance(message, messages.StoreAsk):
         requested = store.StorePosition(message.number, message.revision)
         answer = state_update_since(state, requested, now_ms)
-        return _send_to_peer(state, event.sender, answer)
+        return [
+            *_send_to_peer(state, event.sender, answer),
+            *_count_copies(answer, 'answered', 1),
+        ]
     return []
 
 
@@ -64,7 +67,9 @@
     ):
         return done
     update = state_update_since(state, event.before, now_ms)
-    return [*done, *broadcast.forward_message(state, event.sender, update)]
+    forwards = broadcast.forward_message(state, event.sender, update)
+    copies = _count_copies(update, 'forwarded', len(forwards))
+    return [*done, *forwards, *copies]
 
 
 def push_changes(
@@ -74,7 +79,8 @@
 ) -> list[actions.Action]:
     """Push to the fleet what a read of the store changed or confirmed."""
     update = state_update_since(state, before, now_ms)._replace(pushed=True)
-    return broadcast.broadcast_message(state, update)
+    pushes = broadcast.broadcast_message(state, update)
+    return [*pushes, *_count_copies(update, 'pushed', len(pushes))]
 
 
 def state_update_since(
@@ -183,6 +189,15 @@
     )
 
 
+def _count_copies(
+    update: messages.StoreState, label: str, count: int
+) -> list[actions.Action]:
+    """Count the copies of a whole configuration that are sent to peers."""
+    if update.routing is None or not count:
+        return []
+    return [actions.Count('configuration-copies', label, count)]
+
+
 def _send_to_peer(
     state: world.World,
     incarnation: str,
--- a/test/fleets.py
+++ b/test/fleets.py
@@ -3,12 +3,15 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 
 from oleanderstair.domain import actions, events, gateway, policy, world
-from oleanderstair.domain.fleet import codec
+from oleanderstair.domain.configuration import routing as config
+from oleanderstair.domain.fleet import codec, member_list
 from oleanderstair.domain.tables import identity, registry, routes
 from oleanderstair.emulator import watched_store
+from oleanderstair.engine import frame_cache
 
 TICK_MS = 50
 LINK_MS = 1
@@ -50,6 +53,21 @@
     return built._replace(**fields)
 
 
+def large_routing(number, route_count):
+    """Return a configuration with many routes of unlike names."""
+    rng = random.Random(number)
+    hosts = [f'{rng.getrandbits(32):x}.example' for _ in range(90)]
+    rows = [
+        ROUTE._replace(
+            name=f'{rng.getrandbits(32):x}',
+            host=rng.choice(hosts),
+            prefix=f'/{rng.getrandbits(32):x}/{rng.getrandbits(8):x}/',
+        )
+        for _ in range(route_count)
+    ]
+    return routing(number)._replace(routes_by_host=config.index_routes(rows))
+
+
 class Store(watched_store.WatchedStore):
     """The platform's store, which records the instances that call it."""
 
@@ -64,6 +82,9 @@
     def publish(self, number):
         return super().publish(routing(number))
 
+    def publish_large(self, number, route_count):
+        return super().publish(large_routing(number, route_count))
+
     def end(self, target_id):
         assert target_id in self.entry_by_id
         return self.remove(target_id)
@@ -89,6 +110,7 @@
         seed=1,
         start_ms=250,
         capacity_by_id=None,
+        link_bytes_per_ms=math.inf,
         **limits,
     ):
         self.capacity_by_id = capacity_by_id or {}
@@ -104,6 +126,9 @@
         self.seeds = seeds
         self.by_address = {}
         self.cut_pairs = set()
+        self.link_bytes_per_ms = link_bytes_per_ms
+        self._link_free_at_ms = {}
+        self._frames = frame_cache.create()
         self.away_bytes = 0
         self.peer_bytes = 0
         self.peer_messages = 0
@@ -136,6 +161,23 @@
         self.later(self.rng.uniform(0, self.start_ms), self.tick, instance)
         return instance
 
+    def introduce(self):
+        """Let all instances know each other, as after a common start."""
+        rows = [member_list.own_row(instance.state) for instance in self.living]
+        for instance in self.living:
+            own = instance.state.identity
+            table = instance.state.members
+            for row in rows:
+                if row.incarnation == own.incarnation:
+                    continue
+                table.member_by_incarnation[row.incarnation] = row
+                table.beat_rose_at_ms[row.incarnation] = self.now_ms
+                if row.data_centre != own.data_centre:
+                    table.contact_at_ms_by_data_centre[row.data_centre] = (
+                        self.now_ms
+                    )
+            table.version += 1
+
     def at(self, instance_id):
         return self.by_address[f'{instance_id}:1']
 
@@ -200,7 +242,7 @@
     def _send(self, instance, action):
         origin = instance.state.identity
         other = self.by_address.get(action.address)
-        frame = codec.encode(action.message)
+        frame = self._frames.encode(action.message)
         self.peer_bytes += len(frame)
         self.peer_messages += 1
         if other is None or (origin.peer_address, action.address) in (
@@ -211,7 +253,21 @@
             self.away_bytes += len(frame)
         message = codec.decode(frame).ok_value
         event = events.PeerHeard(origin.incarnation, message)
-        self.later(LINK_MS, self.handle, other, event)
+        sent_ms = self._occupy_link(origin.peer_address, len(frame))
+        received_ms = self._occupy_link(
+            f'to {action.address}', len(frame), sent_ms
+        )
+        self.later(received_ms + LINK_MS, self.handle, other, event)
+
+    def _occupy_link(self, link, size, from_ms=0):
+        """Return the ms from now until a frame has passed a link."""
+        took_ms = size / self.link_bytes_per_ms
+        begins_at_ms = max(
+            self.now_ms + max(from_ms - took_ms, 0),
+            self._link_free_at_ms.get(link, 0),
+        )
+        self._link_free_at_ms[link] = begins_at_ms + took_ms
+        return begins_at_ms + took_ms - self.now_ms
 
     def _ask(self, instance, action):
         self.store.calls += 1
