Let the fleet of 311 in the restore tests know each other

The test was wrong: the seed named no instance of the large fleet, so that 311 instances each on its own followed the store and none heard of it from a peer. They are introduced to each other now; bounds and checks are unchanged, and they pass.

--- a/test/test_store_restored.py
+++ b/test/test_store_restored.py
@@ -20,7 +20,9 @@
     fleet.store.publish(4)
     for number in range(1, targets + 1):
         fleet.store.put(fleets.entry(str(number)))
-    fleet.run(8000)
+    fleet.run(1000)
+    fleet.introduce()
+    fleet.run(7000)
     assert numbers_in_force(fleet) == {4}
     return fleet
 
