Send large changes of the store along a tree

Cause: the reader sent the whole change to each instance of its data centre itself, and relays did the same.

Forwarding doesn't wait until the receiver could apply the message, as one that lacks older changes couldn't. Smaller updates go directly, as before.

--- a/oleanderstair/domain/configuration/store_sync.py
+++ b/oleanderstair/domain/configuration/store_sync.py
@@ -2,7 +2,8 @@
 
 This keeps the number of reads of the store small. A reader pushes changes to
 its data centre and to one relay in each other data centre, which forwards them
-there. An instance that learns of a newer state from a peer requests it.
+there; large ones go along a tree. An instance that learns of a newer state from
+a peer requests it.
 """
 
 import typing
@@ -10,12 +11,16 @@
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, messages, world
 from oleanderstair.domain.configuration import routing
-from oleanderstair.domain.fleet import broadcast, rosters
+from oleanderstair.domain.fleet import broadcast, member_list, rosters
 from oleanderstair.domain.tables import registry, store
 
 REQUEST_INTERVAL_MS: typing.Final = 200
 """How long to wait for a peer's answer before another request to any peer."""
 
+MAX_DIRECT_ITEMS: typing.Final = 32
+"""Up to how many routes, entries and removals an update is sent to all members
+directly; a larger one goes along a tree."""
+
 
 def local_position(state: world.World) -> store.StorePosition:
     """Return the configuration number and store revision known here."""
@@ -37,7 +42,10 @@
             state, event.sender, reported, message.age_ms, now_ms
         )
     if isinstance(message, messages.StoreState):
-        return _apply_state(state, event.sender, message, now_ms)
+        return [
+            *_forward_push(state, event.sender, message),
+            *_apply_state(state, event.sender, message, now_ms),
+        ]
     if isinstance(message, messages.StoreAsk):
         requested = store.StorePosition(message.number, message.revision)
         answer = state_update_since(state, requested, now_ms)
@@ -53,23 +61,11 @@
     event: events.StoreTold,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Record that a peer's state was applied; forward it if it was pushed.
-
-    If it was pushed from another data centre, this instance is the relay and
-    forwards it to the other instances of its own data centre.
-    """
+    """Record that a peer's state was applied."""
     state.store.peer_asked_at_ms = clock.NEVER_MS
-    done = _compare_position(
+    return _compare_position(
         state, event.sender, event.told, event.age_ms, now_ms
     )
-    if not event.pushed or not broadcast.is_from_other_data_centre(
-        state, event.sender
-    ):
-        return done
-    update = state_update_since(state, event.before, now_ms)
-    forwards = broadcast.forward_message(state, event.sender, update)
-    copies = _count_copies(update, 'forwarded', len(forwards))
-    return [*done, *forwards, *copies]
 
 
 def push_changes(
@@ -79,10 +75,63 @@
 ) -> list[actions.Action]:
     """Push to the fleet what a read of the store changed or confirmed."""
     update = state_update_since(state, before, now_ms)._replace(pushed=True)
-    pushes = broadcast.broadcast_message(state, update)
+    pushes = [
+        *broadcast.send_to_relays(state, update),
+        *_send_to_data_centre(state, update),
+    ]
     return [*pushes, *_count_copies(update, 'pushed', len(pushes))]
 
 
+def _forward_push(
+    state: world.World,
+    sender: str,
+    update: messages.StoreState,
+) -> list[actions.Action]:
+    """Forward a pushed update to those that get it from this instance.
+
+    These are all other members of this data centre if the update came from
+    another one, or else the members that it names.
+    """
+    if not update.pushed:
+        return []
+    if broadcast.is_from_other_data_centre(state, sender):
+        forwards = _send_to_data_centre(state, update)
+    else:
+        branches = broadcast.branches_of(state, update.forward_to)
+        forwards = _send_to_branches(branches, update)
+    return [*forwards, *_count_copies(update, 'forwarded', len(forwards))]
+
+
+def _send_to_data_centre(
+    state: world.World, update: messages.StoreState
+) -> list[actions.Action]:
+    """Send an update to this data centre, along a tree if it is large."""
+    if _item_count(update) <= MAX_DIRECT_ITEMS:
+        receivers = member_list.other_local_members(state)
+        return broadcast.send_to_members(receivers, update)
+    return _send_to_branches(broadcast.local_branches(state), update)
+
+
+def _send_to_branches(
+    branches: list[broadcast.Branch], update: messages.StoreState
+) -> list[actions.Action]:
+    return [
+        action
+        for branch in branches
+        for action in broadcast.send_to_members(
+            [branch.receiver], update._replace(forward_to=branch.forward_to)
+        )
+    ]
+
+
+def _item_count(update: messages.StoreState) -> int:
+    """Return the number of routes, entries and removals in an update."""
+    count = len(update.entries) + len(update.gone)
+    if update.routing is None:
+        return count
+    return count + sum(map(len, update.routing.routes_by_host.values()))
+
+
 def state_update_since(
     state: world.World,
     known: store.StorePosition,
@@ -133,9 +182,7 @@
     if update.revision > before.revision:
         done.append(actions.Notify(_registry_event_of(update, now_ms)))
     reported = store.StorePosition(update.number, update.revision)
-    applied = events.StoreTold(
-        sender, reported, before, update.age_ms, update.pushed
-    )
+    applied = events.StoreTold(sender, reported, update.age_ms)
     return [*done, actions.Notify(applied)]
 
 
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -254,15 +254,12 @@
     """A peer's message about the store was applied to the tables.
 
     ``told`` is the position of the store in that message, and ``age_ms`` its
-    age. ``before`` is the position known before it. A ``pushed`` message is
-    forwarded by instances that relay store changes.
+    age.
     """
 
     sender: str
     told: store.StorePosition
-    before: store.StorePosition
     age_ms: clock.Millis
-    pushed: bool
 
 
 class HistoryLost(typing.NamedTuple):
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -322,7 +322,8 @@
 
     ``routing`` is None if the receiver already has configuration ``number``.
     ``refused`` is the newest configuration if it can't be parsed. Times in
-    ``entries`` are relative to the sending, as clocks differ.
+    ``entries`` are relative to the sending, as clocks differ. ``forward_to``
+    has the keys of members to which the receiver must forward the message.
     """
 
     base: int
@@ -334,6 +335,7 @@
     age_ms: clock.Millis
     pushed: bool = False
     refused: routes.RefusedConfiguration | None = None
+    forward_to: tuple[int, ...] = ()
 
 
 Message: typing.TypeAlias = (
