Forward calls to peers while an instance reaches no target

Cause: an instance could only try target after target by itself, and nothing told it that all of them failed at once. Now three targets that failed since one was last reached, or as many as there are, make an instance isolated; the first failure has it probe others, in a part of the read budget of its own. It tells its peers, and forwards its calls to those that reach targets, by the messages that forward keyed calls.

Across the hop: a call goes on to another peer only after the first said that it did not run; it is never forwarded twice; the peer gets the time and the attempts that are left, and refuses it where its configuration is older; calls are counted where they arrive, attempts where they are made; a caller that leaves ends the call at the peer; copies are dropped; both instances log it.

--- a/oleanderstair/domain/actions.py
+++ b/oleanderstair/domain/actions.py
@@ -93,15 +93,20 @@
 
 
 class ForwardHome(typing.NamedTuple):
-    """Forward a keyed call to the home of its key.
+    """Forward a keyed call to its home, or a call on a route to a peer.
 
-    ``budget_ms`` is the time left until the call's deadline.
+    ``budget_ms`` is the time left until the call's deadline. For a call on a
+    route, ``service`` is where it goes, ``configuration`` the number of the
+    one in force here, and ``max_attempts`` how many attempts are left.
     """
 
     call_id: int
     home: str
     address: str
     budget_ms: clock.Millis
+    service: str = ''
+    configuration: int = 0
+    max_attempts: int = 0
 
 
 class DropRecorded(typing.NamedTuple):
--- a/oleanderstair/domain/calls/routed_answering.py
+++ b/oleanderstair/domain/calls/routed_answering.py
@@ -1,7 +1,7 @@
 """Ends routed calls: relays an answer or refuses, and cancels attempts."""
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, outcomes, world
+from oleanderstair.domain import actions, messages, outcomes, world
 from oleanderstair.domain.tables import calls, load_reports, routed
 
 
@@ -38,18 +38,19 @@
 ) -> list[actions.Action]:
     """End a call without an answer of a target.
 
-    The outcome is UNKNOWN if an attempt is in flight or may have run, else
+    The outcome is UNKNOWN if the call may have run or may still run, else
     NOT_RUN. With NOT_RUN, the reason TARGET_REFUSED replaces TARGET_LOST.
     """
     state.routed.call_by_id.pop(call.call_id, None)
     outcome = outcomes.Outcome.NOT_RUN
-    if call.may_have_run or call.attempts:
+    if call.may_run:
         outcome = outcomes.Outcome.UNKNOWN
     elif reason is outcomes.Reason.TARGET_LOST:
         reason = outcomes.Reason.TARGET_REFUSED
     return [
         actions.Refuse(call.call_id, outcome, reason, retry_after_ms),
         *_cancel_attempts(state, call),
+        *_cancel_forward(state, call),
     ]
 
 
@@ -67,6 +68,17 @@
     )
 
 
+def _cancel_forward(
+    state: world.World, call: routed.RoutedCall
+) -> list[actions.Action]:
+    """Tell the peer that holds a forwarded call that it has ended here."""
+    row = state.members.member_by_incarnation.get(call.forwarded_to)
+    if row is None:
+        return []
+    cancelled = messages.CallCancelled(call.call_id)
+    return [actions.SendPeer(row.incarnation, row.peer_address, cancelled)]
+
+
 def _cancel_attempts(
     state: world.World,
     call: routed.RoutedCall,
--- a/oleanderstair/domain/calls/routed_calls.py
+++ b/oleanderstair/domain/calls/routed_calls.py
@@ -8,13 +8,19 @@
     crashing_requests,
     retry_budget,
     routed_answering,
+    routed_forwarding,
     routed_queueing,
     routed_retries,
 )
 from oleanderstair.domain.configuration import routing
 from oleanderstair.domain.fleet import grace_period_stop
-from oleanderstair.domain.tables import calls, routed
-from oleanderstair.domain.targets import availability, rate_limits, sampling
+from oleanderstair.domain.tables import calls, routed, routes
+from oleanderstair.domain.targets import (
+    availability,
+    rate_limits,
+    reachability,
+    sampling,
+)
 
 
 def on_call(
@@ -24,15 +30,9 @@
 ) -> list[actions.Action]:
     """Refuse a request, or admit it and start to choose a target for it."""
     in_force = state.routes.in_force
-    if in_force is None and state.routes.refused is not None:
-        reason = outcomes.Reason.CONFIGURATION_REFUSED
-        return [routed_answering.refuse_unadmitted(event.call_id, reason)]
     if in_force is None or not state.registry.revision:
-        return [
-            routed_answering.refuse_unadmitted(
-                event.call_id, outcomes.Reason.UNCONFIRMED
-            )
-        ]
+        reason = _unready_reason(state)
+        return [routed_answering.refuse_unadmitted(event.call_id, reason)]
     route = routing.find_route(in_force, event.host, event.path)
     if route is None:
         return [
@@ -40,6 +40,9 @@
                 event.call_id, outcomes.Reason.NO_ROUTE
             )
         ]
+    peer_refusal = routed_forwarding.refusal_of_peer_call(state, event)
+    if peer_refusal is not None:
+        return [routed_answering.refuse_unadmitted(event.call_id, peer_refusal)]
     if event.deadline_ms <= now_ms:
         return [
             routed_answering.refuse_unadmitted(
@@ -65,23 +68,65 @@
     left_ms = event.deadline_ms - now_ms
     call = routed.RoutedCall(
         received=event,
-        route=route,
-        service=routing.pick_service(state, route),
+        route=_limit_attempts(route, event),
+        service=_service_of(state, route, event),
         received_at_ms=now_ms,
         due_at_ms=due_at_ms,
         caller_waited_ms=caller_wait.min_waited_ms(state, route.name, left_ms),
     )
-    caller_wait.record_time_left(
-        state, route.name, call.service, left_ms, now_ms
-    )
-    retry_budget.count_call(state, call.service, now_ms)
+    if not event.from_peer:
+        # The peer counts the calls that it forwards.
+        caller_wait.record_time_left(
+            state, route.name, call.service, left_ms, now_ms
+        )
+        retry_budget.count_call(state, call.service, now_ms)
     due = events.CallDue(call.call_id)
     return [
         actions.Schedule(due, call.due_at_ms - now_ms),
-        *routed_queueing.dispatch_or_queue(state, call, now_ms),
+        *_start_call(state, call, now_ms),
     ]
 
 
+def _unready_reason(state: world.World) -> outcomes.Reason:
+    """Return why an instance without routes or targets refuses calls."""
+    if state.routes.in_force is None and state.routes.refused is not None:
+        return outcomes.Reason.CONFIGURATION_REFUSED
+    return outcomes.Reason.UNCONFIRMED
+
+
+def _limit_attempts(
+    route: routes.Route, event: events.CallReceived
+) -> routes.Route:
+    """Return the route with the attempts that a forwarding peer has left."""
+    if not event.max_attempts:
+        return route
+    return route._replace(
+        max_attempts=min(route.max_attempts, event.max_attempts)
+    )
+
+
+def _service_of(
+    state: world.World, route: routes.Route, event: events.CallReceived
+) -> str:
+    """Return the service that a forwarding peer has picked, or pick one."""
+    if any(part.service == event.service for part in route.parts):
+        return event.service
+    return routing.pick_service(state, route)
+
+
+def _start_call(
+    state: world.World,
+    call: routed.RoutedCall,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Forward a call if no target is reached, or choose a target for it."""
+    if routed_forwarding.should_forward(state, call):
+        forwards = routed_forwarding.forward_call(state, call, now_ms)
+        if forwards:
+            return forwards
+    return routed_queueing.dispatch_or_queue(state, call, now_ms)
+
+
 def on_call_due(
     state: world.World,
     event: events.CallDue,
@@ -91,10 +136,13 @@
     call = state.routed.call_by_id.get(event.call_id)
     if call is None:
         return []
-    if call.may_have_run or call.attempts:
-        return routed_answering.relay_failure_or_refuse(
-            state, call, outcomes.Reason.TIMEOUT
-        )
+    if call.may_run:
+        return [
+            *reachability.record_overdue(state, call, now_ms),
+            *routed_answering.relay_failure_or_refuse(
+                state, call, outcomes.Reason.TIMEOUT
+            ),
+        ]
     return routed_answering.refuse_call(state, call, outcomes.Reason.OVERLOADED)
 
 
@@ -134,6 +182,7 @@
         event = event._replace(crashed=False)
     attempt_feedback.record_attempt(state, call, ended, event, now_ms)
     return [
+        *reachability.record_attempt(state, ended, event, now_ms),
         *crashing_requests.record_attempt(state, call, ended, event, now_ms),
         *rate_limits.record_answer(state, ended, event, now_ms),
         *_relay_retry_or_refuse(state, call, ended, event, now_ms),
@@ -155,7 +204,7 @@
     if call.attempts:
         return []
     if _may_retry(state, call, now_ms):
-        return routed_queueing.dispatch_or_queue(state, call, now_ms)
+        return _start_call(state, call, now_ms)
     return routed_answering.relay_failure_or_refuse(
         state,
         call,
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -17,7 +17,9 @@
     determine the route. ``depth`` is the nesting level of the call. ``key``
     is its idempotency key, ``fingerprint`` a digest of its content, and
     ``request_id`` the id that the caller gave it. ``from_peer`` is the
-    incarnation that forwarded it, empty if it came from a caller.
+    incarnation that forwarded it, empty if it came from a caller. That peer
+    had the configuration ``configuration`` in force and allows up to
+    ``max_attempts`` attempts on its route, 0 if that is not limited.
     """
 
     call_id: int
@@ -31,6 +33,8 @@
     from_peer: str = ''
     host: str = ''
     request_id: str = ''
+    configuration: int = 0
+    max_attempts: int = 0
 
 
 class SampleDue(typing.NamedTuple):
@@ -272,6 +276,10 @@
     what: str
 
 
+class TargetsUnreachable(typing.NamedTuple):
+    """This instance has just lost its links to all targets."""
+
+
 class LoadRead(typing.NamedTuple):
     """A read of a target's load ended; ``report`` is None if it failed."""
 
@@ -364,6 +372,7 @@
     | CallerLeft
     | AttemptEnded
     | HomeReplied
+    | TargetsUnreachable
 )
 
 StoreEvent: typing.TypeAlias = (
--- a/oleanderstair/domain/fleet/codec.py
+++ b/oleanderstair/domain/fleet/codec.py
@@ -40,6 +40,8 @@
     'nb': messages.NoteBody,
     'kc': messages.KeyedCall,
     'ka': messages.KeyedAnswer,
+    'xc': messages.CallCancelled,
+    'pi': messages.PeerIsolated,
     'cc': messages.CallCrashed,
     'lt': messages.TargetLeft,
     'ls': messages.TargetLimited,
@@ -85,26 +87,22 @@
         return result.Err(_decode_problem('unknown wire version'))
     try:
         return result.Ok(_decode_tagged(_unpack(frame)))
-    except (
-        msgspec.MsgspecError,
-        KeyError,
-        ValueError,
-        TypeError,
-        zlib.error,
-    ) as error:
+    except (msgspec.MsgspecError, KeyError, ValueError, TypeError) as error:
         return result.Err(_decode_problem(str(error)))
 
 
 def _unpack(frame: bytes) -> bytes:
     """Return the packed message of a frame.
 
-    Raise ``ValueError`` if it is too large or cut short, and ``zlib.error`` if
-    it is malformed.
+    Raise ``ValueError`` if it is too large, cut short or malformed.
     """
     if frame[:1] == _VERSION_PREFIX:
         return frame[1:]
     unpacker = zlib.decompressobj()
-    packed = unpacker.decompress(frame[1:], MAX_MESSAGE_BYTES)
+    try:
+        packed = unpacker.decompress(frame[1:], MAX_MESSAGE_BYTES)
+    except zlib.error as error:
+        raise ValueError(str(error)) from error
     if not unpacker.eof:
         raise ValueError('a compressed message is too large or incomplete')
     return packed
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -2,8 +2,8 @@
 
 The systems of an event run in the order listed here. The configuration is read
 as a whole from the platform's linearizable store. So there is no majority
-vote among instances, no forwarding of keyed calls and no chain of release notes
-here.
+vote among instances, no key that is bound to one and no chain of release notes
+here. Calls are forwarded only by an instance that reaches no target.
 """
 
 import typing
@@ -15,6 +15,7 @@
     retry_budget,
     routed_calls,
     routed_dispatching,
+    routed_forwarding,
     routed_queueing,
 )
 from oleanderstair.domain.configuration import routing, store_sync, store_watch
@@ -29,6 +30,7 @@
     backoffs,
     leaving_announcements,
     rate_limits,
+    reachability,
     registry_updates,
     sampling,
 )
@@ -36,6 +38,7 @@
 SYSTEMS_BY_EVENT: typing.Final[stepping.SystemsByEvent] = {
     events.CallReceived: (routed_calls.on_call,),
     events.LoadRead: (
+        reachability.on_load_read,
         sampling.on_load_read,
         routed_dispatching.on_load_read,
         routed_queueing.on_load_read,
@@ -53,6 +56,8 @@
     events.CallDue: (routed_calls.on_call_due,),
     events.CallerLeft: (routed_calls.on_caller_left,),
     events.AttemptEnded: (routed_calls.on_attempt_ended,),
+    events.TargetsUnreachable: (routed_forwarding.on_targets_unreachable,),
+    events.HomeReplied: (routed_forwarding.on_peer_replied,),
     events.RoutingRead: (routing.on_configuration_read,),
     events.RegistryRead: (registry_updates.on_registry_read,),
     events.RegistryChanged: (registry_updates.on_registry_changed,),
@@ -74,6 +79,7 @@
         crashing_requests.on_peer,
         leaving_announcements.on_peer,
         rate_limits.on_peer,
+        reachability.on_peer,
     ),
     events.Tick: (
         roster_exchange.on_tick,
@@ -81,6 +87,7 @@
         retry_budget.on_tick,
         store_watch.on_tick,
         registry_updates.on_tick,
+        reachability.on_tick,
         readiness.on_tick,
         grace_period_stop.on_tick,
     ),
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -184,9 +184,10 @@
 
 
 class KeyedCall(typing.NamedTuple):
-    """A keyed call that is forwarded to the home of its key.
+    """A call that is forwarded to the home of its key, or to any peer.
 
-    ``correlation`` matches the answer to it.
+    ``correlation`` matches the answer to it. The last fields are those of a
+    call on a route, which has no key: ``home`` is then the peer.
     """
 
     correlation: int
@@ -199,6 +200,23 @@
     depth: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    host: str = ''
+    request_id: str = ''
+    configuration: int = 0
+    max_attempts: int = 0
+
+
+class CallCancelled(typing.NamedTuple):
+    """The sender no longer waits for the answer to a call it forwarded."""
+
+    correlation: int
+
+
+class PeerIsolated(typing.NamedTuple):
+    """An instance reaches no target, or does so again if it ``is_over``."""
+
+    incarnation: str
+    is_over: bool = False
 
 
 class KeyedAnswer(typing.NamedTuple):
@@ -348,6 +366,8 @@
     | NoteBody
     | KeyedCall
     | KeyedAnswer
+    | CallCancelled
+    | PeerIsolated
     | CallCrashed
     | TargetLeft
     | TargetLimited
--- a/oleanderstair/domain/outcomes.py
+++ b/oleanderstair/domain/outcomes.py
@@ -45,6 +45,7 @@
     TARGET_REFUSED = 'target-refused'
     TARGET_LOST = 'target-lost'
     TIMEOUT = 'timeout'
+    ISOLATED = 'isolated'
 
 
 class RefusalResponse(typing.NamedTuple):
@@ -145,6 +146,10 @@
         http.HTTPStatus.GATEWAY_TIMEOUT,
         'allow more time; the call may have run',
     ),
+    Reason.ISOLATED: RefusalResponse(
+        _UNAVAILABLE,
+        'use another address; this instance reaches no target',
+    ),
     Reason.CRASHES_TARGETS: RefusalResponse(
         http.HTTPStatus.UNPROCESSABLE_ENTITY,
         'do not send this request again; it made targets fail',
--- a/oleanderstair/domain/tables/routed.py
+++ b/oleanderstair/domain/tables/routed.py
@@ -14,13 +14,14 @@
     """The stage of a routed call that has not been answered yet.
 
     ``SAMPLING`` awaits load reports before the first dispatch, and
-    ``HEDGING`` before a hedge.
+    ``HEDGING`` before a hedge. A ``FORWARDED`` call is held by a peer.
     """
 
     SAMPLING = 'sampling'
     QUEUED = 'queued'
     SENT = 'sent'
     HEDGING = 'hedging'
+    FORWARDED = 'forwarded'
 
 
 class RoutedCall(typing.NamedTuple):
@@ -36,7 +37,7 @@
     ``send_count`` counts the dispatches, and ``possible_run_count`` those that
     may have reached their target. ``fallback_attempt_id`` is the attempt whose
     failure is relayed if no other target gives a better answer, 0 if there is
-    none.
+    none. ``forwarded_to`` is the peer that holds the call, empty if none does.
     """
 
     received: events.CallReceived
@@ -56,6 +57,13 @@
     is_sample_widened: bool = False
     fallback_attempt_id: int = 0
     may_have_run: bool = False
+    forwarded_to: str = ''
+    tried_peers: tuple[str, ...] = ()
+
+    @property
+    def may_run(self) -> bool:
+        """Return whether the call may have run, or may still run."""
+        return bool(self.may_have_run or self.attempts or self.forwarded_to)
 
     @property
     def call_id(self) -> int:
--- a/oleanderstair/domain/targets/read_budgets.py
+++ b/oleanderstair/domain/targets/read_budgets.py
@@ -33,9 +33,15 @@
 targets. Beyond a partition other instances may be assigned to the service.
 """
 
-_BUDGET_USED_SHARE: typing.Final = 0.95
+_BUDGET_USED_SHARE: typing.Final = 0.9
 """The share of the configured budget that is divided."""
 
+_PROBE_SHARE: typing.Final = 0.05
+"""The share of the budget for probes of random targets, by which instances
+find out whether they reach any."""
+
+_MS_PER_S: typing.Final = 1000
+
 _LOCAL_SHARE: typing.Final = 0.75
 """The share of a target's reads for the instances of its data centre."""
 
@@ -64,6 +70,19 @@
     return True
 
 
+def random_probe_interval_ms(state: world.World) -> clock.Millis:
+    """Return how often each instance may probe a random target.
+
+    If all instances do, the probes are ``_PROBE_SHARE`` of the budget.
+    """
+    instance_count = max(
+        state.instances.largest_count, state.policy.assumed_instances, 1
+    )
+    target_count = max(len(state.registry.entry_by_id), 1)
+    probes_per_s = target_count * _PROBE_SHARE * state.policy.probes_per_s
+    return instance_count / max(probes_per_s, 1) * _MS_PER_S
+
+
 def own_reads_per_s(
     state: world.World,
     entry: registry.Entry,
--- a/oleanderstair/domain/targets/sampling.py
+++ b/oleanderstair/domain/targets/sampling.py
@@ -94,6 +94,29 @@
     return _make_sample(state, wider, now_ms)
 
 
+def probe_random_targets(
+    state: world.World,
+    excluded_ids: typing.Collection[str],
+    count: int,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Return reads of up to ``count`` random targets.
+
+    They have a part of the read budget of their own, see
+    ``read_budgets.random_probe_interval_ms``, which the caller keeps.
+    """
+    entries = state.registry.entry_by_id
+    candidates = [
+        target_id
+        for target_id in entries
+        if target_id not in excluded_ids
+        and target_id not in state.loads.read_started_at_ms_by_id
+    ]
+    chosen = state.rng.sample(candidates, min(count, len(candidates)))
+    reads = [_start_read(state, entries[key], now_ms) for key in chosen]
+    return [read for read in reads if read is not None]
+
+
 def on_load_read(
     state: world.World,
     event: events.LoadRead,
@@ -225,12 +248,26 @@
     load = load_reports.load_of(state.loads, entry.target_id)
     if now_ms - load.reported_at_ms <= FRESH_REPORT_MS:
         return None
-    routing = state.routes.in_force
-    service = routing.service_by_name.get(entry.service) if routing else None
-    if service is None or now_ms < load.unreachable_until_ms:
+    in_force = state.routes.in_force
+    if in_force is None or entry.service not in in_force.service_by_name:
+        return None
+    if now_ms < load.unreachable_until_ms:
         return None
     if not read_budgets.spend_read(state, entry, now_ms):
         return None
+    return _start_read(state, entry, now_ms)
+
+
+def _start_read(
+    state: world.World,
+    entry: registry.Entry,
+    now_ms: clock.Millis,
+) -> actions.Action | None:
+    """Return the action that reads a target's load, None without a path."""
+    in_force = state.routes.in_force
+    service = in_force.service_by_name.get(entry.service) if in_force else None
+    if service is None:
+        return None
     state.loads.read_started_at_ms_by_id[entry.target_id] = now_ms
     return actions.ReadLoad(
         entry.target_id,
--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -21,6 +21,7 @@
     load_reports,
     members,
     rate_limits,
+    reachability,
     reads,
     registry,
     retry_budget,
@@ -63,6 +64,7 @@
     registry: registry.RegistryTable
     loads: load_reports.LoadsTable
     rate_limits: rate_limits.RateLimitsTable
+    reachability: reachability.ReachabilityTable
     concurrency: concurrency.ConcurrencyTable
     crashes: crashes.CrashesTable
     routed: routed.RoutedTable
@@ -100,6 +102,7 @@
         registry=registry.create(),
         loads=load_reports.create(),
         rate_limits=rate_limits.create(),
+        reachability=reachability.create(),
         concurrency=concurrency.create(),
         crashes=crashes.create(),
         routed=routed.create(),
--- a/oleanderstair/emulator/gateway_attempts.py
+++ b/oleanderstair/emulator/gateway_attempts.py
@@ -86,6 +86,10 @@
         """Keep a call for its attempts."""
         self._received_by_call[received.call_id] = received
 
+    def received_of(self, call_id: int) -> events.CallReceived:
+        """Return a call as it arrived; raise ``KeyError`` if it did not."""
+        return self._received_by_call[call_id]
+
     def dispatch(self, member: Member, action: actions.Dispatch) -> None:
         """Send a call to whichever target has the address."""
         received = self._received_by_call[action.call_id]
--- a/oleanderstair/emulator/gateway_fleet.py
+++ b/oleanderstair/emulator/gateway_fleet.py
@@ -30,6 +30,7 @@
     actions,
     events,
     gateway,
+    messages,
     outcomes,
     policy,
     stepping,
@@ -39,6 +40,7 @@
 from oleanderstair.domain.tables import identity, instances, registry
 from oleanderstair.emulator import (
     gateway_attempts,
+    gateway_hops,
     gateway_stores,
     gateway_targets,
     links,
@@ -130,6 +132,7 @@
             self._tell_incarnation,
         )
         self.attempts = gateway_attempts.Attempts(self)
+        self.hops = gateway_hops.create(self)
         self.step_by: stepping.Step = gateway.step
         self.prepare: typing.Callable[[world.World], None] | None = None
         self.member_by_id: dict[str, Member] = {}
@@ -250,6 +253,16 @@
         member = self.member_by_id[instance_id]
         member.frozen_until_ms = self.times.now_ms() + for_ms
 
+    def cut_from_targets(self, instance_id: str) -> None:
+        """Cut the links between an instance and all targets."""
+        for target_id in self.target_by_id:
+            self.links.cut(instance_id, target_id)
+            self.links.cut(target_id, instance_id)
+
+    def claim_call_id(self) -> int:
+        """Return the id of another call."""
+        return next(self._call_ids)
+
     def stop(self, instance_id: str) -> None:
         """Ask an instance for its planned stop."""
         self.step(instance_id, events.StopRequested())
@@ -316,6 +329,10 @@
         self.step(instance_id, received)
         return call_id
 
+    def leave_call(self, instance_id: str, call_id: int) -> None:
+        """Let the caller of a call close its connection."""
+        self.step(instance_id, events.CallerLeft(call_id))
+
     def run_for(self, span_ms: clock.Millis) -> None:
         """Let ``span_ms`` pass."""
         self.times.run_for(span_ms)
@@ -398,6 +415,8 @@
             actions.WatchStore: self._watch_store,
             actions.ReadLoad: self._read_load,
             actions.SendPeer: self._send_peer,
+            actions.ForwardHome: self.hops.forward,
+            actions.RelayHome: self._relay_peer_answer,
             actions.Count: self._count,
             actions.Exit: self._exit,
         }
@@ -407,12 +426,16 @@
 
     def _relay(self, member: Member, action: actions.Relay) -> None:
         status = self.attempts.take_status(member, action)
-        told = Told(
-            self.times.now_ms(),
-            outcomes.Outcome.RAN,
-            status=status,
+        self._tell_caller(
+            member,
+            action.call_id,
+            Told(self.times.now_ms(), outcomes.Outcome.RAN, status=status),
         )
-        self._note_told(action.call_id, told)
+
+    def _relay_peer_answer(
+        self, member: Member, action: actions.RelayHome
+    ) -> None:
+        self._note_told(action.call_id, self.hops.take_answer(action.call_id))
 
     def _refuse(self, member: Member, action: actions.Refuse) -> None:
         told = Told(
@@ -422,7 +445,12 @@
             int(outcomes.RESPONSE_BY_REASON[action.reason].status),
             action.retry_after_ms,
         )
-        self._note_told(action.call_id, told)
+        self._tell_caller(member, action.call_id, told)
+
+    def _tell_caller(self, member: Member, call_id: int, told: Told) -> None:
+        """Tell a caller, or the peer that forwarded its call."""
+        if not self.hops.answer(member, call_id, told):
+            self._note_told(call_id, told)
 
     def _note_told(self, call_id: int, told: Told) -> None:
         if call_id in self.told_by_call:
@@ -458,6 +486,9 @@
         receiver = self.member_by_id.get(action.address)
         if receiver is None:
             return
+        if isinstance(action.message, messages.CallCancelled):
+            self.hops.cancel(action.message.correlation)
+            return
         sender_id = member.instance_id
         if self.links.loses(sender_id, receiver.instance_id):
             return
--- a/oleanderstair/engine/balancer_runtime.py
+++ b/oleanderstair/engine/balancer_runtime.py
@@ -4,10 +4,10 @@
 
 import anyio.abc
 
-from oleanderstair.domain import actions, balancer, events, messages, world
+from oleanderstair.domain import actions, balancer, events, world
 from oleanderstair.engine import (
     dependencies,
-    keyed_calls,
+    forwarded_calls,
     peering,
     peers,
     pending,
@@ -29,7 +29,9 @@
         """Run the I/O for ``state`` in the task group ``tasks``."""
         super().__init__(state, balancer.step, balancer_dependencies, tasks)
         self.balancer_dependencies = balancer_dependencies
-        self._keyed_calls = keyed_calls.create(self, tasks)
+        self._forwarded_calls = forwarded_calls.create(
+            self, tasks, balancer_dependencies.link, self._find_peer_address
+        )
         self._messenger = peering.create(
             self, balancer_dependencies.link, self._receive_message
         )
@@ -37,7 +39,7 @@
             {
                 actions.RelayRecorded: self.settling.relay_recorded,
                 actions.RelayHome: self.settling.relay_home_answer,
-                actions.ForwardHome: self._keyed_calls.send_to_home,
+                actions.ForwardHome: self._forwarded_calls.send_to_peer,
                 actions.DropRecorded: self.settling.drop_recorded,
                 actions.ReadValue: self.handler_for_read(
                     balancer_dependencies.read_value
@@ -78,9 +80,9 @@
         return super().service_label_of(pending_call)
 
     def _receive_message(self, received: peers.ReceivedMessage) -> None:
-        if isinstance(received.message, messages.KeyedCall):
-            self._keyed_calls.receive_call(received.sender, received.message)
-        elif isinstance(received.message, messages.KeyedAnswer):
-            self._keyed_calls.receive_answer(received.sender, received.message)
-        else:
+        if not self._forwarded_calls.receive_message(received):
             self.handle(events.PeerHeard(received.sender, received.message))
+
+    def _find_peer_address(self, incarnation: str) -> str | None:
+        peer = self.state.instances.peer_by_incarnation.get(incarnation)
+        return peer.peer_address if peer else None
--- a/oleanderstair/engine/forwarding.py
+++ b/oleanderstair/engine/forwarding.py
@@ -1,36 +1,50 @@
-"""Converts keyed calls and their answers from and to peer messages.
-
-The home of a key is the instance that the key is bound to.
-"""
+"""Converts forwarded calls and their answers from and to peer messages."""
 
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import events, messages, outcomes
+from oleanderstair.domain import actions, events, messages, outcomes
 from oleanderstair.domain.calls import fingerprints
+from oleanderstair.domain.fleet import codec
 from oleanderstair.engine import exchanges, headers, pending
 
+MAX_BODY_BYTES: typing.Final = codec.MAX_MESSAGE_BYTES // 10 * 9
+"""The maximum size of a body in a message; the rest is for its headers."""
+
 TextHeaders: typing.TypeAlias = tuple[tuple[str, str], ...]
 
 
 def build_call_message(
     pending_call: pending.PendingCall,
-    home: str,
-    budget_ms: clock.Millis,
+    action: actions.ForwardHome,
 ) -> messages.KeyedCall:
-    """Return the message that forwards a pending call to its home."""
+    """Return the message that forwards a pending call."""
     received = pending_call.received
     return messages.KeyedCall(
         correlation=received.call_id,
-        home=home,
-        service=received.service,
+        home=action.home,
+        service=action.service or received.service,
         method=received.method,
         path=received.path,
         key=received.key,
-        budget_ms=budget_ms,
+        budget_ms=action.budget_ms,
         depth=received.depth,
         headers=_decode_fields(pending_call.request.headers),
         body=pending_call.request.body,
+        host=received.host,
+        request_id=received.request_id,
+        configuration=action.configuration,
+        max_attempts=action.max_attempts,
+    )
+
+
+def build_unsent_event(action: actions.ForwardHome) -> events.HomeReplied:
+    """Return the event for a call on a route that could not be forwarded."""
+    return events.HomeReplied(
+        call_id=action.call_id,
+        outcome=outcomes.Outcome.NOT_RUN,
+        reason=outcomes.Reason.STOPPING,
+        home=action.home,
     )
 
 
@@ -40,7 +54,7 @@
     sender: str,
     now_ms: clock.Millis,
 ) -> events.CallReceived:
-    """Return the event for a keyed call that its home has received."""
+    """Return the event for a forwarded call that was received."""
     return events.CallReceived(
         call_id=call_id,
         service=message.service,
@@ -50,17 +64,21 @@
         key=message.key,
         depth=message.depth,
         fingerprint=fingerprints.request_fingerprint(
-            message.service,
+            message.host or message.service,
             message.method,
             message.path,
             message.body,
         ),
         from_peer=sender,
+        host=message.host,
+        request_id=message.request_id,
+        configuration=message.configuration,
+        max_attempts=message.max_attempts,
     )
 
 
 def build_target_request(message: messages.KeyedCall) -> exchanges.Request:
-    """Return the request of a keyed call to its target."""
+    """Return the request of a forwarded call to its target."""
     return exchanges.Request(
         message.method.encode(),
         message.path.encode(),
@@ -74,7 +92,15 @@
     message: messages.KeyedCall,
     reply: pending.Reply,
 ) -> messages.KeyedAnswer:
-    """Return the message with the reply for the forwarding peer."""
+    """Return the message with the reply for the forwarding peer.
+
+    An answer that is too large for a message is replaced by the outcome
+    ``unknown``, so that nobody takes it for complete or repeats the call.
+    """
+    if reply.answer and len(reply.answer.body) > MAX_BODY_BYTES:
+        reply = pending.Reply(
+            outcomes.Outcome.UNKNOWN, outcomes.Reason.TARGET_LOST
+        )
     answer = reply.answer or exchanges.Answer(0, [], b'')
     return messages.KeyedAnswer(
         correlation=message.correlation,
--- a/oleanderstair/engine/gateway_runtime.py
+++ b/oleanderstair/engine/gateway_runtime.py
@@ -9,7 +9,14 @@
 from oleanderstair.domain import actions, events, gateway, world
 from oleanderstair.domain.tables import load_reports
 from oleanderstair.domain.targets import connection_limits
-from oleanderstair.engine import dialects, exchanges, peering, peers, runtime
+from oleanderstair.engine import (
+    dialects,
+    exchanges,
+    forwarded_calls,
+    peering,
+    peers,
+    runtime,
+)
 from oleanderstair.explaining import decisions
 
 
@@ -116,6 +123,9 @@
         self.observer = self.decisions
         self._dependencies = dependencies
         self._start_read = self.handler_for_read(dependencies.read_load)
+        self._forwarded_calls = forwarded_calls.create(
+            self, tasks, dependencies.link, self._find_peer_address
+        )
         self._messenger = peering.create(
             self, dependencies.link, self._receive_message
         )
@@ -129,6 +139,8 @@
                 ),
                 actions.ReadLoad: self._read_load,
                 actions.SendPeer: self._messenger.send,
+                actions.ForwardHome: self._forwarded_calls.send_to_peer,
+                actions.RelayHome: self.settling.relay_home_answer,
             },
         )
 
@@ -158,4 +170,9 @@
             self._start_read(action)
 
     def _receive_message(self, received: peers.ReceivedMessage) -> None:
-        self.handle(events.PeerHeard(received.sender, received.message))
+        if not self._forwarded_calls.receive_message(received):
+            self.handle(events.PeerHeard(received.sender, received.message))
+
+    def _find_peer_address(self, incarnation: str) -> str | None:
+        row = self.state.members.member_by_incarnation.get(incarnation)
+        return row.peer_address if row else None
--- a/oleanderstair/explaining/decisions.py
+++ b/oleanderstair/explaining/decisions.py
@@ -71,6 +71,7 @@
             events.AttemptEnded: self._on_ended,
             events.CallerLeft: self._on_left,
             events.HedgeDue: self._on_hedge_due,
+            events.HomeReplied: self._on_peer_replied,
             events.StoreFailed: self._beliefs.on_store_failed,
             events.StoreRead: self._beliefs.on_store_told,
             events.StoreChanged: self._beliefs.on_store_told,
@@ -81,6 +82,8 @@
             actions.Dispatch: self._on_dispatch,
             actions.CancelAttempt: self._on_cancel,
             actions.Relay: self._on_relay,
+            actions.ForwardHome: self._on_forward,
+            actions.RelayHome: self._on_relay_peer_answer,
             actions.Refuse: self._on_refuse,
             actions.Schedule: self._on_schedule,
         }
@@ -193,6 +196,36 @@
             self._counts.count('sends-to-limited', label)
         trails.note_sent(trail, self._state, action, now_ms)
 
+    def _on_forward(
+        self, now_ms: clock.Millis, action: actions.ForwardHome
+    ) -> None:
+        trail = self._trail_by_call.get(action.call_id)
+        if trail is not None:
+            trails.note_forwarded(trail, action, now_ms)
+
+    def _on_peer_replied(
+        self, now_ms: clock.Millis, event: events.HomeReplied
+    ) -> None:
+        trail = self._trail_by_call.get(event.call_id)
+        if trail is not None:
+            trails.note_peer_replied(trail, event, now_ms)
+
+    def _on_relay_peer_answer(
+        self, now_ms: clock.Millis, action: actions.RelayHome
+    ) -> None:
+        trail = self._trail_by_call.pop(action.call_id, None)
+        if trail is None:
+            return
+        after_ms = now_ms - trail.started_ms
+        self._count(trail, 'ran', 'forwarded')
+        self._counts.observe('answer-ms', f'route={trail.route}', after_ms)
+        fields: lines.Fields = (
+            ('after_ms', after_ms),
+            ('late_ms', max(after_ms - trail.aim_ms, 0) or None),
+        )
+        trail.entries.append(trails.Entry(now_ms, 'answered-by-peer', fields))
+        self._write(trail, now_ms, 'answered-by-peer')
+
     def _on_cancel(
         self,
         now_ms: clock.Millis,
--- a/oleanderstair/explaining/trails.py
+++ b/oleanderstair/explaining/trails.py
@@ -80,6 +80,7 @@
         ('host', None if trail.route else received.host),
         ('path', None if trail.route else received.path),
         ('held_ms', held_ms or None),
+        ('from_peer', received.from_peer or None),
         ('left_ms', received.deadline_ms - now_ms),
         ('due_in_ms', call.due_at_ms - now_ms if call else None),
         ('configuration', in_force.number if in_force else 0),
@@ -274,6 +275,30 @@
     trail.entries.append(Entry(now_ms, 'sent', fields))
 
 
+def note_forwarded(
+    trail: Trail, action: actions.ForwardHome, now_ms: clock.Millis
+) -> None:
+    """Note that a call goes to a peer, as no target is reached."""
+    fields: lines.Fields = (
+        ('peer', action.home),
+        ('budget_ms', action.budget_ms),
+        ('most_sends', action.max_attempts),
+    )
+    trail.entries.append(Entry(now_ms, 'forwarded', fields))
+
+
+def note_peer_replied(
+    trail: Trail, event: events.HomeReplied, now_ms: clock.Millis
+) -> None:
+    """Note what a peer said of a forwarded call."""
+    fields: lines.Fields = (
+        ('peer', event.home),
+        ('outcome', event.outcome.value),
+        ('reason', event.reason.value if event.reason else None),
+    )
+    trail.entries.append(Entry(now_ms, 'peer-replied', fields))
+
+
 def note_ended(
     trail: Trail,
     event: events.AttemptEnded,
--- a/test/fleets.py
+++ b/test/fleets.py
@@ -69,6 +69,23 @@
     return routing(number)._replace(routes_by_host=config.index_routes(rows))
 
 
+def introduce(states, now_ms):
+    """Let instances that have started alone know each other."""
+    rows = [member_list.own_row(state) for state in states]
+    for state in states:
+        own = state.identity
+        table = state.members
+        for row in rows:
+            if row.incarnation == own.incarnation:
+                continue
+            table.member_by_incarnation[row.incarnation] = row
+            table.beat_rose_at_ms[row.incarnation] = now_ms
+            if row.data_centre != own.data_centre:
+                contacts = table.contact_at_ms_by_data_centre
+                contacts[row.data_centre] = now_ms
+        table.version += 1
+
+
 class Store(watched_store.WatchedStore):
     """The platform's store, which records the instances that call it."""
 
@@ -81,10 +98,13 @@
         return self.refused_ids
 
     def publish(self, number):
-        return super().publish(routing(number))
+        return self._publish(routing(number))
 
     def publish_large(self, number, route_count):
-        return super().publish(large_routing(number, route_count))
+        return self._publish(large_routing(number, route_count))
+
+    def _publish(self, built):
+        return watched_store.WatchedStore.publish(self, built)
 
     def end(self, target_id):
         assert target_id in self.entry_by_id
@@ -169,20 +189,7 @@
 
     def introduce(self):
         """Let all instances know each other, once each has started alone."""
-        rows = [member_list.own_row(instance.state) for instance in self.living]
-        for instance in self.living:
-            own = instance.state.identity
-            table = instance.state.members
-            for row in rows:
-                if row.incarnation == own.incarnation:
-                    continue
-                table.member_by_incarnation[row.incarnation] = row
-                table.beat_rose_at_ms[row.incarnation] = self.now_ms
-                if row.data_centre != own.data_centre:
-                    table.contact_at_ms_by_data_centre[row.data_centre] = (
-                        self.now_ms
-                    )
-            table.version += 1
+        introduce([instance.state for instance in self.living], self.now_ms)
 
     def at(self, instance_id):
         return self.by_address[f'{instance_id}:1']
--- a/test/test_callers.py
+++ b/test/test_callers.py
@@ -8,7 +8,7 @@
 
 from oleanderstair.domain import actions, events, messages, outcomes
 from oleanderstair.emulator import fleet, targets
-from oleanderstair.engine import replies
+from oleanderstair.engine import peers, replies
 from test import helper, raw
 
 ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ntwig'
@@ -319,9 +319,11 @@
             ):
                 runtime._perform(action)
             for outcome, reason in (('ran', ''), ('odd', ''), ('ran', 'odd')):
-                runtime._keyed_calls.receive_answer(
-                    'entry-9~1',
-                    messages.KeyedAnswer(77, 'entry-9~1', outcome, reason, 0),
+                answered = messages.KeyedAnswer(
+                    77, 'entry-9~1', outcome, reason, 0
+                )
+                runtime._forwarded_calls.receive_message(
+                    peers.ReceivedMessage('entry-9~1', answered)
                 )
             answer = await helper.send_request(nodes[0].identity.caller_address)
             assert helper.outcome_of(answer) == 'ran'
--- a/test/test_codec.py
+++ b/test/test_codec.py
@@ -21,7 +21,7 @@
 
 
 def compress(packed):
-    return bytes([codec.COMPRESSED_VERSION]) + zlib.compress(packed)
+    return b'%c%b' % (codec.COMPRESSED_VERSION, zlib.compress(packed))
 
 
 # Guards against one malformed message that takes a process down.
@@ -29,7 +29,7 @@
     'frame',
     [
         codec.encode(large_state())[:-20],
-        bytes([codec.COMPRESSED_VERSION]) + b'no zlib stream',
+        b'\x02no zlib stream',
         bytes([codec.COMPRESSED_VERSION]),
         compress(bytes(codec.MAX_MESSAGE_BYTES + 1)),
         compress(b'no msgpack'),
