Refuse calls that come late in a long grace period and can't end in it

Callers of a stopping instance could lose a call that it had accepted: with a grace period of 12 s every call was accepted for 6 s, also one that may last 15 s, and was cut at the end (an operator's report). All calls are now accepted for 3 s at most; with a grace period of 6 s nothing changes.

--- a/oleanderstair/domain/fleet/grace_period_stop.py
+++ b/oleanderstair/domain/fleet/grace_period_stop.py
@@ -27,6 +27,10 @@
 """The share of the grace period, from its start, in which no call is refused
 because of the stop."""
 
+_ACCEPT_ALL_MAX_MS: typing.Final[clock.Millis] = 3000
+"""The longest such time. Callers that hold the address have asked for a new
+one by then, and a call that comes later may not be cut off at the end."""
+
 
 def on_stop(
     state: world.World,
@@ -59,14 +63,16 @@
 ) -> bool:
     """Return whether a call must be refused because of a planned stop.
 
-    That is in the second half of the grace period, if the call may last until
-    ``due_at_ms`` and that is later than the exit of the process.
+    That is in the second half of the grace period, or 3 s after its start if
+    that is earlier, if the call may last until ``due_at_ms`` and that is later
+    than the exit of the process.
     """
     if not is_stopping(state):
         return False
     stopped_at_ms = state.instances.stopping_since_ms
     grace_ms = state.policy.stop_grace_s * _MS_PER_S
-    if now_ms < stopped_at_ms + grace_ms * _ACCEPT_ALL_SHARE:
+    accept_all_ms = min(grace_ms * _ACCEPT_ALL_SHARE, _ACCEPT_ALL_MAX_MS)
+    if now_ms < stopped_at_ms + accept_all_ms:
         return False
     return due_at_ms > stopped_at_ms + grace_ms - EXIT_MARGIN_MS
 
--- a/test/test_grace_period_stop.py
+++ b/test/test_grace_period_stop.py
@@ -61,6 +61,18 @@
     assert refusal_reasons(stopping, 3, 1000, 3100) != refused
 
 
+# Guards against calls that are accepted late in a long grace period, and cut
+# off at its end.
+def test_late_call_beyond_a_long_grace_period_is_refused(stopping):
+    stopping.policy = stopping.policy._replace(stop_grace_s=12)
+    stopping.routes.in_force = stopping.routes.in_force._replace(
+        routes_by_host={'h': (ROUTE._replace(timeout_ms=20_000),)}
+    )
+    refused = {outcomes.Reason.STOPPING}
+    assert refusal_reasons(stopping, 1, 15_000, 2900) != refused
+    assert refusal_reasons(stopping, 2, 15_000, 3100) == refused
+
+
 def test_process_with_a_call_in_flight_exits_shortly_before_the_kill(
     stopping,
 ):
