Show that copied refusals and cut heads are not taken for answers

A refusal that a target writes once more on a kept connection names another request and is skipped; an answer that ends within its head is broken at each of its bytes, also where answers without a length are allowed.

--- a/test/test_answers.py
+++ b/test/test_answers.py
@@ -73,6 +73,25 @@
     assert target.connections == 1
 
 
+# Guards against a refusal that a faulty target writes once more, and that is
+# taken for the answer to a request which runs.
+def test_copy_of_an_earlier_refusal_is_skipped():
+    refusal = answer(b'1', b'', b'retry-after: 1\r\nnot-executed: 1\r\n')
+    refusal = refusal.replace(b'200 OK', b'503 Busy')
+    copied = refusal + answer(b'2', b'right')
+    results, target = exchange_all(refusal, copied)
+    assert [result.answer.status for result in results] == [503, 200]
+    assert target.connections == 1
+
+
+# Guards against a 200 with an empty body where the head was not complete.
+@pytest.mark.parametrize('length', range(1, len(CLOSED) - len(b'twig')))
+def test_answer_that_ends_in_its_head_is_broken(length):
+    (result,), _ = exchange_all(CLOSED[:length], kept=False)
+    assert result.verdict is events.Verdict.BROKEN
+    assert result.answer is None
+
+
 def test_bytes_after_an_answer_close_its_connection():
     extra = answer(b'1') + answer(b'1')
     results, target = exchange_all(extra, answer(b'2'))
