--- a/oleanderstair/domain/outcomes.py
+++ b/oleanderstair/domain/outcomes.py
@@ -146,10 +146,6 @@
         http.HTTPStatus.GATEWAY_TIMEOUT,
         'allow more time; the call may have run',
     ),
-    Reason.ISOLATED: RefusalResponse(
-        _UNAVAILABLE,
-        'use another address; this instance reaches no target',
-    ),
     Reason.CRASHES_TARGETS: RefusalResponse(
         http.HTTPStatus.UNPROCESSABLE_ENTITY,
         'do not send this request again; it made targets fail',
@@ -166,6 +162,10 @@
         _BAD_GATEWAY,
         'send the same key again, or look the order up',
     ),
+    Reason.ISOLATED: RefusalResponse(
+        _UNAVAILABLE,
+        'use another address; this instance reaches no target',
+    ),
 }
 
 
--- a/oleanderstair/explaining/causes.py
+++ b/oleanderstair/explaining/causes.py
@@ -14,7 +14,9 @@
 _OPENS: typing.Final = frozenset(('call', 'rejected', 'caller-left'))
 """The kinds of lines that a request may begin with."""
 
-_ENDS: typing.Final = frozenset(('answered', 'refused', 'rejected'))
+_ENDS: typing.Final = frozenset(
+    ('answered', 'answered-by-peer', 'refused', 'rejected')
+)
 """The kinds of lines that say what its caller was told."""
 
 _EARLY_MS: typing.Final = 50
@@ -59,6 +61,8 @@
         return _refused(facts, end)
     if end.kind == 'answered':
         return _answered(facts, end)
+    if end.kind == 'answered-by-peer':
+        return _answered_by_peer(facts, end)
     return f'it has not ended by the last line; {_by_attempts(facts)}'
 
 
@@ -155,6 +159,16 @@
     return f'answered {late} ms later than aimed: {_slowest(facts, end)}'
 
 
+def _answered_by_peer(facts: typing.Sequence[Fact], end: Fact) -> str:
+    replied = _last(facts, 'peer-replied') or end
+    late = ', late' if end.get('late_ms') else ''
+    return (
+        f'answered by way of {replied.get("peer")} after'
+        f' {end.span_ms("after_ms"):.1f} ms{late}:'
+        ' its instance reached no target'
+    )
+
+
 def _slowest(facts: typing.Sequence[Fact], end: Fact) -> str:
     began_s = opening_of(facts).at_s
     sent = _last(facts, 'sent')
--- a/oleanderstair/explaining/decisions.py
+++ b/oleanderstair/explaining/decisions.py
@@ -246,6 +246,7 @@
         late_ms = max(after_ms - trail.aim_ms, 0)
         if (
             not late_ms
+            and not trail.from_peer
             and trail.sends == 1
             and status < outcomes.MIN_ERROR_STATUS
         ):
--- a/oleanderstair/explaining/failures.py
+++ b/oleanderstair/explaining/failures.py
@@ -92,7 +92,7 @@
         return end.get('reason') or UNKNOWN
     if end.kind == 'attempt-failed':
         return ''
-    if end.kind != 'answered':
+    if end.kind not in ('answered', 'answered-by-peer'):
         return 'not-ended'
     if end.span_ms('status') >= outcomes.MIN_ERROR_STATUS:
         return f'status-{end.get("status")}'
@@ -243,5 +243,6 @@
     'deadline': 'it came without time left',
     'suspected': 'requests like it had made targets crash',
     'no-target': 'no target was known or usable',
+    'isolated': 'no instance that was asked reached a target',
     'not-ended': UNKNOWN,
 }
--- a/oleanderstair/explaining/gauges.py
+++ b/oleanderstair/explaining/gauges.py
@@ -8,7 +8,7 @@
 from oleanderstair.domain.calls import retry_budget
 from oleanderstair.domain.fleet import readiness
 from oleanderstair.domain.tables import registry, revisions
-from oleanderstair.domain.targets import rate_limits
+from oleanderstair.domain.targets import rate_limits, reachability
 
 
 class Gauge(typing.NamedTuple):
@@ -47,6 +47,7 @@
                 for peer in state.members.member_by_incarnation.values()
             ),
         ),
+        Gauge('isolated', (), int(reachability.is_isolated(state))),
         *_targets(state, now_ms),
         *_limits(state),
         *_calls(state),
--- a/oleanderstair/explaining/trails.py
+++ b/oleanderstair/explaining/trails.py
@@ -40,7 +40,8 @@
     ``started_ms`` is when it arrived, and ``held_ms`` how long it was kept
     until its instance knew what is in force. ``hedge`` is why none of
     ``hedge_looks`` led to a second attempt; ``hedge_sends`` counts the sends
-    after which a hedge was last planned.
+    after which a hedge was last planned. ``from_peer`` is the instance that
+    forwarded the call, empty if none did.
     """
 
     request_id: str
@@ -54,6 +55,7 @@
     sends: int = 0
     last_verdict: str = ''
     stage: routed.Stage | None = None
+    from_peer: str = ''
     hedge: str = ''
     hedge_looks: int = 0
     hedge_sends: int = 0
@@ -67,6 +69,7 @@
 ) -> Trail:
     """Begin the trail of a call by what admitted it."""
     trail = Trail(received.request_id, now_ms - held_ms, held_ms)
+    trail.from_peer = received.from_peer
     call = state.routed.call_by_id.get(received.call_id)
     in_force = state.routes.in_force
     if call is not None:
--- a/test/test_isolated_nodes.py
+++ b/test/test_isolated_nodes.py
@@ -7,6 +7,7 @@
 import anyio
 
 from oleanderstair.domain import actions, events, messages
+from oleanderstair.explaining import sinks, stories
 from test import helper, loopback_node
 
 
@@ -145,3 +146,24 @@
             assert replies[0].reason.value == 'unconfirmed'
 
     anyio.run(scene)
+
+
+# Guards against a forwarded call of which the log tells only one half.
+def test_both_hops_of_a_forwarded_call_are_explained():
+    async def scene():
+        async with run_pair() as (_, isolated, peer):
+            sink = sinks.ListSink()
+            for node in (isolated, peer):
+                node.runtime.decisions._sink = sink
+            await loopback_node.send_request(isolated.identity.caller_address)
+            await helper.wait_until(
+                lambda: any('answered-by-peer' in line for line in sink.lines)
+            )
+            story = stories.follow(
+                'request-1', stories.read('entry', sink.lines)
+            )
+            kinds = {line.kind for line in story.decisions}
+            assert kinds >= {'forwarded', 'sent', 'answered', 'peer-replied'}
+            assert f'by way of {peer.identity.incarnation}' in story.cause
+
+    anyio.run(scene)
