Refuse a peer's call by an older configuration before its route is sought

The test now takes the route away from the older configuration and got no-route before. Beside it, an instance that loses and regains its targets in quick succession tells its peers at most once a second (test: 10 changes, 2 reports).

--- a/oleanderstair/domain/calls/routed_calls.py
+++ b/oleanderstair/domain/calls/routed_calls.py
@@ -33,6 +33,9 @@
     if in_force is None or not state.registry.revision:
         reason = _unready_reason(state)
         return [routed_answering.refuse_unadmitted(event.call_id, reason)]
+    peer_refusal = routed_forwarding.refusal_of_peer_call(state, event)
+    if peer_refusal is not None:
+        return [routed_answering.refuse_unadmitted(event.call_id, peer_refusal)]
     route = routing.find_route(in_force, event.host, event.path)
     if route is None:
         return [
@@ -40,9 +43,6 @@
                 event.call_id, outcomes.Reason.NO_ROUTE
             )
         ]
-    peer_refusal = routed_forwarding.refusal_of_peer_call(state, event)
-    if peer_refusal is not None:
-        return [routed_answering.refuse_unadmitted(event.call_id, peer_refusal)]
     if event.deadline_ms <= now_ms:
         return [
             routed_answering.refuse_unadmitted(
--- a/oleanderstair/domain/targets/reachability.py
+++ b/oleanderstair/domain/targets/reachability.py
@@ -26,6 +26,9 @@
 REPORT_INTERVAL_MS: typing.Final[clock.Millis] = 5000
 """How often an isolated instance tells its peers again."""
 
+MIN_REPORT_INTERVAL_MS: typing.Final[clock.Millis] = 1000
+"""The shortest time between two reports, also if the state changes often."""
+
 REPORT_VALID_MS: typing.Final[clock.Millis] = 12_000
 """How long a peer counts as isolated after it has said so."""
 
@@ -118,14 +121,20 @@
     event: events.Tick,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """While isolated, probe a target and tell the peers again when due."""
+    """While isolated, probe a target when due, and report it to the peers.
+
+    It is reported again at an interval, and once it is over.
+    """
     table = state.reachability
-    if not is_isolated(state):
+    is_reported = table.reported_isolated == is_isolated(state)
+    if is_reported and not is_isolated(state):
         return []
-    done: list[actions.Action] = []
-    if now_ms >= table.probe_due_ms:
-        done.extend(_probe(state, 1, now_ms))
-    if now_ms >= table.report_due_ms:
+    done = _probe(state, 1, now_ms) if is_isolated(state) else []
+    since_report_ms = now_ms - table.reported_at_ms
+    min_interval_ms = (
+        REPORT_INTERVAL_MS if is_reported else MIN_REPORT_INTERVAL_MS
+    )
+    if since_report_ms >= min_interval_ms:
         done.extend(_tell_peers(state, now_ms))
     return done
 
@@ -154,10 +163,7 @@
         return []
     lasted_ms = now_ms - table.isolated_since_ms
     table.isolated_since_ms = None
-    return [
-        _audit(state, f'reaches targets again after {lasted_ms:.0f} ms'),
-        *_tell_peers(state, now_ms),
-    ]
+    return [_audit(state, f'reaches targets again after {lasted_ms:.0f} ms')]
 
 
 def _record_failed(
@@ -177,7 +183,6 @@
     return [
         _audit(state, 'reaches no target; its calls go by way of peers'),
         actions.Count('isolations'),
-        *_tell_peers(state, now_ms),
         actions.Notify(events.TargetsUnreachable()),
     ]
 
@@ -201,7 +206,8 @@
 def _tell_peers(
     state: world.World, now_ms: clock.Millis
 ) -> list[actions.Action]:
-    state.reachability.report_due_ms = now_ms + REPORT_INTERVAL_MS
+    state.reachability.reported_at_ms = now_ms
+    state.reachability.reported_isolated = is_isolated(state)
     return broadcast.broadcast_message(
         state,
         messages.PeerIsolated(
--- a/test/test_isolated_instances.py
+++ b/test/test_isolated_instances.py
@@ -1,8 +1,11 @@
 """Instances that reach no target forward their calls to peers."""
 
+import math
+
 import pytest
 
-from oleanderstair.domain import outcomes
+from oleanderstair.domain import actions, events, messages, outcomes
+from oleanderstair.domain.tables import load_reports
 from oleanderstair.emulator import gateway_fleet, gateway_targets, plans
 from test import fleets
 
@@ -136,6 +139,47 @@
     assert_each_ran_once_at_most(fleet)
 
 
+def is_report(action):
+    return isinstance(action, actions.SendPeer) and isinstance(
+        action.message, messages.PeerIsolated
+    )
+
+
+def isolate_at_once(fleet, instance_id):
+    state = fleet.member_by_id[instance_id].state
+    state.reachability.reached_at_ms = -math.inf
+    for number in range(3):
+        failed = events.LoadRead(f'burza-{number}', None, 500)
+        fleet.step(instance_id, failed)
+
+
+def reach_at_once(fleet, instance_id):
+    report = load_reports.Report(0, 0, 4)
+    fleet.step(instance_id, events.LoadRead('burza-1', report, 1))
+
+
+def test_an_instance_that_is_isolated_often_reports_it_seldom():
+    fleet = make_fleet(8)
+    reports = []
+
+    def observe(state, event, done):
+        if state.identity.instance_id == 'entry-1':
+            told = [action for action in done if is_report(action)]
+            reports.extend(told[:1])
+
+    fleet.on_step.append(observe)
+    for _ in range(10):
+        isolate_at_once(fleet, 'entry-1')
+        fleet.run_for(30)
+        reach_at_once(fleet, 'entry-1')
+        fleet.run_for(30)
+    state = fleet.member_by_id['entry-2'].state
+    assert fleet.counts['isolations', ''] == 10
+    assert len(reports) <= 2
+    fleet.run_for(2000)
+    assert not state.reachability.isolated_until_ms_by_peer
+
+
 # Guards against work for a caller that has left, at the other end of the hop.
 def test_a_caller_that_leaves_ends_its_call_at_the_peer():
     fleet = make_fleet(8)
--- a/test/test_isolated_nodes.py
+++ b/test/test_isolated_nodes.py
@@ -141,6 +141,9 @@
             isolated.runtime.state.routes.in_force = in_force._replace(
                 number=in_force.number + 1
             )
+            peer.runtime.state.routes.in_force = in_force._replace(
+                routes_by_host={}
+            )
             replies = observed(isolated, events.HomeReplied)
             await loopback_node.send_request(isolated.identity.caller_address)
             assert replies[0].reason.value == 'unconfirmed'
