--- a/review/lib/kit.py
+++ b/review/lib/kit.py
@@ -23,6 +23,8 @@
 HOST = 'calls.example'
 HELD, BROKEN, UNUSABLE = 0, 1, 2
 MAX_BYTES = 16 * 1024 * 1024
+PAGE_ITEMS = 500
+PAGE_BYTES = 1_048_576
 BEAT_S = 1.5
 CONNECT_S = 1
 BOUNDS = {
@@ -158,9 +160,16 @@
             item for key, item in sorted(self._items.items())
             if key.startswith(prefix) and key > after
         ]
+        page = found[:1]
+        size = sum(len(item['value']) for item in page)
+        for item in found[1:PAGE_ITEMS]:
+            size += len(item['value'])
+            if size > PAGE_BYTES:
+                break
+            page.append(item)
         return {
-            'items': found[:500],
-            'has_more': len(found) > 500,
+            'items': page,
+            'has_more': len(found) > len(page),
             'at_revision': self._revision,
         }
 
