--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,106 +1,124 @@
-"""Answers on kept connections are cut off while their clients read them."""
+"""An entry of another writer stops all instances from following the store."""
 
 import asyncio
 import pathlib
-import random
-import socket
+import time
 
 import kit
 
-CLIENTS = 8
-PLAYED_S = 32
-ANSWER_BYTES = 540_000
-"""The largest answer of a download in the site file of suolaportti."""
+INSTANCES = 3
+NESTED = 1200
+"""How deep the lists in the field Version of the other writer's entry are."""
 
-SLOW_CHUNK_BYTES = 2_048
-SLOW_PAUSE_S = 0.004
-"""A slow client takes some 1.2 s for an answer, at about 500 kB/s."""
+SETTLED_S = 3.5
+"""Longer than StabilityWindowS, so that all instances are in touch."""
 
-THINK_S = (0.1, 0.5)
-"""The pause of a client between two requests, drawn for each."""
+WATCHED_S = 10
+CALL_EVERY_S = 0.1
+APPLY_S = kit.BOUNDS['ConfigApplyS']
+DRAIN_S = kit.BOUNDS['DrainS']
 
-DEADLINE_MS = 2500
-TIMEOUT_MS = 2500
-SEGMENT_BYTES = 1448
-RECEIVE_BYTES = 4_096
-"""Segments and a window as on a network, not those of loopback."""
 
-ALLOWED = 3
-"""LOST counts from the fourth connection on."""
+def foreign_entry():
+    """Return an entry whose Version is a list in place of a text."""
+    nested = '[' * NESTED + ']' * NESTED
+    return (
+        '{"service":"other","address":"127.0.0.1:9","data_centre":"zone-1",'
+        f'"number":{nested},"slots":4,"state":"ready","slow_ms":0,'
+        '"sequence":1,"born":1}'
+    ).encode()
+
+
+def configuration(number):
+    routes = [kit.route('lookup', 'idempotent', 'burza')]
+    if number > 1:
+        routes.append(kit.route('added', 'idempotent', 'burza'))
+    return kit.configuration(number, routes)
 
 
 async def main(record, files, trouble):
     net = kit.unit_of_run()
     store = kit.Store(record)
     _, store_address = await kit.serve(store.handle, f'{net}.1')
-    servers = [
-        kit.Server(f'i-{number}', 'archive', record, work_s=0.1, slots=6)
-        for number in range(4)
-    ]
+    servers = [kit.Server(f'i-{number}', 'burza', record) for number in range(4)]
     for server in servers:
-        server.body = b'0123456789' * (ANSWER_BYTES // 10)
         await server.start(f'{net}.2')
     beating = asyncio.create_task(kit.keep_beating(store, servers))
-    routes = [kit.route('export', 'download', 'archive', TIMEOUT_MS)]
-    store.put('op/config', kit.configuration(1, routes))
-    instance = kit.Instance(
-        'edge-0', f'{net}.10', files, record, store_address, []
-    )
+    store.put('op/config', configuration(1))
+    instances = []
+    seeds = []
+    for number in range(INSTANCES):
+        made = kit.Instance(
+            f'edge-{number}', f'{net}.{10 + number}', files, record,
+            store_address, seeds,
+        )
+        seeds.append(made.listen['Control'])
+        instances.append(made)
     try:
-        await instance.start()
-        if not await instance.wait_ready():
+        for each in instances:
+            await each.start()
+        if not all([await each.wait_ready() for each in instances]):
             record.add('unusable', why='not-ready')
             return kit.UNUSABLE
-        await asyncio.sleep(kit.BOUNDS['StabilityWindowS'] + 0.5)
-        return await play(record, instance, servers, trouble)
+        return await play(record, store, servers, instances, trouble)
     finally:
         beating.cancel()
-        await instance.end()
+        for each in instances:
+            await each.end()
 
 
-async def play(record, instance, servers, trouble):
-    tallies = await asyncio.gather(*(
-        keep_reading(record, instance, number, trouble)
-        for number in range(CLIENTS)
+async def play(record, store, servers, instances, trouble):
+    await asyncio.sleep(1)
+    if trouble:
+        store.put('servers/i-foreign', foreign_entry())
+        record.add('disruption', what='entry-of-another-writer')
+    await asyncio.sleep(SETTLED_S)
+    store.put('op/config', configuration(2))
+    published_s = time.monotonic()
+    record.add('acknowledged', configuration=2)
+    leaving = servers[0]
+    leaving.state = 'leaving'
+    store.put(f'servers/{leaving.server_id}', leaving.entry())
+    left_s = time.monotonic()
+    record.add('acknowledged', server=leaving.server_id, state='leaving')
+    answers = []
+    await asyncio.gather(*(
+        keep_calling(record, each, published_s, answers) for each in instances
     ))
-    whole = sum(tally['whole'] for tally in tallies)
-    cut = sum(tally['cut'] for tally in tallies)
-    late = sum(tally['late'] for tally in tallies)
+    late = [
+        status for path, sent_s, status in answers
+        if path == '/added/x' and sent_s > published_s + APPLY_S
+    ]
+    unknown = late.count(404)
+    sent_late = {
+        request_id for request_id, at_s in leaving.arrived
+        if at_s > left_s + DRAIN_S
+    }
+    served = sum(1 for _, _, status in answers if status == 200)
+    for each in instances:
+        record.add(
+            'log', instance=each.name,
+            faults=len(each.log_lines('fault', 'RecursionError')),
+            alive=each.process.returncode is None,
+        )
     record.add(
-        'result', whole=whole, cut_on_kept_connections=cut, late=late,
-        alive=instance.process.returncode is None,
+        'result', asked_late=len(late), refused_404=unknown,
+        reached_the_draining_server_late=len(sent_late), served=served,
     )
-    if not whole:
+    if not late or not served:
         return kit.UNUSABLE
-    return kit.BROKEN if cut > ALLOWED else kit.HELD
+    return kit.BROKEN if unknown or sent_late else kit.HELD
 
 
-async def keep_reading(record, instance, number, trouble):
-    """Read answers one after the other on one connection."""
-    options = (
-        (socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES),
-        (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES),
-    )
-    client = kit.Client(f'c{number}', instance.front, record, options)
-    rng = random.Random(number)
-    tally = {'whole': 0, 'cut': 0, 'late': 0}
-    loop = asyncio.get_running_loop()
-    until_s = loop.time() + PLAYED_S
-    while loop.time() < until_s:
-        _, answer = await client.call(
-            'GET', '/export/x', deadline_ms=DEADLINE_MS,
-            pause_s=SLOW_PAUSE_S if trouble else 0,
-            chunk_bytes=SLOW_CHUNK_BYTES,
-        )
-        if answer.why == 'deadline':
-            tally['late'] += 1
-        elif answer.is_whole and answer.status == 200:
-            tally['whole'] += 1
-        elif client.is_kept and (not answer.is_whole or not answer.status):
-            tally['cut'] += 1
-        await asyncio.sleep(rng.uniform(*THINK_S))
+async def keep_calling(record, instance, published_s, answers):
+    client = kit.Client(instance.name, instance.front, record)
+    while time.monotonic() < published_s + WATCHED_S:
+        for path in ('/lookup/x', '/added/x'):
+            sent_s = time.monotonic()
+            _, answer = await client.call('GET', path)
+            answers.append((path, sent_s, answer.status))
+        await asyncio.sleep(CALL_EVERY_S)
     client.close()
-    return tally
 
 
 if __name__ == '__main__':
--- a/review/lib/kit.py
+++ b/review/lib/kit.py
@@ -205,6 +205,7 @@
         self.sequence = 0
         self.ran = []
         self.arrived = []
+        self.bodies = {}
         self.body = b'whole'
         self._running = 0
         self._record = record
@@ -261,6 +262,7 @@
 
     async def run(self, fields, method, path, told, body):
         self.ran.append((fields['request-id'], time.monotonic()))
+        self.bodies[fields['request-id']] = body
         self._record.add(
             'run', server=self.server_id, id=fields['request-id'],
             request=f'{method},{path}', bytes=len(body),
@@ -481,20 +483,22 @@
 
     async def call(
         self, method, path, body=b'', deadline_ms=1500, pause_s=0,
-        chunk_bytes=65536,
+        chunk_bytes=65536, extra_lines=(),
     ):
         """Send a request and read its answer; pause between the chunks."""
         self._count += 1
         request_id = f'{self.name}-{self._count}'
         self.is_kept = self._socket is not None
-        self._record.add('send', id=request_id, request=f'{method},{path}')
+        self._record.add(
+            'send', id=request_id, request=f'{method},{path}', bytes=len(body)
+        )
         try:
             if self._socket is None:
                 await self.connect()
             answer = await asyncio.wait_for(
                 self._exchange(
                     request_id, method, path, body, deadline_ms, pause_s,
-                    chunk_bytes,
+                    chunk_bytes, extra_lines,
                 ),
                 deadline_ms / 1000,
             )
@@ -513,12 +517,14 @@
         return request_id, answer
 
     async def _exchange(
-        self, request_id, method, path, body, deadline_ms, pause_s, chunk_bytes
+        self, request_id, method, path, body, deadline_ms, pause_s,
+        chunk_bytes, extra_lines,
     ):
         loop = asyncio.get_running_loop()
         lines = [
             f'{method} {path} HTTP/1.1', f'Host: {HOST}',
             f'Request-Id: {request_id}', f'Deadline-Ms: {deadline_ms}',
+            *extra_lines,
         ]
         if method == 'POST':
             lines.append(f'Content-Length: {len(body)}')
