Refuse a document of the store that is nested too deep

Cause: decoding a document that is nested some 1,000 deep raises RecursionError, also in a field that is only skipped. Items were decoded under `except ValueError`, so one entry of another writer ended the read of everything beside it. Configurations and the pages themselves were decoded in the same way.

Evidence: with the change taken back, the five new tests fail; the one with a node times out as its configuration stays at number 1.

Change: items are decoded in one place, which returns any failure to decode as the problem of that item: it is logged and left out, the others hold.

--- a/oleanderstair/platform/documents.py
+++ b/oleanderstair/platform/documents.py
@@ -98,6 +98,9 @@
     born: int = 0
 
 
+_Document = typing.TypeVar('_Document')
+
+
 def read_configuration(
     item: Item,
 ) -> result.Result[routes.Routing, errors.Problem]:
@@ -105,13 +108,10 @@
 
     Unknown kinds of routes are no problem; the result lists them.
     """
-    try:
-        document = msgspec.json.decode(
-            base64.b64decode(item.value, validate=True),
-            type=_ConfigurationDocument,
-        )
-    except ValueError as error:
-        return result.Err(_item_problem(item, str(error)))
+    decoded = _decode(item, _ConfigurationDocument)
+    if isinstance(decoded, result.Err):
+        return decoded
+    document = decoded.ok_value
     unknown = {route.kind for route in document.routes} - _KINDS
     return result.Ok(
         routes.Routing(
@@ -140,15 +140,9 @@
 
 def configuration_number_of(item: Item) -> int:
     """Return the number of a configuration, or 0 if it can't be decoded."""
-    try:
-        document = msgspec.json.decode(
-            base64.b64decode(item.value, validate=True),
-            type=_NumberDocument,
-        )
-    except ValueError:
-        # ``read_configuration`` has returned the problem already.
-        return 0
-    return document.number
+    # ``read_configuration`` has returned the problem of an unreadable one.
+    decoded = _decode(item, _NumberDocument)
+    return decoded.ok_value.number if isinstance(decoded, result.Ok) else 0
 
 
 def read_target(
@@ -159,13 +153,10 @@
 
     The end of the slow start is the remaining time added to ``now_ms``.
     """
-    try:
-        document = msgspec.json.decode(
-            base64.b64decode(item.value, validate=True),
-            type=_TargetDocument,
-        )
-    except ValueError as error:
-        return result.Err(_item_problem(item, str(error)))
+    decoded = _decode(item, _TargetDocument)
+    if isinstance(decoded, result.Err):
+        return decoded
+    document = decoded.ok_value
     if document.state not in _STATES:
         return result.Err(
             _item_problem(item, f'unknown state {document.state!r}')
@@ -200,6 +191,23 @@
     return item.key.removeprefix(TARGET_PREFIX)
 
 
+def _decode(
+    item: Item, kind: type[_Document]
+) -> result.Result[_Document, errors.Problem]:
+    """Decode the JSON document that an item holds.
+
+    A document that is nested too deep is a problem like any other one.
+    """
+    try:
+        return result.Ok(
+            msgspec.json.decode(
+                base64.b64decode(item.value, validate=True), type=kind
+            )
+        )
+    except (ValueError, RecursionError) as error:
+        return result.Err(_item_problem(item, str(error)))
+
+
 def _route_of(document: _RouteDocument) -> routes.Route:
     parts = tuple(
         routes.SplitPart(part.service, part.weight) for part in document.split
--- a/oleanderstair/platform/store.py
+++ b/oleanderstair/platform/store.py
@@ -272,7 +272,7 @@
         raise StoreError(f'status {response.status}')
     try:
         return msgspec.json.decode(response.body, type=kind)
-    except msgspec.MsgspecError as error:
+    except (ValueError, RecursionError) as error:
         raise StoreError(str(error)) from error
 
 
--- a/test/test_documents.py
+++ b/test/test_documents.py
@@ -79,6 +79,19 @@
     assert isinstance(documents.read_configuration(unreadable), result.Err)
 
 
+# Guards against a RecursionError that ends the read of the whole store.
+@pytest.mark.parametrize('document', [TARGET, CONFIGURATION])
+@pytest.mark.parametrize('field', ['number', 'unknown'])
+def test_document_nested_too_deep_is_refused(document, field):
+    nested = {**document, field: 'here'}
+    text = json.dumps(nested).replace('"here"', '[' * 1500 + ']' * 1500)
+    value = base64.b64encode(text.encode()).decode()
+    unreadable = documents.Item('key', 5, value)
+    assert isinstance(documents.read_target(unreadable, 0), result.Err)
+    assert isinstance(documents.read_configuration(unreadable), result.Err)
+    assert documents.configuration_number_of(unreadable) == 0
+
+
 def test_entry_with_a_missing_field_is_refused():
     missing = {**TARGET}
     missing.pop('data_centre')
--- a/test/test_platform_node.py
+++ b/test/test_platform_node.py
@@ -122,6 +122,29 @@
     anyio.run(scene)
 
 
+# Guards against an instance that no longer follows the store after an entry
+# that is nested too deep to be decoded.
+def test_changes_after_a_deeply_nested_entry_are_applied() -> None:
+    async def scene() -> None:
+        async with loopback_node.run_ready_node() as fixture:
+            runtime = fixture.node.runtime
+            assert runtime is not None
+            nested = b'{"unknown":%b}' % (b'[' * 1500 + b']' * 1500)
+            fixture.store.put('servers/i-foreign', nested)
+            await anyio.sleep(0.5)
+            fixture.store.put('op/config', loopback_node.configuration(4))
+            fixture.store.remove('servers/i-1')
+            table, entries = runtime.state.routes, runtime.state.registry
+            await helper.wait_until(
+                lambda: (
+                    table.in_force is not None and table.in_force.number == 4
+                ),
+            )
+            await helper.wait_until(lambda: set(entries.entry_by_id) == {'i-0'})
+
+    anyio.run(scene)
+
+
 def test_unreadable_configuration_is_reported_and_not_adopted() -> None:
     async def scene() -> None:
         async with loopback_node.run_ready_node() as fixture:
