Let no read of the store end without an event

Cause: an exception in a read was logged and no event followed, while the request stayed marked as in flight, so that no later one was due. The same happened if a tick marked a request and another system of that tick raised, which drops the actions of the tick.

Change: each kind of read names the event of its failure, and a request that has had no result for 15 s counts as failed; both are retried with the usual delay.

Evidence: three new tests fail with the change taken back (a read that raises, a watch that raises, a request that is lost) and pass with it.

--- a/oleanderstair/domain/configuration/store_watch.py
+++ b/oleanderstair/domain/configuration/store_watch.py
@@ -49,6 +49,10 @@
 READ_TIMEOUT_MS: typing.Final = 750
 """The timeout of the read of a page; doubled after each failure."""
 
+MAX_REQUEST_MS: typing.Final = 15_000
+"""How long after its start a request without a result counts as failed. A read
+of many pages of a slow store may take most of it."""
+
 REMOVAL_DOUBT_MS: typing.Final = 2500
 """How long after an outage removals are in doubt: targets whose entries have
 expired during the outage register again."""
@@ -125,6 +129,9 @@
     """
     table = state.store
     done = _clear_failing_if_due(state, now_ms)
+    if _is_request_lost(state, now_ms):
+        failed = events.StoreFailed('the request has no result')
+        return [*done, *on_store_failed(state, failed, now_ms)]
     if table.request_started_at_ms is not None or now_ms < _request_due_ms(
         state
     ):
@@ -232,6 +239,14 @@
     ]
 
 
+def _is_request_lost(state: world.World, now_ms: clock.Millis) -> bool:
+    """Return whether the request in flight should have had a result by now."""
+    started_at_ms = state.store.request_started_at_ms
+    if started_at_ms is None:
+        return False
+    return now_ms - started_at_ms > MAX_REQUEST_MS
+
+
 def _request_due_ms(state: world.World) -> clock.Millis:
     """Return when the next request to the store is due."""
     table = state.store
--- a/oleanderstair/engine/balancer_runtime.py
+++ b/oleanderstair/engine/balancer_runtime.py
@@ -5,6 +5,7 @@
 import anyio.abc
 
 from oleanderstair.domain import actions, balancer, events, world
+from oleanderstair.domain.configuration import read_schedule
 from oleanderstair.engine import (
     dependencies,
     forwarded_calls,
@@ -17,6 +18,24 @@
 Recorder: typing.TypeAlias = runtime.Recorder
 
 
+def _value_failure_of(
+    action: actions.ReadValue | actions.WatchValue, error: Exception
+) -> events.ReadFailed:
+    return events.ReadFailed(action.name, repr(error))
+
+
+def _instances_failure_of(
+    action: actions.ReadInstances, error: Exception
+) -> events.ReadFailed:
+    return events.ReadFailed(read_schedule.INSTANCE_LIST_NAME, repr(error))
+
+
+def _probe_failure_of(
+    action: actions.Probe, error: Exception
+) -> events.ProbeEnded:
+    return events.ProbeEnded(action.target_id, None, action.bound_ms)
+
+
 class BalancerRuntime(runtime.Runtime):
     """Runs the balancer with peers, platform reads and keyed calls."""
 
@@ -42,16 +61,16 @@
                 actions.ForwardHome: self._forwarded_calls.send_to_peer,
                 actions.DropRecorded: self.settling.drop_recorded,
                 actions.ReadValue: self.handler_for_read(
-                    balancer_dependencies.read_value
+                    balancer_dependencies.read_value, _value_failure_of
                 ),
                 actions.WatchValue: self.handler_for_read(
-                    balancer_dependencies.watch_value
+                    balancer_dependencies.watch_value, _value_failure_of
                 ),
                 actions.ReadInstances: self.handler_for_read(
-                    balancer_dependencies.read_instances
+                    balancer_dependencies.read_instances, _instances_failure_of
                 ),
                 actions.Probe: self.handler_for_read(
-                    balancer_dependencies.probe
+                    balancer_dependencies.probe, _probe_failure_of
                 ),
                 actions.SendPeer: self._messenger.send,
             },
--- a/oleanderstair/engine/dependencies.py
+++ b/oleanderstair/engine/dependencies.py
@@ -4,6 +4,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events
+from oleanderstair.domain.configuration import read_schedule
 from oleanderstair.engine import (
     dialects,
     exchanges,
@@ -54,7 +55,9 @@
         try:
             entries = await self.instance_list.read()
         except http_platform.PlatformError as error:
-            return events.ReadFailed('instances', str(error))
+            return events.ReadFailed(
+                read_schedule.INSTANCE_LIST_NAME, str(error)
+            )
         return events.InstancesRead(entries)
 
     async def probe(self, action: actions.Probe) -> events.Event:
--- a/oleanderstair/engine/gateway_runtime.py
+++ b/oleanderstair/engine/gateway_runtime.py
@@ -106,6 +106,18 @@
     return events.LoadRead(action.target_id, report, took_ms)
 
 
+def _store_failure_of(
+    action: actions.ReadStore | actions.WatchStore, error: Exception
+) -> events.StoreFailed:
+    return events.StoreFailed(repr(error))
+
+
+def _load_failure_of(
+    action: actions.ReadLoad, error: Exception
+) -> events.LoadRead:
+    return events.LoadRead(action.target_id, None, action.bound_ms)
+
+
 class GatewayRuntime(runtime.Runtime):
     """Runs the gateway with peers, the platform's store and load reports."""
 
@@ -122,7 +134,9 @@
         )
         self.observer = self.decisions
         self._dependencies = dependencies
-        self._start_read = self.handler_for_read(dependencies.read_load)
+        self._start_read = self.handler_for_read(
+            dependencies.read_load, _load_failure_of
+        )
         self._forwarded_calls = forwarded_calls.create(
             self, tasks, dependencies.link, self._find_peer_address
         )
@@ -132,10 +146,10 @@
         self.add_action_handlers(
             {
                 actions.ReadStore: self.handler_for_read(
-                    dependencies.read_store
+                    dependencies.read_store, _store_failure_of
                 ),
                 actions.WatchStore: self.handler_for_read(
-                    dependencies.watch_store
+                    dependencies.watch_store, _store_failure_of
                 ),
                 actions.ReadLoad: self._read_load,
                 actions.SendPeer: self._messenger.send,
--- a/oleanderstair/engine/runtime.py
+++ b/oleanderstair/engine/runtime.py
@@ -21,6 +21,11 @@
     [typing.Any],
     typing.Awaitable[events.Event],
 ]
+ReadFailure: typing.TypeAlias = typing.Callable[
+    [typing.Any, Exception],
+    events.Event,
+]
+"""Return the event of a read whose action ended with an exception."""
 
 
 class Recorder(typing.Protocol):
@@ -169,10 +174,14 @@
         """Return the service label of a call in metrics: ``all`` by default."""
         return 'all'
 
-    def handler_for_read(self, read: Read) -> ActionHandler:
+    def handler_for_read(
+        self, read: Read, failure_of: ReadFailure
+    ) -> ActionHandler:
         """Return a handler that runs ``read`` as a task.
 
-        The event that ``read`` returns is handled at its end.
+        The event that ``read`` returns is handled at its end. If it raises,
+        that is logged and the event of ``failure_of`` is handled, so that no
+        read ends without one.
         """
 
         async def run_read(action: actions.Action) -> None:
@@ -180,7 +189,7 @@
                 event = await read(action)
             except Exception as error:
                 self.report_fault(type(action).__name__, error)
-                return
+                event = failure_of(action, error)
             self.finish_read(event)
 
         def start_read(action: actions.Action) -> None:
--- a/test/test_platform_node.py
+++ b/test/test_platform_node.py
@@ -9,6 +9,7 @@
 
 import anyio
 import msgspec
+import pytest
 
 from oleanderstair.emulator import load_targets
 from oleanderstair.engine import headers, listener
@@ -145,6 +146,38 @@
     anyio.run(scene)
 
 
+# Guards against an exception in a read of the store that ends all later ones.
+@pytest.mark.parametrize('call', ['read', 'watch'])
+def test_store_is_followed_after_a_read_that_raises(
+    call: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scene() -> None:
+        async with loopback_node.run_ready_node() as fixture:
+            runtime = fixture.node.runtime
+            assert runtime is not None
+            raised = anyio.Event()
+
+            async def fail(*parameters: object) -> None:
+                monkeypatch.undo()
+                raised.set()
+                raise RuntimeError('broken')
+
+            monkeypatch.setattr(runtime.sides.store, call, fail)
+            fixture.store.remove('servers/i-1')
+            fixture.store.forget_history()
+            await raised.wait()
+            fixture.store.put('op/config', loopback_node.configuration(4))
+            table = runtime.state.routes
+            await helper.wait_until(
+                lambda: (
+                    table.in_force is not None and table.in_force.number == 4
+                ),
+            )
+            assert runtime.state.store.failures_in_row == 0
+
+    anyio.run(scene)
+
+
 def test_unreadable_configuration_is_reported_and_not_adopted() -> None:
     async def scene() -> None:
         async with loopback_node.run_ready_node() as fixture:
--- a/test/test_watching.py
+++ b/test/test_watching.py
@@ -255,3 +255,14 @@
     tick_times_ms = extra_start_ticks_ms(instance, 0)
     assert max(tick_times_ms) < instance.state.policy.tick_ms * 2
     assert any(reads_store(instance, at_ms) for at_ms in tick_times_ms)
+
+
+# Guards against a lost request that keeps an instance from reading the store.
+def test_store_is_read_after_a_request_that_was_lost(monkeypatch):
+    fleet = create_ready(1)
+    # Requests of all instances have no result from now on.
+    with monkeypatch.context() as lossy:
+        lossy.setattr(fleet, '_ask', lambda *parameters: None)
+        fleet.run(3000)
+    fleet.store.publish(5)
+    fleet.run_until(lambda: numbers_in_force(fleet) == {5}, 17_000)
