Count the grace period of a planned stop from before a pause

Cause: a process that is paused handles a SIGTERM only when it runs again, and counted its grace period from then, up to the whole pause too long.

Change: the last pause between two ticks is kept. A stop that is handled right after it may have been requested since its beginning, any other one since the last tick. Calls are refused and an idle process exits by the earliest time of the kill; calls in flight may end until the latest.

--- a/oleanderstair/domain/fleet/grace_period_stop.py
+++ b/oleanderstair/domain/fleet/grace_period_stop.py
@@ -4,6 +4,10 @@
 instance accepts calls that can end within the grace period, closes each
 connection after its answer, and refuses longer calls. The process exits
 shortly before the supervisor would kill it.
+
+The supervisor counts the grace period from its signal, which a paused process
+handles only when it runs again. So the kill may come at any time from one grace
+period after the last tick before the signal was handled, or before the pause.
 """
 
 import typing
@@ -21,6 +25,13 @@
 RETRY_AFTER_MS: typing.Final = 50
 """The delay before a refused call may be retried at another instance."""
 
+MIN_PAUSE_MS: typing.Final = EXIT_MARGIN_MS
+"""The time between two ticks above which this process was paused."""
+
+MAX_SIGNAL_DELAY_MS: typing.Final = 500
+"""How long after a pause a signal that came during it is handled at the
+latest."""
+
 _MS_PER_S: typing.Final = 1000
 
 _ACCEPT_ALL_SHARE: typing.Final = 0.5
@@ -42,6 +53,7 @@
     if is_stopping(state):
         return []
     table.stopping_since_ms = now_ms
+    table.stop_requested_from_ms = _earliest_request_ms(state, now_ms)
     # The address of an unconfirmed instance was never given to callers, so it
     # keeps its phase and doesn't wait for late calls.
     if table.phase is not instances.Phase.UNCONFIRMED:
@@ -65,16 +77,15 @@
 
     That is in the second half of the grace period, or 3 s after its start if
     that is earlier, if the call may last until ``due_at_ms`` and that is later
-    than the exit of the process.
+    than the earliest exit of the process.
     """
     if not is_stopping(state):
         return False
-    stopped_at_ms = state.instances.stopping_since_ms
     grace_ms = state.policy.stop_grace_s * _MS_PER_S
     accept_all_ms = min(grace_ms * _ACCEPT_ALL_SHARE, _ACCEPT_ALL_MAX_MS)
-    if now_ms < stopped_at_ms + accept_all_ms:
+    if now_ms < state.instances.stop_requested_from_ms + accept_all_ms:
         return False
-    return due_at_ms > stopped_at_ms + grace_ms - EXIT_MARGIN_MS
+    return due_at_ms > _earliest_kill_ms(state) - EXIT_MARGIN_MS
 
 
 def is_stopping(state: world.World) -> bool:
@@ -90,17 +101,52 @@
     """Exit when no call is in flight, and at the latest before the kill.
 
     An instance whose address callers may hold waits for late calls until
-    ``IDLE_EXIT_MARGIN_MS`` before the kill.
+    ``IDLE_EXIT_MARGIN_MS`` before the earliest time of the kill. Calls in
+    flight may end until the latest time.
     """
+    _record_tick(state, now_ms)
     if not is_stopping(state):
         return []
-    elapsed_ms = now_ms - state.instances.stopping_since_ms
-    remaining_ms = state.policy.stop_grace_s * _MS_PER_S - elapsed_ms
-    if remaining_ms <= EXIT_MARGIN_MS:
+    grace_ms = state.policy.stop_grace_s * _MS_PER_S
+    latest_kill_ms = state.instances.stopping_since_ms + grace_ms
+    if latest_kill_ms - now_ms <= EXIT_MARGIN_MS:
         return [actions.Exit()]
     if state.routed.call_by_id:
         return []
+    remaining_ms = _earliest_kill_ms(state) - now_ms
     is_advertised = state.instances.phase is instances.Phase.STOPPING
     if is_advertised and remaining_ms > IDLE_EXIT_MARGIN_MS:
         return []
     return [actions.Exit()]
+
+
+def _record_tick(state: world.World, now_ms: clock.Millis) -> None:
+    """Record the tick, and a pause of this process before it."""
+    table = state.instances
+    last_tick_at_ms = table.last_tick_at_ms
+    table.last_tick_at_ms = now_ms
+    if last_tick_at_ms == clock.NEVER_MS:
+        return
+    if now_ms - last_tick_at_ms > MIN_PAUSE_MS:
+        table.last_pause = instances.Pause(last_tick_at_ms, now_ms)
+
+
+def _earliest_request_ms(
+    state: world.World, now_ms: clock.Millis
+) -> clock.Millis:
+    """Return the earliest time at which a stop handled now was requested.
+
+    This process ran at its last tick, unless that was the first one after a
+    pause during which the signal may have come.
+    """
+    table = state.instances
+    if table.last_tick_at_ms == clock.NEVER_MS:
+        return now_ms
+    if now_ms - table.last_pause.until_ms <= MAX_SIGNAL_DELAY_MS:
+        return table.last_pause.from_ms
+    return table.last_tick_at_ms
+
+
+def _earliest_kill_ms(state: world.World) -> clock.Millis:
+    grace_ms = state.policy.stop_grace_s * _MS_PER_S
+    return state.instances.stop_requested_from_ms + grace_ms
--- a/oleanderstair/domain/tables/instances.py
+++ b/oleanderstair/domain/tables/instances.py
@@ -59,6 +59,13 @@
     verified_by: frozenset[str] = frozenset()
 
 
+class Pause(typing.NamedTuple):
+    """The last two ticks between which this process was paused."""
+
+    from_ms: clock.Millis = clock.NEVER_MS
+    until_ms: clock.Millis = clock.NEVER_MS
+
+
 class InstancesTable(msgspec.Struct):
     """Listed instances, known peers, and the phase of this instance.
 
@@ -69,7 +76,8 @@
     ``count_grew_at_ms`` is when the count last grew, and
     ``counted_data_centres`` are the data centres of the last count.
     ``stop_idle_ms`` is how long a stopping instance has listened without a
-    call.
+    call. The planned stop was handled at ``stopping_since_ms``, and requested
+    at ``stop_requested_from_ms`` at the earliest.
     """
 
     listed_by_id: dict[str, events.ListedInstance] = msgspec.field(
@@ -97,6 +105,8 @@
     listed_at_ms: clock.Millis = clock.NEVER_MS
     phase: Phase = Phase.UNCONFIRMED
     stopping_since_ms: clock.Millis = clock.NEVER_MS
+    stop_requested_from_ms: clock.Millis = clock.NEVER_MS
+    last_pause: Pause = Pause()
     stop_checked_at_ms: clock.Millis = clock.NEVER_MS
     stop_idle_ms: clock.Millis = 0
     last_tick_at_ms: clock.Millis = clock.NEVER_MS
--- a/test/test_grace_period_stop.py
+++ b/test/test_grace_period_stop.py
@@ -99,3 +99,35 @@
     gateway.step(state, events.Tick(), 0)
     gateway.step(state, events.StopRequested(), 3000)
     assert is_exiting(state, GRACE_MS - 200)
+
+
+# Guards against calls that are accepted after a pause and cut by the kill.
+@pytest.mark.parametrize('ticks_first', [True, False])
+def test_late_call_is_refused_after_a_signal_during_a_pause(
+    stopping, ticks_first
+):
+    state = world.create(OWN, stopping.policy, random.Random(1))
+    state.routes.in_force = stopping.routes.in_force
+    state.registry.revision = 1
+    state.instances.phase = instances.Phase.SERVING
+    gateway.step(state, events.Tick(), 0)
+    if ticks_first:
+        gateway.step(state, events.Tick(), 3000)
+    gateway.step(state, events.StopRequested(), 3010)
+    refused = {outcomes.Reason.STOPPING}
+    assert refusal_reasons(state, 1, 4000, 3100) == refused
+    assert refusal_reasons(state, 2, 1000, 3100) != refused
+    # The signal may have come at the end of the pause.
+    state.routed.call_by_id[2] = object()
+    assert not is_exiting(state, GRACE_MS - 200)
+    assert is_exiting(state, 3010 + GRACE_MS - 300)
+
+
+def test_idle_process_exits_before_the_earliest_kill(stopping):
+    state = world.create(OWN, stopping.policy, random.Random(1))
+    state.instances.phase = instances.Phase.SERVING
+    gateway.step(state, events.Tick(), 0)
+    gateway.step(state, events.Tick(), 3000)
+    gateway.step(state, events.StopRequested(), 3010)
+    assert not is_exiting(state, GRACE_MS - 700)
+    assert is_exiting(state, GRACE_MS - 450)
