Refuse entries and configurations with values out of range

One entry of another writer with a number too large, or a port out of range, was taken as a good one and failed where it was used: with slots of 1 and 400 zeros, six real instances answered none of 30 calls, each to its deadline.

Cause: fields had types and no ranges. Numbers beyond 64 bits can't be sent to peers nor made a float, so pushes of the registry failed (37 exceptions in 10 s for 2**64), and ticks as well, which drops all actions of the tick.

Change: the decoder states the range of each kind of field in one place: counts, slots, times, sequences, IPv4 addresses, ports, names, ids. An item outside is refused with its key, the others hold. The search for usable slots is bounded too, for entries that come from peers.

--- a/oleanderstair/domain/tables/registry.py
+++ b/oleanderstair/domain/tables/registry.py
@@ -6,6 +6,10 @@
 
 from oleanderstair import clock
 
+MAX_SLOTS: typing.Final = 10_000
+"""The most slots of a target. The time to find how many of them add throughput
+grows with their number."""
+
 
 class Entry(typing.NamedTuple):
     """A registered target.
--- a/oleanderstair/domain/targets/concurrency.py
+++ b/oleanderstair/domain/targets/concurrency.py
@@ -13,7 +13,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import world
-from oleanderstair.domain.tables import concurrency
+from oleanderstair.domain.tables import concurrency, registry
 
 NEARLY_FULL_SHARE: typing.Final = 0.8
 """The share of the slots above which a slowdown is assumed."""
@@ -75,8 +75,10 @@
 def usable_slots(state: world.World, service: str, slots: int) -> int:
     """Return the concurrency at which a target has its highest throughput.
 
-    ``slots`` is the number of slots of the target.
+    ``slots`` is the number of slots of the target, of which no more than
+    ``registry.MAX_SLOTS`` are considered.
     """
+    slots = min(slots, registry.MAX_SLOTS)
     cached = state.concurrency.usable_slots_by_service
     usable = cached.get((service, slots))
     if usable is None:
--- a/oleanderstair/platform/documents.py
+++ b/oleanderstair/platform/documents.py
@@ -1,6 +1,7 @@
 """Converts items of the platform's store to rows of the product's tables."""
 
 import base64
+import re
 import typing
 
 import msgspec
@@ -21,13 +22,37 @@
 _ONCE_KIND: typing.Final = 'once'
 _IDEMPOTENT_KINDS: typing.Final = frozenset(('idempotent', 'download'))
 _KINDS: typing.Final = _IDEMPOTENT_KINDS.union((_ONCE_KIND,))
-_NAME = typing.Annotated[str, msgspec.Meta(min_length=1)]
+
+# The ranges of fields. A value outside would fail only where it is used.
+
+_MAX_COUNT: typing.Final = 2_147_483_647
+_MAX_DURATION_MS: typing.Final = 86_400_000
+"""A day."""
+
+_MAX_EXACT: typing.Final = 9_007_199_254_740_991
+"""The largest whole number that every reader of JSON keeps exact."""
+
+_MAX_NAME_LENGTH: typing.Final = 256
+_NAME = typing.Annotated[
+    str, msgspec.Meta(min_length=1, max_length=_MAX_NAME_LENGTH)
+]
+_TARGET_ID: typing.Final = re.compile('[!-~]{1,200}')
+_OCTET: typing.Final = '(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])'
+_PORT: typing.Final = (
+    '(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}'
+    '|[1-5][0-9]{4}|[1-9][0-9]{0,3})'
+)
 _ADDRESS = typing.Annotated[
     str,
-    msgspec.Meta(pattern=r'^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$'),
+    msgspec.Meta(pattern=rf'\A({_OCTET}\.){{3}}{_OCTET}:{_PORT}\Z'),
 ]
-_POSITIVE = typing.Annotated[int, msgspec.Meta(ge=1)]
-_DURATION_MS = typing.Annotated[float, msgspec.Meta(ge=0)]
+_SLOTS = typing.Annotated[int, msgspec.Meta(ge=1, le=registry.MAX_SLOTS)]
+_COUNT = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+_BYTES = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_EXACT)]
+_SEQUENCE = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_EXACT)]
+_WALL_MS = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_EXACT)]
+_DURATION_MS = typing.Annotated[float, msgspec.Meta(ge=0, le=_MAX_DURATION_MS)]
+_MAX_QUOTED: typing.Final = 64
 _REMEDY: typing.Final = 'correct the value and publish it again'
 
 
@@ -46,7 +71,7 @@
 
 class _PartDocument(msgspec.Struct):
     service: str
-    weight: int
+    weight: _COUNT
 
 
 class _RouteDocument(msgspec.Struct):
@@ -54,10 +79,10 @@
     host: str
     prefix: str
     kind: str
-    timeout_ms: float
-    aim_ms: float
-    rank: int
-    max_attempts: int
+    timeout_ms: _DURATION_MS
+    aim_ms: _DURATION_MS
+    rank: _COUNT
+    max_attempts: _COUNT
     service: str = ''
     split: list[_PartDocument] = []
 
@@ -65,37 +90,37 @@
 class _ServiceDocument(msgspec.Struct):
     name: str
     health_path: str
-    connections: int
+    connections: _COUNT
 
 
 class _LimitsDocument(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_time_ms: float
-    idle_ms: float
+    max_header_bytes: _BYTES
+    max_body_bytes: _BYTES
+    header_time_ms: _DURATION_MS
+    idle_ms: _DURATION_MS
 
 
 class _ConfigurationDocument(msgspec.Struct):
-    number: int
+    number: _SEQUENCE
     routes: list[_RouteDocument]
     services: list[_ServiceDocument]
     limits: _LimitsDocument
 
 
 class _NumberDocument(msgspec.Struct):
-    number: int
+    number: _SEQUENCE
 
 
 class _TargetDocument(msgspec.Struct):
     service: _NAME
     address: _ADDRESS
     data_centre: _NAME
-    slots: _POSITIVE
+    slots: _SLOTS
     state: str
-    sequence: int
+    sequence: _SEQUENCE
     # The remaining slow start, not the time of its end.
     slow_ms: _DURATION_MS = 0
-    born: int = 0
+    born: _WALL_MS = 0
 
 
 _Document = typing.TypeVar('_Document')
@@ -159,8 +184,12 @@
     document = decoded.ok_value
     if document.state not in _STATES:
         return result.Err(
-            _item_problem(item, f'unknown state {document.state!r}')
+            _item_problem(
+                item, f'unknown state {document.state[:_MAX_QUOTED]!r}'
+            )
         )
+    if not _TARGET_ID.fullmatch(target_id_of(item)):
+        return result.Err(_item_problem(item, 'its id is not plain text'))
     return result.Ok(
         registry.Entry(
             target_id=target_id_of(item),
--- a/test/test_documents.py
+++ b/test/test_documents.py
@@ -64,6 +64,18 @@
         {'service': ''},
         {'born': 'today'},
         {'slow_ms': -1},
+        {'slow_ms': 1e308},
+        {'slots': 10_001},
+        {'slots': 2**64},
+        {'slots': 10**400},
+        {'born': 2**64},
+        {'born': -1},
+        {'sequence': 2**64},
+        {'address': '10.1.0.3:99999'},
+        {'address': '10.1.0.3:0'},
+        {'address': '999.1.1.1:80'},
+        {'address': '10.1.0.3:80\n'},
+        {'address': '10.1.0.\u0663:80'},
     ],
 )
 def test_invalid_entry_is_refused_with_its_key(invalid_fields):
@@ -72,6 +84,26 @@
     assert read.err_value.where == 'servers/i-1'
 
 
+def test_id_that_breaks_a_header_is_refused():
+    unusable = item(TARGET, 'servers/i-1\r\nHost: other')
+    assert isinstance(documents.read_target(unusable, 0), result.Err)
+
+
+@pytest.mark.parametrize(
+    'edit',
+    [
+        lambda tree: tree.update(number=2**64),
+        lambda tree: tree['routes'][0].update(timeout_ms=1e308),
+        lambda tree: tree['routes'][0]['split'][0].update(weight=10**400),
+        lambda tree: tree['limits'].update(max_body_bytes=-1),
+    ],
+)
+def test_configuration_with_a_value_out_of_range_is_refused(edit):
+    tree = json.loads(json.dumps(CONFIGURATION))
+    edit(tree)
+    assert isinstance(documents.read_configuration(item(tree)), result.Err)
+
+
 @pytest.mark.parametrize('value', ['', '!!', 'e30=', 'AAEC'])
 def test_undecodable_value_is_refused(value):
     unreadable = documents.Item('servers/i-1', 5, value)
--- a/test/test_platform_node.py
+++ b/test/test_platform_node.py
@@ -146,6 +146,39 @@
     anyio.run(scene)
 
 
+# Guards against calls and changes that fail because of one odd entry.
+@pytest.mark.parametrize(
+    'field',
+    [
+        {'slots': 10**400},
+        {'slots': 2**64},
+        {'born': 2**64},
+        {'slow_ms': 1e308},
+        {'address': '127.0.0.1:99999'},
+    ],
+)
+def test_entry_with_a_value_out_of_range_disturbs_nothing(
+    field: dict[str, typing.Any],
+) -> None:
+    async def scene() -> None:
+        async with loopback_node.run_ready_node() as fixture:
+            runtime = fixture.node.runtime
+            assert runtime is not None
+            odd = loopback_node.registration_of('127.0.0.1:9') | field
+            encoded = json.dumps(odd).encode()
+            fixture.store.put('servers/i-odd', encoded)
+            fixture.store.remove('servers/i-1')
+            entries = runtime.state.registry
+            await helper.wait_until(lambda: set(entries.entry_by_id) == {'i-0'})
+            for _ in range(20):
+                served = await loopback_node.send_request(fixture.address)
+                assert served.status == 200
+            counted = {name for name, _ in runtime.metrics.count_by_series}
+            assert 'faults' not in counted
+
+    anyio.run(scene)
+
+
 # Guards against an exception in a read of the store that ends all later ones.
 @pytest.mark.parametrize('call', ['read', 'watch'])
 def test_store_is_followed_after_a_read_that_raises(
