Replace a silent connection to a peer that is still heard

Cause: each of two peers sends over a connection of its own. A connection counted as answered when anything came from the peer, also what it sent by itself over its own connection. So a connection that was silent in one direction was kept for good, and all pushes on it were lost; changes came by way of other peers, or by reads of one's own after 1.35 to 1.85 s.

Change: a query is answered by a reply only. Calls that are forwarded to a peer may take long, so anything that the peer sends still counts for these.

Evidence: the new test fails before (no message in 3 s) and passes now.

--- a/oleanderstair/engine/peers.py
+++ b/oleanderstair/engine/peers.py
@@ -88,13 +88,22 @@
 class _PeerConnection(typing.NamedTuple):
     """A connection to a peer.
 
-    ``oldest_unanswered_ms`` is the time of the oldest message that needs a
-    reply and has none yet.
+    ``oldest_unanswered_ms`` is the time of the oldest query that has no reply
+    yet. ``oldest_call_ms`` is that of the oldest call after which the peer has
+    sent nothing, as its answer may take long.
     """
 
     socket: 'zmq.Socket[bytes]'
     used_at_ms: clock.Millis
     oldest_unanswered_ms: clock.Millis | None = None
+    oldest_call_ms: clock.Millis | None = None
+
+
+class _LastReceived(typing.NamedTuple):
+    """When a peer sent its last message, and its last reply to a query."""
+
+    message_at_ms: clock.Millis
+    reply_at_ms: clock.Millis = clock.NEVER_MS
 
 
 class _WaitingFrame(typing.NamedTuple):
@@ -136,7 +145,7 @@
         self._connection_by_address: dict[str, _PeerConnection] = {}
         self._waiting: list[_WaitingFrame] = []
         self._frame_cache = frame_cache.create()
-        self._received_at_ms_by_incarnation: dict[str, clock.Millis] = {}
+        self._last_received_by_incarnation: dict[str, _LastReceived] = {}
 
     @property
     def address(self) -> str:
@@ -162,14 +171,13 @@
         Return the size of its frame in bytes, 0 if it was dropped. A queued
         frame may still be dropped later.
 
-        A connection is replaced if ``incarnation`` leaves a message on it
-        unanswered for too long.
+        A connection is replaced if ``incarnation`` leaves a query on it
+        unanswered for too long. What the peer sends by itself comes over its
+        own connection, and proves nothing about this one.
         """
         self._count_refused_handshakes()
         frame = self._frame_cache.encode(message)
-        socket = self._get_or_open_socket(
-            address, incarnation, _expects_reply(message)
-        )
+        socket = self._get_or_open_socket(address, incarnation, message)
         if _try_send(socket, frame):
             return len(frame)
         return len(frame) if self._queue_frame(address, frame) else 0
@@ -179,7 +187,7 @@
         while True:
             received = _decode_message(await self._receiver.receive())
             if received is not None:
-                self._record_received(received.sender)
+                self._record_received(received)
                 return received
             self._count('peer-dropped', 'malformed')
 
@@ -244,7 +252,7 @@
         self,
         address: str,
         incarnation: str,
-        expects_reply: bool,
+        message: messages.Message,
     ) -> 'zmq.Socket[bytes]':
         now_ms = self._clock.now_ms()
         connection = self._connection_by_address.pop(address, None)
@@ -259,8 +267,11 @@
                 self._open_socket(address),
                 now_ms,
             )
-        if expects_reply and connection.oldest_unanswered_ms is None:
+        if _is_query(message) and connection.oldest_unanswered_ms is None:
             connection = connection._replace(oldest_unanswered_ms=now_ms)
+        is_call = isinstance(message, messages.KeyedCall)
+        if is_call and connection.oldest_call_ms is None:
+            connection = connection._replace(oldest_call_ms=now_ms)
         # The table is ordered by last use, so the first entry is the oldest.
         self._connection_by_address[address] = connection._replace(
             used_at_ms=now_ms
@@ -271,22 +282,32 @@
     def _clear_answered(
         self, connection: _PeerConnection, incarnation: str
     ) -> _PeerConnection:
-        """Clear the oldest unanswered message if the peer sent one since."""
-        received_at_ms = self._received_at_ms_by_incarnation.get(incarnation)
-        if received_at_ms is None or connection.oldest_unanswered_ms is None:
-            return connection
-        if received_at_ms < connection.oldest_unanswered_ms:
+        """Clear the oldest query and call if the peer has answered since."""
+        last = self._last_received_by_incarnation.get(incarnation)
+        if last is None:
             return connection
-        return connection._replace(oldest_unanswered_ms=None)
+        return connection._replace(
+            oldest_unanswered_ms=_time_if_after(
+                connection.oldest_unanswered_ms, last.reply_at_ms
+            ),
+            oldest_call_ms=_time_if_after(
+                connection.oldest_call_ms, last.message_at_ms
+            ),
+        )
 
     def _is_silent(
         self, connection: _PeerConnection, now_ms: clock.Millis
     ) -> bool:
-        if connection.oldest_unanswered_ms is None:
-            return False
         # Twice the timeout, because ZeroMQ heartbeats already replace most
         # silent connections.
-        return now_ms - connection.oldest_unanswered_ms > 2 * self._silence_ms
+        return any(
+            sent_at_ms is not None
+            and now_ms - sent_at_ms > 2 * self._silence_ms
+            for sent_at_ms in (
+                connection.oldest_unanswered_ms,
+                connection.oldest_call_ms,
+            )
+        )
 
     def _open_socket(self, address: str) -> 'zmq.Socket[bytes]':
         return peer_sockets.connect_dealer(
@@ -304,10 +325,14 @@
         if len(table) > _MAX_CONNECTIONS or unused_ms > _MAX_UNUSED_MS:
             table.pop(oldest).socket.close(0)
 
-    def _record_received(self, incarnation: str) -> None:
-        table = self._received_at_ms_by_incarnation
-        table.pop(incarnation, None)
-        table[incarnation] = self._clock.now_ms()
+    def _record_received(self, received: ReceivedMessage) -> None:
+        table = self._last_received_by_incarnation
+        now_ms = self._clock.now_ms()
+        known = table.pop(received.sender, None) or _LastReceived(now_ms)
+        last = known._replace(message_at_ms=now_ms)
+        if _is_reply(received.message):
+            last = last._replace(reply_at_ms=now_ms)
+        table[received.sender] = last
         if len(table) > _MAX_CONNECTIONS:
             table.pop(next(iter(table)))
 
@@ -343,13 +368,33 @@
     return True
 
 
-def _expects_reply(message: messages.Message) -> bool:
-    """Return whether a live peer replies to this message."""
+def _is_query(message: messages.Message) -> bool:
+    """Return whether a live peer replies to this message at once."""
     if isinstance(message, (messages.Pulse, messages.Heartbeat)):
         return not message.reply
-    if isinstance(message, messages.Roster):
-        return message.turn is messages.Turn.ASKS
-    return isinstance(message, messages.KeyedCall)
+    return (
+        isinstance(message, messages.Roster)
+        and message.turn is messages.Turn.ASKS
+    )
+
+
+def _is_reply(message: messages.Message) -> bool:
+    """Return whether a peer sends this message only in reply to a query."""
+    if isinstance(message, (messages.Pulse, messages.Heartbeat)):
+        return message.reply
+    return (
+        isinstance(message, messages.Roster)
+        and message.turn is messages.Turn.ANSWERS
+    )
+
+
+def _time_if_after(
+    sent_at_ms: clock.Millis | None, answered_at_ms: clock.Millis
+) -> clock.Millis | None:
+    """Return ``sent_at_ms`` if it was not answered since, else None."""
+    if sent_at_ms is None or answered_at_ms >= sent_at_ms:
+        return None
+    return sent_at_ms
 
 
 def _decode_message(parts: list[bytes]) -> ReceivedMessage | None:
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -29,7 +29,7 @@
 
 
 @contextlib.contextmanager
-def open_links(*keys, silence_ms=300):
+def open_links(*keys, silence_ms=300, heartbeats=True):
     peer_links = []
     counts = {}
 
@@ -45,6 +45,7 @@
                     f'entry-{number}~a{number}',
                     pair,
                     silence_ms,
+                    heartbeats,
                 ),
             )
         peer_links[0].count_with(count)
@@ -206,6 +207,37 @@
     run(work)
 
 
+# Guards against a connection that is silent for good, and is kept because the
+# peer sends messages over its own connection.
+def test_silent_connection_to_a_peer_that_sends_is_replaced():
+    async def work(tasks):
+        plain = peers.Keys()
+        received = []
+        with open_links(plain, plain, heartbeats=False) as (peer_links, counts):
+            forwarder = Forwarder(*peer_links[1].address.split(':'))
+            listener = await anyio.create_tcp_listener(
+                local_host='127.0.0.1', family=socket.AF_INET
+            )
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            address = f'127.0.0.1:{port}'
+            tasks.start_soon(listener.serve, forwarder)
+            tasks.start_soon(receive_into, peer_links[0], [])
+            tasks.start_soon(receive_into, peer_links[1], received)
+            await send_until(peer_links[0], address, lambda: received)
+            forwarder.silent.add(1)
+            await anyio.sleep(0.1)
+            received.clear()
+            query = messages.Pulse(STATE)
+            with anyio.fail_after(3):
+                while not received:
+                    peer_links[1].send(peer_links[0].address, query)
+                    peer_links[0].send(address, query, 'entry-1~a1')
+                    await anyio.sleep(0.02)
+            assert counts['replaced'] == 1
+
+    run(work)
+
+
 def test_peer_that_never_answers_gets_a_new_connection():
     async def work(tasks):
         received = []
