End connections to peers on which nothing is acknowledged

The second half of the fault: on a connection that carries pushes and no query, nothing is ever answered, and the system repeats what is not acknowledged for some 15 minutes before it gives up.

Change: the system ends a connection to a peer on which bytes stay unacknowledged for twice the timeout of peers, and ZeroMQ opens a new one.

--- a/oleanderstair/engine/peer_sockets.py
+++ b/oleanderstair/engine/peer_sockets.py
@@ -73,6 +73,8 @@
     dealer.setsockopt(zmq.IMMEDIATE, 1)
     dealer.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
     dealer.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
+    # The system ends a connection on which sent bytes stay unacknowledged.
+    dealer.setsockopt(zmq.TCP_MAXRT, 2 * options.silence_ms)
     if keys.public:
         dealer.curve_serverkey = keys.public.encode()
         dealer.curve_publickey = keys.public.encode()
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -11,6 +11,7 @@
 from oleanderstair.domain import messages
 from oleanderstair.domain.fleet import codec
 from oleanderstair.engine import frame_cache, peers
+from test import silencing
 
 BOUND_S = 10
 HEAD = messages.NoteHead(1, 'digest', confirmed=True)
@@ -238,6 +239,27 @@
     run(work)
 
 
+# Guards against pushes that are lost for good on a connection that is silent,
+# as no query is sent on it.
+def test_connection_without_acknowledgements_is_replaced():
+    async def work(tasks):
+        plain = peers.Keys()
+        received = []
+        with open_links(plain, plain, heartbeats=False) as (peer_links, _):
+            address = peer_links[1].address
+            tasks.start_soon(receive_into, peer_links[1], received)
+            await send_until(peer_links[0], address, lambda: received)
+            port = int(address.rpartition(':')[2])
+            # Both ends of the connection are in this process.
+            assert silencing.silence_connections(port) == 2
+            await anyio.sleep(0.1)
+            received.clear()
+            with anyio.fail_after(3):
+                await send_until(peer_links[0], address, lambda: received)
+
+    run(work)
+
+
 def test_peer_that_never_answers_gets_a_new_connection():
     async def work(tasks):
         received = []
