Read changes that are too large for one answer in pages

Change: a watch whose answer is too large ends like one whose history is gone, and the store is read in pages.

Evidence: the new test fails before (not in force within 5 s) and passes now.

--- a/oleanderstair/engine/answers.py
+++ b/oleanderstair/engine/answers.py
@@ -54,6 +54,10 @@
     body: bytes
 
 
+TOO_LARGE: typing.Final = 'answer too large'
+"""The cause of the fault of an answer whose body exceeds the maximum."""
+
+
 class AnswerFault(typing.NamedTuple):
     """Why a request gets no valid answer on its connection.
 
@@ -189,7 +193,7 @@
         if self._answer_body_bytes <= self._max_bytes:
             self._chunks.append(body)
         else:
-            self.abandon('answer too large')
+            self.abandon(TOO_LARGE)
 
     def on_message_complete(self) -> None:
         """Finish a final answer; skip an interim one."""
--- a/oleanderstair/platform/store.py
+++ b/oleanderstair/platform/store.py
@@ -9,7 +9,7 @@
 from oleanderstair import clock, errors, logs
 from oleanderstair.domain import events
 from oleanderstair.domain.tables import registry, revisions, routes
-from oleanderstair.engine import exchanges, headers
+from oleanderstair.engine import answers, exchanges, headers
 from oleanderstair.platform import documents
 
 _OK: typing.Final = 200
@@ -24,6 +24,10 @@
     """A request to the store failed; the message gives the reason."""
 
 
+class _TooLargeError(StoreError):
+    """The answer of the store exceeds the maximum size."""
+
+
 class _Response(typing.NamedTuple):
     """A response of the store.
 
@@ -92,13 +96,18 @@
 
         Log and return ``StoreFailed`` if the request fails or there is no
         answer ``slack_ms`` after that. Return ``HistoryLost`` if the store no
-        longer has all of the changes, or was restored since.
+        longer has all of the changes, if they are too large for one answer, or
+        if it was restored since.
         """
         after = revisions.within_era(after_revision)
         path = f'/-/kv-watch?prefix=&after={after}&wait_ms={int(bound_ms)}'
         try:
             response = await self._get(path, bound_ms + slack_ms)
             return self._watched_of(response, after_revision)
+        except _TooLargeError:
+            # A read gets the same changes in pages.
+            logs.log_event('store-changes-too-large', after=after)
+            return events.HistoryLost()
         except StoreError as error:
             logs.log_event('store-failed', call='watch', why=str(error))
             return events.StoreFailed(str(error))
@@ -211,6 +220,8 @@
         )
         self._connections.close_idle(_DESTINATION_ID)
         if exchange.answer is None:
+            if exchange.cause == answers.TOO_LARGE:
+                raise _TooLargeError(exchange.cause)
             raise StoreError(exchange.cause or 'no answer in time')
         answer = exchange.answer
         return _Response(answer.status, answer.body, _era_of(answer))
--- a/test/test_platform_node.py
+++ b/test/test_platform_node.py
@@ -282,6 +282,29 @@
     anyio.run(scene)
 
 
+# Guards against an instance that follows the store no more until its history
+# is gone, as the changes since its last read exceed the largest answer.
+def test_changes_too_large_for_one_answer_are_read_in_pages() -> None:
+    async def scene() -> None:
+        async with loopback_node.run_ready_node() as fixture:
+            fixture.store.page_items = 1
+            for number in range(4):
+                fixture.store.put(f'servers/odd-{number}', bytes(1_048_576))
+            fixture.store.put('op/config', loopback_node.configuration(4))
+            runtime = fixture.node.runtime
+            assert runtime is not None
+            table = runtime.state.routes
+            with anyio.fail_after(5):
+                await helper.wait_until(
+                    lambda: (
+                        table.in_force is not None
+                        and table.in_force.number == 4
+                    ),
+                )
+
+    anyio.run(scene)
+
+
 def test_all_pages_of_the_registry_are_read() -> None:
     async def scene() -> None:
         async with loopback_node.run_ready_node() as fixture:
