Let the soak silence open connections and write odd entries

Connections that go silent for good while new ones work, and entries of another writer, were not among the faults of the soak (docs/incidents/real-processes.md, odd-entries.md). Both are drawn apart from the other faults, so that each seed plays those as before; plans with planned work only have none.

--- a/soak/instances.py
+++ b/soak/instances.py
@@ -20,13 +20,15 @@
 ROOT: typing.Final = pathlib.Path(__file__).parent.parent
 _POLL_S: typing.Final = 0.05
 _NEAR_S: typing.Final = 0.001
-_HANGUP_BIT: typing.Final = 1 << (signal.SIGHUP - 1)
 _PORT_BY_SIDE: typing.Final = {
     'callers': 8161,
     'directory': 8164,
     'readiness': 8167,
     'peers': 8166,
 }
+_SPARED: typing.Final = tuple(
+    str(port) for side, port in _PORT_BY_SIDE.items() if side != 'peers'
+)
 _READY: typing.Final = 200
 _ASK_S: typing.Final = 1
 _PLACES: typing.Final = ('trnava', 'nitra')
@@ -79,11 +81,16 @@
         """
         self.reloads += 1
         self.write_settings(queue_limit=_QUEUE_LIMITS[self.reloads % 2])
-        while self.is_running and not self._bears_hangups():
+        while self.is_running and not self._bears(signal.SIGHUP):
             await anyio.sleep(_NEAR_S)
         self.signal(signal.SIGHUP)
 
-    def _bears_hangups(self) -> bool:
+    def sever(self) -> None:
+        """Let its open connections go silent, if its program runs."""
+        if self.is_running and self._bears(signal.SIGUSR1):
+            self.signal(signal.SIGUSR1)
+
+    def _bears(self, number: signal.Signals) -> bool:
         assert self.process is not None  # noqa: S101 (it runs)
         status = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
         masks = [
@@ -91,14 +98,14 @@
             for row in status.splitlines()
             if row.startswith(('SigIgn', 'SigCgt'))
         ]
-        return any(mask & _HANGUP_BIT for mask in masks)
+        return any(mask >> (number - 1) & 1 for mask in masks)
 
     async def start(self) -> None:
         """Start the process anew; its lines go to a file."""
         self.life += 1
         with self.folder.joinpath(f'{self.name}.log').open('ab') as log:
             self.process = await anyio.open_process(
-                [sys.executable, '-S', '-m', 'oleanderstair.platform.daemon'],
+                [sys.executable, '-S', '-m', 'soak.severable', *_SPARED],
                 cwd=ROOT,
                 env={
                     'OLEANDERSTAIR_CONFIG': str(self._path),
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -1,10 +1,12 @@
 """Draws the faults of one scenario from a seed, and from nothing else."""
 
 import enum
+import math
 import random
 import typing
 
 from oleanderstair import clock
+from soak import odd_entries
 
 INSTANCES: typing.Final = tuple(f'entry-{number}' for number in range(1, 5))
 STORE_PLACE: typing.Final = 'store'
@@ -23,6 +25,7 @@
 _LIMIT_SPAN_MS: typing.Final = 9000
 _SERIES_MS: typing.Final = 400
 _SERIES_SHARE: typing.Final = 0.25
+_ADDED_PER_S: typing.Final = 0.1
 
 
 class Kind(enum.Enum):
@@ -41,6 +44,8 @@
     LEAVE = 'leave'
     LIMIT = 'limit'
     RESTORE = 'restore'
+    ODD_ENTRY = 'odd-entry'
+    SEVER = 'sever'
 
 
 OPERATOR: typing.Final = (Kind.PUBLISH, Kind.LEAVE, Kind.LIMIT)
@@ -62,6 +67,12 @@
 )
 
 
+_PLACES_BY_ADDED_KIND: typing.Final = {
+    Kind.ODD_ENTRY: tuple(odd_entries.BY_NAME),
+    Kind.SEVER: INSTANCES,
+}
+
+
 class Fault(typing.NamedTuple):
     """One fault: what, where, from when and for how long."""
 
@@ -90,6 +101,7 @@
     rng = random.Random(seed)
     kinds = _SCENES[seed % len(_SCENES)]
     count = max(int(seconds * _PER_S), 1)
+    count_added = math.ceil(seconds * _ADDED_PER_S)
     last_ms = max(seconds * _MS_PER_S - _CALM_MS, _CALM_MS)
     found: list[Fault] = []
     while len(found) < count:
@@ -101,9 +113,23 @@
             if _is_alike(again, found[-1]):
                 again = again._replace(where=found[-1].where)
             found.append(again)
+    found.extend(_draw_added(seed, count_added, last_ms))
     return Plan(seed, seconds, tuple(sorted(found, key=order)))
 
 
+def _draw_added(
+    seed: int, count: int, last_ms: clock.Millis
+) -> typing.Iterator[Fault]:
+    """Draw the faults of later kinds, by which no earlier draw changes."""
+    if _SCENES[seed % len(_SCENES)] is PLANNED:
+        return
+    rng = random.Random(f'added {seed}')
+    for _ in range(count):
+        for kind, places in _PLACES_BY_ADDED_KIND.items():
+            at_ms = round(rng.uniform(_CALM_MS, last_ms))
+            yield Fault(kind, rng.choice(places), at_ms, rng.choice(_SPANS_MS))
+
+
 def links() -> list[str]:
     """Return the names of all links that can be harmed."""
     return [
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -14,7 +14,16 @@
 from oleanderstair import clock
 from oleanderstair.emulator import load_targets, published, standing, store
 from oleanderstair.platform import documents
-from soak import bounds, callers, checks, instances, plan, proxy, record
+from soak import (
+    bounds,
+    callers,
+    checks,
+    instances,
+    odd_entries,
+    plan,
+    proxy,
+    record,
+)
 
 _CALLERS: typing.Final = 8
 _SERVICE_MS: typing.Final = 25
@@ -356,6 +365,25 @@
         scene.write_entries()
 
 
+async def _put_odd_entry(scene: Scene, fault: plan.Fault) -> None:
+    key = f'{documents.TARGET_PREFIX}odd-{fault.where}'
+    scene.kept.put(key, odd_entries.BY_NAME[fault.where])
+    await anyio.sleep(clock.to_seconds(fault.span_ms))
+    scene.kept.remove(key)
+
+
+async def _sever(scene: Scene, fault: plan.Fault) -> None:
+    """Let open connections of an instance go silent.
+
+    Some lead to the others, so that all count as struck at that moment.
+    """
+    now_s = anyio.current_time()
+    scene.seen.harmed.extend(
+        record.Span(name, now_s, now_s) for name in scene.entry_by_name
+    )
+    scene.entry_by_name[fault.where].sever()
+
+
 async def _harm(scene: Scene, fault: plan.Fault) -> None:
     link = scene.link_by_name[fault.where]
     with link.harmed(fault):
@@ -372,6 +400,7 @@
         plan.Kind.LEAVE,
         plan.Kind.LIMIT,
         plan.Kind.RESTORE,
+        plan.Kind.ODD_ENTRY,
     ),
 )
 """The kinds of faults that excuse no instance for as long as they take."""
@@ -384,6 +413,8 @@
     plan.Kind.LEAVE: _leave,
     plan.Kind.LIMIT: _limit,
     plan.Kind.RESTORE: _restore,
+    plan.Kind.ODD_ENTRY: _put_odd_entry,
+    plan.Kind.SEVER: _sever,
     **dict.fromkeys(plan.LINKS, _harm),
 }
 
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -11,7 +11,7 @@
 from oleanderstair.domain import messages
 from oleanderstair.domain.fleet import codec
 from oleanderstair.engine import frame_cache, peers
-from test import silencing
+from soak import silencing
 
 BOUND_S = 10
 HEAD = messages.NoteHead(1, 'digest', confirmed=True)
@@ -251,7 +251,10 @@
             await send_until(peer_links[0], address, lambda: received)
             port = int(address.rpartition(':')[2])
             # Both ends of the connection are in this process.
-            assert silencing.silence_connections(port) == 2
+            silenced = silencing.silence_connections(
+                lambda own, peer: port in {own, peer}
+            )
+            assert silenced == 2
             await anyio.sleep(0.1)
             received.clear()
             with anyio.fail_after(3):
