--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -185,19 +185,25 @@
                     await sink.send(chunk)
 
 
+async def start_forwarder(tasks, address):
+    """Serve a forwarder to ``address``; return it and where it listens."""
+    forwarder = Forwarder(*address.split(':'))
+    listener = await anyio.create_tcp_listener(
+        local_host='127.0.0.1', family=socket.AF_INET
+    )
+    tasks.start_soon(listener.serve, forwarder)
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    return forwarder, f'127.0.0.1:{port}'
+
+
 def test_silent_connection_is_replaced():
     async def work(tasks):
         received = []
         keys = make_keys()
         with open_links(keys, keys) as (peer_links, _):
-            forwarder = Forwarder(*peer_links[0].address.split(':'))
-            listener = await anyio.create_tcp_listener(
-                local_host='127.0.0.1',
-                family=socket.AF_INET,
+            forwarder, address = await start_forwarder(
+                tasks, peer_links[0].address
             )
-            port = listener.extra(anyio.abc.SocketAttribute.local_port)
-            address = f'127.0.0.1:{port}'
-            tasks.start_soon(listener.serve, forwarder)
             tasks.start_soon(receive_into, peer_links[0], received)
             await send_until(peer_links[1], address, lambda: received)
             forwarder.silent.add(1)
@@ -215,13 +221,9 @@
         plain = peers.Keys()
         received = []
         with open_links(plain, plain, heartbeats=False) as (peer_links, counts):
-            forwarder = Forwarder(*peer_links[1].address.split(':'))
-            listener = await anyio.create_tcp_listener(
-                local_host='127.0.0.1', family=socket.AF_INET
+            forwarder, address = await start_forwarder(
+                tasks, peer_links[1].address
             )
-            port = listener.extra(anyio.abc.SocketAttribute.local_port)
-            address = f'127.0.0.1:{port}'
-            tasks.start_soon(listener.serve, forwarder)
             tasks.start_soon(receive_into, peer_links[0], [])
             tasks.start_soon(receive_into, peer_links[1], received)
             await send_until(peer_links[0], address, lambda: received)
