Read evacuations and slow start limits from the store, and send nothing to evacuated data centres

Requests reached targets of a data centre that the operator was evacuating, since nothing read op/evacuate/. The store's reader now decodes evacuations and the slow start limits of services. All ways to a dispatch ask availability.wait_ms, which is infinite for these targets.

--- a/oleanderstair/domain/calls/routed_calls.py
+++ b/oleanderstair/domain/calls/routed_calls.py
@@ -13,7 +13,7 @@
     routed_retries,
 )
 from oleanderstair.domain.configuration import routing
-from oleanderstair.domain.fleet import grace_period_stop
+from oleanderstair.domain.fleet import grace_period_stop, readiness
 from oleanderstair.domain.tables import calls, routed, routes
 from oleanderstair.domain.targets import (
     availability,
@@ -30,7 +30,7 @@
 ) -> list[actions.Action]:
     """Refuse a request, or admit it and start to choose a target for it."""
     in_force = state.routes.in_force
-    if in_force is None or not state.registry.revision:
+    if in_force is None or not readiness.has_store_state(state):
         reason = _unready_reason(state)
         return [routed_answering.refuse_unadmitted(event.call_id, reason)]
     peer_refusal = routed_forwarding.refusal_of_peer_call(state, event)
--- a/oleanderstair/domain/configuration/store_watch.py
+++ b/oleanderstair/domain/configuration/store_watch.py
@@ -10,7 +10,11 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, world
-from oleanderstair.domain.configuration import routing, store_sync
+from oleanderstair.domain.configuration import (
+    operator_sync,
+    routing,
+    store_sync,
+)
 from oleanderstair.domain.fleet import member_list, roster_exchange
 from oleanderstair.domain.tables import revisions, routes
 
@@ -139,7 +143,11 @@
     table.request_started_at_ms = now_ms
     table.request_position = store_sync.local_position(state)
     doublings = min(table.failures_in_row, _MAX_DOUBLINGS)
-    if not table.request_position.revision or table.history_lost:
+    if (
+        not table.request_position.revision
+        or table.history_lost
+        or operator_sync.is_read_due(state, now_ms)
+    ):
         return [*done, actions.ReadStore(READ_TIMEOUT_MS << doublings)]
     wait_ms = max(table.read_cycle_ends_at_ms - now_ms, _MIN_WATCH_MS)
     revision = table.request_position.revision
@@ -251,11 +259,16 @@
     """Return when the next request to the store is due."""
     table = state.store
     rank = member_list.current_view(state).reader_rank
+    behind_since_ms = state.operator_state.behind_since_ms
     if not state.registry.revision:
         return max(table.next_request_at_ms, _first_request_due_ms(state, rank))
     if rank < READER_COUNT:
         return table.next_request_at_ms
-    # Other instances read only if confirmations by readers stop arriving.
+    # Other instances read only if confirmations by readers stop arriving, or
+    # if these don't bring the operator's state.
+    if behind_since_ms is not None:
+        behind_ms = operator_sync.READ_DELAY_MS + _step_delay_ms(rank)
+        return max(table.next_request_at_ms, behind_since_ms + behind_ms)
     max_age_ms = MAX_UNCONFIRMED_MS + _step_delay_ms(rank)
     return max(table.next_request_at_ms, table.current_at_ms + max_age_ms)
 
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -5,7 +5,13 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import messages, outcomes, policy
-from oleanderstair.domain.tables import load_reports, registry, routes, store
+from oleanderstair.domain.tables import (
+    load_reports,
+    operator_state,
+    registry,
+    routes,
+    store,
+)
 
 # Calls
 
@@ -234,24 +240,31 @@
     """The whole store was read.
 
     ``routing`` is None if no configuration has been published. ``refused`` is
-    the newest configuration if it can't be parsed.
+    the newest configuration if it can't be parsed. ``limit_by_service`` holds
+    the slow start limits of ``routing``.
     """
 
     routing: routes.Routing | None
     registry: RegistryRead
     refused: routes.RefusedConfiguration | None = None
+    evacuations: tuple[operator_state.Evacuation, ...] = ()
+    limit_by_service: dict[str, operator_state.SlowStartLimit] | None = None
 
 
 class StoreChanged(typing.NamedTuple):
     """A watch of the store ended, with or without changes.
 
     ``routing`` is None if the configuration didn't change. ``refused`` is the
-    newest configuration if it can't be parsed.
+    newest configuration if it can't be parsed. ``evacuations`` were requested
+    and ``ended_evacuations`` taken back since the begin of the watch.
     """
 
     routing: routes.Routing | None
     registry: RegistryChanged
     refused: routes.RefusedConfiguration | None = None
+    evacuations: tuple[operator_state.Evacuation, ...] = ()
+    ended_evacuations: tuple[operator_state.Evacuation, ...] = ()
+    limit_by_service: dict[str, operator_state.SlowStartLimit] | None = None
 
 
 class StoreTold(typing.NamedTuple):
@@ -266,6 +279,10 @@
     age_ms: clock.Millis
 
 
+class OperatorStateTold(typing.NamedTuple):
+    """A peer has sent newer evacuations or slow start limits."""
+
+
 class HistoryLost(typing.NamedTuple):
     """The store no longer has the changes after the known revision."""
 
@@ -379,6 +396,7 @@
     StoreRead
     | StoreChanged
     | StoreTold
+    | OperatorStateTold
     | HistoryLost
     | StoreFailed
     | RoutingRead
--- a/oleanderstair/domain/fleet/codec.py
+++ b/oleanderstair/domain/fleet/codec.py
@@ -48,6 +48,8 @@
     'ro': messages.Roster,
     'sa': messages.StoreAsk,
     'ss': messages.StoreState,
+    'or': messages.OperatorStateRequest,
+    'os': messages.OperatorState,
 }
 _BODY_BY_TAG: typing.Final[dict[str, type[messages.FactBody]]] = {
     'tl': messages.TargetLeaving,
--- a/oleanderstair/domain/fleet/readiness.py
+++ b/oleanderstair/domain/fleet/readiness.py
@@ -19,7 +19,7 @@
 
 def on_store_state(
     state: world.World,
-    event: events.StoreRead | events.StoreTold,
+    event: events.StoreRead | events.StoreTold | events.OperatorStateTold,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     """Start to serve at once if only this state was missing."""
@@ -40,7 +40,7 @@
     if table.phase is not instances.Phase.UNCONFIRMED:
         return []
     in_force = state.routes.in_force
-    if in_force is None or not state.registry.revision:
+    if in_force is None or not has_store_state(state):
         table.waits_for = _missing_state(state)
         return []
     first_tick_at_ms = state.members.first_tick_at_ms or 0
@@ -63,11 +63,23 @@
     ]
 
 
+def has_store_state(state: world.World) -> bool:
+    """Return whether enough of the store is known to choose a target."""
+    if state.routes.in_force is None or not state.registry.revision:
+        return False
+    return (
+        not state.policy.uses_operator_state
+        or state.operator_state.revision > 0
+    )
+
+
 def _missing_state(state: world.World) -> str:
     """Describe the state that this instance lacks to serve."""
     refused = state.routes.refused
     if refused is not None and state.routes.in_force is None:
         return f'a readable configuration; {refused.number} {refused.why}'
+    if state.routes.in_force and state.registry.revision:
+        return 'evacuations and slow start limits'
     return 'configuration and registry'
 
 
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -18,7 +18,12 @@
     routed_forwarding,
     routed_queueing,
 )
-from oleanderstair.domain.configuration import routing, store_sync, store_watch
+from oleanderstair.domain.configuration import (
+    operator_sync,
+    routing,
+    store_sync,
+    store_watch,
+)
 from oleanderstair.domain.fleet import (
     grace_period_stop,
     instance_count,
@@ -62,20 +67,26 @@
     events.RegistryRead: (registry_updates.on_registry_read,),
     events.RegistryChanged: (registry_updates.on_registry_changed,),
     events.StoreRead: (
+        operator_sync.on_store_read,
         store_watch.on_store_read,
         store_watch.on_store_applied,
+        operator_sync.on_store_applied,
         readiness.on_store_state,
     ),
     events.StoreChanged: (
+        operator_sync.on_store_changed,
         store_watch.on_store_changed,
         store_watch.on_store_applied,
+        operator_sync.on_store_applied,
     ),
     events.HistoryLost: (store_watch.on_history_lost,),
     events.StoreFailed: (store_watch.on_store_failed,),
     events.StoreTold: (store_sync.on_state_applied, readiness.on_store_state),
+    events.OperatorStateTold: (readiness.on_store_state,),
     events.PeerHeard: (
         roster_exchange.on_peer,
         store_sync.on_peer,
+        operator_sync.on_peer,
         crashing_requests.on_peer,
         leaving_announcements.on_peer,
         rate_limits.on_peer,
@@ -85,6 +96,7 @@
         roster_exchange.on_tick,
         instance_count.on_tick,
         retry_budget.on_tick,
+        operator_sync.on_tick,
         store_watch.on_tick,
         registry_updates.on_tick,
         reachability.on_tick,
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -9,7 +9,12 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain.tables import members, registry, routes
+from oleanderstair.domain.tables import (
+    members,
+    operator_state,
+    registry,
+    routes,
+)
 
 # Fact bodies
 
@@ -356,6 +361,26 @@
     forward_to: tuple[int, ...] = ()
 
 
+class OperatorStateRequest(typing.NamedTuple):
+    """A request for the operator's state after the sender's own."""
+
+    revision: int
+    number: int
+
+
+class OperatorState(typing.NamedTuple):
+    """The evacuations as of a revision of the store, and slow start limits.
+
+    It is whole: what it lacks is no longer in force. ``limit_by_service``
+    belongs to the configuration ``number``.
+    """
+
+    revision: int
+    number: int
+    evacuations: tuple[operator_state.Evacuation, ...]
+    limit_by_service: dict[str, operator_state.SlowStartLimit]
+
+
 Message: typing.TypeAlias = (
     Heartbeat
     | Pulse
@@ -374,4 +399,6 @@
     | Roster
     | StoreAsk
     | StoreState
+    | OperatorStateRequest
+    | OperatorState
 )
--- a/oleanderstair/domain/policy.py
+++ b/oleanderstair/domain/policy.py
@@ -59,3 +59,15 @@
     rest_limit_ms: int = 600_000
     first_start: bool = False
     spare_slow_slots: bool = True
+    evacuation_bound_ms: int = 0
+    slow_start_overage: float = 0
+    slow_start_slack: float = 0
+    admission_by_rank: bool = False
+    spill_over: bool = False
+    adaptive_hedges: bool = False
+    hedge_limit_share: float = 1.0
+
+    @property
+    def uses_operator_state(self) -> bool:
+        """Return whether evacuations or slow start limits are followed."""
+        return self.evacuation_bound_ms > 0 or self.slow_start_overage > 0
--- a/oleanderstair/domain/targets/availability.py
+++ b/oleanderstair/domain/targets/availability.py
@@ -10,7 +10,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import world
 from oleanderstair.domain.tables import load_reports
-from oleanderstair.domain.targets import backoffs, rate_limits
+from oleanderstair.domain.targets import backoffs, evacuations, rate_limits
 
 RETURN_SPREAD_SHARE: typing.Final = 0.25
 """Jitter of the retry time sent to callers, as a share of the wait.
@@ -26,9 +26,9 @@
 ) -> bool:
     """Return whether this instance may send a target a call now.
 
-    False if the target is leaving, no longer registered or held back after a
-    restore, if it has requested a back-off, or if its rate limit allows no
-    call from here.
+    False if the target is leaving, no longer registered, in an evacuated data
+    centre or held back after a restore, if it has requested a back-off, or if
+    its rate limit allows no call from here.
     """
     return not wait_ms(state, target_id, now_ms)
 
@@ -41,11 +41,14 @@
     """Return the ms until a target accepts a call from this instance.
 
     Return 0 if it does now, and infinity if it is leaving, no longer
-    registered, or limited and left to other instances.
+    registered, in an evacuated data centre, or limited and left to other
+    instances.
     """
     entry = state.registry.entry_by_id.get(target_id)
     if entry is None or entry.leaving:
         return math.inf
+    if evacuations.is_evacuated(state, entry.data_centre):
+        return math.inf
     held_until_ms = state.registry.held_until_ms_by_id.get(target_id, now_ms)
     load = load_reports.load_of(state.loads, target_id)
     return max(
--- /dev/null
+++ b/oleanderstair/domain/targets/evacuations.py
@@ -0,0 +1,13 @@
+"""Decides which targets get no calls because their data centre is evacuated."""
+
+from oleanderstair.domain import world
+
+
+def is_evacuated(state: world.World, data_centre: str) -> bool:
+    """Return whether the operator has asked to evacuate a data centre.
+
+    Always false if the settings don't call for evacuations.
+    """
+    if not state.policy.evacuation_bound_ms:
+        return False
+    return data_centre in state.operator_state.evacuation_by_data_centre
--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -20,6 +20,7 @@
     latencies,
     load_reports,
     members,
+    operator_state,
     rate_limits,
     reachability,
     reads,
@@ -71,6 +72,7 @@
     retry_budget: retry_budget.RetryBudgetTable
     latencies: latencies.LatenciesTable
     store: store.StoreTable
+    operator_state: operator_state.OperatorStateTable
     members: members.MembersTable
 
 
@@ -109,5 +111,6 @@
         retry_budget=retry_budget.create(),
         latencies=latencies.create(),
         store=store.create(),
+        operator_state=operator_state.create(),
         members=members.create(),
     )
--- a/oleanderstair/emulator/watched_store.py
+++ b/oleanderstair/emulator/watched_store.py
@@ -3,16 +3,26 @@
 import typing
 
 from oleanderstair.domain import events
-from oleanderstair.domain.tables import registry, revisions, routes
+from oleanderstair.domain.tables import (
+    operator_state,
+    registry,
+    revisions,
+    routes,
+)
 
 
 class Change(typing.NamedTuple):
-    """One revision: a configuration, an entry, or the end of one."""
+    """One revision: a configuration, an entry or evacuation, or the end of one.
+
+    ``freed`` is the data centre whose evacuation was taken back.
+    """
 
     revision: int
     routing: routes.Routing | None = None
     entry: registry.Entry | None = None
     gone: str = ''
+    evacuation: operator_state.Evacuation | None = None
+    freed: str = ''
 
 
 class Copy(typing.NamedTuple):
@@ -21,6 +31,7 @@
     revision: int
     routing: routes.Routing | None
     entry_by_id: dict[str, registry.Entry]
+    evacuation_by_data_centre: dict[str, operator_state.Evacuation]
 
 
 class WatchedStore:
@@ -35,6 +46,10 @@
         self.revision = 1
         self.routing: routes.Routing | None = None
         self.entry_by_id: dict[str, registry.Entry] = {}
+        self.evacuation_by_data_centre: dict[
+            str, operator_state.Evacuation
+        ] = {}
+        self.limit_by_service: dict[str, operator_state.SlowStartLimit] = {}
         self.calls = 0
         self.down = False
         self.silent = False
@@ -63,6 +78,17 @@
             return self.revision
         return self._note(Change(self.revision + 1, gone=target_id))
 
+    def evacuate(self, data_centre: str) -> int:
+        """Hold the request to evacuate a data centre; return its revision."""
+        evacuation = operator_state.Evacuation(data_centre, self.revision + 1)
+        self.evacuation_by_data_centre[data_centre] = evacuation
+        return self._note(Change(evacuation.revision, evacuation=evacuation))
+
+    def end_evacuation(self, data_centre: str) -> int:
+        """Drop the request to evacuate a data centre; return the revision."""
+        self.evacuation_by_data_centre.pop(data_centre)
+        return self._note(Change(self.revision + 1, freed=data_centre))
+
     def forget_history(self) -> None:
         """Answer 410 to watches from before now."""
         self._history.clear()
@@ -74,6 +100,7 @@
             self.revision,
             self.routing,
             dict(self.entry_by_id),
+            dict(self.evacuation_by_data_centre),
         )
 
     def restore(self, kept: Copy) -> None:
@@ -88,6 +115,12 @@
             target_id: entry._replace(revision=_in_era(era, entry.revision))
             for target_id, entry in kept.entry_by_id.items()
         }
+        self.evacuation_by_data_centre = {
+            name: evacuation._replace(
+                revision=_in_era(era, evacuation.revision)
+            )
+            for name, evacuation in kept.evacuation_by_data_centre.items()
+        }
         self.forget_history()
 
     def refuses(self, instance_id: str) -> bool:
@@ -100,6 +133,8 @@
         return events.StoreRead(
             self.routing,
             events.RegistryRead(self.revision, entries),
+            evacuations=tuple(self.evacuation_by_data_centre.values()),
+            limit_by_service=self.limit_by_service,
         )
 
     def is_forgotten(self, after_revision: int) -> bool:
@@ -123,6 +158,22 @@
         return events.StoreChanged(
             routings[-1] if routings else None,
             events.RegistryChanged(self.revision, entries, gone),
+            evacuations=tuple(
+                change.evacuation
+                for change in news
+                if change.evacuation
+                and self.evacuation_by_data_centre.get(
+                    change.evacuation.data_centre
+                )
+                == change.evacuation
+            ),
+            ended_evacuations=tuple(
+                operator_state.Evacuation(change.freed, change.revision)
+                for change in news
+                if change.freed
+                and change.freed not in self.evacuation_by_data_centre
+            ),
+            limit_by_service=self.limit_by_service if routings else None,
         )
 
     def _note(self, change: Change) -> int:
--- a/oleanderstair/engine/routed_caller_app.py
+++ b/oleanderstair/engine/routed_caller_app.py
@@ -7,6 +7,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import events, outcomes
 from oleanderstair.domain.calls import fingerprints
+from oleanderstair.domain.fleet import readiness
 from oleanderstair.domain.tables import instances, routes
 from oleanderstair.engine import (
     asgi,
@@ -117,7 +118,7 @@
         The wait ends 1.5 s after the start, or earlier after a third of the
         time to the deadline. Return its duration, 0 if there was none.
         """
-        if self._has_routes_and_targets():
+        if readiness.has_store_state(self._runtime.state):
             return 0
         now_ms = self._now_ms()
         remaining_ms = received.deadline_ms - now_ms
@@ -125,7 +126,9 @@
             self._created_ms + MAX_START_WAIT_MS,
             now_ms + remaining_ms * _MAX_START_WAIT_SHARE,
         )
-        while not self._has_routes_and_targets() and self._now_ms() < until_ms:
+        while not readiness.has_store_state(self._runtime.state):
+            if self._now_ms() >= until_ms:
+                break
             await anyio.sleep(clock.to_seconds(_START_POLL_MS))
         return self._now_ms() - now_ms
 
@@ -144,11 +147,6 @@
             self._now_ms(),
         )
 
-    def _has_routes_and_targets(self) -> bool:
-        state = self._runtime.state
-        has_routes = state.routes.in_force is not None
-        return has_routes and bool(state.registry.revision)
-
     def _read_call(
         self,
         scope: asgi.Scope,
--- a/oleanderstair/platform/documents.py
+++ b/oleanderstair/platform/documents.py
@@ -9,10 +9,11 @@
 
 from oleanderstair import clock, errors
 from oleanderstair.domain.configuration import routing
-from oleanderstair.domain.tables import registry, routes
+from oleanderstair.domain.tables import operator_state, registry, routes
 
 CONFIGURATION_KEY: typing.Final = 'op/config'
 TARGET_PREFIX: typing.Final = 'servers/'
+EVACUATION_PREFIX: typing.Final = 'op/evacuate/'
 STORE_ERA: typing.Final = b'store-era'
 """The header field that counts how often the store was restored."""
 
@@ -29,6 +30,7 @@
 _MAX_DURATION_MS: typing.Final = 86_400_000
 """A day."""
 
+_MS_PER_S: typing.Final = 1000
 _MAX_EXACT: typing.Final = 9_007_199_254_740_991
 """The largest whole number that every reader of JSON keeps exact."""
 
@@ -52,6 +54,10 @@
 _SEQUENCE = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_EXACT)]
 _WALL_MS = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_EXACT)]
 _DURATION_MS = typing.Annotated[float, msgspec.Meta(ge=0, le=_MAX_DURATION_MS)]
+_DURATION_S = typing.Annotated[
+    float, msgspec.Meta(ge=0, le=_MAX_DURATION_MS / _MS_PER_S)
+]
+_RATE_PER_S = typing.Annotated[float, msgspec.Meta(ge=0, le=_MAX_COUNT)]
 _MAX_QUOTED: typing.Final = 64
 _REMEDY: typing.Final = 'correct the value and publish it again'
 
@@ -93,6 +99,18 @@
     connections: _COUNT
 
 
+class _SlowStartDocument(msgspec.Struct):
+    """The terms of a service for targets that have just started."""
+
+    name: str
+    slow_start_s: _DURATION_S = 0
+    slow_start_per_s: _RATE_PER_S = 0
+
+
+class _SlowStartsDocument(msgspec.Struct):
+    services: list[_SlowStartDocument]
+
+
 class _LimitsDocument(msgspec.Struct):
     max_header_bytes: _BYTES
     max_body_bytes: _BYTES
@@ -170,6 +188,25 @@
     return decoded.ok_value.number if isinstance(decoded, result.Ok) else 0
 
 
+def read_slow_start_limits(
+    item: Item,
+) -> dict[str, operator_state.SlowStartLimit]:
+    """Decode the slow start limits of a configuration, by service.
+
+    Services without one are left out; empty if they can't be decoded.
+    """
+    decoded = _decode(item, _SlowStartsDocument)
+    if isinstance(decoded, result.Err):
+        return {}
+    return {
+        service.name: operator_state.SlowStartLimit(
+            service.slow_start_s * _MS_PER_S, service.slow_start_per_s
+        )
+        for service in decoded.ok_value.services
+        if service.slow_start_per_s
+    }
+
+
 def read_target(
     item: Item,
     now_ms: clock.Millis,
@@ -215,6 +252,20 @@
     return item.key.startswith(TARGET_PREFIX)
 
 
+def is_evacuation(item: Item) -> bool:
+    """Return whether an item is an evacuation, even one taken back."""
+    return len(item.key) > len(EVACUATION_PREFIX) and item.key.startswith(
+        EVACUATION_PREFIX
+    )
+
+
+def evacuation_of(item: Item) -> operator_state.Evacuation:
+    """Return the evacuation that the key of an item names."""
+    return operator_state.Evacuation(
+        item.key.removeprefix(EVACUATION_PREFIX), item.revision
+    )
+
+
 def target_id_of(item: Item) -> str:
     """Return the target id in the key of a registration."""
     return item.key.removeprefix(TARGET_PREFIX)
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from oleanderstair import clock, logs, settings
-from oleanderstair.domain import events, world
+from oleanderstair.domain import events, policy, world
 from oleanderstair.domain.tables import identity
 from oleanderstair.engine import (
     bounded_protocol,
@@ -28,6 +28,9 @@
 """For how long an answer proves that its connection is usable. Calls that must
 not be repeated are sent only on such connections or on new ones."""
 
+_COMPETING_CALLERS: typing.Final = 'pressure'
+"""The term under which callers compete for too few slots."""
+
 _SEED_BITS: typing.Final = 64
 _PEER_SILENCE_MS: typing.Final = 1000
 """The timeout of peers' connections. A connection with a message unanswered
@@ -88,7 +91,7 @@
         self.runtime.state.members.seeds = tuple(valid_settings.peers.seeds)
         connections = self.runtime.sides.connections
         connections.max_answer_bytes = valid_settings.callers.max_answer_bytes
-        limits = settings.policy_of(valid_settings)
+        limits = _policy_of(valid_settings)
         self.runtime.handle(events.LimitsChanged(limits, actor, what))
 
     async def _listen(self, runtime: gateway_runtime.GatewayRuntime) -> None:
@@ -137,7 +140,7 @@
         )
         state = world.create(
             self.identity,
-            settings.policy_of(self.node_settings),
+            _policy_of(self.node_settings),
             random.Random(secrets.randbits(_SEED_BITS)),
         )
         state.members.seeds = tuple(self.node_settings.peers.seeds)
@@ -186,6 +189,14 @@
     )
 
 
+def _policy_of(valid_settings: settings.Settings) -> policy.Policy:
+    """Return the limits of the settings, and those that its terms call for."""
+    limits = settings.policy_of(valid_settings)
+    if _COMPETING_CALLERS in valid_settings.platform.terms:
+        return limits._replace(admission_by_rank=True)
+    return limits
+
+
 def _bind(address: str) -> socket.socket:
     host, _, port = address.rpartition(':')
     return listener.bind_socket(host, int(port))
--- a/oleanderstair/platform/store.py
+++ b/oleanderstair/platform/store.py
@@ -8,7 +8,12 @@
 
 from oleanderstair import clock, errors, logs
 from oleanderstair.domain import events
-from oleanderstair.domain.tables import registry, revisions, routes
+from oleanderstair.domain.tables import (
+    operator_state,
+    registry,
+    revisions,
+    routes,
+)
 from oleanderstair.engine import answers, exchanges, headers
 from oleanderstair.platform import documents
 
@@ -161,6 +166,8 @@
                 - readable_ids,
             ),
             published.refused,
+            _evacuations_of(items, deleted=False),
+            published.limit_by_service,
         )
 
     def _store_changed_of(self, changes: _Changes) -> events.StoreChanged:
@@ -186,6 +193,9 @@
                 ),
             ),
             published.refused,
+            _evacuations_of(newest.values(), deleted=False),
+            _evacuations_of(newest.values(), deleted=True),
+            published.limit_by_service,
         )
 
     def _entries_of(
@@ -292,6 +302,7 @@
 
     routing: routes.Routing | None = None
     refused: routes.RefusedConfiguration | None = None
+    limit_by_service: dict[str, operator_state.SlowStartLimit] | None = None
 
 
 def _newest_configuration(
@@ -311,10 +322,24 @@
                 refused=routes.RefusedConfiguration(number, why)
             )
         else:
-            newest = _PublishedConfiguration(routing)
+            newest = _PublishedConfiguration(
+                routing,
+                limit_by_service=documents.read_slow_start_limits(item),
+            )
     return newest
 
 
+def _evacuations_of(
+    items: typing.Iterable[documents.Item], deleted: bool
+) -> tuple[operator_state.Evacuation, ...]:
+    """Return the evacuations among items, or those that were taken back."""
+    return tuple(
+        documents.evacuation_of(item)
+        for item in items
+        if documents.is_evacuation(item) and item.deleted is deleted
+    )
+
+
 def _value_or_log(
     read: result.Result[_Read, errors.Problem],
     item: documents.Item,
--- a/oleanderstair/settings.py
+++ b/oleanderstair/settings.py
@@ -62,6 +62,7 @@
     cpu_share: _POSITIVE_FLOAT
     cores: _POSITIVE_FLOAT
     link_mbps: _POSITIVE_FLOAT
+    memory_mb: _NON_NEGATIVE
 
 
 class InstanceSettings(msgspec.Struct, forbid_unknown_fields=True):
@@ -117,6 +118,7 @@
     store_address: _ADDRESS
     directory_address: _ADDRESS
     readiness_address: _ADDRESS
+    terms: list[str]
 
 
 class LogSettings(msgspec.Struct, forbid_unknown_fields=True):
