Evacuate data centres on all paths, and over restores of the store

What callers saw: nothing yet; evacuations were read from the store but untested. On review, these faults were found and corrected:

- After a restore of the store, an evacuation that the copy lacks ended at once, and a revoked one that the copy holds came back.
The first now stays for 10 s at most, the second is withheld for 5 s at most.
Messages carry the remaining times, so that started instances learn of both.
- An instance without peers of its build read the store up to 4.5 s after it was behind, so an evacuation could come into force after more than 5 s.
It reads after 2 s at the latest, a starting one earlier.
- Settings that call for evacuations on reload refused all calls until the state was known.
A started instance whose peers are all of the previous build, without a store, never served; it does after 3 s.
- Each change of the store sent the slow start limits of all services again, about 3 KB with 110 services.
They are sent when the configuration changes.
- Random probes went to evacuated targets, and targets that were taken down counted as lost links of the instance.

An evacuated data centre is left out of the index of targets, so samples find the others. If all targets of a service are evacuated, calls are refused at once as not run, queued ones within 60 ms, with a retry time of a quarter to a third of the time that the caller has left, up to 1 s. After the end of an evacuation each instance returns at a random time within 3 s, and reports from before are dropped. evacuations.ended_at_ms says when one has ended here.

--- a/oleanderstair/domain/calls/routed_calls.py
+++ b/oleanderstair/domain/calls/routed_calls.py
@@ -17,6 +17,8 @@
 from oleanderstair.domain.tables import calls, routed, routes
 from oleanderstair.domain.targets import (
     availability,
+    evacuations,
+    locality,
     rate_limits,
     reachability,
     sampling,
@@ -119,7 +121,23 @@
     call: routed.RoutedCall,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Forward a call if no target is reached, or choose a target for it."""
+    """Forward a call if no target is reached, or choose a target for it.
+
+    It is refused if all targets of its service are evacuated, as no instance
+    may send it to them.
+    """
+    if locality.is_service_closed(state, call.service):
+        return [
+            actions.Count('evacuation-refusals', f'service={call.service}'),
+            *routed_answering.relay_failure_or_refuse(
+                state,
+                call,
+                outcomes.Reason.NO_TARGET,
+                evacuations.retry_after_ms(
+                    state, call.received.deadline_ms - now_ms
+                ),
+            ),
+        ]
     if routed_forwarding.should_forward(state, call):
         forwards = routed_forwarding.forward_call(state, call, now_ms)
         if forwards:
--- a/oleanderstair/domain/calls/routed_dispatching.py
+++ b/oleanderstair/domain/calls/routed_dispatching.py
@@ -9,6 +9,7 @@
 )
 from oleanderstair.domain.tables import calls, load_reports, registry, routed
 from oleanderstair.domain.targets import (
+    evacuations,
     rate_limits,
     sampling,
     slot_estimates,
@@ -233,7 +234,21 @@
         budget_ms=budget_ms,
         born_ms=entry.born_ms,
     )
-    return [sent, *routed_hedges.schedule_hedge(state, call)]
+    return [
+        sent,
+        *_count_diverted(state, call),
+        *routed_hedges.schedule_hedge(state, call),
+    ]
+
+
+def _count_diverted(
+    state: world.World, call: routed.RoutedCall
+) -> list[actions.Action]:
+    """Count a call that leaves this data centre as that is evacuated."""
+    data_centre = state.identity.data_centre
+    if call.send_count > 1 or not evacuations.is_closed(state, data_centre):
+        return []
+    return [actions.Count('diverted-calls', f'data_centre={data_centre}')]
 
 
 def _count_sent(state: world.World, entry: registry.Entry) -> None:
--- a/oleanderstair/domain/calls/routed_queueing.py
+++ b/oleanderstair/domain/calls/routed_queueing.py
@@ -22,6 +22,7 @@
 from oleanderstair.domain.tables import load_reports, routed
 from oleanderstair.domain.targets import (
     availability,
+    evacuations,
     expected_latencies,
     locality,
     outlier_detection,
@@ -105,19 +106,49 @@
         state,
         call,
         outcomes.Reason.NO_TARGET,
-        availability.retry_after_ms(state, call.service, now_ms),
+        availability.retry_after_ms(state, call.service, now_ms)
+        or _retry_after_evacuation_ms(state, call, now_ms),
     )
 
 
+def _retry_after_evacuation_ms(
+    state: world.World,
+    call: routed.RoutedCall,
+    now_ms: clock.Millis,
+) -> clock.Millis:
+    """Return a retry time, in ms, if targets of the service are evacuated.
+
+    Return 0 if none is: the end of an evacuation is all that may be expected.
+    """
+    entries = state.registry.entry_by_id
+    if not any(
+        evacuations.is_evacuated(state, entries[target_id].data_centre)
+        for target_id in state.registry.ids_by_service.get(call.service, ())
+    ):
+        return 0
+    left_ms = call.received.deadline_ms - now_ms
+    return evacuations.retry_after_ms(state, left_ms)
+
+
 def on_load_reads_due(
     state: world.World,
     event: events.RoomSought,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Read the load of some targets for the queued calls of a service."""
+    """Read the load of some targets for the queued calls of a service.
+
+    If all its targets have been evacuated meanwhile, refuse these calls.
+    """
     state.routed.services_seeking_slots.discard(event.service)
-    if not _queued_calls(state, event.service):
+    queued_calls = _queued_calls(state, event.service)
+    if not queued_calls:
         return []
+    if locality.is_service_closed(state, event.service):
+        return [
+            action
+            for call in queued_calls
+            for action in _refuse_evacuated(state, call, now_ms)
+        ]
     service = event.service
     sample = sampling.draw_wider(state, service, (), now_ms, LOAD_READ_TARGETS)
     return [*sample.reads, *_schedule_load_reads(state, service)]
@@ -278,6 +309,21 @@
     )
 
 
+def _refuse_evacuated(
+    state: world.World,
+    call: routed.RoutedCall,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """End a queued call of a service whose targets are all evacuated."""
+    _remove_queued(state, call)
+    return routed_answering.relay_failure_or_refuse(
+        state,
+        call,
+        outcomes.Reason.NO_TARGET,
+        _retry_after_evacuation_ms(state, call, now_ms),
+    )
+
+
 def _schedule_load_reads(
     state: world.World, service: str
 ) -> list[actions.Action]:
--- a/oleanderstair/domain/configuration/store_watch.py
+++ b/oleanderstair/domain/configuration/store_watch.py
@@ -267,7 +267,9 @@
     # Other instances read only if confirmations by readers stop arriving, or
     # if these don't bring the operator's state.
     if behind_since_ms is not None:
-        behind_ms = operator_sync.READ_DELAY_MS + _step_delay_ms(rank)
+        behind_ms = operator_sync.read_delay_ms(state) + min(
+            _step_delay_ms(rank), operator_sync.MAX_STEP_DELAY_MS
+        )
         return max(table.next_request_at_ms, behind_since_ms + behind_ms)
     max_age_ms = MAX_UNCONFIRMED_MS + _step_delay_ms(rank)
     return max(table.next_request_at_ms, table.current_at_ms + max_age_ms)
--- a/oleanderstair/domain/fleet/readiness.py
+++ b/oleanderstair/domain/fleet/readiness.py
@@ -17,6 +17,12 @@
 routed as usual."""
 
 
+OPERATOR_STATE_WAIT_MS: typing.Final = 3000
+"""How long a starting instance waits for the operator's state once it has the
+rest. Neither the store nor a peer answers then: all peers that it reaches may
+be of an earlier build, which doesn't have this state."""
+
+
 def on_store_state(
     state: world.World,
     event: events.StoreRead | events.StoreTold | events.OperatorStateTold,
@@ -40,7 +46,9 @@
     if table.phase is not instances.Phase.UNCONFIRMED:
         return []
     in_force = state.routes.in_force
-    if in_force is None or not has_store_state(state):
+    if in_force is None or not (
+        has_store_state(state) or _is_operator_state_overdue(state, now_ms)
+    ):
         table.waits_for = _missing_state(state)
         return []
     first_tick_at_ms = state.members.first_tick_at_ms or 0
@@ -64,15 +72,29 @@
 
 
 def has_store_state(state: world.World) -> bool:
-    """Return whether enough of the store is known to choose a target."""
+    """Return whether enough of the store is known to choose a target.
+
+    Only a starting instance needs the operator's state for that: changed
+    settings may call for it while an instance serves.
+    """
     if state.routes.in_force is None or not state.registry.revision:
         return False
     return (
         not state.policy.uses_operator_state
         or state.operator_state.revision > 0
+        or state.instances.phase is not instances.Phase.UNCONFIRMED
     )
 
 
+def _is_operator_state_overdue(
+    state: world.World, now_ms: clock.Millis
+) -> bool:
+    since_ms = state.operator_state.behind_since_ms
+    if not state.registry.revision or since_ms is None:
+        return False
+    return now_ms - since_ms >= OPERATOR_STATE_WAIT_MS
+
+
 def _missing_state(state: world.World) -> str:
     """Describe the state that this instance lacks to serve."""
     refused = state.routes.refused
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -372,13 +372,16 @@
     """The evacuations as of a revision of the store, and slow start limits.
 
     It is whole: what it lacks is no longer in force. ``limit_by_service``
-    belongs to the configuration ``number``.
+    belongs to the configuration ``number``; a ``number`` of 0 means that the
+    limits are not included. ``withheld`` are evacuations that only a restore of
+    the store has brought back.
     """
 
     revision: int
     number: int
     evacuations: tuple[operator_state.Evacuation, ...]
     limit_by_service: dict[str, operator_state.SlowStartLimit]
+    withheld: tuple[operator_state.Evacuation, ...] = ()
 
 
 Message: typing.TypeAlias = (
--- a/oleanderstair/domain/policy.py
+++ b/oleanderstair/domain/policy.py
@@ -59,7 +59,7 @@
     rest_limit_ms: int = 600_000
     first_start: bool = False
     spare_slow_slots: bool = True
-    evacuation_bound_ms: int = 0
+    evacuation_bound_ms: float = 0
     slow_start_overage: float = 0
     slow_start_slack: float = 0
     admission_by_rank: bool = False
--- a/oleanderstair/domain/tables/load_reports.py
+++ b/oleanderstair/domain/tables/load_reports.py
@@ -58,7 +58,8 @@
 
     ``ids_by_placement`` holds the registered targets by service and data
     centre, and ``remote_ids_by_service`` those in other data centres. Both are
-    derived from ``indexed_ids_by_service``.
+    derived from ``indexed_ids_by_service``, without the targets in
+    ``indexed_closed``.
     """
 
     load_by_id: dict[str, Load] = msgspec.field(default_factory=dict)
@@ -73,6 +74,7 @@
         default_factory=dict,
     )
     indexed_ids_by_service: dict[str, tuple[str, ...]] | None = None
+    indexed_closed: frozenset[str] = frozenset()
 
 
 def create() -> LoadsTable:
--- a/oleanderstair/domain/tables/operator_state.py
+++ b/oleanderstair/domain/tables/operator_state.py
@@ -15,11 +15,24 @@
 class Evacuation(typing.NamedTuple):
     """A request to send nothing more to the targets of a data centre.
 
-    ``revision`` is that of the store at which it was requested or taken back.
+    ``revision`` is that of the store at which it was requested or revoked. In
+    a message, ``left_ms`` is how much longer a restore of the store defers its
+    end, or its beginning if it is withheld.
     """
 
     data_centre: str
     revision: int
+    left_ms: clock.Millis = 0
+
+
+class WithheldEvacuation(typing.NamedTuple):
+    """An evacuation that is not in force until then.
+
+    It was revoked, and only a restore of the store has brought it back.
+    """
+
+    evacuation: Evacuation
+    until_ms: clock.Millis
 
 
 class SlowStartLimit(typing.NamedTuple):
@@ -40,6 +53,13 @@
     what this instance has last sent to the fleet. Since ``behind_since_ms``
     the store is known at a newer revision or number than this table;
     ``asked_at_ms`` is when a peer was last asked for it.
+
+    An evacuation in ``kept_until_ms_by_data_centre`` is missing since a restore
+    of the store and ends then. ``withheld_by_data_centre`` holds those that
+    only a restore has brought back, and ``revoked_revision_by_data_centre`` the
+    revision of the last evacuation that has ended. ``ended_at_ms`` and
+    ``returns_at_ms`` say when that was, and from when on this instance sends
+    calls there again. ``closed_data_centres`` receive nothing at the moment.
     """
 
     revision: int = 0
@@ -47,6 +67,22 @@
     evacuation_by_data_centre: dict[str, Evacuation] = msgspec.field(
         default_factory=dict
     )
+    kept_until_ms_by_data_centre: dict[str, clock.Millis] = msgspec.field(
+        default_factory=dict
+    )
+    withheld_by_data_centre: dict[str, WithheldEvacuation] = msgspec.field(
+        default_factory=dict
+    )
+    revoked_revision_by_data_centre: dict[str, int] = msgspec.field(
+        default_factory=dict
+    )
+    ended_at_ms_by_data_centre: dict[str, clock.Millis] = msgspec.field(
+        default_factory=dict
+    )
+    returns_at_ms_by_data_centre: dict[str, clock.Millis] = msgspec.field(
+        default_factory=dict
+    )
+    closed_data_centres: frozenset[str] = frozenset()
     limit_by_service: dict[str, SlowStartLimit] = msgspec.field(
         default_factory=dict
     )
--- a/oleanderstair/domain/targets/availability.py
+++ b/oleanderstair/domain/targets/availability.py
@@ -47,11 +47,11 @@
     entry = state.registry.entry_by_id.get(target_id)
     if entry is None or entry.leaving:
         return math.inf
-    if evacuations.is_evacuated(state, entry.data_centre):
-        return math.inf
+    evacuated_ms = evacuations.wait_ms(state, entry.data_centre, now_ms)
     held_until_ms = state.registry.held_until_ms_by_id.get(target_id, now_ms)
     load = load_reports.load_of(state.loads, target_id)
     return max(
+        evacuated_ms,
         held_until_ms - now_ms,
         backoffs.left_ms(load, now_ms),
         rate_limits.permit_wait_ms(state, target_id, now_ms),
--- a/oleanderstair/domain/targets/reachability.py
+++ b/oleanderstair/domain/targets/reachability.py
@@ -11,7 +11,11 @@
 from oleanderstair.domain import actions, events, messages, world
 from oleanderstair.domain.fleet import broadcast
 from oleanderstair.domain.tables import calls, load_reports, routed
-from oleanderstair.domain.targets import read_budgets, sampling
+from oleanderstair.domain.targets import (
+    evacuations,
+    read_budgets,
+    sampling,
+)
 
 MIN_FAILED_TARGETS: typing.Final = 3
 """How many targets must have failed since one was last reached; all of them
@@ -169,14 +173,24 @@
 def _record_failed(
     state: world.World, target_id: str, now_ms: clock.Millis
 ) -> list[actions.Action]:
+    """Record that a target was not reached.
+
+    Targets in closed data centres don't count: they may be taken down, and
+    nothing is sent there that could reach them.
+    """
     table = state.reachability
     if is_isolated(state) or target_id not in state.registry.entry_by_id:
         return []
+    if _is_closed(state, target_id):
+        return []
     table.failed_ids.add(target_id)
-    needed = min(MIN_FAILED_TARGETS, len(state.registry.entry_by_id))
+    needed = min(MIN_FAILED_TARGETS, evacuations.open_target_count(state))
     if now_ms - table.reached_at_ms < MIN_SILENCE_MS:
         return []
-    if len(table.failed_ids) < needed:
+    failed_count = sum(
+        not _is_closed(state, failed_id) for failed_id in table.failed_ids
+    )
+    if failed_count < needed:
         # An instance with few calls would notice it only after several.
         return _probe(state, needed - 1, now_ms)
     table.isolated_since_ms = now_ms
@@ -187,6 +201,12 @@
     ]
 
 
+def _is_closed(state: world.World, target_id: str) -> bool:
+    """Return whether a target is in a closed data centre."""
+    entry = state.registry.entry_by_id.get(target_id)
+    return entry is not None and evacuations.is_closed(state, entry.data_centre)
+
+
 def _probe(
     state: world.World, count: int, now_ms: clock.Millis
 ) -> list[actions.Action]:
--- a/oleanderstair/domain/targets/read_budgets.py
+++ b/oleanderstair/domain/targets/read_budgets.py
@@ -17,7 +17,11 @@
 from oleanderstair.domain import world
 from oleanderstair.domain.fleet import host_assignment, member_list
 from oleanderstair.domain.tables import load_reports, registry
-from oleanderstair.domain.targets import count_completeness, locality
+from oleanderstair.domain.targets import (
+    count_completeness,
+    evacuations,
+    locality,
+)
 
 READ_WINDOW_MS: typing.Final[clock.Millis] = 1050
 """How long a read counts against the budget.
@@ -78,7 +82,7 @@
     instance_count = max(
         state.instances.largest_count, state.policy.assumed_instances, 1
     )
-    target_count = max(len(state.registry.entry_by_id), 1)
+    target_count = max(evacuations.open_target_count(state), 1)
     probes_per_s = target_count * _PROBE_SHARE * state.policy.probes_per_s
     return instance_count / max(probes_per_s, 1) * _MS_PER_S
 
--- a/oleanderstair/domain/targets/sampling.py
+++ b/oleanderstair/domain/targets/sampling.py
@@ -12,6 +12,7 @@
 from oleanderstair.domain.tables import load_reports, registry
 from oleanderstair.domain.targets import (
     availability,
+    evacuations,
     locality,
     outlier_detection,
     read_budgets,
@@ -100,20 +101,19 @@
     count: int,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Return reads of up to ``count`` random targets.
+    """Return reads of up to ``count`` random targets in open data centres.
 
     They have a part of the read budget of their own, see
     ``read_budgets.random_probe_interval_ms``, which the caller keeps.
     """
-    entries = state.registry.entry_by_id
     candidates = [
-        target_id
-        for target_id in entries
-        if target_id not in excluded_ids
-        and target_id not in state.loads.read_started_at_ms_by_id
+        entry
+        for entry in evacuations.open_entries(state)
+        if entry.target_id not in excluded_ids
+        and entry.target_id not in state.loads.read_started_at_ms_by_id
     ]
     chosen = state.rng.sample(candidates, min(count, len(candidates)))
-    reads = [_start_read(state, entries[key], now_ms) for key in chosen]
+    reads = [_start_read(state, entry, now_ms) for entry in chosen]
     return [read for read in reads if read is not None]
 
 
--- a/oleanderstair/explaining/decisions.py
+++ b/oleanderstair/explaining/decisions.py
@@ -323,6 +323,7 @@
         return (
             *trails.room_for(self._state, trail.service, now_ms),
             *trails.limited_for(self._state, trail.service, now_ms),
+            *trails.evacuated_for(self._state, trail.service),
         )
 
     def _count(self, trail: trails.Trail, outcome: str, why: str) -> None:
--- a/oleanderstair/explaining/gauges.py
+++ b/oleanderstair/explaining/gauges.py
@@ -8,7 +8,11 @@
 from oleanderstair.domain.calls import retry_budget
 from oleanderstair.domain.fleet import readiness
 from oleanderstair.domain.tables import registry, revisions
-from oleanderstair.domain.targets import rate_limits, reachability
+from oleanderstair.domain.targets import (
+    evacuations,
+    rate_limits,
+    reachability,
+)
 
 
 class Gauge(typing.NamedTuple):
@@ -48,6 +52,7 @@
             ),
         ),
         Gauge('isolated', (), int(reachability.is_isolated(state))),
+        *_evacuations(state),
         *_targets(state, now_ms),
         *_limits(state),
         *_calls(state),
@@ -62,6 +67,22 @@
     ]
 
 
+def _evacuations(state: world.World) -> list[Gauge]:
+    """Return the store's revision at which each evacuation was requested."""
+    table = state.operator_state
+    return [
+        Gauge(
+            'evacuated_since_revision',
+            (('data_centre', data_centre),),
+            revisions.within_era(evacuation.revision),
+        )
+        for data_centre, evacuation in sorted(
+            table.evacuation_by_data_centre.items()
+        )
+        if evacuations.is_evacuated(state, data_centre)
+    ]
+
+
 def _age(
     name: str,
     since_ms: clock.Millis,
@@ -102,6 +123,8 @@
 ) -> str:
     if entry.leaving:
         return 'leaving'
+    if evacuations.is_closed(state, entry.data_centre):
+        return 'evacuated'
     known = state.loads.load_by_id.get(entry.target_id)
     if known is not None and now_ms < known.ejected_until_ms:
         return 'barred'
--- a/oleanderstair/explaining/trails.py
+++ b/oleanderstair/explaining/trails.py
@@ -11,6 +11,7 @@
 from oleanderstair.domain.configuration import routing
 from oleanderstair.domain.tables import load_reports, revisions, routed, routes
 from oleanderstair.domain.targets import (
+    evacuations,
     slot_estimates,
     slot_shortage,
     outlier_detection,
@@ -212,6 +213,16 @@
     return (('limited', limited_count or None),)
 
 
+def evacuated_for(state: world.World, service: str) -> lines.Fields:
+    """Return how many targets are in data centres closed by evacuations."""
+    entries = state.registry.entry_by_id
+    count = sum(
+        evacuations.is_closed(state, entries[known].data_centre)
+        for known in state.registry.ids_by_service.get(service, ())
+    )
+    return (('evacuated', count or None),)
+
+
 def note_hedge_due(
     trail: Trail,
     state: world.World,
