Keep callers in their own region where it has instances

What callers saw: where a data centre had too few ready instances, addresses of all other data centres followed, also of other regions.

Cause: rosters don't carry regions, and a longer roster would be rejected by the previous build. Instances now ask a member of a data centre for its region, by messages with new tags, until it is known: 36 requests at most for 12 instances in three data centres. Data centres of an unknown region are named as before, and so are those of another region if the own one has no ready instance.

Measured on the virtual clock, test/test_address_responses.py.

--- a/oleanderstair/domain/fleet/caller_addresses.py
+++ b/oleanderstair/domain/fleet/caller_addresses.py
@@ -7,7 +7,7 @@
 import typing
 
 from oleanderstair.domain import world
-from oleanderstair.domain.fleet import host_assignment, member_list
+from oleanderstair.domain.fleet import host_assignment, member_list, regions
 from oleanderstair.domain.tables import members
 
 ADDRESS_LIMIT: typing.Final = 64
@@ -24,7 +24,8 @@
     """Return caller addresses for a host, in random order; may be empty.
 
     If ``data_centre`` has too few ready instances, addresses of other data
-    centres follow, also in random order.
+    centres follow, also in random order. They are of the same region if it has
+    any.
     """
     ready = _instances_for_callers(state)
     local = list(host_assignment.instances_for_host(state, host, data_centre))
@@ -43,13 +44,28 @@
     host: str,
     data_centre: str,
 ) -> list[members.Member]:
-    """Return the instances for a host in other data centres, shuffled."""
-    data_centres = member_list.current_view(state).live_by_data_centre
+    """Return the instances for a host in other data centres, shuffled.
+
+    Data centres that are known to be in another region are left out, unless no
+    other has a ready instance.
+    """
+    ready_by_data_centre = {
+        other: host_assignment.instances_for_host(state, host, other)
+        for other in member_list.current_view(state).live_by_data_centre
+    }
+    is_region_served = any(
+        rows and not regions.is_other_region(state, data_centre, other)
+        for other, rows in ready_by_data_centre.items()
+    )
     remote = [
         row
-        for other in data_centres
+        for other, rows in ready_by_data_centre.items()
         if other != data_centre
-        for row in host_assignment.instances_for_host(state, host, other)
+        and not (
+            is_region_served
+            and regions.is_other_region(state, data_centre, other)
+        )
+        for row in rows
     ]
     state.address_rng.shuffle(remote)
     return remote
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -384,6 +384,20 @@
     withheld: tuple[operator_state.Evacuation, ...] = ()
 
 
+class RegionsRequest(typing.NamedTuple):
+    """A request for the regions of data centres."""
+
+
+class Regions(typing.NamedTuple):
+    """The regions of the data centres that the sender knows."""
+
+    region_by_data_centre: dict[str, str]
+
+
+MemberMessage: typing.TypeAlias = Roster | RegionsRequest | Regions
+StoreMessage: typing.TypeAlias = (
+    StoreAsk | StoreState | OperatorStateRequest | OperatorState
+)
 Message: typing.TypeAlias = (
     Heartbeat
     | Pulse
@@ -399,9 +413,6 @@
     | CallCrashed
     | TargetLeft
     | TargetLimited
-    | Roster
-    | StoreAsk
-    | StoreState
-    | OperatorStateRequest
-    | OperatorState
+    | MemberMessage
+    | StoreMessage
 )
--- a/test/test_address_responses.py
+++ b/test/test_address_responses.py
@@ -1,8 +1,8 @@
-"""Address responses name no instance that has ended."""
+"""Address responses name no instance that has ended, and stay in a region."""
 
 import pytest
 
-from oleanderstair.domain import events
+from oleanderstair.domain import actions, events, messages
 from oleanderstair.domain.fleet import caller_addresses
 from test import fleets
 
@@ -84,3 +84,73 @@
     fleet.start('b2', 'b')
     fleet.run(WINDOW_MS)
     assert all('b2:2' in addresses_of(one, 'b') for one in fleet.living)
+
+
+def make_regions(region_by_data_centre, count_by_data_centre):
+    """Return a fleet whose data centres are in different regions."""
+    fleet = fleets.Fleet(count_by_data_centre)
+    for instance in fleet.living:
+        state = instance.state
+        region = region_by_data_centre[state.identity.data_centre]
+        state.identity = state.identity._replace(region=region)
+    fleet.store.publish(4)
+    fleet.store.put(fleets.entry('1'))
+    fleet.run(1000)
+    fleet.introduce()
+    fleet.run(5000)
+    return fleet
+
+
+def named_places(fleet, data_centre):
+    """Return the data centres that responses for one of them name."""
+    return {
+        address[0]
+        for instance in fleet.living
+        for address in addresses_of(instance, data_centre)
+    }
+
+
+REGIONS = {'a': 'west', 'b': 'west', 'c': 'east'}
+
+
+def test_callers_are_given_instances_of_their_own_region():
+    # With too few instances in its data centre, a caller would be sent to
+    # another region, whatever is ready in its own.
+    fleet = make_regions(REGIONS, {'a': 1, 'b': 5, 'c': 5})
+    assert named_places(fleet, 'a') == {'a', 'b'}
+    fleet.kill('a1')
+    fleet.run(WINDOW_MS)
+    assert named_places(fleet, 'a') == {'b'}
+
+
+def test_callers_are_given_another_region_if_theirs_has_none():
+    fleet = make_regions(REGIONS, {'a': 2, 'b': 2, 'c': 5})
+    for name in ('a1', 'a2', 'b1', 'b2'):
+        fleet.kill(name)
+    fleet.run(WINDOW_MS + 1000)
+    assert named_places(fleet, 'a') == {'c'}
+
+
+def test_regions_are_asked_for_a_few_times_only():
+    # Each instance would send a message to each data centre every second.
+    fleet = make_regions(REGIONS, {'a': 4, 'b': 4, 'c': 4})
+    requests = [
+        action
+        for instance in fleet.living
+        for action in instance.done
+        if isinstance(action, actions.SendPeer)
+        and isinstance(action.message, messages.RegionsRequest)
+    ]
+    assert 0 < len(requests) <= 3 * 12
+
+
+def test_data_centres_of_an_unknown_region_are_named():
+    # Members of the previous build don't tell their region.
+    fleet = make_regions(REGIONS, {'a': 1, 'b': 5, 'c': 5})
+    state = fleet.at('a1').state
+    state.members.region_by_data_centre.clear()
+    assert {address[0] for address in addresses_of(fleet.at('a1'), 'a')} == {
+        'a',
+        'b',
+        'c',
+    }
