Limit the calls to targets in slow start, fleet-wide

Nothing limited the calls to targets in slow start, and a target that turns cold without a restart was not noticed at all.

A target is now sent calls without a limit only for 200 ms after the request of a health response that says that it is warm. All others of a service with a slow start limit (cold, failed, an evacuation just ended, or no recent report) get calls from at most four instances, two at a time, each with a small token bucket: targets/slow_start_limits.py. The buckets are shared with targets/rate_limits.py.

--- a/oleanderstair/domain/calls/routed_calls.py
+++ b/oleanderstair/domain/calls/routed_calls.py
@@ -20,6 +20,7 @@
     rate_limits,
     reachability,
     sampling,
+    slow_start_limits,
 )
 
 
@@ -137,6 +138,7 @@
     if call is None:
         return []
     if call.may_run:
+        slow_start_limits.record_overdue(state, call.attempts, now_ms)
         return [
             *reachability.record_overdue(state, call, now_ms),
             *routed_answering.relay_failure_or_refuse(
@@ -185,6 +187,7 @@
         *reachability.record_attempt(state, ended, event, now_ms),
         *crashing_requests.record_attempt(state, call, ended, event, now_ms),
         *rate_limits.record_answer(state, ended, event, now_ms),
+        *slow_start_limits.record_attempt(state, ended, event, now_ms),
         *_relay_retry_or_refuse(state, call, ended, event, now_ms),
         *routed_queueing.dispatch_queued(state, ended.target_id, now_ms),
     ]
--- a/oleanderstair/domain/calls/routed_dispatching.py
+++ b/oleanderstair/domain/calls/routed_dispatching.py
@@ -12,6 +12,7 @@
     rate_limits,
     sampling,
     slot_estimates,
+    slow_start_limits,
     target_scoring,
 )
 
@@ -222,6 +223,7 @@
     state.routed.call_by_id[call.call_id] = call
     _count_sent(state, entry)
     rate_limits.count_send(state, entry.target_id, now_ms)
+    counts = slow_start_limits.count_send(state, entry, now_ms)
     budget_ms = call.due_at_ms - now_ms
     sent = actions.Dispatch(
         call_id=call.call_id,
@@ -233,7 +235,7 @@
         budget_ms=budget_ms,
         born_ms=entry.born_ms,
     )
-    return [sent, *routed_hedges.schedule_hedge(state, call)]
+    return [sent, *counts, *routed_hedges.schedule_hedge(state, call)]
 
 
 def _count_sent(state: world.World, entry: registry.Entry) -> None:
--- a/oleanderstair/domain/calls/routed_queueing.py
+++ b/oleanderstair/domain/calls/routed_queueing.py
@@ -27,6 +27,7 @@
     outlier_detection,
     sampling,
     slot_estimates,
+    slow_start_limits,
 )
 
 MAX_QUEUED_CALLS: typing.Final = 64
@@ -93,20 +94,22 @@
     call = state.routed.call_by_id.get(event.call_id)
     if call is None:
         return []
+    held_back = slow_start_limits.count_held_back(state, call.service, now_ms)
     if call.sampled_target_ids:
-        return _queue_call(state, call, now_ms)
+        return [*held_back, *_queue_call(state, call, now_ms)]
     wait_ms = availability.service_wait_ms(
         state, call.service, now_ms, call.tried_target_ids
     )
     left_ms = _max_queued_until_ms(state, call, now_ms) - now_ms
     if 0 < wait_ms < left_ms:
-        return _queue_call(state, call, now_ms)
-    return routed_answering.relay_failure_or_refuse(
+        return [*held_back, *_queue_call(state, call, now_ms)]
+    refusal = routed_answering.relay_failure_or_refuse(
         state,
         call,
         outcomes.Reason.NO_TARGET,
         availability.retry_after_ms(state, call.service, now_ms),
     )
+    return [*held_back, *refusal]
 
 
 def on_load_reads_due(
--- a/oleanderstair/domain/calls/slot_use.py
+++ b/oleanderstair/domain/calls/slot_use.py
@@ -11,7 +11,11 @@
 from oleanderstair import clock
 from oleanderstair.domain import world
 from oleanderstair.domain.tables import load_reports, routed
-from oleanderstair.domain.targets import expected_latencies, slot_estimates
+from oleanderstair.domain.targets import (
+    expected_latencies,
+    slot_estimates,
+    slow_start_limits,
+)
 
 MAX_NORMAL_SLOWNESS: typing.Final = 2.0
 """A machine with a higher slowness counts as slowed by its neighbours."""
@@ -81,9 +85,12 @@
 ) -> bool:
     """Return whether a call would miss its latency target on a slow machine.
 
-    Always false if ``spare_slow_slots`` is off in the policy, or if the last
-    report is too old or shows no slowdown.
+    Also true if it would miss it at a cold target, and another target of the
+    service is warm. Otherwise always false if ``spare_slow_slots`` is off in
+    the policy, or if the last report is too old or shows no slowdown.
     """
+    if _is_cold_start_too_slow(state, call, target_id, now_ms):
+        return True
     if not state.policy.spare_slow_slots:
         return False
     load = load_reports.load_of(state.loads, target_id)
@@ -94,3 +101,19 @@
         return False
     median_ms = expected_latencies.route_latency(state, call.route).median_ms
     return now_ms + median_ms * report.slowness > call.latency_target_at_ms
+
+
+def _is_cold_start_too_slow(
+    state: world.World,
+    call: routed.RoutedCall,
+    target_id: str,
+    now_ms: clock.Millis,
+) -> bool:
+    """Return whether a call should go to a warm target rather than this one."""
+    if not slow_start_limits.is_cold(state, target_id, now_ms):
+        return False
+    median_ms = expected_latencies.route_latency(state, call.route).median_ms
+    expected_ms = median_ms * slow_start_limits.COLD_SLOWNESS
+    if now_ms + expected_ms <= call.latency_target_at_ms:
+        return False
+    return slow_start_limits.has_warm_target(state, call.service, now_ms)
--- a/oleanderstair/domain/fleet/host_assignment.py
+++ b/oleanderstair/domain/fleet/host_assignment.py
@@ -69,6 +69,11 @@
     return assigned
 
 
+def hosts_of_service(state: world.World, service: str) -> tuple[str, ...]:
+    """Return the sorted hosts that have a route to a service."""
+    return _current_table(state).hosts_by_service.get(service, ())
+
+
 def remote_instance_ids_for_service(
     state: world.World,
     service: str,
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -38,12 +38,14 @@
     reachability,
     registry_updates,
     sampling,
+    slow_start_limits,
 )
 
 SYSTEMS_BY_EVENT: typing.Final[stepping.SystemsByEvent] = {
     events.CallReceived: (routed_calls.on_call,),
     events.LoadRead: (
         reachability.on_load_read,
+        slow_start_limits.on_load_read,
         sampling.on_load_read,
         routed_dispatching.on_load_read,
         routed_queueing.on_load_read,
@@ -100,6 +102,7 @@
         store_watch.on_tick,
         registry_updates.on_tick,
         reachability.on_tick,
+        slow_start_limits.on_tick,
         readiness.on_tick,
         grace_period_stop.on_tick,
     ),
--- a/oleanderstair/domain/policy.py
+++ b/oleanderstair/domain/policy.py
@@ -70,4 +70,9 @@
     @property
     def uses_operator_state(self) -> bool:
         """Return whether evacuations or slow start limits are followed."""
-        return self.evacuation_bound_ms > 0 or self.slow_start_overage > 0
+        return self.evacuation_bound_ms > 0 or self.uses_slow_start_limits
+
+    @property
+    def uses_slow_start_limits(self) -> bool:
+        """Return whether targets in slow start are limited."""
+        return self.slow_start_overage > 0
--- a/oleanderstair/domain/tables/load_reports.py
+++ b/oleanderstair/domain/tables/load_reports.py
@@ -12,12 +12,15 @@
 
     ``running`` and ``queued`` count its calls. ``slowness`` is the time that
     work takes on its machine, as a multiple of the usual time.
+    ``slow_start_ms`` is how long its slow start still lasts, 0 if it is warm,
+    and None if that could not be read.
     """
 
     running: int
     queued: int
     slots: int
     slowness: float = 1.0
+    slow_start_ms: clock.Millis | None = 0
 
 
 class Load(typing.NamedTuple):
--- a/oleanderstair/domain/targets/availability.py
+++ b/oleanderstair/domain/targets/availability.py
@@ -1,7 +1,8 @@
 """Decides when targets accept calls from this instance.
 
-A target may be leaving, request a back-off or limit its requests, and a target
-that only a restore of the store has brought back is held back for a while.
+A target may be leaving, request a back-off, limit its requests or be in slow
+start, and a target that only a restore of the store has brought back is held
+back for a while.
 """
 
 import math
@@ -9,8 +10,13 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import world
-from oleanderstair.domain.tables import load_reports
-from oleanderstair.domain.targets import backoffs, evacuations, rate_limits
+from oleanderstair.domain.tables import load_reports, registry
+from oleanderstair.domain.targets import (
+    backoffs,
+    evacuations,
+    rate_limits,
+    slow_start_limits,
+)
 
 RETURN_SPREAD_SHARE: typing.Final = 0.25
 """Jitter of the retry time sent to callers, as a share of the wait.
@@ -28,11 +34,29 @@
 
     False if the target is leaving, no longer registered, in an evacuated data
     centre or held back after a restore, if it has requested a back-off, or if
-    its rate limit allows no call from here.
+    its rate limit or its slow start allows no call from here.
     """
     return not wait_ms(state, target_id, now_ms)
 
 
+def may_be_sampled(
+    state: world.World,
+    target_id: str,
+    now_ms: clock.Millis,
+) -> bool:
+    """Return whether a target accepts calls now, or may after a read.
+
+    The latter is true if only a health response is missing that shows that
+    the target is not in slow start.
+    """
+    if accepts_calls(state, target_id, now_ms):
+        return True
+    entry = state.registry.entry_by_id.get(target_id)
+    if entry is None or _other_wait_ms(state, entry, now_ms):
+        return False
+    return slow_start_limits.accepts_after_read(state, entry, now_ms)
+
+
 def wait_ms(
     state: world.World,
     target_id: str,
@@ -45,7 +69,22 @@
     instances.
     """
     entry = state.registry.entry_by_id.get(target_id)
-    if entry is None or entry.leaving:
+    if entry is None:
+        return math.inf
+    other_ms = _other_wait_ms(state, entry, now_ms)
+    if other_ms == math.inf:
+        return other_ms
+    return max(other_ms, slow_start_limits.permit_wait_ms(state, entry, now_ms))
+
+
+def _other_wait_ms(
+    state: world.World,
+    entry: registry.Entry,
+    now_ms: clock.Millis,
+) -> clock.Millis:
+    """Return the ms until a target accepts a call, slow starts left out."""
+    target_id = entry.target_id
+    if entry.leaving:
         return math.inf
     if evacuations.is_evacuated(state, entry.data_centre):
         return math.inf
@@ -92,4 +131,6 @@
     left_ms = service_wait_ms(state, service, now_ms)
     if not left_ms:
         return 0
+    if slow_start_limits.limit_of(state, service) is not None:
+        left_ms = max(left_ms, slow_start_limits.MIN_RETRY_AFTER_MS)
     return left_ms * (1 + RETURN_SPREAD_SHARE * state.rng.random())
--- a/oleanderstair/domain/targets/rate_limits.py
+++ b/oleanderstair/domain/targets/rate_limits.py
@@ -24,6 +24,7 @@
 )
 from oleanderstair.domain.fleet import broadcast, host_assignment
 from oleanderstair.domain.tables import budgets, calls, rate_limits, registry
+from oleanderstair.domain.targets import permit_buckets
 
 MIN_UNNAMED_ANSWERS: typing.Final = 2
 """The number of successful answers in a row without a limit that end it."""
@@ -42,17 +43,12 @@
 LIMIT_KEPT_MS: typing.Final[clock.Millis] = 120_000
 """How long a limit holds after an answer last showed it."""
 
-MIN_RATE_PER_S: typing.Final = 0.03
-"""The lowest rate of calls to a limited target: only an answer ends a limit."""
-
 MAX_RATE_PER_S: typing.Final = 1e9
 """A higher limit in a message is invalid."""
 
 BURST_S: typing.Final = 0.25
 """The seconds of its rate that a sender may save up, if that is over 1 call."""
 
-_MS_PER_S: typing.Final = 1000
-
 
 def limit_of(
     state: world.World, target_id: str
@@ -75,10 +71,8 @@
     if limit is None:
         return 0
     rate_per_s = _own_rate_per_s(state, limit)
-    missing = 1 - _refill(state, limit, rate_per_s, now_ms)
-    if missing <= 0 or not rate_per_s:
-        return 0 if rate_per_s else math.inf
-    return missing / rate_per_s * _MS_PER_S
+    tokens = _refill(state, limit, rate_per_s, now_ms)
+    return permit_buckets.wait_ms(tokens, rate_per_s)
 
 
 def count_send(
@@ -275,7 +269,7 @@
     of all senders together stay small beside the limit.
     """
     entry = state.registry.entry_by_id[limit.target_id]
-    rate_per_s = max(limit.per_s, MIN_RATE_PER_S)
+    rate_per_s = max(limit.per_s, permit_buckets.MIN_RATE_PER_S)
     sender_ids = rendezvous.top_members(
         _candidate_ids(state, entry),
         limit.target_id,
@@ -312,6 +306,9 @@
     now_ms: clock.Millis,
 ) -> float:
     """Return the tokens that this instance has for a target."""
-    bucket = state.rate_limits.bucket_by_id[limit.target_id]
-    added = max(now_ms - bucket.updated_at_ms, 0) / _MS_PER_S * rate_per_s
-    return min(bucket.tokens + added, max(rate_per_s * BURST_S, 1))
+    return permit_buckets.tokens_at(
+        state.rate_limits.bucket_by_id[limit.target_id],
+        rate_per_s,
+        max(rate_per_s * BURST_S, 1),
+        now_ms,
+    )
--- a/oleanderstair/domain/targets/read_budgets.py
+++ b/oleanderstair/domain/targets/read_budgets.py
@@ -49,20 +49,26 @@
 """The share of a target's reads for the instances assigned to its service."""
 
 
+def may_read(
+    state: world.World,
+    entry: registry.Entry,
+    now_ms: clock.Millis,
+) -> bool:
+    """Return whether the budget allows a read of a target now."""
+    recent = _recent_reads(state, entry, now_ms)
+    return len(recent) < own_reads_per_s(state, entry, now_ms)
+
+
 def spend_read(
     state: world.World,
     entry: registry.Entry,
     now_ms: clock.Millis,
 ) -> bool:
     """Return whether a target may be read now; if so, count the read."""
-    load = load_reports.load_of(state.loads, entry.target_id)
-    recent = tuple(
-        read_ms
-        for read_ms in load.reads_at_ms
-        if now_ms - read_ms < READ_WINDOW_MS
-    )
-    if len(recent) >= own_reads_per_s(state, entry, now_ms):
+    if not may_read(state, entry, now_ms):
         return False
+    load = load_reports.load_of(state.loads, entry.target_id)
+    recent = _recent_reads(state, entry, now_ms)
     load_reports.put_load(
         state.loads,
         load._replace(reads_at_ms=(*recent, now_ms)),
@@ -70,6 +76,20 @@
     return True
 
 
+def _recent_reads(
+    state: world.World,
+    entry: registry.Entry,
+    now_ms: clock.Millis,
+) -> tuple[clock.Millis, ...]:
+    """Return when this instance has read a target within the window."""
+    load = load_reports.load_of(state.loads, entry.target_id)
+    return tuple(
+        read_ms
+        for read_ms in load.reads_at_ms
+        if now_ms - read_ms < READ_WINDOW_MS
+    )
+
+
 def random_probe_interval_ms(state: world.World) -> clock.Millis:
     """Return how often each instance may probe a random target.
 
--- a/oleanderstair/domain/targets/registry_updates.py
+++ b/oleanderstair/domain/targets/registry_updates.py
@@ -5,6 +5,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, world
 from oleanderstair.domain.tables import load_reports, registry, revisions
+from oleanderstair.domain.targets import slow_start_limits
 
 MAX_REMEMBERED_TARGETS: typing.Final = 4096
 """The maximum number of removed entries, and of leaving targets, in memory."""
@@ -166,6 +167,8 @@
         table.leaving_born_ms_by_id[target_id] = entry.born_ms
     if previous is not None and previous.born_ms != entry.born_ms:
         load_reports.reset_load(state.loads, target_id)
+    if previous is None or previous.born_ms != entry.born_ms:
+        slow_start_limits.record_entry(state, entry, now_ms)
     table.entry_by_id[target_id] = entry
     is_held = _hold_if_restored(table, entry, now_ms)
     table.removal_revision_by_id.pop(target_id, None)
--- a/oleanderstair/domain/targets/sampling.py
+++ b/oleanderstair/domain/targets/sampling.py
@@ -15,6 +15,7 @@
     locality,
     outlier_detection,
     read_budgets,
+    slow_start_limits,
 )
 
 LOCAL_SAMPLE_SIZE: typing.Final = 4
@@ -196,7 +197,7 @@
     tried_ids: tuple[str, ...],
     now_ms: clock.Millis,
 ) -> list[registry.Entry]:
-    """Return the entries of the targets that accept calls.
+    """Return the entries of the targets that accept calls, or may after a read.
 
     Left out are targets that were tried.
     """
@@ -204,7 +205,7 @@
         state.registry.entry_by_id[target_id]
         for target_id in target_ids
         if target_id not in tried_ids
-        and availability.accepts_calls(state, target_id, now_ms)
+        and availability.may_be_sampled(state, target_id, now_ms)
     ]
 
 
@@ -246,7 +247,8 @@
     if its service is not configured, or if the read budget is used up.
     """
     load = load_reports.load_of(state.loads, entry.target_id)
-    if now_ms - load.reported_at_ms <= FRESH_REPORT_MS:
+    is_fresh = now_ms - load.reported_at_ms <= FRESH_REPORT_MS
+    if is_fresh and not slow_start_limits.is_limited(state, entry, now_ms):
         return None
     in_force = state.routes.in_force
     if in_force is None or entry.service not in in_force.service_by_name:
--- a/oleanderstair/domain/targets/target_scoring.py
+++ b/oleanderstair/domain/targets/target_scoring.py
@@ -10,7 +10,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import world
 from oleanderstair.domain.tables import load_reports
-from oleanderstair.domain.targets import outlier_detection
+from oleanderstair.domain.targets import outlier_detection, slow_start_limits
 
 GOOD_SCORE: typing.Final = 1.7
 """A target up to this score is used without drawing a wider sample."""
@@ -124,7 +124,9 @@
 ) -> Choice:
     entry = state.registry.entry_by_id[target_id]
     load = load_reports.load_of(state.loads, target_id)
-    score = _report_score(load, now_ms)
+    cold = slow_start_limits.is_cold(state, target_id, now_ms)
+    min_slowness = slow_start_limits.COLD_SLOWNESS if cold else 0
+    score = _report_score(load, min_slowness, now_ms)
     score *= max(outlier_detection.latency_ratio(load, now_ms), 1)
     score *= _failure_factor(load, idempotent, now_ms)
     if now_ms < entry.slow_start_until_ms and load.report is None:
@@ -153,7 +155,9 @@
     return score_factor
 
 
-def _report_score(load: load_reports.Load, now_ms: clock.Millis) -> float:
+def _report_score(
+    load: load_reports.Load, min_slowness: float, now_ms: clock.Millis
+) -> float:
     """Return the score of a target by its newest report.
 
     It rises with the use of the target's slots. It also rises with the number
@@ -167,6 +171,7 @@
     slowness = (
         _DEFAULT_SLOWNESS + (report.slowness - _DEFAULT_SLOWNESS) * freshness
     )
+    slowness = max(slowness, min_slowness)
     slots = max(report.slots, 1)
     slot_use = (report.running + report.queued + load.sent_since_report) / slots
     queued_per_slot = max(slot_use - 1 + 1 / slots, 0)
--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -29,6 +29,7 @@
     routed,
     routes,
     services,
+    slow_starts,
     store,
     suspects,
     targets,
@@ -65,6 +66,7 @@
     registry: registry.RegistryTable
     loads: load_reports.LoadsTable
     rate_limits: rate_limits.RateLimitsTable
+    slow_starts: slow_starts.SlowStartsTable
     reachability: reachability.ReachabilityTable
     concurrency: concurrency.ConcurrencyTable
     crashes: crashes.CrashesTable
@@ -104,6 +106,7 @@
         registry=registry.create(),
         loads=load_reports.create(),
         rate_limits=rate_limits.create(),
+        slow_starts=slow_starts.create(),
         reachability=reachability.create(),
         concurrency=concurrency.create(),
         crashes=crashes.create(),
--- a/oleanderstair/emulator/gateway_targets.py
+++ b/oleanderstair/emulator/gateway_targets.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 import random
 import typing
 
@@ -14,6 +15,7 @@
 _FAILED: typing.Final = 500
 _TIMED_OUT: typing.Final = 504
 _CROWDED_FROM: typing.Final = 0.8
+_SECOND_MS: typing.Final[clock.Millis] = 1000
 _WORK_MS: typing.Final[clock.Millis] = 40
 
 
@@ -58,6 +60,8 @@
 
     Tests change ``behaviour``, ``leaving``, ``limit_per_s``, ``fail_share``
     and the fields of ``machine`` while it runs. ``work`` draws the ms of a run.
+    While cold it crashes if more than ``max_cold_arrivals`` calls come within
+    a second; ``cold_arrivals_at_ms`` are the times of those that came.
     """
 
     def __init__(
@@ -92,6 +96,9 @@
         self.crashing_paths: set[str] = set()
         self.leaving = False
         self.limit_per_s: float | None = None
+        self.max_cold_arrivals: float = math.inf
+        self.cold_arrivals_at_ms: list[clock.Millis] = []
+        self.cold_crashes = 0
         self.lying_report: load_reports.Report | None = None
         self.reads = 0
         self.arrivals = 0
@@ -108,7 +115,8 @@
         self.reads += 1
         if self.behaviour in {Behaviour.HANG, Behaviour.GONE}:
             return None
-        return self.load()
+        cold_ms = self.machine.cold_until_ms - self.times.now_ms()
+        return self.load()._replace(slow_start_ms=max(cold_ms, 0))
 
     def load(self) -> load_reports.Report:
         """Return the load that answers carry."""
@@ -124,6 +132,9 @@
     def take(self, exchange: Exchange) -> None:
         """Run, queue, shed or swallow a call that arrives."""
         self.arrivals += 1
+        if self._is_crashed_by_arrival():
+            self.cold_crashes += 1
+            self.crash()
         if self.behaviour is Behaviour.GONE:
             exchange.answer(Reply(events.Verdict.NOT_SENT, crashed=True))
         elif self.behaviour is Behaviour.SHED:
@@ -131,6 +142,26 @@
         else:
             self._take_in(exchange)
 
+    def turn_cold(self, cold_ms: clock.Millis) -> None:
+        """Work at half of the speed for a time, without a restart."""
+        self.machine.cold_until_ms = self.times.now_ms() + cold_ms
+        self.machine.cold_factor = 2
+
+    def _is_crashed_by_arrival(self) -> bool:
+        """Note a call that arrives at a cold target; say if it is too many."""
+        now_ms = self.times.now_ms()
+        if self.behaviour is Behaviour.GONE:
+            return False
+        if now_ms >= self.machine.cold_until_ms:
+            return False
+        self.cold_arrivals_at_ms.append(now_ms)
+        recent = [
+            at_ms
+            for at_ms in self.cold_arrivals_at_ms
+            if at_ms > now_ms - _SECOND_MS
+        ]
+        return len(recent) > self.max_cold_arrivals
+
     def _take_in(self, exchange: Exchange) -> None:
         if len(self.running) < self.slots:
             self._run(exchange)
--- a/oleanderstair/explaining/gauges.py
+++ b/oleanderstair/explaining/gauges.py
@@ -8,7 +8,11 @@
 from oleanderstair.domain.calls import retry_budget
 from oleanderstair.domain.fleet import readiness
 from oleanderstair.domain.tables import registry, revisions
-from oleanderstair.domain.targets import rate_limits, reachability
+from oleanderstair.domain.targets import (
+    rate_limits,
+    reachability,
+    slow_start_limits,
+)
 
 
 class Gauge(typing.NamedTuple):
@@ -50,6 +54,7 @@
         Gauge('isolated', (), int(reachability.is_isolated(state))),
         *_targets(state, now_ms),
         *_limits(state),
+        *_slow_starts(state, now_ms),
         *_calls(state),
         *_budgets(state, now_ms),
     ]
@@ -95,6 +100,40 @@
     ]
 
 
+def _slow_starts(state: world.World, now_ms: clock.Millis) -> list[Gauge]:
+    """Return what cold targets tolerate, how many there are, and the bound.
+
+    The bound is what all instances together may send one in a second.
+    """
+    if not state.policy.uses_slow_start_limits:
+        return []
+    cold_count = collections.Counter(
+        entry.service
+        for target_id, entry in state.registry.entry_by_id.items()
+        if slow_start_limits.is_cold(state, target_id, now_ms)
+    )
+    limit_by_service = state.operator_state.limit_by_service
+    return [
+        gauge
+        for service, limit in sorted(limit_by_service.items())
+        for gauge in (
+            Gauge(
+                'slow_start_targets',
+                (('service', service),),
+                cold_count[service],
+            ),
+            Gauge(
+                'slow_start_limit_per_s', (('service', service),), limit.per_s
+            ),
+            Gauge(
+                'slow_start_bound_per_s',
+                (('service', service),),
+                slow_start_limits.bound_per_s(state, limit),
+            ),
+        )
+    ]
+
+
 def _state_of(
     state: world.World,
     entry: registry.Entry,
@@ -105,7 +144,10 @@
     known = state.loads.load_by_id.get(entry.target_id)
     if known is not None and now_ms < known.ejected_until_ms:
         return 'barred'
-    return 'cold' if now_ms < entry.slow_start_until_ms else 'usable'
+    is_cold = now_ms < entry.slow_start_until_ms or slow_start_limits.is_cold(
+        state, entry.target_id, now_ms
+    )
+    return 'cold' if is_cold else 'usable'
 
 
 def _budgets(state: world.World, now_ms: clock.Millis) -> list[Gauge]:
--- a/oleanderstair/explaining/trails.py
+++ b/oleanderstair/explaining/trails.py
@@ -12,6 +12,7 @@
 from oleanderstair.domain.tables import load_reports, revisions, routed, routes
 from oleanderstair.domain.targets import (
     slot_estimates,
+    slow_start_limits,
     slot_shortage,
     outlier_detection,
     rate_limits,
@@ -204,12 +205,19 @@
     service: str,
     now_ms: clock.Millis,
 ) -> lines.Fields:
-    """Return how many targets' rate limits allow no call from here now."""
+    """Return how many targets' rate limits allow no call from here now.
+
+    Also return how many targets are in slow start.
+    """
+    target_ids = state.registry.ids_by_service.get(service, ())
     limited_count = sum(
         rate_limits.permit_wait_ms(state, known, now_ms) > 0
-        for known in state.registry.ids_by_service.get(service, ())
+        for known in target_ids
+    )
+    cold_count = sum(
+        slow_start_limits.is_cold(state, known, now_ms) for known in target_ids
     )
-    return (('limited', limited_count or None),)
+    return (('limited', limited_count or None), ('cold', cold_count or None))
 
 
 def note_hedge_due(
@@ -268,6 +276,10 @@
         ('target', action.target_id),
         ('why', why_sent(trail)),
         ('limit_per_s', limit.per_s if limit else None),
+        (
+            'cold',
+            slow_start_limits.is_cold(state, action.target_id, now_ms) or None,
+        ),
         ('report', _text_of(known.report)),
         ('report_age_ms', now_ms - known.reported_at_ms if told else None),
         ('own_in_flight', known.in_flight),
--- a/oleanderstair/platform/dialect.py
+++ b/oleanderstair/platform/dialect.py
@@ -14,6 +14,7 @@
 NOT_RUN: typing.Final = b'not-executed'
 SERVER_LEAVING: typing.Final = b'server-leaving'
 SERVER_LIMIT: typing.Final = b'server-limit'
+SLOW_START_MS: typing.Final = b'slow-start-ms'
 
 _MISDIRECTED: typing.Final = 421
 _UNAVAILABLE: typing.Final = 503
@@ -146,7 +147,8 @@
 
     The field holds counts separated by commas: running calls, queued calls,
     slots and, optionally, the target's slowness, which is 100 at its usual
-    speed. Return None if the field is missing or malformed.
+    speed. Return None if the field is missing or malformed. The remaining ms
+    of a slow start are in a field of their own; they are None if malformed.
     """
     figures = fields.get(SERVER_LOAD, b'').split(b',')
     counts = [headers.parse_count(figure.strip()) for figure in figures]
@@ -158,4 +160,7 @@
         return None
     running, queued, slots, *optional = valid_counts
     slowness = optional[0] / _SLOWNESS_UNIT if optional else 1.0
-    return load_reports.Report(running, queued, slots, slowness)
+    slow_start_ms = headers.parse_decimal(
+        fields.get(SLOW_START_MS, b'0').strip()
+    )
+    return load_reports.Report(running, queued, slots, slowness, slow_start_ms)
