--- a/oleanderstair/domain/calls/routed_dispatching.py
+++ b/oleanderstair/domain/calls/routed_dispatching.py
@@ -13,6 +13,7 @@
     rate_limits,
     sampling,
     slot_estimates,
+    slow_start_limits,
     target_scoring,
 )
 
@@ -223,6 +224,7 @@
     state.routed.call_by_id[call.call_id] = call
     _count_sent(state, entry)
     rate_limits.count_send(state, entry.target_id, now_ms)
+    counts = slow_start_limits.count_send(state, entry, now_ms)
     budget_ms = call.due_at_ms - now_ms
     sent = actions.Dispatch(
         call_id=call.call_id,
@@ -236,6 +238,7 @@
     )
     return [
         sent,
+        *counts,
         *_count_diverted(state, call),
         *routed_hedges.schedule_hedge(state, call),
     ]
--- a/oleanderstair/explaining/gauges.py
+++ b/oleanderstair/explaining/gauges.py
@@ -12,6 +12,7 @@
     evacuations,
     rate_limits,
     reachability,
+    slow_start_limits,
 )
 
 
@@ -55,6 +56,7 @@
         *_evacuations(state),
         *_targets(state, now_ms),
         *_limits(state),
+        *_slow_starts(state, now_ms),
         *_calls(state),
         *_budgets(state, now_ms),
     ]
@@ -116,6 +118,40 @@
     ]
 
 
+def _slow_starts(state: world.World, now_ms: clock.Millis) -> list[Gauge]:
+    """Return what cold targets tolerate, how many there are, and the bound.
+
+    The bound is what all instances together may send one in a second.
+    """
+    if not state.policy.uses_slow_start_limits:
+        return []
+    cold_count = collections.Counter(
+        entry.service
+        for target_id, entry in state.registry.entry_by_id.items()
+        if slow_start_limits.is_cold(state, target_id, now_ms)
+    )
+    limit_by_service = state.operator_state.limit_by_service
+    return [
+        gauge
+        for service, limit in sorted(limit_by_service.items())
+        for gauge in (
+            Gauge(
+                'slow_start_targets',
+                (('service', service),),
+                cold_count[service],
+            ),
+            Gauge(
+                'slow_start_limit_per_s', (('service', service),), limit.per_s
+            ),
+            Gauge(
+                'slow_start_bound_per_s',
+                (('service', service),),
+                slow_start_limits.bound_per_s(state, limit),
+            ),
+        )
+    ]
+
+
 def _state_of(
     state: world.World,
     entry: registry.Entry,
@@ -128,7 +164,10 @@
     known = state.loads.load_by_id.get(entry.target_id)
     if known is not None and now_ms < known.ejected_until_ms:
         return 'barred'
-    return 'cold' if now_ms < entry.slow_start_until_ms else 'usable'
+    is_cold = now_ms < entry.slow_start_until_ms or slow_start_limits.is_cold(
+        state, entry.target_id, now_ms
+    )
+    return 'cold' if is_cold else 'usable'
 
 
 def _budgets(state: world.World, now_ms: clock.Millis) -> list[Gauge]:
