Describe evacuations to operators, and add one to the soak

What callers saw: nothing. Operators could not tell from lines, metrics and pages which data centre is evacuated and why calls are refused.

Refused calls name the targets that an evacuation keeps from them, and "logs failed" the cause.

The soak evacuates one of two data centres in every second seed, for 7.5 s, revokes it, and repeats both after a restore of the store. No target there may get a call from an instance in touch over 5 s after the request. The draws of other faults are unchanged. Targets named -3 are in the second data centre now.

Two tests failed to notice a removed rule when it was taken out on a scratch copy, and are stricter: queued calls are refused as no-target, and targets that are taken down cause no isolation. Two tests on kept evacuations are new.

--- a/oleanderstair/explaining/causes.py
+++ b/oleanderstair/explaining/causes.py
@@ -314,7 +314,16 @@
 
 
 def _no_target(facts: typing.Sequence[Fact]) -> str:
-    return f'{_by_attempts(facts)}{_limited(ending_of(facts))}'
+    end = ending_of(facts)
+    return f'{_by_attempts(facts)}{_limited(end)}{_evacuated(end)}'
+
+
+def _evacuated(end: Fact) -> str:
+    """Return how many targets an evacuation kept from a call, if any."""
+    evacuated = end.get('evacuated')
+    if not evacuated:
+        return ''
+    return f'; {evacuated} targets are in evacuated data centres'
 
 
 def _out_of_time(facts: typing.Sequence[Fact]) -> str:
--- a/oleanderstair/explaining/failures.py
+++ b/oleanderstair/explaining/failures.py
@@ -99,6 +99,12 @@
     return _LATE if end.get('late_ms') else ''
 
 
+_WHY_BY_ALL_TARGETS: typing.Final = {
+    'limited': 'all targets limit their calls per second',
+    'evacuated': 'all targets are in evacuated data centres',
+}
+
+
 def _merged_as(kind: str) -> str:
     for opening in ('refused-', 'rejected-', _LEFT):
         if kind.startswith(opening) and kind.endswith('-merged'):
@@ -108,9 +114,7 @@
 
 def _why(facts: Facts, told: str, seen: sights.Sights) -> str:
     end = causes.ending_of(facts)
-    if end.get('limited') and end.get('limited') == end.get('targets'):
-        return 'all targets limit their calls per second'
-    why = _WHY_BY_REASON.get(told)
+    why = _why_all_targets(end) or _WHY_BY_REASON.get(told)
     if why:
         return why
     if told == 'overloaded':
@@ -127,6 +131,14 @@
     return _why_long(facts, seen)
 
 
+def _why_all_targets(end: causes.Fact) -> str:
+    """Return what kept all targets from a call, an empty string if nothing."""
+    for name, why in _WHY_BY_ALL_TARGETS.items():
+        if end.get(name) and end.get(name) == end.get('targets'):
+            return why
+    return ''
+
+
 def _why_no_room(facts: Facts) -> str:
     kinds = {fact.kind for fact in facts}
     if 'sent' in kinds:
--- a/soak/bounds.py
+++ b/soak/bounds.py
@@ -16,6 +16,10 @@
 LEAVE_S: typing.Final = 2
 """From the acknowledgement until a leaving target gets nothing new."""
 
+EVACUATE_S: typing.Final = 5
+"""From the acknowledgement of an evacuation until targets there get nothing
+new."""
+
 LIMIT_PER_S: typing.Final = 2
 """The requests a second that a target accepts while it limits them."""
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -128,6 +128,27 @@
             yield Finding('leaving', told, left_s, run.at_s)
 
 
+def evacuated_targets_get_nothing_new(seen: record.Record) -> Findings:
+    """Find calls that reach a target long after its evacuation was requested.
+
+    The store must not have been away at the begin of the evacuation. A restore
+    from a copy later on excuses nothing.
+    """
+    call_by_id = {call.request_id: call for call in seen.calls}
+    for run in seen.runs:
+        call = call_by_id.get(run.request_id)
+        from_s = _evacuated_s(seen, run)
+        due_s = from_s + bounds.EVACUATE_S
+        if call is None or from_s == NEVER_S:
+            continue
+        if record.touches(seen.harmed, {plan.STORE_PLACE}, from_s, due_s):
+            continue
+        if _is_in_touch(seen, call, f'target:{run.target}'):
+            late = f'{run.target} after {run.at_s - from_s:.2f} s'
+            told = f'{_told(call)} reached {late}'
+            yield Finding('evacuated', told, from_s, run.at_s)
+
+
 def limits_are_kept(seen: record.Record) -> Findings:
     """Find targets that were sent more calls than they accept.
 
@@ -252,6 +273,7 @@
     allowed_calls_are_not_denied,
     planned_work_cuts_nothing,
     leaving_targets_get_nothing_new,
+    evacuated_targets_get_nothing_new,
     limits_are_kept,
     configurations_are_in_force,
     configurations_never_revert,
@@ -315,6 +337,18 @@
     return NEVER_S
 
 
+def _evacuated_s(seen: record.Record, run: record.Run) -> float:
+    """Return when the evacuation that a run is too late for was requested."""
+    for span in seen.evacuated:
+        due_s = span.from_s + bounds.EVACUATE_S
+        if (
+            span.where == plan.DATA_CENTRE_BY_TARGET[run.target]
+            and due_s < run.at_s < span.until_s
+        ):
+            return span.from_s
+    return NEVER_S
+
+
 def _is_in_touch(seen: record.Record, call: record.Call, *also: str) -> bool:
     """Return whether nothing struck a call's instance, or its links."""
     spans = (*seen.harmed, *seen.planned)
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -46,6 +46,7 @@
 _TICK_MS: typing.Final = 100
 _SILENCE_MS: typing.Final = 2000
 _RETRY_SLACK: typing.Final = 75
+_MS_PER_S: typing.Final = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -189,6 +190,7 @@
             'tick_ms': _TICK_MS,
             'peer_silence_ms': _SILENCE_MS,
             'retry_slack': _RETRY_SLACK,
+            'evacuation_bound_ms': bounds.EVACUATE_S * _MS_PER_S,
         },
     }
     return made
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -15,6 +15,9 @@
     for service in ('burza', 'sklad')
     for number in range(1, 4)
 )
+DATA_CENTRE_BY_TARGET: typing.Final = {
+    target: 'nitra' if target.endswith('-3') else 'trnava' for target in TARGETS
+}
 
 _MS_PER_S: typing.Final = 1000
 _PER_S: typing.Final = 0.8
@@ -23,6 +26,9 @@
 _SPANS_MS: typing.Final = (200, 700, 1500, 3000)
 _LEAVE_SPAN_MS: typing.Final = 4000
 _LIMIT_SPAN_MS: typing.Final = 9000
+_EVACUATION_SPAN_MS: typing.Final = 7500
+"""Longer than the bound after which nothing comes."""
+
 _SERIES_MS: typing.Final = 400
 _SERIES_SHARE: typing.Final = 0.25
 _ADDED_PER_S: typing.Final = 0.1
@@ -46,10 +52,12 @@
     RESTORE = 'restore'
     ODD_ENTRY = 'odd-entry'
     SEVER = 'sever'
+    EVACUATE = 'evacuate'
 
 
 OPERATOR: typing.Final = (Kind.PUBLISH, Kind.LEAVE, Kind.LIMIT)
-PLANNED: typing.Final = (Kind.STOP, Kind.RELOAD, *OPERATOR)
+_PLANNED_SCENE: typing.Final = (Kind.STOP, Kind.RELOAD, *OPERATOR)
+PLANNED: typing.Final = (*_PLANNED_SCENE, Kind.EVACUATE)
 STORE: typing.Final = (Kind.RESTORE,)
 SIGNALS: typing.Final = (Kind.STOP, Kind.KILL, Kind.PAUSE, Kind.RELOAD)
 LINKS: typing.Final = (
@@ -60,7 +68,7 @@
     Kind.SILENT,
 )
 _SCENES: typing.Final = (
-    PLANNED,
+    _PLANNED_SCENE,
     SIGNALS + STORE + OPERATOR,
     LINKS + STORE + OPERATOR,
     SIGNALS + LINKS + STORE + OPERATOR,
@@ -114,6 +122,7 @@
                 again = again._replace(where=found[-1].where)
             found.append(again)
     found.extend(_draw_added(seed, count_added, last_ms))
+    found.extend(_draw_evacuation(seed, last_ms))
     return Plan(seed, seconds, tuple(sorted(found, key=order)))
 
 
@@ -121,7 +130,7 @@
     seed: int, count: int, last_ms: clock.Millis
 ) -> typing.Iterator[Fault]:
     """Draw the faults of later kinds, by which no earlier draw changes."""
-    if _SCENES[seed % len(_SCENES)] is PLANNED:
+    if _SCENES[seed % len(_SCENES)] is _PLANNED_SCENE:
         return
     rng = random.Random(f'added {seed}')
     for _ in range(count):
@@ -130,6 +139,18 @@
             yield Fault(kind, rng.choice(places), at_ms, rng.choice(_SPANS_MS))
 
 
+def _draw_evacuation(
+    seed: int, last_ms: clock.Millis
+) -> typing.Iterator[Fault]:
+    """Draw one evacuation for every second seed, as it takes long."""
+    if seed % 2:
+        return
+    rng = random.Random(f'evacuation {seed}')
+    where = rng.choice(sorted(set(DATA_CENTRE_BY_TARGET.values())))
+    at_ms = round(rng.uniform(_CALM_MS, last_ms))
+    yield Fault(Kind.EVACUATE, where, at_ms, _EVACUATION_SPAN_MS)
+
+
 def links() -> list[str]:
     """Return the names of all links that can be harmed."""
     return [
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -86,6 +86,7 @@
     )
     born_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
     state_by_id: dict[str, str] = dataclasses.field(default_factory=dict)
+    evacuated: set[str] = dataclasses.field(default_factory=set)
     version: int = 0
 
     def serve(self, app: typing.Any) -> str:
@@ -122,10 +123,20 @@
         for target_id in self.state_by_id:
             self._write_entry(target_id)
 
+    def write_evacuations(self) -> None:
+        """Write again which data centres the operator has evacuated."""
+        for data_centre in set(plan.DATA_CENTRE_BY_TARGET.values()):
+            key = f'{documents.EVACUATION_PREFIX}{data_centre}'
+            if data_centre in self.evacuated:
+                self.kept.put(key, {})
+            elif key in self.kept.item_by_key:
+                self.kept.remove(key)
+
     def _write_entry(self, target_id: str) -> None:
         entry = published.entry(
             self.link_by_name[f'target:{target_id}'].near,
             service=target_id.rpartition('-')[0],
+            data_centre=plan.DATA_CENTRE_BY_TARGET[target_id],
             state=self.state_by_id[target_id],
             born=self.born_by_id[target_id],
         )
@@ -363,6 +374,16 @@
         await anyio.sleep(_REWRITE_S)
         scene.publish()
         scene.write_entries()
+        scene.write_evacuations()
+
+
+async def _evacuate(scene: Scene, fault: plan.Fault) -> None:
+    scene.evacuated.add(fault.where)
+    scene.write_evacuations()
+    with _noted(scene.seen.evacuated, fault.where):
+        await anyio.sleep(clock.to_seconds(fault.span_ms))
+    scene.evacuated.remove(fault.where)
+    scene.write_evacuations()
 
 
 async def _put_odd_entry(scene: Scene, fault: plan.Fault) -> None:
@@ -401,6 +422,7 @@
         plan.Kind.LIMIT,
         plan.Kind.RESTORE,
         plan.Kind.ODD_ENTRY,
+        plan.Kind.EVACUATE,
     ),
 )
 """The kinds of faults that excuse no instance for as long as they take."""
@@ -415,6 +437,7 @@
     plan.Kind.RESTORE: _restore,
     plan.Kind.ODD_ENTRY: _put_odd_entry,
     plan.Kind.SEVER: _sever,
+    plan.Kind.EVACUATE: _evacuate,
     **dict.fromkeys(plan.LINKS, _harm),
 }
 
--- a/test/test_evacuation_sync.py
+++ b/test/test_evacuation_sync.py
@@ -331,6 +331,42 @@
     assert evacuated_by_none(fleet, 'b')
 
 
+def test_an_instance_that_joins_late_learns_what_the_copy_lacks():
+    # It has read the copy, so its state is not behind that of its peers.
+    fleet = make_fleet()
+    copy = fleet.store.copy()
+    evacuate(fleet, 'b')
+    fleet.run(2000)
+    restore(fleet, copy)
+    fleet.kill('a2')
+    for other in fleet.living:
+        fleet.cut('a2', other.state.identity.instance_id)
+        fleet.cut(other.state.identity.instance_id, 'a2')
+    started = fleet.start('a2', 'a')
+    fleet.run(1500)
+    assert started.state.operator_state.revision
+    assert not evacuates_b(started)
+    fleet.cut_pairs.clear()
+    fleet.run_until(lambda: evacuates_b(started), 2000)
+
+
+def test_a_kept_evacuation_that_has_ended_is_not_taken_from_a_peer():
+    # Instances that learn of it at different times would prolong it.
+    fleet = make_fleet()
+    copy = fleet.store.copy()
+    evacuate(fleet, 'b')
+    kept = fleet.at('a1').state.operator_state.evacuation_by_data_centre['b']
+    restore(fleet, copy)
+    fleet.run(evacuation_changes.KEPT_AFTER_RESTORE_MS + 1000)
+    table = fleet.at('a1').state.operator_state
+    for revision in (table.revision, table.revision + 1):
+        late = (kept._replace(left_ms=9000),)
+        message = messages.OperatorState(revision, 0, late, {})
+        heard = events.PeerHeard('a2~0', message)
+        fleet.handle(fleet.at('a1'), heard)
+        assert not evacuates_b(fleet.at('a1'))
+
+
 def revoke_and_restore(fleet):
     """Revoke an evacuation, and restore the store from a copy that holds it."""
     evacuate(fleet, 'b')
--- a/test/test_evacuations.py
+++ b/test/test_evacuations.py
@@ -16,7 +16,14 @@
     sampling,
 )
 from oleanderstair.emulator import gateway_fleet, gateway_targets, plans
-from oleanderstair.explaining import gauges, trails
+from oleanderstair.explaining import (
+    decisions,
+    failures,
+    gauges,
+    sinks,
+    stories,
+    trails,
+)
 from test import fleets
 
 LOOKUP = plans.Kind('lookup', 'burza', 0, plans.Work(40))
@@ -196,15 +203,12 @@
 def test_targets_that_are_taken_down_are_no_lost_links():
     # The instances would forward their calls, though they reach the others.
     fleet = make_fleet()
-    for target in fleet.target_by_id.values():
-        target.work = lambda received, rng: 600
-    call_all(fleet, 100, ('order',))
     evacuate(fleet, 'nitra')
-    for target in fleet.target_by_id.values():
+    for target_id, target in fleet.target_by_id.items():
         if target.data_centre == 'nitra':
-            fleet.crash(target.target_id)
-    fleet.run_for(2000)
-    assert not any(map(reachability.is_isolated, states_of(fleet)))
+            failed = events.LoadRead(target_id, None, sampling.READ_TIMEOUT_MS)
+            fleet.step('entry-0', failed)
+    assert not reachability.is_isolated(fleet.member_by_id['entry-0'].state)
 
 
 def test_isolation_is_detected_by_the_targets_that_are_left():
@@ -253,6 +257,7 @@
     fleet.run_for(100)
     for told in outcomes_of(fleet, queued):
         assert told.outcome is outcomes.Outcome.NOT_RUN
+        assert told.reason is outcomes.Reason.NO_TARGET
         assert told.retry_after_ms > 0
 
 
@@ -418,3 +423,23 @@
     now_ms = fleet.times.now_ms()
     probes = sampling.probe_random_targets(state, (), 9, now_ms)
     assert all(read.target_id != 'burza-1' for read in probes)
+
+
+def test_the_lines_of_a_refused_call_name_the_cause():
+    # Operators would look for targets that are full.
+    fleet = make_fleet(instances=1)
+    sink = sinks.ListSink()
+    state = fleet.member_by_id['entry-0'].state
+    log = decisions.DecisionLog(state, sink, lambda: 1.0)
+    fleet.on_step.append(
+        lambda state, event, done: log.observe(
+            fleet.times.now_ms(), event, done
+        )
+    )
+    evacuate(fleet, *CENTRES)
+    fleet.call('entry-0', 'lookup', request_id='r-1')
+    found = failures.find(stories.read('entry-0', sink.lines))
+    assert [(one.told, one.why) for one in found] == [
+        ('no-target', 'all targets are in evacuated data centres')
+    ]
+    assert '12 targets are in evacuated data centres' in found[0].cause
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -16,8 +16,9 @@
 from soak import bounds, checks, command, plan, proxy, record
 
 SEEDS = (4, 7, 10)
-"""Two stops, a new configuration and a rate limit; a pause, a silent link and a
-reload; targets that leave, a restore of the store and a new configuration."""
+"""Two stops, a new configuration, a rate limit and an evacuation; a pause, a
+silent link and a reload; targets that leave, an evacuation, a restore of the
+store and a new configuration."""
 
 SECONDS = 4
 
@@ -175,6 +176,7 @@
 
 KNOWN = {'published': [(1, 1), (2, 6)]}
 LEFT = {'leaving': [record.Span('burza-1', 7, 20)]}
+EVACUATED = {'evacuated': [record.Span('trnava', 5, 20)]}
 LIMITED = {'limited': [record.Span('burza-1', 7, 20)]}
 BROKEN = {
     'refused-ran': scene_of(LOOKUP._replace(status=503)),
@@ -184,6 +186,7 @@
     'denied': scene_of(LOOKUP._replace(status=404)),
     'cut': scene_of(LOOKUP._replace(status=0, end='cut')),
     'leaving': scene_of(LOOKUP, **LEFT),
+    'evacuated': scene_of(LOOKUP, **EVACUATED),
     'limit': scene_of(LOOKUP, runs=(RUN,) * 18, **LIMITED),
     'not-in-force': scene_of(VERSION, **KNOWN),
     'reverted': scene_of(SERVED_BEFORE, VERSION, published=[(1, 1), (2, 8)]),
@@ -209,7 +212,7 @@
     assert not found(scene_of(LOOKUP))
 
 
-@pytest.mark.parametrize('promise', ['leaving', 'not-in-force'])
+@pytest.mark.parametrize('promise', ['leaving', 'evacuated', 'not-in-force'])
 def test_a_bound_of_time_is_not_judged_after_a_stall(promise):
     seen = BROKEN[promise]
     seen = record.Record(**{**fields_of(seen), **STALL})
@@ -218,12 +221,23 @@
     assert [one.promise for one in verdict.unjudged] == [promise]
 
 
-@pytest.mark.parametrize('promise', ['leaving', 'limit', 'not-in-force', 'cut'])
+@pytest.mark.parametrize(
+    'promise', ['leaving', 'evacuated', 'limit', 'not-in-force', 'cut']
+)
 def test_bounds_hold_only_for_calm_instances(promise):
     fields = fields_of(BROKEN[promise])
     assert not found(record.Record(**{**fields, 'harmed': [STRUCK]}))
 
 
+def test_an_evacuation_is_not_judged_if_the_store_was_away_at_its_begin():
+    away = record.Span('store', 5, 6)
+    fields = fields_of(BROKEN['evacuated'])
+    assert not found(record.Record(**{**fields, 'harmed': [away]}))
+    later = record.Span('store', 10.1, 10.2)
+    harmed = record.Record(**{**fields, 'harmed': [later]})
+    assert found(harmed) == {'evacuated'}
+
+
 def test_a_planned_stop_excuses_no_cut():
     fields = fields_of(BROKEN['cut'])
     assert found(record.Record(**{**fields, 'planned': [STRUCK]})) == {'cut'}
