Cut an unread answer only if its caller reads nothing of it any more

Callers saw a connection reset in the middle of an answer, one answer_time_ms (10 s) after an earlier answer on that connection, or in the middle of one answer that they read slowly.

Cause: the timer of an answer with unread bytes was never stopped and tested only whether any bytes were unread when it ended. The idle timeout aborted a connection with unread bytes as well.

Now the bytes that the client has received are compared four times within answer_time_ms, and the connection is reset once they stand still for that long. Bytes in the kernel buffer (TIOCOUTQ) count as not received: the kernel took over 4 MB for a client with a small receive buffer, so that the buffer of the process did not shrink while the client read. The idle timeout counts from when nothing is unread any more.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -6,7 +6,10 @@
 
 import asyncio
 import enum
+import fcntl
 import http
+import struct
+import termios
 import typing
 
 import msgspec
@@ -25,6 +28,10 @@
 _BODY_TIME_FACTOR: typing.Final = 2
 """Timeout of a body as a multiple of that of a head."""
 
+_READ_CHECKS: typing.Final = 4
+"""How often the reading of an answer is checked within its timeout."""
+
+_SIZE: typing.Final = struct.Struct('i')
 _MS_PER_S: typing.Final = 1000
 _INTERIM_PREFIX: typing.Final = b'HTTP/1.1 1'
 _MAX_JOINED_BYTES: typing.Final = 65536
@@ -36,7 +43,8 @@
 
     ``request_time_ms`` is the timeout of a request head; a body has twice that.
     ``idle_ms`` is the timeout of a connection without a request.
-    ``answer_time_ms`` is the time in which a client must read an answer.
+    ``answer_time_ms`` is the time in which a client must read some part of an
+    answer.
     """
 
     max_header_bytes: int = 16384
@@ -67,9 +75,11 @@
     def __init__(
         self,
         transport: asyncio.Transport,
+        on_write: typing.Callable[[int], None],
         on_response: typing.Callable[[], None],
     ) -> None:
         self._transport = transport
+        self._on_write = on_write
         self._on_response = on_response
         self._head: bytes | None = None
         self._has_received_head = False
@@ -84,10 +94,10 @@
         elif self._head is not None and len(chunk) <= _MAX_JOINED_BYTES:
             chunk = self._head + chunk
             self._head = None
-            self._transport.write(chunk)
+            self._write(chunk)
         else:
             self._flush()
-            self._transport.write(chunk)
+            self._write(chunk)
 
     def close(self) -> None:
         self._flush()
@@ -103,9 +113,13 @@
 
     def _flush(self) -> None:
         if self._head is not None:
-            self._transport.write(self._head)
+            self._write(self._head)
             self._head = None
 
+    def _write(self, chunk: bytes) -> None:
+        self._transport.write(chunk)
+        self._on_write(len(chunk))
+
 
 class BoundedProtocol(httptools_impl.HttpToolsProtocol):
     """One client connection within the limits of ``ConnectionBounds``."""
@@ -123,7 +137,10 @@
         self._refused = False
         self._timer: asyncio.TimerHandle | None = None
         self._is_idle_timer = False
-        self._write_timer: asyncio.TimerHandle | None = None
+        self._read_timer: asyncio.TimerHandle | None = None
+        self._written_bytes = 0
+        self._read_bytes = 0
+        self._read_at_s: float = 0
 
     # Connection events
 
@@ -142,8 +159,8 @@
         """Stop the timers and call ``on_lost``."""
         super().connection_lost(exc)
         self._stop_timer()
-        if self._write_timer is not None:
-            self._write_timer.cancel()
+        if self._read_timer is not None:
+            self._read_timer.cancel()
         if self.on_lost is not None:
             self.on_lost()
 
@@ -220,7 +237,7 @@
         self._chunk_bytes = 0
 
     def on_response_complete(self) -> None:
-        """Limit the time in which the client must read the answer."""
+        """Limit the time for which the client may stop reading the answer."""
         bounds = self._bounds_of()
         self._idle_since_s = self.loop.time()
         self.timeout_keep_alive = typing.cast(
@@ -228,11 +245,22 @@
             clock.to_seconds(bounds.idle_ms),
         )
         super().on_response_complete()
-        if self.transport.get_write_buffer_size() and not self._write_timer:
-            self._write_timer = self.loop.call_later(
-                clock.to_seconds(bounds.answer_time_ms),
-                self._abort_unread,
-            )
+        if self.transport.get_write_buffer_size() and not self._read_timer:
+            self._note_read(self.count_read_bytes())
+            self._start_read_timer()
+
+    def count_read_bytes(self) -> int:
+        """Return how many bytes of its answers the client has received.
+
+        Those in the buffers of the process and of the kernel are not counted.
+        The kernel buffer of a slow client takes megabytes, so the buffer of
+        the process alone may not shrink for minutes though the client reads.
+        """
+        return (
+            self._written_bytes
+            - self.transport.get_write_buffer_size()
+            - self._count_kernel_bytes()
+        )
 
     # Client errors
 
@@ -258,7 +286,12 @@
         self._refuse_and_close(outcomes.Reason.BAD_REQUEST, msg)
 
     def timeout_keep_alive_handler(self) -> None:
-        """Close an idle connection; abort it if answers are still unread."""
+        """Close an idle connection.
+
+        It isn't idle while its client still reads an answer.
+        """
+        if self.transport.get_write_buffer_size():
+            self._idle_since_s = self.loop.time()
         remaining_s = self._remaining_idle_s()
         if remaining_s > 0:
             self.timeout_keep_alive_task = self.loop.call_later(
@@ -266,8 +299,6 @@
                 self.timeout_keep_alive_handler,
             )
             return
-        if self.transport.get_write_buffer_size():
-            self.transport.abort()
         super().timeout_keep_alive_handler()
 
     def _unsupported_upgrade_warning(self) -> None:
@@ -276,7 +307,9 @@
             self.cycle.keep_alive = False
 
     def _join_writes(self) -> None:
-        joined = _JoiningTransport(self.transport, self.cycle.on_response)
+        joined = _JoiningTransport(
+            self.transport, self._count_written, self.cycle.on_response
+        )
         self.cycle.transport = typing.cast(asyncio.Transport, joined)
         self.cycle.on_response = joined.complete_response
 
@@ -320,10 +353,44 @@
         else:
             self.transport.close()
 
-    def _abort_unread(self) -> None:
-        self._write_timer = None
-        if self.transport.get_write_buffer_size():
+    # The reading of answers by the client
+
+    def _count_written(self, size: int) -> None:
+        self._written_bytes += size
+
+    def _count_kernel_bytes(self) -> int:
+        """Return how many bytes the kernel has not delivered, if it says so."""
+        connected = self.transport.get_extra_info('socket')
+        size = bytearray(_SIZE.size)
+        try:
+            fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, size)
+        except OSError:
+            return 0
+        return int(_SIZE.unpack(size)[0])
+
+    def _note_read(self, read_bytes: int) -> None:
+        self._read_bytes = read_bytes
+        self._read_at_s = self.loop.time()
+
+    def _start_read_timer(self) -> None:
+        interval_ms = self._bounds_of().answer_time_ms / _READ_CHECKS
+        self._read_timer = self.loop.call_later(
+            clock.to_seconds(interval_ms), self._check_reading
+        )
+
+    def _check_reading(self) -> None:
+        """Abort the connection if its client has stopped reading."""
+        self._read_timer = None
+        if not self.transport.get_write_buffer_size():
+            return
+        read_bytes = self.count_read_bytes()
+        if read_bytes > self._read_bytes:
+            self._note_read(read_bytes)
+        stopped_ms = (self.loop.time() - self._read_at_s) * _MS_PER_S
+        if stopped_ms >= self._bounds_of().answer_time_ms:
             self.transport.abort()
+        else:
+            self._start_read_timer()
 
     def _refuse_and_close(self, reason: outcomes.Reason, detail: str) -> None:
         # Input is read and dropped for 500 ms before the close. Closing with
--- a/test/raw.py
+++ b/test/raw.py
@@ -1,5 +1,6 @@
 """TCP servers and clients that send exactly the bytes of a test."""
 
+import asyncio
 import contextlib
 import socket
 import typing
@@ -93,3 +94,51 @@
 def _reset_on_close(stream: anyio.abc.SocketStream) -> None:
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b'\1\0\0\0\0\0\0\0')
+
+
+class SlowReader:
+    """A client that reads only what it is told to, from small buffers."""
+
+    def __init__(self, address: str, receive_bytes: int = 65536) -> None:
+        """Connect to ``address``; ``receive_bytes`` is for the kernel."""
+        host, _, port = address.rpartition(':')
+        self._socket = socket.socket()
+        self._socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes
+        )
+        self._socket.connect((host, int(port)))
+        self._socket.setblocking(False)
+        self._loop = asyncio.get_running_loop()
+
+    def __enter__(self) -> typing.Self:
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        self._socket.close()
+
+    async def send(self, request: bytes) -> None:
+        """Send a whole request."""
+        await self._loop.sock_sendall(self._socket, request)
+
+    async def read(self, size: int) -> int:
+        """Read ``size`` bytes; return fewer only if the connection ends."""
+        found = 0
+        while found < size:
+            try:
+                chunk = await self._loop.sock_recv(self._socket, size - found)
+            except ConnectionResetError:
+                break
+            if not chunk:
+                break
+            found += len(chunk)
+        return found
+
+    async def read_head(self) -> bytes:
+        """Read up to the empty line after a head."""
+        head = b''
+        while not head.endswith(b'\r\n\r\n'):
+            chunk = await self._loop.sock_recv(self._socket, 1)
+            if not chunk:
+                break
+            head += chunk
+        return head
--- a/test/test_listener.py
+++ b/test/test_listener.py
@@ -129,6 +129,49 @@
     anyio.run(scenario)
 
 
+GET_LARGE = b'GET /large HTTP/1.1\r\nhost: a\r\n\r\n'
+
+
+def test_timer_of_an_unread_answer_does_not_cut_a_later_one():
+    # The first answer is read at once after its timer started. The second
+    # one is unread when that timer ends, but for less than its own time.
+    async def scenario():
+        bounds = BOUNDS._replace(answer_time_ms=1000, idle_ms=5000)
+        async with serving(bounds) as (address, _):
+            with raw.SlowReader(address) as client:
+                await client.send(GET_LARGE)
+                await client.read_head()
+                await anyio.sleep(0.1)
+                assert await client.read(LARGE) == LARGE
+                await anyio.sleep(0.6)
+                await client.send(GET_LARGE)
+                await anyio.sleep(0.6)
+                await client.read_head()
+                assert await client.read(LARGE) == LARGE
+
+    anyio.run(scenario)
+
+
+def test_answer_is_not_cut_while_its_client_reads_slowly():
+    # Neither the time for an unread answer nor the idle timeout may end a
+    # connection whose client has read a part within that time. The kernel
+    # holds so much that the buffer of the process doesn't shrink meanwhile.
+    async def scenario():
+        bounds = BOUNDS._replace(answer_time_ms=400)
+        async with serving(bounds) as (address, _):
+            with raw.SlowReader(address) as client:
+                await client.send(GET_LARGE)
+                await client.read_head()
+                part = 65536
+                for _ in range(24):
+                    assert await client.read(part) == part
+                    await anyio.sleep(0.05)
+                rest = LARGE - 24 * part
+                assert await client.read(rest) == rest
+
+    anyio.run(scenario)
+
+
 def test_malformed_bytes_after_a_request_do_not_change_its_answer():
     async def slow(scope, receive, send):
         await anyio.sleep(0.1)
