Decide which buffered bytes an instance accepts and gives up

Callers and targets may read slowly, and nothing bounds the bodies and answers of all calls together: a body may have 64 MB, the smallest machine has 152 MB, and an instance that exceeds its memory is killed.

domain/byte_budgets.py derives a budget from instance.capacity.memory_mb, less 64 MB at rest (35.0 MB of modules, 50.9 MB at the busiest of 300 instances in CAPACITY.md), halved because a byte may be there twice while it is joined or copied. It decides what fits beside what is held, with shares for a holder and a target and a reserve for small calls; who is cut off first; and the retry time of a refusal. Nothing uses it yet.

--- /dev/null
+++ b/oleanderstair/domain/byte_budgets.py
@@ -0,0 +1,146 @@
+"""Decides which buffered bytes an instance accepts, and which it gives up.
+
+Buffered bytes are those of request bodies, of answers that are being read from
+targets, and of answers that callers have not received yet.
+"""
+
+import typing
+
+from oleanderstair import clock
+
+RESIDENT_MB: typing.Final = 64
+"""What an instance needs at rest, with the tables of the largest fleet."""
+
+COPIES: typing.Final = 2
+"""How often a counted byte is in memory while it is joined or written."""
+
+MIN_TOTAL_BYTES: typing.Final = 8_388_608
+"""The smallest budget: twice the largest answer."""
+
+SMALL_BYTES: typing.Final = 32_768
+"""Up to this size, the bytes of a call may use the reserve. Answers of urgent
+calls have 400 bytes, those of downloads 90 KB."""
+
+MIN_STOPPED_MS: typing.Final = 1500
+"""The time without progress after which a reader may be cut off. A packet that
+is lost twice stops a transfer for some 600 ms."""
+
+MIN_RETRY_MS: typing.Final = 100
+MAX_RETRY_MS: typing.Final = 2000
+"""Bounds of the retry time of a refusal. Callers honour up to a third of the
+time that they have left."""
+
+_BYTES_PER_MB: typing.Final = 1_000_000
+_MS_PER_S: typing.Final = 1000
+_SHARE_DIVISOR: typing.Final = 4
+_RESERVE_DIVISOR: typing.Final = 8
+
+
+class Budget(typing.NamedTuple):
+    """The most bytes that an instance, a holder and a target may have.
+
+    A holder is a connection of a caller, or a peer that forwards calls.
+    ``reserve_bytes`` of the total are for small calls only.
+    """
+
+    total_bytes: int
+    holder_bytes: int
+    target_bytes: int
+    reserve_bytes: int
+
+
+class Usage(typing.NamedTuple):
+    """The bytes held by all, and by the holder of a call in its other calls."""
+
+    total_bytes: int
+    holder_bytes: int
+
+
+class Reader(typing.NamedTuple):
+    """A caller with unread bytes, and how long it has read nothing."""
+
+    unread_bytes: int
+    stopped_ms: clock.Millis
+
+
+def create_budget(memory_mb: float) -> Budget | None:
+    """Return the budget of a machine; None without a limit of memory."""
+    if not memory_mb:
+        return None
+    free_bytes = int((memory_mb - RESIDENT_MB) * _BYTES_PER_MB)
+    total_bytes = max(free_bytes // COPIES, MIN_TOTAL_BYTES)
+    return Budget(
+        total_bytes=total_bytes,
+        holder_bytes=total_bytes // _SHARE_DIVISOR,
+        target_bytes=total_bytes // _SHARE_DIVISOR,
+        reserve_bytes=total_bytes // _RESERVE_DIVISOR,
+    )
+
+
+def may_hold(
+    budget: Budget, usage: Usage, held_bytes: int, more_bytes: int
+) -> bool:
+    """Return whether a call that holds ``held_bytes`` may hold more.
+
+    The share of a holder limits it only beside other calls of its own, so that
+    a body larger than the share is possible at all.
+    """
+    size = held_bytes + more_bytes
+    if usage.total_bytes + more_bytes > _limit_of(budget, size):
+        return False
+    if size <= SMALL_BYTES or not usage.holder_bytes:
+        return True
+    return usage.holder_bytes + size <= budget.holder_bytes
+
+
+def may_ever_hold(budget: Budget, size: int) -> bool:
+    """Return whether a call of ``size`` fits while nothing else is held."""
+    return size <= _limit_of(budget, size)
+
+
+def may_send(budget: Budget, target_bytes: int, size: int) -> bool:
+    """Return whether a body may be sent to a target beside those it has.
+
+    A target without any other request gets a body of any size.
+    """
+    if size <= SMALL_BYTES or not target_bytes:
+        return True
+    return target_bytes + size <= budget.target_bytes
+
+
+def choose_cut(readers: typing.Sequence[Reader]) -> int | None:
+    """Return the index of the reader to cut off, or None.
+
+    It is the one that has read nothing for the longest, at equal times the one
+    with the most bytes. A reader that has read something in the last
+    ``MIN_STOPPED_MS`` is never cut off.
+    """
+    stopped = [
+        (reader.stopped_ms, reader.unread_bytes, index)
+        for index, reader in enumerate(readers)
+        if reader.unread_bytes and reader.stopped_ms >= MIN_STOPPED_MS
+    ]
+    return max(stopped)[2] if stopped else None
+
+
+def retry_after_ms(
+    budget: Budget, usage: Usage, size: int, released_per_s: float
+) -> clock.Millis:
+    """Return when a refused call of ``size`` may fit.
+
+    ``released_per_s`` is the rate at which bytes are released.
+    """
+    excess_bytes = usage.total_bytes + size - _limit_of(budget, size)
+    if excess_bytes <= 0:
+        # The share of its holder is used up, which one answer may change.
+        return MIN_RETRY_MS
+    if not released_per_s:
+        return MAX_RETRY_MS
+    wait_ms = excess_bytes / released_per_s * _MS_PER_S
+    return min(max(wait_ms, MIN_RETRY_MS), MAX_RETRY_MS)
+
+
+def _limit_of(budget: Budget, size: int) -> int:
+    if size <= SMALL_BYTES:
+        return budget.total_bytes
+    return budget.total_bytes - budget.reserve_bytes
