--- a/oleanderstair/domain/calls/attempt_feedback.py
+++ b/oleanderstair/domain/calls/attempt_feedback.py
@@ -22,9 +22,12 @@
     """Update outlier detection, latencies and slowdowns after an attempt.
 
     Nothing is recorded if the attempt was sent on a connection that the
-    target had likely closed, or if a full target refused it by a reset.
+    target had likely closed, if a full target refused it by a reset, or if
+    this instance had no memory for it.
     """
     target_id = ended.target_id
+    if event.memory_short:
+        return
     if event.stale or is_refusal_by_reset(state, ended, event, now_ms):
         return
     shed_with_free_slots = routed_retries.is_shed_with_free_slots(event)
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -129,6 +129,8 @@
     response. ``stale``: the target had likely closed the reused connection
     before. ``leaving``: the response says that the target is draining.
     ``load`` is the load report in the response, if there is one.
+    ``memory_short``: this instance had no memory for the request or response,
+    so the attempt is no evidence about the target.
     """
 
     call_id: int
@@ -144,6 +146,7 @@
     misdirected: bool = False
     unanswered: bool = False
     stale: bool = False
+    memory_short: bool = False
 
 
 def is_success(ended: AttemptEnded) -> bool:
--- a/oleanderstair/domain/targets/reachability.py
+++ b/oleanderstair/domain/targets/reachability.py
@@ -100,7 +100,8 @@
     """Record whether an attempt reached its target."""
     if event.verdict in _REACHED_VERDICTS:
         return _record_reached(state, now_ms)
-    if event.verdict in _FAILED_VERDICTS and not event.stale:
+    is_evidence = not (event.stale or event.memory_short)
+    if event.verdict in _FAILED_VERDICTS and is_evidence:
         return _record_failed(state, ended.target_id, now_ms)
     return []
 
--- a/oleanderstair/engine/answers.py
+++ b/oleanderstair/engine/answers.py
@@ -63,12 +63,14 @@
 
     ``is_lost`` is true if the connection ended or switched protocols, or if
     the bytes are invalid before a status line was read. ``is_unanswered`` is
-    true if the connection ended before the first byte of an answer.
+    true if the connection ended before the first byte of an answer, and
+    ``is_memory_short`` if this instance had no memory to read the answer.
     """
 
     cause: str
     is_lost: bool = True
     is_unanswered: bool = False
+    is_memory_short: bool = False
 
 
 IsForOtherRequest: typing.TypeAlias = typing.Callable[[Answer], bool]
@@ -100,6 +102,7 @@
         self._fields: headers.Fields = []
         self._chunks: list[bytes] = []
         self._answer_body_bytes = 0
+        self._declared_bytes = 0
         self._status = 0
         self._has_status = False
         self._answer_count = 0
@@ -121,6 +124,11 @@
         self._total_body_bytes = 0
         self.received_bytes = 0
 
+    def answer_bytes(self) -> int:
+        """Return the size of the body being read, as declared or received."""
+        declared_bytes = min(self._declared_bytes, self._max_bytes)
+        return max(declared_bytes, self._answer_body_bytes)
+
     def feed(self, chunk: bytes) -> None:
         """Parse received bytes; set ``outcome`` to the answer or to a fault."""
         if not self.is_expecting:
@@ -164,6 +172,7 @@
         self._fields = []
         self._chunks = []
         self._answer_body_bytes = 0
+        self._declared_bytes = 0
         self._status = 0
         self._has_status = False
 
@@ -181,6 +190,8 @@
     def on_headers_complete(self) -> None:
         """Read the status; a final answer to HEAD is complete here."""
         self._status = self._parser.get_status_code()
+        declared = headers.find_field(self._fields, headers.CONTENT_LENGTH)
+        self._declared_bytes = headers.parse_count(declared) or 0
         if self._method == _HEAD and self._status >= _MIN_FINAL_STATUS:
             # The parser expects a body, which an answer to HEAD doesn't have.
             self.is_unusable = True
--- a/oleanderstair/engine/asgi.py
+++ b/oleanderstair/engine/asgi.py
@@ -10,6 +10,9 @@
 Scope: typing.TypeAlias = typing.MutableMapping[str, typing.Any]
 Message: typing.TypeAlias = typing.MutableMapping[str, typing.Any]
 Receive: typing.TypeAlias = typing.Callable[[], typing.Awaitable[Message]]
+GrowBody: typing.TypeAlias = typing.Callable[[int], bool]
+"""Return whether the body may grow to a size."""
+
 Send: typing.TypeAlias = typing.Callable[[Message], typing.Awaitable[None]]
 
 HeaderList: typing.TypeAlias = list[tuple[bytes, bytes]]
@@ -19,6 +22,10 @@
     """The body is larger than the maximum size."""
 
 
+class BodyNotHeld(Exception):
+    """The body did not fit into the memory for bodies."""
+
+
 class BodyTooSlow(Exception):
     """The body did not arrive within the timeout."""
 
@@ -31,18 +38,19 @@
     receive: Receive,
     max_bytes: int,
     bound_ms: clock.Millis | None,
+    may_grow: GrowBody | None = None,
 ) -> bytes:
     """Return the whole body.
 
     ``bound_ms`` is the timeout. None means no timeout; it is for requests that
-    have arrived completely. Raises ``BodyTooLarge``, ``BodyTooSlow`` or
-    ``Disconnected``.
+    have arrived completely. Raises ``BodyTooLarge``, ``BodyNotHeld``,
+    ``BodyTooSlow`` or ``Disconnected``.
     """
     if bound_ms is None:
-        return await _read_to_end(receive, max_bytes)
+        return await _read_to_end(receive, max_bytes, may_grow)
     try:
         with anyio.fail_after(clock.to_seconds(bound_ms)):
-            return await _read_to_end(receive, max_bytes)
+            return await _read_to_end(receive, max_bytes, may_grow)
     except TimeoutError as error:
         raise BodyTooSlow from error
 
@@ -76,7 +84,9 @@
     await respond(send, status, fields, body)
 
 
-async def _read_to_end(receive: Receive, max_bytes: int) -> bytes:
+async def _read_to_end(
+    receive: Receive, max_bytes: int, may_grow: GrowBody | None
+) -> bytes:
     chunks: list[bytes] = []
     size = 0
     while True:
@@ -85,8 +95,14 @@
             raise Disconnected
         chunk = message.get('body', b'')
         size += len(chunk)
-        if size > max_bytes:
-            raise BodyTooLarge
+        _check_size(size, max_bytes, may_grow)
         chunks.append(chunk)
         if not message.get('more_body', False):
             return b''.join(chunks)
+
+
+def _check_size(size: int, max_bytes: int, may_grow: GrowBody | None) -> None:
+    if size > max_bytes:
+        raise BodyTooLarge
+    if may_grow is not None and not may_grow(size):
+        raise BodyNotHeld
--- a/oleanderstair/engine/attempting.py
+++ b/oleanderstair/engine/attempting.py
@@ -82,7 +82,7 @@
             )
 
         cancel = self._host.sides.connections.begin_on_idle_connection(
-            _destination_of(action),
+            _destination_of(action, pending_call),
             self._build_request(action, pending_call),
             judge.verdict_of,
             finish,
@@ -140,7 +140,7 @@
     ) -> exchanges.ExchangeResult:
         try:
             return await self._host.sides.connections.exchange(
-                _destination_of(action),
+                _destination_of(action, pending_call),
                 self._build_request(action, pending_call),
                 judge.verdict_of,
             )
@@ -237,13 +237,16 @@
     return AttemptRunner(host, tasks)
 
 
-def _destination_of(action: actions.Dispatch) -> exchanges.Destination:
+def _destination_of(
+    action: actions.Dispatch, pending_call: pending.PendingCall
+) -> exchanges.Destination:
     return exchanges.Destination(
         action.target_id,
         action.address,
         action.fresh,
         action.silence_ms,
         action.born_ms,
+        pending_call.holding,
     )
 
 
@@ -262,6 +265,7 @@
             crashed=result.crashed,
             unanswered=result.unanswered,
             stale=result.stale,
+            memory_short=result.memory_short,
         )
     return events.AttemptEnded(
         action.call_id,
--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+import contextlib
 import enum
 import fcntl
 import http
+import socket
 import struct
 import termios
 import typing
@@ -16,8 +18,8 @@
 from uvicorn.protocols.http import httptools_impl
 
 from oleanderstair import clock
-from oleanderstair.domain import outcomes
-from oleanderstair.engine import asgi, headers, pending, replies
+from oleanderstair.domain import byte_budgets, outcomes
+from oleanderstair.engine import asgi, byte_ledger, headers, pending, replies
 
 _CLOSE_DELAY_MS: typing.Final = 500
 """Time between a refusal and the close of its connection."""
@@ -31,6 +33,12 @@
 _READ_CHECKS: typing.Final = 4
 """How often the reading of an answer is checked within its timeout."""
 
+_MAX_CHECK_INTERVAL_MS: typing.Final = 500
+"""The longest time between two checks where buffered bytes are limited."""
+
+_RESET_ON_CLOSE: typing.Final = struct.pack('ii', 1, 0)
+"""The linger option with which a close drops unsent bytes of the kernel."""
+
 _SIZE: typing.Final = struct.Struct('i')
 _MS_PER_S: typing.Final = 1000
 _INTERIM_PREFIX: typing.Final = b'HTTP/1.1 1'
@@ -124,11 +132,20 @@
 class BoundedProtocol(httptools_impl.HttpToolsProtocol):
     """One client connection within the limits of ``ConnectionBounds``."""
 
-    def __init__(self, bounds_of: BoundsOf, **options: typing.Any) -> None:
-        """Serve one connection within the limits that ``bounds_of`` returns."""
+    def __init__(
+        self,
+        bounds_of: BoundsOf,
+        ledger: byte_ledger.ByteLedger | None,
+        **options: typing.Any,
+    ) -> None:
+        """Serve one connection within the limits that ``bounds_of`` returns.
+
+        Unread bytes of answers are counted in ``ledger``, if there is one.
+        """
         super().__init__(**options)
         self.on_lost: typing.Callable[[], None] | None = None
         self._bounds_of = bounds_of
+        self._ledger = ledger
         self._idle_since_s = self.loop.time()
         self._part = _Part.NONE
         self._head_bytes = 0
@@ -161,6 +178,8 @@
         self._stop_timer()
         if self._read_timer is not None:
             self._read_timer.cancel()
+        if self._ledger is not None:
+            self._ledger.set_unread(self, 0)
         if self.on_lost is not None:
             self.on_lost()
 
@@ -245,9 +264,12 @@
             clock.to_seconds(bounds.idle_ms),
         )
         super().on_response_complete()
-        if self.transport.get_write_buffer_size() and not self._read_timer:
+        unread_bytes = self._count_unread_bytes()
+        if unread_bytes and not self._read_timer:
             self._note_read(self.count_read_bytes())
             self._start_read_timer()
+        if self._ledger is not None:
+            self._ledger.set_unread(self, unread_bytes)
 
     def count_read_bytes(self) -> int:
         """Return how many bytes of its answers the client has received.
@@ -262,6 +284,29 @@
             - self._count_kernel_bytes()
         )
 
+    def measure_reading(self) -> byte_budgets.Reader:
+        """Return what is unread and how long the client has read nothing."""
+        read_bytes = self.count_read_bytes()
+        if read_bytes > self._read_bytes:
+            self._note_read(read_bytes)
+        stopped_s = self.loop.time() - self._read_at_s
+        return byte_budgets.Reader(
+            self._count_unread_bytes(), stopped_s * _MS_PER_S
+        )
+
+    def cut_off(self) -> None:
+        """Reset the connection and drop the unread bytes of its answers."""
+        connected = self.transport.get_extra_info('socket')
+        with contextlib.suppress(OSError):
+            connected.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+        self.transport.abort()
+
+    async def wait_until_read(self) -> None:
+        """Wait while the client is behind with earlier answers."""
+        await self.flow.drain()
+
     # Client errors
 
     def send_400_response(  # noqa: WPS114 (uvicorn's name)
@@ -290,7 +335,7 @@
 
         It isn't idle while its client still reads an answer.
         """
-        if self.transport.get_write_buffer_size():
+        if self._count_unread_bytes():
             self._idle_since_s = self.loop.time()
         remaining_s = self._remaining_idle_s()
         if remaining_s > 0:
@@ -368,12 +413,24 @@
             return 0
         return int(_SIZE.unpack(size)[0])
 
+    def _count_unread_bytes(self) -> int:
+        """Return the bytes of answers that wait for the client.
+
+        Those in the kernel count only where buffered bytes are limited.
+        """
+        buffered_bytes = self.transport.get_write_buffer_size()
+        if self._ledger is None:
+            return buffered_bytes
+        return buffered_bytes + self._count_kernel_bytes()
+
     def _note_read(self, read_bytes: int) -> None:
         self._read_bytes = read_bytes
         self._read_at_s = self.loop.time()
 
     def _start_read_timer(self) -> None:
         interval_ms = self._bounds_of().answer_time_ms / _READ_CHECKS
+        if self._ledger is not None:
+            interval_ms = min(interval_ms, _MAX_CHECK_INTERVAL_MS)
         self._read_timer = self.loop.call_later(
             clock.to_seconds(interval_ms), self._check_reading
         )
@@ -381,16 +438,14 @@
     def _check_reading(self) -> None:
         """Abort the connection if its client has stopped reading."""
         self._read_timer = None
-        if not self.transport.get_write_buffer_size():
-            return
-        read_bytes = self.count_read_bytes()
-        if read_bytes > self._read_bytes:
-            self._note_read(read_bytes)
-        stopped_ms = (self.loop.time() - self._read_at_s) * _MS_PER_S
-        if stopped_ms >= self._bounds_of().answer_time_ms:
+        reading = self.measure_reading()
+        is_stopped = reading.stopped_ms >= self._bounds_of().answer_time_ms
+        if reading.unread_bytes and is_stopped:
             self.transport.abort()
-        else:
+        elif reading.unread_bytes:
             self._start_read_timer()
+        if self._ledger is not None:
+            self._ledger.set_unread(self, reading.unread_bytes)
 
     def _refuse_and_close(self, reason: outcomes.Reason, detail: str) -> None:
         # Input is read and dropped for 500 ms before the close. Closing with
--- /dev/null
+++ b/oleanderstair/engine/byte_ledger.py
@@ -0,0 +1,321 @@
+"""Counts the bytes that an instance buffers for callers and targets.
+
+``domain.byte_budgets`` decides what fits. An answer that doesn't fit is not
+read on from its target until it does.
+"""
+
+import asyncio
+import typing
+
+from oleanderstair import clock
+from oleanderstair.domain import byte_budgets
+
+_RATE_WINDOW_S: typing.Final = 1
+"""The time over which the rate of released bytes is measured."""
+
+_MIN_SCAN_INTERVAL_S: typing.Final = 0.1
+"""The shortest time between two searches for readers that have stopped."""
+
+OnRoom: typing.TypeAlias = typing.Callable[[], None]
+OnCut: typing.TypeAlias = typing.Callable[[byte_budgets.Reader], None]
+"""Handle that a reader was cut off."""
+
+
+class AnswerReader(typing.Protocol):
+    """A connection of a caller that may have unread bytes of answers."""
+
+    def measure_reading(self) -> byte_budgets.Reader:
+        """Return how much is unread and for how long nothing was read."""
+
+    def cut_off(self) -> None:
+        """Reset the connection and drop its unread bytes."""
+
+
+class Refusal(typing.NamedTuple):
+    """Why the bytes of a call were not accepted."""
+
+    retry_after_ms: clock.Millis
+    detail: str
+
+
+class Holding:
+    """The bytes that one call holds: its body and its answer."""
+
+    def __init__(self, ledger: 'ByteLedger', holder: object) -> None:
+        """Hold nothing yet, for ``holder``."""
+        self.holder = holder
+        self.body_bytes = 0
+        self.answer_bytes = 0
+        self._ledger = ledger
+        self._is_released = False
+
+    @property
+    def size(self) -> int:
+        """Return the bytes of body and answer together."""
+        return self.body_bytes + self.answer_bytes
+
+    def grow_body(self, size: int) -> bool:
+        """Hold a body of ``size``; return False if it doesn't fit."""
+        more_bytes = max(size - self.body_bytes, 0)
+        if not self._ledger.take(self, more_bytes):
+            return False
+        self.body_bytes += more_bytes
+        return True
+
+    def grow_answer(self, size: int) -> bool:
+        """Hold an answer of ``size``; return False if it doesn't fit.
+
+        After ``release``, an attempt that is being cancelled holds nothing.
+        """
+        if self._is_released:
+            return True
+        more_bytes = max(size - self.answer_bytes, 0)
+        if not self._ledger.take(self, more_bytes):
+            return False
+        self.answer_bytes += more_bytes
+        return True
+
+    def add_complete_answer(self, size: int) -> None:
+        """Hold an answer that has been read already, also if it doesn't fit."""
+        if self._is_released:
+            return
+        more_bytes = max(size - self.answer_bytes, 0)
+        self._ledger.add(self.holder, more_bytes)
+        self.answer_bytes += more_bytes
+
+    def refuse_more(self) -> Refusal:
+        """Return the refusal of a call whose body has grown too large."""
+        return self._ledger.refuse(self, self.size + 1)
+
+    def wait_for_answer(self, size: int, on_room: OnRoom) -> OnRoom:
+        """Call ``on_room`` once an answer of ``size`` is held.
+
+        Return a function that ends the wait.
+        """
+        return self._ledger.wait(self, size, on_room)
+
+    def release(self) -> None:
+        """Hold nothing any more."""
+        size = self.size
+        self._is_released = True
+        self.body_bytes = 0
+        self.answer_bytes = 0
+        self._ledger.release(self.holder, size)
+
+
+class _Waiter(typing.NamedTuple):
+    holding: Holding
+    size: int
+    on_room: OnRoom
+
+
+class ByteLedger:
+    """The bytes that are held, by holder and by target."""
+
+    def __init__(self, budget: byte_budgets.Budget) -> None:
+        """Count nothing yet, within ``budget``."""
+        self.budget = budget
+        self.on_cut: OnCut | None = None
+        self.used_bytes = 0
+        self.sent_by_target: dict[str, int] = {}
+        self.unread_by_reader: dict[AnswerReader, int] = {}
+        self._used_by_holder: dict[object, int] = {}
+        self._waiters: list[_Waiter] = []
+        self._is_waking = False
+        self._scanned_at_s = -_MIN_SCAN_INTERVAL_S
+        self._window_started_s: float = 0
+        self._window_bytes = 0
+        self._released_per_s: float = 0
+
+    @property
+    def waiting_answers(self) -> int:
+        """Return how many answers are not read on for lack of room."""
+        return len(self._waiters)
+
+    # Calls
+
+    def open(
+        self, holder: object, body_bytes: int, expected_bytes: int
+    ) -> Holding | Refusal:
+        """Hold a body, and an answer of the expected size, or refuse them."""
+        holding = Holding(self, holder)
+        size = body_bytes + expected_bytes
+        if not self.take(holding, size):
+            return self.refuse(holding, size)
+        holding.body_bytes = body_bytes
+        holding.answer_bytes = expected_bytes
+        return holding
+
+    def refuse(self, holding: Holding, size: int) -> Refusal:
+        """Return the refusal of a call that would hold ``size`` in all."""
+        if not byte_budgets.may_ever_hold(self.budget, size):
+            return Refusal(
+                byte_budgets.MAX_RETRY_MS,
+                'the request is too large for the memory of this instance;'
+                ' use another address',
+            )
+        retry_after_ms = byte_budgets.retry_after_ms(
+            self.budget,
+            self._usage_beside(holding),
+            size - holding.size,
+            self._released_per_s,
+        )
+        return Refusal(
+            retry_after_ms, 'this instance has no memory for the request now'
+        )
+
+    def take(self, holding: Holding, more_bytes: int) -> bool:
+        """Count more bytes for a call; return False if they don't fit.
+
+        Readers that have stopped are cut off first if that makes room.
+        """
+        if not self._fits(holding, more_bytes):
+            self._cut_stopped_readers(holding, more_bytes)
+            if not self._fits(holding, more_bytes):
+                return False
+        self.add(holding.holder, more_bytes)
+        return True
+
+    def add(self, holder: object, size: int) -> None:
+        """Count bytes that are in memory already."""
+        self.used_bytes += size
+        used_bytes = self._used_by_holder.get(holder, 0)
+        if used_bytes + size:
+            self._used_by_holder[holder] = used_bytes + size
+
+    def release(self, holder: object, size: int) -> None:
+        """Stop counting bytes, and let answers that wait use their room."""
+        if not size:
+            return
+        self._subtract(holder, size)
+        self.wake_waiters()
+
+    def wait(self, holding: Holding, size: int, on_room: OnRoom) -> OnRoom:
+        """Call ``on_room`` once an answer fits; return what ends the wait."""
+        waiter = _Waiter(holding, size, on_room)
+        self._waiters.append(waiter)
+
+        def stop() -> None:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+
+        return stop
+
+    def wake_waiters(self) -> None:
+        """Let the answers that fit now be read on, the smallest first."""
+        if self._is_waking or not self._waiters:
+            return
+        self._is_waking = True
+        try:
+            for waiter in sorted(self._waiters, key=_size_of):
+                is_waiting = waiter in self._waiters
+                if is_waiting and waiter.holding.grow_answer(waiter.size):
+                    self._waiters.remove(waiter)
+                    waiter.on_room()
+        finally:
+            self._is_waking = False
+
+    # Targets
+
+    def may_send(self, target_id: str, size: int) -> bool:
+        """Return whether a body may be sent to a target now."""
+        sent_bytes = self.sent_by_target.get(target_id, 0)
+        return byte_budgets.may_send(self.budget, sent_bytes, size)
+
+    def begin_send(self, target_id: str, size: int) -> bool:
+        """Count a body sent to a target; return False if it doesn't fit."""
+        if not self.may_send(target_id, size):
+            return False
+        if size:
+            sent_bytes = self.sent_by_target.get(target_id, 0)
+            self.sent_by_target[target_id] = sent_bytes + size
+        return True
+
+    def end_send(self, target_id: str, size: int) -> None:
+        """Stop counting a body sent to a target."""
+        remaining_bytes = self.sent_by_target.get(target_id, 0) - size
+        if remaining_bytes > 0:
+            self.sent_by_target[target_id] = remaining_bytes
+        else:
+            self.sent_by_target.pop(target_id, None)
+
+    # Readers
+
+    def set_unread(self, reader: AnswerReader, size: int) -> None:
+        """Count the unread bytes of a connection anew."""
+        before_bytes = self.unread_by_reader.get(reader, 0)
+        if size:
+            self.unread_by_reader[reader] = size
+        else:
+            self.unread_by_reader.pop(reader, None)
+        if size >= before_bytes:
+            self.add(reader, size - before_bytes)
+        else:
+            self._subtract(reader, before_bytes - size)
+        self.wake_waiters()
+
+    def _cut_stopped_readers(self, holding: Holding, more_bytes: int) -> None:
+        now_s = _now_s()
+        if now_s - self._scanned_at_s < _MIN_SCAN_INTERVAL_S:
+            return
+        self._scanned_at_s = now_s
+        readers = list(self.unread_by_reader)
+        measured = [reader.measure_reading() for reader in readers]
+        while not self._fits(holding, more_bytes):
+            index = byte_budgets.choose_cut(measured)
+            if index is None:
+                return
+            self._cut_off(readers[index], measured[index])
+            measured[index] = byte_budgets.Reader(0, 0)
+
+    def _cut_off(
+        self, reader: AnswerReader, measured: byte_budgets.Reader
+    ) -> None:
+        unread_bytes = self.unread_by_reader.pop(reader, 0)
+        self._subtract(reader, unread_bytes)
+        reader.cut_off()
+        if self.on_cut is not None:
+            self.on_cut(measured)
+
+    def _fits(self, holding: Holding, more_bytes: int) -> bool:
+        return byte_budgets.may_hold(
+            self.budget,
+            self._usage_beside(holding),
+            holding.size,
+            more_bytes,
+        )
+
+    def _usage_beside(self, holding: Holding) -> byte_budgets.Usage:
+        of_holder = self._used_by_holder.get(holding.holder, 0)
+        return byte_budgets.Usage(self.used_bytes, of_holder - holding.size)
+
+    def _subtract(self, holder: object, size: int) -> None:
+        self.used_bytes -= size
+        remaining_bytes = self._used_by_holder.get(holder, 0) - size
+        if remaining_bytes > 0:
+            self._used_by_holder[holder] = remaining_bytes
+        else:
+            self._used_by_holder.pop(holder, None)
+        self._measure_rate(size)
+
+    def _measure_rate(self, size: int) -> None:
+        now_s = _now_s()
+        elapsed_s = now_s - self._window_started_s
+        if elapsed_s >= _RATE_WINDOW_S:
+            self._released_per_s = self._window_bytes / elapsed_s
+            self._window_started_s = now_s
+            self._window_bytes = 0
+        self._window_bytes += size
+
+
+def create(budget: byte_budgets.Budget | None) -> ByteLedger | None:
+    """Create the ledger of a budget, or None without a limit."""
+    return None if budget is None else ByteLedger(budget)
+
+
+def _size_of(waiter: _Waiter) -> int:
+    return waiter.size
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/oleanderstair/engine/exchanges.py
+++ b/oleanderstair/engine/exchanges.py
@@ -10,7 +10,12 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import events
-from oleanderstair.engine import answers, headers, target_connections
+from oleanderstair.engine import (
+    answers,
+    byte_ledger,
+    headers,
+    target_connections,
+)
 
 CONNECT_TIMEOUT_MS: typing.Final = 1000
 """Timeout for opening a connection; allows for one retransmitted packet."""
@@ -74,7 +79,8 @@
     the connection was lost during the exchange (``AnswerFault.is_lost``) and
     was not stale, ``unanswered`` if it ended before the first byte of the
     answer. ``stale`` is true if the target had probably dropped the connection
-    before the request.
+    before the request. ``memory_short`` is true if this instance had no memory
+    for the request or the answer.
     """
 
     verdict: events.Verdict
@@ -83,6 +89,7 @@
     cause: str = ''
     unanswered: bool = False
     stale: bool = False
+    memory_short: bool = False
 
 
 JudgeAnswer: typing.TypeAlias = typing.Callable[[Answer], events.Verdict | None]
@@ -95,7 +102,7 @@
 
     ``fresh`` requires a new connection or one with a recent answer.
     ``silence_ms`` is the timeout. ``born_ms`` is the start time of the target,
-    0 if it isn't known.
+    0 if it isn't known. The bytes of the answer are counted in ``holding``.
     """
 
     target_id: str
@@ -103,6 +110,7 @@
     fresh: bool
     silence_ms: clock.Millis
     born_ms: int = 0
+    holding: byte_ledger.Holding | None = None
 
 
 OnAnswer: typing.TypeAlias = typing.Callable[[Destination, Answer], None]
@@ -133,7 +141,7 @@
     answers that end with their connection. ``stale_idle_ms_by_target`` is a
     shorter idle timeout for targets that silently dropped a connection.
     ``on_answer`` is called with each complete answer and the destination of
-    its request.
+    its request. ``ledger`` limits the bodies that a target has at a time.
     """
 
     max_answer_bytes: int = MAX_ANSWER_BYTES
@@ -141,6 +149,7 @@
     max_fresh_idle_ms: clock.Millis = 0
     max_open_per_target: int = MAX_OPEN_PER_TARGET
     on_answer: OnAnswer | None = None
+    ledger: byte_ledger.ByteLedger | None = None
     idle_by_target: dict[str, list[_IdleConnection]] = msgspec.field(
         default_factory=dict,
     )
@@ -165,6 +174,11 @@
             return ExchangeResult(
                 events.Verdict.NOT_SENT, cause='connection limit'
             )
+        if not self._begin_send(destination, request):
+            self._release(destination.target_id)
+            return ExchangeResult(
+                events.Verdict.NOT_SENT, cause='byte limit', memory_short=True
+            )
         judge = judge or verdict_of
         connection: target_connections.Connection | None = None
         result = ExchangeResult(events.Verdict.CANCELLED)
@@ -180,6 +194,7 @@
         except target_connections.ConnectError as error:
             return ExchangeResult(events.Verdict.NOT_SENT, cause=str(error))
         finally:
+            self._end_send(destination, request)
             self._return_connection(destination, connection, result)
         return result
 
@@ -198,6 +213,8 @@
         """
         if not self.idle_by_target.get(destination.target_id):
             return None
+        if not self._has_room(destination, request):
+            return None
         encoded = _encode_request(request)
         if not self._reserve(destination.target_id):
             return None
@@ -207,6 +224,7 @@
             return None
 
         def finish(outcome: target_connections.ExchangeOutcome) -> None:
+            self._end_send(destination, request)
             result = self._check_stale(
                 destination, connection, _result_of(outcome, judge)
             )
@@ -214,7 +232,9 @@
             on_end(result)
 
         expected = self._expected_answer(destination, request, judge)
-        return connection.begin_request(encoded, expected, finish)
+        cancel = connection.begin_request(encoded, expected, finish)
+        self._begin_send(destination, request)
+        return cancel
 
     def close_idle(self, target_id: str) -> None:
         """Close all idle connections to a target."""
@@ -233,6 +253,21 @@
             else:
                 self.idle_by_target.pop(target_id)
 
+    def _has_room(self, destination: Destination, request: Request) -> bool:
+        return self.ledger is None or self.ledger.may_send(
+            destination.target_id, len(request.body)
+        )
+
+    def _begin_send(self, destination: Destination, request: Request) -> bool:
+        """Count a body sent to a target; return False if it doesn't fit."""
+        return self.ledger is None or self.ledger.begin_send(
+            destination.target_id, len(request.body)
+        )
+
+    def _end_send(self, destination: Destination, request: Request) -> None:
+        if self.ledger is not None:
+            self.ledger.end_send(destination.target_id, len(request.body))
+
     def _reserve(self, target_id: str) -> bool:
         in_use = self.in_use_by_target.get(target_id, 0)
         if in_use >= self.max_open_per_target:
@@ -301,7 +336,10 @@
             return judge(answer) is None
 
         return target_connections.ExpectedAnswer(
-            request.method, is_for_other_request, destination.silence_ms
+            request.method,
+            is_for_other_request,
+            destination.silence_ms,
+            destination.holding,
         )
 
     def _check_stale(
@@ -410,6 +448,7 @@
             crashed=outcome.is_lost,
             cause=outcome.cause,
             unanswered=outcome.is_unanswered,
+            memory_short=outcome.is_memory_short,
         )
     verdict = judge(outcome)
     if verdict is None or verdict is events.Verdict.BROKEN:
--- a/oleanderstair/engine/forwarded_calls.py
+++ b/oleanderstair/engine/forwarded_calls.py
@@ -9,9 +9,16 @@
 import anyio.abc
 
 from oleanderstair import metrics
-from oleanderstair.domain import actions, events, messages, world
+from oleanderstair.domain import (
+    actions,
+    events,
+    messages,
+    outcomes,
+    world,
+)
 from oleanderstair.engine import (
     attempting,
+    byte_ledger,
     exchanges,
     forwarding,
     peers,
@@ -37,11 +44,13 @@
     sides: attempting.AttemptDependencies
     pending: pending.PendingTable
     metrics: metrics.Metrics
+    ledger: byte_ledger.ByteLedger | None
 
     async def run_call(
         self,
         received: events.CallReceived,
         request: exchanges.Request,
+        holding: byte_ledger.Holding | None = None,
     ) -> Reply:
         """Run one call and return the reply for its caller."""
 
@@ -142,7 +151,7 @@
         request = forwarding.build_target_request(message)
         self._call_id_by_peer_call[peer_call] = received.call_id
         try:
-            reply = await self._host.run_call(received, request)
+            reply = await self._run_within_memory(sender, received, request)
         finally:
             self._call_id_by_peer_call.pop(peer_call, None)
             self._remember_ended(peer_call)
@@ -151,6 +160,35 @@
             forwarding.build_answer_message(sender, message, reply),
         )
 
+    async def _run_within_memory(
+        self,
+        sender: str,
+        received: events.CallReceived,
+        request: exchanges.Request,
+    ) -> Reply:
+        """Run a call on a route, or refuse it if its body doesn't fit.
+
+        A call with a key runs in any case: only its record tells whether it
+        has run before.
+        """
+        ledger = self._host.ledger
+        if ledger is None or received.key:
+            return await self._host.run_call(received, request)
+        opened = ledger.open(sender, len(request.body), 0)
+        if isinstance(opened, byte_ledger.Refusal):
+            reason = outcomes.Reason.OVERLOADED
+            self._host.metrics.count('memory-refused')
+            return Reply(
+                outcomes.Outcome.NOT_RUN,
+                reason,
+                opened.retry_after_ms,
+                opened.detail,
+            )
+        try:
+            return await self._host.run_call(received, request, opened)
+        finally:
+            opened.release()
+
     def _is_known(self, peer_call: PeerCall) -> bool:
         """Return whether a call runs here, or has ended not long ago."""
         return (
--- a/oleanderstair/engine/gateway_runtime.py
+++ b/oleanderstair/engine/gateway_runtime.py
@@ -6,7 +6,13 @@
 import msgspec
 
 from oleanderstair import clock, logs
-from oleanderstair.domain import actions, events, gateway, world
+from oleanderstair.domain import (
+    actions,
+    byte_budgets,
+    events,
+    gateway,
+    world,
+)
 from oleanderstair.domain.tables import load_reports
 from oleanderstair.domain.targets import connection_limits
 from oleanderstair.engine import (
@@ -162,6 +168,15 @@
         """Handle the messages of peers until cancelled."""
         await self._messenger.run_receiver()
 
+    def report_cut_reader(self, reader: byte_budgets.Reader) -> None:
+        """Log and count a caller that was cut off to free memory."""
+        self.metrics.count('readers-cut')
+        self.decisions.cut_reader(
+            reader.unread_bytes,
+            reader.stopped_ms,
+            self.sides.clock.now_ms(),
+        )
+
     def run_maintenance(self, now_ms: clock.Millis) -> None:
         """Update the connection limit, then do the common maintenance."""
         limit = connection_limits.target_connection_limit(self.state)
--- a/oleanderstair/engine/incoming.py
+++ b/oleanderstair/engine/incoming.py
@@ -42,6 +42,7 @@
 
     reason: outcomes.Reason
     detail: str
+    retry_after_ms: clock.Millis = 0
 
 
 BODY_TOO_LARGE: typing.Final = BadRequest(
@@ -55,12 +56,14 @@
     """Maximum size and timeout of a body.
 
     ``time_ms`` is None if the body has arrived completely. ``timeout_text``
-    ends the error message of a timeout, such as ``in time``.
+    ends the error message of a timeout, such as ``in time``. ``may_grow``
+    returns whether there is memory for a body of some size.
     """
 
     max_bytes: int
     time_ms: clock.Millis | None
     timeout_text: str
+    may_grow: asgi.GrowBody | None = None
 
 
 async def read_body(
@@ -69,10 +72,13 @@
 ) -> bytes | BadRequest:
     """Return the whole body, or a refusal if it is too large or too slow.
 
-    Raises ``asgi.Disconnected`` if the caller has disconnected.
+    Raises ``asgi.BodyNotHeld`` if ``may_grow`` has refused a size, and
+    ``asgi.Disconnected`` if the caller has disconnected.
     """
     try:
-        return await asgi.read_body(receive, bounds.max_bytes, bounds.time_ms)
+        return await asgi.read_body(
+            receive, bounds.max_bytes, bounds.time_ms, bounds.may_grow
+        )
     except asgi.BodyTooLarge:
         return BODY_TOO_LARGE
     except asgi.BodyTooSlow:
--- a/oleanderstair/engine/listener.py
+++ b/oleanderstair/engine/listener.py
@@ -10,7 +10,7 @@
 import uvicorn
 
 from oleanderstair import logs
-from oleanderstair.engine import asgi, bounded_protocol
+from oleanderstair.engine import asgi, bounded_protocol, byte_ledger
 
 _BACKLOG: typing.Final = 1024
 _SHUTDOWN_TIMEOUT_S: typing.Final = 2
@@ -97,18 +97,21 @@
 def create_with_changing_bounds(
     app: typing.Any,
     bounds_of: bounded_protocol.BoundsOf,
+    ledger: byte_ledger.ByteLedger | None = None,
 ) -> uvicorn.Server:
     """Create a server for ``app`` with limits that may change.
 
-    ``bounds_of`` returns the limits in force. The server has no signal handlers
-    and no access log.
+    ``bounds_of`` returns the limits in force. Unread bytes of answers are
+    counted in ``ledger``. The server has no signal handlers and no access log.
     """
     _configure_uvicorn_logs()
     config = uvicorn.Config(
         app,
         http=typing.cast(
             typing.Any,
-            functools.partial(bounded_protocol.BoundedProtocol, bounds_of),
+            functools.partial(
+                bounded_protocol.BoundedProtocol, bounds_of, ledger
+            ),
         ),
         ws='none',
         loop='asyncio',
--- a/oleanderstair/engine/pending.py
+++ b/oleanderstair/engine/pending.py
@@ -11,7 +11,11 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import events, outcomes
-from oleanderstair.engine import exchanges, target_connections
+from oleanderstair.engine import (
+    byte_ledger,
+    exchanges,
+    target_connections,
+)
 
 _FIRST_ID_BITS: typing.Final = 40
 
@@ -31,7 +35,8 @@
 
     ``home`` is the incarnation that the call was forwarded to, because its key
     is bound to it, and ``home_answer`` is the answer from there.
-    ``target_time_ms`` is the total duration of its attempts.
+    ``target_time_ms`` is the total duration of its attempts. ``holding`` counts
+    the bytes of the request and of its answer, where these are limited.
     """
 
     received: events.CallReceived
@@ -46,6 +51,7 @@
     home_answer: exchanges.Answer | None = None
     target_time_ms: clock.Millis = 0
     attempts: int = 0
+    holding: byte_ledger.Holding | None = None
 
 
 class PendingTable(msgspec.Struct):
--- a/oleanderstair/engine/replies.py
+++ b/oleanderstair/engine/replies.py
@@ -94,9 +94,15 @@
     return HttpRefusal(status.value, fields, document)
 
 
-def not_run_reply(reason: outcomes.Reason, detail: str) -> pending.Reply:
+def not_run_reply(
+    reason: outcomes.Reason,
+    detail: str,
+    retry_after_ms: clock.Millis = 0,
+) -> pending.Reply:
     """Return the refusal of a request that did not run."""
-    return pending.Reply(outcomes.Outcome.NOT_RUN, reason, detail=detail)
+    return pending.Reply(
+        outcomes.Outcome.NOT_RUN, reason, retry_after_ms, detail
+    )
 
 
 def rejection_reply(
--- a/oleanderstair/engine/routed_caller_app.py
+++ b/oleanderstair/engine/routed_caller_app.py
@@ -7,10 +7,12 @@
 from oleanderstair import clock
 from oleanderstair.domain import events, outcomes
 from oleanderstair.domain.calls import fingerprints
+from oleanderstair.domain.configuration import routing
 from oleanderstair.domain.fleet import readiness
 from oleanderstair.domain.tables import instances, routes
 from oleanderstair.engine import (
     asgi,
+    byte_ledger,
     gateway_runtime,
     headers,
     incoming,
@@ -26,6 +28,19 @@
 """Share of the time to its deadline for which a call may wait for routes."""
 
 _START_POLL_MS: typing.Final = 10
+
+_ANSWER_SIZE_WEIGHT: typing.Final = 0.2
+"""The weight of the newest answer in the expected size of a route's answers."""
+
+_MAX_ANSWER_SIZES: typing.Final = 4096
+"""Maximum number of routes whose expected answers are stored."""
+
+_CALLER_BEHIND: typing.Final = incoming.BadRequest(
+    outcomes.Reason.OVERLOADED,
+    'the deadline passed before the earlier answer was read',
+)
+"""Refusal of a call that waited for its caller until its deadline."""
+
 _DEFAULT_LIMITS: typing.Final = routes.CallerLimits()
 
 
@@ -54,6 +69,7 @@
         self._runtime = runtime
         self._caller_dialect = caller_dialect
         self._created_ms = self._now_ms()
+        self._answer_bytes_by_route: dict[str, float] = {}
 
     async def __call__(
         self,
@@ -61,16 +77,76 @@
         receive: asgi.Receive,
         send: asgi.Send,
     ) -> None:
-        """Answer one request."""
+        """Answer one request, within the memory for buffered bytes."""
+        ledger = self._runtime.ledger
+        if ledger is None:
+            await self._answer(scope, receive, send, None)
+            return
+        started_ms = self._now_ms()
+        # An answer that waits for its caller must not be joined by the next.
+        await listener.protocol_of(scope).wait_until_read()
+        holding = self._open_holding(scope, ledger)
+        if isinstance(holding, incoming.BadRequest):
+            await self._reject(scope, send, holding)
+            return
+        try:
+            await self._answer(
+                scope, receive, send, holding, self._now_ms() - started_ms
+            )
+        finally:
+            holding.release()
+
+    def _open_holding(
+        self, scope: asgi.Scope, ledger: byte_ledger.ByteLedger
+    ) -> byte_ledger.Holding | incoming.BadRequest:
+        """Hold the declared body and the expected answer, or refuse them."""
+        field_index = headers.index_fields(scope['headers'])
+        fields = field_index.field_by_name
+        declared = fields.get(headers.CONTENT_LENGTH, b'0')
+        body_bytes = headers.parse_count(declared) or 0
+        if body_bytes > self._caller_limits().max_body_bytes:
+            return incoming.BODY_TOO_LARGE
+        expected_bytes = self._answer_bytes_by_route.get(
+            self._route_name_of(scope), 0
+        )
+        opened = ledger.open(
+            listener.protocol_of(scope), body_bytes, int(expected_bytes)
+        )
+        if isinstance(opened, byte_ledger.Refusal):
+            return self._refuse_for_memory(opened)
+        return opened
+
+    def _refuse_for_memory(
+        self, refusal: byte_ledger.Refusal
+    ) -> incoming.BadRequest:
+        self._runtime.metrics.count('memory-refused')
+        return incoming.BadRequest(
+            outcomes.Reason.OVERLOADED, refusal.detail, refusal.retry_after_ms
+        )
+
+    async def _answer(
+        self,
+        scope: asgi.Scope,
+        receive: asgi.Receive,
+        send: asgi.Send,
+        holding: byte_ledger.Holding | None,
+        waited_ms: clock.Millis = 0,
+    ) -> None:
         limits = self._caller_limits()
         bounds = incoming.BodyBounds(
             limits.max_body_bytes,
             None if listener.has_whole_request(scope) else limits.idle_ms,
             'in time',
+            None if holding is None else holding.grow_body,
         )
         started_ms = self._now_ms()
         try:
             body = await incoming.read_body(receive, bounds)
+        except asgi.BodyNotHeld:
+            assert holding is not None  # noqa: S101 (only a holding refuses)
+            refusal = self._refuse_for_memory(holding.refuse_more())
+            await self._reject(scope, send, refusal)
+            return
         except asgi.Disconnected:
             fields = headers.index_fields(scope['headers']).field_by_name
             self._report_caller_left(
@@ -82,13 +158,15 @@
         if isinstance(body, incoming.BadRequest):
             await self._reject(scope, send, body)
             return
-        await self._run_call(scope, body, send)
+        await self._run_call(scope, body, send, holding, waited_ms)
 
     async def _run_call(
         self,
         scope: asgi.Scope,
         body: bytes,
         send: asgi.Send,
+        holding: byte_ledger.Holding | None,
+        behind_ms: clock.Millis,
     ) -> None:
         runtime = self._runtime
         call_id = runtime.pending.claim_call_id()
@@ -96,6 +174,13 @@
         if isinstance(received, incoming.BadRequest):
             await self._reject(scope, send, received)
             return
+        # The caller's time passes while its earlier answers are unread.
+        received = received._replace(
+            deadline_ms=received.deadline_ms - behind_ms
+        )
+        if behind_ms and received.deadline_ms <= self._now_ms():
+            await self._reject(scope, send, _CALLER_BEHIND)
+            return
         request = incoming.build_target_request(scope, body)
         waited_ms = await self._wait_for_routes(received)
         if listener.protocol_of(scope).transport.is_closing():
@@ -106,9 +191,42 @@
         with listener.watch_disconnect(
             scope, lambda: runtime.report_caller_left(call_id)
         ):
-            reply = await runtime.run_call(received, request)
+            reply = await runtime.run_call(received, request, holding)
+        if holding is not None:
+            self._record_answer_size(scope, holding, reply)
         await self._send_reply(send, scope['method'], reply)
 
+    def _record_answer_size(
+        self,
+        scope: asgi.Scope,
+        holding: byte_ledger.Holding,
+        reply: pending.Reply,
+    ) -> None:
+        """Update the mean size of the answers of a route."""
+        if reply.answer is None:
+            return
+        size = len(reply.answer.body)
+        holding.add_complete_answer(size)
+        sizes = self._answer_bytes_by_route
+        route_name = self._route_name_of(scope)
+        before_bytes = sizes.pop(route_name, size)
+        change_bytes = (size - before_bytes) * _ANSWER_SIZE_WEIGHT
+        sizes[route_name] = before_bytes + change_bytes
+        while len(sizes) > _MAX_ANSWER_SIZES:
+            sizes.pop(next(iter(sizes)))
+
+    def _route_name_of(self, scope: asgi.Scope) -> str:
+        in_force = self._runtime.state.routes.in_force
+        if in_force is None:
+            return ''
+        fields = headers.index_fields(scope['headers']).field_by_name
+        route = routing.find_route(
+            in_force,
+            _host_of(fields),
+            incoming.request_target_of(scope).decode('latin-1'),
+        )
+        return route.name if route else ''
+
     async def _wait_for_routes(
         self,
         received: events.CallReceived,
@@ -185,7 +303,7 @@
                 path,
                 body,
             ),
-            host=host.partition(':')[0].lower(),
+            host=_host_of(field_index.field_by_name),
             request_id=self._caller_dialect.request_id_of(
                 field_index.field_by_name
             ),
@@ -205,7 +323,11 @@
             bad_request.detail,
             self._now_ms(),
         )
-        reply = replies.not_run_reply(bad_request.reason, bad_request.detail)
+        reply = replies.not_run_reply(
+            bad_request.reason,
+            bad_request.detail,
+            bad_request.retry_after_ms,
+        )
         await self._send_reply(send, scope['method'], reply)
 
     async def _send_reply(
@@ -238,3 +360,8 @@
 ) -> RoutedCallerApp:
     """Create the application of the callers' listener."""
     return RoutedCallerApp(runtime, caller_dialect)
+
+
+def _host_of(fields: dict[bytes, bytes]) -> str:
+    host = fields.get(headers.HOST, b'').decode('latin-1')
+    return host.partition(':')[0].lower()
--- a/oleanderstair/engine/runtime.py
+++ b/oleanderstair/engine/runtime.py
@@ -12,7 +12,13 @@
 
 from oleanderstair import audit, clock, logs, metrics
 from oleanderstair.domain import actions, events, stepping, world
-from oleanderstair.engine import attempting, exchanges, pending, settling
+from oleanderstair.engine import (
+    attempting,
+    byte_ledger,
+    exchanges,
+    pending,
+    settling,
+)
 
 _MAINTENANCE_INTERVAL_MS: typing.Final = 1000
 
@@ -74,6 +80,7 @@
         self.exit = anyio.Event()
         self.recorder: Recorder | None = None
         self.observer: Observer | None = None
+        self.ledger: byte_ledger.ByteLedger | None = None
         self.tasks = tasks
         self.settling = settling.create(self.pending, self.metrics)
         self.attempts = attempting.create(self, tasks)
@@ -116,12 +123,14 @@
         self,
         received: events.CallReceived,
         request: exchanges.Request,
+        holding: byte_ledger.Holding | None = None,
     ) -> pending.Reply:
         """Run one call and return the reply for its caller."""
         pending_call = pending.PendingCall(
             received,
             request,
             self.sides.clock.now_ms(),
+            holding=holding,
         )
         self.pending.call_by_id[received.call_id] = pending_call
         self.handle(received)
--- a/oleanderstair/engine/target_connections.py
+++ b/oleanderstair/engine/target_connections.py
@@ -13,7 +13,7 @@
 import anyio
 
 from oleanderstair import clock
-from oleanderstair.engine import answers
+from oleanderstair.engine import answers, byte_ledger
 
 MAX_UNACKNOWLEDGED_MS: typing.Final = 3000
 """Maximum time in which the target must acknowledge sent bytes or a TCP
@@ -36,11 +36,15 @@
 
 
 class ExpectedAnswer(typing.NamedTuple):
-    """How the answer to a request is recognised, and its timeout."""
+    """How the answer to a request is recognised, and its timeout.
+
+    The bytes of the answer are counted in ``holding``, if there is one.
+    """
 
     method: bytes
     is_for_other_request: answers.IsForOtherRequest
     timeout_ms: clock.Millis
+    holding: byte_ledger.Holding | None = None
 
 
 class Cancelled(typing.NamedTuple):
@@ -67,6 +71,9 @@
         self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
         self._has_ended = False
+        self._holding: byte_ledger.Holding | None = None
+        self._stop_waiting: byte_ledger.OnRoom | None = None
+        self._paused_at_s: float = 0
         self._answer_started_at_s: float | None = None
         self.answered_at_s = self._loop.time()
         self._written_at_s = self.answered_at_s
@@ -92,6 +99,7 @@
             self.close()
             return
         self._check_rate()
+        self._hold_answer()
         self._deliver_outcome()
 
     def eof_received(self) -> None:
@@ -127,10 +135,10 @@
         self.idle_before_use_s = self.idle_s()
         self._written_at_s = self._loop.time()
         self._on_outcome = on_outcome
+        self._holding = expected.holding
         self._timer = self._loop.call_later(
             clock.to_seconds(expected.timeout_ms),
-            self._finish,
-            None,
+            self._on_timeout,
         )
         self._reader.expect(expected.method, expected.is_for_other_request)
         self._transport.write(request)
@@ -195,6 +203,41 @@
         if self._reader.received_bytes < slow_s * answers.MIN_BYTES_PER_S:
             self._reader.abandon('the answer is too slow')
 
+    def _hold_answer(self) -> None:
+        """Count the answer; stop reading while it doesn't fit."""
+        if self._holding is None or self._stop_waiting is not None:
+            return
+        size = self._reader.answer_bytes()
+        if self._reader.outcome is not None:
+            self._holding.add_complete_answer(size)
+        elif not self._holding.grow_answer(size):
+            self._stop_waiting = self._holding.wait_for_answer(
+                size, self._resume_reading
+            )
+            self._paused_at_s = self._loop.time()
+            if self._transport is not None:
+                self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        self._stop_waiting = None
+        if self._answer_started_at_s is not None:
+            # The time without reading is no fault of the target.
+            self._answer_started_at_s += self._loop.time() - self._paused_at_s
+        if self._transport is not None:
+            self._transport.resume_reading()
+
+    def _on_timeout(self) -> None:
+        if self._stop_waiting is None:
+            self._finish(None)
+            return
+        self._finish(
+            answers.AnswerFault(
+                'no memory for the answer',
+                is_lost=False,
+                is_memory_short=True,
+            )
+        )
+
     def _deliver_outcome(self) -> None:
         outcome = self._reader.outcome
         if outcome is None or self._on_outcome is None:
@@ -220,6 +263,10 @@
 
     def _clear_request(self) -> None:
         self._on_outcome = None
+        self._holding = None
+        if self._stop_waiting is not None:
+            self._stop_waiting()
+            self._stop_waiting = None
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/oleanderstair/explaining/decisions.py
+++ b/oleanderstair/explaining/decisions.py
@@ -133,6 +133,19 @@
         )
         self._say_or_merge(now_ms, 'caller-left', where, fields)
 
+    def cut_reader(
+        self,
+        unread_bytes: int,
+        stopped_ms: clock.Millis,
+        now_ms: clock.Millis,
+    ) -> None:
+        """Take a caller that was cut off as it read nothing of its answer."""
+        fields: lines.Fields = (
+            ('unread_bytes', unread_bytes),
+            ('stopped_ms', stopped_ms),
+        )
+        self._say_or_merge(now_ms, 'reader-cut', 'memory', fields)
+
     def hold(self, call_id: int, held_ms: clock.Millis) -> None:
         """Take how long a call that comes next was held at a start."""
         self._held_ms_by_call[call_id] = held_ms
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -11,10 +11,11 @@
 import msgspec
 
 from oleanderstair import clock, logs, settings
-from oleanderstair.domain import events, policy, world
+from oleanderstair.domain import byte_budgets, events, policy, world
 from oleanderstair.domain.tables import identity
 from oleanderstair.engine import (
     bounded_protocol,
+    byte_ledger,
     exchanges,
     gateway_runtime,
     listener,
@@ -101,6 +102,7 @@
         callers = listener.create_with_changing_bounds(
             routed_caller_app.create(runtime, dialect.create()),
             bounds_of,
+            runtime.ledger,
         )
         platform_sockets = self.platform_sockets
         metrics_address = ''
@@ -147,6 +149,12 @@
         state.members.started_ms = time.time_ns() // _NS_PER_MS
         runtime = gateway_runtime.GatewayRuntime(state, sides, tasks)
         connections.on_answer = _notice_listener_for(runtime)
+        memory_mb = self.node_settings.instance.capacity.memory_mb
+        ledger = byte_ledger.create(byte_budgets.create_budget(memory_mb))
+        runtime.ledger = ledger
+        connections.ledger = ledger
+        if ledger is not None:
+            ledger.on_cut = runtime.report_cut_reader
         return runtime
 
 
--- a/oleanderstair/platform/platform_app.py
+++ b/oleanderstair/platform/platform_app.py
@@ -4,7 +4,7 @@
 import urllib.parse
 
 from oleanderstair.domain.fleet import caller_addresses, readiness
-from oleanderstair.engine import asgi, gateway_runtime
+from oleanderstair.engine import asgi, byte_ledger, gateway_runtime
 from oleanderstair.explaining import exposition, gauges
 
 _OK: typing.Final = 200
@@ -63,7 +63,10 @@
     async def _answer_metrics(self, send: asgi.Send) -> None:
         runtime = self._runtime
         now_ms = runtime.sides.clock.now_ms()
-        samples = gauges.read(runtime.state, now_ms)
+        samples = [
+            *gauges.read(runtime.state, now_ms),
+            *_bytes_of(runtime.ledger),
+        ]
         body = exposition.write(runtime.metrics, samples).encode()
         fields = [
             (b'content-type', exposition.CONTENT_TYPE),
@@ -98,3 +101,18 @@
 ) -> PlatformApp:
     """Create the application for an instance's platform listeners."""
     return PlatformApp(runtime, metrics_address)
+
+
+def _bytes_of(ledger: byte_ledger.ByteLedger | None) -> list[gauges.Gauge]:
+    if ledger is None:
+        return []
+    unread_bytes = sum(ledger.unread_by_reader.values())
+    sent_bytes = max(ledger.sent_by_target.values(), default=0)
+    return [
+        gauges.Gauge('buffered_bytes_limit', (), ledger.budget.total_bytes),
+        gauges.Gauge('buffered_bytes', (), ledger.used_bytes),
+        gauges.Gauge('unread_answer_bytes', (), unread_bytes),
+        gauges.Gauge('unread_answers', (), len(ledger.unread_by_reader)),
+        gauges.Gauge('paused_answers', (), ledger.waiting_answers),
+        gauges.Gauge('target_body_bytes_max', (), sent_bytes),
+    ]
--- a/test/loopback_node.py
+++ b/test/loopback_node.py
@@ -68,8 +68,13 @@
 
 
 @contextlib.asynccontextmanager
-async def run_ready_node(targets: int = 2) -> typing.AsyncIterator[NodeFixture]:
-    """Run a ready node with ``targets`` targets of one service."""
+async def run_ready_node(
+    targets: int = 2, memory_mb: float = 0
+) -> typing.AsyncIterator[NodeFixture]:
+    """Run a ready node with ``targets`` targets of one service.
+
+    ``memory_mb`` is the memory of its machine, 0 for no limit.
+    """
     with anyio.fail_after(TIMEOUT_S):
         async with anyio.create_task_group() as tasks:
             platform_store = store.create()
@@ -82,7 +87,9 @@
                 platform_store.put(f'servers/{target_id}', entry)
             platform_store.put('op/config', configuration(1))
             store_address = serve_app(tasks, platform_store)
-            valid_settings = settings.build(settings_tree(store_address))
+            tree = settings_tree(store_address)
+            tree['instance']['capacity'] = {'memory_mb': memory_mb}
+            valid_settings = settings.build(tree)
             fixture = NodeFixture(
                 platform_store,
                 target_by_id,
--- a/test/targets_scene.py
+++ b/test/targets_scene.py
@@ -28,6 +28,7 @@
     misdirected: bool = False
     unanswered: bool = False
     stale: bool = False
+    memory_short: bool = False
 
 
 @dataclasses.dataclass
@@ -223,6 +224,7 @@
                 crashed=reply.unanswered and not reply.stale,
                 unanswered=reply.unanswered,
                 stale=reply.stale,
+                memory_short=reply.memory_short,
             )
             self._step(instance_id, event)
 
--- a/test/test_resets.py
+++ b/test/test_resets.py
@@ -72,6 +72,19 @@
     assert not crashing_requests.is_refused(state, '', scene.now_ms)
 
 
+def test_an_attempt_without_memory_here_is_no_failure_of_its_target():
+    # An instance whose memory is spent must not eject healthy targets, nor
+    # take itself for cut off from them.
+    scene, state, _ = reset_once(
+        targets_scene.Reply(
+            1, events.Verdict.BROKEN, status=0, memory_short=True
+        ),
+        queued_count=0,
+    )
+    assert not is_ejected(scene, state)
+    assert not state.reachability.failed_ids
+
+
 def test_a_non_idempotent_call_that_a_full_target_reset_may_have_run():
     scene, _ = scene_of_one(RESET, queued_count=0)
     call_id = scene.call('entry-1', '/order/1')
