Let callers of the soak read large answers slowly

No caller of the soak read an answer late, which is how the timer of an unread answer stayed unnoticed. The links to callers have small buffers, so that the instance notices. Instances have 152 MB, so their buffered bytes are limited. The check that an answer is whole compares the longer body as well, and has a test that it can fail.

--- a/oleanderstair/emulator/load_targets.py
+++ b/oleanderstair/emulator/load_targets.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import re
 import typing
 
 import anyio
@@ -20,6 +21,7 @@
 _FAILED: typing.Final = 500
 _UNAVAILABLE: typing.Final = 503
 _SHED_FIELD: typing.Final = (dialect.NOT_RUN, b'1')
+_FILL: typing.Final = re.compile(rb'(?:^|&)fill=(\d{1,7})')
 _MAX_BODY_BYTES: typing.Final = 1_000_000
 _BODY_MS: typing.Final[clock.Millis] = 5000
 
@@ -164,10 +166,11 @@
         if self.behaviour is Behaviour.OTHER_REQUEST:
             answered = b'of-another-request'
         failed = self.behaviour is Behaviour.FAIL
+        fill = _FILL.search(scope['query_string'])
         await self._answer(
             send,
             _FAILED if failed else _OK,
-            b'served %b' % request_id,
+            body_of(request_id, int(fill[1]) if fill else 0),
             [(dialect.REQUEST_ID, answered), (SIGNATURE, b'signed')],
         )
         if self.behaviour is Behaviour.EXTRA_ANSWER:
@@ -204,6 +207,11 @@
     return LoadTarget(target_id)
 
 
+def body_of(request_id: bytes, fill: int) -> bytes:
+    """Return the body of an answer, made longer by ``fill`` bytes."""
+    return b'served %b' % request_id + b'.' * fill
+
+
 def _whole(request_id: bytes, body: bytes) -> bytes:
     head = (
         b'HTTP/1.1 200 OK',
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,6 +3,7 @@
 import math
 import typing
 
+from oleanderstair.emulator import load_targets
 from soak import bounds, plan, record
 
 NOT_RUN: typing.Final = frozenset((408, 421, 429, 503))
@@ -72,7 +73,8 @@
 def answers_belong(seen: record.Record) -> Findings:
     """Find answers that are incomplete or another call's."""
     for call in seen.calls:
-        is_whole = call.body == f'served {call.request_id}'.encode()
+        request_id = call.request_id.encode()
+        is_whole = call.body == load_targets.body_of(request_id, call.fill)
         is_own = call.signed and call.answered_id == call.request_id
         if call.status == SERVED and not (is_whole and is_own):
             got = f'got {call.body[:60]!r} of {call.answered_id!r}'
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -18,6 +18,9 @@
 from soak import bounds
 
 ROOT: typing.Final = pathlib.Path(__file__).parent.parent
+_MEMORY_MB: typing.Final = 152
+"""The memory of the smallest machines, so that buffered bytes are limited."""
+
 _POLL_S: typing.Final = 0.05
 _NEAR_S: typing.Final = 0.001
 _PORT_BY_SIDE: typing.Final = {
@@ -171,6 +174,7 @@
             'id': name,
             'region': 'west',
             'data_centre': _PLACES[number % len(_PLACES)],
+            'capacity': {'memory_mb': _MEMORY_MB},
         },
         'callers': {'address': made.address('callers')},
         'peers': {
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -26,10 +26,13 @@
     """One link: where it leads, and the faults on it now.
 
     What a fault holds up goes on, as with TCP, when the fault is over.
+    ``buffer_bytes`` limits the buffers of what comes down, so that the far
+    end notices a slow reader; 0 leaves them to the system.
     """
 
     address: str
     near: str = ''
+    buffer_bytes: int = 0
     faults: list[plan.Fault] = dataclasses.field(default_factory=list)
     ends: set[socket.socket] = dataclasses.field(default_factory=set)
 
@@ -56,6 +59,7 @@
 
     async def _carry(self, near: socket.socket) -> None:
         self._open(near)
+        self._limit_buffer(near, socket.SO_SNDBUF)
         try:
             await self._connect(near)
         except _BROKEN:
@@ -72,6 +76,7 @@
         await self._pass(is_up=False)
         far = socket.socket()
         self._open(far)
+        self._limit_buffer(far, socket.SO_RCVBUF)
         try:
             await _connect(far, self.address)
             async with anyio.create_task_group() as tasks:
@@ -127,6 +132,10 @@
         end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.ends.add(end)
 
+    def _limit_buffer(self, end: socket.socket, option: int) -> None:
+        if self.buffer_bytes:
+            end.setsockopt(socket.SOL_SOCKET, option, self.buffer_bytes)
+
     def _close(self, end: socket.socket) -> None:
         self.ends.discard(end)
         if end.fileno() >= 0:
--- a/soak/record.py
+++ b/soak/record.py
@@ -8,6 +8,7 @@
     """One call as its caller saw it; status 0 is an end without an answer.
 
     ``lives`` are the starts of the instance at the call's begin and end.
+    ``fill`` is by how many bytes the answer was to be longer.
     """
 
     request_id: str
@@ -23,6 +24,7 @@
     signed: bool = False
     body: bytes = b''
     version: int = 0
+    fill: int = 0
 
 
 class Run(typing.NamedTuple):
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -27,6 +27,7 @@
 
 _CALLERS: typing.Final = 8
 _SERVICE_MS: typing.Final = 25
+_CALLER_BUFFER_BYTES: typing.Final = 65_536
 _POLL_S: typing.Final = 0.1
 _FAR_S: typing.Final = 60
 _TICK_S: typing.Final = 0.02
@@ -92,9 +93,10 @@
         """Serve a stand-in on a free port and return its address."""
         return standing.serve(app, self.tasks)
 
-    def link(self, name: str, address: str) -> str:
+    def link(self, name: str, address: str, buffer_bytes: int = 0) -> str:
         """Put a link before an address and return where it listens."""
         made = proxy.start(address, self.tasks)
+        made.buffer_bytes = buffer_bytes
         self.link_by_name[name] = made
         return made.near
 
@@ -166,7 +168,9 @@
     for number, name in enumerate(plan.INSTANCES, start=1):
         at = scene.link(f'store:{name}', store_address)
         made = instances.create(name, number, folder, at, seeds)
-        scene.link(f'callers:{name}', made.address('callers'))
+        scene.link(
+            f'callers:{name}', made.address('callers'), _CALLER_BUFFER_BYTES
+        )
         seeds.append(scene.link(f'peers:{name}', made.address('peers')))
         scene.entry_by_name[name] = made
         scene.held[name] = anyio.Lock()
@@ -220,6 +224,7 @@
                 for name in scene.entry_by_name
             },
             version=scene.newest,
+            slow_rng=random.Random(f'{scene.drawn.seed} slow {number}'),
         )
         for number in range(_CALLERS)
     ]
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -204,6 +204,13 @@
     assert found(BROKEN[promise]) == {promise}
 
 
+def test_large_answer_must_be_whole():
+    # A part of an answer that was read slowly must not pass for all of it.
+    large = LOOKUP._replace(fill=9, body=b'served c-1.........')
+    assert not found(scene_of(large))
+    assert found(scene_of(large._replace(body=b'served c-1'))) == {'mixed'}
+
+
 def test_each_check_has_its_violation():
     assert len(BROKEN) == len(checks.CHECKS)
     assert not found(scene_of(LOOKUP))
