Measure no unread bytes on a connection that its client has reset

The log of the event loop showed a ValueError from the idle timeout of a connection that its client had reset while an answer was unread, where buffered bytes are limited. No caller was affected.

Cause: uvicorn keeps the idle timer after a reset, and the number of bytes in the kernel was asked of a closed socket. A closed socket now counts none. The new test failed before with that error and passes now.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -406,6 +406,8 @@
     def _count_kernel_bytes(self) -> int:
         """Return how many bytes the kernel has not delivered, if it says so."""
         connected = self.transport.get_extra_info('socket')
+        if connected.fileno() < 0:
+            return 0
         size = bytearray(_SIZE.size)
         try:
             fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, size)
--- a/test/raw.py
+++ b/test/raw.py
@@ -54,6 +54,7 @@
 
 
 RESET = b'reset'
+_LINGER = b'\1\0\0\0\0\0\0\0'
 
 
 @contextlib.asynccontextmanager
@@ -93,7 +94,7 @@
 
 def _reset_on_close(stream: anyio.abc.SocketStream) -> None:
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b'\1\0\0\0\0\0\0\0')
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER)
 
 
 class SlowReader:
@@ -133,6 +134,11 @@
             found += len(chunk)
         return found
 
+    def reset(self) -> None:
+        """Reset the connection."""
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER)
+        self._socket.close()
+
     async def read_head(self) -> bytes:
         """Read up to the empty line after a head."""
         head = b''
--- a/test/test_byte_ledger.py
+++ b/test/test_byte_ledger.py
@@ -1,5 +1,6 @@
 """Buffered bytes over real sockets: slow callers, slow targets, full memory."""
 
+import asyncio
 import contextlib
 
 import anyio
@@ -45,10 +46,10 @@
 
 
 @contextlib.asynccontextmanager
-async def serving_large(ledger):
+async def serving_large(ledger, bounds=BOUNDS):
     bound = listener.bind_socket('127.0.0.1', 0)
     server = listener.create_with_changing_bounds(
-        send_large, lambda: BOUNDS, ledger
+        send_large, lambda: bounds, ledger
     )
     with anyio.fail_after(10):
         async with anyio.create_task_group() as tasks:
@@ -92,6 +93,28 @@
     anyio.run(scenario)
 
 
+def test_reset_by_a_client_leaves_no_error_and_no_bytes():
+    # The idle timeout of a connection goes on after its client has reset it,
+    # when there is no socket to measure unread bytes of any more.
+    async def scenario():
+        ledger = create_ledger()
+        errors = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        bounds = BOUNDS._replace(idle_ms=200)
+        async with serving_large(ledger, bounds) as address:
+            with raw.SlowReader(address) as client:
+                await client.send(GET_LARGE)
+                await client.read_head()
+                await helper.wait_until(lambda: ledger.used_bytes)
+                client.reset()
+            await helper.wait_until(lambda: not ledger.used_bytes)
+            await anyio.sleep(0.5)
+        assert not errors
+
+    anyio.run(scenario)
+
+
 async def refuse_body(fields, *, chunk=b''):
     """Send a head and a chunk of a body; return the refusal and the calls."""
     async with loopback_node.run_ready_node(memory_mb=SMALLEST_MB) as running:
