--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -5,16 +5,21 @@
 """
 
 import asyncio
+import contextlib
 import enum
+import fcntl
 import http
+import socket
+import struct
+import termios
 import typing
 
 import msgspec
 from uvicorn.protocols.http import httptools_impl
 
 from oleanderstair import clock
-from oleanderstair.domain import outcomes
-from oleanderstair.engine import asgi, headers, pending, replies
+from oleanderstair.domain import byte_budgets, outcomes
+from oleanderstair.engine import asgi, byte_ledger, headers, pending, replies
 
 _CLOSE_DELAY_MS: typing.Final = 500
 """Time between a refusal and the close of its connection."""
@@ -25,6 +30,16 @@
 _BODY_TIME_FACTOR: typing.Final = 2
 """Timeout of a body as a multiple of that of a head."""
 
+_READ_CHECKS: typing.Final = 4
+"""How often the reading of an answer is checked within its timeout."""
+
+_MAX_CHECK_INTERVAL_MS: typing.Final = 500
+"""The longest time between two checks where buffered bytes are limited."""
+
+_RESET_ON_CLOSE: typing.Final = struct.pack('ii', 1, 0)
+"""The linger option with which a close drops unsent bytes of the kernel."""
+
+_SIZE: typing.Final = struct.Struct('i')
 _MS_PER_S: typing.Final = 1000
 _INTERIM_PREFIX: typing.Final = b'HTTP/1.1 1'
 _MAX_JOINED_BYTES: typing.Final = 65536
@@ -36,7 +51,8 @@
 
     ``request_time_ms`` is the timeout of a request head; a body has twice that.
     ``idle_ms`` is the timeout of a connection without a request.
-    ``answer_time_ms`` is the time in which a client must read an answer.
+    ``answer_time_ms`` is the time in which a client must read some part of an
+    answer.
     """
 
     max_header_bytes: int = 16384
@@ -67,9 +83,11 @@
     def __init__(
         self,
         transport: asyncio.Transport,
+        on_write: typing.Callable[[int], None],
         on_response: typing.Callable[[], None],
     ) -> None:
         self._transport = transport
+        self._on_write = on_write
         self._on_response = on_response
         self._head: bytes | None = None
         self._has_received_head = False
@@ -84,10 +102,10 @@
         elif self._head is not None and len(chunk) <= _MAX_JOINED_BYTES:
             chunk = self._head + chunk
             self._head = None
-            self._transport.write(chunk)
+            self._write(chunk)
         else:
             self._flush()
-            self._transport.write(chunk)
+            self._write(chunk)
 
     def close(self) -> None:
         self._flush()
@@ -103,18 +121,31 @@
 
     def _flush(self) -> None:
         if self._head is not None:
-            self._transport.write(self._head)
+            self._write(self._head)
             self._head = None
 
+    def _write(self, chunk: bytes) -> None:
+        self._transport.write(chunk)
+        self._on_write(len(chunk))
+
 
 class BoundedProtocol(httptools_impl.HttpToolsProtocol):
     """One client connection within the limits of ``ConnectionBounds``."""
 
-    def __init__(self, bounds_of: BoundsOf, **options: typing.Any) -> None:
-        """Serve one connection within the limits that ``bounds_of`` returns."""
+    def __init__(
+        self,
+        bounds_of: BoundsOf,
+        ledger: byte_ledger.ByteLedger | None,
+        **options: typing.Any,
+    ) -> None:
+        """Serve one connection within the limits that ``bounds_of`` returns.
+
+        Unread bytes of answers are counted in ``ledger``, if there is one.
+        """
         super().__init__(**options)
         self.on_lost: typing.Callable[[], None] | None = None
         self._bounds_of = bounds_of
+        self._ledger = ledger
         self._idle_since_s = self.loop.time()
         self._part = _Part.NONE
         self._head_bytes = 0
@@ -123,7 +154,10 @@
         self._refused = False
         self._timer: asyncio.TimerHandle | None = None
         self._is_idle_timer = False
-        self._write_timer: asyncio.TimerHandle | None = None
+        self._read_timer: asyncio.TimerHandle | None = None
+        self._written_bytes = 0
+        self._read_bytes = 0
+        self._read_at_s: float = 0
 
     # Connection events
 
@@ -142,8 +176,10 @@
         """Stop the timers and call ``on_lost``."""
         super().connection_lost(exc)
         self._stop_timer()
-        if self._write_timer is not None:
-            self._write_timer.cancel()
+        if self._read_timer is not None:
+            self._read_timer.cancel()
+        if self._ledger is not None:
+            self._ledger.set_unread(self, 0)
         if self.on_lost is not None:
             self.on_lost()
 
@@ -220,7 +256,7 @@
         self._chunk_bytes = 0
 
     def on_response_complete(self) -> None:
-        """Limit the time in which the client must read the answer."""
+        """Limit the time for which the client may stop reading the answer."""
         bounds = self._bounds_of()
         self._idle_since_s = self.loop.time()
         self.timeout_keep_alive = typing.cast(
@@ -228,11 +264,48 @@
             clock.to_seconds(bounds.idle_ms),
         )
         super().on_response_complete()
-        if self.transport.get_write_buffer_size() and not self._write_timer:
-            self._write_timer = self.loop.call_later(
-                clock.to_seconds(bounds.answer_time_ms),
-                self._abort_unread,
+        unread_bytes = self._count_unread_bytes()
+        if unread_bytes and not self._read_timer:
+            self._note_read(self.count_read_bytes())
+            self._start_read_timer()
+        if self._ledger is not None:
+            self._ledger.set_unread(self, unread_bytes)
+
+    def count_read_bytes(self) -> int:
+        """Return how many bytes of its answers the client has received.
+
+        Those in the buffers of the process and of the kernel are not counted.
+        The kernel buffer of a slow client takes megabytes, so the buffer of
+        the process alone may not shrink for minutes though the client reads.
+        """
+        return (
+            self._written_bytes
+            - self.transport.get_write_buffer_size()
+            - self._count_kernel_bytes()
+        )
+
+    def measure_reading(self) -> byte_budgets.Reader:
+        """Return what is unread and how long the client has read nothing."""
+        read_bytes = self.count_read_bytes()
+        if read_bytes > self._read_bytes:
+            self._note_read(read_bytes)
+        stopped_s = self.loop.time() - self._read_at_s
+        return byte_budgets.Reader(
+            self._count_unread_bytes(), stopped_s * _MS_PER_S
+        )
+
+    def cut_off(self) -> None:
+        """Reset the connection and drop the unread bytes of its answers."""
+        connected = self.transport.get_extra_info('socket')
+        with contextlib.suppress(OSError):
+            connected.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
             )
+        self.transport.abort()
+
+    async def wait_until_read(self) -> None:
+        """Wait while the client is behind with earlier answers."""
+        await self.flow.drain()
 
     # Client errors
 
@@ -258,7 +331,12 @@
         self._refuse_and_close(outcomes.Reason.BAD_REQUEST, msg)
 
     def timeout_keep_alive_handler(self) -> None:
-        """Close an idle connection; abort it if answers are still unread."""
+        """Close an idle connection.
+
+        It isn't idle while its client still reads an answer.
+        """
+        if self._count_unread_bytes():
+            self._idle_since_s = self.loop.time()
         remaining_s = self._remaining_idle_s()
         if remaining_s > 0:
             self.timeout_keep_alive_task = self.loop.call_later(
@@ -266,8 +344,6 @@
                 self.timeout_keep_alive_handler,
             )
             return
-        if self.transport.get_write_buffer_size():
-            self.transport.abort()
         super().timeout_keep_alive_handler()
 
     def _unsupported_upgrade_warning(self) -> None:
@@ -276,7 +352,9 @@
             self.cycle.keep_alive = False
 
     def _join_writes(self) -> None:
-        joined = _JoiningTransport(self.transport, self.cycle.on_response)
+        joined = _JoiningTransport(
+            self.transport, self._count_written, self.cycle.on_response
+        )
         self.cycle.transport = typing.cast(asyncio.Transport, joined)
         self.cycle.on_response = joined.complete_response
 
@@ -320,10 +398,56 @@
         else:
             self.transport.close()
 
-    def _abort_unread(self) -> None:
-        self._write_timer = None
-        if self.transport.get_write_buffer_size():
+    # The reading of answers by the client
+
+    def _count_written(self, size: int) -> None:
+        self._written_bytes += size
+
+    def _count_kernel_bytes(self) -> int:
+        """Return how many bytes the kernel has not delivered, if it says so."""
+        connected = self.transport.get_extra_info('socket')
+        if connected.fileno() < 0:
+            return 0
+        size = bytearray(_SIZE.size)
+        try:
+            fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, size)
+        except OSError:
+            return 0
+        return int(_SIZE.unpack(size)[0])
+
+    def _count_unread_bytes(self) -> int:
+        """Return the bytes of answers that wait for the client.
+
+        Those in the kernel count only where buffered bytes are limited.
+        """
+        buffered_bytes = self.transport.get_write_buffer_size()
+        if self._ledger is None:
+            return buffered_bytes
+        return buffered_bytes + self._count_kernel_bytes()
+
+    def _note_read(self, read_bytes: int) -> None:
+        self._read_bytes = read_bytes
+        self._read_at_s = self.loop.time()
+
+    def _start_read_timer(self) -> None:
+        interval_ms = self._bounds_of().answer_time_ms / _READ_CHECKS
+        if self._ledger is not None:
+            interval_ms = min(interval_ms, _MAX_CHECK_INTERVAL_MS)
+        self._read_timer = self.loop.call_later(
+            clock.to_seconds(interval_ms), self._check_reading
+        )
+
+    def _check_reading(self) -> None:
+        """Abort the connection if its client has stopped reading."""
+        self._read_timer = None
+        reading = self.measure_reading()
+        is_stopped = reading.stopped_ms >= self._bounds_of().answer_time_ms
+        if reading.unread_bytes and is_stopped:
             self.transport.abort()
+        elif reading.unread_bytes:
+            self._start_read_timer()
+        if self._ledger is not None:
+            self._ledger.set_unread(self, reading.unread_bytes)
 
     def _refuse_and_close(self, reason: outcomes.Reason, detail: str) -> None:
         # Input is read and dropped for 500 ms before the close. Closing with
