Open the callers' listener before the imports, and import less of uvicorn

Callers saw: after a loss of power of all instances, connections were refused until the imports of an instance were done, nearly all of its start.

Cause: the listener was bound after the imports, and the uvicorn package imports its command line, its process manager, and the configuration of logging.

Change: the daemon reads the address for callers from the text of the settings and listens there before the imports; the address is checked once the settings are parsed. Calls that wait for routes are held in a queue and released by rank and deadline; before, each polled every 10 ms. Each phase of the start is in a log line (start-phase) and in metrics (start_ms, start_cpu_ms).

The list of modules that a start must not load is longer by 22; the check of a key in refusals is where keyed calls are, so that a gateway does not import it.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -10,11 +10,23 @@
 import typing
 
 import msgspec
-from uvicorn.protocols.http import httptools_impl
 
 from oleanderstair import clock
 from oleanderstair.domain import outcomes
-from oleanderstair.engine import asgi, headers, pending, replies
+from oleanderstair.engine import (
+    asgi,
+    headers,
+    pending,
+    replies,
+    uvicorn_parts,
+)
+
+if typing.TYPE_CHECKING:
+    from uvicorn.protocols.http import httptools_impl
+else:
+    httptools_impl = uvicorn_parts.import_part(
+        'uvicorn.protocols.http.httptools_impl'
+    )
 
 _CLOSE_DELAY_MS: typing.Final = 500
 """Time between a refusal and the close of its connection."""
--- a/oleanderstair/engine/caller_app.py
+++ b/oleanderstair/engine/caller_app.py
@@ -4,7 +4,8 @@
 import urllib.parse
 
 from oleanderstair import settings
-from oleanderstair.domain.calls import addresses
+from oleanderstair.domain import outcomes
+from oleanderstair.domain.calls import addresses, keys
 from oleanderstair.domain.tables import instances
 from oleanderstair.engine import (
     asgi,
@@ -12,6 +13,7 @@
     headers,
     incoming,
     listener,
+    pending,
     replies,
 )
 
@@ -105,7 +107,7 @@
         bad_request: incoming.BadRequest,
     ) -> None:
         self._runtime.metrics.count('refused', bad_request.reason.value)
-        reply = replies.rejection_reply(
+        reply = _rejection_reply(
             scope['headers'], bad_request.reason, bad_request.detail
         )
         closing = self._is_stopping()
@@ -121,6 +123,22 @@
     return bool(declared) and int(declared) > max_bytes
 
 
+def _rejection_reply(
+    fields: headers.AnyFields,
+    reason: outcomes.Reason,
+    detail: str,
+) -> pending.Reply:
+    """Return the reply to an invalid request, which may carry a key.
+
+    Only the home of a bound key can state that its call did not run, so a
+    request with such a key gets the outcome ``unknown``.
+    """
+    key = headers.find_field(fields, headers.KEY).decode('latin-1')
+    if keys.split_key(key) is None:
+        return replies.not_run_reply(reason, detail)
+    return pending.Reply(outcomes.Outcome.UNKNOWN, reason, detail=detail)
+
+
 def create(
     runtime: balancer_runtime.BalancerRuntime,
     bounds: settings.CallerSettings,
--- a/oleanderstair/engine/gateway_runtime.py
+++ b/oleanderstair/engine/gateway_runtime.py
@@ -5,8 +5,9 @@
 import anyio.abc
 import msgspec
 
-from oleanderstair import clock, logs
+from oleanderstair import clock, logs, start_times
 from oleanderstair.domain import actions, events, gateway, world
+from oleanderstair.domain.fleet import readiness
 from oleanderstair.domain.tables import load_reports
 from oleanderstair.domain.targets import connection_limits
 from oleanderstair.engine import (
@@ -16,6 +17,7 @@
     peering,
     peers,
     runtime,
+    start_queue,
 )
 from oleanderstair.explaining import decisions
 
@@ -126,13 +128,20 @@
         state: world.World,
         dependencies: GatewayDependencies,
         tasks: anyio.abc.TaskGroup,
+        times: start_times.StartTimes,
     ) -> None:
-        """Run the I/O for ``state`` in the task group ``tasks``."""
+        """Run the I/O for ``state`` in the task group ``tasks``.
+
+        ``times`` records the phases of the start.
+        """
         super().__init__(state, gateway.step, dependencies, tasks)
         self.decisions = decisions.create(
             state, logs.current_sink(), self.metrics
         )
         self.observer = self.decisions
+        self.times = times
+        self.start_queue = start_queue.create()
+        self._has_routes = False
         self._dependencies = dependencies
         self._start_read = self.handler_for_read(
             dependencies.read_load, _load_failure_of
@@ -162,6 +171,23 @@
         """Handle the messages of peers until cancelled."""
         await self._messenger.run_receiver()
 
+    def handle(self, event: events.Event) -> None:
+        """Handle an event; release the calls that waited for routes."""
+        super().handle(event)
+        if not self._has_routes and readiness.has_store_state(self.state):
+            self._has_routes = True
+            self.report_phase(start_times.ROUTES)
+            in_force = self.state.routes.in_force
+            assert in_force is not None  # noqa: S101 (part of the state)
+            self.start_queue.release(in_force)
+
+    def report_phase(self, phase: str) -> None:
+        """Record and log that the start has reached ``phase``, once."""
+        if self.times.mark(phase):
+            logs.log_event(
+                'start-phase', phase=phase, **self.times.as_log_fields()
+            )
+
     def run_maintenance(self, now_ms: clock.Millis) -> None:
         """Update the connection limit, then do the common maintenance."""
         limit = connection_limits.target_connection_limit(self.state)
--- a/oleanderstair/engine/listener.py
+++ b/oleanderstair/engine/listener.py
@@ -7,18 +7,27 @@
 import socket
 import typing
 
-import uvicorn
-
 from oleanderstair import logs
-from oleanderstair.engine import asgi, bounded_protocol
+from oleanderstair.engine import (
+    asgi,
+    bounded_protocol,
+    listening_sockets,
+    uvicorn_parts,
+)
+
+if typing.TYPE_CHECKING:
+    from uvicorn import config as uvicorn_config
+    from uvicorn import server as uvicorn_server
+else:
+    uvicorn_config = uvicorn_parts.import_part('uvicorn.config')
+    uvicorn_server = uvicorn_parts.import_part('uvicorn.server')
 
-_BACKLOG: typing.Final = 1024
 _SHUTDOWN_TIMEOUT_S: typing.Final = 2
 DEFAULT_BOUNDS: typing.Final = bounded_protocol.ConnectionBounds()
 
 
-class _Server(uvicorn.Server):
-    def __init__(self, config: uvicorn.Config) -> None:
+class _Server(uvicorn_server.Server):
+    def __init__(self, config: uvicorn_config.Config) -> None:
         self._exit = asyncio.Event()
         super().__init__(config)
 
@@ -43,17 +52,12 @@
 
 def bind_socket(host: str, port: int) -> socket.socket:
     """Return a listening socket; port 0 selects a free port."""
-    listening_socket = socket.create_server((host, port), backlog=_BACKLOG)
-    # Accepted connections inherit TCP_NODELAY. Without it, a body would
-    # wait for the delayed ACK of its head.
-    listening_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return listening_socket
+    return listening_sockets.bind_socket(host, port)
 
 
 def address_of(listening_socket: socket.socket) -> str:
     """Return the address of a bound socket as ``host:port``."""
-    host, port = listening_socket.getsockname()[:2]
-    return f'{host}:{port}'
+    return listening_sockets.address_of(listening_socket)
 
 
 @contextlib.contextmanager
@@ -89,7 +93,7 @@
 def create(
     app: typing.Any,
     bounds: bounded_protocol.ConnectionBounds = DEFAULT_BOUNDS,
-) -> uvicorn.Server:
+) -> uvicorn_server.Server:
     """Create a server for ``app`` with constant limits."""
     return create_with_changing_bounds(app, lambda: bounds)
 
@@ -97,14 +101,14 @@
 def create_with_changing_bounds(
     app: typing.Any,
     bounds_of: bounded_protocol.BoundsOf,
-) -> uvicorn.Server:
+) -> uvicorn_server.Server:
     """Create a server for ``app`` with limits that may change.
 
     ``bounds_of`` returns the limits in force. The server has no signal handlers
     and no access log.
     """
     _configure_uvicorn_logs()
-    config = uvicorn.Config(
+    config = uvicorn_config.Config(
         app,
         http=typing.cast(
             typing.Any,
@@ -119,7 +123,7 @@
         proxy_headers=False,
         server_header=False,
         date_header=False,
-        backlog=_BACKLOG,
+        backlog=listening_sockets.BACKLOG,
         timeout_graceful_shutdown=_SHUTDOWN_TIMEOUT_S,
     )
     return _Server(config)
--- a/oleanderstair/engine/replies.py
+++ b/oleanderstair/engine/replies.py
@@ -6,7 +6,6 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import outcomes
-from oleanderstair.domain.calls import keys
 from oleanderstair.engine import asgi, exchanges, headers, pending
 
 _DEFAULT_RETRY_AFTER_MS: typing.Final = 1000
@@ -99,22 +98,6 @@
     return pending.Reply(outcomes.Outcome.NOT_RUN, reason, detail=detail)
 
 
-def rejection_reply(
-    fields: headers.AnyFields,
-    reason: outcomes.Reason,
-    detail: str,
-) -> pending.Reply:
-    """Return the reply to an invalid request, which may carry a key.
-
-    Only the home of a bound key can state that its call did not run, so a
-    request with such a key gets the outcome ``unknown``.
-    """
-    key = headers.find_field(fields, headers.KEY).decode('latin-1')
-    if keys.split_key(key) is None:
-        return not_run_reply(reason, detail)
-    return pending.Reply(outcomes.Outcome.UNKNOWN, reason, detail=detail)
-
-
 def _format_seconds(duration_ms: clock.Millis, whole: bool) -> str:
     seconds = clock.to_seconds(duration_ms)
     return str(math.ceil(seconds)) if whole else f'{seconds:.3f}'
--- a/oleanderstair/engine/routed_caller_app.py
+++ b/oleanderstair/engine/routed_caller_app.py
@@ -2,9 +2,7 @@
 
 import typing
 
-import anyio
-
-from oleanderstair import clock
+from oleanderstair import clock, start_times
 from oleanderstair.domain import events, outcomes
 from oleanderstair.domain.calls import fingerprints
 from oleanderstair.domain.fleet import readiness
@@ -25,7 +23,6 @@
 _MAX_START_WAIT_SHARE: typing.Final = 1 / 3
 """Share of the time to its deadline for which a call may wait for routes."""
 
-_START_POLL_MS: typing.Final = 10
 _DEFAULT_LIMITS: typing.Final = routes.CallerLimits()
 
 
@@ -108,6 +105,8 @@
         ):
             reply = await runtime.run_call(received, request)
         await self._send_reply(send, scope['method'], reply)
+        if reply.outcome is outcomes.Outcome.RAN:
+            runtime.report_phase(start_times.FIRST_ANSWER)
 
     async def _wait_for_routes(
         self,
@@ -126,10 +125,7 @@
             self._created_ms + MAX_START_WAIT_MS,
             now_ms + remaining_ms * _MAX_START_WAIT_SHARE,
         )
-        while not readiness.has_store_state(self._runtime.state):
-            if self._now_ms() >= until_ms:
-                break
-            await anyio.sleep(clock.to_seconds(_START_POLL_MS))
+        await self._runtime.start_queue.wait(received, until_ms - now_ms)
         return self._now_ms() - now_ms
 
     def _report_caller_left(
--- a/oleanderstair/explaining/gauges.py
+++ b/oleanderstair/explaining/gauges.py
@@ -3,7 +3,7 @@
 import collections
 import typing
 
-from oleanderstair import clock
+from oleanderstair import clock, start_times
 from oleanderstair.domain import world
 from oleanderstair.domain.calls import retry_budget
 from oleanderstair.domain.fleet import readiness
@@ -55,6 +55,21 @@
     ]
 
 
+def read_start(times: start_times.StartTimes) -> list[Gauge]:
+    """Return when each phase of the start was reached."""
+    marks = times.mark_by_phase.items()
+    return [
+        *(
+            Gauge('start_ms', (('phase', phase),), mark.after_ms)
+            for phase, mark in marks
+        ),
+        *(
+            Gauge('start_cpu_ms', (('phase', phase),), mark.cpu_ms)
+            for phase, mark in marks
+        ),
+    ]
+
+
 def _revision(revision: int) -> list[Gauge]:
     return [
         Gauge('registry_revision', (), revisions.within_era(revision)),
--- a/oleanderstair/platform/daemon.py
+++ b/oleanderstair/platform/daemon.py
@@ -3,22 +3,30 @@
 import gc
 import importlib
 import os
-import pathlib
 import signal
 import sys
 import typing
 
+from oleanderstair import start_times
+from oleanderstair.platform import early_listener
+
 SETTINGS_VARIABLE: typing.Final = 'OLEANDERSTAIR_CONFIG'
 
 
 def main() -> None:
     """Run an instance with the settings file named by ``SETTINGS_VARIABLE``."""
+    times = start_times.create()
     # SIGHUP would end the process until its handler is installed.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Imports leave no garbage; ``running`` enables collection after them.
     gc.disable()
+    path = os.environ[SETTINGS_VARIABLE]
+    caller_socket = early_listener.open_listener(path)
+    if caller_socket is not None:
+        times.mark(start_times.LISTENING)
     program = importlib.import_module('oleanderstair.platform.program')
-    sys.exit(program.run_from_file(pathlib.Path(os.environ[SETTINGS_VARIABLE])))
+    times.mark(start_times.IMPORTED)
+    sys.exit(program.run_from_file(path, caller_socket, times))
 
 
 if __name__ == '__main__':
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -10,7 +10,7 @@
 import anyio.abc
 import msgspec
 
-from oleanderstair import clock, logs, settings
+from oleanderstair import clock, logs, settings, start_times
 from oleanderstair.domain import events, policy, world
 from oleanderstair.domain.tables import identity
 from oleanderstair.engine import (
@@ -21,7 +21,13 @@
     peers,
     routed_caller_app,
 )
-from oleanderstair.platform import dialect, load_reader, platform_app, store
+from oleanderstair.platform import (
+    dialect,
+    early_listener,
+    load_reader,
+    platform_app,
+    store,
+)
 
 _INCARNATION_BYTES: typing.Final = 4
 _CONNECTION_PROOF_MS: typing.Final = 200
@@ -50,6 +56,7 @@
     caller_socket: socket.socket
     platform_sockets: list[socket.socket]
     link: peers.Link
+    times: start_times.StartTimes
     metrics_socket: socket.socket | None = None
     runtime: gateway_runtime.GatewayRuntime | None = None
 
@@ -65,6 +72,7 @@
             self.runtime = self._create_runtime(tasks)
             tasks.start_soon(self.runtime.run_ticks)
             tasks.start_soon(self.runtime.run_peers)
+            self.times.mark(start_times.STARTED)
             logs.log_event('started', instance=self.identity.incarnation)
             await self._listen(self.runtime)
             tasks.cancel_scope.cancel()
@@ -145,20 +153,32 @@
         )
         state.members.seeds = tuple(self.node_settings.peers.seeds)
         state.members.started_ms = time.time_ns() // _NS_PER_MS
-        runtime = gateway_runtime.GatewayRuntime(state, sides, tasks)
+        runtime = gateway_runtime.GatewayRuntime(
+            state, sides, tasks, self.times
+        )
         connections.on_answer = _notice_listener_for(runtime)
         return runtime
 
 
-def create(valid_settings: settings.Settings) -> Node:
+def create(
+    valid_settings: settings.Settings,
+    caller_socket: socket.socket | None = None,
+    times: start_times.StartTimes | None = None,
+) -> Node:
     """Create an instance and bind its sockets.
 
-    Raise ``OSError`` if a required address can't be bound.
+    ``caller_socket`` is a listener that may be at the address for callers
+    already, and ``times`` records the phases of the start. Raise ``OSError``
+    if a required address can't be bound.
     """
     incarnation = (
         f'{valid_settings.instance.id}~{secrets.token_hex(_INCARNATION_BYTES)}'
     )
-    caller_socket = _bind(valid_settings.callers.address)
+    caller_socket = early_listener.adopt_listener(
+        caller_socket, valid_settings.callers.address
+    )
+    times = times or start_times.create()
+    times.mark(start_times.LISTENING)
     own = identity.Identity(
         instance_id=valid_settings.instance.id,
         incarnation=incarnation,
@@ -181,6 +201,7 @@
             _PEER_SILENCE_MS,
             heartbeats=False,
         ),
+        times=times,
         platform_sockets=[
             _bind(valid_settings.platform.directory_address),
             _bind(valid_settings.platform.readiness_address),
--- a/oleanderstair/platform/platform_app.py
+++ b/oleanderstair/platform/platform_app.py
@@ -63,7 +63,10 @@
     async def _answer_metrics(self, send: asgi.Send) -> None:
         runtime = self._runtime
         now_ms = runtime.sides.clock.now_ms()
-        samples = gauges.read(runtime.state, now_ms)
+        samples = [
+            *gauges.read(runtime.state, now_ms),
+            *gauges.read_start(runtime.times),
+        ]
         body = exposition.write(runtime.metrics, samples).encode()
         fields = [
             (b'content-type', exposition.CONTENT_TYPE),
--- a/oleanderstair/platform/program.py
+++ b/oleanderstair/platform/program.py
@@ -2,33 +2,52 @@
 
 import functools
 import pathlib
+import socket
 import sys
 
 import anyio
 
-from oleanderstair import errors, logs, reloading, running, settings
+from oleanderstair import (
+    errors,
+    logs,
+    reloading,
+    running,
+    settings,
+    start_times,
+)
 from oleanderstair.platform import node
 
 
-def run_from_file(path: pathlib.Path) -> int:
+def run_from_file(
+    path: str,
+    caller_socket: socket.socket | None,
+    times: start_times.StartTimes,
+) -> int:
     """Run an instance with the settings file at ``path``.
 
-    Return 0 after a planned stop, or ``running.EXIT_WRONG_USE`` if the settings
-    are invalid; the problem is then written to standard error.
+    ``caller_socket`` is a listener that was opened before the imports, and
+    ``times`` records the phases of the start. Return 0 after a planned stop,
+    or ``running.EXIT_WRONG_USE`` if the settings are invalid; the problem is
+    then written to standard error.
     """
     try:
-        anyio.run(_serve, path)
+        anyio.run(_serve, pathlib.Path(path), caller_socket, times)
     except errors.UserError as error:
         sys.stderr.write(f'{error}\n')
         return running.EXIT_WRONG_USE
     return 0
 
 
-async def _serve(path: pathlib.Path) -> None:
+async def _serve(
+    path: pathlib.Path,
+    caller_socket: socket.socket | None,
+    times: start_times.StartTimes,
+) -> None:
     valid_settings = settings.load(path)
+    times.mark(start_times.CONFIGURED)
     if valid_settings.log.to == 'stderr':
         logs.start()
-    instance = node.create(valid_settings)
+    instance = node.create(valid_settings, caller_socket, times)
     reloader = reloading.create(
         path,
         valid_settings,
--- a/test/test_platform_start.py
+++ b/test/test_platform_start.py
@@ -19,33 +19,52 @@
 NOT_IMPORTED = {
     'cappa',
     'certifi',
+    'click',
+    'configparser',
     'eliot',
+    'email',
     'h11',
     'httpcore',
     'importlib.metadata',
     'importlib.resources',
     'json5',
+    'logging.config',
+    'logging.handlers',
+    'multiprocessing',
     'rich',
+    'tempfile',
+    'uvicorn.main',
+    'uvicorn.supervisors',
     'zmq.asyncio',
     'zmq.auth',
     'oleanderstair.domain.proof',
     'oleanderstair.emulator',
+    'oleanderstair.domain.balancer',
+    'oleanderstair.domain.calls.homes',
+    'oleanderstair.domain.calls.key_epochs',
+    'oleanderstair.domain.configuration.catalogues',
+    'oleanderstair.domain.configuration.note_adoption',
+    'oleanderstair.domain.configuration.notes',
+    'oleanderstair.domain.fleet.heartbeats',
+    'oleanderstair.domain.targets.ramps',
+    'oleanderstair.engine.balancer_runtime',
+    'oleanderstair.engine.caller_app',
+    'oleanderstair.engine.node',
+    'oleanderstair.explaining.reports',
+    'oleanderstair.explaining.stories',
     'oleanderstair.ui',
 }
 ROOT = pathlib.Path(__file__).parent.parent
 
 
-@pytest.fixture(scope='module')
-def imported():
-    output = subprocess.run(
+def run_program(program):
+    """Run a program with the libraries, without the site module."""
+    return subprocess.run(
         [
             sys.executable,
             '-S',
             '-c',
-            'import sys\n'
-            'sys.path.extend(sys.argv[1:])\n'
-            'import oleanderstair.platform.program\n'
-            'print(sorted(sys.modules))',
+            f'import sys\nsys.path.extend(sys.argv[1:])\n{program}',
             *site.getsitepackages(),
         ],
         capture_output=True,
@@ -53,9 +72,40 @@
         cwd=ROOT,
         text=True,
     ).stdout
+
+
+def find_imported(name):
+    """Return all modules that the import of a module loads."""
+    output = run_program(f'import {name}\nprint(sorted(sys.modules))')
     return set(ast.literal_eval(output))
 
 
+@pytest.fixture(scope='module')
+def imported():
+    return find_imported('oleanderstair.platform.program')
+
+
+# Guards against a listener that opens only after the imports, which are nearly
+# all of a start: the callers of the whole fleet would be refused meanwhile.
+def test_listener_opens_before_the_program_is_imported():
+    modules = find_imported('oleanderstair.platform.daemon')
+    assert 'oleanderstair.platform.early_listener' in modules
+    for name in ('asyncio', 'anyio', 'msgspec', 'zmq', 'pathlib', 'logging'):
+        assert name not in modules
+
+
+# Guards against placeholders that other importers would get.
+def test_parts_of_uvicorn_leave_no_placeholders():
+    program = (
+        'import oleanderstair.engine.listener\n'
+        'import configparser, email.utils, logging.config\n'
+        'configparser.ConfigParser()\n'
+        'assert email.utils.formatdate(0)\n'
+        'assert logging.config.dictConfig\n'
+    )
+    run_program(program)
+
+
 @pytest.mark.parametrize('name', sorted(NOT_IMPORTED))
 def test_start_does_not_import_unneeded_modules(imported, name):
     assert 'oleanderstair.platform.node' in imported
