Import the modules of a start from one archive of byte code

Callers saw: after a loss of power of all instances, an instance on .3 of a core took about a second until its first answer.

Cause: a start imports some 400 modules, and to search, check and read a file for each takes a part of its processor time that no single import explains.

Change: the build writes the byte code of all modules of a start into target/start-code. The daemon imports from it; a module whose source has another size or time of change is imported as usual, and so are all where the file is missing, of another Python, or was built from other folders of libraries. The finder is removed after the imports, which frees its 5 MB.

--- a/oleanderstair/platform/daemon.py
+++ b/oleanderstair/platform/daemon.py
@@ -7,7 +7,7 @@
 import sys
 import typing
 
-from oleanderstair import start_times
+from oleanderstair import code_archive, start_times
 from oleanderstair.platform import early_listener
 
 SETTINGS_VARIABLE: typing.Final = 'OLEANDERSTAIR_CONFIG'
@@ -24,7 +24,13 @@
     caller_socket = early_listener.open_listener(path)
     if caller_socket is not None:
         times.mark(start_times.LISTENING)
+    finder = code_archive.install(
+        os.path.join(code_archive.ROOT, code_archive.PATH)
+    )
     program = importlib.import_module('oleanderstair.platform.program')
+    # Otherwise imported by the event loop, after the archive is closed.
+    importlib.import_module('anyio._backends._asyncio')
+    code_archive.uninstall(finder)
     times.mark(start_times.IMPORTED)
     sys.exit(program.run_from_file(path, caller_socket, times))
 
