Spread the first load reads and calls of started instances over all targets

Callers saw: after all instances had lost power at once, the first calls of many instances went to the same few targets.

Cause: until its count of instances is complete, an instance divides the load reads of a target among the assumed number, but takes its rank among the few instances that it knows. All that had just started took themselves for the first, read the same targets, and preferred the targets that they had read.

Change: an instance that knows fewer instances than it divides by takes a rank from its id. The jitter of the first read of an instance that has found no peer is 40 ms instead of 80.

--- a/oleanderstair/domain/configuration/store_watch.py
+++ b/oleanderstair/domain/configuration/store_watch.py
@@ -37,7 +37,7 @@
 START_WAIT_MS: typing.Final = 50
 """How long a starting instance waits for its peers to send their state."""
 
-START_JITTER_MS: typing.Final = 80
+START_JITTER_MS: typing.Final = 40
 """The jitter of the first read of an instance that has found no peer."""
 
 START_READER_WAIT_MS: typing.Final = 300
--- a/oleanderstair/domain/targets/read_budgets.py
+++ b/oleanderstair/domain/targets/read_budgets.py
@@ -110,14 +110,20 @@
             state, entry.service, data_centre
         )
         share = _BudgetShare(
-            local_share * budget, local_count, table.local_rank
+            local_share * budget,
+            local_count,
+            _rank_among(
+                state, table.local_rank, table.largest_local_count, local_count
+            ),
         )
     else:
         assigned_ids = host_assignment.remote_instance_ids_for_service(
             state, entry.service, data_centre
         )
         share = _BudgetShare(
-            (1 - _LOCAL_SHARE) * budget, instance_count, table.rank
+            (1 - _LOCAL_SHARE) * budget,
+            instance_count,
+            _rank_among(state, table.rank, table.largest_count, instance_count),
         )
     return _divide_reads(state, entry, share, assigned_ids)
 
@@ -134,6 +140,22 @@
     rank: int
 
 
+def _rank_among(
+    state: world.World,
+    known_rank: int,
+    known_count: int,
+    instance_count: float,
+) -> int:
+    """Return the position of this instance among ``instance_count``.
+
+    Instances that have just started know few others, and all would be among
+    the first. They would read the same targets, and send them their calls.
+    """
+    if known_count >= instance_count:
+        return known_rank
+    return zlib.crc32(state.identity.instance_id.encode())
+
+
 def _divide_reads(
     state: world.World,
     entry: registry.Entry,
