--- a/bench/start.py
+++ b/bench/start.py
@@ -149,7 +149,10 @@
     text = b''
     with anyio.move_on_after(_LOG_TIMEOUT_S):
         while _LAST_FIELD not in text:
-            text += await process.stderr.receive()
+            try:
+                text += await process.stderr.receive()
+            except anyio.EndOfStream:
+                raise SystemExit(f'the daemon ended: {text.decode()}') from None
     found = map(lines.read, text.decode().splitlines())
     last_fields = [line.field_by_name for line in found if line is not None][-1]
     return {
--- a/oleanderstair/code_archive.py
+++ b/oleanderstair/code_archive.py
@@ -24,10 +24,11 @@
 
 FORMAT: typing.Final = b'%b start-code 1 ' % importlib.util.MAGIC_NUMBER
 """Changes with the byte code of Python and with the layout of the archive: the
-length of the index, the index, and the code of all modules."""
+length of all that follows it, the length of the index, the index, and the code
+of all modules."""
 
 LENGTH_BYTES: typing.Final = 8
-"""The size of the length of the index, with its lowest byte first."""
+"""The size of each of the two lengths, with its lowest byte first."""
 
 
 class Entry(typing.NamedTuple):
@@ -95,7 +96,7 @@
 def install(path: str) -> ArchiveFinder | None:
     """Import from the archive at ``path`` from now on.
 
-    Return None, and change nothing, if it is missing or unusable: written for
+    Return None, and change nothing, if it is missing, incomplete, written for
     another Python, or from folders that are not searched for modules.
     """
     try:
@@ -103,9 +104,10 @@
             content = archive.read()
     except OSError:
         return None
-    if not content.startswith(FORMAT):
+    parts = _split(memoryview(content))
+    if parts is None:
         return None
-    index, code = _split(memoryview(content)[len(FORMAT) :])
+    index, code = parts
     folders, row_by_name = marshal.loads(index)
     searched = {os.path.abspath(folder) for folder in sys.path}
     if not searched.issuperset(
@@ -123,11 +125,25 @@
         sys.meta_path.remove(typing.cast(typing.Any, finder))
 
 
-def _split(content: memoryview) -> tuple[memoryview, memoryview]:
-    """Return the index and the code of all modules."""
-    index_length = int.from_bytes(content[:LENGTH_BYTES], 'little')
+def _split(content: memoryview) -> tuple[memoryview, memoryview] | None:
+    """Return the index and the code of all modules.
+
+    Return None if the content is of another format or incomplete.
+    """
+    if content[: len(FORMAT)] != FORMAT:
+        return None
+    rest = content[len(FORMAT) :]
+    length = _read_length(rest)
+    rest = rest[LENGTH_BYTES:]
+    if len(rest) != length:
+        return None
+    index_length = _read_length(rest)
     code_start = LENGTH_BYTES + index_length
-    return content[LENGTH_BYTES:code_start], content[code_start:]
+    return rest[LENGTH_BYTES:code_start], rest[code_start:]
+
+
+def _read_length(content: memoryview) -> int:
+    return int.from_bytes(content[:LENGTH_BYTES], 'little')
 
 
 def _is_unchanged(source: str, entry: Entry) -> bool:
--- a/oleanderstair/platform/build_archive.py
+++ b/oleanderstair/platform/build_archive.py
@@ -69,8 +69,12 @@
     }
     rows = {name: tuple(entry) for name, entry in row_by_name.items()}
     index = marshal.dumps((sorted(folders), rows))
-    length = len(index).to_bytes(code_archive.LENGTH_BYTES, 'little')
-    return b''.join((code_archive.FORMAT, length, index, code))
+    rest = b''.join((_encode_length(index), index, code))
+    return b''.join((code_archive.FORMAT, _encode_length(rest), rest))
+
+
+def _encode_length(content: bytes) -> bytes:
+    return len(content).to_bytes(code_archive.LENGTH_BYTES, 'little')
 
 
 def _source_loader_of(
--- a/test/test_code_archive.py
+++ b/test/test_code_archive.py
@@ -85,13 +85,18 @@
     assert path == str(moved / 'package' / 'part.py')
 
 
-# Guards against a start that fails where the build wrote no usable archive.
-@pytest.mark.parametrize('content', [None, b'', b'start-code 0 of another'])
-def test_program_starts_without_a_usable_archive(folder, content):
-    archive = folder / 'target' / 'start-code'
-    archive.unlink()
-    if content is not None:
-        archive.write_bytes(content)
+def assert_imports_as_usual(folder):
     installed, answer, _, *loaders = run(folder, PROGRAM)
     assert (installed, answer) == ('False', '1')
     assert loaders == ['SourceFileLoader', 'SourceFileLoader']
+
+
+# Guards against a start that fails where the build wrote no usable archive.
+def test_program_starts_without_a_usable_archive(folder):
+    archive = folder / 'target' / 'start-code'
+    whole = archive.read_bytes()
+    for unusable in (b'', b'start-code 0', whole[:30], whole[:-1]):
+        archive.write_bytes(unusable)
+        assert_imports_as_usual(folder)
+    archive.unlink()
+    assert_imports_as_usual(folder)
