--- a/oleanderstair/code_archive.py
+++ b/oleanderstair/code_archive.py
@@ -41,7 +41,7 @@
     path: str
     is_package: bool
     size: int
-    changed_ns: int
+    changed_s: int
     code_start: int
     code_end: int
 
@@ -151,4 +151,5 @@
         found = os.stat(source)
     except OSError:
         return False
-    return (found.st_size, found.st_mtime_ns) == (entry.size, entry.changed_ns)
+    # Copies may keep whole seconds only; Python's own files compare these, too.
+    return (found.st_size, int(found.st_mtime)) == (entry.size, entry.changed_s)
--- a/oleanderstair/platform/build_archive.py
+++ b/oleanderstair/platform/build_archive.py
@@ -48,7 +48,7 @@
                 _relative(loader.get_filename(name)),
                 loader.is_package(name),
                 found.st_size,
-                found.st_mtime_ns,
+                int(found.st_mtime),
                 start,
                 len(code),
             )
--- a/test/test_code_archive.py
+++ b/test/test_code_archive.py
@@ -76,6 +76,14 @@
     assert loaders == ['SourceFileLoader', '_ArchiveLoader']
 
 
+# Guards against an archive that is never used because the copy of the program
+# to an instance dropped parts of a second.
+def test_times_are_compared_in_whole_seconds(folder):
+    source = folder / 'library.py'
+    os.utime(source, (0, int(source.stat().st_mtime)))
+    assert run(folder, PROGRAM)[3:] == ['_ArchiveLoader', '_ArchiveLoader']
+
+
 # Guards against modules of the folder of the build, where that still exists.
 def test_moved_program_imports_its_own_modules(folder):
     moved = folder.with_name('moved')
