--- a/oleanderstair/platform/platform_app.py
+++ b/oleanderstair/platform/platform_app.py
@@ -66,6 +66,7 @@
         samples = [
             *gauges.read(runtime.state, now_ms),
             *_bytes_of(runtime.ledger),
+            *gauges.read_start(runtime.times),
         ]
         body = exposition.write(runtime.metrics, samples).encode()
         fields = [
