--- a/oleanderstair/emulator/gateway_callers.py
+++ b/oleanderstair/emulator/gateway_callers.py
@@ -74,7 +74,8 @@
 class Demand:
     """Requests of all kinds of a plan, sent whether or not they are answered.
 
-    ``strength`` multiplies the rates; tests may change it while it runs.
+    ``strength`` multiplies the rates, and ``kind_strengths`` those of single
+    kinds by name; tests may change them while it runs.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
         """Send nothing until ``run_for``."""
         self.requests: list[Request] = []
         self.strength: float = 1
+        self.kind_strengths: dict[str, float] = {}
         self._fleet = fleet
         self._plan = plan
         self._until_ms: clock.Millis = 0
@@ -104,7 +106,8 @@
 
     def _wait_for_next(self, kind: plans.Kind) -> None:
         now_ms = self._fleet.times.now_ms()
-        per_ms = kind.per_s * self._wave(now_ms) * self.strength / _MS_PER_S
+        strength = self.strength * self.kind_strengths.get(kind.name, 1)
+        per_ms = kind.per_s * self._wave(now_ms) * strength / _MS_PER_S
         after_ms = self._arrivals.expovariate(per_ms)
         if now_ms + after_ms < self._until_ms:
             self._fleet.times.after(
--- a/oleanderstair/emulator/gateway_targets.py
+++ b/oleanderstair/emulator/gateway_targets.py
@@ -56,8 +56,10 @@
 class GatewayTarget:
     """A target of an instance that carries calls on routes.
 
-    Tests change ``behaviour``, ``leaving``, ``limit_per_s``, ``fail_share``
-    and the fields of ``machine`` while it runs. ``work`` draws the ms of a run.
+    Tests change ``behaviour``, ``leaving``, ``limit_per_s``, ``fail_share``,
+    ``shed_share`` and the fields of ``machine`` while it runs. ``work`` draws
+    the ms of a run. ``shed_share`` is the share of arrivals that is shed even
+    if slots are free.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         self.crowded_factor = 1.0
         self.behaviour = Behaviour.SERVE
         self.fail_share: float = 0
+        self.shed_share: float = 0
         self.crashing_paths: set[str] = set()
         self.leaving = False
         self.limit_per_s: float | None = None
@@ -128,6 +131,8 @@
             exchange.answer(Reply(events.Verdict.NOT_SENT, crashed=True))
         elif self.behaviour is Behaviour.SHED:
             self._shed(exchange)
+        elif self.shed_share and self.rng.random() < self.shed_share:
+            self._shed(exchange)
         else:
             self._take_in(exchange)
 
