Admit calls by urgency while a service is short of slots

While capacity was short, callers of long calls of low urgency were served in preference to urgent ones: a call is queued for a quarter of its own latency target, and nothing limits what the less urgent ranks occupy. While targets shed with free slots, all ranks shared the retry budget alike.

With admission_by_rank an instance estimates the pressure on a service from load reads, which show the load of the whole fleet, and from calls without a free slot. A level adjusted every 500 ms (down by a factor, up by a step, unchanged in between) rejects a part of the less urgent half of the ranks at arrival as not-admitted. These calls leave the last free slot of a target to others, the most urgent rank may be queued until it would be late, returned calls go first, and the retry budget goes to urgent calls first. No message is sent.

Rejecting middle ranks and cutting the retries of non-idempotent calls were tried and dropped.

The test of layers knows the new package; no test or check is eased.

--- a/oleanderstair/domain/calls/attempt_feedback.py
+++ b/oleanderstair/domain/calls/attempt_feedback.py
@@ -2,6 +2,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import events, world
+from oleanderstair.domain.admission import pressure
 from oleanderstair.domain.calls import retry_budget, routed_retries
 from oleanderstair.domain.tables import calls, latencies, routed
 from oleanderstair.domain.targets import (
@@ -35,6 +36,8 @@
         if shed_with_free_slots:
             penalty = outlier_detection.SHED_WITH_FREE_SLOTS_PENALTY
             outlier_detection.record_failure(state, target_id, penalty, now_ms)
+        elif event.load is not None:
+            pressure.record_short(state, call.service, now_ms)
     elif events.is_success(event):
         outlier_detection.record_success(state, target_id, now_ms)
         _record_slowdown(state, call, ended, event, now_ms)
--- a/oleanderstair/domain/calls/caller_wait.py
+++ b/oleanderstair/domain/calls/caller_wait.py
@@ -11,7 +11,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import world
-from oleanderstair.domain.tables import caller_timeouts
+from oleanderstair.domain.tables import admission, caller_timeouts
 from oleanderstair.domain.targets import slot_shortage
 
 INITIAL_FIRST_ATTEMPT_SHARE: typing.Final = 0.75
@@ -50,8 +50,8 @@
 ) -> None:
     """Update the longest time left of a route and the learned share.
 
-    The share is learned only while no call of the service lacks a free slot,
-    since nearly all calls are first attempts then.
+    The share is learned only while no call of the service lacks a free slot or
+    is rejected by rank, since nearly all calls are first attempts then.
     """
     timeouts = state.caller_timeouts.timeouts_by_route.get(route)
     if (
@@ -105,4 +105,8 @@
     started_at_ms = state.members.first_tick_at_ms
     if started_at_ms is None or now_ms - started_at_ms < LEARNING_DELAY_MS:
         return False
+    if state.policy.admission_by_rank and admission.is_limited(
+        state.admission, service
+    ):
+        return False
     return not slot_shortage.has_shortage(state, service, now_ms)
--- a/oleanderstair/domain/calls/routed_calls.py
+++ b/oleanderstair/domain/calls/routed_calls.py
@@ -2,6 +2,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, outcomes, world
+from oleanderstair.domain.admission import decide, pressure
 from oleanderstair.domain.calls import (
     attempt_feedback,
     caller_wait,
@@ -65,20 +66,41 @@
                 grace_period_stop.RETRY_AFTER_MS,
             ),
         ]
+    return _admit_or_reject(state, event, route, now_ms)
+
+
+def _admit_or_reject(
+    state: world.World,
+    event: events.CallReceived,
+    route: routes.Route,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Reject a call while its rank is not admitted, or start it."""
     left_ms = event.deadline_ms - now_ms
+    arrival = decide.Arrival(
+        event,
+        route,
+        _service_of(state, route, event),
+        caller_wait.min_waited_ms(state, route.name, left_ms),
+    )
+    if not event.from_peer:
+        caller_wait.record_time_left(
+            state, route.name, arrival.service, left_ms, now_ms
+        )
+    rejection = decide.reject_or_admit(state, arrival, now_ms)
+    if rejection:
+        return rejection
     call = routed.RoutedCall(
         received=event,
         route=_limit_attempts(route, event),
-        service=_service_of(state, route, event),
+        service=arrival.service,
         received_at_ms=now_ms,
-        due_at_ms=due_at_ms,
-        caller_waited_ms=caller_wait.min_waited_ms(state, route.name, left_ms),
+        due_at_ms=min(event.deadline_ms, now_ms + route.timeout_ms),
+        caller_waited_ms=arrival.caller_waited_ms,
     )
+    pressure.record_call(state, call.service, now_ms)
     if not event.from_peer:
         # The peer counts the calls that it forwards.
-        caller_wait.record_time_left(
-            state, route.name, call.service, left_ms, now_ms
-        )
         retry_budget.count_call(state, call.service, now_ms)
     due = events.CallDue(call.call_id)
     return [
--- a/oleanderstair/domain/calls/routed_queueing.py
+++ b/oleanderstair/domain/calls/routed_queueing.py
@@ -14,7 +14,9 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, outcomes, world
+from oleanderstair.domain.admission import pressure
 from oleanderstair.domain.calls import (
+    queue_urgency,
     routed_answering,
     routed_dispatching,
     slot_use,
@@ -215,6 +217,8 @@
     )
     state.routed.call_by_id[call.call_id] = call
     state.routed.slots_short_at_ms_by_service[call.service] = now_ms
+    if not call.send_count:
+        pressure.record_short(state, call.service, now_ms)
     queued_ids = state.routed.queued_ids_by_service.setdefault(
         call.service,
         [],
@@ -236,6 +240,7 @@
 ) -> clock.Millis:
     """Return until when a call may be queued."""
     max_wait_ms = MAX_WAIT_SHARE * call.route.aim_ms
+    max_wait_ms += queue_urgency.extra_wait_ms(state, call, max_wait_ms, now_ms)
     if slot_use.is_expected_late(state, call, now_ms):
         max_wait_ms = LATE_MAX_WAIT_SHARE * (
             call.due_at_ms - call.received_at_ms
@@ -364,14 +369,15 @@
     state: world.World,
     call: routed.RoutedCall,
     now_ms: clock.Millis,
-) -> tuple[bool, int, clock.Millis]:
+) -> tuple[bool, int, int, clock.Millis]:
     """Return a sort key by which queued calls are dispatched.
 
     Calls that can meet their latency target are first, then those of a lower
-    ``rank``, then the newest.
+    ``rank``, then those that ``queue_urgency`` puts first, then the newest.
     """
     late = slot_use.is_expected_late(state, call, now_ms)
-    return late, call.route.rank, -call.received_at_ms
+    returned = queue_urgency.returned_order(state, call)
+    return late, call.route.rank, returned, -call.received_at_ms
 
 
 def _median_latency_ms(
--- a/oleanderstair/domain/calls/routed_retries.py
+++ b/oleanderstair/domain/calls/routed_retries.py
@@ -4,7 +4,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import events, outcomes, world
-from oleanderstair.domain.calls import retry_budget
+from oleanderstair.domain.calls import queue_urgency, retry_budget
 from oleanderstair.domain.tables import calls, routed
 
 _MAX_UNSENT_ATTEMPTS: typing.Final = 3
@@ -75,6 +75,7 @@
     share = retry_budget.NON_IDEMPOTENT_RETRY_SHARE
     if call.route.idempotent:
         share = retry_budget.IDEMPOTENT_RETRY_SHARE
+    share = queue_urgency.retry_share(state, call, share)
     return retry_budget.may_send_extra_attempt(
         state, call.service, share, now_ms
     )
--- a/oleanderstair/domain/calls/slot_use.py
+++ b/oleanderstair/domain/calls/slot_use.py
@@ -10,6 +10,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import world
+from oleanderstair.domain.admission import reserved_slots
 from oleanderstair.domain.tables import load_reports, routed
 from oleanderstair.domain.targets import expected_latencies, slot_estimates
 
@@ -66,10 +67,12 @@
     """Return whether a call may use a free slot of a target now.
 
     False if it would waste the slot, or if the slot is reserved for calls
-    that can meet their latency target.
+    that can meet their latency target or are more urgent.
     """
     if is_slot_wasted(state, call, target_id, now_ms):
         return False
+    if reserved_slots.is_reserved(state, call, target_id, now_ms):
+        return False
     return is_allowed_by_reserve(state, call, target_id, now_ms)
 
 
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -10,6 +10,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, stepping, world
+from oleanderstair.domain.admission import pressure, threshold
 from oleanderstair.domain.calls import (
     crashing_requests,
     retry_budget,
@@ -47,6 +48,7 @@
         sampling.on_load_read,
         routed_dispatching.on_load_read,
         routed_queueing.on_load_read,
+        pressure.on_load_read,
     ),
     events.SampleDue: (routed_dispatching.on_sample_due,),
     events.TargetTold: (
@@ -96,6 +98,7 @@
         roster_exchange.on_tick,
         instance_count.on_tick,
         retry_budget.on_tick,
+        threshold.on_tick,
         operator_sync.on_tick,
         store_watch.on_tick,
         registry_updates.on_tick,
--- a/oleanderstair/domain/outcomes.py
+++ b/oleanderstair/domain/outcomes.py
@@ -39,6 +39,7 @@
     KEY_MISMATCH = 'key-mismatch'
     HOME_LOST = 'home-lost'
     OVERLOADED = 'overloaded'
+    NOT_ADMITTED = 'not-admitted'
     DEADLINE = 'deadline'
     CRASHES_TARGETS = 'crashes-targets'
     SUSPECTED = 'suspected'
@@ -138,6 +139,10 @@
         _UNAVAILABLE,
         'call again after the time in retry-after',
     ),
+    Reason.NOT_ADMITTED: RefusalResponse(
+        _UNAVAILABLE,
+        'call again after the time in retry-after; more urgent calls go first',
+    ),
     Reason.DEADLINE: RefusalResponse(
         http.HTTPStatus.GATEWAY_TIMEOUT,
         'allow more time or call again after the time in retry-after',
--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -6,6 +6,7 @@
 
 from oleanderstair.domain import policy
 from oleanderstair.domain.tables import (
+    admission,
     budgets,
     caller_timeouts,
     calls,
@@ -74,6 +75,7 @@
     store: store.StoreTable
     operator_state: operator_state.OperatorStateTable
     members: members.MembersTable
+    admission: admission.AdmissionTable
 
 
 def create(
@@ -113,4 +115,5 @@
         store=store.create(),
         operator_state=operator_state.create(),
         members=members.create(),
+        admission=admission.create(),
     )
--- a/oleanderstair/explaining/causes.py
+++ b/oleanderstair/explaining/causes.py
@@ -261,6 +261,12 @@
     return f'{_queued(facts)}; {_by_attempts(facts)}'
 
 
+def _not_admitted(facts: typing.Sequence[Fact]) -> str:
+    return (
+        'capacity of its service was short, and its rank was admitted in part'
+    )
+
+
 def _queued(facts: typing.Sequence[Fact]) -> str:
     """Return how long a call waited for room, and why it got none."""
     queued = _last(facts, 'queued') or opening_of(facts)
@@ -361,6 +367,7 @@
     'unconfirmed': _known,
     'configuration-refused': _known,
     'overloaded': _overloaded,
+    'not-admitted': _not_admitted,
     'timeout': _out_of_time,
     'stopping': _stopping,
 }
--- a/oleanderstair/explaining/failures.py
+++ b/oleanderstair/explaining/failures.py
@@ -241,6 +241,7 @@
     'configuration-refused': 'no published configuration could be read',
     'stopping': 'its instance was at a planned stop',
     'deadline': 'it came without time left',
+    'not-admitted': 'more urgent calls were admitted before it',
     'suspected': 'requests like it had made targets crash',
     'no-target': 'no target was known or usable',
     'isolated': 'no instance that was asked reached a target',
--- a/oleanderstair/explaining/gauges.py
+++ b/oleanderstair/explaining/gauges.py
@@ -5,6 +5,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import world
+from oleanderstair.domain.admission import pressure
 from oleanderstair.domain.calls import retry_budget
 from oleanderstair.domain.fleet import readiness
 from oleanderstair.domain.tables import registry, revisions
@@ -52,6 +53,7 @@
         *_limits(state),
         *_calls(state),
         *_budgets(state, now_ms),
+        *_admission(state, now_ms),
     ]
 
 
@@ -130,3 +132,19 @@
         Gauge('calls_open', (('service', service), ('stage', stage)), count)
         for (service, stage), count in sorted(counted.items())
     ]
+
+
+def _admission(state: world.World, now_ms: clock.Millis) -> list[Gauge]:
+    rows = sorted(state.admission.admission_by_service.items())
+    return [
+        gauge
+        for service, row in rows
+        for gauge in (
+            Gauge('admission_level', (('service', service),), row.level),
+            Gauge(
+                'admission_pressure',
+                (('service', service),),
+                pressure.pressure_of(row, now_ms),
+            ),
+        )
+    ]
--- a/test/test_layers.py
+++ b/test/test_layers.py
@@ -8,7 +8,15 @@
 import oleanderstair
 
 PACKAGE = pathlib.Path(oleanderstair.__file__).parent
-ORDER = ('tables', 'fleet', 'configuration', 'targets', 'calls', 'proof')
+ORDER = (
+    'tables',
+    'fleet',
+    'configuration',
+    'targets',
+    'admission',
+    'calls',
+    'proof',
+)
 
 
 def _imported_rooms(path: pathlib.Path) -> set[str]:
