--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -6,6 +6,7 @@
 
 from oleanderstair.domain import policy
 from oleanderstair.domain.tables import (
+    admission,
     budgets,
     caller_timeouts,
     calls,
@@ -76,6 +77,7 @@
     store: store.StoreTable
     operator_state: operator_state.OperatorStateTable
     members: members.MembersTable
+    admission: admission.AdmissionTable
 
 
 def create(
@@ -116,4 +118,5 @@
         store=store.create(),
         operator_state=operator_state.create(),
         members=members.create(),
+        admission=admission.create(),
     )
