--- a/oleanderstair/domain/fleet/codec.py
+++ b/oleanderstair/domain/fleet/codec.py
@@ -50,8 +50,6 @@
     'ss': messages.StoreState,
     'or': messages.OperatorStateRequest,
     'os': messages.OperatorState,
-    'rr': messages.RegionsRequest,
-    'rg': messages.Regions,
 }
 _BODY_BY_TAG: typing.Final[dict[str, type[messages.FactBody]]] = {
     'tl': messages.TargetLeaving,
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -30,7 +30,6 @@
     instance_count,
     limits_reload,
     readiness,
-    regions,
     roster_exchange,
 )
 from oleanderstair.domain.targets import (
@@ -90,7 +89,6 @@
     events.OperatorStateTold: (readiness.on_store_state,),
     events.PeerHeard: (
         roster_exchange.on_peer,
-        regions.on_peer,
         store_sync.on_peer,
         operator_sync.on_peer,
         crashing_requests.on_peer,
@@ -100,7 +98,6 @@
     ),
     events.Tick: (
         roster_exchange.on_tick,
-        regions.on_tick,
         instance_count.on_tick,
         retry_budget.on_tick,
         threshold.on_tick,
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -384,17 +384,6 @@
     withheld: tuple[operator_state.Evacuation, ...] = ()
 
 
-class RegionsRequest(typing.NamedTuple):
-    """A request for the regions of data centres."""
-
-
-class Regions(typing.NamedTuple):
-    """The regions of the data centres that the sender knows."""
-
-    region_by_data_centre: dict[str, str]
-
-
-MemberMessage: typing.TypeAlias = Roster | RegionsRequest | Regions
 StoreMessage: typing.TypeAlias = (
     StoreAsk | StoreState | OperatorStateRequest | OperatorState
 )
@@ -413,6 +402,6 @@
     | CallCrashed
     | TargetLeft
     | TargetLimited
-    | MemberMessage
+    | Roster
     | StoreMessage
 )
--- a/oleanderstair/domain/tables/members.py
+++ b/oleanderstair/domain/tables/members.py
@@ -74,9 +74,8 @@
     data centre. ``version`` changes whenever the view must be derived again.
     ``compared_checksum`` is the local checksum that was last sent to remote
     delegates. ``beat``, ``failing`` and ``started_ms`` are those of this
-    instance. ``region_by_data_centre`` holds the regions of other data centres
-    as far as they are known, ``region_asked_at_ms`` when a member was last
-    asked for one, and ``region_request_count`` how often.
+    instance. ``region_by_data_centre`` holds the regions of data centres that
+    the settings name.
     """
 
     seeds: tuple[str, ...] = ()
@@ -100,8 +99,6 @@
     compared_checksum: int = 0
     last_tick_at_ms: clock.Millis = clock.NEVER_MS
     region_by_data_centre: dict[str, str] = msgspec.field(default_factory=dict)
-    region_asked_at_ms: clock.Millis = clock.NEVER_MS
-    region_request_count: int = 0
     review_due_ms: clock.Millis = clock.NEVER_MS
     round_due_ms: clock.Millis = clock.NEVER_MS
     remote_round_due_ms: clock.Millis = clock.NEVER_MS
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -154,6 +154,9 @@
             random.Random(secrets.randbits(_SEED_BITS)),
         )
         state.members.seeds = tuple(self.node_settings.peers.seeds)
+        state.members.region_by_data_centre = dict(
+            self.node_settings.instance.regions
+        )
         state.members.started_ms = time.time_ns() // _NS_PER_MS
         runtime = gateway_runtime.GatewayRuntime(
             state, sides, tasks, self.times
--- a/oleanderstair/settings.py
+++ b/oleanderstair/settings.py
@@ -66,11 +66,15 @@
 
 
 class InstanceSettings(msgspec.Struct, forbid_unknown_fields=True):
-    """The id and location of the instance, and its machine's capacity."""
+    """The id and location of the instance, and its machine's capacity.
+
+    ``regions`` holds the region of each data centre.
+    """
 
     id: _NAME
     region: _NAME
     data_centre: _NAME
+    regions: dict[str, str]
     capacity: CapacitySettings
 
 
