--- a/oleanderstair/domain/fleet/codec.py
+++ b/oleanderstair/domain/fleet/codec.py
@@ -45,6 +45,7 @@
     'cc': messages.CallCrashed,
     'lt': messages.TargetLeft,
     'ls': messages.TargetLimited,
+    'tc': messages.TargetCold,
     'ro': messages.Roster,
     'sa': messages.StoreAsk,
     'ss': messages.StoreState,
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -94,6 +94,7 @@
         crashing_requests.on_peer,
         leaving_announcements.on_peer,
         rate_limits.on_peer,
+        slow_start_limits.on_peer,
         reachability.on_peer,
     ),
     events.Tick: (
--- a/oleanderstair/domain/messages.py
+++ b/oleanderstair/domain/messages.py
@@ -333,6 +333,18 @@
     is_over: bool = False
 
 
+class TargetCold(typing.NamedTuple):
+    """A health response of a target that was warm states a slow start.
+
+    ``born_ms`` is the start time of the target, and ``cold_ms`` for how much
+    longer it is in slow start.
+    """
+
+    target_id: str
+    born_ms: int
+    cold_ms: clock.Millis
+
+
 class StoreAsk(typing.NamedTuple):
     """A request for the changes of the store after the sender's own state."""
 
@@ -402,6 +414,7 @@
     | CallCrashed
     | TargetLeft
     | TargetLimited
+    | TargetCold
     | Roster
     | StoreMessage
 )
--- a/oleanderstair/domain/targets/slow_start_limits.py
+++ b/oleanderstair/domain/targets/slow_start_limits.py
@@ -3,8 +3,9 @@
 A target may turn cold at any moment, together with all of its data centre, and
 crashes well above its rate. So a target is sent calls without a limit only for
 ``WARM_VALID_MS`` after the request of a health response that says that it is
-warm. Any other target of a service with a slow start limit is limited: it is
-cold, in doubt, or its report is old.
+warm, and until another instance reports that it has turned cold. Any other
+target of a service with a slow start limit is limited: it is cold, in doubt, or
+its report is old.
 
 A limited target gets calls from a few senders, chosen by rendezvous hash over
 all instances that were known recently, live or not. A sender must be among the
@@ -17,8 +18,12 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import actions, events, rendezvous, world
-from oleanderstair.domain.fleet import host_assignment, member_list
+from oleanderstair.domain import actions, events, messages, rendezvous, world
+from oleanderstair.domain.fleet import (
+    broadcast,
+    host_assignment,
+    member_list,
+)
 from oleanderstair.domain.tables import (
     budgets,
     calls,
@@ -36,10 +41,13 @@
     read_budgets,
 )
 
-WARM_VALID_MS: typing.Final[clock.Millis] = 200
+WARM_VALID_MS: typing.Final[clock.Millis] = 1000
 """How long a target that was warm is sent calls without a limit.
 
-Within this time some calls may reach a target that has just turned cold.
+Most instances read a target less than once a second within the read budget.
+With 200 ms, targets that were warm were limited at these for most of the time.
+All instances together read each target many times a second, and the first that
+finds it cold tells the others.
 """
 
 NOTICE_SHARE: typing.Final = 0.5
@@ -242,6 +250,28 @@
     return [_audit(entry, 'warm')]
 
 
+def on_peer(
+    state: world.World, event: events.PeerHeard, now_ms: clock.Millis
+) -> list[actions.Action]:
+    """Record that a target has turned cold, as a peer reports; pass it on."""
+    message = event.message
+    if not isinstance(message, messages.TargetCold):
+        return []
+    if not 0 < message.cold_ms <= MAX_COLD_MS:
+        return [actions.Count('invalid-messages', 'TargetCold')]
+    forwards = broadcast.forward_message(state, event.sender, message)
+    entry = state.registry.entry_by_id.get(message.target_id)
+    if entry is None or entry.born_ms != message.born_ms:
+        return forwards
+    if limit_of(state, entry.service) is None:
+        return forwards
+    source = f'peer {event.sender}'
+    return [
+        *_put_cold(state, entry, message.cold_ms, source, now_ms),
+        *forwards,
+    ]
+
+
 def record_attempt(
     state: world.World,
     ended: calls.Attempt,
@@ -361,8 +391,24 @@
     report: load_reports.Report,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Record a stated slow start; return an audit entry if it is new."""
+    """Record a stated slow start; tell the peers if it is news to them."""
     cold_ms = min(report.slow_start_ms or 0, MAX_COLD_MS)
+    audits = _put_cold(state, entry, cold_ms, 'health', now_ms)
+    if not audits or now_ms < entry.slow_start_until_ms:
+        # It is known already, here or by the entry of the target.
+        return audits
+    notice = messages.TargetCold(entry.target_id, entry.born_ms, cold_ms)
+    return [*audits, *broadcast.broadcast_message(state, notice)]
+
+
+def _put_cold(
+    state: world.World,
+    entry: registry.Entry,
+    cold_ms: clock.Millis,
+    source: str,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """Record that a target is cold; return an audit entry if that is new."""
     warmth = _warmth_of(state, entry)
     until_ms = now_ms + cold_ms
     state.slow_starts.warmth_by_id[entry.target_id] = warmth._replace(
@@ -371,7 +417,7 @@
     _record_cold_service(state, entry.service, until_ms)
     if now_ms < warmth.cold_until_ms:
         return []
-    return [_audit(entry, f'cold for {cold_ms:.0f} ms')]
+    return [_audit(entry, f'cold for {cold_ms:.0f} ms', source)]
 
 
 def _record_cold_service(
@@ -390,8 +436,10 @@
     )
 
 
-def _audit(entry: registry.Entry, change: str) -> actions.Action:
-    return actions.Audit('target', entry.target_id, 'health', change)
+def _audit(
+    entry: registry.Entry, change: str, source: str = 'health'
+) -> actions.Action:
+    return actions.Audit('target', entry.target_id, source, change)
 
 
 def _tokens(
