Keep reads for targets whose warm report expires; describe slow start limits

A target is limited 200 ms after its last warm report, and a burst of calls used up the few reads that an instance has of a target in a second. The members are gone through only when they change.

--- a/oleanderstair/domain/tables/slow_starts.py
+++ b/oleanderstair/domain/tables/slow_starts.py
@@ -48,7 +48,9 @@
     ``version`` changes with the instances and pool sizes from which
     ``candidate_ids_by_target`` is derived, as of ``derived_from``.
     ``no_share_until_ms`` is until when this instance may not know all others.
-    ``cold_until_ms_by_service`` is the latest end of a stated slow start.
+    The instances were last recorded at ``recorded_at_ms``, as of
+    ``recorded_version`` of the members. ``cold_until_ms_by_service`` is the
+    latest end of a stated slow start.
     """
 
     warmth_by_id: dict[str, Warmth] = msgspec.field(default_factory=dict)
@@ -74,6 +76,8 @@
     ready_ids_version: int = -1
     first_reviewed_at_ms: clock.Millis | None = None
     reviewed_at_ms: clock.Millis = clock.NEVER_MS
+    recorded_version: int = -1
+    recorded_at_ms: clock.Millis = clock.NEVER_MS
     no_share_until_ms: clock.Millis = 0
 
 
--- a/oleanderstair/domain/targets/read_budgets.py
+++ b/oleanderstair/domain/targets/read_budgets.py
@@ -53,10 +53,14 @@
     state: world.World,
     entry: registry.Entry,
     now_ms: clock.Millis,
+    kept_count: int = 0,
 ) -> bool:
-    """Return whether the budget allows a read of a target now."""
-    recent = _recent_reads(state, entry, now_ms)
-    return len(recent) < own_reads_per_s(state, entry, now_ms)
+    """Return whether the budget allows a read of a target now.
+
+    ``kept_count`` reads are left for later.
+    """
+    used_count = len(_recent_reads(state, entry, now_ms)) + kept_count
+    return used_count < own_reads_per_s(state, entry, now_ms)
 
 
 def spend_read(
--- a/oleanderstair/domain/targets/sampling.py
+++ b/oleanderstair/domain/targets/sampling.py
@@ -250,6 +250,8 @@
     is_fresh = now_ms - load.reported_at_ms <= FRESH_REPORT_MS
     if is_fresh and not slow_start_limits.is_limited(state, entry, now_ms):
         return None
+    if slow_start_limits.is_read_kept(state, entry, now_ms):
+        return None
     in_force = state.routes.in_force
     if in_force is None or entry.service not in in_force.service_by_name:
         return None
--- a/oleanderstair/domain/targets/slow_start_limits.py
+++ b/oleanderstair/domain/targets/slow_start_limits.py
@@ -14,6 +14,7 @@
 of them together stay within the limit.
 """
 
+import math
 import typing
 
 from oleanderstair import clock
@@ -52,6 +53,15 @@
 """The longest slow start that a health response is trusted for. Afterwards the
 target is read again."""
 
+KEPT_READS: typing.Final = math.ceil(
+    read_budgets.READ_WINDOW_MS / WARM_VALID_MS
+)
+"""The reads of a target that are kept for when its last report is too old.
+
+Otherwise a burst of calls uses up the reads of a second, and the target is
+limited for the rest of it.
+"""
+
 UNREAD_WAIT_MS: typing.Final[clock.Millis] = 50
 """The assumed time until a target whose report is old can be read."""
 
@@ -72,6 +82,10 @@
 """How long an instance counts as known after it was last live."""
 
 REVIEW_PERIOD_MS: typing.Final[clock.Millis] = 1000
+"""How often it is checked whether the members have changed."""
+
+RECORD_PERIOD_MS: typing.Final[clock.Millis] = 30_000
+"""How often the live instances are recorded while they don't change."""
 
 _MAX_GROWTH_SHARE: typing.Final = 0.05
 """The share of new instances in a review above which the list is incomplete."""
@@ -159,6 +173,17 @@
     return read_budgets.may_read(state, entry, now_ms)
 
 
+def is_read_kept(
+    state: world.World, entry: registry.Entry, now_ms: clock.Millis
+) -> bool:
+    """Return whether a read of a target should wait until it is needed."""
+    if limit_of(state, entry.service) is None:
+        return False
+    if is_limited(state, entry, now_ms):
+        return False
+    return not read_budgets.may_read(state, entry, now_ms, KEPT_READS)
+
+
 def count_send(
     state: world.World, entry: registry.Entry, now_ms: clock.Millis
 ) -> list[actions.Action]:
@@ -290,15 +315,12 @@
     if table.first_reviewed_at_ms is None:
         table.first_reviewed_at_ms = now_ms
         table.no_share_until_ms = now_ms + SETTLE_MS
+    if _is_review_recent(state, now_ms):
+        return []
     old_count = len(table.known_by_id)
     new_count = _record_known(state, now_ms)
     if new_count > max(1, _MAX_GROWTH_SHARE * old_count):
         table.no_share_until_ms = now_ms + SETTLE_MS
-    for target_service, until_ms in tuple(
-        table.cold_until_ms_by_service.items()
-    ):
-        if now_ms >= until_ms:
-            table.cold_until_ms_by_service.pop(target_service)
     return []
 
 
@@ -432,6 +454,18 @@
     return locality.data_centres(state) <= known_data_centres
 
 
+def _is_review_recent(state: world.World, now_ms: clock.Millis) -> bool:
+    """Return whether the members are as at a recent review of all of them."""
+    table = state.slow_starts
+    version = state.members.version
+    is_known = table.recorded_version == version
+    if is_known and now_ms - table.recorded_at_ms < RECORD_PERIOD_MS:
+        return True
+    table.recorded_version = version
+    table.recorded_at_ms = now_ms
+    return False
+
+
 def _record_known(state: world.World, now_ms: clock.Millis) -> int:
     """Record the live instances; return how many of them are new."""
     table = state.slow_starts
--- a/test/test_slow_start_limits.py
+++ b/test/test_slow_start_limits.py
@@ -233,3 +233,16 @@
         fleet.call('entry-0', 'lookup')
         fleet.run_for(150)
     assert fleet.target_by_id['burza-1'].arrivals >= 17
+
+
+def test_few_reads_are_kept_for_when_a_report_expires():
+    # Guards against a burst of calls that uses up the reads of a second, after
+    # which a warm target is limited for the rest of it.
+    fleet = make_fleet(probes_per_s=8)
+    call_ids = []
+    for _ in range(150):
+        call_ids.append(fleet.call('entry-0', 'lookup'))
+        fleet.run_for(20)
+    fleet.run_for(500)
+    statuses = [fleet.told_by_call[call_id].status for call_id in call_ids]
+    assert statuses.count(200) >= 0.85 * len(statuses)
