Let all targets of the soak return cold at once, and check the bound

Guards against instances that send cold targets more than the bound, whatever has struck them. The soak's settings now limit slow starts, in all scenes.

--- a/oleanderstair/emulator/load_targets.py
+++ b/oleanderstair/emulator/load_targets.py
@@ -21,6 +21,7 @@
 _UNAVAILABLE: typing.Final = 503
 _SHED_FIELD: typing.Final = (dialect.NOT_RUN, b'1')
 _MAX_BODY_BYTES: typing.Final = 1_000_000
+_MS_PER_S: typing.Final = 1000
 _BODY_MS: typing.Final[clock.Millis] = 5000
 
 
@@ -52,7 +53,8 @@
 class LoadTarget:
     """One target; tests change its fields while it runs.
 
-    ``raw`` are the bytes that it writes where ``behaviour`` is GARBLED.
+    ``raw`` are the bytes that it writes where ``behaviour`` is GARBLED. Until
+    ``cold_until_s`` its health responses state a slow start.
     """
 
     target_id: str
@@ -64,6 +66,7 @@
     says_leaving: bool = False
     rest: bytes = b''
     limit: bytes = b''
+    cold_until_s: float = 0
     raw: bytes = b'\x00\xff nothing of the protocol\r\n\r\n'
     running: int = 0
     reads: int = 0
@@ -104,7 +107,11 @@
     async def _answer_health(self, send: asgi.Send) -> None:
         self.reads += 1
         status = _UNAVAILABLE if self.leaving else _OK
-        await self._answer(send, status, b'', [])
+        cold_ms = (self.cold_until_s - anyio.current_time()) * _MS_PER_S
+        fields = []
+        if cold_ms > 0:
+            fields = [(dialect.SLOW_START_MS, str(int(cold_ms)).encode())]
+        await self._answer(send, status, b'', fields)
 
     async def _take(
         self,
--- a/soak/bounds.py
+++ b/soak/bounds.py
@@ -25,6 +25,17 @@
 """A limited target gets no more in a window than the factor times what its
 limit allows there, and the slack."""
 
+COLD_PER_S: typing.Final = 8
+"""The requests a second that a target tolerates in its slow start."""
+
+COLD_FACTOR: typing.Final = 1.5
+COLD_SLACK: typing.Final = 8
+"""A cold target gets no more in any second than the factor times its rate, and
+the slack, from all instances, in touch or not."""
+
+COLD_S: typing.Final = 3
+"""How long a slow start lasts."""
+
 STOP_S: typing.Final = 6
 """From the signal of a planned stop until the process is killed."""
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -172,11 +172,7 @@
     for from_s in sorted(sent_s):
         until_s = from_s + bounds.LIMIT_WINDOW_S
         count = sum(from_s <= at_s < until_s for at_s in sent_s)
-        span_s = bounds.LIMIT_WINDOW_S + sum(
-            stall.until_s - stall.from_s
-            for stall in seen.stalls
-            if stall.from_s <= until_s and stall.until_s >= from_s
-        )
+        span_s = bounds.LIMIT_WINDOW_S + _stalled_s(seen, from_s, until_s)
         allowed = bounds.LIMIT_FACTOR * bounds.LIMIT_PER_S * span_s
         if count > allowed + bounds.LIMIT_SLACK:
             told = f'{target} got {count} calls from {from_s:.2f} s on'
@@ -184,6 +180,37 @@
             return
 
 
+def cold_targets_are_spared(seen: record.Record) -> Findings:
+    """Find cold targets that were sent more calls than they tolerate.
+
+    No instance is excused, whatever has struck it.
+    """
+    for span in seen.cold:
+        ran_s = [
+            run.at_s
+            for run in seen.runs
+            if run.target == span.where
+            and span.from_s <= run.at_s < span.until_s
+        ]
+        for from_s in sorted(ran_s):
+            count = sum(from_s <= at_s < from_s + 1 for at_s in ran_s)
+            span_s = 1 + _stalled_s(seen, from_s, from_s + 1)
+            allowed = bounds.COLD_FACTOR * bounds.COLD_PER_S * span_s
+            if count > allowed + bounds.COLD_SLACK:
+                told = f'{span.where} got {count} calls from {from_s:.2f} s on'
+                yield Finding('cold', told)
+                break
+
+
+def _stalled_s(seen: record.Record, from_s: float, until_s: float) -> float:
+    """Return how long the soak stalled in a time, by which it seems shorter."""
+    return sum(
+        stall.until_s - stall.from_s
+        for stall in seen.stalls
+        if stall.from_s <= until_s and stall.until_s >= from_s
+    )
+
+
 def configurations_are_in_force(seen: record.Record) -> Findings:
     """Find calls handled by an older configuration long after a newer."""
     known_s_by_version = dict(seen.published)
@@ -253,6 +280,7 @@
     planned_work_cuts_nothing,
     leaving_targets_get_nothing_new,
     limits_are_kept,
+    cold_targets_are_spared,
     configurations_are_in_force,
     configurations_never_revert,
     instances_go_on,
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -189,6 +189,8 @@
             'tick_ms': _TICK_MS,
             'peer_silence_ms': _SILENCE_MS,
             'retry_slack': _RETRY_SLACK,
+            'slow_start_overage': bounds.COLD_FACTOR,
+            'slow_start_slack': bounds.COLD_SLACK,
         },
     }
     return made
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -6,10 +6,11 @@
 import typing
 
 from oleanderstair import clock
-from soak import odd_entries
+from soak import bounds, odd_entries
 
 INSTANCES: typing.Final = tuple(f'entry-{number}' for number in range(1, 5))
 STORE_PLACE: typing.Final = 'store'
+TARGETS_PLACE: typing.Final = 'targets'
 TARGETS: typing.Final = tuple(
     f'{service}-{number}'
     for service in ('burza', 'sklad')
@@ -46,6 +47,7 @@
     RESTORE = 'restore'
     ODD_ENTRY = 'odd-entry'
     SEVER = 'sever'
+    COLD = 'cold'
 
 
 OPERATOR: typing.Final = (Kind.PUBLISH, Kind.LEAVE, Kind.LIMIT)
@@ -114,6 +116,8 @@
                 again = again._replace(where=found[-1].where)
             found.append(again)
     found.extend(_draw_added(seed, count_added, last_ms))
+    if _SCENES[seed % len(_SCENES)] is not PLANNED:
+        found.append(_draw_cold(seed, last_ms))
     return Plan(seed, seconds, tuple(sorted(found, key=order)))
 
 
@@ -130,6 +134,13 @@
             yield Fault(kind, rng.choice(places), at_ms, rng.choice(_SPANS_MS))
 
 
+def _draw_cold(seed: int, last_ms: clock.Millis) -> Fault:
+    """Draw a return of all targets as cold ones."""
+    rng = random.Random(f'cold {seed}')
+    at_ms = round(rng.uniform(_CALM_MS, last_ms))
+    return Fault(Kind.COLD, TARGETS_PLACE, at_ms, bounds.COLD_S * _MS_PER_S)
+
+
 def links() -> list[str]:
     """Return the names of all links that can be harmed."""
     return [
--- a/soak/record.py
+++ b/soak/record.py
@@ -64,6 +64,7 @@
     )
     leaving: list[Span] = dataclasses.field(default_factory=list)
     limited: list[Span] = dataclasses.field(default_factory=list)
+    cold: list[Span] = dataclasses.field(default_factory=list)
     harmed: list[Span] = dataclasses.field(default_factory=list)
     planned: list[Span] = dataclasses.field(default_factory=list)
     down: list[Span] = dataclasses.field(default_factory=list)
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -109,25 +109,28 @@
         self.kept.put(documents.CONFIGURATION_KEY, document)
         self.seen.published.append((self.version, anyio.current_time()))
 
-    def register(self, target_id: str, state: str) -> None:
+    def register(
+        self, target_id: str, state: str, slow_ms: clock.Millis = 0
+    ) -> None:
         """Let a target say of itself what it is."""
         if state == 'ready':
             # Who comes back after leaving has started anew.
             self.born_by_id[target_id] = time.time_ns() // _NS_PER_MS
         self.state_by_id[target_id] = state
-        self._write_entry(target_id)
+        self._write_entry(target_id, int(slow_ms))
 
     def write_entries(self) -> None:
         """Write again what the targets have last written."""
         for target_id in self.state_by_id:
             self._write_entry(target_id)
 
-    def _write_entry(self, target_id: str) -> None:
+    def _write_entry(self, target_id: str, slow_ms: int = 0) -> None:
         entry = published.entry(
             self.link_by_name[f'target:{target_id}'].near,
             service=target_id.rpartition('-')[0],
             state=self.state_by_id[target_id],
             born=self.born_by_id[target_id],
+            slow_ms=slow_ms,
         )
         self.kept.put(f'{documents.TARGET_PREFIX}{target_id}', entry)
 
@@ -345,6 +348,21 @@
     target.limit = b''
 
 
+async def _turn_cold(scene: Scene, fault: plan.Fault) -> None:
+    """Let all targets return cold at once, without an end of connections.
+
+    Half of them say so in their entry, as those that have started anew.
+    """
+    now_s = anyio.current_time()
+    until_s = now_s + clock.to_seconds(fault.span_ms)
+    for number, target_id in enumerate(plan.TARGETS):
+        scene.target_by_id[target_id].cold_until_s = until_s
+        scene.seen.cold.append(record.Span(target_id, now_s, until_s))
+        if number % 2 and scene.state_by_id[target_id] == 'ready':
+            scene.register(target_id, 'ready', fault.span_ms)
+    await anyio.sleep_until(until_s)
+
+
 async def _restore(scene: Scene, fault: plan.Fault) -> None:
     """Let the store come back from a copy as old as the fault is long.
 
@@ -401,6 +419,7 @@
         plan.Kind.LIMIT,
         plan.Kind.RESTORE,
         plan.Kind.ODD_ENTRY,
+        plan.Kind.COLD,
     ),
 )
 """The kinds of faults that excuse no instance for as long as they take."""
@@ -412,6 +431,7 @@
     plan.Kind.RELOAD: _reload,
     plan.Kind.LEAVE: _leave,
     plan.Kind.LIMIT: _limit,
+    plan.Kind.COLD: _turn_cold,
     plan.Kind.RESTORE: _restore,
     plan.Kind.ODD_ENTRY: _put_odd_entry,
     plan.Kind.SEVER: _sever,
@@ -431,4 +451,8 @@
         published.route(name, kind, service, bounds.TIMEOUT_MS)
         for name, (kind, service) in told_by_name.items()
     ]
-    return published.configuration(number, routes, standing.IDLE_MS)
+    made = published.configuration(number, routes, standing.IDLE_MS)
+    for service in made['services']:
+        service['slow_start_s'] = bounds.COLD_S
+        service['slow_start_per_s'] = bounds.COLD_PER_S
+    return made
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -185,6 +185,7 @@
     'cut': scene_of(LOOKUP._replace(status=0, end='cut')),
     'leaving': scene_of(LOOKUP, **LEFT),
     'limit': scene_of(LOOKUP, runs=(RUN,) * 18, **LIMITED),
+    'cold': scene_of(LOOKUP, runs=(RUN,) * 21, cold=LIMITED['limited']),
     'not-in-force': scene_of(VERSION, **KNOWN),
     'reverted': scene_of(SERVED_BEFORE, VERSION, published=[(1, 1), (2, 8)]),
     'ended': scene_of(ended_alone=['entry-1']),
