--- a/soak/instances.py
+++ b/soak/instances.py
@@ -195,6 +195,8 @@
             'peer_silence_ms': _SILENCE_MS,
             'retry_slack': _RETRY_SLACK,
             'evacuation_bound_ms': bounds.EVACUATE_S * _MS_PER_S,
+            'slow_start_overage': bounds.COLD_FACTOR,
+            'slow_start_slack': bounds.COLD_SLACK,
         },
     }
     return made
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -188,6 +188,7 @@
     'leaving': scene_of(LOOKUP, **LEFT),
     'evacuated': scene_of(LOOKUP, **EVACUATED),
     'limit': scene_of(LOOKUP, runs=(RUN,) * 18, **LIMITED),
+    'cold': scene_of(LOOKUP, runs=(RUN,) * 21, cold=LIMITED['limited']),
     'not-in-force': scene_of(VERSION, **KNOWN),
     'reverted': scene_of(SERVED_BEFORE, VERSION, published=[(1, 1), (2, 8)]),
     'ended': scene_of(ended_alone=['entry-1']),
