Limit hedges to a share of a service's calls, and learn their delay

Callers saw a few slow responses spoil the 99th percentile. Operators had no way to state how much extra work on the targets they accept against that: hedges were bounded by the retry budget only, and were sent past fixed quantiles, which under a limit spends it on calls that are a little late. policy.hedge_limit_share and policy.adaptive_hedges existed and were not read.

calls/adaptive_hedges.py now applies hedge_limit_share to the calls of each instance in the window of the retry budget, without rounding up or slack. With adaptive_hedges, the delay is learned per route from the latencies of the last 3 s; no call is hedged during a shortage of slots or sheds, or past its deadline; slowed machines, hosts of attempts in flight and, for large answers, other data centres are left out. Hedges won, lost and held back are counted, and log lines say how old the first attempt was and which one won.

--- a/oleanderstair/domain/calls/attempt_feedback.py
+++ b/oleanderstair/domain/calls/attempt_feedback.py
@@ -2,7 +2,11 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import events, world
-from oleanderstair.domain.calls import retry_budget, routed_retries
+from oleanderstair.domain.calls import (
+    adaptive_hedges,
+    retry_budget,
+    routed_retries,
+)
 from oleanderstair.domain.tables import calls, latencies, routed
 from oleanderstair.domain.targets import (
     concurrency,
@@ -27,6 +31,7 @@
     target_id = ended.target_id
     if event.stale or is_refusal_by_reset(state, ended, event, now_ms):
         return
+    adaptive_hedges.record_attempt(state, call, ended, event, now_ms)
     shed_with_free_slots = routed_retries.is_shed_with_free_slots(event)
     retry_budget.record_shed(state, call.service, shed_with_free_slots)
     if event.misdirected:
--- a/oleanderstair/domain/calls/retry_budget.py
+++ b/oleanderstair/domain/calls/retry_budget.py
@@ -109,9 +109,29 @@
     The more attempts are shed, the smaller the share of hedges, so that
     retries of shed calls have priority.
     """
+    return remaining_hedges(state, service, now_ms) >= 1
+
+
+def remaining_hedges(
+    state: world.World,
+    service: str,
+    now_ms: clock.Millis,
+) -> float:
+    """Return how many hedges the budget still allows; it may be negative."""
     tally = retry_budget.tally_for(state.retry_budget, service)
     share = HEDGE_SHARE * (1 - tally.shed_share)
-    return may_send_extra_attempt(state, service, share, now_ms)
+    return remaining_attempts(state, service, share, now_ms)
+
+
+def recent_call_count(
+    state: world.World,
+    service: str,
+    now_ms: clock.Millis,
+) -> int:
+    """Return the number of calls of a service within the last window."""
+    tally = retry_budget.tally_for(state.retry_budget, service)
+    _drop_older(tally.calls_at_ms, now_ms - _window_ms(state))
+    return len(tally.calls_at_ms)
 
 
 def record_shed(state: world.World, service: str, shed: bool) -> None:
--- a/oleanderstair/domain/calls/routed_calls.py
+++ b/oleanderstair/domain/calls/routed_calls.py
@@ -3,6 +3,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, outcomes, world
 from oleanderstair.domain.calls import (
+    adaptive_hedges,
     attempt_feedback,
     caller_wait,
     crashing_requests,
@@ -80,6 +81,7 @@
             state, route.name, call.service, left_ms, now_ms
         )
         retry_budget.count_call(state, call.service, now_ms)
+        adaptive_hedges.count_call(state, call, now_ms)
     due = events.CallDue(call.call_id)
     return [
         actions.Schedule(due, call.due_at_ms - now_ms),
@@ -137,6 +139,7 @@
     if call is None:
         return []
     if call.may_run:
+        adaptive_hedges.record_unanswered(state, call, now_ms)
         return [
             *reachability.record_overdue(state, call, now_ms),
             *routed_answering.relay_failure_or_refuse(
@@ -198,7 +201,10 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     if routed_retries.is_final_answer(call, event):
-        return routed_answering.relay_answer(state, call, event.attempt_id)
+        return [
+            *adaptive_hedges.count_result(state, call, ended),
+            *routed_answering.relay_answer(state, call, event.attempt_id),
+        ]
     call = routed_retries.remove_attempt(call, ended, event)
     state.routed.call_by_id[call.call_id] = call
     if call.attempts:
--- a/oleanderstair/domain/calls/routed_dispatching.py
+++ b/oleanderstair/domain/calls/routed_dispatching.py
@@ -3,6 +3,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, world
 from oleanderstair.domain.calls import (
+    adaptive_hedges,
     retry_budget,
     routed_hedges,
     slot_use,
@@ -40,9 +41,13 @@
     call = state.routed.call_by_id.get(event.call_id)
     if call is None or call.stage is not routed.Stage.SENT:
         return []
-    if call.send_count != event.sends or not routed_hedges.is_due(
-        state, call, now_ms
-    ):
+    if call.send_count != event.sends or not call.attempts:
+        return []
+    if adaptive_hedges.is_active(state.policy):
+        limit = adaptive_hedges.find_limit(state, call, now_ms)
+        if limit is not None:
+            return adaptive_hedges.hold_back(state, call, limit, now_ms)
+    elif not routed_hedges.is_due(state, call, now_ms):
         return []
     if not retry_budget.may_hedge(state, call.service, now_ms):
         return routed_hedges.reschedule_hedge(call)
@@ -136,11 +141,16 @@
     """
     call = call._replace(awaited_target_ids=frozenset())
     state.routed.call_by_id[call.call_id] = call
+    with_free_slot = slot_estimates.targets_with_free_slot(
+        state, call.sampled_target_ids, now_ms
+    )
+    if call.stage is routed.Stage.HEDGING and state.policy.adaptive_hedges:
+        with_free_slot = adaptive_hedges.select_unrelated(
+            state, call, with_free_slot
+        )
     chosen = target_scoring.choose_target(
         state,
-        slot_estimates.targets_with_free_slot(
-            state, call.sampled_target_ids, now_ms
-        ),
+        with_free_slot,
         call.route.idempotent,
         now_ms,
     )
@@ -178,10 +188,18 @@
     """
     call = call._replace(stage=routed.Stage.SENT)
     state.routed.call_by_id[call.call_id] = call
+    if adaptive_hedges.is_active(state.policy):
+        limit = adaptive_hedges.find_limit(state, call, now_ms)
+        if limit is not None:
+            return adaptive_hedges.hold_back(state, call, limit, now_ms)
     if chosen is None or not routed_hedges.may_hedge_to(
         state, call, chosen, now_ms
     ):
+        if adaptive_hedges.is_active(state.policy):
+            limit = adaptive_hedges.Limit.NO_TARGET
+            return adaptive_hedges.hold_back(state, call, limit, now_ms)
         return routed_hedges.reschedule_hedge(call)
+    adaptive_hedges.count_hedge(state, call.service, now_ms)
     return [
         *dispatch_to_target(state, call, chosen.target_id, now_ms),
         actions.Count('hedges', call.service),
--- a/oleanderstair/domain/calls/routed_hedges.py
+++ b/oleanderstair/domain/calls/routed_hedges.py
@@ -10,7 +10,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, world
-from oleanderstair.domain.calls import retry_budget
+from oleanderstair.domain.calls import adaptive_hedges, retry_budget
 from oleanderstair.domain.tables import routed
 from oleanderstair.domain.targets import (
     expected_latencies,
@@ -35,6 +35,8 @@
     """Schedule the hedge of a call that was dispatched, if it may have one."""
     if not _may_be_hedged(call):
         return []
+    if state.policy.adaptive_hedges:
+        return adaptive_hedges.schedule_hedge(state, call)
     due = events.HedgeDue(call.call_id, call.send_count)
     return [actions.Schedule(due, _hedge_delay_ms(state, call))]
 
--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -13,6 +13,7 @@
     concurrency,
     crashes,
     facts,
+    hedges,
     host_assignments,
     identity,
     instances,
@@ -70,6 +71,7 @@
     crashes: crashes.CrashesTable
     routed: routed.RoutedTable
     retry_budget: retry_budget.RetryBudgetTable
+    hedges: hedges.HedgesTable
     latencies: latencies.LatenciesTable
     store: store.StoreTable
     operator_state: operator_state.OperatorStateTable
@@ -109,6 +111,7 @@
         crashes=crashes.create(),
         routed=routed.create(),
         retry_budget=retry_budget.create(),
+        hedges=hedges.create(),
         latencies=latencies.create(),
         store=store.create(),
         operator_state=operator_state.create(),
--- a/oleanderstair/explaining/causes.py
+++ b/oleanderstair/explaining/causes.py
@@ -370,6 +370,8 @@
 }
 _WHY_BY_HEDGE: typing.Final[dict[str, str]] = {
     'no-quiet-target': 'no other target was quiet',
+    'hedge-limit': 'hedge_limit_share allowed no further hedge',
+    'shed': 'targets had shed calls just before',
     'no-budget': 'the retry budget had no part left for it',
     'room-short': 'calls had found no room just before',
     'reports-awaited': 'reports of other targets were awaited',
--- a/oleanderstair/explaining/decisions.py
+++ b/oleanderstair/explaining/decisions.py
@@ -257,6 +257,7 @@
             ('attempt', action.attempt_id),
             ('after_ms', after_ms),
             ('late_ms', late_ms or None),
+            *trails.winner_of(trail, action.attempt_id),
             *trails.hedging_of(trail),
         )
         trail.entries.append(trails.Entry(now_ms, 'answered', fields))
--- a/oleanderstair/explaining/trails.py
+++ b/oleanderstair/explaining/trails.py
@@ -40,7 +40,8 @@
     ``started_ms`` is when it arrived, and ``held_ms`` how long it was kept
     until its instance knew what is in force. ``hedge`` is why none of
     ``hedge_looks`` led to a second attempt; ``hedge_sends`` counts the sends
-    after which a hedge was last planned. ``from_peer`` is the instance that
+    after which a hedge was last planned, and ``hedge_attempts`` are the
+    attempts that were hedges. ``from_peer`` is the instance that
     forwarded the call, empty if none did.
     """
 
@@ -59,6 +60,7 @@
     hedge: str = ''
     hedge_looks: int = 0
     hedge_sends: int = 0
+    hedge_attempts: set[int] = msgspec.field(default_factory=set)
 
 
 def open_trail(
@@ -228,6 +230,9 @@
     if call.stage is routed.Stage.HEDGING:
         trail.hedge = 'reports-awaited'
         return
+    if call.hedge_held_back_by:
+        trail.hedge = call.hedge_held_back_by
+        return
     is_short = slot_shortage.has_shortage(state, call.service, now_ms)
     trail.hedge = 'room-short' if is_short else 'too-late'
 
@@ -242,6 +247,10 @@
     if trail.hedge_sends != event.sends:
         trail.hedge_sends = event.sends
         return
+    call = state.routed.call_by_id.get(event.call_id)
+    if call is not None and call.hedge_held_back_by:
+        trail.hedge = call.hedge_held_back_by
+        return
     fits = retry_budget.may_hedge(state, trail.service, now_ms)
     trail.hedge = 'no-quiet-target' if fits else 'no-budget'
 
@@ -253,6 +262,14 @@
     return (('hedge', trail.hedge), ('hedge_looks', trail.hedge_looks))
 
 
+def winner_of(trail: Trail, attempt_id: int) -> lines.Fields:
+    """Return which answer of a hedged call was relayed, first or hedge."""
+    if not trail.hedge_attempts:
+        return ()
+    winner = 'hedge' if attempt_id in trail.hedge_attempts else 'first'
+    return (('won', winner),)
+
+
 def note_sent(
     trail: Trail,
     state: world.World,
@@ -267,12 +284,15 @@
         ('attempt', action.attempt_id),
         ('target', action.target_id),
         ('why', why_sent(trail)),
+        ('first_ms', _first_attempt_ms(trail, now_ms)),
         ('limit_per_s', limit.per_s if limit else None),
         ('report', _text_of(known.report)),
         ('report_age_ms', now_ms - known.reported_at_ms if told else None),
         ('own_in_flight', known.in_flight),
         ('left_ms', action.budget_ms),
     )
+    if trail.sent_by_attempt:
+        trail.hedge_attempts.add(action.attempt_id)
     trail.sends += 1
     trail.sent_by_attempt[action.attempt_id] = Sent(action.target_id, now_ms)
     trail.entries.append(Entry(now_ms, 'sent', fields))
@@ -339,6 +359,14 @@
     trail.entries.append(Entry(now_ms, 'cancelled', fields))
 
 
+def _first_attempt_ms(
+    trail: Trail, now_ms: clock.Millis
+) -> clock.Millis | None:
+    """Return for how long the attempt that is hedged now has run."""
+    sent_at_ms = [sent.at_ms for sent in trail.sent_by_attempt.values()]
+    return now_ms - min(sent_at_ms) if sent_at_ms else None
+
+
 def why_sent(trail: Trail) -> str:
     """Return why the next attempt of a call is made."""
     if trail.sent_by_attempt:
