--- a/oleanderstair/domain/calls/attempt_feedback.py
+++ b/oleanderstair/domain/calls/attempt_feedback.py
@@ -3,7 +3,11 @@
 from oleanderstair import clock
 from oleanderstair.domain import events, world
 from oleanderstair.domain.admission import pressure
-from oleanderstair.domain.calls import retry_budget, routed_retries
+from oleanderstair.domain.calls import (
+    adaptive_hedges,
+    retry_budget,
+    routed_retries,
+)
 from oleanderstair.domain.tables import calls, latencies, routed
 from oleanderstair.domain.targets import (
     concurrency,
@@ -31,6 +35,7 @@
         return
     if event.stale or is_refusal_by_reset(state, ended, event, now_ms):
         return
+    adaptive_hedges.record_attempt(state, call, ended, event, now_ms)
     shed_with_free_slots = routed_retries.is_shed_with_free_slots(event)
     retry_budget.record_shed(state, call.service, shed_with_free_slots)
     if event.misdirected:
--- a/oleanderstair/domain/calls/routed_calls.py
+++ b/oleanderstair/domain/calls/routed_calls.py
@@ -4,6 +4,7 @@
 from oleanderstair.domain import actions, events, outcomes, world
 from oleanderstair.domain.admission import decide, pressure
 from oleanderstair.domain.calls import (
+    adaptive_hedges,
     attempt_feedback,
     caller_wait,
     crashing_requests,
@@ -105,6 +106,7 @@
     if not event.from_peer:
         # The peer counts the calls that it forwards.
         retry_budget.count_call(state, call.service, now_ms)
+        adaptive_hedges.count_call(state, call, now_ms)
     due = events.CallDue(call.call_id)
     return [
         actions.Schedule(due, call.due_at_ms - now_ms),
@@ -179,6 +181,7 @@
         return []
     if call.may_run:
         slow_start_limits.record_overdue(state, call.attempts, now_ms)
+        adaptive_hedges.record_unanswered(state, call, now_ms)
         return [
             *reachability.record_overdue(state, call, now_ms),
             *routed_answering.relay_failure_or_refuse(
@@ -241,7 +244,10 @@
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
     if routed_retries.is_final_answer(call, event):
-        return routed_answering.relay_answer(state, call, event.attempt_id)
+        return [
+            *adaptive_hedges.count_result(state, call, ended),
+            *routed_answering.relay_answer(state, call, event.attempt_id),
+        ]
     call = routed_retries.remove_attempt(call, ended, event)
     state.routed.call_by_id[call.call_id] = call
     if call.attempts:
--- a/oleanderstair/domain/world.py
+++ b/oleanderstair/domain/world.py
@@ -14,6 +14,7 @@
     concurrency,
     crashes,
     facts,
+    hedges,
     host_assignments,
     identity,
     instances,
@@ -73,6 +74,7 @@
     crashes: crashes.CrashesTable
     routed: routed.RoutedTable
     retry_budget: retry_budget.RetryBudgetTable
+    hedges: hedges.HedgesTable
     latencies: latencies.LatenciesTable
     store: store.StoreTable
     operator_state: operator_state.OperatorStateTable
@@ -114,6 +116,7 @@
         crashes=crashes.create(),
         routed=routed.create(),
         retry_budget=retry_budget.create(),
+        hedges=hedges.create(),
         latencies=latencies.create(),
         store=store.create(),
         operator_state=operator_state.create(),
