Test the range of the hedge limit, its metric, and what is learned

A trial with single conditions removed showed that no test noticed when latencies of hedges were learned as those of first attempts. One does now. Two more guard the range of policy.hedge_limit_share in the settings, and that a held-back call is counted once and named in its log line.

--- a/test/test_adaptive_hedges.py
+++ b/test/test_adaptive_hedges.py
@@ -221,3 +221,32 @@
     assert 'won=hedge' in lines[-1]
     assert fleet.counts['hedges', 'burza'] == 1
     assert fleet.counts['hedges-won', 'burza'] == 1
+
+
+def test_a_call_is_counted_once_by_the_limit_that_held_its_hedge_back():
+    # A count of all tries would rise with the time that calls are slow.
+    fleet, sink = test_decisions.logged_fleet()
+    for member in fleet.member_by_id.values():
+        limits = member.state.policy._replace(hedge_limit_share=0)
+        member.state.policy = limits
+    for target in fleet.target_by_id.values():
+        target.work = slow_work
+    fleet.call('entry-0', 'lookup', request_id='r-1', deadline_ms=600)
+    fleet.run_for(1000)
+    label = 'service=burza limit=hedge-limit'
+    assert fleet.counts['hedges-held-back', label] == 1
+    assert 'hedge=hedge-limit' in sink.lines[-1]
+
+
+def slow_work(received, rng):
+    return 700
+
+
+def test_latencies_of_hedges_are_not_learned():
+    # With them, a route would seem faster the more of its calls are hedged.
+    scene = make_scene()
+    arrived = call_steadily(scene, per_s=40, for_ms=4000)
+    scene.run_for(2000)
+    row = hedges.latencies_of(scene.state_by_id['entry-1'].hedges, 'lookup')
+    assert hedged_at_ms(scene)
+    assert len(row.samples) == len(arrived)
--- a/test/test_settings.py
+++ b/test/test_settings.py
@@ -42,6 +42,10 @@
         (with_sections(policy={'tick_ms': 0}), 'policy.tick_ms'),
         (with_sections(policy={'choice': 'best'}), 'policy.choice'),
         (with_sections(policy={'eject_share': 2}), 'policy.eject_share'),
+        (
+            with_sections(policy={'hedge_limit_share': 1.1}),
+            'policy.hedge_limit_share',
+        ),
         (with_sections(policy={'no_such_limit': 2}), 'no_such_limit'),
         (
             with_sections(platform={'instances_url': 'x'}),
