Add the command where, which explains where a request would go

Operators could learn from logs where a request went, but not where one would go now. A gateway answers /where at the address of its metrics with the route, its services, their admitted share and retry budget, and each target with its score, free slots, the age of its report and what excludes it. The command oleanderstair where prints that.

--- a/oleanderstair/domain/targets/target_scoring.py
+++ b/oleanderstair/domain/targets/target_scoring.py
@@ -83,7 +83,7 @@
     """
     entry_by_id = state.registry.entry_by_id
     choices = [
-        _score_target(state, target_id, idempotent, now_ms)
+        score_target(state, target_id, idempotent, now_ms)
         for target_id in target_ids
         if target_id in entry_by_id and not entry_by_id[target_id].leaving
     ]
@@ -116,12 +116,13 @@
     ]
 
 
-def _score_target(
+def score_target(
     state: world.World,
     target_id: str,
     idempotent: bool,
     now_ms: clock.Millis,
 ) -> Choice:
+    """Return the score of a registered target, without jitter."""
     entry = state.registry.entry_by_id[target_id]
     load = load_reports.load_of(state.loads, target_id)
     cold = slow_start_limits.is_cold(state, target_id, now_ms)
--- a/oleanderstair/platform/platform_app.py
+++ b/oleanderstair/platform/platform_app.py
@@ -1,5 +1,6 @@
 """Serves the directory, readiness and metrics requests of the platform."""
 
+import importlib
 import typing
 import urllib.parse
 
@@ -11,6 +12,7 @@
 _UNAVAILABLE: typing.Final = 503
 _ADDRESSES_PATH: typing.Final = '/-/addresses'
 _METRICS_PATH: typing.Final = '/metrics'
+_PLACEMENT_PATH: typing.Final = '/where'
 _MS_PER_S: typing.Final = 1000
 
 
@@ -24,8 +26,8 @@
     ) -> None:
         """Answer from the state of ``runtime``.
 
-        Metrics are served only on the listener at ``metrics_address``, host
-        and port; nowhere if it is empty.
+        Metrics, and where a request would go, are served only on the listener
+        at ``metrics_address``, host and port; nowhere if it is empty.
         """
         self._runtime = runtime
         self._metrics_address = metrics_address
@@ -40,11 +42,13 @@
 
         Any path but those of the metrics and addresses reports the readiness.
         """
-        if scope['path'] == _METRICS_PATH and self._is_on_metrics_address(
-            scope
-        ):
-            await self._answer_metrics(send)
-            return
+        if self._is_on_metrics_address(scope):
+            if scope['path'] == _METRICS_PATH:
+                await self._answer_metrics(send)
+                return
+            if scope['path'] == _PLACEMENT_PATH:
+                await self._answer_placement(scope, send)
+                return
         if scope['path'] == _ADDRESSES_PATH:
             await self._answer_addresses(scope, send)
             return
@@ -75,6 +79,24 @@
         ]
         await asgi.respond(send, _OK, fields, body)
 
+    async def _answer_placement(
+        self,
+        scope: asgi.Scope,
+        send: asgi.Send,
+    ) -> None:
+        # Imported at its first use, as a start does not need it.
+        placement = importlib.import_module(
+            'oleanderstair.explaining.placement'
+        )
+        query = urllib.parse.parse_qs(scope['query_string'].decode('latin-1'))
+        explained = placement.explain(
+            self._runtime.state,
+            query.get('host', [''])[0].lower(),
+            query.get('path', ['/'])[0],
+            self._runtime.sides.clock.now_ms(),
+        )
+        await asgi.respond_json(send, _OK, explained)
+
     async def _answer_addresses(
         self,
         scope: asgi.Scope,
--- a/oleanderstair/ui/main.py
+++ b/oleanderstair/ui/main.py
@@ -31,6 +31,7 @@
         | reports.Instances
         | reports.Audit
         | reports.Metrics
+        | reports.Where
         | keys.Keys
         | demo.Demo
         | replay.Replay
--- a/oleanderstair/ui/reports.py
+++ b/oleanderstair/ui/reports.py
@@ -3,6 +3,7 @@
 import dataclasses
 import datetime
 import typing
+import urllib.parse
 
 import cappa
 import httpcore
@@ -115,6 +116,18 @@
     output.show(metrics['histograms'], as_json=False)
 
 
+def show_placement(command: 'Where') -> None:
+    """Print where a request would go; exit 1 if it would be refused."""
+    query = urllib.parse.urlencode({'host': command.host, 'path': command.path})
+    placement = fetch(command.admin, f'where?{query}')
+    if command.json:
+        output.show([placement], as_json=True)
+    else:
+        _print_placement(placement)
+    if placement['refused_by']:
+        raise SystemExit(output.EXIT_NO)
+
+
 @cappa.command(name='status', invoke=show_status)
 @dataclasses.dataclass
 class Status:
@@ -163,6 +176,36 @@
     json: output.AsJson = False
 
 
+@cappa.command(name='where', invoke=show_placement)
+@dataclasses.dataclass
+class Where:
+    """Show where a gateway would send a request now, without sending it.
+
+    Exits with 1 where the request would be refused.
+    """
+
+    host: typing.Annotated[str, cappa.Arg(help='The host of the request.')]
+    path: typing.Annotated[str, cappa.Arg(help='The path of the request.')]
+    admin: typing.Annotated[
+        str,
+        cappa.Arg(
+            long='--admin',
+            help='The address of the metrics of a gateway, as host:port.',
+        ),
+    ] = DEFAULT_ADDRESS
+    json: output.AsJson = False
+
+
+def _print_placement(placement: dict[str, typing.Any]) -> None:
+    services = placement.pop('services')
+    output.show([placement], as_json=False)
+    for service in services:
+        targets = service.pop('targets')
+        output.line('')
+        output.show([service], as_json=False)
+        output.show(targets, as_json=False)
+
+
 def _status_of(address: str) -> dict[str, typing.Any]:
     try:
         report: dict[str, typing.Any] = fetch(address, 'status')
--- a/test/test_platform_node.py
+++ b/test/test_platform_node.py
@@ -1,5 +1,6 @@
 """A node of the platform end to end on loopback."""
 
+import functools
 import json
 import os
 import pathlib
@@ -8,11 +9,13 @@
 import typing
 
 import anyio
+import cappa
 import msgspec
 import pytest
 
 from oleanderstair.emulator import load_targets
 from oleanderstair.engine import headers, listener
+from oleanderstair.ui import main
 from test import helper, loopback_node
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -82,6 +85,33 @@
     anyio.run(scene)
 
 
+# Guards against a command that reports nothing on a gateway, or that anyone who
+# asks for addresses may use.
+def test_the_tool_asks_where_a_request_would_go(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    async def scene() -> None:
+        async with loopback_node.run_ready_node() as fixture:
+            await loopback_node.send_request(fixture.address)
+            words = ('where', loopback_node.HOST, loopback_node.ORDER_PATH)
+            argv = [*words, '--admin', fixture.metrics_listener, '--json']
+            await anyio.to_thread.run_sync(
+                functools.partial(cappa.invoke, main.Oleanderstair, argv=argv)
+            )
+            explained = msgspec.json.decode(capsys.readouterr().out)[0]
+            targets = explained['services'][0]['targets']
+            assert explained['route'] == 'order'
+            assert {view['excluded_by'] for view in targets} == {''}
+            # Only the call before was sent.
+            assert fixture.single_run().target == loopback_node.LOOKUP_PATH
+            elsewhere = await loopback_node.send_request(
+                fixture.directory_listener, '/where?host=a&path=/'
+            )
+            assert b'services' not in elsewhere.content
+
+    anyio.run(scene)
+
+
 def test_non_idempotent_call_reaches_one_target_unchanged() -> None:
     async def scene() -> None:
         async with loopback_node.run_ready_node() as fixture:
