Keep the older configuration of a peer older in its test

test_call_is_not_run_under_an_older_configuration failed once beside load. The two nodes go on exchanging states of the store: where the call came more than a round later, the peer had adopted the newer configuration and served it.

--- a/test/test_isolated_nodes.py
+++ b/test/test_isolated_nodes.py
@@ -133,10 +133,25 @@
     anyio.run(scene)
 
 
+def lose_store_states(node):
+    """Let a node lose the states of the store that peers send it."""
+    step = node.runtime._step
+
+    def lose(state, event, now_ms):
+        is_heard = isinstance(event, events.PeerHeard)
+        if is_heard and isinstance(event.message, messages.StoreState):
+            return []
+        return step(state, event, now_ms)
+
+    node.runtime._step = lose
+
+
 # Guards against a call that an older configuration of the peer handles.
 def test_call_is_not_run_under_an_older_configuration():
     async def scene():
         async with run_pair() as (fixture, isolated, peer):
+            # Else the peer would adopt the newer one before a delayed call.
+            lose_store_states(peer)
             in_force = isolated.runtime.state.routes.in_force
             isolated.runtime.state.routes.in_force = in_force._replace(
                 number=in_force.number + 1
