--- a/oleanderstair/domain/targets/slow_start_limits.py
+++ b/oleanderstair/domain/targets/slow_start_limits.py
@@ -147,14 +147,10 @@
     )
     if now_ms < warmth.cold_until_ms or warmth.warm_at_ms < doubted_at_ms:
         return True
-    return now_ms - warmth.warm_at_ms > _warm_valid_ms(state)
-
-
-def _warm_valid_ms(state: world.World) -> clock.Millis:
-    """Return how long a warm target is sent calls without a limit."""
-    if read_budgets.sees_local_majority(state):
-        return WARM_VALID_MS
-    return ISOLATED_WARM_VALID_MS
+    age_ms = now_ms - warmth.warm_at_ms
+    if age_ms <= ISOLATED_WARM_VALID_MS:
+        return False
+    return age_ms > WARM_VALID_MS or not read_budgets.sees_local_majority(state)
 
 
 def permit_wait_ms(
