--- a/oleanderstair/domain/policy.py
+++ b/oleanderstair/domain/policy.py
@@ -63,7 +63,6 @@
     slow_start_overage: float = 0
     slow_start_slack: float = 0
     admission_by_rank: bool = False
-    spill_over: bool = False
     adaptive_hedges: bool = False
     hedge_limit_share: float = 1.0
 
