Open the callers' listener after the imports again

The requests had waited in the kernel for a starting instance, whose listener opened before its imports: a deadline states the time left when it was sent, and that wait can't be seen. A refused connection sends a caller to another address at once.

--- a/oleanderstair/engine/listener.py
+++ b/oleanderstair/engine/listener.py
@@ -12,7 +12,6 @@
     asgi,
     bounded_protocol,
     byte_ledger,
-    listening_sockets,
     uvicorn_parts,
 )
 
@@ -23,6 +22,11 @@
     uvicorn_config = uvicorn_parts.import_part('uvicorn.config')
     uvicorn_server = uvicorn_parts.import_part('uvicorn.server')
 
+_BACKLOG: typing.Final = 2048
+"""How many connections the kernel accepts before the program does, at most.
+After a loss of power all callers connect at once, and a connection that is
+dropped is tried again only after a second. The deployments allow 2,000."""
+
 _SHUTDOWN_TIMEOUT_S: typing.Final = 2
 DEFAULT_BOUNDS: typing.Final = bounded_protocol.ConnectionBounds()
 
@@ -53,12 +57,17 @@
 
 def bind_socket(host: str, port: int) -> socket.socket:
     """Return a listening socket; port 0 selects a free port."""
-    return listening_sockets.bind_socket(host, port)
+    listening_socket = socket.create_server((host, port), backlog=_BACKLOG)
+    # Accepted connections inherit TCP_NODELAY. Without it, a body would
+    # wait for the delayed ACK of its head.
+    listening_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return listening_socket
 
 
 def address_of(listening_socket: socket.socket) -> str:
     """Return the address of a bound socket as ``host:port``."""
-    return listening_sockets.address_of(listening_socket)
+    host, port = listening_socket.getsockname()[:2]
+    return f'{host}:{port}'
 
 
 @contextlib.contextmanager
@@ -127,7 +136,7 @@
         proxy_headers=False,
         server_header=False,
         date_header=False,
-        backlog=listening_sockets.BACKLOG,
+        backlog=_BACKLOG,
         timeout_graceful_shutdown=_SHUTDOWN_TIMEOUT_S,
     )
     return _Server(config)
--- a/oleanderstair/platform/daemon.py
+++ b/oleanderstair/platform/daemon.py
@@ -8,7 +8,6 @@
 import typing
 
 from oleanderstair import code_archive, start_times
-from oleanderstair.platform import early_listener
 
 SETTINGS_VARIABLE: typing.Final = 'OLEANDERSTAIR_CONFIG'
 
@@ -21,9 +20,6 @@
     # Imports leave no garbage; ``running`` enables collection after them.
     gc.disable()
     path = os.environ[SETTINGS_VARIABLE]
-    caller_socket = early_listener.open_listener(path)
-    if caller_socket is not None:
-        times.mark(start_times.LISTENING)
     finder = code_archive.install(
         os.path.join(code_archive.ROOT, code_archive.PATH)
     )
@@ -32,7 +28,7 @@
     importlib.import_module('anyio._backends._asyncio')
     code_archive.uninstall(finder)
     times.mark(start_times.IMPORTED)
-    sys.exit(program.run_from_file(path, caller_socket, times))
+    sys.exit(program.run_from_file(path, times))
 
 
 if __name__ == '__main__':
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -24,7 +24,6 @@
 )
 from oleanderstair.platform import (
     dialect,
-    early_listener,
     load_reader,
     platform_app,
     store,
@@ -173,21 +172,20 @@
 
 def create(
     valid_settings: settings.Settings,
-    caller_socket: socket.socket | None = None,
     times: start_times.StartTimes | None = None,
 ) -> Node:
     """Create an instance and bind its sockets.
 
-    ``caller_socket`` is a listener that may be at the address for callers
-    already, and ``times`` records the phases of the start. Raise ``OSError``
-    if a required address can't be bound.
+    ``times`` records the phases of the start. Raise ``OSError`` if a required
+    address can't be bound.
     """
     incarnation = (
         f'{valid_settings.instance.id}~{secrets.token_hex(_INCARNATION_BYTES)}'
     )
-    caller_socket = early_listener.adopt_listener(
-        caller_socket, valid_settings.callers.address
-    )
+    # Not opened before the imports: a caller whose connection waits for a
+    # starting instance loses time that its deadline doesn't show, while one
+    # that is refused goes to another address at once.
+    caller_socket = _bind(valid_settings.callers.address)
     times = times or start_times.create()
     times.mark(start_times.LISTENING)
     own = identity.Identity(
--- a/oleanderstair/platform/program.py
+++ b/oleanderstair/platform/program.py
@@ -2,7 +2,6 @@
 
 import functools
 import pathlib
-import socket
 import sys
 
 import anyio
@@ -20,18 +19,16 @@
 
 def run_from_file(
     path: str,
-    caller_socket: socket.socket | None,
     times: start_times.StartTimes,
 ) -> int:
     """Run an instance with the settings file at ``path``.
 
-    ``caller_socket`` is a listener that was opened before the imports, and
     ``times`` records the phases of the start. Return 0 after a planned stop,
     or ``running.EXIT_WRONG_USE`` if the settings are invalid; the problem is
     then written to standard error.
     """
     try:
-        anyio.run(_serve, pathlib.Path(path), caller_socket, times)
+        anyio.run(_serve, pathlib.Path(path), times)
     except errors.UserError as error:
         sys.stderr.write(f'{error}\n')
         return running.EXIT_WRONG_USE
@@ -40,14 +37,13 @@
 
 async def _serve(
     path: pathlib.Path,
-    caller_socket: socket.socket | None,
     times: start_times.StartTimes,
 ) -> None:
     valid_settings = settings.load(path)
     times.mark(start_times.CONFIGURED)
     if valid_settings.log.to == 'stderr':
         logs.start()
-    instance = node.create(valid_settings, caller_socket, times)
+    instance = node.create(valid_settings, times)
     reloader = reloading.create(
         path,
         valid_settings,
