Show that an answer is given up for its pace (known red)

Callers got a 502 for calls that their targets ran to a 200, in a planned stop and at any other time.

The test has the target send the head of an answer of 4 bytes, and its halves 3.2 s and 6.4 s later, of 15 s that the exchange has. It fails with BROKEN, 'the answer is too slow'.

--- a/test/test_endless_answers.py
+++ b/test/test_endless_answers.py
@@ -21,6 +21,7 @@
 MAX_ANSWER_BYTES = 262_144
 PIECE = bytes(8192).replace(b'\x00', b'a')
 MAX_PEAK_BYTES = 4_000_000
+SLOW_PART_S = 3.2
 
 ENDLESS = {
     'one field': (b'%bx: ' % STATUS, PIECE),
@@ -109,6 +110,17 @@
     assert took_s < answers.SLOW_ANSWER_GRACE_MS / 1000 + 1
 
 
+# An answer was given up for its pace though its call had time left, so the
+# caller got a 502 for a call that ran to its end.
+def test_slow_answer_is_complete_before_its_deadline():
+    head, body = LONG.replace(b'9000', b'4'), b'twig'
+    target = EndlessTarget(head, b'', pause_s=SLOW_PART_S)
+    target.pieces = iter((head, body[:2], body[2:]))
+    result, _ = exchange_with(target, bound_ms=15_000)
+    assert result.verdict is events.Verdict.ANSWERED
+    assert result.answer.body == body
+
+
 def test_bytes_without_a_request_close_an_idle_connection():
     async def scenario():
         with anyio.fail_after(10):
