Let only the call's time end an answer that comes slowly

Cause: an answer that had brought under 256 bytes for each second since its first bytes was given up 3 s after these. A head that comes before the work is done starts that clock, and so does a late answer to another request, so any short answer was lost however much time its caller and route had left. The class: a target's silence taken for its failure by a clock of our own.

The limit was meant against answers without end. Those are bounded by their size, and the exchange ends at the call's deadline or the route's timeout in any case, so the limit goes.

--- a/oleanderstair/engine/answers.py
+++ b/oleanderstair/engine/answers.py
@@ -22,14 +22,6 @@
 """Maximum number of answers read for one request, including interim answers
 and answers to other requests."""
 
-SLOW_ANSWER_GRACE_MS: typing.Final = 3000
-"""How long after its first byte an answer may be slower than the minimum rate;
-long enough for a packet that is lost twice."""
-
-MIN_BYTES_PER_S: typing.Final = 256
-"""Minimum rate of an answer after ``SLOW_ANSWER_GRACE_MS``; any usable link is
-faster."""
-
 _FRAMING_BYTES_PER_BODY_BYTE: typing.Final = 16
 """Allowed framing per body byte: a chunk of one byte with a padded size."""
 
--- a/oleanderstair/engine/target_connections.py
+++ b/oleanderstair/engine/target_connections.py
@@ -73,8 +73,6 @@
         self._has_ended = False
         self._holding: byte_ledger.Holding | None = None
         self._stop_waiting: byte_ledger.OnRoom | None = None
-        self._paused_at_s: float = 0
-        self._answer_started_at_s: float | None = None
         self.answered_at_s = self._loop.time()
         self._written_at_s = self.answered_at_s
         self.idle_before_use_s: float = 0
@@ -98,7 +96,6 @@
         if self._on_outcome is None:
             self.close()
             return
-        self._check_rate()
         self._hold_answer()
         self._deliver_outcome()
 
@@ -131,7 +128,6 @@
         if self._transport is None or self._has_ended:
             raise ConnectError('the connection ended before the request')
         self.uses += 1
-        self._answer_started_at_s = None
         self.idle_before_use_s = self.idle_s()
         self._written_at_s = self._loop.time()
         self._on_outcome = on_outcome
@@ -192,17 +188,6 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _check_rate(self) -> None:
-        """Fail a request whose answer is slower than the minimum rate."""
-        now_s = self._loop.time()
-        if self._answer_started_at_s is None:
-            self._answer_started_at_s = now_s
-        slow_s = now_s - self._answer_started_at_s
-        if slow_s <= clock.to_seconds(answers.SLOW_ANSWER_GRACE_MS):
-            return
-        if self._reader.received_bytes < slow_s * answers.MIN_BYTES_PER_S:
-            self._reader.abandon('the answer is too slow')
-
     def _hold_answer(self) -> None:
         """Count the answer; stop reading while it doesn't fit."""
         if self._holding is None or self._stop_waiting is not None:
@@ -214,15 +199,11 @@
             self._stop_waiting = self._holding.wait_for_answer(
                 size, self._resume_reading
             )
-            self._paused_at_s = self._loop.time()
             if self._transport is not None:
                 self._transport.pause_reading()
 
     def _resume_reading(self) -> None:
         self._stop_waiting = None
-        if self._answer_started_at_s is not None:
-            # The time without reading is no fault of the target.
-            self._answer_started_at_s += self._loop.time() - self._paused_at_s
         if self._transport is not None:
             self._transport.resume_reading()
 
