Read the body of a request that offers another protocol

Cause: the parser stops after such a head and reports the request as complete; the rest of it is for the program, which read nothing more.

The framing fields of the head now go to a new parser, without the offer. It reads the body and the requests that follow, so the connection can be kept.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -24,6 +24,7 @@
     headers,
     pending,
     replies,
+    request_parsing,
     uvicorn_parts,
 )
 
@@ -156,6 +157,7 @@
         Unread bytes of answers are counted in ``ledger``, if there is one.
         """
         super().__init__(**options)
+        self.parser = typing.cast(typing.Any, request_parsing.create(self))
         self.on_lost: typing.Callable[[], None] | None = None
         self._bounds_of = bounds_of
         self._ledger = ledger
@@ -359,11 +361,6 @@
             return
         super().timeout_keep_alive_handler()
 
-    def _unsupported_upgrade_warning(self) -> None:
-        # The parser stops at an upgrade, so no later request could be read.
-        if self.cycle is not None:
-            self.cycle.keep_alive = False
-
     def _join_writes(self) -> None:
         joined = _JoiningTransport(
             self.transport, self._count_written, self.cycle.on_response
--- /dev/null
+++ b/oleanderstair/engine/request_parsing.py
@@ -0,0 +1,133 @@
+"""Parses the requests of a connection, and reads bodies beside an upgrade.
+
+The parser of httptools stops after the head of a request that offers another
+protocol. No offer is accepted here, so the body belongs to the request as if
+none had been made (RFC 9110, 7.8).
+"""
+
+import typing
+
+import httptools
+
+from oleanderstair.engine import headers
+
+_FRAMING_FIELDS: typing.Final = frozenset(
+    (headers.CONTENT_LENGTH, headers.TRANSFER_ENCODING)
+)
+
+
+class Callbacks(typing.Protocol):
+    """What is called with the parts of requests."""
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+
+    def on_url(self, url: bytes) -> None:
+        """Add a part of the request target."""
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a field of the head or of the trailer."""
+
+    def on_headers_complete(self) -> None:
+        """Handle the end of the head."""
+
+    def on_body(self, body: bytes) -> None:
+        """Add a part of the body."""
+
+    def on_message_complete(self) -> None:
+        """Handle the end of the request."""
+
+
+class RequestParser:
+    """Parses requests; one that offers another protocol is an ordinary one."""
+
+    def __init__(self, callbacks: Callbacks) -> None:
+        """Pass the parts of requests to ``callbacks``."""
+        self._callbacks = callbacks
+        self._parser = httptools.HttpRequestParser(self)
+        self._head_parser = self._parser
+        self._framing: headers.Fields = []
+        self._is_reading_head = False
+        self._is_framing_only = False
+
+    def feed_data(self, chunk: bytes) -> None:
+        """Parse received bytes; raise ``HttpParserError`` if invalid."""
+        try:
+            self._parser.feed_data(chunk)
+        except httptools.HttpParserUpgrade as upgrade:
+            self._read_on(chunk[upgrade.args[0] :])
+
+    def get_method(self) -> bytes:
+        """Return the method of the request."""
+        return self._head_parser.get_method()
+
+    def get_http_version(self) -> str:
+        """Return the protocol version of the request, such as ``1.1``."""
+        return self._head_parser.get_http_version()
+
+    def should_keep_alive(self) -> bool:
+        """Return whether the connection may carry another request."""
+        return self._head_parser.should_keep_alive()
+
+    def should_upgrade(self) -> bool:
+        """Return False, as no offer of another protocol is accepted."""
+        return False
+
+    # The callbacks of the parser
+
+    def on_message_begin(self) -> None:
+        """Begin a request, unless only its framing is parsed again."""
+        if self._is_framing_only:
+            return
+        self._head_parser = self._parser
+        self._framing = []
+        self._is_reading_head = True
+        self._callbacks.on_message_begin()
+
+    def on_url(self, url: bytes) -> None:
+        """Pass on a part of the request target."""
+        if not self._is_framing_only:
+            self._callbacks.on_url(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Pass on a field, and keep those that frame the body."""
+        if self._is_framing_only:
+            return
+        if self._is_reading_head and name.lower() in _FRAMING_FIELDS:
+            self._framing.append((name, value))
+        self._callbacks.on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        """Pass on the end of the head."""
+        self._is_reading_head = False
+        if self._is_framing_only:
+            self._is_framing_only = False
+        else:
+            self._callbacks.on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Pass on a part of the body."""
+        self._callbacks.on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Pass on the end of the request, unless only its head was read."""
+        if not self._parser.should_upgrade():
+            self._callbacks.on_message_complete()
+
+    def _read_on(self, rest: bytes) -> None:
+        """Parse the body of the request and what follows it.
+
+        A new parser gets the framing of the request without the offer.
+        """
+        self._parser = httptools.HttpRequestParser(self)
+        self._is_framing_only = True
+        lines = [b'POST / HTTP/1.1']
+        lines.extend(b'%b: %b' % field for field in self._framing)
+        self._parser.feed_data(b'\r\n'.join([*lines, b'', b'']))
+        if rest:
+            self.feed_data(rest)
+
+
+def create(callbacks: Callbacks) -> RequestParser:
+    """Create the parser of a new connection."""
+    return RequestParser(callbacks)
