Refuse a registration that lacks one of its fields

Reservations ran at a server of another service while an entry of another writer stood under that server's id (ROUTE): it had no Version, SlowStartS_time and born, and the decoder gave them defaults or did not read them. The users' page says that an entry with missing fields names no server.

All fields are required now; the last good entry of the target holds. The stand-ins' entries had no Version and get one.

--- a/oleanderstair/emulator/published.py
+++ b/oleanderstair/emulator/published.py
@@ -58,6 +58,7 @@
         'service': 'burza',
         'address': address,
         'data_centre': 'trnava',
+        'number': 'v1',
         'slots': 4,
         'state': 'ready',
         'sequence': 1,
--- a/oleanderstair/platform/documents.py
+++ b/oleanderstair/platform/documents.py
@@ -130,15 +130,21 @@
 
 
 class _TargetDocument(msgspec.Struct):
+    """A registration; one without all fields comes from another writer.
+
+    ``slow_ms`` is the remaining slow start, not the time of its end, and
+    ``number`` the version of the target's software.
+    """
+
     service: _NAME
     address: _ADDRESS
     data_centre: _NAME
+    number: str
     slots: _SLOTS
     state: str
     sequence: _SEQUENCE
-    # The remaining slow start, not the time of its end.
-    slow_ms: _DURATION_MS = 0
-    born: _WALL_MS = 0
+    slow_ms: _DURATION_MS
+    born: _WALL_MS
 
 
 _Document = typing.TypeVar('_Document')
--- a/test/test_documents.py
+++ b/test/test_documents.py
@@ -12,6 +12,7 @@
     'service': 'svc',
     'address': '10.1.0.3:8200',
     'data_centre': 'a',
+    'number': '2.1',
     'slots': 4,
     'state': 'ready',
     'sequence': 7,
@@ -54,6 +55,15 @@
     assert not entry.leaving
 
 
+# Such an entry took over the id of another service's target, which then ran
+# calls of routes that don't lead to it.
+@pytest.mark.parametrize('field', sorted(TARGET))
+def test_target_without_one_of_its_fields_is_refused(field):
+    left = {name: TARGET[name] for name in TARGET if name != field}
+    problem = documents.read_target(item(left), 0).err_value
+    assert field in problem.what
+
+
 @pytest.mark.parametrize(
     'invalid_fields',
     [
