Tell of requests that a closed connection left unanswered

When an instance or its caller closed a connection, or it was reset, while requests on it that had come whole had no complete answer, no line and no metric told how many there were and who had closed. The line closed-unanswered and the counter closed_unanswered_total{why} do so now. The lines share the rate of the other decision lines. No logic is changed.

test_listener and test_decisions cover each way of the end, the merging of lines, and that an answered or an incomplete request isn't counted.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -79,6 +79,19 @@
 """Return the limits in force, which may change at any time."""
 
 
+class _End(enum.Enum):
+    """How a connection ended: closed by its client, by this side, or reset."""
+
+    CLIENT_CLOSE = 'client-close'
+    OWN_CLOSE = 'own-close'
+    RESET = 'reset'
+
+
+OnUnanswered: typing.TypeAlias = typing.Callable[[str, int], None]
+"""Take how a connection ended, and how many requests that had come whole it
+left without a complete answer."""
+
+
 class _Part(enum.Enum):
     """The part of a request that is being received."""
 
@@ -149,14 +162,19 @@
         self,
         bounds_of: BoundsOf,
         ledger: byte_ledger.ByteLedger | None,
+        on_unanswered: OnUnanswered | None,
         **options: typing.Any,
     ) -> None:
         """Serve one connection within the limits that ``bounds_of`` returns.
 
         Unread bytes of answers are counted in ``ledger``, if there is one.
+        ``on_unanswered`` is called if the connection ends before an answer.
         """
         super().__init__(**options)
         self.on_lost: typing.Callable[[], None] | None = None
+        self._on_unanswered = on_unanswered
+        self._open_cycles: list[httptools_impl.RequestResponseCycle] = []
+        self._has_client_closed = False
         self._bounds_of = bounds_of
         self._ledger = ledger
         self._idle_since_s = self.loop.time()
@@ -186,8 +204,9 @@
         self._start_timer(bounds.idle_ms)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Stop the timers and call ``on_lost``."""
+        """Stop the timers, report unanswered requests and call ``on_lost``."""
         super().connection_lost(exc)
+        self._report_unanswered(exc)
         self._stop_timer()
         if self._read_timer is not None:
             self._read_timer.cancel()
@@ -196,6 +215,10 @@
         if self.on_lost is not None:
             self.on_lost()
 
+    def eof_received(self) -> None:
+        """Note that the client closed the connection; this side closes too."""
+        self._has_client_closed = True
+
     def data_received(self, chunk: bytes) -> None:
         """Parse received bytes, then apply limits to an incomplete request."""
         if self._refused:
@@ -258,6 +281,7 @@
             self.app = app
         if self.cycle is not previous_cycle:
             self._join_writes()
+            self._open_cycles.append(self.cycle)
 
     def on_message_complete(self) -> None:
         """Mark the request as received completely."""
@@ -271,6 +295,9 @@
     def on_response_complete(self) -> None:
         """Limit the time for which the client may stop reading the answer."""
         bounds = self._bounds_of()
+        self._open_cycles = [
+            cycle for cycle in self._open_cycles if not cycle.response_complete
+        ]
         self._idle_since_s = self.loop.time()
         self.timeout_keep_alive = typing.cast(
             int,
@@ -371,6 +398,20 @@
         self.cycle.transport = typing.cast(asyncio.Transport, joined)
         self.cycle.on_response = joined.complete_response
 
+    def _report_unanswered(self, error: Exception | None) -> None:
+        """Report the requests that came whole and have no complete answer."""
+        unanswered_count = sum(
+            not cycle.more_body and not cycle.response_complete
+            for cycle in self._open_cycles
+        )
+        self._open_cycles.clear()
+        if not unanswered_count or self._on_unanswered is None:
+            return
+        end = _End.CLIENT_CLOSE if self._has_client_closed else _End.OWN_CLOSE
+        if error is not None:
+            end = _End.RESET
+        self._on_unanswered(end.value, unanswered_count)
+
     def _is_answering(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
 
--- a/oleanderstair/engine/gateway_runtime.py
+++ b/oleanderstair/engine/gateway_runtime.py
@@ -203,6 +203,11 @@
             self.sides.clock.now_ms(),
         )
 
+    def report_unanswered(self, why: str, count: int) -> None:
+        """Log and count whole requests whose connection ended unanswered."""
+        self.metrics.count('closed-unanswered', f'why={why}', count)
+        self.decisions.close_unanswered(why, count, self.sides.clock.now_ms())
+
     def run_maintenance(self, now_ms: clock.Millis) -> None:
         """Update the connection limit, then do the common maintenance."""
         limit = connection_limits.target_connection_limit(self.state)
--- a/oleanderstair/engine/listener.py
+++ b/oleanderstair/engine/listener.py
@@ -112,11 +112,14 @@
     app: typing.Any,
     bounds_of: bounded_protocol.BoundsOf,
     ledger: byte_ledger.ByteLedger | None = None,
+    on_unanswered: bounded_protocol.OnUnanswered | None = None,
 ) -> uvicorn_server.Server:
     """Create a server for ``app`` with limits that may change.
 
     ``bounds_of`` returns the limits in force. Unread bytes of answers are
-    counted in ``ledger``. The server has no signal handlers and no access log.
+    counted in ``ledger``. ``on_unanswered`` is called for each connection that
+    ends before the answer to a whole request. The server has no signal
+    handlers and no access log.
     """
     _configure_uvicorn_logs()
     config = uvicorn_config.Config(
@@ -124,7 +127,10 @@
         http=typing.cast(
             typing.Any,
             functools.partial(
-                bounded_protocol.BoundedProtocol, bounds_of, ledger
+                bounded_protocol.BoundedProtocol,
+                bounds_of,
+                ledger,
+                on_unanswered,
             ),
         ),
         ws='none',
--- a/oleanderstair/explaining/decisions.py
+++ b/oleanderstair/explaining/decisions.py
@@ -146,6 +146,16 @@
         )
         self._say_or_merge(now_ms, 'reader-cut', 'memory', fields)
 
+    def close_unanswered(
+        self,
+        why: str,
+        count: int,
+        now_ms: clock.Millis,
+    ) -> None:
+        """Take a connection that ended before its requests were answered."""
+        fields: lines.Fields = (('why', why), ('requests', count))
+        self._say_or_merge(now_ms, 'closed-unanswered', why, fields)
+
     def hold(self, call_id: int, held_ms: clock.Millis) -> None:
         """Take how long a call that comes next was held at a start."""
         self._held_ms_by_call[call_id] = held_ms
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -110,6 +110,7 @@
             routed_caller_app.create(runtime, dialect.create()),
             bounds_of,
             runtime.ledger,
+            runtime.report_unanswered,
         )
         platform_sockets = self.platform_sockets
         metrics_address = ''
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -219,3 +219,14 @@
     log.observe(500, events.Tick(), [])
     assert 'event=caller-left at=1.0000 id=r where=in-body' in sink.lines[0]
     assert sink.lines[-1].endswith('count=5')
+
+
+def test_unanswered_requests_are_logged_up_to_a_rate() -> None:
+    # Guards against a flood of lines when many connections end at once.
+    sink = sinks.ListSink()
+    log = decisions.DecisionLog(helper.make_world(), sink, lambda: 1.0)
+    for _ in range(decisions.BURST_LINES + 5):
+        log.close_unanswered('reset', 2, 500)
+    log.observe(500, events.Tick(), [])
+    assert sink.lines[0].endswith('why=reset requests=2')
+    assert sink.lines[-1].endswith('count=5')
--- a/test/test_listener.py
+++ b/test/test_listener.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from oleanderstair.engine import bounded_protocol, listener, replies
+from oleanderstair.engine import asgi, bounded_protocol, listener, replies
 from test import raw
 
 BOUNDS = bounded_protocol.ConnectionBounds(
@@ -29,9 +29,11 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(bounds=BOUNDS, app=echo):
+async def serving(bounds=BOUNDS, app=echo, on_unanswered=None):
     bound = listener.bind_socket('127.0.0.1', 0)
-    server = listener.create(app, bounds)
+    server = listener.create_with_changing_bounds(
+        app, lambda: bounds, on_unanswered=on_unanswered
+    )
     with anyio.fail_after(10):
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(server.serve, [bound])
@@ -270,3 +272,54 @@
 
     anyio.run(scenario)
     assert all(name != b'x' for name, _ in seen)
+
+
+async def answer_after_a_while(scope, receive, send):
+    await receive()
+    await anyio.sleep(0.1)
+    fields = [(b'connection', b'close')] if scope['path'] == '/last' else []
+    await asgi.respond(send, 200, [(b'content-length', b'2'), *fields], b'oo')
+
+
+GET = b'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    ('end', 'requests', 'unanswered'),
+    [
+        ('answered', GET * 2, []),
+        ('client-close', GET * 2, [('client-close', 2)]),
+        ('reset', GET, [('reset', 1)]),
+        # The first answer says that it is the last.
+        ('own-close', GET.replace(b'/', b'/last', 1) + GET, [('own-close', 1)]),
+        # A request of which a part is missing hasn't come whole.
+        ('client-close', GET[:-2], []),
+    ],
+)
+def test_requests_that_a_closed_connection_left_unanswered_are_reported(
+    end, requests, unanswered
+):
+    # Guards against connections that end with requests read and unanswered
+    # of which no line and no metric tells.
+    reported = []
+
+    async def scenario():
+        async with serving(
+            BOUNDS._replace(idle_ms=5000),
+            answer_after_a_while,
+            lambda *told: reported.append(told),
+        ) as (address, server):
+            with raw.SlowReader(address) as client:
+                await client.send(requests)
+                await anyio.sleep(0.05)
+                if end == 'reset':
+                    client.reset()
+                elif end != 'client-close':
+                    await client.read_head()
+                    await client.read(2)
+                    await anyio.sleep(0.15)
+            while server.server_state.connections:
+                await anyio.sleep(0.01)
+
+    anyio.run(scenario)
+    assert reported == unanswered
