Close a caller's connection only once its last answer has arrived

Callers lost the last answer on a connection (Connection: close, a refusal before the body was read) if they still sent anything: an extra CRLF, a pipelined request, the rest of a body.

uvicorn closes the socket when the answer is written. With input that is unread, or that comes after it, the kernel resets the connection and drops what it has not sent yet. Refusals by the protocol itself already waited for 500 ms; now all last answers end so: the own side is closed, input is dropped until the caller closes, and without that until it has received the answer and sent nothing for 500 ms, at most for the time of a body.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -35,7 +35,9 @@
     )
 
 _CLOSE_DELAY_MS: typing.Final = 500
-"""Time between a refusal and the close of its connection."""
+"""Time without input between the last answer and the close of a connection.
+Closing with unread input, or before input that is on its way, sends a reset,
+which can discard the answer."""
 
 _FIELD_OVERHEAD_BYTES: typing.Final = 4
 """Bytes of a header field in addition to name and value: colon, space, CRLF."""
@@ -111,8 +113,10 @@
         transport: asyncio.Transport,
         on_write: typing.Callable[[int], None],
         on_response: typing.Callable[[], None],
+        on_close: typing.Callable[[], None],
     ) -> None:
         self._transport = transport
+        self._on_close = on_close
         self._on_write = on_write
         self._on_response = on_response
         self._head: bytes | None = None
@@ -135,7 +139,7 @@
 
     def close(self) -> None:
         self._flush()
-        self._transport.close()
+        self._on_close()
 
     def is_closing(self) -> bool:
         return self._transport.is_closing()
@@ -183,6 +187,8 @@
         self._trailer_bytes = 0
         self._chunk_bytes = 0
         self._refused = False
+        self._has_input = False
+        self._close_by_s: float = 0
         self._timer: asyncio.TimerHandle | None = None
         self._is_idle_timer = False
         self._read_timer: asyncio.TimerHandle | None = None
@@ -221,6 +227,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Parse received bytes, then apply limits to an incomplete request."""
+        self._has_input = True
         if self._refused:
             return
         self._chunk_bytes = len(chunk)
@@ -298,12 +305,13 @@
         self._open_cycles = [
             cycle for cycle in self._open_cycles if not cycle.response_complete
         ]
-        self._idle_since_s = self.loop.time()
-        self.timeout_keep_alive = typing.cast(
-            int,
-            clock.to_seconds(bounds.idle_ms),
-        )
-        super().on_response_complete()
+        if not self._close_by_s:
+            self._idle_since_s = self.loop.time()
+            self.timeout_keep_alive = typing.cast(
+                int,
+                clock.to_seconds(bounds.idle_ms),
+            )
+            super().on_response_complete()
         unread_bytes = self._count_unread_bytes()
         if unread_bytes and not self._read_timer:
             self._note_read(self.count_read_bytes())
@@ -393,7 +401,10 @@
 
     def _join_writes(self) -> None:
         joined = _JoiningTransport(
-            self.transport, self._count_written, self.cycle.on_response
+            self.transport,
+            self._count_written,
+            self.cycle.on_response,
+            self._finish,
         )
         self.cycle.transport = typing.cast(asyncio.Transport, joined)
         self.cycle.on_response = joined.complete_response
@@ -407,9 +418,11 @@
         self._open_cycles.clear()
         if not unanswered_count or self._on_unanswered is None:
             return
-        end = _End.CLIENT_CLOSE if self._has_client_closed else _End.OWN_CLOSE
-        if error is not None:
+        end = _End.OWN_CLOSE
+        if not self._close_by_s and error is not None:
             end = _End.RESET
+        elif not self._close_by_s and self._has_client_closed:
+            end = _End.CLIENT_CLOSE
         self._on_unanswered(end.value, unanswered_count)
 
     def _is_answering(self) -> bool:
@@ -467,7 +480,10 @@
             fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, size)
         except OSError:
             return 0
-        return int(_SIZE.unpack(size)[0])
+        # The kernel counts the end of the stream as a byte until it is
+        # acknowledged.
+        end_bytes = 1 if self._close_by_s else 0
+        return max(int(_SIZE.unpack(size)[0]) - end_bytes, 0)
 
     def _count_unread_bytes(self) -> int:
         """Return the bytes of answers that wait for the client.
@@ -503,21 +519,52 @@
         if self._ledger is not None:
             self._ledger.set_unread(self, reading.unread_bytes)
 
+    # The end of the connection
+
     def _refuse_and_close(self, reason: outcomes.Reason, detail: str) -> None:
-        # Input is read and dropped for 500 ms before the close. Closing with
-        # unread input would send a reset, which can discard the refusal.
-        self._refused = True
-        self._stop_timer()
         self.transport.write(
             _encode_response(replies.not_run_reply(reason, detail))
         )
-        if self.transport.can_write_eof():
+        self._finish()
+
+    def _finish(self) -> None:
+        """Close after the last answer, and drop input until the client closes.
+
+        Without a close by the client, wait until it has received the answer
+        and has sent nothing for a while, or until the time of a body is over.
+        """
+        if self._close_by_s or self.transport.is_closing():
+            return
+        self._refused = True
+        self._stop_timer()
+        max_ms = self._bounds_of().request_time_ms * _BODY_TIME_FACTOR
+        self._close_by_s = self.loop.time() + clock.to_seconds(max_ms)
+        with contextlib.suppress(OSError):
             self.transport.write_eof()
-        self.loop.call_later(
-            clock.to_seconds(_CLOSE_DELAY_MS),
-            self.transport.close,
+        self.flow.resume_reading()
+        self._note_read(self.count_read_bytes())
+        self._check_finished_later()
+
+    def _check_finished_later(self) -> None:
+        self._has_input = False
+        self._timer = self.loop.call_later(
+            clock.to_seconds(_CLOSE_DELAY_MS), self._close_if_finished
         )
 
+    def _close_if_finished(self) -> None:
+        unread_bytes = (
+            self.transport.get_write_buffer_size() + self._count_kernel_bytes()
+        )
+        stopped_ms = self.measure_reading().stopped_ms
+        if unread_bytes and stopped_ms >= self._bounds_of().answer_time_ms:
+            self.transport.abort()
+        elif unread_bytes or (
+            self._has_input and self.loop.time() < self._close_by_s
+        ):
+            self._check_finished_later()
+        else:
+            self.transport.close()
+
 
 async def _refuse_large_header(
     scope: asgi.Scope,
--- a/test/test_listener.py
+++ b/test/test_listener.py
@@ -323,3 +323,50 @@
 
     anyio.run(scenario)
     assert reported == unanswered
+
+
+async def answer_large_and_close(scope, receive, send):
+    fields = [(b'content-length', b'%d' % LARGE), (b'connection', b'close')]
+    await asgi.respond(send, 200, fields, b'o' * LARGE)
+
+
+def test_bytes_after_the_last_request_do_not_cut_its_answer():
+    # The close of a socket with unread input, or input that came after the
+    # close, reset the connection while the answer was still on its way.
+    async def scenario():
+        bounds = BOUNDS._replace(answer_time_ms=5000)
+        async with serving(bounds, answer_large_and_close) as (address, _):
+            with raw.SlowReader(address) as client:
+                await client.send(GET)
+                await client.read_head()
+                for _ in range(5):
+                    await client.send(b'\r\n')
+                    await anyio.sleep(0.02)
+                assert await client.read(LARGE) == LARGE
+
+    anyio.run(scenario)
+
+
+def test_answer_before_the_body_is_read_by_a_client_that_still_sends():
+    # The connection was reset with the rest of the body unread, so that its
+    # client got no answer.
+    async def refuse(scope, receive, send):
+        fields = [(b'content-length', b'2'), (b'connection', b'close')]
+        await asgi.respond(send, 413, fields, b'no')
+
+    async def scenario():
+        async with serving(app=refuse) as (address, server):
+            with raw.SlowReader(address) as client:
+                await client.send(
+                    b'POST / HTTP/1.1\r\nhost: a\r\n'
+                    b'content-length: 9000000\r\n\r\n',
+                )
+                for _ in range(4):
+                    await anyio.sleep(0.02)
+                    await client.send(b'x' * 1_000_000)
+                assert b' 413 ' in await client.read_head()
+                assert await client.read(3) == 2
+            while server.server_state.connections:
+                await anyio.sleep(0.01)
+
+    anyio.run(scenario)
