Keep a later request's refusal out of the answer to an earlier one

What was being received was judged by its part: a head that raises once it is complete counted as a body, whose request then seemed to be the earlier one; the bound of a head didn't look at earlier requests at all. Now each refusal asks for requests in progress other than the one being received, and the connection closes after their answers.

The test had one kind of malformed bytes; it has three now, each sent while the first request is at work. Two of them failed before: the answer began with the refusal.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -235,12 +235,12 @@
             self._head_bytes += len(chunk)
         super().data_received(chunk)
         self._chunk_bytes = 0
+        if self._refused:
+            return
         if self._part is _Part.NONE:
             self._stop_timer()
         elif self._head_bytes > self._bounds_of().max_header_bytes:
-            self._refuse_and_close(
-                outcomes.Reason.TOO_LARGE, 'the header is too large'
-            )
+            self._refuse(outcomes.Reason.TOO_LARGE, 'the header is too large')
         elif self._timer is None or self._is_idle_timer:
             self._stop_timer()
             self._start_timer(self._bounds_of().request_time_ms)
@@ -271,8 +271,6 @@
 
     def on_headers_complete(self) -> None:
         """Start the application, or refuse a header above the maximum size."""
-        self._part = _Part.BODY
-        self._head_bytes = 0
         self._connection['target'] = self.url
         size = len(self.url) + sum(
             len(name) + len(field) + _FIELD_OVERHEAD_BYTES
@@ -289,6 +287,9 @@
         if self.cycle is not previous_cycle:
             self._join_writes()
             self._open_cycles.append(self.cycle)
+        # Not before: a head that raises above has no cycle of its own.
+        self._part = _Part.BODY
+        self._head_bytes = 0
 
     def on_message_complete(self) -> None:
         """Mark the request as received completely."""
@@ -361,22 +362,11 @@
         self,
         msg: str,
     ) -> None:
-        """Refuse malformed HTTP, but not inside the answer to another request.
-
-        While an earlier request is in progress, the connection closes after its
-        answer instead.
-        """
-        is_earlier_in_progress = bool(self.pipeline) or (
-            self._part is not _Part.BODY and self._is_answering()
-        )
-        if is_earlier_in_progress:
-            self._refused = True
-            self.cycle.keep_alive = False
-            return
-        if self._is_answering():
+        """Refuse malformed HTTP."""
+        if self._part is _Part.BODY and self._is_answering():
             self.cycle.disconnected = True
             self.cycle.message_event.set()
-        self._refuse_and_close(outcomes.Reason.BAD_REQUEST, msg)
+        self._refuse(outcomes.Reason.BAD_REQUEST, msg)
 
     def timeout_keep_alive_handler(self) -> None:
         """Close an idle connection.
@@ -521,6 +511,21 @@
 
     # The end of the connection
 
+    def _refuse(self, reason: outcomes.Reason, detail: str) -> None:
+        """Refuse what comes, but not inside the answer to another request.
+
+        While an earlier request is in progress, the connection closes after its
+        answer instead.
+        """
+        is_received = self._part is _Part.BODY
+        if is_received and self.cycle.response_complete:
+            self._finish()
+        elif len(self._open_cycles) > is_received:
+            self._refused = True
+            self.cycle.keep_alive = False
+        else:
+            self._refuse_and_close(reason, detail)
+
     def _refuse_and_close(self, reason: outcomes.Reason, detail: str) -> None:
         self.transport.write(
             _encode_response(replies.not_run_reply(reason, detail))
--- a/test/test_listener.py
+++ b/test/test_listener.py
@@ -174,18 +174,32 @@
     anyio.run(scenario)
 
 
-def test_malformed_bytes_after_a_request_do_not_change_its_answer():
+@pytest.mark.parametrize(
+    'bad_request',
+    [
+        b'nothing of the kind\r\n\r\n',
+        b'GET http://[ HTTP/1.1\r\nhost: a\r\n\r\n',
+        b'GET / HTTP/1.1\r\nx: %b' % (b'y' * 3000),
+    ],
+)
+def test_malformed_bytes_after_a_request_do_not_change_its_answer(bad_request):
+    # The refusal of a target or a head that can't be parsed went out in place
+    # of the answer to the request before it.
     async def slow(scope, receive, send):
         await anyio.sleep(0.1)
         await echo(scope, receive, send)
 
     async def scenario():
         async with serving(app=slow) as (address, _):
-            answer = await raw.send_and_receive(
-                address,
-                b'GET / HTTP/1.1\r\nhost: a\r\n\r\n',
-                b'nothing of the kind\r\n\r\n',
-            )
+            host, _, port = address.rpartition(':')
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+                await anyio.sleep(0.02)
+                await stream.send(bad_request)
+                answer = b''
+                with contextlib.suppress(anyio.EndOfStream):
+                    while True:
+                        answer += await stream.receive()
             assert answer.startswith(b'HTTP/1.1 200')
             assert answer.endswith(b'oo')
             assert answer.count(b'HTTP/1.1') == 1
