Close after a refusal to a caller that awaits 100 Continue

A caller that sent Expect: 100-continue and got a refusal at once (413 or a 503 for lack of memory) sent its next request on the kept connection in place of the body.

Now an answer that is given before 100 Continue, while a part of the body is missing, says Connection: close. The test failed before as the answer didn't say so; a second one shows that the connection is kept where the body is read.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -398,6 +398,24 @@
         )
         self.cycle.transport = typing.cast(asyncio.Transport, joined)
         self.cycle.on_response = joined.complete_response
+        if self.expect_100_continue:
+            self._close_without_body(self.cycle)
+
+    def _close_without_body(
+        self, cycle: httptools_impl.RequestResponseCycle
+    ) -> None:
+        """Close after an answer whose client still waits to send the body.
+
+        It may send the next request instead, which would be read as the body.
+        """
+        send = cycle.send
+
+        async def send_or_close(message: typing.Any) -> None:
+            if cycle.waiting_for_100_continue and cycle.more_body:
+                cycle.keep_alive = False
+            await send(message)
+
+        cycle.send = send_or_close  # type: ignore[method-assign]
 
     def _report_unanswered(self, error: Exception | None) -> None:
         """Report the requests that came whole and have no complete answer."""
--- a/test/test_listener.py
+++ b/test/test_listener.py
@@ -361,6 +361,36 @@
     anyio.run(scenario)
 
 
+EXPECTING = (
+    b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 50\r\n'
+    b'expect: 100-continue\r\n\r\n'
+)
+
+
+def test_connection_closes_if_the_awaited_body_is_refused():
+    # The client sent its next request in place of the body. It was read as the
+    # body and got no answer.
+    async def scenario():
+        async with serving() as (address, _):
+            answer = await raw.send_and_receive(address, EXPECTING)
+            assert b'\r\nconnection: close' in answer
+            assert b' 100 ' not in answer
+
+    anyio.run(scenario)
+
+
+def test_connection_is_kept_if_the_awaited_body_is_read():
+    async def scenario():
+        async with serving(app=answer_after_a_while) as (address, _):
+            with raw.SlowReader(address) as client:
+                await client.send(EXPECTING)
+                assert b' 100 ' in await client.read_head()
+                await client.send(b'x' * 50)
+                assert b'connection' not in await client.read_head()
+
+    anyio.run(scenario)
+
+
 def test_answer_before_the_body_is_read_by_a_client_that_still_sends():
     # The connection was reset with the rest of the body unread, so that its
     # client got no answer.
