See the departure of a caller whose input is not read meanwhile

While a pipelined request waits, or after a body whose last part was large, the input of a connection isn't read, so neither a close nor a reset was seen. After a body of 90 KB the work went on for 0.9 s.

Where reading is paused, the state of the TCP connection is asked for every 150 ms; it shows the close behind unread input. Reading on instead would need a bound of its own for what is held of later requests.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -12,6 +12,7 @@
 import socket
 import struct
 import termios
+import types
 import typing
 
 import msgspec
@@ -51,6 +52,11 @@
 _MAX_CHECK_INTERVAL_MS: typing.Final = 500
 """The longest time between two checks where buffered bytes are limited."""
 
+_DEPARTURE_CHECK_MS: typing.Final = 150
+"""Time between two looks for the close by a client whose input is not read. A
+request may not be passed on later than 500 ms after it."""
+
+
 _RESET_ON_CLOSE: typing.Final = struct.pack('ii', 1, 0)
 """The linger option with which a close drops unsent bytes of the kernel."""
 
@@ -89,6 +95,12 @@
     RESET = 'reset'
 
 
+_END_BY_TCP_STATE: typing.Final = types.MappingProxyType(
+    {7: _End.RESET, 8: _End.CLIENT_CLOSE},
+)
+"""How the client ended a connection, by the state in which Linux has it: CLOSE
+or CLOSE_WAIT."""
+
 OnUnanswered: typing.TypeAlias = typing.Callable[[str, int], None]
 """Take how a connection ended, and how many requests that had come whole it
 left without a complete answer."""
@@ -178,7 +190,7 @@
         self.on_lost: typing.Callable[[], None] | None = None
         self._on_unanswered = on_unanswered
         self._open_cycles: list[httptools_impl.RequestResponseCycle] = []
-        self._has_client_closed = False
+        self._end = _End.OWN_CLOSE
         self._bounds_of = bounds_of
         self._ledger = ledger
         self._idle_since_s = self.loop.time()
@@ -189,6 +201,7 @@
         self._refused = False
         self._has_input = False
         self._close_by_s: float = 0
+        self._departure_timer: asyncio.TimerHandle | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._is_idle_timer = False
         self._read_timer: asyncio.TimerHandle | None = None
@@ -212,10 +225,13 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timers, report unanswered requests and call ``on_lost``."""
         super().connection_lost(exc)
-        self._report_unanswered(exc)
+        if exc is not None:
+            self._note_end(_End.RESET)
+        self._report_unanswered()
         self._stop_timer()
-        if self._read_timer is not None:
-            self._read_timer.cancel()
+        for timer in (self._read_timer, self._departure_timer):
+            if timer is not None:
+                timer.cancel()
         if self._ledger is not None:
             self._ledger.set_unread(self, 0)
         if self.on_lost is not None:
@@ -223,7 +239,7 @@
 
     def eof_received(self) -> None:
         """Note that the client closed the connection; this side closes too."""
-        self._has_client_closed = True
+        self._note_end(_End.CLIENT_CLOSE)
 
     def data_received(self, chunk: bytes) -> None:
         """Parse received bytes, then apply limits to an incomplete request."""
@@ -235,6 +251,8 @@
             self._head_bytes += len(chunk)
         super().data_received(chunk)
         self._chunk_bytes = 0
+        if self.flow.read_paused and self._departure_timer is None:
+            self._check_departure_later()
         if self._refused:
             return
         if self._part is _Part.NONE:
@@ -417,21 +435,20 @@
 
         cycle.send = send_or_close  # type: ignore[method-assign]
 
-    def _report_unanswered(self, error: Exception | None) -> None:
+    def _note_end(self, end: _End) -> None:
+        """Note how the client ended the connection, unless this side did."""
+        if not self._close_by_s:
+            self._end = end
+
+    def _report_unanswered(self) -> None:
         """Report the requests that came whole and have no complete answer."""
         unanswered_count = sum(
             not cycle.more_body and not cycle.response_complete
             for cycle in self._open_cycles
         )
         self._open_cycles.clear()
-        if not unanswered_count or self._on_unanswered is None:
-            return
-        end = _End.OWN_CLOSE
-        if not self._close_by_s and error is not None:
-            end = _End.RESET
-        elif not self._close_by_s and self._has_client_closed:
-            end = _End.CLIENT_CLOSE
-        self._on_unanswered(end.value, unanswered_count)
+        if unanswered_count and self._on_unanswered is not None:
+            self._on_unanswered(self._end.value, unanswered_count)
 
     def _is_answering(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
@@ -473,6 +490,31 @@
         else:
             self.transport.close()
 
+    # The close by a client whose input is not read
+
+    def _check_departure_later(self) -> None:
+        self._departure_timer = self.loop.call_later(
+            clock.to_seconds(_DEPARTURE_CHECK_MS), self._check_departure
+        )
+
+    def _check_departure(self) -> None:
+        """Close if the client has closed; look again while reading is paused.
+
+        Reading pauses while pipelined requests or a large body wait. A close
+        is read only after them, but ends the requests at once.
+        """
+        self._departure_timer = None
+        if not self.flow.read_paused:
+            return
+        connected = self.transport.get_extra_info('socket')
+        state = connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        end = _END_BY_TCP_STATE.get(state)
+        if end is None:
+            self._check_departure_later()
+        else:
+            self._note_end(end)
+            self.transport.abort()
+
     # The reading of answers by the client
 
     def _count_written(self, size: int) -> None:
--- a/test/test_listener.py
+++ b/test/test_listener.py
@@ -414,3 +414,64 @@
                 await anyio.sleep(0.01)
 
     anyio.run(scenario)
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize('second', [GET, EXPECTING + b'x' * 50])
+def test_departure_is_seen_while_pipelined_requests_wait(is_reset, second):
+    # The input was not read while another request waited, so the work for a
+    # client that had gone went on, and the next request was passed on later.
+    started = []
+    reported = []
+
+    async def answer_late(scope, receive, send):
+        started.append(scope['path'])
+        await anyio.sleep(0.8)
+        await echo(scope, receive, send)
+
+    async def scenario():
+        bounds = BOUNDS._replace(idle_ms=5000)
+        async with serving(
+            bounds, answer_late, lambda *told: reported.append(told)
+        ) as (address, server):
+            with raw.SlowReader(address) as client:
+                await client.send(GET)
+                await anyio.sleep(0.03)
+                await client.send(second)
+                await anyio.sleep(0.03)
+                if is_reset:
+                    client.reset()
+            with anyio.fail_after(0.45):
+                while server.server_state.connections:
+                    await anyio.sleep(0.01)
+            await anyio.sleep(0.5)
+
+    anyio.run(scenario)
+    assert started == ['/']
+    end = 'reset' if is_reset else 'client-close'
+    assert reported == [(end, 2)]
+
+
+def test_departure_is_seen_after_a_large_body():
+    # Its last part stopped the reading until the answer.
+    async def answer_late(scope, receive, send):
+        while (await receive()).get('more_body'):
+            await anyio.sleep(0)
+        await anyio.sleep(0.8)
+
+    async def scenario():
+        bounds = BOUNDS._replace(idle_ms=5000)
+        async with serving(bounds, answer_late) as (address, server):
+            with raw.SlowReader(address) as client:
+                await client.send(
+                    b'POST / HTTP/1.1\r\nhost: a\r\n'
+                    b'content-length: 90000\r\n\r\n',
+                )
+                await anyio.sleep(0.03)
+                await client.send(b'x' * 90000)
+                await anyio.sleep(0.03)
+            with anyio.fail_after(0.45):
+                while server.server_state.connections:
+                    await anyio.sleep(0.01)
+
+    anyio.run(scenario)
