--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -12,6 +12,7 @@
 import socket
 import struct
 import termios
+import types
 import typing
 
 import msgspec
@@ -36,7 +37,9 @@
     )
 
 _CLOSE_DELAY_MS: typing.Final = 500
-"""Time between a refusal and the close of its connection."""
+"""Time without input between the last answer and the close of a connection.
+Closing with unread input, or before input that is on its way, sends a reset,
+which can discard the answer."""
 
 _FIELD_OVERHEAD_BYTES: typing.Final = 4
 """Bytes of a header field in addition to name and value: colon, space, CRLF."""
@@ -50,6 +53,11 @@
 _MAX_CHECK_INTERVAL_MS: typing.Final = 500
 """The longest time between two checks where buffered bytes are limited."""
 
+_DEPARTURE_CHECK_MS: typing.Final = 150
+"""Time between two looks for the close by a client whose input is not read. A
+request may not be passed on later than 500 ms after it."""
+
+
 _RESET_ON_CLOSE: typing.Final = struct.pack('ii', 1, 0)
 """The linger option with which a close drops unsent bytes of the kernel."""
 
@@ -80,6 +88,25 @@
 """Return the limits in force, which may change at any time."""
 
 
+class _End(enum.Enum):
+    """How a connection ended: closed by its client, by this side, or reset."""
+
+    CLIENT_CLOSE = 'client-close'
+    OWN_CLOSE = 'own-close'
+    RESET = 'reset'
+
+
+_END_BY_TCP_STATE: typing.Final = types.MappingProxyType(
+    {7: _End.RESET, 8: _End.CLIENT_CLOSE},
+)
+"""How the client ended a connection, by the state in which Linux has it: CLOSE
+or CLOSE_WAIT."""
+
+OnUnanswered: typing.TypeAlias = typing.Callable[[str, int], None]
+"""Take how a connection ended, and how many requests that had come whole it
+left without a complete answer."""
+
+
 class _Part(enum.Enum):
     """The part of a request that is being received."""
 
@@ -99,8 +126,10 @@
         transport: asyncio.Transport,
         on_write: typing.Callable[[int], None],
         on_response: typing.Callable[[], None],
+        on_close: typing.Callable[[], None],
     ) -> None:
         self._transport = transport
+        self._on_close = on_close
         self._on_write = on_write
         self._on_response = on_response
         self._head: bytes | None = None
@@ -123,7 +152,7 @@
 
     def close(self) -> None:
         self._flush()
-        self._transport.close()
+        self._on_close()
 
     def is_closing(self) -> bool:
         return self._transport.is_closing()
@@ -150,15 +179,20 @@
         self,
         bounds_of: BoundsOf,
         ledger: byte_ledger.ByteLedger | None,
+        on_unanswered: OnUnanswered | None,
         **options: typing.Any,
     ) -> None:
         """Serve one connection within the limits that ``bounds_of`` returns.
 
         Unread bytes of answers are counted in ``ledger``, if there is one.
+        ``on_unanswered`` is called if the connection ends before an answer.
         """
         super().__init__(**options)
         self.parser = typing.cast(typing.Any, request_parsing.create(self))
         self.on_lost: typing.Callable[[], None] | None = None
+        self._on_unanswered = on_unanswered
+        self._open_cycles: list[httptools_impl.RequestResponseCycle] = []
+        self._end = _End.OWN_CLOSE
         self._bounds_of = bounds_of
         self._ledger = ledger
         self._idle_since_s = self.loop.time()
@@ -167,6 +201,9 @@
         self._trailer_bytes = 0
         self._chunk_bytes = 0
         self._refused = False
+        self._has_input = False
+        self._close_by_s: float = 0
+        self._departure_timer: asyncio.TimerHandle | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._is_idle_timer = False
         self._read_timer: asyncio.TimerHandle | None = None
@@ -188,18 +225,27 @@
         self._start_timer(bounds.idle_ms)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Stop the timers and call ``on_lost``."""
+        """Stop the timers, report unanswered requests and call ``on_lost``."""
         super().connection_lost(exc)
+        if exc is not None:
+            self._note_end(_End.RESET)
+        self._report_unanswered()
         self._stop_timer()
-        if self._read_timer is not None:
-            self._read_timer.cancel()
+        for timer in (self._read_timer, self._departure_timer):
+            if timer is not None:
+                timer.cancel()
         if self._ledger is not None:
             self._ledger.set_unread(self, 0)
         if self.on_lost is not None:
             self.on_lost()
 
+    def eof_received(self) -> None:
+        """Note that the client closed the connection; this side closes too."""
+        self._note_end(_End.CLIENT_CLOSE)
+
     def data_received(self, chunk: bytes) -> None:
         """Parse received bytes, then apply limits to an incomplete request."""
+        self._has_input = True
         if self._refused:
             return
         self._chunk_bytes = len(chunk)
@@ -207,12 +253,14 @@
             self._head_bytes += len(chunk)
         super().data_received(chunk)
         self._chunk_bytes = 0
+        if self.flow.read_paused and self._departure_timer is None:
+            self._check_departure_later()
+        if self._refused:
+            return
         if self._part is _Part.NONE:
             self._stop_timer()
         elif self._head_bytes > self._bounds_of().max_header_bytes:
-            self._refuse_and_close(
-                outcomes.Reason.TOO_LARGE, 'the header is too large'
-            )
+            self._refuse(outcomes.Reason.TOO_LARGE, 'the header is too large')
         elif self._timer is None or self._is_idle_timer:
             self._stop_timer()
             self._start_timer(self._bounds_of().request_time_ms)
@@ -243,8 +291,6 @@
 
     def on_headers_complete(self) -> None:
         """Start the application, or refuse a header above the maximum size."""
-        self._part = _Part.BODY
-        self._head_bytes = 0
         self._connection['target'] = self.url
         size = len(self.url) + sum(
             len(name) + len(field) + _FIELD_OVERHEAD_BYTES
@@ -260,6 +306,10 @@
             self.app = app
         if self.cycle is not previous_cycle:
             self._join_writes()
+            self._open_cycles.append(self.cycle)
+        # Not before: a head that raises above has no cycle of its own.
+        self._part = _Part.BODY
+        self._head_bytes = 0
 
     def on_message_complete(self) -> None:
         """Mark the request as received completely."""
@@ -273,12 +323,16 @@
     def on_response_complete(self) -> None:
         """Limit the time for which the client may stop reading the answer."""
         bounds = self._bounds_of()
-        self._idle_since_s = self.loop.time()
-        self.timeout_keep_alive = typing.cast(
-            int,
-            clock.to_seconds(bounds.idle_ms),
-        )
-        super().on_response_complete()
+        self._open_cycles = [
+            cycle for cycle in self._open_cycles if not cycle.response_complete
+        ]
+        if not self._close_by_s:
+            self._idle_since_s = self.loop.time()
+            self.timeout_keep_alive = typing.cast(
+                int,
+                clock.to_seconds(bounds.idle_ms),
+            )
+            super().on_response_complete()
         unread_bytes = self._count_unread_bytes()
         if unread_bytes and not self._read_timer:
             self._note_read(self.count_read_bytes())
@@ -328,22 +382,11 @@
         self,
         msg: str,
     ) -> None:
-        """Refuse malformed HTTP, but not inside the answer to another request.
-
-        While an earlier request is in progress, the connection closes after its
-        answer instead.
-        """
-        is_earlier_in_progress = bool(self.pipeline) or (
-            self._part is not _Part.BODY and self._is_answering()
-        )
-        if is_earlier_in_progress:
-            self._refused = True
-            self.cycle.keep_alive = False
-            return
-        if self._is_answering():
+        """Refuse malformed HTTP."""
+        if self._part is _Part.BODY and self._is_answering():
             self.cycle.disconnected = True
             self.cycle.message_event.set()
-        self._refuse_and_close(outcomes.Reason.BAD_REQUEST, msg)
+        self._refuse(outcomes.Reason.BAD_REQUEST, msg)
 
     def timeout_keep_alive_handler(self) -> None:
         """Close an idle connection.
@@ -363,10 +406,46 @@
 
     def _join_writes(self) -> None:
         joined = _JoiningTransport(
-            self.transport, self._count_written, self.cycle.on_response
+            self.transport,
+            self._count_written,
+            self.cycle.on_response,
+            self._finish,
         )
         self.cycle.transport = typing.cast(asyncio.Transport, joined)
         self.cycle.on_response = joined.complete_response
+        if self.expect_100_continue:
+            self._close_without_body(self.cycle)
+
+    def _close_without_body(
+        self, cycle: httptools_impl.RequestResponseCycle
+    ) -> None:
+        """Close after an answer whose client still waits to send the body.
+
+        It may send the next request instead, which would be read as the body.
+        """
+        send = cycle.send
+
+        async def send_or_close(message: typing.Any) -> None:
+            if cycle.waiting_for_100_continue and cycle.more_body:
+                cycle.keep_alive = False
+            await send(message)
+
+        cycle.send = send_or_close  # type: ignore[method-assign]
+
+    def _note_end(self, end: _End) -> None:
+        """Note how the client ended the connection, unless this side did."""
+        if not self._close_by_s:
+            self._end = end
+
+    def _report_unanswered(self) -> None:
+        """Report the requests that came whole and have no complete answer."""
+        unanswered_count = sum(
+            not cycle.more_body and not cycle.response_complete
+            for cycle in self._open_cycles
+        )
+        self._open_cycles.clear()
+        if unanswered_count and self._on_unanswered is not None:
+            self._on_unanswered(self._end.value, unanswered_count)
 
     def _is_answering(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
@@ -408,6 +487,31 @@
         else:
             self.transport.close()
 
+    # The close by a client whose input is not read
+
+    def _check_departure_later(self) -> None:
+        self._departure_timer = self.loop.call_later(
+            clock.to_seconds(_DEPARTURE_CHECK_MS), self._check_departure
+        )
+
+    def _check_departure(self) -> None:
+        """Close if the client has closed; look again while reading is paused.
+
+        Reading pauses while pipelined requests or a large body wait. A close
+        is read only after them, but ends the requests at once.
+        """
+        self._departure_timer = None
+        if not self.flow.read_paused:
+            return
+        connected = self.transport.get_extra_info('socket')
+        state = connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        end = _END_BY_TCP_STATE.get(state)
+        if end is None:
+            self._check_departure_later()
+        else:
+            self._note_end(end)
+            self.transport.abort()
+
     # The reading of answers by the client
 
     def _count_written(self, size: int) -> None:
@@ -423,7 +527,10 @@
             fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, size)
         except OSError:
             return 0
-        return int(_SIZE.unpack(size)[0])
+        # The kernel counts the end of the stream as a byte until it is
+        # acknowledged.
+        end_bytes = 1 if self._close_by_s else 0
+        return max(int(_SIZE.unpack(size)[0]) - end_bytes, 0)
 
     def _count_unread_bytes(self) -> int:
         """Return the bytes of answers that wait for the client.
@@ -459,21 +566,67 @@
         if self._ledger is not None:
             self._ledger.set_unread(self, reading.unread_bytes)
 
+    # The end of the connection
+
+    def _refuse(self, reason: outcomes.Reason, detail: str) -> None:
+        """Refuse what comes, but not inside the answer to another request.
+
+        While an earlier request is in progress, the connection closes after its
+        answer instead.
+        """
+        is_received = self._part is _Part.BODY
+        if is_received and self.cycle.response_complete:
+            self._finish()
+        elif len(self._open_cycles) > is_received:
+            self._refused = True
+            self.cycle.keep_alive = False
+        else:
+            self._refuse_and_close(reason, detail)
+
     def _refuse_and_close(self, reason: outcomes.Reason, detail: str) -> None:
-        # Input is read and dropped for 500 ms before the close. Closing with
-        # unread input would send a reset, which can discard the refusal.
-        self._refused = True
-        self._stop_timer()
         self.transport.write(
             _encode_response(replies.not_run_reply(reason, detail))
         )
-        if self.transport.can_write_eof():
+        self._finish()
+
+    def _finish(self) -> None:
+        """Close after the last answer, and drop input until the client closes.
+
+        Without a close by the client, wait until it has received the answer
+        and has sent nothing for a while, or until the time of a body is over.
+        """
+        if self._close_by_s or self.transport.is_closing():
+            return
+        self._refused = True
+        self._stop_timer()
+        max_ms = self._bounds_of().request_time_ms * _BODY_TIME_FACTOR
+        self._close_by_s = self.loop.time() + clock.to_seconds(max_ms)
+        with contextlib.suppress(OSError):
             self.transport.write_eof()
-        self.loop.call_later(
-            clock.to_seconds(_CLOSE_DELAY_MS),
-            self.transport.close,
+        self.flow.resume_reading()
+        self._note_read(self.count_read_bytes())
+        self._check_finished_later()
+
+    def _check_finished_later(self) -> None:
+        self._has_input = False
+        self._timer = self.loop.call_later(
+            clock.to_seconds(_CLOSE_DELAY_MS), self._close_if_finished
         )
 
+    def _close_if_finished(self) -> None:
+        unread_bytes = (
+            self.transport.get_write_buffer_size() + self._count_kernel_bytes()
+        )
+        stopped_ms = self.measure_reading().stopped_ms
+        if unread_bytes and stopped_ms >= self._bounds_of().answer_time_ms:
+            self.transport.abort()
+        elif unread_bytes or (
+            self._has_input and self.loop.time() < self._close_by_s
+        ):
+            self._check_finished_later()
+        else:
+            self.transport.close()
+
 
 async def _refuse_large_header(
     scope: asgi.Scope,
--- a/test/test_listener.py
+++ b/test/test_listener.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from oleanderstair.engine import bounded_protocol, listener, replies
+from oleanderstair.engine import asgi, bounded_protocol, listener, replies
 from test import raw
 
 BOUNDS = bounded_protocol.ConnectionBounds(
@@ -29,9 +29,11 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(bounds=BOUNDS, app=echo):
+async def serving(bounds=BOUNDS, app=echo, on_unanswered=None):
     bound = listener.bind_socket('127.0.0.1', 0)
-    server = listener.create(app, bounds)
+    server = listener.create_with_changing_bounds(
+        app, lambda: bounds, on_unanswered=on_unanswered
+    )
     with anyio.fail_after(10):
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(server.serve, [bound])
@@ -172,18 +174,32 @@
     anyio.run(scenario)
 
 
-def test_malformed_bytes_after_a_request_do_not_change_its_answer():
+@pytest.mark.parametrize(
+    'bad_request',
+    [
+        b'nothing of the kind\r\n\r\n',
+        b'GET http://[ HTTP/1.1\r\nhost: a\r\n\r\n',
+        b'GET / HTTP/1.1\r\nx: %b' % (b'y' * 3000),
+    ],
+)
+def test_malformed_bytes_after_a_request_do_not_change_its_answer(bad_request):
+    # The refusal of a target or a head that can't be parsed went out in place
+    # of the answer to the request before it.
     async def slow(scope, receive, send):
         await anyio.sleep(0.1)
         await echo(scope, receive, send)
 
     async def scenario():
         async with serving(app=slow) as (address, _):
-            answer = await raw.send_and_receive(
-                address,
-                b'GET / HTTP/1.1\r\nhost: a\r\n\r\n',
-                b'nothing of the kind\r\n\r\n',
-            )
+            host, _, port = address.rpartition(':')
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+                await anyio.sleep(0.02)
+                await stream.send(bad_request)
+                answer = b''
+                with contextlib.suppress(anyio.EndOfStream):
+                    while True:
+                        answer += await stream.receive()
             assert answer.startswith(b'HTTP/1.1 200')
             assert answer.endswith(b'oo')
             assert answer.count(b'HTTP/1.1') == 1
@@ -270,3 +286,192 @@
 
     anyio.run(scenario)
     assert all(name != b'x' for name, _ in seen)
+
+
+async def answer_after_a_while(scope, receive, send):
+    await receive()
+    await anyio.sleep(0.1)
+    fields = [(b'connection', b'close')] if scope['path'] == '/last' else []
+    await asgi.respond(send, 200, [(b'content-length', b'2'), *fields], b'oo')
+
+
+GET = b'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    ('end', 'requests', 'unanswered'),
+    [
+        ('answered', GET * 2, []),
+        ('client-close', GET * 2, [('client-close', 2)]),
+        ('reset', GET, [('reset', 1)]),
+        # The first answer says that it is the last.
+        ('own-close', GET.replace(b'/', b'/last', 1) + GET, [('own-close', 1)]),
+        # A request of which a part is missing hasn't come whole.
+        ('client-close', GET[:-2], []),
+    ],
+)
+def test_requests_that_a_closed_connection_left_unanswered_are_reported(
+    end, requests, unanswered
+):
+    # Guards against connections that end with requests read and unanswered
+    # of which no line and no metric tells.
+    reported = []
+
+    async def scenario():
+        async with serving(
+            BOUNDS._replace(idle_ms=5000),
+            answer_after_a_while,
+            lambda *told: reported.append(told),
+        ) as (address, server):
+            with raw.SlowReader(address) as client:
+                await client.send(requests)
+                await anyio.sleep(0.05)
+                if end == 'reset':
+                    client.reset()
+                elif end != 'client-close':
+                    await client.read_head()
+                    await client.read(2)
+                    await anyio.sleep(0.15)
+            while server.server_state.connections:
+                await anyio.sleep(0.01)
+
+    anyio.run(scenario)
+    assert reported == unanswered
+
+
+async def answer_large_and_close(scope, receive, send):
+    fields = [(b'content-length', b'%d' % LARGE), (b'connection', b'close')]
+    await asgi.respond(send, 200, fields, b'o' * LARGE)
+
+
+def test_bytes_after_the_last_request_do_not_cut_its_answer():
+    # The close of a socket with unread input, or input that came after the
+    # close, reset the connection while the answer was still on its way.
+    async def scenario():
+        bounds = BOUNDS._replace(answer_time_ms=5000)
+        async with serving(bounds, answer_large_and_close) as (address, _):
+            with raw.SlowReader(address) as client:
+                await client.send(GET)
+                await client.read_head()
+                for _ in range(5):
+                    await client.send(b'\r\n')
+                    await anyio.sleep(0.02)
+                assert await client.read(LARGE) == LARGE
+
+    anyio.run(scenario)
+
+
+EXPECTING = (
+    b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 50\r\n'
+    b'expect: 100-continue\r\n\r\n'
+)
+
+
+def test_connection_closes_if_the_awaited_body_is_refused():
+    # The client sent its next request in place of the body. It was read as the
+    # body and got no answer.
+    async def scenario():
+        async with serving() as (address, _):
+            answer = await raw.send_and_receive(address, EXPECTING)
+            assert b'\r\nconnection: close' in answer
+            assert b' 100 ' not in answer
+
+    anyio.run(scenario)
+
+
+def test_connection_is_kept_if_the_awaited_body_is_read():
+    async def scenario():
+        async with serving(app=answer_after_a_while) as (address, _):
+            with raw.SlowReader(address) as client:
+                await client.send(EXPECTING)
+                assert b' 100 ' in await client.read_head()
+                await client.send(b'x' * 50)
+                assert b'connection' not in await client.read_head()
+
+    anyio.run(scenario)
+
+
+def test_answer_before_the_body_is_read_by_a_client_that_still_sends():
+    # The connection was reset with the rest of the body unread, so that its
+    # client got no answer.
+    async def refuse(scope, receive, send):
+        fields = [(b'content-length', b'2'), (b'connection', b'close')]
+        await asgi.respond(send, 413, fields, b'no')
+
+    async def scenario():
+        async with serving(app=refuse) as (address, server):
+            with raw.SlowReader(address) as client:
+                await client.send(
+                    b'POST / HTTP/1.1\r\nhost: a\r\n'
+                    b'content-length: 9000000\r\n\r\n',
+                )
+                for _ in range(4):
+                    await anyio.sleep(0.02)
+                    await client.send(b'x' * 1_000_000)
+                assert b' 413 ' in await client.read_head()
+                assert await client.read(3) == 2
+            while server.server_state.connections:
+                await anyio.sleep(0.01)
+
+    anyio.run(scenario)
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize('second', [GET, EXPECTING + b'x' * 50])
+def test_departure_is_seen_while_pipelined_requests_wait(is_reset, second):
+    # The input was not read while another request waited, so the work for a
+    # client that had gone went on, and the next request was passed on later.
+    started = []
+    reported = []
+
+    async def answer_late(scope, receive, send):
+        started.append(scope['path'])
+        await anyio.sleep(0.8)
+        await echo(scope, receive, send)
+
+    async def scenario():
+        bounds = BOUNDS._replace(idle_ms=5000)
+        async with serving(
+            bounds, answer_late, lambda *told: reported.append(told)
+        ) as (address, server):
+            with raw.SlowReader(address) as client:
+                await client.send(GET)
+                await anyio.sleep(0.03)
+                await client.send(second)
+                await anyio.sleep(0.03)
+                if is_reset:
+                    client.reset()
+            with anyio.fail_after(0.45):
+                while server.server_state.connections:
+                    await anyio.sleep(0.01)
+            await anyio.sleep(0.5)
+
+    anyio.run(scenario)
+    assert started == ['/']
+    end = 'reset' if is_reset else 'client-close'
+    assert reported == [(end, 2)]
+
+
+def test_departure_is_seen_after_a_large_body():
+    # Its last part stopped the reading until the answer.
+    async def answer_late(scope, receive, send):
+        while (await receive()).get('more_body'):
+            await anyio.sleep(0)
+        await anyio.sleep(0.8)
+
+    async def scenario():
+        bounds = BOUNDS._replace(idle_ms=5000)
+        async with serving(bounds, answer_late) as (address, server):
+            with raw.SlowReader(address) as client:
+                await client.send(
+                    b'POST / HTTP/1.1\r\nhost: a\r\n'
+                    b'content-length: 90000\r\n\r\n',
+                )
+                await anyio.sleep(0.03)
+                await client.send(b'x' * 90000)
+                await anyio.sleep(0.03)
+            with anyio.fail_after(0.45):
+                while server.server_state.connections:
+                    await anyio.sleep(0.01)
+
+    anyio.run(scenario)
