Answer pipelined requests before a stopping instance closes

Callers that send requests right behind each other got only the first answer when the SIGTERM came meanwhile; the connection then closed on the requests that the process had read. No line told of it.

A stopping instance adds Connection: close to each answer, and the protocol closes at the first one. The answer now closes only if no later request has begun on the connection, so that the last one does. The daemon steered by notes has the same cause and gets the same check.

The test failed before: 1 answer of 3.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -316,6 +316,14 @@
             )
         self.transport.abort()
 
+    def has_later_request(self) -> bool:
+        """Return whether another request follows that in progress already.
+
+        It may be incomplete. A close after the answer in progress would leave
+        it without one.
+        """
+        return bool(self.pipeline) or self._part is _Part.HEAD
+
     async def wait_until_read(self) -> None:
         """Wait while the client is behind with earlier answers."""
         await self.flow.drain()
--- a/oleanderstair/engine/caller_app.py
+++ b/oleanderstair/engine/caller_app.py
@@ -83,7 +83,7 @@
             scope, lambda: runtime.report_caller_left(call_id)
         ):
             reply = await runtime.run_call(received, request)
-        closing = self._is_stopping()
+        closing = self._is_closing(scope)
         await replies.send_reply(send, received.method, reply, closing)
 
     async def _send_addresses(
@@ -110,12 +110,14 @@
         reply = _rejection_reply(
             scope['headers'], bad_request.reason, bad_request.detail
         )
-        closing = self._is_stopping()
+        closing = self._is_closing(scope)
         await replies.send_reply(send, scope['method'], reply, closing)
 
-    def _is_stopping(self) -> bool:
+    def _is_closing(self, scope: asgi.Scope) -> bool:
+        """Return whether the answer is the last one on its connection."""
         phase = self._runtime.state.instances.phase
-        return phase is instances.Phase.STOPPING
+        is_stopping = phase is instances.Phase.STOPPING
+        return is_stopping and not listener.has_later_request(scope)
 
 
 def _declares_larger_body(scope: asgi.Scope, max_bytes: int) -> bool:
--- a/oleanderstair/engine/listener.py
+++ b/oleanderstair/engine/listener.py
@@ -95,6 +95,11 @@
     return typing.cast(bounded_protocol.BoundedProtocol, extension['protocol'])
 
 
+def has_later_request(scope: asgi.Scope) -> bool:
+    """Return whether another request came on the connection of a request."""
+    return protocol_of(scope).has_later_request()
+
+
 def has_whole_request(scope: asgi.Scope) -> bool:
     """Return whether a request has been received completely."""
     return 'is_whole' in scope['extensions']['connection']
--- a/oleanderstair/engine/routed_caller_app.py
+++ b/oleanderstair/engine/routed_caller_app.py
@@ -190,7 +190,7 @@
             reply = await runtime.run_call(received, request, holding)
         if holding is not None:
             self._record_answer_size(scope, holding, reply)
-        await self._send_reply(send, scope['method'], reply)
+        await self._send_reply(scope, send, reply)
         if reply.outcome is outcomes.Outcome.RAN:
             runtime.report_phase(start_times.FIRST_ANSWER)
 
@@ -323,21 +323,21 @@
             bad_request.detail,
             bad_request.retry_after_ms,
         )
-        await self._send_reply(send, scope['method'], reply)
+        await self._send_reply(scope, send, reply)
 
     async def _send_reply(
         self,
+        scope: asgi.Scope,
         send: asgi.Send,
-        method: str,
         reply: pending.Reply,
     ) -> None:
         phase = self._runtime.state.instances.phase
-        closing = phase is instances.Phase.STOPPING
+        is_stopping = phase is instances.Phase.STOPPING
         await replies.send_reply(
             send,
-            method,
+            scope['method'],
             reply,
-            closing,
+            is_stopping and not listener.has_later_request(scope),
             whole_seconds=False,
         )
 
--- a/test/raw.py
+++ b/test/raw.py
@@ -74,15 +74,20 @@
 async def send_and_receive(address: str, *pieces: bytes) -> bytes:
     """Send pieces one by one and return all bytes received until the close."""
     host, _, port = address.rpartition(':')
-    answer = b''
     async with await anyio.connect_tcp(host, int(port)) as stream:
         with contextlib.suppress(anyio.BrokenResourceError):
             for piece in pieces:
                 await stream.send(piece)
-        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
-            while True:
-                answer += await stream.receive()
-    return answer
+        return await receive_all(stream)
+
+
+async def receive_all(stream: anyio.abc.SocketStream) -> bytes:
+    """Return all bytes received until the close."""
+    received = b''
+    with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+        while True:
+            received += await stream.receive()
+    return received
 
 
 async def _read_request(stream: anyio.abc.SocketStream) -> bytes:
--- a/test/test_routed_callers.py
+++ b/test/test_routed_callers.py
@@ -107,6 +107,29 @@
     assert len(ran) == 2
 
 
+def test_pipelined_requests_are_answered_in_a_planned_stop():
+    # The connection was closed after the first of them.
+    async def scenario():
+        async with loopback_node.run_ready_node() as running:
+            for target in running.target_by_id.values():
+                target.service_ms = 150
+            runtime = running.node.runtime
+            host, _, port = running.address.rpartition(':')
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(3 * VALID_REQUEST)
+                await helper.wait_until(
+                    lambda: len(runtime.pending.call_by_id) == 1
+                )
+                running.node.stop()
+                return await raw.receive_all(stream)
+
+    answers = anyio.run(scenario)
+    assert answers.count(b'served r-1') == 3
+    last_head = answers.rpartition(b'HTTP/1.1 200')[2]
+    assert answers.count(b'connection: close') == 1
+    assert b'connection: close' in last_head
+
+
 def test_limits_follow_the_configuration_in_force():
     async def scenario():
         async with loopback_node.run_ready_node() as running:
