Close after an answer only once its client has received it

In a planned stop, callers that sent their next request while they read a large answer lost the rest of that answer to a reset.

The connection was closed when the answer had been handed to the kernel. A close with unread input resets a connection, and so does input after a close; a reset discards all that the client has not received. The sending side now ends alone, input is read and dropped, and the connection closes once the kernel has nothing unreceived left, checked every 100 ms. The timeouts of unread answers and of idle connections bound that time.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -8,11 +8,13 @@
 import contextlib
 import enum
 import fcntl
+import functools
 import http
 import socket
 import struct
 import termios
 import typing
+import weakref
 
 import msgspec
 
@@ -37,6 +39,10 @@
 _CLOSE_DELAY_MS: typing.Final = 500
 """Time between a refusal and the close of its connection."""
 
+_RECEIPT_CHECK_INTERVAL_MS: typing.Final = 100
+"""How often a connection that is to be closed is checked for bytes of answers
+that its client has not received."""
+
 _FIELD_OVERHEAD_BYTES: typing.Final = 4
 """Bytes of a header field in addition to name and value: colon, space, CRLF."""
 
@@ -52,6 +58,9 @@
 _RESET_ON_CLOSE: typing.Final = struct.pack('ii', 1, 0)
 """The linger option with which a close drops unsent bytes of the kernel."""
 
+_END_BYTES: typing.Final = 1
+"""What the kernel counts for the end of a sending side."""
+
 _SIZE: typing.Final = struct.Struct('i')
 _MS_PER_S: typing.Final = 1000
 _INTERIM_PREFIX: typing.Final = b'HTTP/1.1 1'
@@ -98,10 +107,12 @@
         transport: asyncio.Transport,
         on_write: typing.Callable[[int], None],
         on_response: typing.Callable[[], None],
+        on_close: typing.Callable[[], None],
     ) -> None:
         self._transport = transport
         self._on_write = on_write
         self._on_response = on_response
+        self._on_close = on_close
         self._head: bytes | None = None
         self._has_received_head = False
 
@@ -122,7 +133,7 @@
 
     def close(self) -> None:
         self._flush()
-        self._transport.close()
+        self._on_close()
 
     def is_closing(self) -> bool:
         return self._transport.is_closing()
@@ -170,6 +181,7 @@
         self._read_timer: asyncio.TimerHandle | None = None
         self._written_bytes = 0
         self._read_bytes = 0
+        self._end_bytes = 0
         self._read_at_s: float = 0
 
     # Connection events
@@ -374,7 +386,10 @@
 
     def _join_writes(self) -> None:
         joined = _JoiningTransport(
-            self.transport, self._count_written, self.cycle.on_response
+            self.transport,
+            self._count_written,
+            self.cycle.on_response,
+            functools.partial(self._close_after, weakref.ref(self.cycle)),
         )
         self.cycle.transport = typing.cast(asyncio.Transport, joined)
         self.cycle.on_response = joined.complete_response
@@ -419,6 +434,46 @@
         else:
             self.transport.close()
 
+    # The close after an answer
+
+    def _close_after(
+        self,
+        find_cycle: typing.Callable[
+            [], httptools_impl.RequestResponseCycle | None
+        ],
+    ) -> None:
+        """Close the connection once its client has received the answer.
+
+        Until then input is read and dropped: a close with unread input resets
+        the connection, and so does input after a close. A reset discards what
+        the client has not received.
+        """
+        cycle = find_cycle()
+        if cycle is None or not cycle.response_complete:
+            self.transport.close()
+            return
+        self._refused = True
+        self._stop_timer()
+        self.pipeline.clear()
+        self._end_bytes = _END_BYTES
+        self.transport.write_eof()
+        self.loop.call_later(
+            clock.to_seconds(_RECEIPT_CHECK_INTERVAL_MS),
+            self._close_when_received,
+        )
+
+    def _close_when_received(self) -> None:
+        if self.transport.is_closing():
+            return
+        buffered_bytes = self.transport.get_write_buffer_size()
+        if buffered_bytes + self._count_kernel_bytes():
+            self.loop.call_later(
+                clock.to_seconds(_RECEIPT_CHECK_INTERVAL_MS),
+                self._close_when_received,
+            )
+        else:
+            self.transport.close()
+
     # The reading of answers by the client
 
     def _count_written(self, size: int) -> None:
@@ -434,7 +489,7 @@
             fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, size)
         except OSError:
             return 0
-        return int(_SIZE.unpack(size)[0])
+        return max(int(_SIZE.unpack(size)[0]) - self._end_bytes, 0)
 
     def _count_unread_bytes(self) -> int:
         """Return the bytes of answers that wait for the client.
--- a/test/test_listener.py
+++ b/test/test_listener.py
@@ -7,7 +7,7 @@
 import pytest
 
 from oleanderstair.engine import bounded_protocol, listener, replies
-from test import raw
+from test import helper, raw
 
 BOUNDS = bounded_protocol.ConnectionBounds(
     max_header_bytes=2000,
@@ -172,6 +172,33 @@
     anyio.run(scenario)
 
 
+def test_answer_is_not_cut_by_a_request_after_its_announced_close():
+    # A close with unread input resets the connection, which discards the
+    # rest of the answer.
+    async def closing(scope, receive, send):
+        fields = [
+            (b'content-length', str(LARGE).encode()),
+            (b'connection', b'close'),
+        ]
+        await send(
+            {'type': 'http.response.start', 'status': 200, 'headers': fields},
+        )
+        await send({'type': 'http.response.body', 'body': b'o' * LARGE})
+
+    async def scenario():
+        bounds = BOUNDS._replace(answer_time_ms=1000, idle_ms=1000)
+        async with serving(bounds, closing) as (address, server):
+            with raw.SlowReader(address) as client:
+                await client.send(GET_LARGE)
+                await client.read_head()
+                await client.send(GET_LARGE)
+                await anyio.sleep(0.2)
+                assert await client.read(LARGE + 1) == LARGE
+            await helper.wait_until(lambda: not server.server_state.connections)
+
+    anyio.run(scenario)
+
+
 def test_malformed_bytes_after_a_request_do_not_change_its_answer():
     async def slow(scope, receive, send):
         await anyio.sleep(0.1)
