Keep running when the settings file can't be decoded

A SIGHUP, or the check every 2 s, that met a settings file which is not valid UTF-8 ended the process, and with it all requests in progress.

All three are now errors with a remedy, so a start with such a file names it too, and any other error of a reload is logged as a fault.

The four tests failed before, each with the error that it guards against.

--- a/oleanderstair/reloading.py
+++ b/oleanderstair/reloading.py
@@ -78,10 +78,15 @@
         """
         self._last_content = _content_of(self._path)
         try:
-            valid_settings = settings.load(self._path)
+            self._load_and_apply(actor)
         except errors.UserError as error:
             logs.log_event('settings-refused', actor=actor, why=str(error))
-            return
+        except Exception as fault:
+            # Raised further, it would end the process and the calls in it.
+            logs.log_event('fault', where='reload', cause=repr(fault))
+
+    def _load_and_apply(self, actor: str) -> None:
+        valid_settings = settings.load(self._path)
         change = compare_settings(self._current_settings, valid_settings)
         self._current_settings = valid_settings
         self._apply(valid_settings, change, actor)
--- a/oleanderstair/settings.py
+++ b/oleanderstair/settings.py
@@ -185,7 +185,13 @@
 
     Raise ``errors.UserError`` with the field and a remedy if it is invalid.
     """
-    return build(_read_file(path))
+    overlay = _read_file(path)
+    try:
+        return build(overlay)
+    except UnicodeEncodeError as error:
+        raise _settings_error(
+            str(path), str(error), 'remove lone surrogates'
+        ) from error
 
 
 def build(overlay: Tree) -> Settings:
@@ -274,9 +280,13 @@
         raise _settings_error(
             str(path), str(error), 'name a file that can be read'
         ) from error
+    except UnicodeDecodeError as encoding_error:
+        raise _settings_error(
+            str(path), str(encoding_error), 'save the file as UTF-8'
+        ) from encoding_error
     try:
         tree = jsonc.loads(text)
-    except ValueError as syntax_error:
+    except (ValueError, RecursionError) as syntax_error:
         raise _settings_error(
             str(path),
             str(syntax_error),
--- a/test/test_reloading.py
+++ b/test/test_reloading.py
@@ -72,6 +72,43 @@
     assert '; ' in logged[0][1]
 
 
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'{"instance": {"id": "\xff"}}',
+        json.dumps({'instance': '\ud800'}).encode(),
+        b'{"instance": %b' % (b'[' * 3000),
+    ],
+)
+def test_undecodable_file_is_refused_and_ends_no_process(
+    reloads, content, monkeypatch
+):
+    # The error ended the process, with all of its calls.
+    path, reloader, applied = reloads
+    logged = []
+    monkeypatch.setattr(
+        logs, 'log_event', lambda kind, **_: logged.append(kind)
+    )
+    path.write_bytes(content)
+    reloader.reload('SIGHUP')
+    assert not applied
+    assert logged == ['settings-refused']
+
+
+def test_error_of_a_reload_is_logged_and_ends_no_process(reloads, monkeypatch):
+    def fail(*_):
+        raise RuntimeError
+
+    path, _, _ = reloads
+    logged = []
+    monkeypatch.setattr(
+        logs, 'log_event', lambda kind, **_: logged.append(kind)
+    )
+    failing = reloading.create(path, settings.load(path), fail)
+    failing.reload('SIGHUP')
+    assert logged == ['fault']
+
+
 def _free_address() -> str:
     with socket.create_server(('127.0.0.1', 0)) as bound:
         return '127.0.0.1:{0}'.format(bound.getsockname()[1])
