Give calls in progress the whole grace period at the exit

An instance that got its SIGTERM before it had a configuration replaced the answers of servers at work by a 500 of its own, 2.2 s after the SIGTERM and 3.8 s before the kill.

Such an instance exits as soon as its table holds no call. Calls that wait for the start, whose body is being received or whose answer is being written are not in that table, and the listener gave them 2 s by a limit of its own. It now gives them the time to the latest kill, and still 2 s at least. The process ends as before once no connection and no call is left.

The test failed before with the 500.

--- a/oleanderstair/domain/fleet/grace_period_stop.py
+++ b/oleanderstair/domain/fleet/grace_period_stop.py
@@ -93,6 +93,11 @@
     return state.instances.stopping_since_ms != clock.NEVER_MS
 
 
+def remaining_ms(state: world.World, now_ms: clock.Millis) -> clock.Millis:
+    """Return the time to the latest kill of a stopping instance, in ms."""
+    return _latest_kill_ms(state) - now_ms
+
+
 def on_tick(
     state: world.World,
     event: events.Tick,
@@ -107,15 +112,13 @@
     _record_tick(state, now_ms)
     if not is_stopping(state):
         return []
-    grace_ms = state.policy.stop_grace_s * _MS_PER_S
-    latest_kill_ms = state.instances.stopping_since_ms + grace_ms
-    if latest_kill_ms - now_ms <= EXIT_MARGIN_MS:
+    if remaining_ms(state, now_ms) <= EXIT_MARGIN_MS:
         return [actions.Exit()]
     if state.routed.call_by_id:
         return []
-    remaining_ms = _earliest_kill_ms(state) - now_ms
+    min_remaining_ms = _earliest_kill_ms(state) - now_ms
     is_advertised = state.instances.phase is instances.Phase.STOPPING
-    if is_advertised and remaining_ms > IDLE_EXIT_MARGIN_MS:
+    if is_advertised and min_remaining_ms > IDLE_EXIT_MARGIN_MS:
         return []
     return [actions.Exit()]
 
@@ -150,3 +153,8 @@
 def _earliest_kill_ms(state: world.World) -> clock.Millis:
     grace_ms = state.policy.stop_grace_s * _MS_PER_S
     return state.instances.stop_requested_from_ms + grace_ms
+
+
+def _latest_kill_ms(state: world.World) -> clock.Millis:
+    grace_ms = state.policy.stop_grace_s * _MS_PER_S
+    return state.instances.stopping_since_ms + grace_ms
--- a/oleanderstair/engine/listener.py
+++ b/oleanderstair/engine/listener.py
@@ -4,6 +4,7 @@
 import contextlib
 import functools
 import logging
+import math
 import socket
 import typing
 
@@ -45,6 +46,13 @@
         if should_exit:
             self._exit.set()
 
+    def stop_within(self, timeout_s: float) -> None:
+        """Stop; answers in progress get at least 2 s and ``timeout_s``."""
+        self.config.timeout_graceful_shutdown = max(
+            _SHUTDOWN_TIMEOUT_S, math.ceil(timeout_s)
+        )
+        self.should_exit = True
+
     async def main_loop(self) -> None:
         # The loop of uvicorn wakes up ten times a second.
         await self._exit.wait()
@@ -117,7 +125,7 @@
     app: typing.Any,
     bounds_of: bounded_protocol.BoundsOf,
     ledger: byte_ledger.ByteLedger | None = None,
-) -> uvicorn_server.Server:
+) -> _Server:
     """Create a server for ``app`` with limits that may change.
 
     ``bounds_of`` returns the limits in force. Unread bytes of answers are
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -12,6 +12,7 @@
 
 from oleanderstair import clock, logs, settings, start_times
 from oleanderstair.domain import byte_budgets, events, policy, world
+from oleanderstair.domain.fleet import grace_period_stop
 from oleanderstair.domain.tables import identity
 from oleanderstair.engine import (
     bounded_protocol,
@@ -124,8 +125,12 @@
             tasks.start_soon(callers.serve, [self.caller_socket])
             tasks.start_soon(platform.serve, platform_sockets)
             await runtime.exit.wait()
-            # Each server completes the answers in progress, then ends.
-            callers.should_exit = True
+            # Each server completes the answers in progress, then ends. Calls
+            # may have begun since the decision to exit.
+            remaining_ms = grace_period_stop.remaining_ms(
+                runtime.state, runtime.sides.clock.now_ms()
+            )
+            callers.stop_within(clock.to_seconds(remaining_ms))
             platform.should_exit = True
 
     def _create_runtime(
--- a/test/test_routed_callers.py
+++ b/test/test_routed_callers.py
@@ -224,6 +224,44 @@
     assert anyio.run(_call_at_the_start, after_ms) == status
 
 
+def test_stop_at_the_start_leaves_a_held_call_its_time():
+    # The listener gave up 2 s after the exit was decided, which counts only
+    # calls that have left the queue of the start. The call got a 500.
+    async def scenario():
+        platform_store = store.create()
+        async with anyio.create_task_group() as tasks:
+            target = load_targets.create('i-0')
+            target.service_ms = 2200
+            platform_store.put(
+                'servers/i-0',
+                loopback_node.registration_of(
+                    loopback_node.serve_app(tasks, target)
+                ),
+            )
+            tree = loopback_node.settings_tree(
+                loopback_node.serve_app(tasks, platform_store)
+            )
+            async with loopback_node.run_node(tree) as started:
+                tasks.start_soon(_stop_and_publish, started, platform_store)
+                answer = await loopback_node.send_request(
+                    started.identity.caller_address, deadline_ms='4000'
+                )
+            tasks.cancel_scope.cancel()
+        return answer.status
+
+    assert anyio.run(scenario) == 200
+
+
+async def _stop_and_publish(started, platform_store):
+    await anyio.sleep(0.2)
+    started.stop()
+    await started.runtime.exit.wait()
+    slow = loopback_node.configuration(1)
+    for route in slow['routes']:
+        route['timeout_ms'] = 4000
+    platform_store.put('op/config', slow)
+
+
 def test_call_held_at_the_start_is_logged_with_its_wait(monkeypatch):
     sink = sinks.ListSink()
     monkeypatch.setattr(logs, 'current_sink', lambda: sink)
