Keep a stopping instance from becoming ready

An instance that is stopped before it has the state of the store became ready when that state came while it still completed calls. Peers then take it for one that serves and may give its address to callers, though it accepts no new connections any more. A stopping instance now keeps its phase.

The test failed before: the phase was SERVING. It was found by reading; no play of real instances showed lost requests from it.

--- a/oleanderstair/domain/fleet/readiness.py
+++ b/oleanderstair/domain/fleet/readiness.py
@@ -4,6 +4,7 @@
 
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, world
+from oleanderstair.domain.fleet import grace_period_stop
 from oleanderstair.domain.tables import instances
 
 
@@ -43,7 +44,8 @@
     other instance has to confirm them.
     """
     table = state.instances
-    if table.phase is not instances.Phase.UNCONFIRMED:
+    is_stopping = grace_period_stop.is_stopping(state)
+    if is_stopping or table.phase is not instances.Phase.UNCONFIRMED:
         return []
     in_force = state.routes.in_force
     if in_force is None or not (
--- a/test/test_grace_period_stop.py
+++ b/test/test_grace_period_stop.py
@@ -34,6 +34,14 @@
     return state
 
 
+def test_state_of_the_store_makes_no_stopping_instance_ready(stopping):
+    # Peers would give its address to callers, though it accepts no connection.
+    stopping.instances.phase = instances.Phase.UNCONFIRMED
+    gateway.step(stopping, events.Tick(), 100)
+    gateway.step(stopping, events.Tick(), 1000)
+    assert stopping.instances.phase is instances.Phase.UNCONFIRMED
+
+
 def refusal_reasons(state, call_id, budget_ms, now_ms):
     received = events.CallReceived(
         call_id,
