Limit the time of unacknowledged bytes for small requests only

What callers saw: a request of 256 KB or more to a sound target that did not read for over 3 s got a 502 (the cause "TimeoutError(110, 'Connection timed out')"), also if it may run once only and the target ran it.

Cause: connections to targets had TCP_USER_TIMEOUT = 3 s at all times. Linux applies it also to a peer whose receive window stays at zero although it acknowledges each probe.

Now a request of more than 16 KB, which may not fit the first window of its target, is sent without that limit, and the timeout of its exchange applies. Smaller requests keep the 3 s, also later ones on the same connection. A target that goes silent after it has acknowledged a large request is still found by keepalive probes, after 3 s: without the option, their count decides.

--- a/oleanderstair/engine/target_connections.py
+++ b/oleanderstair/engine/target_connections.py
@@ -16,8 +16,11 @@
 from oleanderstair.engine import answers, byte_ledger
 
 MAX_UNACKNOWLEDGED_MS: typing.Final = 3000
-"""Maximum time in which the target must acknowledge sent bytes or a TCP
-keepalive probe."""
+"""Maximum time in which the target must acknowledge a small request."""
+
+_MAX_SMALL_BYTES: typing.Final = 16_384
+"""Maximum size of a small request, which fits the first receive window of
+usual systems. A larger one may wait for a target that is slow to read."""
 
 _KEEPALIVE_IDLE_S: typing.Final = 1
 _KEEPALIVE_INTERVAL_S: typing.Final = 1
@@ -27,7 +30,6 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBE_COUNT),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, MAX_UNACKNOWLEDGED_MS),
 )
 
 
@@ -79,6 +81,7 @@
         self._written_at_s = self.answered_at_s
         self.idle_before_use_s: float = 0
         self.uses = 0
+        self._unacknowledged_ms = 0
 
     # Called by the event loop
 
@@ -86,11 +89,8 @@
         """Store the transport and enable TCP keepalive."""
         self._transport = typing.cast(asyncio.Transport, transport)
         connected = transport.get_extra_info('socket')
-        for level, option, setting in _SOCKET_OPTIONS:
-            # If the system lacks an option, only the timeout of the exchange
-            # applies.
-            with contextlib.suppress(OSError):
-                connected.setsockopt(level, option, setting)
+        for option in _SOCKET_OPTIONS:
+            _set_option(connected, *option)
 
     def data_received(self, chunk: bytes) -> None:
         """Parse received bytes; without a request, close the connection."""
@@ -141,6 +141,7 @@
             self._on_timeout,
         )
         self._reader.expect(expected.method, expected.is_for_other_request)
+        self._limit_unacknowledged(self._transport, len(request))
         self._transport.write(request)
         return functools.partial(self._cancel, on_outcome)
 
@@ -192,6 +193,26 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _limit_unacknowledged(
+        self, transport: asyncio.Transport, size: int
+    ) -> None:
+        """Limit the time in which the target must acknowledge a request.
+
+        Linux applies TCP_USER_TIMEOUT also to a target that acknowledges
+        probes but doesn't read, so a request that may have to wait for its
+        reading has no limit but the timeout of its exchange.
+        """
+        timeout_ms = 0 if size > _MAX_SMALL_BYTES else MAX_UNACKNOWLEDGED_MS
+        if timeout_ms == self._unacknowledged_ms:
+            return
+        self._unacknowledged_ms = timeout_ms
+        _set_option(
+            transport.get_extra_info('socket'),
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            timeout_ms,
+        )
+
     def _check_rate(self) -> None:
         """Fail a request whose answer is slower than the minimum rate."""
         now_s = self._loop.time()
@@ -272,6 +293,14 @@
             self._timer = None
 
 
+def _set_option(
+    connected: socket.socket, level: int, option: int, setting: int
+) -> None:
+    # If the system lacks an option, only the timeout of the exchange applies.
+    with contextlib.suppress(OSError):
+        connected.setsockopt(level, option, setting)
+
+
 async def connect(
     address: str,
     reader: answers.AnswerReader,
