Wait for a caller that reads nothing until its deadline

What callers saw: a caller that read nothing of its answer for longer than callers.answer_time_ms (10 s), but had told a deadline of 17 s, lost the part of the answer that was still in the process: the connection was closed.

Cause: the check of unread answers did not know how long the caller waits.

Now a connection is awaited until the deadline of its newest call, 30 s at most, and the time for unread answers ends it only after that. The limit keeps a caller with a deadline of minutes from holding memory for so long.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -49,6 +49,10 @@
 _MAX_CHECK_INTERVAL_MS: typing.Final = 500
 """The longest time between two checks where buffered bytes are limited."""
 
+_MAX_WAIT_MS: typing.Final = 30_000
+"""The longest time for which a client that reads nothing is waited for. The
+deadlines of the deployments are up to 17 s."""
+
 _RESET_ON_CLOSE: typing.Final = struct.pack('ii', 1, 0)
 """The linger option with which a close drops unsent bytes of the kernel."""
 
@@ -65,7 +69,7 @@
     ``request_time_ms`` is the timeout of a request head; a body has twice that.
     ``idle_ms`` is the timeout of a connection without a request.
     ``answer_time_ms`` is the time in which a client must read some part of an
-    answer.
+    answer, unless it waits for the answer longer.
     """
 
     max_header_bytes: int = 16384
@@ -171,6 +175,7 @@
         self._written_bytes = 0
         self._read_bytes = 0
         self._read_at_s: float = 0
+        self._awaited_until_s: float = 0
 
     # Connection events
 
@@ -307,6 +312,17 @@
             self._count_unread_bytes(), stopped_s * _MS_PER_S
         )
 
+    def await_client(self, remaining_ms: clock.Millis) -> None:
+        """Wait ``remaining_ms`` for the client to read the next answer.
+
+        That is the time to its deadline, in which it may read late.
+        """
+        wait_ms = min(remaining_ms, _MAX_WAIT_MS)
+        self._awaited_until_s = max(
+            self._awaited_until_s,
+            self.loop.time() + clock.to_seconds(wait_ms),
+        )
+
     def cut_off(self) -> None:
         """Reset the connection and drop the unread bytes of its answers."""
         connected = self.transport.get_extra_info('socket')
@@ -455,7 +471,8 @@
         self._read_timer = None
         reading = self.measure_reading()
         is_stopped = reading.stopped_ms >= self._bounds_of().answer_time_ms
-        if reading.unread_bytes and is_stopped:
+        is_awaited = self.loop.time() < self._awaited_until_s
+        if reading.unread_bytes and is_stopped and not is_awaited:
             self.transport.abort()
         elif reading.unread_bytes:
             self._start_read_timer()
--- a/oleanderstair/engine/routed_caller_app.py
+++ b/oleanderstair/engine/routed_caller_app.py
@@ -177,6 +177,9 @@
         if behind_ms and received.deadline_ms <= self._now_ms():
             await self._reject(scope, send, _CALLER_BEHIND)
             return
+        listener.protocol_of(scope).await_client(
+            received.deadline_ms - self._now_ms()
+        )
         request = incoming.build_target_request(scope, body)
         waited_ms = await self._wait_for_routes(received)
         if listener.protocol_of(scope).transport.is_closing():
--- a/test/test_byte_ledger.py
+++ b/test/test_byte_ledger.py
@@ -219,6 +219,63 @@
     anyio.run(scenario)
 
 
+LATE_READ = (
+    b'GET /lookup/a HTTP/1.1\r\nhost: calls.example\r\nrequest-id: r-1\r\n'
+    b'deadline-ms: 3000\r\n\r\n'
+)
+
+
+@contextlib.asynccontextmanager
+async def running_large(answer_time_ms):
+    """Run a node whose calls all get an answer of 8 MB."""
+    body = b'o' * LARGE
+
+    async def answer(received, request, holding):
+        return pending.Reply(
+            outcomes.Outcome.RAN, answer=exchanges.Answer(200, [], body)
+        )
+
+    async with loopback_node.run_ready_node(memory_mb=256) as running:
+        running.node.runtime.run_call = answer
+        running.node.node_settings = msgspec.structs.replace(
+            running.node.node_settings,
+            callers=msgspec.structs.replace(
+                running.node.node_settings.callers,
+                answer_time_ms=answer_time_ms,
+            ),
+        )
+        yield running
+
+
+def test_caller_that_reads_late_but_in_time_gets_its_answer(monkeypatch):
+    # A caller that paused for 12 s of its 17 s lost the part of its answer that
+    # was not in the kernel yet. Here it pauses for 1 of 3 s, with a time for
+    # unread answers of 0.4 s in place of 10 s.
+    async def scenario():
+        async with running_large(answer_time_ms=400) as running:
+            with raw.SlowReader(running.address) as client:
+                await client.send(LATE_READ)
+                await client.read_head()
+                await anyio.sleep(1)
+                assert await client.read(LARGE) == LARGE
+
+    anyio.run(scenario)
+
+
+def test_caller_that_reads_nothing_until_its_deadline_is_cut():
+    # Its answer must not stay in memory for as long as it keeps connected.
+    async def scenario():
+        async with running_large(answer_time_ms=400) as running:
+            with raw.SlowReader(running.address) as client:
+                await client.send(LATE_READ.replace(b'3000', b'500'))
+                await client.read_head()
+                ledger = running.node.runtime.ledger
+                await helper.wait_until(lambda: not ledger.used_bytes)
+                assert await client.read(LARGE) < LARGE
+
+    anyio.run(scenario)
+
+
 def request_of(body=b''):
     fields = [(b'host', b'a'), (b'content-length', str(len(body)).encode())]
     return exchanges.Request(b'POST', b'/order', fields, body)
