Skip a late copy of a load report that arrives in the place of an answer

Orders got a 502 of the instance's own while their target ran them and answered 200. Load reads share the connections of calls, and orders mostly go out on a connection that a read has just proved. A target that sends a response twice sends the copy of a load report where the next response is expected; it has no request id, so it was taken for a broken answer to the order. It is skipped now, as copies of answers to calls are: only load reads have no request id.

Before, the test failed with 502 instead of 200.

--- a/oleanderstair/emulator/load_targets.py
+++ b/oleanderstair/emulator/load_targets.py
@@ -22,6 +22,9 @@
 _UNAVAILABLE: typing.Final = 503
 _SHED_FIELD: typing.Final = (dialect.NOT_RUN, b'1')
 _FILL: typing.Final = re.compile(rb'(?:^|&)fill=(\d{1,7})')
+_LATE_REPORT: typing.Final = (
+    b'HTTP/1.1 200 OK\r\nServer-Load: 0,0,4\r\nContent-Length: 0\r\n\r\n'
+)
 _MAX_BODY_BYTES: typing.Final = 1_000_000
 _MS_PER_S: typing.Final = 1000
 _BODY_MS: typing.Final[clock.Millis] = 5000
@@ -38,6 +41,7 @@
     CUT_SHORT = 'cut-short'
     OTHER_REQUEST = 'other-request'
     EXTRA_ANSWER = 'extra-answer'
+    LATE_REPORT = 'late-report'
     GARBLED = 'garbled'
 
 
@@ -161,6 +165,8 @@
             transport.write(self.raw)
             transport.close()
         else:
+            if self.behaviour is Behaviour.LATE_REPORT:
+                transport.write(_LATE_REPORT)
             await self._answer_call(scope, send, request_id)
 
     async def _answer_call(
--- a/oleanderstair/platform/dialect.py
+++ b/oleanderstair/platform/dialect.py
@@ -61,7 +61,8 @@
 
         The verdict is BROKEN if the answer does not carry the request id of
         the call, SHED if the target states that it did not run the call, and
-        ANSWERED otherwise.
+        ANSWERED otherwise. A late copy of a load report is an answer to
+        another request: reads share the connections and have no request id.
         """
         fields = headers.index_fields(answer.headers).field_by_name
         answered_id = fields.get(REQUEST_ID, b'').decode('latin-1')
@@ -69,7 +70,7 @@
         if answered_id != pending_call.received.request_id:
             return dialects.Judgement(
                 events.Verdict.BROKEN,
-                is_for_other_request=bool(answered_id),
+                is_for_other_request=bool(answered_id) or load is not None,
             )
         misdirected = answer.status == _MISDIRECTED
         if misdirected or NOT_RUN in fields:
--- a/test/test_platform_node.py
+++ b/test/test_platform_node.py
@@ -133,6 +133,22 @@
     anyio.run(scene)
 
 
+# Guards against an order that fails, though its target runs it, by a late copy
+# of the load report that was read on the same connection.
+def test_late_copy_of_a_load_report_ends_no_call() -> None:
+    async def scene() -> None:
+        async with loopback_node.run_ready_node() as fixture:
+            for target in fixture.target_by_id.values():
+                target.behaviour = load_targets.Behaviour.LATE_REPORT
+            served = await loopback_node.send_request(
+                fixture.address, loopback_node.ORDER_PATH, 'POST'
+            )
+            assert served.status == 200
+            assert served.content == b'served request-1'
+
+    anyio.run(scene)
+
+
 def test_watched_changes_are_applied_also_after_a_lost_history() -> None:
     async def scene() -> None:
         async with loopback_node.run_ready_node() as fixture:
