Send no attempt once the time of a call is up

Orders whose server lost its answer got a 502 target-lost or a 504 timeout by chance, and idempotent calls were sent to one more target with a negative time budget (a line said why=retry-after-silent left_ms=-0.6), which ran them for a caller that had its 504 a millisecond later. The timer of an attempt and that of its call are due together, and either may fire first; load reports that are handled late led to the same. An attempt that ends when the time of its call is up now ends the call as the timer does, and nothing is sent from then on.

Before, the tests failed with target-lost instead of timeout, and with a request that was sent with a time budget of -1 ms.

--- a/oleanderstair/domain/calls/routed_calls.py
+++ b/oleanderstair/domain/calls/routed_calls.py
@@ -252,6 +252,9 @@
     state.routed.call_by_id[call.call_id] = call
     if call.attempts:
         return []
+    if now_ms >= call.due_at_ms:
+        # The timers of an attempt and of its call are due together.
+        return on_call_due(state, events.CallDue(call.call_id), now_ms)
     if _may_retry(state, call, now_ms):
         return _start_call(state, call, now_ms)
     return routed_answering.relay_failure_or_refuse(
--- a/oleanderstair/domain/calls/routed_dispatching.py
+++ b/oleanderstair/domain/calls/routed_dispatching.py
@@ -139,10 +139,12 @@
 
     If none is good enough, draw a wider sample once. If there is none with a
     usable free slot, the call is queued or refused. A hedge is rescheduled
-    instead.
+    instead. Nothing is sent once the time of the call is up.
     """
     call = call._replace(awaited_target_ids=frozenset())
     state.routed.call_by_id[call.call_id] = call
+    if now_ms >= call.due_at_ms:
+        return []
     with_free_slot = slot_estimates.targets_with_free_slot(
         state, call.sampled_target_ids, now_ms
     )
--- a/test/test_retry_budget.py
+++ b/test/test_retry_budget.py
@@ -1,5 +1,7 @@
 """The retry budget of routed calls, which all instances share."""
 
+import pytest
+
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, gateway, outcomes
 from oleanderstair.domain.fleet import instance_count
@@ -116,6 +118,47 @@
     assert second.budget_ms == left_ms
 
 
+def _delay_events(
+    scene: targets_scene.Scene, by_ms: float, timeouts_by_ms: float
+) -> None:
+    """Delay all that is due, and the timeouts of calls by their own time."""
+    due = [
+        (at_ms + timeouts_by_ms, *rest, event)
+        if isinstance(event, events.CallDue)
+        else (at_ms + by_ms, *rest, event)
+        for at_ms, *rest, event in scene.due
+    ]
+    scene.due = sorted(due, key=lambda entry: entry[:2])
+
+
+# Guards against targets that run a call whose time is already up.
+@pytest.mark.parametrize('path', ['/look/1', '/order/1'])
+def test_an_attempt_that_ends_with_the_time_of_its_call_is_the_last(
+    path: str,
+) -> None:
+    targets = targets_scene.make_targets(4)
+    silent = targets_scene.Reply(2000, events.Verdict.SILENT, 0)
+    for target in targets:
+        target.behave = targets_scene.always_reply(silent)
+    scene = targets_scene.create(targets)
+    call_id = scene.call('entry-1', path)
+    _delay_events(scene, by_ms=0, timeouts_by_ms=1)
+    scene.run_for(1100)
+    _, refusal = scene.ended['entry-1', call_id]
+    assert all(sent.budget_ms > 0 for sent in scene.sent)
+    assert isinstance(refusal, actions.Refuse)
+    assert refusal.reason is outcomes.Reason.TIMEOUT
+
+
+# Guards against targets that run a call whose time is already up.
+def test_a_call_whose_time_is_up_before_its_load_reports_is_not_sent() -> None:
+    scene = targets_scene.create(targets_scene.make_targets(2))
+    scene.call('entry-1')
+    _delay_events(scene, by_ms=1000, timeouts_by_ms=5)
+    scene.run_for(1100)
+    assert not scene.sent
+
+
 def _add_members(scene: targets_scene.Scene, count: int) -> None:
     """Add members to the table of the first instance, up to ``count``."""
     state = scene.state_by_id['entry-1']
