Ask another peer at once if a forwarded call reaches none

A call at an instance that reaches no target was held until its timeout and got a 504 if the peer it was forwarded to had just gone: its message waits 200 ms for a connection and is dropped, which nothing told the call. The link now reports what it drops from its queue. No connection has taken such a message, so the call did not run there: the next peer is asked, or it is refused with 503.

Before, the test got a 504 at the timeout instead of the 503.

--- a/oleanderstair/engine/forwarded_calls.py
+++ b/oleanderstair/engine/forwarded_calls.py
@@ -81,6 +81,7 @@
         self._find_peer_address = find_peer_address
         self._call_id_by_peer_call: dict[PeerCall, int] = {}
         self._ended_peer_calls: dict[PeerCall, None] = {}
+        link.report_drops_to(self._handle_drop)
 
     def receive_message(self, received: peers.ReceivedMessage) -> bool:
         """Handle a message about a forwarded call; return whether it is one."""
@@ -112,11 +113,21 @@
         if pending_call.received.key:
             # The home alone may say that a keyed call did not run.
             return
-        self._host.metrics.count('forwards-dropped')
-        self._tasks.start_soon(self._report_unsent, action)
+        self._tasks.start_soon(self._report_unsent, action.call_id, action.home)
+
+    def _handle_drop(self, message: messages.Message) -> None:
+        """Handle a message that no connection to its peer could take.
+
+        A call of this instance was not sent then, as one dropped at once.
+        """
+        if isinstance(message, messages.KeyedCall) and not message.key:
+            self._tasks.start_soon(
+                self._report_unsent, message.correlation, message.home
+            )
 
-    async def _report_unsent(self, action: actions.ForwardHome) -> None:
-        self._host.handle(forwarding.build_unsent_event(action))
+    async def _report_unsent(self, call_id: int, home: str) -> None:
+        self._host.metrics.count('forwards-dropped')
+        self._host.handle(forwarding.build_unsent_event(call_id, home))
 
     async def _serve_call(
         self,
--- a/oleanderstair/engine/forwarding.py
+++ b/oleanderstair/engine/forwarding.py
@@ -38,13 +38,13 @@
     )
 
 
-def build_unsent_event(action: actions.ForwardHome) -> events.HomeReplied:
+def build_unsent_event(call_id: int, home: str) -> events.HomeReplied:
     """Return the event for a call on a route that could not be forwarded."""
     return events.HomeReplied(
-        call_id=action.call_id,
+        call_id=call_id,
         outcome=outcomes.Outcome.NOT_RUN,
         reason=outcomes.Reason.STOPPING,
-        home=action.home,
+        home=home,
     )
 
 
--- a/oleanderstair/engine/peers.py
+++ b/oleanderstair/engine/peers.py
@@ -49,6 +49,8 @@
 
 
 Keys: typing.TypeAlias = peer_sockets.Keys
+OnDrop: typing.TypeAlias = typing.Callable[[messages.Message], None]
+"""Handle a message that was queued and dropped, so that no peer has it."""
 
 
 class ReceivedMessage(typing.NamedTuple):
@@ -84,6 +86,9 @@
         Its parameters are the name of the counter and a label.
         """
 
+    def report_drops_to(self, on_drop: OnDrop) -> None:
+        """Set the function that handles queued messages that are dropped."""
+
 
 class _PeerConnection(typing.NamedTuple):
     """A connection to a peer.
@@ -108,6 +113,7 @@
 
 class _WaitingFrame(typing.NamedTuple):
     address: str
+    message: messages.Message
     frame: bytes
     drop_at_ms: clock.Millis
 
@@ -130,6 +136,7 @@
         self._options = peer_sockets.SocketOptions(self._silence_ms, heartbeats)
         self._clock = clock.create_monotonic()
         self._count: typing.Callable[[str, str], None] = _discard_count
+        self._on_drop: OnDrop = _ignore_drop
         self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         self._authenticator: curve_keys.KeyAuthenticator | None = None
         if keys.public:
@@ -160,6 +167,10 @@
         """
         self._count = count
 
+    def report_drops_to(self, on_drop: OnDrop) -> None:
+        """Set the function that handles queued messages that are dropped."""
+        self._on_drop = on_drop
+
     def send(
         self,
         address: str,
@@ -180,7 +191,7 @@
         socket = self._get_or_open_socket(address, incarnation, message)
         if _try_send(socket, frame):
             return len(frame)
-        return len(frame) if self._queue_frame(address, frame) else 0
+        return len(frame) if self._queue_frame(address, message, frame) else 0
 
     async def receive(self) -> ReceivedMessage:
         """Return the next valid message."""
@@ -202,7 +213,9 @@
             self._authenticator.close()
         self._context.destroy(0)
 
-    def _queue_frame(self, address: str, frame: bytes) -> bool:
+    def _queue_frame(
+        self, address: str, message: messages.Message, frame: bytes
+    ) -> bool:
         """Queue a frame until its connection opens.
 
         Return False if the queue is full; the frame is dropped then.
@@ -213,7 +226,7 @@
         drop_at_ms = self._clock.now_ms() + _CONNECT_WAIT_MS
         if not self._waiting:
             self._schedule_retry()
-        self._waiting.append(_WaitingFrame(address, frame, drop_at_ms))
+        self._waiting.append(_WaitingFrame(address, message, frame, drop_at_ms))
         return True
 
     def _schedule_retry(self) -> None:
@@ -226,16 +239,21 @@
         if self._context.closed:
             return
         now_ms = self._clock.now_ms()
-        still_waiting = []
+        still_waiting: list[_WaitingFrame] = []
+        dropped: list[messages.Message] = []
         for waiting in self._waiting:
             connection = self._connection_by_address.get(waiting.address)
             if connection is None or now_ms > waiting.drop_at_ms:
                 self._abandon_connecting(waiting.address)
+                dropped.append(waiting.message)
             elif not _try_send(connection.socket, waiting.frame):
                 still_waiting.append(waiting)
         self._waiting = still_waiting
         if still_waiting:
             self._schedule_retry()
+        # Handling a drop may send, so the list is up to date before.
+        for message in dropped:
+            self._on_drop(message)
 
     def _abandon_connecting(self, address: str) -> None:
         """Drop a frame, and close its connection, which did not open in time.
@@ -411,3 +429,7 @@
 
 def _discard_count(name: str, label: str) -> None:
     """Discard a count while no metrics are set."""
+
+
+def _ignore_drop(message: messages.Message) -> None:
+    """Ignore a dropped message while nothing handles it."""
--- a/test/test_isolated_nodes.py
+++ b/test/test_isolated_nodes.py
@@ -133,6 +133,32 @@
     anyio.run(scene)
 
 
+# Guards against a call that waits until its timeout for a peer that is gone.
+def test_call_for_a_peer_that_is_gone_ends_before_its_timeout():
+    async def scene():
+        async with run_pair() as (fixture, isolated, _):
+            link = isolated.runtime._dependencies.link
+            send = link.send
+            gone = free_address()
+
+            def send_to_gone(address, message, incarnation=''):
+                return send(gone, message, incarnation)
+
+            link.send = send_to_gone
+            answer = await loopback_node.send_request(
+                isolated.identity.caller_address,
+                loopback_node.ORDER_PATH,
+                'POST',
+                deadline_ms='5000',
+            )
+            assert answer.status == 503
+            assert not any(
+                target.ran for target in fixture.target_by_id.values()
+            )
+
+    anyio.run(scene)
+
+
 def lose_store_states(node):
     """Let a node lose the states of the store that peers send it."""
     step = node.runtime._step
