Skip bytes that a target sent after an earlier answer

Orders got a 502 of the instance's own while their target ran them. A target may send bytes after a complete answer; they belong to no request, and arrive where the next answer is due if the connection is used again at once, as orders do right after a load report. They ended the order as a broken answer. On a reused connection they are now skipped up to the start of an answer, which still has to carry the request id; the connection is closed after it. A first answer that is no HTTP stays broken.

--- a/oleanderstair/engine/target_connections.py
+++ b/oleanderstair/engine/target_connections.py
@@ -31,6 +31,9 @@
 )
 
 
+_ANSWER_START: typing.Final = b'HTTP/1.'
+
+
 class ConnectError(Exception):
     """No connection was opened or it has ended; nothing was sent."""
 
@@ -94,7 +97,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Parse received bytes; without a request, close the connection."""
-        self._reader.feed(chunk)
+        self._reader.feed(self._skip_surplus(chunk))
         if self._on_outcome is None:
             self.close()
             return
@@ -192,6 +195,21 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _skip_surplus(self, chunk: bytes) -> bytes:
+        """Return received bytes without those that belong to no request.
+
+        A target may send more bytes after a complete answer, which arrive
+        where the answer to the next request is due.
+        """
+        if self.uses < 2 or self._reader.has_begun:
+            return chunk
+        surplus_bytes = _find_answer(chunk)
+        if surplus_bytes:
+            self._reader.is_unusable = True
+            # Counted, as the reader limits the bytes around bodies.
+            self._reader.received_bytes += surplus_bytes
+        return chunk[surplus_bytes:]
+
     def _check_rate(self) -> None:
         """Fail a request whose answer is slower than the minimum rate."""
         now_s = self._loop.time()
@@ -293,3 +311,19 @@
     except (OSError, TimeoutError) as error:
         raise ConnectError(repr(error)) from error
     return connected
+
+
+def _find_answer(chunk: bytes) -> int:
+    """Return where an answer starts in a chunk, which may end in its start.
+
+    Return the length of the chunk if none does.
+    """
+    if chunk.lstrip(b'\r\n').startswith(_ANSWER_START):
+        return 0
+    found = chunk.find(_ANSWER_START)
+    if found >= 0:
+        return found
+    for length in range(len(_ANSWER_START) - 1, 0, -1):
+        if chunk.endswith(_ANSWER_START[:length]):
+            return len(chunk) - length
+    return len(chunk)
--- a/test/test_exchanges.py
+++ b/test/test_exchanges.py
@@ -209,6 +209,27 @@
     )
 
 
+# Guards against an order that fails, though its target runs it, by bytes that
+# the target sent after an earlier answer.
+@pytest.mark.parametrize(
+    'late', [b'\x00\xff\r\n\r\n', b'surplus HTTP', b'HTT', WHOLE[-4:] * 99]
+)
+def test_bytes_before_an_answer_on_a_reused_connection_are_skipped(late):
+    async def scenario():
+        script = raw.RawTarget(WHOLE, late + WHOLE, None, kept=True)
+        async with raw.running(script) as target:
+            pool = exchanges.create()
+            results = []
+            await pool.exchange(destination_at(target), make_request())
+            assert begin_exchange(pool, target, results)
+            await anyio.sleep(0.2)
+            assert results[0].verdict is events.Verdict.ANSWERED
+            assert results[0].answer.body == b'twig'
+            assert not any(pool.idle_by_target.values())
+
+    anyio.run(scenario)
+
+
 def test_exchange_on_an_idle_connection_needs_no_task():
     async def scenario():
         script = raw.RawTarget(WHOLE, WHOLE, None, kept=True)
