Keep the answer to a forwarded call until its connection opens

A call that went by way of a peer got a 504 at its timeout though its target had answered: the peer drops an answer whose connection back has not opened within 200 ms, which a single lost packet of the handshake or a busy machine causes. An answer can't be sent again, so it now waits for up to 3 s, while its connection is opened anew each 200 ms and the waiting frames stay under 8 MB.

Before, the test, whose connections open after 0.5 s, got a 504 instead of 200.

--- a/oleanderstair/engine/peers.py
+++ b/oleanderstair/engine/peers.py
@@ -36,6 +36,14 @@
 _CONNECT_WAIT_MS: typing.Final = 200
 """Maximum time that a frame waits for its connection to open."""
 
+_ANSWER_WAIT_MS: typing.Final = 3000
+"""Maximum time that the answer to a call waits, as it can't be sent again. It
+covers two lost packets of a handshake. Its connection is opened anew after
+each ``_CONNECT_WAIT_MS``."""
+
+_MAX_WAITING_ANSWER_BYTES: typing.Final = 8_000_000
+"""Size of the waiting frames up to which an answer may wait that long."""
+
 _SEND_RETRY_MS: typing.Final = 5
 """Interval between attempts to send the waiting frames."""
 
@@ -223,12 +231,22 @@
         if len(self._waiting) >= _MAX_WAITING_FRAMES:
             self._count('peer-dropped', 'not-connected')
             return False
-        drop_at_ms = self._clock.now_ms() + _CONNECT_WAIT_MS
+        drop_at_ms = self._clock.now_ms() + self._max_wait_ms(message, frame)
         if not self._waiting:
             self._schedule_retry()
         self._waiting.append(_WaitingFrame(address, message, frame, drop_at_ms))
         return True
 
+    def _max_wait_ms(
+        self, message: messages.Message, frame: bytes
+    ) -> clock.Millis:
+        if not isinstance(message, messages.KeyedAnswer):
+            return _CONNECT_WAIT_MS
+        waiting_bytes = sum(len(waiting.frame) for waiting in self._waiting)
+        if waiting_bytes + len(frame) > _MAX_WAITING_ANSWER_BYTES:
+            return _CONNECT_WAIT_MS
+        return _ANSWER_WAIT_MS
+
     def _schedule_retry(self) -> None:
         # A task could outlive the sockets, so the timer calls a method that
         # checks whether they are closed.
@@ -242,6 +260,9 @@
         still_waiting: list[_WaitingFrame] = []
         dropped: list[messages.Message] = []
         for waiting in self._waiting:
+            is_answer = isinstance(waiting.message, messages.KeyedAnswer)
+            if is_answer and now_ms <= waiting.drop_at_ms:
+                self._reopen_if_due(waiting.address, now_ms)
             connection = self._connection_by_address.get(waiting.address)
             if connection is None or now_ms > waiting.drop_at_ms:
                 self._abandon_connecting(waiting.address)
@@ -255,6 +276,18 @@
         for message in dropped:
             self._on_drop(message)
 
+    def _reopen_if_due(self, address: str, now_ms: clock.Millis) -> None:
+        """Open a connection anew that did not open in time."""
+        connection = self._connection_by_address.get(address)
+        if connection is not None:
+            if now_ms - connection.used_at_ms <= _CONNECT_WAIT_MS:
+                return
+            connection.socket.close(0)
+        self._connection_by_address.pop(address, None)
+        self._connection_by_address[address] = _PeerConnection(
+            self._open_socket(address), now_ms
+        )
+
     def _abandon_connecting(self, address: str) -> None:
         """Drop a frame, and close its connection, which did not open in time.
 
--- a/test/test_isolated_nodes.py
+++ b/test/test_isolated_nodes.py
@@ -159,6 +159,32 @@
     anyio.run(scene)
 
 
+# Guards against an answer that is lost as the connection for it opens late.
+def test_answer_by_way_of_a_peer_waits_for_its_connection():
+    async def scene():
+        async with run_pair() as (fixture, isolated, peer):
+            link = peer.link
+            open_socket = link._open_socket
+            until_s = anyio.current_time() + 0.5
+
+            def open_late(address):
+                is_late = anyio.current_time() >= until_s
+                return open_socket(address if is_late else free_address())
+
+            link._open_socket = open_late
+            link._connection_by_address.clear()
+            answer = await loopback_node.send_request(
+                isolated.identity.caller_address,
+                loopback_node.ORDER_PATH,
+                'POST',
+                deadline_ms='5000',
+            )
+            assert answer.status == 200
+            assert fixture.single_run()
+
+    anyio.run(scene)
+
+
 def lose_store_states(node):
     """Let a node lose the states of the store that peers send it."""
     step = node.runtime._step
