--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -588,6 +588,15 @@
         if self._ledger is not None:
             self._ledger.set_unread(self, reading.unread_bytes)
 
+    def _has_stopped(self, reading: byte_budgets.Reader) -> bool:
+        """Return whether the client reads no more of its answers.
+
+        Until its deadline it may go on.
+        """
+        if self.loop.time() < self._awaited_until_s:
+            return False
+        return reading.stopped_ms >= self._bounds_of().answer_time_ms
+
     # The end of the connection
 
     def _refuse(self, reason: outcomes.Reason, detail: str) -> None:
