Let the soak see each way of losing an answer

The soak found a cut call, but some ways to lose an answer passed it.

A run now notes when and how its work ended, and a call its deadline and when its last byte was sent. The check work_is_not_replaced is new. It is stricter than the rule, as is planned_work_cuts_nothing: one case is enough, also apart from planned work, and beside a configuration also late in a call's time.

--- a/soak/bounds.py
+++ b/soak/bounds.py
@@ -43,8 +43,14 @@
 STOP_S: typing.Final = 6
 """From the signal of a planned stop until the process is killed."""
 
+STOP_SENT_S: typing.Final = 3
+STOP_WORK_S: typing.Final = 5
+"""A stop excuses the end of a call that was sent no later than the first after
+the signal, if its target was still at work in the last sixth of the stop."""
+
 LOSS_S: typing.Final = 0.2
-"""How long after its last byte a call counts as read by the instance."""
+"""How long after its last byte a call counts as read by the instance, and how
+close together an end of work and an answer in its place are."""
 
 RECOVER_S: typing.Final = 15
 """From the last fault until calls are served again."""
@@ -61,4 +67,4 @@
 """How long refused calls are watched after the last call: their deadline."""
 
 DEADLINE_MS: typing.Final[clock.Millis] = 1500
-TIMEOUT_MS: typing.Final[clock.Millis] = 2000
+TIMEOUT_MS: typing.Final[clock.Millis] = 6000
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -11,6 +11,7 @@
 SERVED: typing.Final = 200
 MISSING: typing.Final = 404
 CUT: typing.Final = 'cut'
+GAVE_UP: typing.Final = 'gave-up'
 NEVER_S: typing.Final = math.inf
 
 _RECENT_CALLS: typing.Final = 8
@@ -98,19 +99,45 @@
 
 
 def planned_work_cuts_nothing(seen: record.Record) -> Findings:
-    """Find calls cut where nothing but planned work struck."""
+    """Find calls cut where nothing but planned work struck.
+
+    Stricter than the rule: one cut is enough, also apart from planned work.
+    """
     runs_by_id = seen.runs_by_id()
     for call in seen.calls:
-        if call.end != CUT or _is_harmed(seen, call):
+        runs = runs_by_id.get(call.request_id, [])
+        if call.end != CUT or _is_excused(seen, call, runs):
             continue
-        if call.request_id in runs_by_id:
-            told = f'{_told(call)} after it had run'
+        if runs:
+            told = f'{_told(call)} after it had run: {_targets(runs)}'
             yield Finding('cut', told, *_stop_span(seen, call))
         elif _may_be_read(seen, call):
             told = f'{_told(call)} after it was read'
             yield Finding('cut', told, call.sent_s, call.ended_s)
 
 
+def work_is_not_replaced(seen: record.Record) -> Findings:
+    """Find calls ended without the answer that a target had or worked on.
+
+    An instance has answered on its own, or not at all. Stricter than the
+    rule: it holds also apart from a stop.
+    """
+    runs_by_id = seen.runs_by_id()
+    for call in seen.calls:
+        is_own = bool(call.status) and not call.signed
+        runs = [
+            run
+            for run in runs_by_id.get(call.request_id, ())
+            if _would_answer(run, call)
+        ]
+        if runs and is_own and not _is_excused(seen, call, runs):
+            told = f'{_told(call)} in place of {_targets(runs)}'
+            yield Finding('replaced', told, *_stop_span(seen, call))
+        elif runs and call.end == GAVE_UP and not _is_harmed(seen, call, runs):
+            told = f'{_told(call)} without what was made: {_targets(runs)}'
+            yield Finding('replaced', told, call.sent_s, call.ended_s)
+
+
 def leaving_targets_get_nothing_new(seen: record.Record) -> Findings:
     """Find calls that reach a target long after its leaving was known."""
     call_by_id = {call.request_id: call for call in seen.calls}
@@ -301,6 +328,7 @@
     runs_are_as_sent,
     allowed_calls_are_not_denied,
     planned_work_cuts_nothing,
+    work_is_not_replaced,
     leaving_targets_get_nothing_new,
     evacuated_targets_get_nothing_new,
     limits_are_kept,
@@ -313,14 +341,19 @@
 
 
 def _told(call: record.Call) -> str:
+    habit = f', {call.habit}' if call.habit else ''
+    pause = f', paused {call.pause_ms} ms' if call.pause_ms else ''
     return (
         f'{call.request_id} ({call.route}, {call.instance}, {call.status} '
-        f'{call.end}, {call.sent_s:.2f} to {call.ended_s:.2f} s)'
+        f'{call.end}, {call.sent_s:.2f} to {call.ended_s:.2f} s{habit}{pause})'
     )
 
 
 def _targets(runs: typing.Iterable[record.Run]) -> str:
-    return ' '.join(f'{run.target} at {run.at_s:.2f} s' for run in runs)
+    return ' '.join(
+        f'{run.target} at {run.at_s:.2f} to {run.ended_s:.2f} s ({run.end})'
+        for run in runs
+    )
 
 
 def _ended_s(call: record.Call) -> float:
@@ -346,7 +379,51 @@
         call.sent_s,
         call.sent_s,
     )
-    return not is_down and call.ended_s - call.sent_s > bounds.LOSS_S
+    whole_s = max(call.sent_s, call.whole_s)
+    return not is_down and call.ended_s - whole_s > bounds.LOSS_S
+
+
+def _would_answer(run: record.Run, call: record.Call) -> bool:
+    """Return whether a run had or would have had an answer for its call.
+
+    Where the caller has given up, only what was made well before counts.
+    """
+    if call.end == GAVE_UP:
+        early_s = call.due_s - run.ended_s
+        return run.end == record.ANSWERED and early_s > bounds.LOSS_S
+    at_work = run.ended_s > call.ended_s - bounds.LOSS_S
+    return run.end != record.BROKE_OFF and (
+        at_work or run.end == record.ANSWERED
+    )
+
+
+def _is_excused(
+    seen: record.Record, call: record.Call, runs: list[record.Run]
+) -> bool:
+    """Return whether a call may end without its target's answer."""
+    broke_off = any(run.end == record.BROKE_OFF for run in runs)
+    is_late = call.ended_s >= call.due_s
+    return (
+        broke_off
+        or is_late
+        or _is_harmed(seen, call, runs)
+        or _outlasts_stop(seen, call, runs)
+    )
+
+
+def _outlasts_stop(
+    seen: record.Record, call: record.Call, runs: list[record.Run]
+) -> bool:
+    """Return whether a target was at work in the last part of a stop."""
+    return any(
+        stop.where == call.instance
+        and call.sent_s <= stop.from_s + bounds.STOP_SENT_S
+        and run.at_s <= stop.from_s + bounds.STOP_S
+        and run.ended_s >= stop.from_s + bounds.STOP_WORK_S
+        and call.ended_s >= stop.from_s + bounds.STOP_WORK_S
+        for stop in seen.planned
+        for run in runs
+    )
 
 
 def _stop_span(seen: record.Record, call: record.Call) -> tuple[float, float]:
@@ -387,10 +464,18 @@
     return not record.touches(spans, wheres, calm_s, call.ended_s)
 
 
-def _is_harmed(seen: record.Record, call: record.Call) -> bool:
-    """Return whether anything unplanned may have cut a call."""
+def _is_harmed(
+    seen: record.Record, call: record.Call, runs: list[record.Run]
+) -> bool:
+    """Return whether anything unplanned may have cut a call.
+
+    Trouble of the store excuses nothing. Of the targets only those that ran
+    the call count, if any did.
+    """
     wheres = _places_of(call.instance)
-    wheres.update(f'target:{run.target}' for run in seen.runs)
+    wheres.remove(f'store:{call.instance}')
+    ran_by = {run.target for run in runs} or plan.TARGETS
+    wheres.update(f'target:{target}' for target in ran_by)
     calm_s = call.sent_s - bounds.STABLE_S
     return record.touches(seen.harmed, wheres, calm_s, call.ended_s)
 
--- a/soak/record.py
+++ b/soak/record.py
@@ -1,14 +1,28 @@
 """What callers, targets and the soak itself have seen, by the second."""
 
 import dataclasses
+import math
 import typing
 
+from oleanderstair import clock
+from soak import bounds
+
+AT_WORK: typing.Final = 'at-work'
+ANSWERED: typing.Final = 'answered'
+DROPPED: typing.Final = 'dropped'
+BROKE_OFF: typing.Final = 'broke-off'
+"""How a run ended, if it did: its target answered, its connection was closed
+by the instance, or the target itself broke off."""
+
 
 class Call(typing.NamedTuple):
     """One call as its caller saw it; status 0 is an end without an answer.
 
     ``lives`` are the starts of the instance at the call's begin and end.
-    ``fill`` is by how many bytes the answer was to be longer.
+    ``fill`` is by how many bytes the answer was to be longer, ``pause_ms``
+    how long its body was to come after its head. ``whole_s`` is when its last
+    byte was sent, where that is later than its first. ``habit`` tells how it
+    was sent.
     """
 
     request_id: str
@@ -25,10 +39,20 @@
     body: bytes = b''
     version: int = 0
     fill: int = 0
+    pause_ms: clock.Millis = 0
+    deadline_ms: clock.Millis = bounds.DEADLINE_MS
+    whole_s: float = 0
+    habit: str = ''
+
+    @property
+    def due_s(self) -> float:
+        """Return when it has to be answered at the latest."""
+        left_ms = min(self.deadline_ms, bounds.TIMEOUT_MS)
+        return self.sent_s + clock.to_seconds(left_ms)
 
 
 class Run(typing.NamedTuple):
-    """One call that a target began to run."""
+    """One call that a target began to run, and how that ended."""
 
     request_id: str
     target: str
@@ -36,6 +60,8 @@
     method: str
     path: str
     body: bytes
+    ended_s: float = math.inf
+    end: str = AT_WORK
 
 
 class Sent(typing.NamedTuple):
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -40,7 +40,7 @@
 
 
 class SeenTarget(load_targets.LoadTarget):
-    """A target that notes when it begins to run a call."""
+    """A target that notes when it begins to run a call, and how it ends."""
 
     __slots__ = ('seen',)
 
@@ -53,17 +53,24 @@
         request_id: bytes,
     ) -> None:
         ran = self.ran[-1]
-        self.seen.runs.append(
-            record.Run(
-                ran.request_id,
-                self.target_id,
-                anyio.current_time(),
-                ran.method,
-                ran.target,
-                ran.body,
-            ),
+        at = len(self.seen.runs)
+        run = record.Run(
+            ran.request_id,
+            self.target_id,
+            anyio.current_time(),
+            ran.method,
+            ran.target,
+            ran.body,
         )
-        await super()._behave(scope, send, request_id)
+        self.seen.runs.append(run)
+        end = record.DROPPED
+        try:
+            await super()._behave(scope, send, request_id)
+            serves = self.behaviour is load_targets.Behaviour.SERVE
+            end = record.ANSWERED if serves else record.BROKE_OFF
+        finally:
+            ended_s = anyio.current_time()
+            self.seen.runs[at] = run._replace(ended_s=ended_s, end=end)
 
 
 @dataclasses.dataclass(slots=True)
