Let callers and targets of the soak send in parts

Callers of the soak sent each request in one piece and one at a time, and its targets answered in one piece. So a soak could not show an answer that is given up while its target is silent, nor a request that is lost behind another. Calls answered in parts have a deadline of 5 s; what of them is refused is watched until then. The habits are drawn from a generator of their own: faults, routes and entries of a seed are drawn as before.

--- a/oleanderstair/emulator/load_targets.py
+++ b/oleanderstair/emulator/load_targets.py
@@ -25,6 +25,11 @@
 _MAX_BODY_BYTES: typing.Final = 1_000_000
 _MS_PER_S: typing.Final = 1000
 _BODY_MS: typing.Final[clock.Millis] = 5000
+_PAUSE: typing.Final = re.compile(rb'(?:^|&)pause=(\d{1,5})')
+"""How a query asks for an answer in parts, over so many ms."""
+
+_SILENT_SHARE: typing.Final = 0.9
+"""The share of the pause in an answer that lies before its body."""
 
 
 class Behaviour(enum.Enum):
@@ -173,12 +178,13 @@
         if self.behaviour is Behaviour.OTHER_REQUEST:
             answered = b'of-another-request'
         failed = self.behaviour is Behaviour.FAIL
-        fill = _FILL.search(scope['query_string'])
+        query = scope['query_string']
         await self._answer(
             send,
             _FAILED if failed else _OK,
-            body_of(request_id, int(fill[1]) if fill else 0),
+            body_of(request_id, _count_of(_FILL, query)),
             [(dialect.REQUEST_ID, answered), (SIGNATURE, b'signed')],
+            _count_of(_PAUSE, query),
         )
         if self.behaviour is Behaviour.EXTRA_ANSWER:
             transport = listener.protocol_of(scope).transport
@@ -190,6 +196,7 @@
         status: int,
         body: bytes,
         fields: asgi.HeaderList,
+        pause_ms: clock.Millis = 0,
     ) -> None:
         told = f'{self.running},0,{self.slots},{self.slowness}'
         listed = [
@@ -206,7 +213,18 @@
             listed.append((dialect.SERVER_LIMIT, self.limit))
         if self.rest and status == _UNAVAILABLE:
             listed.append((headers.RETRY_AFTER, self.rest))
-        await asgi.respond(send, status, listed, body)
+        await send(
+            {'type': 'http.response.start', 'status': status, 'headers': listed}
+        )
+        middle = len(body) // 2 if pause_ms else 0
+        if pause_ms:
+            pause_s = clock.to_seconds(pause_ms)
+            # The listener writes the head together with the first part.
+            await send(_body_part(b'', more_body=True))
+            await anyio.sleep(pause_s * _SILENT_SHARE)
+            await send(_body_part(body[:middle], more_body=True))
+            await anyio.sleep(pause_s * (1 - _SILENT_SHARE))
+        await send(_body_part(body[middle:], more_body=False))
 
 
 def create(target_id: str) -> LoadTarget:
@@ -219,6 +237,15 @@
     return b'served %b' % request_id + b'.' * fill
 
 
+def _body_part(part: bytes, *, more_body: bool) -> asgi.Message:
+    return {'type': 'http.response.body', 'body': part, 'more_body': more_body}
+
+
+def _count_of(asked: re.Pattern[bytes], query: bytes) -> int:
+    found = asked.search(query)
+    return int(found[1]) if found else 0
+
+
 def _whole(request_id: bytes, body: bytes) -> bytes:
     head = (
         b'HTTP/1.1 200 OK',
--- a/soak/bounds.py
+++ b/soak/bounds.py
@@ -64,7 +64,11 @@
 """How long the first start is waited for, however busy the machine."""
 
 LATE_RUNS_S: typing.Final = 2
-"""How long refused calls are watched after the last call: their deadline."""
+"""How long refused calls are watched after the last call, at least: those with
+a longer deadline are watched until then."""
 
 DEADLINE_MS: typing.Final[clock.Millis] = 1500
+PAUSED_DEADLINE_MS: typing.Final[clock.Millis] = 5000
+"""The deadline of calls whose answer comes in pieces."""
+
 TIMEOUT_MS: typing.Final[clock.Millis] = 6000
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -209,7 +209,7 @@
         around.start_soon(_watch_stalls, scene.seen)
         await _call_and_harm(scene)
         # What was refused may not run later either.
-        await anyio.sleep(bounds.LATE_RUNS_S)
+        await anyio.sleep_until(_last_deadline_s(scene.seen))
         around.cancel_scope.cancel()
     scene.seen.ended_s = anyio.current_time()
 
@@ -233,6 +233,15 @@
         calling.cancel_scope.cancel()
 
 
+def _last_deadline_s(seen: record.Record) -> float:
+    """Return until when a refused call may run after all."""
+    deadlines_s = [
+        call.due_s for call in seen.calls if call.status in checks.NOT_RUN
+    ]
+    since_s = anyio.current_time() + bounds.LATE_RUNS_S
+    return max(since_s, *deadlines_s, 0)
+
+
 def _callers(scene: Scene) -> list[callers.Caller]:
     return [
         callers.Caller(
@@ -246,6 +255,7 @@
             },
             version=scene.newest,
             slow_rng=random.Random(f'{scene.drawn.seed} slow {number}'),
+            habit_rng=random.Random(f'{scene.drawn.seed} habit {number}'),
         )
         for number in range(_CALLERS)
     ]
