Let callers of the soak ask each instance again after all faults

Callers draw instances at random and stay for 40 calls, which take longer with answers in parts. After all faults they now turn to the instance that was asked least. The bound of 15 s stays, and the draws up to there are the same.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,5 +1,6 @@
 """Callers that keep a connection until the instance ends it."""
 
+import collections
 import contextlib
 import dataclasses
 import itertools
@@ -88,7 +89,7 @@
     async def keep_calling(self) -> None:
         """Call until cancelled; leave a connection when it ends."""
         while True:
-            entry = self.rng.choice(self.entries)
+            entry = choose_entry(self.rng, self.entries, self.seen)
             async with httpcore.AsyncConnectionPool(
                 max_connections=1, socket_options=[_RECEIVE_BUFFER]
             ) as pool:
@@ -232,6 +233,22 @@
         return _SLOW_BYTES if is_slow else 0
 
 
+def choose_entry(
+    rng: random.Random, entries: typing.Sequence[Entry], seen: record.Record
+) -> Entry:
+    """Return any instance, or after all faults the one that was asked least.
+
+    One that isn't asked for long can't show that it serves again.
+    """
+    drawn = rng.choice(entries)
+    if not seen.quiet_from_s:
+        return drawn
+    asked = collections.Counter(
+        call.instance for call in seen.calls if call.sent_s > seen.quiet_from_s
+    )
+    return min(entries, key=lambda entry: asked[entry.name])
+
+
 async def _read_answer(
     answer: httpcore.Response, made: record.Call
 ) -> record.Call:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -5,7 +5,9 @@
 """
 
 import contextlib
+import random
 import socket
+import typing
 
 import anyio
 import msgspec
@@ -13,7 +15,7 @@
 
 from oleanderstair import clock
 from oleanderstair.emulator import store
-from soak import bounds, checks, command, plan, proxy, record
+from soak import bounds, callers, checks, command, plan, proxy, record
 
 SEEDS = (4, 7, 10)
 """Two stops, a new configuration, a rate limit and an evacuation; a pause, a
@@ -167,6 +169,13 @@
 SENT = dict.fromkeys(('c-1', 'c-2'), record.Sent('GET', '/lookup/', b''))
 
 
+class Named(typing.NamedTuple):
+    """An instance as callers know it."""
+
+    name: str
+    life: int = 1
+
+
 def scene_of(*calls, runs=(RUN,), **fields):
     """Return a record of calls and runs."""
     return record.Record(
@@ -375,6 +384,18 @@
     assert not found(seen)
 
 
+def test_callers_ask_each_instance_again_after_all_faults():
+    # One that nobody asked for 17 s passed for not recovered.
+    entries = [Named('entry-1'), Named('entry-2')]
+    seen = scene_of(LOOKUP, LOOKUP, quiet_from_s=9)
+    rng = random.Random(1)
+    drawn = {callers.choose_entry(rng, entries, seen) for _ in range(9)}
+    assert drawn == {entries[1]}
+    seen.quiet_from_s = 0
+    drawn = {callers.choose_entry(rng, entries, seen) for _ in range(9)}
+    assert drawn == set(entries)
+
+
 def fields_of(seen):
     """Return the fields of a record by name."""
     return {name: getattr(seen, name) for name in seen.__slots__}
