Answer an order that runs after its caller has half-closed

A caller that closed its sending side after an order (a route that runs once) got a closed connection: the order had been passed on, ran at its target and was given up there.

A FIN doesn't tell a half-close from a departure. So after a FIN an order with an attempt under way stays at work and its answer is written, as the last one on its connection; it is sent to no other target. All other calls end as before, and after a reset all calls.

Before, the half-closed order got no byte.

--- a/oleanderstair/domain/calls/routed_calls.py
+++ b/oleanderstair/domain/calls/routed_calls.py
@@ -203,6 +203,28 @@
     return routed_answering.refuse_call(state, call, outcomes.Reason.TIMEOUT)
 
 
+def on_caller_half_closed(
+    state: world.World,
+    event: events.CallerHalfClosed,
+    now_ms: clock.Millis,
+) -> list[actions.Action]:
+    """End a call whose caller may have left, unless it runs at a target once.
+
+    Nothing is saved by giving up work that can't be repeated, and a caller
+    that only half-closed still waits for its answer.
+    """
+    call = state.routed.call_by_id.get(event.call_id)
+    if call is None:
+        return []
+    if call.route.idempotent or not call.attempts:
+        left = events.CallerLeft(event.call_id)
+        return on_caller_left(state, left, now_ms)
+    state.routed.call_by_id[call.call_id] = call._replace(
+        is_caller_half_closed=True
+    )
+    return []
+
+
 def on_attempt_ended(
     state: world.World,
     event: events.AttemptEnded,
@@ -268,6 +290,8 @@
     call: routed.RoutedCall,
     now_ms: clock.Millis,
 ) -> bool:
+    if call.is_caller_half_closed:
+        return False
     if crashing_requests.is_refused(state, call.received.fingerprint, now_ms):
         return False
     return routed_retries.may_retry(state, call, now_ms)
--- a/oleanderstair/domain/events.py
+++ b/oleanderstair/domain/events.py
@@ -97,6 +97,15 @@
     call_id: int
 
 
+class CallerHalfClosed(typing.NamedTuple):
+    """The caller closed its sending side before the answer was sent.
+
+    It may have left, or it may still wait for the answer.
+    """
+
+    call_id: int
+
+
 class Verdict(enum.Enum):
     """How an attempt at a target ended.
 
@@ -390,6 +399,7 @@
     | PatienceOver
     | CallDue
     | CallerLeft
+    | CallerHalfClosed
     | AttemptEnded
     | HomeReplied
     | TargetsUnreachable
--- a/oleanderstair/domain/gateway.py
+++ b/oleanderstair/domain/gateway.py
@@ -64,6 +64,7 @@
     events.HedgeDue: (routed_dispatching.on_hedge_due,),
     events.CallDue: (routed_calls.on_call_due,),
     events.CallerLeft: (routed_calls.on_caller_left,),
+    events.CallerHalfClosed: (routed_calls.on_caller_half_closed,),
     events.AttemptEnded: (routed_calls.on_attempt_ended,),
     events.TargetsUnreachable: (routed_forwarding.on_targets_unreachable,),
     events.HomeReplied: (routed_forwarding.on_peer_replied,),
--- a/oleanderstair/domain/tables/routed.py
+++ b/oleanderstair/domain/tables/routed.py
@@ -37,9 +37,10 @@
     ``send_count`` counts the dispatches, and ``possible_run_count`` those that
     may have reached their target. ``fallback_attempt_id`` is the attempt whose
     failure is relayed if no other target gives a better answer, 0 if there is
-    none. ``hedge_held_back_by`` is the first limit that held a hedge back, if
-    any did. ``forwarded_to`` is the peer that holds the call, empty if none
-    does.
+    none. ``is_caller_half_closed`` is true once its caller may have left; the
+    call is sent to no further target then. ``hedge_held_back_by`` is the first
+    limit that held a hedge back, if any did. ``forwarded_to`` is the peer that
+    holds the call, empty if none does.
     """
 
     received: events.CallReceived
@@ -59,6 +60,7 @@
     is_sample_widened: bool = False
     fallback_attempt_id: int = 0
     may_have_run: bool = False
+    is_caller_half_closed: bool = False
     hedge_held_back_by: str = ''
     forwarded_to: str = ''
     tried_peers: tuple[str, ...] = ()
--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -188,7 +188,9 @@
         """
         super().__init__(**options)
         self.on_lost: typing.Callable[[], None] | None = None
+        self.on_half_close: typing.Callable[[], bool] | None = None
         self._on_unanswered = on_unanswered
+        self._is_half_closed = False
         self._open_cycles: list[httptools_impl.RequestResponseCycle] = []
         self._end = _End.OWN_CLOSE
         self._bounds_of = bounds_of
@@ -237,9 +239,14 @@
         if self.on_lost is not None:
             self.on_lost()
 
-    def eof_received(self) -> None:
-        """Note that the client closed the connection; this side closes too."""
-        self._note_end(_End.CLIENT_CLOSE)
+    def eof_received(self) -> bool:  # type: ignore[override]
+        """Keep the connection open for an answer that is still to come.
+
+        It is the last one, as the client may have left. Without one, this side
+        closes too.
+        """
+        self._is_half_closed = True
+        return not self._close_by_s and self._is_kept_for_answer()
 
     def data_received(self, chunk: bytes) -> None:
         """Parse received bytes, then apply limits to an incomplete request."""
@@ -511,10 +518,18 @@
         end = _END_BY_TCP_STATE.get(state)
         if end is None:
             self._check_departure_later()
-        else:
+        elif end is _End.RESET or not self._is_kept_for_answer():
             self._note_end(end)
             self.transport.abort()
 
+    def _is_kept_for_answer(self) -> bool:
+        """Return whether an answer is given in spite of the client's close."""
+        self._note_end(_End.CLIENT_CLOSE)
+        if self.on_half_close is None or not self.on_half_close():
+            return False
+        self._open_cycles[0].keep_alive = False
+        return True
+
     # The reading of answers by the client
 
     def _count_written(self, size: int) -> None:
@@ -606,6 +621,9 @@
         self._close_by_s = self.loop.time() + clock.to_seconds(max_ms)
         with contextlib.suppress(OSError):
             self.transport.write_eof()
+        if self._is_half_closed:
+            self.transport.close()
+            return
         self.flow.resume_reading()
         self._note_read(self.count_read_bytes())
         self._check_finished_later()
--- a/oleanderstair/engine/gateway_runtime.py
+++ b/oleanderstair/engine/gateway_runtime.py
@@ -187,6 +187,20 @@
             assert in_force is not None  # noqa: S101 (part of the state)
             self.start_queue.release(in_force)
 
+    def report_half_close(self, call_id: int) -> bool:
+        """Handle the end of what a caller sends.
+
+        Return whether the answer of its call is still to come, or is there and
+        about to be written.
+        """
+        if call_id not in self.pending.call_by_id:
+            return True
+        self.handle(events.CallerHalfClosed(call_id))
+        is_awaited = call_id in self.pending.call_by_id
+        if not is_awaited:
+            self.metrics.count('caller-left')
+        return is_awaited
+
     def report_phase(self, phase: str) -> None:
         """Record and log that the start has reached ``phase``, once."""
         if self.times.mark(phase):
--- a/oleanderstair/engine/listener.py
+++ b/oleanderstair/engine/listener.py
@@ -74,19 +74,24 @@
 def watch_disconnect(
     scope: asgi.Scope,
     on_lost: typing.Callable[[], None],
+    on_half_close: typing.Callable[[], bool] | None = None,
 ) -> typing.Iterator[None]:
     """Call ``on_lost`` if the client disconnects within the block.
 
-    It is called at once if the connection is closing already.
+    It is called at once if the connection is closing already. If the client
+    closes only its sending side, ``on_half_close`` returns whether the
+    connection must stay open for the answer; without it, it is closed.
     """
     protocol = protocol_of(scope)
     protocol.on_lost = on_lost
+    protocol.on_half_close = on_half_close
     if protocol.transport.is_closing():
         on_lost()
     try:
         yield
     finally:
         protocol.on_lost = None
+        protocol.on_half_close = None
 
 
 def protocol_of(scope: asgi.Scope) -> bounded_protocol.BoundedProtocol:
--- a/oleanderstair/engine/routed_caller_app.py
+++ b/oleanderstair/engine/routed_caller_app.py
@@ -185,7 +185,9 @@
         if waited_ms:
             runtime.decisions.hold(call_id, waited_ms)
         with listener.watch_disconnect(
-            scope, lambda: runtime.report_caller_left(call_id)
+            scope,
+            lambda: runtime.report_caller_left(call_id),
+            lambda: runtime.report_half_close(call_id),
         ):
             reply = await runtime.run_call(received, request, holding)
         if holding is not None:
--- a/oleanderstair/explaining/decisions.py
+++ b/oleanderstair/explaining/decisions.py
@@ -70,6 +70,7 @@
             events.CallReceived: self._on_call,
             events.AttemptEnded: self._on_ended,
             events.CallerLeft: self._on_left,
+            events.CallerHalfClosed: self._on_half_closed,
             events.HedgeDue: self._on_hedge_due,
             events.HomeReplied: self._on_peer_replied,
             events.StoreFailed: self._beliefs.on_store_failed,
@@ -196,6 +197,15 @@
             waited: lines.Fields = (('after_ms', now_ms - trail.started_ms),)
             trail.entries.append(trails.Entry(now_ms, 'caller-left', waited))
 
+    def _on_half_closed(
+        self,
+        now_ms: clock.Millis,
+        event: events.CallerHalfClosed,
+    ) -> None:
+        # A call that goes on ends with a line of its own.
+        if event.call_id not in self._state.routed.call_by_id:
+            self._on_left(now_ms, events.CallerLeft(event.call_id))
+
     def _on_hedge_due(
         self,
         now_ms: clock.Millis,
--- a/test/test_routed_queueing.py
+++ b/test/test_routed_queueing.py
@@ -124,6 +124,55 @@
     assert queued not in [run.call_id for run in fleet.runs]
 
 
+def half_close(fleet: gateway_fleet.GatewayFleet, call_id: int) -> None:
+    half_closed = gateway_fleet.events.CallerHalfClosed(call_id)
+    fleet.step('entry-0', half_closed)
+
+
+def test_an_order_that_runs_is_answered_after_a_half_close() -> None:
+    # Its work was given up, and its caller, which still waited, got nothing.
+    fleet = make_fleet()
+    order = fill(fleet, 'order')[0]
+    fleet.run_for(20)
+    half_close(fleet, order)
+    fleet.run_for(1000)
+    assert fleet.told_by_call[order].outcome is outcomes.Outcome.RAN
+
+
+def test_work_that_can_be_repeated_ends_at_a_half_close() -> None:
+    fleet = make_fleet()
+    lookup = fill(fleet, 'lookup')[0]
+    fleet.run_for(20)
+    half_close(fleet, lookup)
+    assert fleet.told_by_call[lookup].outcome is outcomes.Outcome.UNKNOWN
+
+
+def test_an_order_that_waits_at_a_half_close_never_runs() -> None:
+    # Nothing may be passed on half a second after its caller has left.
+    fleet = make_fleet()
+    fill(fleet, *itertools.repeat('patient', 4))
+    queued = fill(fleet, 'order')[0]
+    half_close(fleet, queued)
+    fleet.run_for(1000)
+    assert queued not in [run.call_id for run in fleet.runs]
+
+
+def test_an_order_that_is_shed_after_a_half_close_is_not_sent_again() -> None:
+    # As above, where the first target proves that it hasn't run.
+    fleet = make_fleet(targets=2)
+    for target in fleet.target_by_id.values():
+        target.shed_share = 1
+    order = fleet.call('entry-0', 'order', path='/order/')
+    state = fleet.member_by_id['entry-0'].state
+    routed_calls = state.routed.call_by_id
+    while not routed_calls[order].attempts:
+        fleet.run_for(0.1)
+    half_close(fleet, order)
+    fleet.run_for(1000)
+    assert sum(each.arrivals for each in fleet.target_by_id.values()) == 1
+    assert fleet.told_by_call[order].outcome is outcomes.Outcome.NOT_RUN
+
+
 def test_a_full_service_of_a_split_refuses_its_share() -> None:
     fleet = make_fleet(work_ms=5000)
     fleet.add_target('sklad-0', 'sklad', slots=200)
