Close connections that idle after bytes that begin no request

Such input now starts the idle timeout again; the rest of a body counts as activity, a CRLF doesn't.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -264,6 +264,7 @@
             return
         if self._part is _Part.NONE:
             self._stop_timer()
+            self._await_request()
         elif self._head_bytes > self._bounds_of().max_header_bytes:
             self._refuse(outcomes.Reason.TOO_LARGE, 'the header is too large')
         elif self._timer is None or self._is_idle_timer:
@@ -321,6 +322,8 @@
         super().on_message_complete()
         self._connection['is_whole'] = True
         self._part = _Part.NONE
+        # The body may end after its answer.
+        self._idle_since_s = self.loop.time()
         # The rest of the chunk may belong to this message's body, so it
         # isn't counted as part of the next head.
         self._chunk_bytes = 0
@@ -409,6 +412,18 @@
             return
         super().timeout_keep_alive_handler()
 
+    def _await_request(self) -> None:
+        """Start the idle timeout again where input began no request.
+
+        That is an extra CRLF, or the rest of a body after its answer.
+        """
+        if not self._open_cycles:
+            self._unset_keepalive_if_required()
+            self.timeout_keep_alive_task = self.loop.call_later(
+                max(self._remaining_idle_s(), 0),
+                self.timeout_keep_alive_handler,
+            )
+
     def _unsupported_upgrade_warning(self) -> None:
         # The parser stops at an upgrade, so no later request could be read.
         if self.cycle is not None:
--- a/test/test_listener.py
+++ b/test/test_listener.py
@@ -98,6 +98,37 @@
     anyio.run(scenario)
 
 
+@pytest.mark.parametrize(
+    ('pieces', 'answers'),
+    [
+        ([b'\r\n'], 0),
+        ([b'GET / HTTP/1.1\r\nhost: a\r\n\r\n', b'\r\n'], 1),
+        (
+            [
+                b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\n',
+                b'ab',
+            ],
+            1,
+        ),
+    ],
+)
+def test_connection_is_idle_after_bytes_that_begin_no_request(pieces, answers):
+    # A CRLF or the rest of a body after its answer stopped the idle timeout,
+    # so the connection stayed open without end.
+    async def scenario():
+        async with serving() as (address, _):
+            with raw.SlowReader(address) as client:
+                for piece in pieces:
+                    await client.send(piece)
+                    await anyio.sleep(0.05)
+                for _ in range(answers):
+                    assert (await client.read_head()).startswith(b'HTTP/1.1 2')
+                with anyio.fail_after(1):
+                    assert await client.read(3) == 2 * answers
+
+    anyio.run(scenario)
+
+
 def test_connection_above_the_limit_is_refused():
     async def scenario():
         long_idle = BOUNDS._replace(idle_ms=5000)
