Refuse a new call before a caller that reads late is cut for memory

What callers saw: while the memory for buffered bytes was full, a caller that had paused its reading for 1.5 s was reset in the middle of its answer, though it was within its deadline and its target had run the call. Its room went to calls that could still be refused as not run.

Tests: the ledger cut the caller in favour of a new call of 8 MB before, and refuses that call now; the choice has no caller before its deadline.

--- a/oleanderstair/domain/byte_budgets.py
+++ b/oleanderstair/domain/byte_budgets.py
@@ -57,10 +57,14 @@
 
 
 class Reader(typing.NamedTuple):
-    """A caller with unread bytes, and how long it has read nothing."""
+    """A caller with unread bytes, and how long it has read nothing.
+
+    ``awaited_ms`` is the time left in which it may read late, up to 0 if none.
+    """
 
     unread_bytes: int
     stopped_ms: clock.Millis
+    awaited_ms: clock.Millis = 0
 
 
 def create_budget(memory_mb: float) -> Budget | None:
@@ -113,12 +117,15 @@
 
     It is the one that has read nothing for the longest, at equal times the one
     with the most bytes. A reader that has read something in the last
-    ``MIN_STOPPED_MS`` is never cut off.
+    ``MIN_STOPPED_MS``, or that is still awaited, is never cut off: a new call
+    that doesn't fit can be refused and come again, its answer can't.
     """
     stopped = [
         (reader.stopped_ms, reader.unread_bytes, index)
         for index, reader in enumerate(readers)
-        if reader.unread_bytes and reader.stopped_ms >= MIN_STOPPED_MS
+        if reader.unread_bytes
+        and reader.stopped_ms >= MIN_STOPPED_MS
+        and reader.awaited_ms <= 0
     ]
     return max(stopped)[2] if stopped else None
 
--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -307,9 +307,11 @@
         read_bytes = self.count_read_bytes()
         if read_bytes > self._read_bytes:
             self._note_read(read_bytes)
-        stopped_s = self.loop.time() - self._read_at_s
+        now_s = self.loop.time()
         return byte_budgets.Reader(
-            self._count_unread_bytes(), stopped_s * _MS_PER_S
+            self._count_unread_bytes(),
+            (now_s - self._read_at_s) * _MS_PER_S,
+            (self._awaited_until_s - now_s) * _MS_PER_S,
         )
 
     def await_client(self, remaining_ms: clock.Millis) -> None:
@@ -471,8 +473,7 @@
         self._read_timer = None
         reading = self.measure_reading()
         is_stopped = reading.stopped_ms >= self._bounds_of().answer_time_ms
-        is_awaited = self.loop.time() < self._awaited_until_s
-        if reading.unread_bytes and is_stopped and not is_awaited:
+        if reading.unread_bytes and is_stopped and reading.awaited_ms <= 0:
             self.transport.abort()
         elif reading.unread_bytes:
             self._start_read_timer()
--- a/test/test_byte_budgets.py
+++ b/test/test_byte_budgets.py
@@ -98,6 +98,16 @@
     assert byte_budgets.choose_cut(readers[3:]) is None
 
 
+def test_reader_is_not_cut_before_its_deadline():
+    # Its answer has run; a call that would take its room can be refused.
+    readers = [
+        byte_budgets.Reader(2 * DOWNLOAD, 4000, awaited_ms=500),
+        byte_budgets.Reader(DOWNLOAD, 1600, awaited_ms=-500),
+    ]
+    assert byte_budgets.choose_cut(readers) == 1
+    assert byte_budgets.choose_cut(readers[:1]) is None
+
+
 @pytest.mark.parametrize(
     ('released_per_s', 'expected_ms'),
     [
--- a/test/test_byte_ledger.py
+++ b/test/test_byte_ledger.py
@@ -226,7 +226,7 @@
 
 
 @contextlib.asynccontextmanager
-async def running_large(answer_time_ms):
+async def running_large(answer_time_ms, memory_mb=256):
     """Run a node whose calls all get an answer of 8 MB."""
     body = b'o' * LARGE
 
@@ -235,7 +235,7 @@
             outcomes.Outcome.RAN, answer=exchanges.Answer(200, [], body)
         )
 
-    async with loopback_node.run_ready_node(memory_mb=256) as running:
+    async with loopback_node.run_ready_node(memory_mb=memory_mb) as running:
         running.node.runtime.run_call = answer
         running.node.node_settings = msgspec.structs.replace(
             running.node.node_settings,
@@ -262,6 +262,29 @@
     anyio.run(scenario)
 
 
+def test_new_call_is_refused_before_a_caller_that_reads_late_is_cut(
+    monkeypatch,
+):
+    # With memory full, callers that paused for 1.5 s lost answers that their
+    # targets had run, in favour of calls that could still be refused.
+    monkeypatch.setattr(byte_budgets, 'MIN_STOPPED_MS', 100)
+
+    async def scenario():
+        async with running_large(5000, memory_mb=64 + 36) as running:
+            ledger = running.node.runtime.ledger
+            with raw.SlowReader(running.address) as client:
+                await client.send(LATE_READ)
+                await client.read_head()
+                # Reading is checked twice a second.
+                await anyio.sleep(0.8)
+                opened = ledger.open('other', LARGE, 0)
+                assert isinstance(opened, byte_ledger.Refusal)
+                assert await client.read(LARGE) == LARGE
+                await helper.wait_until(lambda: not ledger.used_bytes)
+
+    anyio.run(scenario)
+
+
 def test_caller_that_reads_nothing_until_its_deadline_is_cut():
     # Its answer must not stay in memory for as long as it keeps connected.
     async def scenario():
