--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -372,9 +372,11 @@
         read_bytes = self.count_read_bytes()
         if read_bytes > self._read_bytes:
             self._note_read(read_bytes)
-        stopped_s = self.loop.time() - self._read_at_s
+        now_s = self.loop.time()
         return byte_budgets.Reader(
-            self._count_unread_bytes(), stopped_s * _MS_PER_S
+            self._count_unread_bytes(),
+            (now_s - self._read_at_s) * _MS_PER_S,
+            (self._awaited_until_s - now_s) * _MS_PER_S,
         )
 
     def await_client(self, remaining_ms: clock.Millis) -> None:
@@ -623,7 +625,7 @@
 
         Until its deadline it may go on.
         """
-        if self.loop.time() < self._awaited_until_s:
+        if reading.awaited_ms > 0:
             return False
         return reading.stopped_ms >= self._bounds_of().answer_time_ms
 
