--- a/oleanderstair/engine/target_connections.py
+++ b/oleanderstair/engine/target_connections.py
@@ -33,6 +33,9 @@
 )
 
 
+_ANSWER_START: typing.Final = b'HTTP/1.'
+
+
 class ConnectError(Exception):
     """No connection was opened or it has ended; nothing was sent."""
 
@@ -75,8 +78,6 @@
         self._has_ended = False
         self._holding: byte_ledger.Holding | None = None
         self._stop_waiting: byte_ledger.OnRoom | None = None
-        self._paused_at_s: float = 0
-        self._answer_started_at_s: float | None = None
         self.answered_at_s = self._loop.time()
         self._written_at_s = self.answered_at_s
         self.idle_before_use_s: float = 0
@@ -94,11 +95,10 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Parse received bytes; without a request, close the connection."""
-        self._reader.feed(chunk)
+        self._reader.feed(self._skip_surplus(chunk))
         if self._on_outcome is None:
             self.close()
             return
-        self._check_rate()
         self._hold_answer()
         self._deliver_outcome()
 
@@ -131,7 +131,6 @@
         if self._transport is None or self._has_ended:
             raise ConnectError('the connection ended before the request')
         self.uses += 1
-        self._answer_started_at_s = None
         self.idle_before_use_s = self.idle_s()
         self._written_at_s = self._loop.time()
         self._on_outcome = on_outcome
@@ -193,6 +192,21 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _skip_surplus(self, chunk: bytes) -> bytes:
+        """Return received bytes without those that belong to no request.
+
+        A target may send more bytes after a complete answer, which arrive
+        where the answer to the next request is due.
+        """
+        if self.uses < 2 or self._reader.has_begun:
+            return chunk
+        surplus_bytes = _find_answer(chunk)
+        if surplus_bytes:
+            self._reader.is_unusable = True
+            # Counted, as the reader limits the bytes around bodies.
+            self._reader.received_bytes += surplus_bytes
+        return chunk[surplus_bytes:]
+
     def _limit_unacknowledged(
         self, transport: asyncio.Transport, size: int
     ) -> None:
@@ -213,17 +227,6 @@
             timeout_ms,
         )
 
-    def _check_rate(self) -> None:
-        """Fail a request whose answer is slower than the minimum rate."""
-        now_s = self._loop.time()
-        if self._answer_started_at_s is None:
-            self._answer_started_at_s = now_s
-        slow_s = now_s - self._answer_started_at_s
-        if slow_s <= clock.to_seconds(answers.SLOW_ANSWER_GRACE_MS):
-            return
-        if self._reader.received_bytes < slow_s * answers.MIN_BYTES_PER_S:
-            self._reader.abandon('the answer is too slow')
-
     def _hold_answer(self) -> None:
         """Count the answer; stop reading while it doesn't fit."""
         if self._holding is None or self._stop_waiting is not None:
@@ -235,15 +238,11 @@
             self._stop_waiting = self._holding.wait_for_answer(
                 size, self._resume_reading
             )
-            self._paused_at_s = self._loop.time()
             if self._transport is not None:
                 self._transport.pause_reading()
 
     def _resume_reading(self) -> None:
         self._stop_waiting = None
-        if self._answer_started_at_s is not None:
-            # The time without reading is no fault of the target.
-            self._answer_started_at_s += self._loop.time() - self._paused_at_s
         if self._transport is not None:
             self._transport.resume_reading()
 
@@ -322,3 +321,19 @@
     except (OSError, TimeoutError) as error:
         raise ConnectError(repr(error)) from error
     return connected
+
+
+def _find_answer(chunk: bytes) -> int:
+    """Return where an answer starts in a chunk, which may end in its start.
+
+    Return the length of the chunk if none does.
+    """
+    if chunk.lstrip(b'\r\n').startswith(_ANSWER_START):
+        return 0
+    found = chunk.find(_ANSWER_START)
+    if found >= 0:
+        return found
+    for length in range(len(_ANSWER_START) - 1, 0, -1):
+        if chunk.endswith(_ANSWER_START[:length]):
+            return len(chunk) - length
+    return len(chunk)
--- a/test/test_routed_callers.py
+++ b/test/test_routed_callers.py
@@ -107,6 +107,29 @@
     assert len(ran) == 2
 
 
+def test_pipelined_requests_are_answered_in_a_planned_stop():
+    # The connection was closed after the first of them.
+    async def scenario():
+        async with loopback_node.run_ready_node() as running:
+            for target in running.target_by_id.values():
+                target.service_ms = 150
+            runtime = running.node.runtime
+            host, _, port = running.address.rpartition(':')
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(3 * VALID_REQUEST)
+                await helper.wait_until(
+                    lambda: len(runtime.pending.call_by_id) == 1
+                )
+                running.node.stop()
+                return await raw.receive_all(stream)
+
+    answers = anyio.run(scenario)
+    assert answers.count(b'served r-1') == 3
+    last_head = answers.rpartition(b'HTTP/1.1 200')[2]
+    assert answers.count(b'connection: close') == 1
+    assert b'connection: close' in last_head
+
+
 def test_limits_follow_the_configuration_in_force():
     async def scenario():
         async with loopback_node.run_ready_node() as running:
@@ -201,6 +224,44 @@
     assert anyio.run(_call_at_the_start, after_ms) == status
 
 
+def test_stop_at_the_start_leaves_a_held_call_its_time():
+    # The listener gave up 2 s after the exit was decided, which counts only
+    # calls that have left the queue of the start. The call got a 500.
+    async def scenario():
+        platform_store = store.create()
+        async with anyio.create_task_group() as tasks:
+            target = load_targets.create('i-0')
+            target.service_ms = 2200
+            platform_store.put(
+                'servers/i-0',
+                loopback_node.registration_of(
+                    loopback_node.serve_app(tasks, target)
+                ),
+            )
+            tree = loopback_node.settings_tree(
+                loopback_node.serve_app(tasks, platform_store)
+            )
+            async with loopback_node.run_node(tree) as started:
+                tasks.start_soon(_stop_and_publish, started, platform_store)
+                answer = await loopback_node.send_request(
+                    started.identity.caller_address, deadline_ms='4000'
+                )
+            tasks.cancel_scope.cancel()
+        return answer.status
+
+    assert anyio.run(scenario) == 200
+
+
+async def _stop_and_publish(started, platform_store):
+    await anyio.sleep(0.2)
+    started.stop()
+    await started.runtime.exit.wait()
+    slow = loopback_node.configuration(1)
+    for route in slow['routes']:
+        route['timeout_ms'] = 4000
+    platform_store.put('op/config', slow)
+
+
 def test_call_held_at_the_start_is_logged_with_its_wait(monkeypatch):
     sink = sinks.ListSink()
     monkeypatch.setattr(logs, 'current_sink', lambda: sink)
