Drop an answer from its connection once it has been delivered

What users saw: an instance grew far beyond its memory while callers read large answers. A process that is killed for its memory cuts all requests under way.

Cause: the reader of an idle connection to a target held the parts and the whole of the last answer, and through the function that recognises answers the call with its request, until the next request on that connection. With 8 idle connections to each target that is 16 answers for each, and no budget counted them.

--- a/oleanderstair/engine/answers.py
+++ b/oleanderstair/engine/answers.py
@@ -124,6 +124,16 @@
         self._total_body_bytes = 0
         self.received_bytes = 0
 
+    def release(self) -> None:
+        """Drop the answer, and what recognised it, after its delivery.
+
+        An idle connection would hold them until its next answer.
+        """
+        self.outcome = None
+        self._chunks = []
+        self._fields = []
+        self._is_for_other_request = _is_never_for_other_request
+
     def answer_bytes(self) -> int:
         """Return the size of the body being read, as declared or received."""
         declared_bytes = min(self._declared_bytes, self._max_bytes)
--- a/oleanderstair/engine/target_connections.py
+++ b/oleanderstair/engine/target_connections.py
@@ -269,6 +269,7 @@
     def _finish(self, outcome: ExchangeOutcome) -> None:
         on_outcome = self._on_outcome
         self._clear_request()
+        self._reader.release()
         if on_outcome is not None:
             on_outcome(outcome)
 
--- a/test/test_target_connections.py
+++ b/test/test_target_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import tracemalloc
 
 import anyio
 import pytest
@@ -10,6 +11,7 @@
 from oleanderstair.domain import events
 from oleanderstair.engine import exchanges, target_connections
 from soak import silencing
+from test import raw
 
 ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ntwig'
 LARGE = b'o' * 1_000_000
@@ -17,6 +19,9 @@
 CUT_OFF_MS = 500
 
 
+IDLE_ANSWER_BYTES = 1_000_000
+
+
 @pytest.fixture(autouse=True)
 def _limit_unacknowledged(monkeypatch):
     monkeypatch.setattr(target_connections, 'MAX_UNACKNOWLEDGED_MS', CUT_OFF_MS)
@@ -97,3 +102,27 @@
         assert result.unanswered
 
     anyio.run(scenario)
+
+
+def test_idle_connection_holds_nothing_of_the_last_answer():
+    # Each idle connection held the parts and the whole of its last answer,
+    # outside the memory for buffered bytes: with answers of 4 MB, an instance
+    # grew beyond the memory of its machine.
+    async def scenario():
+        head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n'
+        answer = head % IDLE_ANSWER_BYTES + b'o' * IDLE_ANSWER_BYTES
+        script = raw.RawTarget(answer, kept=True)
+        async with raw.running(script) as target:
+            pool = exchanges.create()
+            port = target.address.rpartition(':')[2]
+            tracemalloc.start()
+            result = await post(pool, port, SMALL)
+            assert len(result.answer.body) == IDLE_ANSWER_BYTES
+            assert pool.idle_by_target['burza-01']
+            del result
+            await anyio.sleep(0)
+            held_bytes, _ = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+        assert held_bytes < IDLE_ANSWER_BYTES / 2
+
+    anyio.run(scenario)
