--- a/oleanderstair/engine/peers.py
+++ b/oleanderstair/engine/peers.py
@@ -36,6 +36,14 @@
 _CONNECT_WAIT_MS: typing.Final = 200
 """Maximum time that a frame waits for its connection to open."""
 
+_ANSWER_WAIT_MS: typing.Final = 3000
+"""Maximum time that the answer to a call waits, as it can't be sent again. It
+covers two lost packets of a handshake. Its connection is opened anew after
+each ``_CONNECT_WAIT_MS``."""
+
+_MAX_WAITING_ANSWER_BYTES: typing.Final = 8_000_000
+"""Size of the waiting frames up to which an answer may wait that long."""
+
 _SEND_RETRY_MS: typing.Final = 5
 """Interval between attempts to send the waiting frames."""
 
@@ -49,6 +57,8 @@
 
 
 Keys: typing.TypeAlias = peer_sockets.Keys
+OnDrop: typing.TypeAlias = typing.Callable[[messages.Message], None]
+"""Handle a message that was queued and dropped, so that no peer has it."""
 
 
 class ReceivedMessage(typing.NamedTuple):
@@ -84,6 +94,9 @@
         Its parameters are the name of the counter and a label.
         """
 
+    def report_drops_to(self, on_drop: OnDrop) -> None:
+        """Set the function that handles queued messages that are dropped."""
+
 
 class _PeerConnection(typing.NamedTuple):
     """A connection to a peer.
@@ -108,6 +121,7 @@
 
 class _WaitingFrame(typing.NamedTuple):
     address: str
+    message: messages.Message
     frame: bytes
     drop_at_ms: clock.Millis
 
@@ -130,6 +144,7 @@
         self._options = peer_sockets.SocketOptions(self._silence_ms, heartbeats)
         self._clock = clock.create_monotonic()
         self._count: typing.Callable[[str, str], None] = _discard_count
+        self._on_drop: OnDrop = _ignore_drop
         self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         self._authenticator: curve_keys.KeyAuthenticator | None = None
         if keys.public:
@@ -160,6 +175,10 @@
         """
         self._count = count
 
+    def report_drops_to(self, on_drop: OnDrop) -> None:
+        """Set the function that handles queued messages that are dropped."""
+        self._on_drop = on_drop
+
     def send(
         self,
         address: str,
@@ -180,7 +199,7 @@
         socket = self._get_or_open_socket(address, incarnation, message)
         if _try_send(socket, frame):
             return len(frame)
-        return len(frame) if self._queue_frame(address, frame) else 0
+        return len(frame) if self._queue_frame(address, message, frame) else 0
 
     async def receive(self) -> ReceivedMessage:
         """Return the next valid message."""
@@ -202,7 +221,9 @@
             self._authenticator.close()
         self._context.destroy(0)
 
-    def _queue_frame(self, address: str, frame: bytes) -> bool:
+    def _queue_frame(
+        self, address: str, message: messages.Message, frame: bytes
+    ) -> bool:
         """Queue a frame until its connection opens.
 
         Return False if the queue is full; the frame is dropped then.
@@ -210,12 +231,22 @@
         if len(self._waiting) >= _MAX_WAITING_FRAMES:
             self._count('peer-dropped', 'not-connected')
             return False
-        drop_at_ms = self._clock.now_ms() + _CONNECT_WAIT_MS
+        drop_at_ms = self._clock.now_ms() + self._max_wait_ms(message, frame)
         if not self._waiting:
             self._schedule_retry()
-        self._waiting.append(_WaitingFrame(address, frame, drop_at_ms))
+        self._waiting.append(_WaitingFrame(address, message, frame, drop_at_ms))
         return True
 
+    def _max_wait_ms(
+        self, message: messages.Message, frame: bytes
+    ) -> clock.Millis:
+        if not isinstance(message, messages.KeyedAnswer):
+            return _CONNECT_WAIT_MS
+        waiting_bytes = sum(len(waiting.frame) for waiting in self._waiting)
+        if waiting_bytes + len(frame) > _MAX_WAITING_ANSWER_BYTES:
+            return _CONNECT_WAIT_MS
+        return _ANSWER_WAIT_MS
+
     def _schedule_retry(self) -> None:
         # A task could outlive the sockets, so the timer calls a method that
         # checks whether they are closed.
@@ -226,16 +257,36 @@
         if self._context.closed:
             return
         now_ms = self._clock.now_ms()
-        still_waiting = []
+        still_waiting: list[_WaitingFrame] = []
+        dropped: list[messages.Message] = []
         for waiting in self._waiting:
+            is_answer = isinstance(waiting.message, messages.KeyedAnswer)
+            if is_answer and now_ms <= waiting.drop_at_ms:
+                self._reopen_if_due(waiting.address, now_ms)
             connection = self._connection_by_address.get(waiting.address)
             if connection is None or now_ms > waiting.drop_at_ms:
                 self._abandon_connecting(waiting.address)
+                dropped.append(waiting.message)
             elif not _try_send(connection.socket, waiting.frame):
                 still_waiting.append(waiting)
         self._waiting = still_waiting
         if still_waiting:
             self._schedule_retry()
+        # Handling a drop may send, so the list is up to date before.
+        for message in dropped:
+            self._on_drop(message)
+
+    def _reopen_if_due(self, address: str, now_ms: clock.Millis) -> None:
+        """Open a connection anew that did not open in time."""
+        connection = self._connection_by_address.get(address)
+        if connection is not None:
+            if now_ms - connection.used_at_ms <= _CONNECT_WAIT_MS:
+                return
+            connection.socket.close(0)
+        self._connection_by_address.pop(address, None)
+        self._connection_by_address[address] = _PeerConnection(
+            self._open_socket(address), now_ms
+        )
 
     def _abandon_connecting(self, address: str) -> None:
         """Drop a frame, and close its connection, which did not open in time.
@@ -411,3 +462,7 @@
 
 def _discard_count(name: str, label: str) -> None:
     """Discard a count while no metrics are set."""
+
+
+def _ignore_drop(message: messages.Message) -> None:
+    """Ignore a dropped message while nothing handles it."""
