Answer requests that wait or arrive as an instance exits

An instance that had waited for the processor when it decided to exit reset the connections whose requests were in the kernel, unread.

The listener stopped accepting and closed idle connections before the event loop had looked at their input. It now runs the loop until the first bytes of waiting connections are read, and a connection with a request that has begun, or with input unread, closes after its answer.

The three tests failed before: two resets, one connection without an answer.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -176,6 +176,7 @@
         self._trailer_bytes = 0
         self._chunk_bytes = 0
         self._refused = False
+        self._is_next_last = False
         self._timer: asyncio.TimerHandle | None = None
         self._is_idle_timer = False
         self._read_timer: asyncio.TimerHandle | None = None
@@ -270,6 +271,22 @@
             self.app = app
         if self.cycle is not previous_cycle:
             self._join_writes()
+            if self._is_next_last:
+                self.cycle.keep_alive = False
+
+    def shutdown(self) -> None:
+        """Close after the answer in progress, or at once if there is none.
+
+        A request that has begun to arrive is answered first.
+        """
+        if self._refused:
+            return
+        if self._is_answering():
+            super().shutdown()
+        elif self._part is _Part.HEAD or self._count_unread_input():
+            self._is_next_last = True
+        else:
+            super().shutdown()
 
     def on_message_complete(self) -> None:
         """Mark the request as received completely."""
@@ -481,15 +498,23 @@
 
     def _count_kernel_bytes(self) -> int:
         """Return how many bytes the kernel has not delivered, if it says so."""
+        undelivered_bytes = self._read_socket_count(termios.TIOCOUTQ)
+        return max(undelivered_bytes - self._end_bytes, 0)
+
+    def _count_unread_input(self) -> int:
+        """Return how many received bytes the process has not read yet."""
+        return self._read_socket_count(termios.FIONREAD)
+
+    def _read_socket_count(self, request: int) -> int:
         connected = self.transport.get_extra_info('socket')
         if connected.fileno() < 0:
             return 0
         size = bytearray(_SIZE.size)
         try:
-            fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, size)
+            fcntl.ioctl(connected.fileno(), request, size)
         except OSError:
             return 0
-        return max(int(_SIZE.unpack(size)[0]) - self._end_bytes, 0)
+        return int(_SIZE.unpack(size)[0])
 
     def _count_unread_bytes(self) -> int:
         """Return the bytes of answers that wait for the client.
--- a/oleanderstair/engine/listener.py
+++ b/oleanderstair/engine/listener.py
@@ -29,6 +29,10 @@
 dropped is tried again only after a second. The deployments allow 2,000."""
 
 _SHUTDOWN_TIMEOUT_S: typing.Final = 2
+_LOOPS_TO_FIRST_READ: typing.Final = 6
+"""After how many iterations of the event loop the first bytes of a connection
+that waits to be accepted have been read."""
+
 DEFAULT_BOUNDS: typing.Final = bounded_protocol.ConnectionBounds()
 
 
@@ -57,6 +61,15 @@
         # The loop of uvicorn wakes up ten times a second.
         await self._exit.wait()
 
+    async def shutdown(
+        self, sockets: list[socket.socket] | None = None
+    ) -> None:
+        # Where the process has waited for the processor, requests wait in the
+        # kernel. Those on new connections would be reset unread.
+        for _ in range(_LOOPS_TO_FIRST_READ):
+            await asyncio.sleep(0)
+        await super().shutdown(sockets)
+
     @contextlib.contextmanager
     def capture_signals(self) -> typing.Iterator[None]:
         # The daemon handles signals itself, because a planned stop takes time.
--- a/test/test_listener.py
+++ b/test/test_listener.py
@@ -1,6 +1,8 @@
 """The HTTP listener with slow, large and malformed requests."""
 
+import asyncio
 import contextlib
+import socket
 
 import anyio
 import msgspec
@@ -199,6 +201,49 @@
     anyio.run(scenario)
 
 
+@pytest.mark.parametrize('is_new', [True, False])
+def test_request_that_waits_at_the_exit_is_answered(is_new):
+    # A process that waits for the processor finds it when it decides to exit.
+    # Its connection was reset.
+    async def scenario():
+        async with serving() as (address, server):
+            host, _, port = address.rpartition(':')
+            with socket.socket() as client:
+                if is_new:
+                    await helper.wait_until(lambda: server.started)
+                    client.connect((host, int(port)))
+                else:
+                    client.connect((host, int(port)))
+                    await helper.wait_until(
+                        lambda: server.server_state.connections
+                    )
+                client.sendall(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+                client.setblocking(False)
+                server.should_exit = True
+                loop = asyncio.get_running_loop()
+                answer = await loop.sock_recv(client, 1000)
+                assert answer.startswith(b'HTTP/1.1 200')
+
+    anyio.run(scenario)
+
+
+def test_request_that_arrives_across_the_exit_is_answered():
+    async def scenario():
+        async with serving() as (address, server):
+            host, _, port = address.rpartition(':')
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(b'GET / HTTP/1.1\r\nhost')
+                await anyio.sleep(0.05)
+                server.should_exit = True
+                await anyio.sleep(0.05)
+                await stream.send(b': a\r\n\r\n')
+                answer = await raw.receive_all(stream)
+                assert answer.startswith(b'HTTP/1.1 200')
+                assert b'connection: close' in answer
+
+    anyio.run(scenario)
+
+
 def test_malformed_bytes_after_a_request_do_not_change_its_answer():
     async def slow(scope, receive, send):
         await anyio.sleep(0.1)
