Merge requests that wait or arrive at an exit

At the exit, a connection whose last answer has arrived closes at once; one that still delivers it goes on until the kill. The state of a connection is left unknown where the system doesn't tell it.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -100,7 +100,7 @@
 
 
 _END_BY_TCP_STATE: typing.Final = types.MappingProxyType(
-    {7: _End.RESET, 8: _End.CLIENT_CLOSE},
+    {b'\x07': _End.RESET, b'\x08': _End.CLIENT_CLOSE},
 )
 """How the client ended a connection, by the state in which Linux has it: CLOSE
 or CLOSE_WAIT."""
@@ -209,6 +209,7 @@
         self._has_input = False
         self._close_by_s: float = 0
         self._departure_timer: asyncio.TimerHandle | None = None
+        self._is_next_last = False
         self._timer: asyncio.TimerHandle | None = None
         self._is_idle_timer = False
         self._read_timer: asyncio.TimerHandle | None = None
@@ -318,11 +319,28 @@
             self.app = app
         if self.cycle is not previous_cycle:
             self._join_writes()
+            if self._is_next_last:
+                self.cycle.keep_alive = False
             self._open_cycles.append(self.cycle)
         # Not before: a head that raises above has no cycle of its own.
         self._part = _Part.BODY
         self._head_bytes = 0
 
+    def shutdown(self) -> None:
+        """Close after the answer in progress, or at once if there is none.
+
+        A request that has begun to arrive is answered first.
+        """
+        if self._close_by_s:
+            if not self._count_undelivered_bytes():
+                self.transport.close()
+        elif self._refused or self._is_answering():
+            self.cycle.keep_alive = False
+        elif self._part is _Part.HEAD or self._count_unread_input():
+            self._is_next_last = True
+        else:
+            super().shutdown()
+
     def on_message_complete(self) -> None:
         """Mark the request as received completely."""
         super().on_message_complete()
@@ -550,15 +568,24 @@
         self._departure_timer = None
         if not self.flow.read_paused:
             return
-        connected = self.transport.get_extra_info('socket')
-        state = connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
-        end = _END_BY_TCP_STATE.get(state)
+        end = _END_BY_TCP_STATE.get(self._read_tcp_state())
         if end is None:
             self._check_departure_later()
         elif end is _End.RESET or not self._is_kept_for_answer():
             self._note_end(end)
             self.transport.abort()
 
+    def _read_tcp_state(self) -> bytes:
+        """Return the state of the TCP connection, empty if it isn't told."""
+        connected = self.transport.get_extra_info('socket')
+        try:
+            return typing.cast(
+                bytes,
+                connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1),
+            )
+        except OSError:
+            return b''
+
     def _is_kept_for_answer(self) -> bool:
         """Return whether an answer is given in spite of the client's close."""
         self._note_end(_End.CLIENT_CLOSE)
@@ -574,28 +601,39 @@
 
     def _count_kernel_bytes(self) -> int:
         """Return how many bytes the kernel has not delivered, if it says so."""
+        undelivered_bytes = self._read_socket_count(termios.TIOCOUTQ)
+        # The kernel counts the end of the stream as a byte until it is
+        # acknowledged.
+        end_bytes = 1 if self._close_by_s else 0
+        return max(undelivered_bytes - end_bytes, 0)
+
+    def _count_undelivered_bytes(self) -> int:
+        buffered_bytes = self.transport.get_write_buffer_size()
+        return buffered_bytes + self._count_kernel_bytes()
+
+    def _count_unread_input(self) -> int:
+        """Return how many received bytes the process has not read yet."""
+        return self._read_socket_count(termios.FIONREAD)
+
+    def _read_socket_count(self, request: int) -> int:
         connected = self.transport.get_extra_info('socket')
         if connected.fileno() < 0:
             return 0
         size = bytearray(_SIZE.size)
         try:
-            fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, size)
+            fcntl.ioctl(connected.fileno(), request, size)
         except OSError:
             return 0
-        # The kernel counts the end of the stream as a byte until it is
-        # acknowledged.
-        end_bytes = 1 if self._close_by_s else 0
-        return max(int(_SIZE.unpack(size)[0]) - end_bytes, 0)
+        return int(_SIZE.unpack(size)[0])
 
     def _count_unread_bytes(self) -> int:
         """Return the bytes of answers that wait for the client.
 
         Those in the kernel count only where buffered bytes are limited.
         """
-        buffered_bytes = self.transport.get_write_buffer_size()
         if self._ledger is None:
-            return buffered_bytes
-        return buffered_bytes + self._count_kernel_bytes()
+            return self.transport.get_write_buffer_size()
+        return self._count_undelivered_bytes()
 
     def _note_read(self, read_bytes: int) -> None:
         self._read_bytes = read_bytes
@@ -680,9 +718,7 @@
         )
 
     def _close_if_finished(self) -> None:
-        unread_bytes = (
-            self.transport.get_write_buffer_size() + self._count_kernel_bytes()
-        )
+        unread_bytes = self._count_undelivered_bytes()
         if unread_bytes and self._has_stopped(self.measure_reading()):
             self.transport.abort()
         elif unread_bytes or (
