Let a slow handshake end that an answer to a peer waits for

An answer to a forwarded call was lost on a link of 50 ms each way: its connection was opened anew each 200 ms, before the handshake could end.

The time until the next attempt grows with the wait, a frame that is dropped leaves the connection of a waiting answer alone, and 16 answers at most wait so long for one address.

--- a/oleanderstair/engine/peers.py
+++ b/oleanderstair/engine/peers.py
@@ -37,9 +37,15 @@
 """Maximum time that a frame waits for its connection to open."""
 
 _ANSWER_WAIT_MS: typing.Final = 3000
-"""Maximum time that the answer to a call waits, as it can't be sent again. It
-covers two lost packets of a handshake. Its connection is opened anew after
-each ``_CONNECT_WAIT_MS``."""
+"""Maximum time that the answer to a call waits, as it can't be sent again."""
+
+_REOPEN_SHARE: typing.Final = 0.5
+"""A connection that an answer waits for is opened anew after this share of the
+time for which the answer has waited, so that a slow handshake can end."""
+
+_MAX_WAITING_ANSWERS: typing.Final = 16
+"""How many answers for one address wait that long, so that a peer that is gone
+leaves room for others."""
 
 _MAX_WAITING_ANSWER_BYTES: typing.Final = 8_000_000
 """Size of the waiting frames up to which an answer may wait that long."""
@@ -125,6 +131,10 @@
     frame: bytes
     drop_at_ms: clock.Millis
 
+    @property
+    def is_answer(self) -> bool:
+        return isinstance(self.message, messages.KeyedAnswer)
+
 
 class ZmqLink:
     """Receives on one ROUTER socket; sends on a DEALER per peer address."""
@@ -231,17 +241,25 @@
         if len(self._waiting) >= _MAX_WAITING_FRAMES:
             self._count('peer-dropped', 'not-connected')
             return False
-        drop_at_ms = self._clock.now_ms() + self._max_wait_ms(message, frame)
+        drop_at_ms = self._clock.now_ms() + self._max_wait_ms(
+            address, message, frame
+        )
         if not self._waiting:
             self._schedule_retry()
         self._waiting.append(_WaitingFrame(address, message, frame, drop_at_ms))
         return True
 
     def _max_wait_ms(
-        self, message: messages.Message, frame: bytes
+        self, address: str, message: messages.Message, frame: bytes
     ) -> clock.Millis:
         if not isinstance(message, messages.KeyedAnswer):
             return _CONNECT_WAIT_MS
+        answer_count = sum(
+            waiting.address == address and waiting.is_answer
+            for waiting in self._waiting
+        )
+        if answer_count >= _MAX_WAITING_ANSWERS:
+            return _CONNECT_WAIT_MS
         waiting_bytes = sum(len(waiting.frame) for waiting in self._waiting)
         if waiting_bytes + len(frame) > _MAX_WAITING_ANSWER_BYTES:
             return _CONNECT_WAIT_MS
@@ -259,13 +277,18 @@
         now_ms = self._clock.now_ms()
         still_waiting: list[_WaitingFrame] = []
         dropped: list[messages.Message] = []
+        awaited_addresses = {
+            waiting.address: waiting.drop_at_ms - _ANSWER_WAIT_MS
+            for waiting in reversed(self._waiting)
+            if waiting.is_answer and now_ms <= waiting.drop_at_ms
+        }
+        for address, since_ms in awaited_addresses.items():
+            self._reopen_if_due(address, since_ms, now_ms)
         for waiting in self._waiting:
-            is_answer = isinstance(waiting.message, messages.KeyedAnswer)
-            if is_answer and now_ms <= waiting.drop_at_ms:
-                self._reopen_if_due(waiting.address, now_ms)
             connection = self._connection_by_address.get(waiting.address)
             if connection is None or now_ms > waiting.drop_at_ms:
-                self._abandon_connecting(waiting.address)
+                if waiting.address not in awaited_addresses:
+                    self._abandon_connecting(waiting.address)
                 dropped.append(waiting.message)
             elif not _try_send(connection.socket, waiting.frame):
                 still_waiting.append(waiting)
@@ -276,11 +299,17 @@
         for message in dropped:
             self._on_drop(message)
 
-    def _reopen_if_due(self, address: str, now_ms: clock.Millis) -> None:
-        """Open a connection anew that did not open in time."""
+    def _reopen_if_due(
+        self, address: str, since_ms: clock.Millis, now_ms: clock.Millis
+    ) -> None:
+        """Open a connection anew that did not open in time.
+
+        An answer has waited for it since ``since_ms``.
+        """
+        max_age_ms = max((now_ms - since_ms) * _REOPEN_SHARE, _CONNECT_WAIT_MS)
         connection = self._connection_by_address.get(address)
         if connection is not None:
-            if now_ms - connection.used_at_ms <= _CONNECT_WAIT_MS:
+            if now_ms - connection.used_at_ms <= max_age_ms:
                 return
             connection.socket.close(0)
         self._connection_by_address.pop(address, None)
