Parse requests with an upgrade in a loop

1,200 requests with an upgrade in one piece recursed until the connection ended; 472 were answered (found by the review). Test in test_connection_ends.py.

--- a/oleanderstair/engine/request_parsing.py
+++ b/oleanderstair/engine/request_parsing.py
@@ -52,10 +52,15 @@
 
     def feed_data(self, chunk: bytes) -> None:
         """Parse received bytes; raise ``HttpParserError`` if invalid."""
-        try:
-            self._parser.feed_data(chunk)
-        except httptools.HttpParserUpgrade as upgrade:
-            self._read_on(chunk[upgrade.args[0] :])
+        rest = chunk
+        while rest:
+            try:
+                self._parser.feed_data(rest)
+            except httptools.HttpParserUpgrade as upgrade:
+                rest = rest[upgrade.args[0] :]
+                self._begin_body()
+            else:
+                return
 
     def get_method(self) -> bytes:
         """Return the method of the request."""
@@ -114,18 +119,13 @@
         if not self._parser.should_upgrade():
             self._callbacks.on_message_complete()
 
-    def _read_on(self, rest: bytes) -> None:
-        """Parse the body of the request and what follows it.
-
-        A new parser gets the framing of the request without the offer.
-        """
+    def _begin_body(self) -> None:
+        """Go on with a new parser, which gets the framing of the request."""
         self._parser = httptools.HttpRequestParser(self)
         self._is_framing_only = True
         lines = [b'POST / HTTP/1.1']
         lines.extend(b'%b: %b' % field for field in self._framing)
         self._parser.feed_data(b'\r\n'.join([*lines, b'', b'']))
-        if rest:
-            self.feed_data(rest)
 
 
 def create(callbacks: Callbacks) -> RequestParser:
