Hold bytes back that may be the start of an answer

Surplus bytes that ended like the start of an answer, with the answer in the next segment, made it a broken one, and an order at work got a 502 (found by the review). Test in test_connection_ends.py.

--- a/oleanderstair/engine/target_connections.py
+++ b/oleanderstair/engine/target_connections.py
@@ -83,6 +83,7 @@
         self.idle_before_use_s: float = 0
         self.uses = 0
         self._unacknowledged_ms = 0
+        self._held_back = b''
 
     # Called by the event loop
 
@@ -200,12 +201,16 @@
         """
         if self.uses < 2 or self._reader.has_begun:
             return chunk
+        chunk = self._held_back + chunk
         surplus_bytes = _find_answer(chunk)
+        # Only what follows tells whether this is the start of an answer.
+        is_held_back = len(chunk) - surplus_bytes < len(_ANSWER_START)
+        self._held_back = chunk[surplus_bytes:] if is_held_back else b''
         if surplus_bytes:
             self._reader.is_unusable = True
             # Counted, as the reader limits the bytes around bodies.
             self._reader.received_bytes += surplus_bytes
-        return chunk[surplus_bytes:]
+        return b'' if is_held_back else chunk[surplus_bytes:]
 
     def _limit_unacknowledged(
         self, transport: asyncio.Transport, size: int
