--- a/oleanderstair/engine/listener.py
+++ b/oleanderstair/engine/listener.py
@@ -4,7 +4,6 @@
 import contextlib
 import functools
 import logging
-import math
 import socket
 import typing
 
@@ -29,6 +28,7 @@
 dropped is tried again only after a second. The deployments allow 2,000."""
 
 _SHUTDOWN_TIMEOUT_S: typing.Final = 2
+_MIN_SHUTDOWN_TIMEOUT_S: typing.Final = 0.1
 _LOOPS_TO_FIRST_READ: typing.Final = 6
 """After how many iterations of the event loop the first bytes of a connection
 that waits to be accepted have been read."""
@@ -51,9 +51,10 @@
             self._exit.set()
 
     def stop_within(self, timeout_s: float) -> None:
-        """Stop; answers in progress get at least 2 s and ``timeout_s``."""
-        self.config.timeout_graceful_shutdown = max(
-            _SHUTDOWN_TIMEOUT_S, math.ceil(timeout_s)
+        """Stop; answers in progress get ``timeout_s``."""
+        # A timeout of 0 would end answers that are about to be written.
+        self.config.timeout_graceful_shutdown = typing.cast(
+            int, max(timeout_s, _MIN_SHUTDOWN_TIMEOUT_S)
         )
         self.should_exit = True
 
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -131,7 +131,11 @@
             remaining_ms = grace_period_stop.remaining_ms(
                 runtime.state, runtime.sides.clock.now_ms()
             )
-            callers.stop_within(clock.to_seconds(remaining_ms))
+            callers.stop_within(
+                clock.to_seconds(
+                    remaining_ms - grace_period_stop.EXIT_MARGIN_MS
+                )
+            )
             platform.should_exit = True
 
     def _create_runtime(
