--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -332,12 +332,13 @@
         A request that has begun to arrive is answered first.
         """
         if self._close_by_s:
-            if not self._count_undelivered_bytes():
-                self.transport.close()
+            self._close_if_delivered()
         elif self._refused or self._is_answering():
             self.cycle.keep_alive = False
         elif self._part is _Part.HEAD or self._count_unread_input():
             self._is_next_last = True
+        elif self._count_undelivered_bytes():
+            self._finish()
         else:
             super().shutdown()
 
@@ -425,6 +426,10 @@
         """
         return bool(self.pipeline) or self._part is _Part.HEAD
 
+    def _close_if_delivered(self) -> None:
+        if not self._count_undelivered_bytes():
+            self.transport.close()
+
     async def wait_until_read(self) -> None:
         """Wait while the client is behind with earlier answers."""
         await self.flow.drain()
@@ -571,9 +576,21 @@
         end = _END_BY_TCP_STATE.get(self._read_tcp_state())
         if end is None:
             self._check_departure_later()
-        elif end is _End.RESET or not self._is_kept_for_answer():
+        elif end is _End.RESET:
             self._note_end(end)
             self.transport.abort()
+        elif not self._is_kept_for_answer():
+            self._drop_requests()
+            self._finish()
+
+    def _drop_requests(self) -> None:
+        """End the requests in progress; answers on their way go on."""
+        self.pipeline.clear()
+        for cycle in self._open_cycles:
+            cycle.disconnected = True
+            cycle.message_event.set()
+        if self.on_lost is not None:
+            self.on_lost()
 
     def _read_tcp_state(self) -> bytes:
         """Return the state of the TCP connection, empty if it isn't told."""
@@ -680,10 +697,20 @@
             self._finish()
         elif len(self._open_cycles) > is_received:
             self._refused = True
+            if is_received:
+                self._drop_received_cycle()
             self.cycle.keep_alive = False
         else:
             self._refuse_and_close(reason, detail)
 
+    def _drop_received_cycle(self) -> None:
+        """Drop the request being received, which waits behind another."""
+        dropped = self._open_cycles.pop()
+        self.cycle = self._open_cycles[-1]
+        for waiting in tuple(self.pipeline):
+            if waiting[0] is dropped:
+                self.pipeline.remove(waiting)
+
     def _refuse_and_close(self, reason: outcomes.Reason, detail: str) -> None:
         self.transport.write(
             _encode_response(replies.not_run_reply(reason, detail))
--- a/test/raw.py
+++ b/test/raw.py
@@ -139,6 +139,10 @@
             found += len(chunk)
         return found
 
+    def close_sending(self) -> None:
+        """Close the sending side."""
+        self._socket.shutdown(socket.SHUT_WR)
+
     def reset(self) -> None:
         """Reset the connection."""
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER)
