--- a/review/stand_ins/crashing.py
+++ b/review/stand_ins/crashing.py
@@ -20,31 +20,35 @@
 MIN_CRASHES = 3
 MAX_RETRIES = 3
 CRASHING_PATH = '/lookup/crashes'
-CRASHING_CALLER = 'van-17'
-OTHER_CALLER = 'van-4'
-CALLER_FIELD = 'Authorization'
-"""Servers tell callers by this field, as by any other one: it is forwarded."""
+DRAIN_S = 2
+RELEASE_GAP_S = 1
 
 
 class Play:
     """Servers, a client of the crashing request and ordinary clients.
 
     ``resets`` says how the connections of a crashed server end. Without
-    ``crashes`` the request is an ordinary one. It crashes servers only when it
-    comes from ``CRASHING_CALLER``.
+    ``crashes`` the request is an ordinary one. It crashes servers from
+    ``crashing_version`` of their software on.
     """
 
     def __init__(
-        self, deployed: deployment.Deployment, *, crashes: bool, resets: bool
+        self,
+        deployed: deployment.Deployment,
+        *,
+        crashes: bool,
+        resets: bool,
+        crashing_version: int = 1,
     ) -> None:
         """Start without crashes."""
         self.deployed = deployed
         self.crashes = crashes
         self.resets = resets
+        self.crashing_version = crashing_version
         self.crashes_s: list[float] = []
         self.tasks: list[asyncio.Task] = []
+        self._crashed_ids: set[str] = set()
         self._instance_by_request: dict[str, str] = {}
-        self._other_ids: set[str] = set()
         self._away_spans: dict[str, list[list[float]]] = {}
 
     async def start(self, instance_count: int) -> None:
@@ -89,11 +93,7 @@
         self.deployed.record.note('sends', instance=instance.machine.name)
         before = len(self.deployed.ran)
         answer = await connection.request(
-            'GET',
-            deployment.HOST_NAME,
-            CRASHING_PATH,
-            DEADLINE_MS,
-            fields={CALLER_FIELD: CRASHING_CALLER},
+            'GET', deployment.HOST_NAME, CRASHING_PATH, DEADLINE_MS
         )
         connection.close()
         self._instance_by_request[answer.request_id] = instance.machine.name
@@ -132,24 +132,34 @@
         self.deployed.record.note('started', instance=name)
         await self.deployed.await_ready(instance)
 
+    async def release(self) -> None:
+        """Replace all servers by a new version, one after the other."""
+        for old in tuple(self.deployed.servers):
+            new = await self.deployed.add_server(
+                old.service, old.zone, self._work, version=old.version + 1
+            )
+            self.deployed.record.note(
+                'replaced', old=old.server_id, new=new.server_id
+            )
+            self.run(old.drain(DRAIN_S + 1))
+            await asyncio.sleep(RELEASE_GAP_S)
+
     async def _work(self, server: servers.Server, request) -> tuple[int, bytes]:
         await asyncio.sleep(WORK_MS / 1000)
-        if not self._is_crashing(request):
+        is_crashing = (
+            self.crashes
+            and CRASHING_PATH in request.first
+            and server.version >= self.crashing_version
+        )
+        if not is_crashing:
             return 200, b'found'
         self.crashes_s.append(time.monotonic())
+        self._crashed_ids.add(server.server_id)
         self.deployed.record.note('crashed', server=server.server_id)
         server.crash(resets=self.resets)
         self.run(self._bring_back(server))
         raise ConnectionError('the server has ended')
 
-    def _is_crashing(self, request) -> bool:
-        caller = request.fields.get(CALLER_FIELD.lower(), '')
-        return (
-            self.crashes
-            and CRASHING_PATH in request.first
-            and caller == CRASHING_CALLER
-        )
-
     async def _bring_back(self, server: servers.Server) -> None:
         expiry = asyncio.create_task(server.expire(server.server_id))
         await asyncio.sleep(BACK_AFTER_S)
@@ -162,41 +172,15 @@
         while True:
             count += 1
             await connection.request(
-                'GET',
-                deployment.HOST_NAME,
-                f'/lookup/{count}',
-                DEADLINE_MS,
-                fields={CALLER_FIELD: OTHER_CALLER},
+                'GET', deployment.HOST_NAME, f'/lookup/{count}', DEADLINE_MS
             )
             await asyncio.sleep(0.2)
 
-    async def keep_sending_the_same(self) -> None:
-        """Send the request of the same path and body as another caller."""
-        while True:
-            for instance in self.deployed.instances:
-                connection = clients.Connection(instance.front)
-                answer = await connection.request(
-                    'GET',
-                    deployment.HOST_NAME,
-                    CRASHING_PATH,
-                    DEADLINE_MS,
-                    fields={CALLER_FIELD: OTHER_CALLER},
-                )
-                connection.close()
-                self.deployed.record.note(
-                    'other-caller',
-                    instance=instance.machine.name,
-                    request=answer.request_id,
-                    status=answer.status,
-                )
-                self._other_ids.add(answer.request_id)
-                await asyncio.sleep(0.1)
-
     def _count_retries(self) -> int:
         """Return how many retries the rule counts.
 
-        Those are the arrivals at servers later than the stability window after
-        the third crash, sent by instances in touch.
+        Those are the arrivals at servers that it crashed, later than the
+        stability window after the third crash, sent by instances in touch.
         """
         if len(self.crashes_s) < MIN_CRASHES:
             return 0
@@ -205,7 +189,7 @@
             ran
             for ran in self.deployed.ran
             if CRASHING_PATH in ran.line
-            and ran.request_id not in self._other_ids
+            and ran.server_id in self._crashed_ids
             and ran.at_s > from_s
             and self._is_in_touch(ran)
         ]
--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -94,12 +94,14 @@
         work: servers.Work,
         slots: int = 4,
         receive_bytes: int = 0,
+        version: int = 1,
     ) -> servers.Server:
         """Start a server of a service."""
         added = servers.Server(
             self.store, '127.0.0.1', service, zone, work, self._on_run, slots
         )
         added.receive_bytes = receive_bytes
+        added.version = version
         await added.start()
         self.servers.append(added)
         return added
--- a/review/stand_ins/servers.py
+++ b/review/stand_ins/servers.py
@@ -63,6 +63,8 @@
         self.running = 0
         self.read_bytes_per_s = 0
         self.receive_bytes = 0
+        self.version = 1
+        self.is_leaving = False
         self._born_ms = 0
         self._listener: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -77,17 +79,30 @@
         port = self._listener.sockets[0].getsockname()[1]
         self.address = f'{self.host}:{port}'
         # Later beats change only the sequence, and so not the entry.
+        self._register('ready', 1)
+
+    async def drain(self, serves_s: float) -> None:
+        """Leave as planned: report it, serve on for a while, then end."""
+        self.is_leaving = True
+        self._register('leaving', 2)
+        await asyncio.sleep(serves_s)
+        self.store.remove(f'servers/{self.server_id}')
+        self._listener.close()
+        for writer in tuple(self._writers):
+            writer.close()
+
+    def _register(self, state: str, sequence: int) -> None:
         self.store.put(
             f'servers/{self.server_id}',
             {
                 'service': self.service,
                 'address': self.address,
                 'data_centre': self.zone,
-                'number': 'v1',
+                'number': f'v{self.version}',
                 'slots': self.slots,
-                'state': 'ready',
+                'state': state,
                 'slow_ms': 0,
-                'sequence': 1,
+                'sequence': sequence,
                 'born': self._born_ms,
             },
         )
@@ -154,7 +169,7 @@
     ) -> bytes:
         method, target, _ = head.first.split(' ')
         if target == '/health':
-            return self._encode(200, head)
+            return self._encode(503 if self.is_leaving else 200, head)
         if head.fields.get('target-instance', self.server_id) != self.server_id:
             await self._read_body(reader, head)
             return self._encode(421, head)
@@ -206,6 +221,8 @@
             'Instance-Id': self.server_id,
             'Server-Load': f'{self.running},0,{self.slots},100',
         }
+        if self.is_leaving:
+            fields['Server-Leaving'] = '1'
         if 'request-id' in head.fields:
             fields['Request-Id'] = head.fields['request-id']
         if refused:
