--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -7,12 +7,7 @@
 import asyncio
 import contextlib
 import enum
-import fcntl
 import http
-import socket
-import struct
-import termios
-import types
 import typing
 
 import msgspec
@@ -23,9 +18,11 @@
     asgi,
     byte_ledger,
     headers,
+    joined_writes,
     pending,
     replies,
     request_parsing,
+    socket_state,
     uvicorn_parts,
 )
 
@@ -61,14 +58,7 @@
 """The longest time for which a client that reads nothing is waited for. The
 deadlines of the deployments are up to 17 s."""
 
-_RESET_ON_CLOSE: typing.Final = struct.pack('ii', 1, 0)
-"""The linger option with which a close drops unsent bytes of the kernel."""
-
-_SIZE: typing.Final = struct.Struct('i')
 _MS_PER_S: typing.Final = 1000
-_INTERIM_PREFIX: typing.Final = b'HTTP/1.1 1'
-_MAX_JOINED_BYTES: typing.Final = 65536
-"""Maximum size of a body that is copied to write it together with its head."""
 
 
 class ConnectionBounds(typing.NamedTuple):
@@ -91,20 +81,6 @@
 """Return the limits in force, which may change at any time."""
 
 
-class _End(enum.Enum):
-    """How a connection ended: closed by its client, by this side, or reset."""
-
-    CLIENT_CLOSE = 'client-close'
-    OWN_CLOSE = 'own-close'
-    RESET = 'reset'
-
-
-_END_BY_TCP_STATE: typing.Final = types.MappingProxyType(
-    {b'\x07': _End.RESET, b'\x08': _End.CLIENT_CLOSE},
-)
-"""How the client ended a connection, by the state in which Linux has it: CLOSE
-or CLOSE_WAIT."""
-
 OnUnanswered: typing.TypeAlias = typing.Callable[[str, int], None]
 """Take how a connection ended, and how many requests that had come whole it
 left without a complete answer."""
@@ -118,63 +94,6 @@
     BODY = 'body'
 
 
-class _JoiningTransport:
-    """The transport of one answer; holds the head until the first body part.
-
-    Uvicorn writes the two separately, which costs a system call each.
-    """
-
-    def __init__(
-        self,
-        transport: asyncio.Transport,
-        on_write: typing.Callable[[int], None],
-        on_response: typing.Callable[[], None],
-        on_close: typing.Callable[[], None],
-    ) -> None:
-        self._transport = transport
-        self._on_close = on_close
-        self._on_write = on_write
-        self._on_response = on_response
-        self._head: bytes | None = None
-        self._has_received_head = False
-
-    def write(self, chunk: bytes) -> None:
-        is_head = not self._has_received_head and not chunk.startswith(
-            _INTERIM_PREFIX
-        )
-        if is_head:
-            self._has_received_head = True
-            self._head = chunk
-        elif self._head is not None and len(chunk) <= _MAX_JOINED_BYTES:
-            chunk = self._head + chunk
-            self._head = None
-            self._write(chunk)
-        else:
-            self._flush()
-            self._write(chunk)
-
-    def close(self) -> None:
-        self._flush()
-        self._on_close()
-
-    def is_closing(self) -> bool:
-        return self._transport.is_closing()
-
-    def complete_response(self) -> None:
-        """Complete an answer; write its head if it had no body."""
-        self._flush()
-        self._on_response()
-
-    def _flush(self) -> None:
-        if self._head is not None:
-            self._write(self._head)
-            self._head = None
-
-    def _write(self, chunk: bytes) -> None:
-        self._transport.write(chunk)
-        self._on_write(len(chunk))
-
-
 class BoundedProtocol(httptools_impl.HttpToolsProtocol):
     """One client connection within the limits of ``ConnectionBounds``."""
 
@@ -197,7 +116,7 @@
         self._on_unanswered = on_unanswered
         self._is_half_closed = False
         self._open_cycles: list[httptools_impl.RequestResponseCycle] = []
-        self._end = _End.OWN_CLOSE
+        self._end = socket_state.End.OWN_CLOSE
         self._bounds_of = bounds_of
         self._ledger = ledger
         self._idle_since_s = self.loop.time()
@@ -235,7 +154,7 @@
         """Stop the timers, report unanswered requests and call ``on_lost``."""
         super().connection_lost(exc)
         if exc is not None:
-            self._note_end(_End.RESET)
+            self._note_end(socket_state.End.RESET)
         self._report_unanswered()
         self._stop_timer()
         for timer in (self._read_timer, self._departure_timer):
@@ -335,7 +254,9 @@
             self._close_if_delivered()
         elif self._refused or self._is_answering():
             self.cycle.keep_alive = False
-        elif self._part is _Part.HEAD or self._count_unread_input():
+        elif self._part is _Part.HEAD or socket_state.count_unread_bytes(
+            self.transport
+        ):
             self._is_next_last = True
         elif self._count_undelivered_bytes():
             self._finish()
@@ -411,12 +332,7 @@
 
     def cut_off(self) -> None:
         """Reset the connection and drop the unread bytes of its answers."""
-        connected = self.transport.get_extra_info('socket')
-        with contextlib.suppress(OSError):
-            connected.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-            )
-        self.transport.abort()
+        socket_state.reset(self.transport)
 
     def has_later_request(self) -> bool:
         """Return whether another request follows that in progress already.
@@ -475,7 +391,7 @@
             )
 
     def _join_writes(self) -> None:
-        joined = _JoiningTransport(
+        joined = joined_writes.JoiningTransport(
             self.transport,
             self._count_written,
             self.cycle.on_response,
@@ -502,7 +418,7 @@
 
         cycle.send = send_or_close  # type: ignore[method-assign]
 
-    def _note_end(self, end: _End) -> None:
+    def _note_end(self, end: socket_state.End) -> None:
         """Note how the client ended the connection, unless this side did."""
         if not self._close_by_s:
             self._end = end
@@ -573,10 +489,10 @@
         self._departure_timer = None
         if not self.flow.read_paused:
             return
-        end = _END_BY_TCP_STATE.get(self._read_tcp_state())
+        end = socket_state.find_end(self.transport)
         if end is None:
             self._check_departure_later()
-        elif end is _End.RESET:
+        elif end is socket_state.End.RESET:
             self._note_end(end)
             self.transport.abort()
         elif not self._is_kept_for_answer():
@@ -592,20 +508,9 @@
         if self.on_lost is not None:
             self.on_lost()
 
-    def _read_tcp_state(self) -> bytes:
-        """Return the state of the TCP connection, empty if it isn't told."""
-        connected = self.transport.get_extra_info('socket')
-        try:
-            return typing.cast(
-                bytes,
-                connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1),
-            )
-        except OSError:
-            return b''
-
     def _is_kept_for_answer(self) -> bool:
         """Return whether an answer is given in spite of the client's close."""
-        self._note_end(_End.CLIENT_CLOSE)
+        self._note_end(socket_state.End.CLIENT_CLOSE)
         if self.on_half_close is None or not self.on_half_close():
             return False
         self._open_cycles[0].keep_alive = False
@@ -618,7 +523,7 @@
 
     def _count_kernel_bytes(self) -> int:
         """Return how many bytes the kernel has not delivered, if it says so."""
-        undelivered_bytes = self._read_socket_count(termios.TIOCOUTQ)
+        undelivered_bytes = socket_state.count_unsent_bytes(self.transport)
         # The kernel counts the end of the stream as a byte until it is
         # acknowledged.
         end_bytes = 1 if self._close_by_s else 0
@@ -628,21 +533,6 @@
         buffered_bytes = self.transport.get_write_buffer_size()
         return buffered_bytes + self._count_kernel_bytes()
 
-    def _count_unread_input(self) -> int:
-        """Return how many received bytes the process has not read yet."""
-        return self._read_socket_count(termios.FIONREAD)
-
-    def _read_socket_count(self, request: int) -> int:
-        connected = self.transport.get_extra_info('socket')
-        if connected.fileno() < 0:
-            return 0
-        size = bytearray(_SIZE.size)
-        try:
-            fcntl.ioctl(connected.fileno(), request, size)
-        except OSError:
-            return 0
-        return int(_SIZE.unpack(size)[0])
-
     def _count_unread_bytes(self) -> int:
         """Return the bytes of answers that wait for the client.
 
