Parse one request of a connection at a time

Callers saw: an instance of 152 MB went over its memory within a second once eight clients sent requests ahead without reading an answer, on the listener for callers as on those for addresses, readiness and metrics; all calls in flight ended with it.

Cause: all requests of a read of up to 256 KB were parsed at once, some 14,000 of 18 bytes, and each became a scope, a cycle and a task. After each answer uvicorn reads on, although thousands still wait, so that every answer brought a further read. Writing stopped only at 64 KB of unread answers.

Mend: received bytes are parsed in parts that end where a message may end (a blank line, or the end of a body of known length; httptools can't be paused), and no part is parsed while a request is unanswered. Beyond 4 KB of waiting bytes the connection isn't read, and uvicorn can't resume that. A read is of 16 KB at most, which also bounds the parsing of a connection in one turn of the event loop. The next request waits until the answer before it has left the process.

Malformed bytes behind a request still close the connection after its answer, and whole requests that wait are still told in closed-unanswered lines: they are counted by parsing them when the connection ends.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -10,6 +10,7 @@
 import http
 import typing
 
+import httptools
 import msgspec
 
 from oleanderstair import clock
@@ -18,8 +19,10 @@
     asgi,
     byte_ledger,
     headers,
+    input_flow,
     joined_writes,
     pending,
+    received_input,
     replies,
     request_parsing,
     socket_state,
@@ -38,6 +41,13 @@
 Closing with unread input, or before input that is on its way, sends a reset,
 which can discard the answer."""
 
+_READ_BUFFER: typing.Final = memoryview(bytearray(received_input.READ_BYTES))
+"""Where all connections read to; each read is copied before the next one."""
+
+_MAX_WAITING_BYTES: typing.Final = 4096
+"""How many bytes behind a request are kept before the reading stops: room for
+the few small requests that a client sends ahead."""
+
 _FIELD_OVERHEAD_BYTES: typing.Final = 4
 """Bytes of a header field in addition to name and value: colon, space, CRLF."""
 
@@ -94,7 +104,9 @@
     BODY = 'body'
 
 
-class BoundedProtocol(httptools_impl.HttpToolsProtocol):
+class BoundedProtocol(
+    httptools_impl.HttpToolsProtocol, asyncio.BufferedProtocol
+):
     """One client connection within the limits of ``ConnectionBounds``."""
 
     def __init__(
@@ -110,12 +122,15 @@
         ``on_unanswered`` is called if the connection ends before an answer.
         """
         super().__init__(**options)
-        self.parser = typing.cast(typing.Any, request_parsing.create(self))
+        self.parser: typing.Any = request_parsing.create(self)
         self.on_lost: typing.Callable[[], None] | None = None
         self.on_half_close: typing.Callable[[], bool] | None = None
         self._on_unanswered = on_unanswered
         self._is_half_closed = False
-        self._open_cycles: list[httptools_impl.RequestResponseCycle] = []
+        self._input = received_input.ReceivedInput()
+        self._is_held = False
+        self._has_waited = False
+        self._dropped_count = 0
         self._end = socket_state.End.OWN_CLOSE
         self._bounds_of = bounds_of
         self._ledger = ledger
@@ -123,12 +138,11 @@
         self._part = _Part.NONE
         self._head_bytes = 0
         self._trailer_bytes = 0
-        self._chunk_bytes = 0
         self._refused = False
         self._has_input = False
         self._close_by_s: float = 0
         self._departure_timer: asyncio.TimerHandle | None = None
-        self._is_next_last = False
+        self._is_stopping = False
         self._timer: asyncio.TimerHandle | None = None
         self._is_idle_timer = False
         self._read_timer: asyncio.TimerHandle | None = None
@@ -142,6 +156,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Refuse a connection above the maximum; start the idle timeout."""
         super().connection_made(typing.cast(asyncio.Transport, transport))
+        self.flow = input_flow.create(self.transport, self._may_read)
+        # The next request waits until the client has read the last answer.
+        self.transport.set_write_buffer_limits(0)
         bounds = self._bounds_of()
         if len(self.connections) > bounds.max_connections:
             self._refuse_and_close(
@@ -174,25 +191,74 @@
         self._is_half_closed = True
         return not self._close_by_s and self._is_kept_for_answer()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer of the next read, which bounds its size."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle received bytes."""
+        self.data_received(bytes(_READ_BUFFER[:nbytes]))
+
     def data_received(self, chunk: bytes) -> None:
-        """Parse received bytes, then apply limits to an incomplete request."""
+        """Parse received bytes, or keep them while a request is unanswered."""
         self._has_input = True
+        if not self._refused:
+            self._input.add(chunk)
+            self._parse_input()
+
+    def _parse_input(self) -> None:
+        """Parse up to the end of a request; the next one waits for its answer.
+
+        What is kept of it are its bytes: a parsed request takes a hundred
+        times as much memory.
+        """
+        while self._may_parse():
+            part = self._input.take(self.parser.remaining_body_bytes)
+            if self._part is not _Part.BODY:
+                self._head_bytes += len(part)
+                if self._head_bytes > self._bounds_of().max_header_bytes:
+                    self._refuse(
+                        outcomes.Reason.TOO_LARGE, 'the header is too large'
+                    )
+                    return
+            self._parse(part)
+        if not self._refused:
+            self._limit_input()
+
+    def _may_parse(self) -> bool:
         if self._refused:
-            return
-        self._chunk_bytes = len(chunk)
-        if self._part is _Part.HEAD:
-            self._head_bytes += len(chunk)
-        super().data_received(chunk)
-        self._chunk_bytes = 0
+            return False
+        if self._part is _Part.NONE:
+            self._input.skip_line_ends()
+            if self._is_answering():
+                self._has_waited = bool(self._input)
+                return False
+        return bool(self._input)
+
+    def _parse(self, part: bytes) -> None:
+        self._unset_keepalive_if_required()
+        try:
+            self.parser.feed_data(part)
+        except httptools.HttpParserError:
+            self.send_400_response('Invalid HTTP request received.')
+
+    def _may_read(self) -> bool:
+        return self._refused or len(self._input) <= _MAX_WAITING_BYTES
+
+    def _limit_input(self) -> None:
+        """Stop reading behind a request, or limit the time of one."""
+        if not self._may_read():
+            self.flow.pause_reading()
+            self._is_held = True
+        elif self._is_held:
+            self._is_held = False
+            self.flow.resume_reading()
         if self.flow.read_paused and self._departure_timer is None:
             self._check_departure_later()
-        if self._refused:
-            return
         if self._part is _Part.NONE:
             self._stop_timer()
             self._await_request()
-        elif self._head_bytes > self._bounds_of().max_header_bytes:
-            self._refuse(outcomes.Reason.TOO_LARGE, 'the header is too large')
+            self._close_if_stopping()
         elif self._timer is None or self._is_idle_timer:
             self._stop_timer()
             self._start_timer(self._bounds_of().request_time_ms)
@@ -206,7 +272,6 @@
         extension: typing.Any = self._connection
         self.scope['extensions'] = {'connection': extension}
         self._part = _Part.HEAD
-        self._head_bytes = self._chunk_bytes
         self._trailer_bytes = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -228,63 +293,51 @@
             len(name) + len(field) + _FIELD_OVERHEAD_BYTES
             for name, field in self.headers
         )
-        previous_cycle = self.cycle
-        if size <= self._bounds_of().max_header_bytes:
-            super().on_headers_complete()
-        else:
-            app = self.app
+        app = self.app
+        if size > self._bounds_of().max_header_bytes:
             self.app = _refuse_large_header
-            super().on_headers_complete()
-            self.app = app
-        if self.cycle is not previous_cycle:
-            self._join_writes()
-            if self._is_next_last:
-                self.cycle.keep_alive = False
-            self._open_cycles.append(self.cycle)
+        super().on_headers_complete()
+        self.app = app
+        self._has_waited = False
+        self._join_writes()
+        if self._is_stopping and not self._has_input_behind_body():
+            self.cycle.keep_alive = False
         # Not before: a head that raises above has no cycle of its own.
         self._part = _Part.BODY
+
+    def on_message_complete(self) -> None:
+        """Mark the request as received completely."""
+        super().on_message_complete()
+        self._connection['is_whole'] = True
+        self._part = _Part.NONE
         self._head_bytes = 0
+        # The body may end after its answer.
+        self._idle_since_s = self.loop.time()
 
     def shutdown(self) -> None:
         """Close after the answer in progress, or at once if there is none.
 
         A request that has begun to arrive is answered first.
         """
+        self._is_stopping = True
         if self._close_by_s:
             self._close_if_delivered()
         elif self._refused or self._is_answering():
-            self.cycle.keep_alive = False
-        elif self._part is _Part.HEAD or socket_state.count_unread_bytes(
-            self.transport
-        ):
-            self._is_next_last = True
+            self.cycle.keep_alive = self._has_input_behind_body()
+        elif self._is_request_arriving():
+            return
         elif self._count_undelivered_bytes():
             self._finish()
         else:
             super().shutdown()
 
-    def on_message_complete(self) -> None:
-        """Mark the request as received completely."""
-        super().on_message_complete()
-        self._connection['is_whole'] = True
-        self._part = _Part.NONE
-        # The body may end after its answer.
-        self._idle_since_s = self.loop.time()
-        # The rest of the chunk may belong to this message's body, so it
-        # isn't counted as part of the next head.
-        self._chunk_bytes = 0
-
     def on_response_complete(self) -> None:
         """Limit the time for which the client may stop reading the answer."""
-        bounds = self._bounds_of()
-        self._open_cycles = [
-            cycle for cycle in self._open_cycles if not cycle.response_complete
-        ]
         if not self._close_by_s:
             self._idle_since_s = self.loop.time()
             self.timeout_keep_alive = typing.cast(
                 int,
-                clock.to_seconds(bounds.idle_ms),
+                clock.to_seconds(self._bounds_of().idle_ms),
             )
             super().on_response_complete()
         unread_bytes = self._count_unread_bytes()
@@ -293,6 +346,9 @@
             self._start_read_timer()
         if self._ledger is not None:
             self._ledger.set_unread(self, unread_bytes)
+        if not self.transport.is_closing():
+            self._parse_input()
+            self._close_if_stopping()
 
     def count_read_bytes(self) -> int:
         """Return how many bytes of its answers the client has received.
@@ -340,7 +396,25 @@
         It may be incomplete. A close after the answer in progress would leave
         it without one.
         """
-        return bool(self.pipeline) or self._part is _Part.HEAD
+        return bool(self._input) or self._part is _Part.HEAD
+
+    def _has_input_behind_body(self) -> bool:
+        """Return whether a request follows that whose head came last."""
+        missing_bytes = self.parser.remaining_body_bytes or 0
+        return len(self._input) > missing_bytes
+
+    def _is_request_arriving(self) -> bool:
+        """Return whether a request is received, or in progress."""
+        return (
+            self._part is _Part.HEAD
+            or self._is_answering()
+            or socket_state.count_unread_bytes(self.transport) > 0
+        )
+
+    def _close_if_stopping(self) -> None:
+        """Close after the last answer of an instance that stops."""
+        if self._is_stopping and not self._is_request_arriving():
+            self._finish()
 
     def _close_if_delivered(self) -> None:
         if not self._count_undelivered_bytes():
@@ -357,7 +431,7 @@
         msg: str,
     ) -> None:
         """Refuse malformed HTTP."""
-        if self._part is _Part.BODY and self._is_answering():
+        if self._part is _Part.BODY and not self.cycle.response_started:
             self.cycle.disconnected = True
             self.cycle.message_event.set()
         self._refuse(outcomes.Reason.BAD_REQUEST, msg)
@@ -383,7 +457,7 @@
 
         That is an extra CRLF, or the rest of a body after its answer.
         """
-        if not self._open_cycles:
+        if not self._is_answering():
             self._unset_keepalive_if_required()
             self.timeout_keep_alive_task = self.loop.call_later(
                 max(self._remaining_idle_s(), 0),
@@ -425,11 +499,9 @@
 
     def _report_unanswered(self) -> None:
         """Report the requests that came whole and have no complete answer."""
-        unanswered_count = sum(
-            not cycle.more_body and not cycle.response_complete
-            for cycle in self._open_cycles
-        )
-        self._open_cycles.clear()
+        unanswered_count = self._dropped_count + self._count_waiting()
+        if self._is_answering() and not self.cycle.more_body:
+            unanswered_count += 1
         if unanswered_count and self._on_unanswered is not None:
             self._on_unanswered(self._end.value, unanswered_count)
 
@@ -501,19 +573,30 @@
 
     def _drop_requests(self) -> None:
         """End the requests in progress; answers on their way go on."""
-        self.pipeline.clear()
-        for cycle in self._open_cycles:
-            cycle.disconnected = True
-            cycle.message_event.set()
+        self._drop_input()
+        if self._is_answering():
+            self.cycle.disconnected = True
+            self.cycle.message_event.set()
         if self.on_lost is not None:
             self.on_lost()
 
+    def _drop_input(self) -> None:
+        """Drop the requests that wait unparsed, but remember their count."""
+        self._dropped_count += self._count_waiting()
+        self._input.clear()
+
+    def _count_waiting(self) -> int:
+        """Return how many whole requests wait for the answer before them."""
+        if self._part is not _Part.NONE or not self._input:
+            return 0
+        return request_parsing.count_requests(self._input.peek())
+
     def _is_kept_for_answer(self) -> bool:
         """Return whether an answer is given in spite of the client's close."""
         self._note_end(socket_state.End.CLIENT_CLOSE)
         if self.on_half_close is None or not self.on_half_close():
             return False
-        self._open_cycles[0].keep_alive = False
+        self.cycle.keep_alive = False
         return True
 
     # The reading of answers by the client
@@ -577,30 +660,20 @@
     # The end of the connection
 
     def _refuse(self, reason: outcomes.Reason, detail: str) -> None:
-        """Refuse what comes, but not inside the answer to another request.
+        """Refuse what comes, but not inside an answer that has begun.
 
-        While an earlier request is in progress, the connection closes after its
-        answer instead.
+        The connection closes after that instead, and after the answer to the
+        request before what was sent ahead of it.
         """
         is_received = self._part is _Part.BODY
-        if is_received and self.cycle.response_complete:
-            self._finish()
-        elif len(self._open_cycles) > is_received:
+        if is_received and self._is_answering() and self.cycle.response_started:
             self._refused = True
-            if is_received:
-                self._drop_received_cycle()
             self.cycle.keep_alive = False
+        elif self._has_waited or (is_received and self.cycle.response_complete):
+            self._finish()
         else:
             self._refuse_and_close(reason, detail)
 
-    def _drop_received_cycle(self) -> None:
-        """Drop the request being received, which waits behind another."""
-        dropped = self._open_cycles.pop()
-        self.cycle = self._open_cycles[-1]
-        for waiting in tuple(self.pipeline):
-            if waiting[0] is dropped:
-                self.pipeline.remove(waiting)
-
     def _refuse_and_close(self, reason: outcomes.Reason, detail: str) -> None:
         self.transport.write(
             _encode_response(replies.not_run_reply(reason, detail))
@@ -616,6 +689,7 @@
         if self._close_by_s or self.transport.is_closing():
             return
         self._refused = True
+        self._drop_input()
         self._stop_timer()
         max_ms = self._bounds_of().request_time_ms * _BODY_TIME_FACTOR
         self._close_by_s = self.loop.time() + clock.to_seconds(max_ms)
--- a/oleanderstair/engine/request_parsing.py
+++ b/oleanderstair/engine/request_parsing.py
@@ -5,6 +5,7 @@
 none had been made (RFC 9110, 7.8).
 """
 
+import contextlib
 import typing
 
 import httptools
@@ -49,6 +50,12 @@
         self._framing: headers.Fields = []
         self._is_reading_head = False
         self._is_framing_only = False
+        self._remaining_bytes: int | None = None
+
+    @property
+    def remaining_body_bytes(self) -> int | None:
+        """Return what is missing of a body of known length, else None."""
+        return self._remaining_bytes
 
     def feed_data(self, chunk: bytes) -> None:
         """Parse received bytes; raise ``HttpParserError`` if invalid."""
@@ -86,6 +93,7 @@
             return
         self._head_parser = self._parser
         self._framing = []
+        self._remaining_bytes = None
         self._is_reading_head = True
         self._callbacks.on_message_begin()
 
@@ -108,10 +116,13 @@
         if self._is_framing_only:
             self._is_framing_only = False
         else:
+            self._remaining_bytes = _declared_bytes_of(self._framing)
             self._callbacks.on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
         """Pass on a part of the body."""
+        if self._remaining_bytes is not None:
+            self._remaining_bytes -= len(body)
         self._callbacks.on_body(body)
 
     def on_message_complete(self) -> None:
@@ -128,6 +139,52 @@
         self._parser.feed_data(b'\r\n'.join([*lines, b'', b'']))
 
 
+class _RequestCounter:
+    """Counts the requests that end, and keeps nothing of them."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def on_message_begin(self) -> None:
+        """Ignore the begin of a request."""
+
+    def on_url(self, url: bytes) -> None:
+        """Ignore the request target."""
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Ignore a field."""
+
+    def on_headers_complete(self) -> None:
+        """Ignore the end of a head."""
+
+    def on_body(self, body: bytes) -> None:
+        """Ignore a part of a body."""
+
+    def on_message_complete(self) -> None:
+        """Count a request."""
+        self.count += 1
+
+
 def create(callbacks: Callbacks) -> RequestParser:
     """Create the parser of a new connection."""
     return RequestParser(callbacks)
+
+
+def count_requests(received: bytes) -> int:
+    """Return how many whole requests some unparsed bytes have."""
+    counter = _RequestCounter()
+    with contextlib.suppress(httptools.HttpParserError):
+        RequestParser(counter).feed_data(received)
+    return counter.count
+
+
+def _declared_bytes_of(framing: headers.Fields) -> int | None:
+    """Return the length of a body; None if it is chunked or there is none.
+
+    The parser has refused a length that is no number, and a second one.
+    """
+    field_by_name = {name.lower(): field for name, field in framing}
+    if headers.TRANSFER_ENCODING in field_by_name:
+        return None
+    declared = field_by_name.get(headers.CONTENT_LENGTH)
+    return None if declared is None else int(declared)
--- a/oleanderstair/platform/platform_app.py
+++ b/oleanderstair/platform/platform_app.py
@@ -5,7 +5,12 @@
 import urllib.parse
 
 from oleanderstair.domain.fleet import caller_addresses, readiness
-from oleanderstair.engine import asgi, byte_ledger, gateway_runtime
+from oleanderstair.engine import (
+    asgi,
+    byte_ledger,
+    gateway_runtime,
+    listener,
+)
 from oleanderstair.explaining import exposition, gauges
 
 _OK: typing.Final = 200
@@ -42,6 +47,8 @@
 
         Any path but those of the metrics and addresses reports the readiness.
         """
+        # Answers that their client doesn't read must not become more.
+        await listener.protocol_of(scope).wait_until_read()
         if self._is_on_metrics_address(scope):
             if scope['path'] == _METRICS_PATH:
                 await self._answer_metrics(send)
--- a/test/test_listener.py
+++ b/test/test_listener.py
@@ -555,6 +555,37 @@
     assert reported == [(end, 2)]
 
 
+def test_requests_behind_one_in_progress_are_not_parsed(monkeypatch):
+    # Each parsed one takes a hundred times the memory of its bytes, and all of
+    # a read were parsed at once.
+    parsed = []
+    begin = bounded_protocol.BoundedProtocol.on_message_begin
+
+    def count(protocol):
+        parsed.append(protocol)
+        begin(protocol)
+
+    monkeypatch.setattr(
+        bounded_protocol.BoundedProtocol, 'on_message_begin', count
+    )
+
+    async def answer_never(scope, receive, send):
+        await anyio.sleep_forever()
+
+    async def scenario():
+        bounds = BOUNDS._replace(idle_ms=5000)
+        async with serving(bounds, answer_never) as (address, server):
+            with raw.SlowReader(address) as client:
+                await client.send(GET * 1000)
+                await helper.wait_until(lambda: bool(parsed))
+                await anyio.sleep(0.05)
+                assert len(parsed) == 1
+                assert len(server.server_state.tasks) == 1
+            await helper.wait_until(lambda: not server.server_state.connections)
+
+    anyio.run(scenario)
+
+
 def test_departure_is_seen_after_a_large_body():
     # Its last part stopped the reading until the answer.
     async def answer_late(scope, receive, send):
--- a/test/test_request_parsing.py
+++ b/test/test_request_parsing.py
@@ -58,3 +58,17 @@
         assert not parser.should_upgrade()
     assert seen.whole == [(b'/', body), (b'/next', b''), (b'/', body)]
     assert parser.should_keep_alive()
+
+
+@pytest.mark.parametrize(
+    ('received', 'count'),
+    [
+        (b'', 0),
+        (b'GET / HTTP/1.1\r\n\r\n' * 3, 3),
+        (b'GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n', 1),
+        (b'POST / HTTP/1.1\r\ncontent-length: 2\r\n\r\na', 0),
+        (b'GET / HTTP/1.1\r\n\r\nnothing of the kind', 1),
+    ],
+)
+def test_whole_requests_are_counted(received, count):
+    assert request_parsing.count_requests(received) == count
