--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -16,7 +16,6 @@
 from oleanderstair import clock
 from oleanderstair.domain import byte_budgets, outcomes
 from oleanderstair.engine import (
-    asgi,
     byte_ledger,
     headers,
     input_flow,
@@ -287,17 +286,9 @@
             self.transport.abort()
 
     def on_headers_complete(self) -> None:
-        """Start the application, or refuse a header above the maximum size."""
+        """Start the application."""
         self._connection['target'] = self.url
-        size = len(self.url) + sum(
-            len(name) + len(field) + _FIELD_OVERHEAD_BYTES
-            for name, field in self.headers
-        )
-        app = self.app
-        if size > self._bounds_of().max_header_bytes:
-            self.app = _refuse_large_header
         super().on_headers_complete()
-        self.app = app
         self._has_waited = False
         self._join_writes()
         if self._is_stopping and not self._has_input_behind_body():
@@ -720,17 +711,6 @@
             self.transport.close()
 
 
-async def _refuse_large_header(
-    scope: asgi.Scope,
-    receive: asgi.Receive,
-    send: asgi.Send,
-) -> None:
-    reply = replies.not_run_reply(
-        outcomes.Reason.TOO_LARGE, 'the header is too large'
-    )
-    await replies.send_reply(send, scope['method'], reply, closing=False)
-
-
 def _encode_response(reply: pending.Reply) -> bytes:
     written = replies.build_refusal(reply)
     body = msgspec.json.encode(written.document)
--- a/test/test_misbehaving_clients.py
+++ b/test/test_misbehaving_clients.py
@@ -83,6 +83,20 @@
 # A single request inside the limits is served in calm.
 
 
+def test_head_of_the_largest_size_made_of_short_lines_is_served(tmp_path):
+    async def scene(gateway):
+        head = head_of(b'GET /lookup/a', 1, b'connection: close\r\n')
+        missing_bytes = MAX_HEADER_BYTES - len(head) - len(b'\r\n')
+        lines = b'a:\r\n' * (missing_bytes // 4 - 1)
+        last_line = b'b:%b\r\n' % (b'c' * (missing_bytes % 4))
+        whole_head = b''.join((head, lines, last_line, b'\r\n'))
+        assert len(whole_head) == MAX_HEADER_BYTES
+        answer = await raw.send_and_receive(gateway.callers, whole_head)
+        assert answer.startswith(b'HTTP/1.1 200')
+
+    play(tmp_path, gateway_process.Machine(), scene)
+
+
 @pytest.mark.parametrize('is_chunked', [False, True])
 def test_body_of_the_largest_size_is_served(tmp_path, is_chunked):
     size = 1_000_000
