Count the heads of all clients in the byte ledger

Callers saw: 600 clients that sent heads of short lines and no end of them, 400 whose requests of such heads waited for a target, or 600 that stayed connected after the answer, took an instance of 152 MB over its memory.

Cause: a line of 4 bytes becomes objects of 100 bytes and more, twice that once it is forwarded. Only the bytes of each head alone were limited, and an idle connection kept the fields of its last request until the next one.

Mend: before a part of a head is parsed, its bytes and 160 for each of its lines are counted in the byte ledger, as are the unparsed bytes behind a request. A head that doesn't fit is refused with 503 and a time to come back, before it has run, and its connection closes. For a small call that doesn't fit, the unfinished heads that hold the most are refused, but only where that makes enough room; the choice is choose_refused of domain/byte_budgets.py. The last request is dropped with its answer.

--- a/oleanderstair/domain/byte_budgets.py
+++ b/oleanderstair/domain/byte_budgets.py
@@ -1,7 +1,8 @@
 """Decides which buffered bytes an instance accepts, and which it gives up.
 
-Buffered bytes are those of request bodies, of answers that are being read from
-targets, and of answers that callers have not received yet.
+Buffered bytes are those of request heads and bodies, of requests that wait
+unparsed, of answers that are being read from targets, and of answers that
+callers have not received yet.
 """
 
 import typing
@@ -25,6 +26,14 @@
 """The time without progress after which a reader may be cut off. A packet that
 is lost twice stops a transfer for some 600 ms."""
 
+FIELD_BYTES: typing.Final = 160
+"""What a line of a head counts besides its bytes. Its objects, as received and
+as forwarded, take 250 to 400 bytes, and ``COPIES`` covers twice of this."""
+
+MIN_SIZE_RATIO: typing.Final = 2
+"""How many times the size of a small call a client must hold to be refused for
+it while it is still sending. Calls of one size don't displace each other."""
+
 MIN_RETRY_MS: typing.Final = 100
 MAX_RETRY_MS: typing.Final = 2000
 """Bounds of the retry time of a refusal. Callers honour up to a third of the
@@ -67,6 +76,13 @@
     awaited_ms: clock.Millis = 0
 
 
+class Sender(typing.NamedTuple):
+    """A client with an unfinished request, and how long it has sent nothing."""
+
+    held_bytes: int
+    stopped_ms: clock.Millis
+
+
 def create_budget(memory_mb: float) -> Budget | None:
     """Return the budget of a machine; None without a limit of memory."""
     if not memory_mb:
@@ -97,6 +113,11 @@
     return usage.holder_bytes + size <= budget.holder_bytes
 
 
+def head_bytes(size: int, line_count: int) -> int:
+    """Return what a part of a head counts, by its size and its lines."""
+    return size + line_count * FIELD_BYTES
+
+
 def may_ever_hold(budget: Budget, size: int) -> bool:
     """Return whether a call of ``size`` fits while nothing else is held."""
     return size <= _limit_of(budget, size)
@@ -130,6 +151,39 @@
     return max(stopped)[2] if stopped else None
 
 
+def choose_refused(
+    senders: typing.Sequence[Sender], size: int, excess_bytes: int
+) -> list[int]:
+    """Return the indexes of the senders to refuse for a call of ``size``.
+
+    They hold the most of those that have stopped and, for a small call, of
+    those that hold much more than the call. An unfinished request has not run,
+    so that it can be refused. None is where all of them hold less than
+    ``excess_bytes``.
+    """
+    may_displace = size <= SMALL_BYTES
+    refusable = [
+        (sender.held_bytes, sender.stopped_ms, index)
+        for index, sender in enumerate(senders)
+        if sender.stopped_ms >= MIN_STOPPED_MS
+        or (may_displace and sender.held_bytes >= size * MIN_SIZE_RATIO)
+    ]
+    chosen = []
+    for held_bytes, _, index in sorted(refusable, reverse=True):
+        if excess_bytes <= 0 or not held_bytes:
+            break
+        chosen.append(index)
+        excess_bytes -= held_bytes
+    return chosen if excess_bytes <= 0 else []
+
+
+def excess_bytes_of(
+    budget: Budget, usage: Usage, size: int, more_bytes: int
+) -> int:
+    """Return by how much a call that grows to ``size`` exceeds the total."""
+    return usage.total_bytes + more_bytes - _limit_of(budget, size)
+
+
 def retry_after_ms(
     budget: Budget, usage: Usage, size: int, released_per_s: float
 ) -> clock.Millis:
--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -68,6 +68,7 @@
 deadlines of the deployments are up to 17 s."""
 
 _MS_PER_S: typing.Final = 1000
+_LINE_END: typing.Final = b'\n'
 
 
 class ConnectionBounds(typing.NamedTuple):
@@ -136,6 +137,8 @@
         self._idle_since_s = self.loop.time()
         self._part = _Part.NONE
         self._head_bytes = 0
+        self._parsed_bytes = 0
+        self._received_at_s = self._idle_since_s
         self._trailer_bytes = 0
         self._refused = False
         self._has_input = False
@@ -178,6 +181,7 @@
                 timer.cancel()
         if self._ledger is not None:
             self._ledger.set_unread(self, 0)
+            self._ledger.forget_sender(self)
         if self.on_lost is not None:
             self.on_lost()
 
@@ -201,6 +205,7 @@
     def data_received(self, chunk: bytes) -> None:
         """Parse received bytes, or keep them while a request is unanswered."""
         self._has_input = True
+        self._received_at_s = self.loop.time()
         if not self._refused:
             self._input.add(chunk)
             self._parse_input()
@@ -213,16 +218,82 @@
         """
         while self._may_parse():
             part = self._input.take(self.parser.remaining_body_bytes)
-            if self._part is not _Part.BODY:
-                self._head_bytes += len(part)
-                if self._head_bytes > self._bounds_of().max_header_bytes:
-                    self._refuse(
-                        outcomes.Reason.TOO_LARGE, 'the header is too large'
-                    )
-                    return
-            self._parse(part)
-        if not self._refused:
-            self._limit_input()
+            if self._part is _Part.BODY or self._take_head(part):
+                self._parse(part)
+        if self._refused or (self._input and not self._hold_input()):
+            return
+        if self._ledger is not None:
+            self._ledger.note_unfinished(self, self._is_unfinished())
+        self._limit_input()
+
+    def _take_head(self, part: bytes) -> bool:
+        """Count a part of a head; refuse the request if it is too much."""
+        self._head_bytes += len(part)
+        if self._head_bytes > self._bounds_of().max_header_bytes:
+            self._refuse(outcomes.Reason.TOO_LARGE, 'the header is too large')
+            return False
+        self._parsed_bytes += byte_budgets.head_bytes(
+            len(part), part.count(_LINE_END)
+        )
+        return self._hold_input()
+
+    def _hold_input(self) -> bool:
+        """Count what is kept of requests; refuse them if it doesn't fit."""
+        if self._ledger is None:
+            return True
+        refusal = self._ledger.hold_input(
+            self, self._parsed_bytes + len(self._input)
+        )
+        if refusal is not None:
+            self.refuse_sending(refusal)
+        return refusal is None
+
+    def measure_stopped_ms(self) -> clock.Millis:
+        """Return for how long the client has sent nothing."""
+        return (self.loop.time() - self._received_at_s) * _MS_PER_S
+
+    def refuse_sending(self, refusal: byte_ledger.Refusal) -> None:
+        """Refuse what the client has not sent completely, and close.
+
+        An answer in progress goes on; what was sent behind it is dropped.
+        """
+        if self._is_answering():
+            self._drop_input()
+            self._refused = True
+            self.cycle.keep_alive = False
+        else:
+            self._refuse_and_close(
+                outcomes.Reason.OVERLOADED,
+                refusal.detail,
+                refusal.retry_after_ms,
+            )
+        self._release_input()
+
+    def _release_input(self) -> None:
+        """Stop counting what is no longer kept of requests."""
+        if not self._is_answering():
+            self._forget_request()
+        if self._ledger is not None:
+            self._ledger.note_unfinished(self, self._is_unfinished())
+            self._ledger.release_input(
+                self, self._parsed_bytes + len(self._input)
+            )
+
+    def _forget_request(self) -> None:
+        """Drop the last request, which an idle connection would keep."""
+        self._parsed_bytes = 0
+        self.headers = []
+        self.url = b''
+        self.scope = {}  # type: ignore[typeddict-item]
+        if self.cycle is not None:
+            self.cycle.scope = self.scope
+            self.cycle.body = bytearray()
+
+    def _is_unfinished(self) -> bool:
+        """Return whether a head is incomplete, or a request waits unparsed."""
+        if self._refused:
+            return False
+        return self._part is _Part.HEAD or bool(self._input)
 
     def _may_parse(self) -> bool:
         if self._refused:
@@ -337,6 +408,7 @@
             self._start_read_timer()
         if self._ledger is not None:
             self._ledger.set_unread(self, unread_bytes)
+        self._release_input()
         if not self.transport.is_closing():
             self._parse_input()
             self._close_if_stopping()
@@ -665,10 +737,14 @@
         else:
             self._refuse_and_close(reason, detail)
 
-    def _refuse_and_close(self, reason: outcomes.Reason, detail: str) -> None:
-        self.transport.write(
-            _encode_response(replies.not_run_reply(reason, detail))
-        )
+    def _refuse_and_close(
+        self,
+        reason: outcomes.Reason,
+        detail: str,
+        retry_after_ms: clock.Millis = 0,
+    ) -> None:
+        reply = replies.not_run_reply(reason, detail, retry_after_ms)
+        self.transport.write(_encode_response(reply))
         self._finish()
 
     def _finish(self) -> None:
@@ -681,6 +757,7 @@
             return
         self._refused = True
         self._drop_input()
+        self._release_input()
         self._stop_timer()
         max_ms = self._bounds_of().request_time_ms * _BODY_TIME_FACTOR
         self._close_by_s = self.loop.time() + clock.to_seconds(max_ms)
--- a/oleanderstair/engine/byte_ledger.py
+++ b/oleanderstair/engine/byte_ledger.py
@@ -31,6 +31,16 @@
         """Reset the connection and drop its unread bytes."""
 
 
+class RequestSender(typing.Protocol):
+    """A connection with a request that is not complete, or waits unparsed."""
+
+    def measure_stopped_ms(self) -> clock.Millis:
+        """Return for how long the client has sent nothing."""
+
+    def refuse_sending(self, refusal: 'Refusal') -> None:
+        """Refuse the request and hold nothing of it any more."""
+
+
 class Refusal(typing.NamedTuple):
     """Why the bytes of a call were not accepted."""
 
@@ -103,6 +113,23 @@
         self._ledger.release(self.holder, size)
 
 
+class _Claim(typing.NamedTuple):
+    """A wish for more bytes by a holder that has some.
+
+    ``beside_bytes`` are those of its other calls.
+    """
+
+    holder: object
+    beside_bytes: int
+    held_bytes: int
+    more_bytes: int
+
+    @property
+    def size(self) -> int:
+        """Return what would be held."""
+        return self.held_bytes + self.more_bytes
+
+
 class _Waiter(typing.NamedTuple):
     holding: Holding
     size: int
@@ -119,6 +146,9 @@
         self.used_bytes = 0
         self.sent_by_target: dict[str, int] = {}
         self.unread_by_reader: dict[AnswerReader, int] = {}
+        self.input_by_sender: dict[RequestSender, int] = {}
+        # A dict, as it has an order that doesn't change.
+        self.unfinished: dict[RequestSender, None] = {}
         self._used_by_holder: dict[object, int] = {}
         self._waiters: list[_Waiter] = []
         self._is_waking = False
@@ -148,31 +178,16 @@
 
     def refuse(self, holding: Holding, size: int) -> Refusal:
         """Return the refusal of a call that would hold ``size`` in all."""
-        if not byte_budgets.may_ever_hold(self.budget, size):
-            return Refusal(
-                byte_budgets.MAX_RETRY_MS,
-                'the request is too large for the memory of this instance;'
-                ' use another address',
-            )
-        retry_after_ms = byte_budgets.retry_after_ms(
-            self.budget,
-            self._usage_beside(holding),
-            size - holding.size,
-            self._released_per_s,
-        )
-        return Refusal(
-            retry_after_ms, 'this instance has no memory for the request now'
-        )
+        return self._refuse(self._claim_of(holding, size - holding.size))
 
     def take(self, holding: Holding, more_bytes: int) -> bool:
         """Count more bytes for a call; return False if they don't fit.
 
-        Readers that have stopped are cut off first if that makes room.
+        Readers that have stopped are cut off first if that makes room, then
+        requests that are not complete are refused.
         """
-        if not self._fits(holding, more_bytes):
-            self._cut_stopped_readers(holding, more_bytes)
-            if not self._fits(holding, more_bytes):
-                return False
+        if not self._make_room(self._claim_of(holding, more_bytes)):
+            return False
         self.add(holding.holder, more_bytes)
         return True
 
@@ -215,6 +230,41 @@
         finally:
             self._is_waking = False
 
+    # Senders
+
+    def hold_input(self, sender: RequestSender, size: int) -> Refusal | None:
+        """Count the head and the unparsed bytes of a connection anew.
+
+        If they don't fit, nothing changes and the refusal is returned.
+        """
+        before_bytes = self.input_by_sender.get(sender, 0)
+        if size > before_bytes:
+            claim = _Claim(sender, 0, before_bytes, size - before_bytes)
+            if not self._make_room(claim):
+                return self._refuse(claim)
+        self._set_input(sender, size)
+        return None
+
+    def release_input(self, sender: RequestSender, size: int = 0) -> None:
+        """Count no more than ``size`` for the input of a connection."""
+        before_bytes = self.input_by_sender.get(sender, 0)
+        if before_bytes > size:
+            self._set_input(sender, size)
+            self._measure_rate(before_bytes - size)
+            self.wake_waiters()
+
+    def note_unfinished(self, sender: RequestSender, is_waiting: bool) -> None:
+        """Store whether a connection has a request that is not complete."""
+        if is_waiting:
+            self.unfinished[sender] = None
+        else:
+            self.unfinished.pop(sender, None)
+
+    def forget_sender(self, sender: RequestSender) -> None:
+        """Count nothing for the input of a connection that has ended."""
+        self.note_unfinished(sender, is_waiting=False)
+        self.release_input(sender)
+
     # Targets
 
     def may_send(self, target_id: str, size: int) -> bool:
@@ -254,20 +304,57 @@
             self._subtract(reader, before_bytes - size)
         self.wake_waiters()
 
-    def _cut_stopped_readers(self, holding: Holding, more_bytes: int) -> None:
+    def _make_room(self, claim: _Claim) -> bool:
+        """Return whether a claim fits, if need be after others have ended."""
+        if self._fits(claim):
+            return True
+        self._cut_stopped_readers(claim)
+        if not self._fits(claim):
+            self._refuse_senders(claim)
+        return self._fits(claim)
+
+    def _cut_stopped_readers(self, claim: _Claim) -> None:
         now_s = _now_s()
         if now_s - self._scanned_at_s < _MIN_SCAN_INTERVAL_S:
             return
         self._scanned_at_s = now_s
         readers = list(self.unread_by_reader)
         measured = [reader.measure_reading() for reader in readers]
-        while not self._fits(holding, more_bytes):
+        while not self._fits(claim):
             index = byte_budgets.choose_cut(measured)
             if index is None:
                 return
             self._cut_off(readers[index], measured[index])
             measured[index] = byte_budgets.Reader(0, 0)
 
+    def _refuse_senders(self, claim: _Claim) -> None:
+        """Refuse unfinished requests if that makes room."""
+        senders = [
+            sender for sender in self.unfinished if sender is not claim.holder
+        ]
+        measured = [
+            byte_budgets.Sender(
+                self._held_by(sender), sender.measure_stopped_ms()
+            )
+            for sender in senders
+        ]
+        excess_bytes = byte_budgets.excess_bytes_of(
+            self.budget,
+            self._usage_beside(claim),
+            claim.size,
+            claim.more_bytes,
+        )
+        for index in byte_budgets.choose_refused(
+            measured, claim.size, excess_bytes
+        ):
+            held_bytes = measured[index].held_bytes
+            senders[index].refuse_sending(
+                self._refuse(_Claim(senders[index], 0, 0, held_bytes))
+            )
+
+    def _held_by(self, sender: RequestSender) -> int:
+        return self.input_by_sender.get(sender, 0)
+
     def _cut_off(
         self, reader: AnswerReader, measured: byte_budgets.Reader
     ) -> None:
@@ -277,17 +364,46 @@
         if self.on_cut is not None:
             self.on_cut(measured)
 
-    def _fits(self, holding: Holding, more_bytes: int) -> bool:
+    def _refuse(self, claim: _Claim) -> Refusal:
+        if not byte_budgets.may_ever_hold(self.budget, claim.size):
+            return Refusal(
+                byte_budgets.MAX_RETRY_MS,
+                'the request is too large for the memory of this instance;'
+                ' use another address',
+            )
+        retry_after_ms = byte_budgets.retry_after_ms(
+            self.budget,
+            self._usage_beside(claim),
+            claim.more_bytes,
+            self._released_per_s,
+        )
+        return Refusal(
+            retry_after_ms, 'this instance has no memory for the request now'
+        )
+
+    def _fits(self, claim: _Claim) -> bool:
         return byte_budgets.may_hold(
             self.budget,
-            self._usage_beside(holding),
-            holding.size,
-            more_bytes,
+            self._usage_beside(claim),
+            claim.held_bytes,
+            claim.more_bytes,
         )
 
-    def _usage_beside(self, holding: Holding) -> byte_budgets.Usage:
+    def _usage_beside(self, claim: _Claim) -> byte_budgets.Usage:
+        return byte_budgets.Usage(self.used_bytes, claim.beside_bytes)
+
+    def _claim_of(self, holding: Holding, more_bytes: int) -> _Claim:
         of_holder = self._used_by_holder.get(holding.holder, 0)
-        return byte_budgets.Usage(self.used_bytes, of_holder - holding.size)
+        return _Claim(
+            holding.holder, of_holder - holding.size, holding.size, more_bytes
+        )
+
+    def _set_input(self, sender: RequestSender, size: int) -> None:
+        self.used_bytes += size - self.input_by_sender.get(sender, 0)
+        if size:
+            self.input_by_sender[sender] = size
+        else:
+            self.input_by_sender.pop(sender, None)
 
     def _subtract(self, holder: object, size: int) -> None:
         self.used_bytes -= size
--- a/test/test_byte_budgets.py
+++ b/test/test_byte_budgets.py
@@ -125,3 +125,37 @@
         SMALLEST, usage(limit), MB, released_per_s
     )
     assert found_ms == expected_ms
+
+
+def test_a_head_counts_the_objects_of_its_lines():
+    # 4,000 lines of 4 bytes took 700 KB and counted nothing.
+    assert byte_budgets.head_bytes(16_000, 4000) == 656_000
+
+
+@pytest.mark.parametrize(
+    ('senders', 'size', 'chosen'),
+    [
+        # Of those that have stopped, the one that holds the most.
+        ([(900, 2000), (1000, 2000), (9000, 0)], 40_000, [1]),
+        # As many as it takes, but none if that is not enough.
+        ([(400, 2000), (300, 2000), (200, 2000)], 40_000, [0, 1, 2]),
+        ([(400, 2000), (300, 2000)], 40_000, []),
+        # One that goes on sending isn't refused for a large call.
+        ([(9_000_000, 100)], 40_000, []),
+        # For a small one it is, if it holds much more.
+        ([(9_000_000, 100)], 2000, [0]),
+        ([(3000, 100)], 2000, []),
+        # A connection that holds nothing makes no room.
+        ([(0, 9000)], 2000, []),
+        ([], 2000, []),
+    ],
+)
+def test_the_client_that_holds_the_most_is_refused(senders, size, chosen):
+    measured = [byte_budgets.Sender(*sender) for sender in senders]
+    assert byte_budgets.choose_refused(measured, size, 850) == chosen
+
+
+def test_nobody_is_refused_where_the_total_is_not_exceeded():
+    # The share of one client is used up by its own calls then.
+    senders = [byte_budgets.Sender(9_000_000, 9000)]
+    assert not byte_budgets.choose_refused(senders, 2000, -1)
--- a/test/test_byte_ledger.py
+++ b/test/test_byte_ledger.py
@@ -9,6 +9,7 @@
 
 from oleanderstair.domain import byte_budgets, events, outcomes
 from oleanderstair.engine import (
+    asgi,
     bounded_protocol,
     byte_ledger,
     exchanges,
@@ -393,3 +394,78 @@
         assert not pool.in_use_by_target
 
     anyio.run(scenario)
+
+
+HEAD = b'GET / HTTP/1.1\r\nhost: a\r\n'
+SHORT_LINES = b'a:\r\n' * 4000
+
+
+@contextlib.asynccontextmanager
+async def serving_small(ledger):
+    async def answer(scope, receive, send):
+        await asgi.respond(send, 200, [(b'content-length', b'2')], b'oo')
+
+    bound = listener.bind_socket('127.0.0.1', 0)
+    server = listener.create_with_changing_bounds(
+        answer, lambda: BOUNDS, ledger
+    )
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.serve, [bound])
+            yield listener.address_of(bound)
+            server.should_exit = True
+
+
+def test_head_that_does_not_fit_is_refused_before_its_fields_are_parsed():
+    async def scenario():
+        ledger = create_ledger()
+        ledger.add('other', large_limit(ledger))
+        async with serving_small(ledger) as address:
+            answer = await raw.send_and_receive(address, HEAD, SHORT_LINES)
+            assert_refused(answer, ran=False)
+            assert b'connection: close' in answer
+            small = HEAD.replace(b'host', b'connection: close\r\nhost')
+            answer = await raw.send_and_receive(address, small, b'\r\n')
+            assert answer.startswith(b'HTTP/1.1 200')
+
+    anyio.run(scenario)
+
+
+def test_unfinished_head_is_refused_for_a_small_call():
+    # Its client could keep the memory until the timeout of the head.
+    async def scenario():
+        ledger = create_ledger()
+        async with serving_small(ledger) as address:
+            with raw.SlowReader(address) as client:
+                await client.send(HEAD + SHORT_LINES)
+                await helper.wait_until(lambda: ledger.used_bytes > 600_000)
+                ledger.add('other', ledger.budget.total_bytes)
+                opened = ledger.open('caller', 2000, 400)
+                assert isinstance(opened, byte_ledger.Refusal)
+                assert ledger.unfinished
+                ledger.release('other', 500_000)
+                opened = ledger.open('caller', 2000, 400)
+                assert isinstance(opened, byte_ledger.Holding)
+                head = await client.read_head()
+                assert head.startswith(b'HTTP/1.1 503')
+                assert b'retry-after' in head
+            opened.release()
+            assert ledger.used_bytes == ledger.budget.total_bytes - 500_000
+
+    anyio.run(scenario)
+
+
+def test_request_that_is_answered_keeps_nothing():
+    async def scenario():
+        ledger = create_ledger()
+        async with serving_small(ledger) as address:
+            with raw.SlowReader(address) as client:
+                await client.send(b'%b%b\r\n' % (HEAD, SHORT_LINES))
+                assert (await client.read_head()).startswith(b'HTTP/1.1 200')
+                await helper.wait_until(lambda: not ledger.used_bytes)
+                await client.send(b'GET / HTTP/1.1\r\nhost')
+                await helper.wait_until(lambda: ledger.used_bytes > 0)
+            await helper.wait_until(lambda: not ledger.used_bytes)
+        assert not ledger.unfinished
+
+    anyio.run(scenario)
--- a/test/test_misbehaving_clients.py
+++ b/test/test_misbehaving_clients.py
@@ -7,6 +7,7 @@
 import anyio
 import pytest
 
+from oleanderstair.emulator import load_targets
 from test import crowd, gateway_process, loopback_node, raw
 
 PATIENT = {'header_time_ms': 60000, 'idle_ms': 60000}
@@ -17,6 +18,7 @@
     b'%b HTTP/1.1\r\nhost: calls.example\r\nrequest-id: crowd-%d\r\n'
     b'deadline-ms: 60000\r\n'
 )
+SHORT_LINES = b'a:\r\n' * 4000
 
 
 def head_of(request_line, number, *lines):
@@ -50,6 +52,53 @@
     anyio.run(scenario)
 
 
+# Each line became objects of 20 times its size, counted nowhere.
+@pytest.mark.parametrize('lines', [SHORT_LINES, b'ab: c\r\n' * 2200])
+def test_heads_of_short_lines_that_do_not_end(tmp_path, lines):
+    async def scene(gateway):
+        with crowd.Crowd(gateway.callers) as clients:
+            await clients.send_on_each(
+                lambda number: [head_of(b'GET /lookup/a', number, lines)], 600
+            )
+            assert await gateway.serve_ordinary_request()
+
+    play(tmp_path, gateway_process.Machine(limits=PATIENT), scene)
+
+
+# The fields were kept twice more while their requests waited for a target.
+def test_heads_of_short_lines_whose_requests_wait(tmp_path):
+    async def scene(gateway):
+        for target in gateway.target_by_id.values():
+            target.behaviour = load_targets.Behaviour.HANG
+        with crowd.Crowd(gateway.callers) as clients:
+            await clients.send_on_each(
+                lambda number: [
+                    head_of(b'GET /lookup/a', number, SHORT_LINES, b'\r\n')
+                ],
+                400,
+            )
+            for target in gateway.target_by_id.values():
+                target.behaviour = load_targets.Behaviour.SERVE
+            assert await gateway.serve_ordinary_request()
+
+    play(tmp_path, gateway_process.Machine(limits=PATIENT), scene)
+
+
+# An idle connection kept the fields of its last request.
+def test_heads_of_short_lines_whose_connections_stay_idle(tmp_path):
+    async def scene(gateway):
+        with crowd.Crowd(gateway.callers) as clients:
+            await clients.send_on_each(
+                lambda number: [
+                    head_of(b'GET /none/a', number, SHORT_LINES, b'\r\n')
+                ],
+                600,
+            )
+            assert await gateway.serve_ordinary_request()
+
+    play(tmp_path, gateway_process.Machine(limits=PATIENT), scene)
+
+
 # Each answer let more be read, and every request in it became objects.
 @pytest.mark.parametrize(
     ('name', 'path'),
