Refuse unfinished bodies to make room for other calls

Callers saw: while 700 clients kept bodies of 30,000 bytes open, all but their end sent, an instance of 100 MB refused every ordinary order for lack of memory until the timeout of the bodies (test_misbehaving_clients.py::test_bodies_that_ stop_short_of_their_end, the first case: no answer in 60 tries).

Cause: what a body holds was given back only by its end or its timeout, and bodies of up to 32 KB may use the reserve as well. A refused request whose body still came kept its connection, to do the same again.

Mend: a connection whose body isn't whole is among the unfinished requests that may be refused for others, as heads are: one that has sent nothing for 1.5 s for any call, the largest for a small call. Nothing has run then, so the 503 is true. It says when to come back, and the connection closes after it, as after every refusal of a request that isn't complete or doesn't fit.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -138,6 +138,7 @@
         self._part = _Part.NONE
         self._head_bytes = 0
         self._parsed_bytes = 0
+        self._body_holding: byte_ledger.Holding | None = None
         self._received_at_s = self._idle_since_s
         self._trailer_bytes = 0
         self._refused = False
@@ -248,15 +249,34 @@
             self.refuse_sending(refusal)
         return refusal is None
 
-    def measure_stopped_ms(self) -> clock.Millis:
-        """Return for how long the client has sent nothing."""
-        return (self.loop.time() - self._received_at_s) * _MS_PER_S
+    def hold_body(self, holding: byte_ledger.Holding | None) -> None:
+        """Set what holds the body that is received, None once it is whole."""
+        is_changed = self._body_holding is not holding
+        self._body_holding = holding
+        if self._ledger is not None and is_changed:
+            self._ledger.note_unfinished(self, self._is_unfinished())
+
+    def close_after_answer(self) -> None:
+        """Close once the request in progress is answered."""
+        self.cycle.keep_alive = False
+
+    def measure_sending(self) -> byte_budgets.Sender:
+        """Return what is held of unfinished requests, and how old they are."""
+        held_bytes = self._parsed_bytes + len(self._input)
+        if self._body_holding is not None:
+            held_bytes += self._body_holding.size
+        stopped_s = self.loop.time() - self._received_at_s
+        return byte_budgets.Sender(held_bytes, stopped_s * _MS_PER_S)
 
     def refuse_sending(self, refusal: byte_ledger.Refusal) -> None:
         """Refuse what the client has not sent completely, and close.
 
         An answer in progress goes on; what was sent behind it is dropped.
         """
+        if self._body_holding is not None:
+            self._refuse_body(self._body_holding, refusal)
+            self._release_input()
+            return
         if self._is_answering():
             self._drop_input()
             self._refused = True
@@ -269,9 +289,21 @@
             )
         self._release_input()
 
+    def _refuse_body(
+        self, holding: byte_ledger.Holding, refusal: byte_ledger.Refusal
+    ) -> None:
+        """Let the application, which waits for the body, refuse it."""
+        self._body_holding = None
+        self._drop_input()
+        self._refused = True
+        self.cycle.keep_alive = False
+        self.cycle.body = bytearray()
+        holding.revoke(refusal)
+        self.cycle.message_event.set()
+
     def _release_input(self) -> None:
         """Stop counting what is no longer kept of requests."""
-        if not self._is_answering():
+        if self.cycle is None or self.cycle.response_complete:
             self._forget_request()
         if self._ledger is not None:
             self._ledger.note_unfinished(self, self._is_unfinished())
@@ -290,10 +322,13 @@
             self.cycle.body = bytearray()
 
     def _is_unfinished(self) -> bool:
-        """Return whether a head is incomplete, or a request waits unparsed."""
+        """Return whether a request is incomplete, or waits unparsed."""
         if self._refused:
             return False
-        return self._part is _Part.HEAD or bool(self._input)
+        is_body_awaited = (
+            self._part is _Part.BODY and self._body_holding is not None
+        )
+        return is_body_awaited or self._part is _Part.HEAD or bool(self._input)
 
     def _may_parse(self) -> bool:
         if self._refused:
--- a/oleanderstair/engine/byte_ledger.py
+++ b/oleanderstair/engine/byte_ledger.py
@@ -34,8 +34,8 @@
 class RequestSender(typing.Protocol):
     """A connection with a request that is not complete, or waits unparsed."""
 
-    def measure_stopped_ms(self) -> clock.Millis:
-        """Return for how long the client has sent nothing."""
+    def measure_sending(self) -> byte_budgets.Sender:
+        """Return what is held of it and for how long nothing has come."""
 
     def refuse_sending(self, refusal: 'Refusal') -> None:
         """Refuse the request and hold nothing of it any more."""
@@ -58,6 +58,7 @@
         self.answer_bytes = 0
         self._ledger = ledger
         self._is_released = False
+        self._refusal: Refusal | None = None
 
     @property
     def size(self) -> int:
@@ -65,7 +66,12 @@
         return self.body_bytes + self.answer_bytes
 
     def grow_body(self, size: int) -> bool:
-        """Hold a body of ``size``; return False if it doesn't fit."""
+        """Hold a body of ``size``; return False if it doesn't fit.
+
+        None does after ``revoke``.
+        """
+        if self._refusal is not None:
+            return False
         more_bytes = max(size - self.body_bytes, 0)
         if not self._ledger.take(self, more_bytes):
             return False
@@ -94,8 +100,13 @@
         self.answer_bytes += more_bytes
 
     def refuse_more(self) -> Refusal:
-        """Return the refusal of a call whose body has grown too large."""
-        return self._ledger.refuse(self, self.size + 1)
+        """Return the refusal of a call whose body may not grow."""
+        return self._refusal or self._ledger.refuse(self, self.size + 1)
+
+    def revoke(self, refusal: Refusal) -> None:
+        """Hold nothing any more, as the call is refused before it has run."""
+        self._refusal = refusal
+        self.release()
 
     def wait_for_answer(self, size: int, on_room: OnRoom) -> OnRoom:
         """Call ``on_room`` once an answer of ``size`` is held.
@@ -332,12 +343,7 @@
         senders = [
             sender for sender in self.unfinished if sender is not claim.holder
         ]
-        measured = [
-            byte_budgets.Sender(
-                self._held_by(sender), sender.measure_stopped_ms()
-            )
-            for sender in senders
-        ]
+        measured = [sender.measure_sending() for sender in senders]
         excess_bytes = byte_budgets.excess_bytes_of(
             self.budget,
             self._usage_beside(claim),
@@ -352,9 +358,6 @@
                 self._refuse(_Claim(senders[index], 0, 0, held_bytes))
             )
 
-    def _held_by(self, sender: RequestSender) -> int:
-        return self.input_by_sender.get(sender, 0)
-
     def _cut_off(
         self, reader: AnswerReader, measured: byte_budgets.Reader
     ) -> None:
--- a/oleanderstair/engine/routed_caller_app.py
+++ b/oleanderstair/engine/routed_caller_app.py
@@ -83,13 +83,17 @@
         await listener.protocol_of(scope).wait_until_read()
         holding = self._open_holding(scope, ledger)
         if isinstance(holding, incoming.BadRequest):
-            await self._reject(scope, send, holding)
+            await self._reject_and_close(scope, send, holding)
             return
+        protocol = listener.protocol_of(scope)
+        if not listener.has_whole_request(scope):
+            protocol.hold_body(holding)
         try:
             await self._answer(
                 scope, receive, send, holding, self._now_ms() - started_ms
             )
         finally:
+            protocol.hold_body(None)
             holding.release()
 
     def _open_holding(
@@ -141,7 +145,7 @@
         except asgi.BodyNotHeld:
             assert holding is not None  # noqa: S101 (only a holding refuses)
             refusal = self._refuse_for_memory(holding.refuse_more())
-            await self._reject(scope, send, refusal)
+            await self._reject_and_close(scope, send, refusal)
             return
         except asgi.Disconnected:
             fields = headers.index_fields(scope['headers']).field_by_name
@@ -152,8 +156,9 @@
             )
             return
         if isinstance(body, incoming.BadRequest):
-            await self._reject(scope, send, body)
+            await self._reject_and_close(scope, send, body)
             return
+        listener.protocol_of(scope).hold_body(None)
         await self._run_call(scope, body, send, holding, waited_ms)
 
     async def _run_call(
@@ -309,6 +314,16 @@
             ),
         )
 
+    async def _reject_and_close(
+        self,
+        scope: asgi.Scope,
+        send: asgi.Send,
+        bad_request: incoming.BadRequest,
+    ) -> None:
+        """Refuse a request; its connection can't send the same again."""
+        listener.protocol_of(scope).close_after_answer()
+        await self._reject(scope, send, bad_request)
+
     async def _reject(
         self,
         scope: asgi.Scope,
--- a/test/test_byte_ledger.py
+++ b/test/test_byte_ledger.py
@@ -6,6 +6,7 @@
 import anyio
 import httpcore
 import msgspec
+import pytest
 
 from oleanderstair.domain import byte_budgets, events, outcomes
 from oleanderstair.engine import (
@@ -469,3 +470,35 @@
         assert not ledger.unfinished
 
     anyio.run(scenario)
+
+
+@pytest.mark.parametrize(
+    'framing',
+    [
+        b'content-length: 90000\r\n\r\n',
+        b'transfer-encoding: chunked\r\n\r\nffff\r\n',
+    ],
+)
+def test_unfinished_body_is_refused_for_a_small_call(framing):
+    # The bodies that had come but for their end kept all others out.
+    async def scenario():
+        async with loopback_node.run_ready_node(memory_mb=SMALLEST_MB) as node:
+            ledger = node.node.runtime.ledger
+            with raw.SlowReader(node.address) as client:
+                await client.send(
+                    POST.replace(b'connection: close\r\n', b'') + framing
+                )
+                await client.send(b'x' * 50_000)
+                await helper.wait_until(lambda: ledger.used_bytes >= 50_000)
+                free_bytes = ledger.budget.total_bytes - ledger.used_bytes
+                ledger.add('other', free_bytes)
+                answer = await loopback_node.send_request(node.address)
+                assert answer.status == 200
+                head = await client.read_head()
+                assert head.startswith(b'HTTP/1.1 503')
+                assert b'retry-after' in head
+                assert b'connection: close' in head
+            await helper.wait_until(lambda: ledger.used_bytes == free_bytes)
+            assert node.single_run().method == 'GET'
+
+    anyio.run(scenario)
--- a/test/test_misbehaving_clients.py
+++ b/test/test_misbehaving_clients.py
@@ -4,6 +4,8 @@
 memory and the descriptors of its machine, and answer an ordinary caller.
 """
 
+import functools
+
 import anyio
 import pytest
 
@@ -99,6 +101,45 @@
     play(tmp_path, gateway_process.Machine(limits=PATIENT), scene)
 
 
+def body_pieces(number, size):
+    """Return a request without the last byte of its body, in two pieces.
+
+    Every second one is chunked.
+    """
+    line = b'POST /order/a'
+    if number % 2:
+        framing = b'content-length: %d\r\n\r\n' % size
+        return [head_of(line, number, framing), b'x' * (size - 1)]
+    framing = b'transfer-encoding: chunked\r\n\r\n'
+    chunk = b'1000\r\n%b\r\n' % (b'x' * 4096)
+    head = head_of(line, number, framing)
+    return [head, chunk * (size // 4096), chunk[: size % 4096]]
+
+
+# The bodies took all room up to their timeout, so that every other call was
+# refused meanwhile. Those of 1,000 bytes take what the others leave.
+@pytest.mark.parametrize(
+    'count_by_size', [{30_000: 700, 1000: 100}, {900_000: 200}, {250_000: 400}]
+)
+def test_bodies_that_stop_short_of_their_end(tmp_path, count_by_size):
+    async def scene(gateway):
+        with crowd.Crowd(gateway.callers) as clients:
+            for size, count in count_by_size.items():
+                await clients.send_on_each(
+                    functools.partial(body_pieces, size=size), count
+                )
+            assert await gateway.serve_ordinary_request(
+                path='/order/a', method='POST', body=b'x' * 2000
+            )
+
+    limits = {**PATIENT, 'max_body_bytes': 1_000_000}
+    play(
+        tmp_path,
+        gateway_process.Machine(memory_mb=100, limits=limits),
+        scene,
+    )
+
+
 # Each answer let more be read, and every request in it became objects.
 @pytest.mark.parametrize(
     ('name', 'path'),
