Limit connections by descriptors and memory, and replace those that wait

Callers saw: 400 clients that opened connections and sent nothing more used up the 256 descriptors of a process, at any of its listeners; no call reached a target, and no other client was accepted until the timeouts.

Cause: each listener allowed max_connections (2,000 in the deployments, where the smallest machines have 1,535 descriptors) without regard to the machine, a refused connection stayed open until its client had left, and the event loop accepted up to 2,048 connections before the first was counted.

Evidence: the four test_connections_that_stay_open cases failed on the build before (256 descriptors open of 256).

Mend: domain/connection_budgets.py derives the limits. 512 descriptors, or half of fewer than 1,024, are left to targets, peers and the store, and connections take at most a quarter of the byte budget, in which each counts. Callers get three quarters and the listeners of the platform share the rest, so that a crowd at one doesn't close the other. At a limit, a connection that has sent no whole request for a second gives way, unfinished requests first; else the new one is refused, and without an answer an eighth above the limit. 32 connections are accepted at a time. At an exit the listener waits until no more come, as a full backlog takes more turns now. The listeners of the platform count in the byte ledger as well.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -14,7 +14,11 @@
 import msgspec
 
 from oleanderstair import clock
-from oleanderstair.domain import byte_budgets, outcomes
+from oleanderstair.domain import (
+    byte_budgets,
+    connection_budgets,
+    outcomes,
+)
 from oleanderstair.engine import (
     byte_ledger,
     headers,
@@ -87,6 +91,10 @@
     max_connections: int = 1000
 
 
+_CONNECTION_REFUSAL: typing.Final = byte_ledger.Refusal(
+    byte_budgets.MAX_RETRY_MS, 'too many connections; this one had stopped'
+)
+
 BoundsOf: typing.TypeAlias = typing.Callable[[], ConnectionBounds]
 """Return the limits in force, which may change at any time."""
 
@@ -162,13 +170,18 @@
         self.flow = input_flow.create(self.transport, self._may_read)
         # The next request waits until the client has read the last answer.
         self.transport.set_write_buffer_limits(0)
+        if self._ledger is not None:
+            self._ledger.add_connection()
         bounds = self._bounds_of()
-        if len(self.connections) > bounds.max_connections:
+        limit = bounds.max_connections
+        if len(self.connections) <= limit or self._replace_waiting():
+            self._start_timer(bounds.idle_ms)
+        elif connection_budgets.may_be_refused(limit, len(self.connections)):
             self._refuse_and_close(
                 outcomes.Reason.OVERLOADED, 'too many connections'
             )
-            return
-        self._start_timer(bounds.idle_ms)
+        else:
+            self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timers, report unanswered requests and call ``on_lost``."""
@@ -183,9 +196,61 @@
         if self._ledger is not None:
             self._ledger.set_unread(self, 0)
             self._ledger.forget_sender(self)
+            self._ledger.remove_connection()
         if self.on_lost is not None:
             self.on_lost()
 
+    def _replace_waiting(self) -> bool:
+        """Close the connection that has waited the longest for a request.
+
+        Return False if none has waited long enough.
+        """
+        protocols = [
+            protocol
+            for protocol in self.connections
+            if isinstance(protocol, BoundedProtocol) and protocol.is_waiting()
+        ]
+        index = connection_budgets.choose_replaced(
+            [protocol.measure_waiting() for protocol in protocols]
+        )
+        if index is None:
+            return False
+        protocols[index].give_way()
+        return True
+
+    def is_waiting(self) -> bool:
+        """Return whether the connection is open without a whole request."""
+        if self._refused or self.transport.is_closing():
+            return False
+        if self._body_holding is not None:
+            return True
+        return not (
+            self._is_answering() or self.transport.get_write_buffer_size()
+        )
+
+    def measure_waiting(self) -> connection_budgets.Waiting:
+        """Return for how long the connection has waited, and for what."""
+        waiting_s = self.loop.time() - max(
+            self._received_at_s, self._idle_since_s
+        )
+        return connection_budgets.Waiting(
+            waiting_s * _MS_PER_S, self._is_unfinished()
+        )
+
+    def give_way(self) -> None:
+        """Close for a new connection; refuse the request that is unfinished."""
+        if self._body_holding is not None:
+            self._refuse_body(self._body_holding, _CONNECTION_REFUSAL)
+            return
+        if self._part is _Part.HEAD:
+            self._write_refusal(
+                outcomes.Reason.OVERLOADED,
+                _CONNECTION_REFUSAL.detail,
+                _CONNECTION_REFUSAL.retry_after_ms,
+            )
+        self._refused = True
+        self.transport.close()
+
     def eof_received(self) -> bool:  # type: ignore[override]
         """Keep the connection open for an answer that is still to come.
 
@@ -777,10 +842,18 @@
         reason: outcomes.Reason,
         detail: str,
         retry_after_ms: clock.Millis = 0,
+    ) -> None:
+        self._write_refusal(reason, detail, retry_after_ms)
+        self._finish()
+
+    def _write_refusal(
+        self,
+        reason: outcomes.Reason,
+        detail: str,
+        retry_after_ms: clock.Millis,
     ) -> None:
         reply = replies.not_run_reply(reason, detail, retry_after_ms)
         self.transport.write(_encode_response(reply))
-        self._finish()
 
     def _finish(self) -> None:
         """Close after the last answer, and drop input until the client closes.
--- a/oleanderstair/engine/byte_ledger.py
+++ b/oleanderstair/engine/byte_ledger.py
@@ -8,7 +8,7 @@
 import typing
 
 from oleanderstair import clock
-from oleanderstair.domain import byte_budgets
+from oleanderstair.domain import byte_budgets, connection_budgets
 
 _RATE_WINDOW_S: typing.Final = 1
 """The time over which the rate of released bytes is measured."""
@@ -155,6 +155,7 @@
         self.budget = budget
         self.on_cut: OnCut | None = None
         self.used_bytes = 0
+        self.connection_count = 0
         self.sent_by_target: dict[str, int] = {}
         self.unread_by_reader: dict[AnswerReader, int] = {}
         self.input_by_sender: dict[RequestSender, int] = {}
@@ -173,6 +174,17 @@
         """Return how many answers are not read on for lack of room."""
         return len(self._waiters)
 
+    # Connections
+
+    def add_connection(self) -> None:
+        """Count a connection of a client."""
+        self.connection_count += 1
+
+    def remove_connection(self) -> None:
+        """Stop counting a connection."""
+        self.connection_count -= 1
+        self.wake_waiters()
+
     # Calls
 
     def open(
@@ -393,7 +405,12 @@
         )
 
     def _usage_beside(self, claim: _Claim) -> byte_budgets.Usage:
-        return byte_budgets.Usage(self.used_bytes, claim.beside_bytes)
+        connection_bytes = (
+            self.connection_count * connection_budgets.CONNECTION_BYTES
+        )
+        return byte_budgets.Usage(
+            self.used_bytes + connection_bytes, claim.beside_bytes
+        )
 
     def _claim_of(self, holding: Holding, more_bytes: int) -> _Claim:
         of_holder = self._used_by_holder.get(holding.holder, 0)
--- a/oleanderstair/engine/listener.py
+++ b/oleanderstair/engine/listener.py
@@ -27,6 +27,10 @@
 After a loss of power all callers connect at once, and a connection that is
 dropped is tried again only after a second. The deployments allow 2,000."""
 
+_ACCEPTED_AT_ONCE: typing.Final = 32
+"""How many connections are accepted in one iteration of the event loop, so that
+those above the limit are closed before they use up the descriptors."""
+
 _SHUTDOWN_TIMEOUT_S: typing.Final = 2
 _MIN_SHUTDOWN_TIMEOUT_S: typing.Final = 0.1
 _LOOPS_TO_FIRST_READ: typing.Final = 6
@@ -58,6 +62,12 @@
         )
         self.should_exit = True
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        await super().startup(sockets)
+        # The event loop limits the backlog to what it accepts at once.
+        for listening_socket in sockets or ():
+            listening_socket.listen(_BACKLOG)
+
     async def main_loop(self) -> None:
         # The loop of uvicorn wakes up ten times a second.
         await self._exit.wait()
@@ -67,10 +77,20 @@
     ) -> None:
         # Where the process has waited for the processor, requests wait in the
         # kernel. Those on new connections would be reset unread.
-        for _ in range(_LOOPS_TO_FIRST_READ):
-            await asyncio.sleep(0)
+        await self._accept_waiting()
         await super().shutdown(sockets)
 
+    async def _accept_waiting(self) -> None:
+        """Accept and read the connections that wait in the kernel."""
+        loops = _LOOPS_TO_FIRST_READ
+        for _ in range(_LOOPS_TO_FIRST_READ + _BACKLOG // _ACCEPTED_AT_ONCE):
+            before_count = len(self.server_state.connections)
+            await asyncio.sleep(0)
+            has_accepted = len(self.server_state.connections) > before_count
+            loops = _LOOPS_TO_FIRST_READ if has_accepted else loops - 1
+            if not loops:
+                return
+
     @contextlib.contextmanager
     def capture_signals(self) -> typing.Iterator[None]:
         # The daemon handles signals itself, because a planned stop takes time.
@@ -174,7 +194,7 @@
         proxy_headers=False,
         server_header=False,
         date_header=False,
-        backlog=_BACKLOG,
+        backlog=_ACCEPTED_AT_ONCE,
         timeout_graceful_shutdown=_SHUTDOWN_TIMEOUT_S,
     )
     return _Server(config)
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -1,6 +1,7 @@
 """Assembles an entry instance on the users' platform."""
 
 import random
+import resource
 import secrets
 import socket
 import time
@@ -11,7 +12,13 @@
 import msgspec
 
 from oleanderstair import clock, logs, settings, start_times
-from oleanderstair.domain import byte_budgets, events, policy, world
+from oleanderstair.domain import (
+    byte_budgets,
+    connection_budgets,
+    events,
+    policy,
+    world,
+)
 from oleanderstair.domain.fleet import grace_period_stop
 from oleanderstair.domain.tables import identity
 from oleanderstair.engine import (
@@ -58,6 +65,7 @@
     platform_sockets: list[socket.socket]
     link: peers.Link
     times: start_times.StartTimes
+    connection_limits: connection_budgets.ConnectionLimits
     metrics_socket: socket.socket | None = None
     runtime: gateway_runtime.GatewayRuntime | None = None
 
@@ -95,6 +103,7 @@
         reload, for the audit trail.
         """
         self.node_settings = valid_settings
+        self.connection_limits = _connection_limits_of(valid_settings)
         if self.runtime is None:
             return
         self.runtime.state.members.seeds = tuple(valid_settings.peers.seeds)
@@ -105,7 +114,12 @@
 
     async def _listen(self, runtime: gateway_runtime.GatewayRuntime) -> None:
         def bounds_of() -> bounded_protocol.ConnectionBounds:
-            return _bounds_of(self.node_settings.callers, runtime)
+            limit = self.connection_limits.callers
+            return _bounds_of(self.node_settings.callers, runtime, limit)
+
+        def platform_bounds_of() -> bounded_protocol.ConnectionBounds:
+            limit = self.connection_limits.platform
+            return _bounds_of(self.node_settings.callers, runtime, limit)
 
         callers = listener.create_with_changing_bounds(
             routed_caller_app.create(runtime, dialect.create()),
@@ -120,7 +134,8 @@
             metrics_address = listener.address_of(self.metrics_socket)
         platform = listener.create_with_changing_bounds(
             platform_app.create(runtime, metrics_address),
-            bounds_of,
+            platform_bounds_of,
+            runtime.ledger,
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(callers.serve, [self.caller_socket])
@@ -221,6 +236,7 @@
             heartbeats=False,
         ),
         times=times,
+        connection_limits=_connection_limits_of(valid_settings),
         platform_sockets=[
             _bind(valid_settings.platform.directory_address),
             _bind(valid_settings.platform.readiness_address),
@@ -237,6 +253,28 @@
     return limits
 
 
+def _connection_limits_of(
+    valid_settings: settings.Settings,
+) -> connection_budgets.ConnectionLimits:
+    capacity = valid_settings.instance.capacity
+    return connection_budgets.create_limits(
+        _descriptors_of(capacity),
+        byte_budgets.create_budget(capacity.memory_mb),
+        valid_settings.callers.max_connections,
+    )
+
+
+def _descriptors_of(capacity: settings.CapacitySettings) -> int:
+    """Return how many descriptors the process may open, 0 if unlimited."""
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    known = [
+        count
+        for count in (capacity.max_descriptors, allowed)
+        if count not in {0, resource.RLIM_INFINITY}
+    ]
+    return min(known, default=0)
+
+
 def _bind(address: str) -> socket.socket:
     host, _, port = address.rpartition(':')
     return listener.bind_socket(host, int(port))
@@ -281,8 +319,9 @@
 def _bounds_of(
     limits: settings.CallerSettings,
     runtime: gateway_runtime.GatewayRuntime,
+    max_connections: int,
 ) -> bounded_protocol.ConnectionBounds:
-    """Return the bounds of requests from callers.
+    """Return the bounds of a listener and of requests to it.
 
     The configuration in force overrides the settings in the bounds it has.
     """
@@ -291,7 +330,7 @@
         request_time_ms=limits.request_time_ms,
         idle_ms=limits.idle_ms,
         answer_time_ms=limits.answer_time_ms,
-        max_connections=limits.max_connections,
+        max_connections=max_connections,
     )
     in_force = runtime.state.routes.in_force
     if in_force is None:
--- a/oleanderstair/settings.py
+++ b/oleanderstair/settings.py
@@ -63,6 +63,7 @@
     cores: _POSITIVE_FLOAT
     link_mbps: _POSITIVE_FLOAT
     memory_mb: _NON_NEGATIVE
+    max_descriptors: _COUNT
 
 
 class InstanceSettings(msgspec.Struct, forbid_unknown_fields=True):
--- a/test/test_listener.py
+++ b/test/test_listener.py
@@ -609,3 +609,42 @@
                     await anyio.sleep(0.01)
 
     anyio.run(scenario)
+
+
+@pytest.mark.parametrize('sent', [b'', b'GET / HTTP/1.1\r\nhost', GET])
+def test_connection_that_waits_gives_way_to_a_new_one(sent):
+    # Connections that only stay open kept all others out.
+    async def scenario():
+        bounds = BOUNDS._replace(idle_ms=9000, request_time_ms=9000)
+        async with serving(bounds) as (address, server):
+            async with contextlib.AsyncExitStack() as opened:
+                for _ in range(BOUNDS.max_connections):
+                    client = opened.enter_context(raw.SlowReader(address))
+                    await client.send(sent)
+                connections = server.server_state.connections
+                await helper.wait_until(lambda: len(connections) == 3)
+                assert refusal_of(await raw.send_and_receive(address)) == 503
+                await anyio.sleep(1.1)
+                last = GET.replace(b'host', b'connection: close\r\nhost')
+                answer = await raw.send_and_receive(address, last)
+                assert answer.startswith(b'HTTP/1.1 200')
+                await helper.wait_until(lambda: len(connections) == 2)
+
+    anyio.run(scenario)
+
+
+def test_connections_far_above_the_limit_are_closed_at_once():
+    # Those that were refused took descriptors until their clients had left.
+    async def scenario():
+        bounds = BOUNDS._replace(idle_ms=9000)
+        async with serving(bounds) as (address, server):
+            async with contextlib.AsyncExitStack() as opened:
+                for _ in range(20):
+                    opened.enter_context(raw.SlowReader(address))
+                await helper.wait_until(
+                    lambda: bool(server.server_state.connections)
+                )
+                await anyio.sleep(0.1)
+                assert len(server.server_state.connections) == 4
+
+    anyio.run(scenario)
--- a/test/test_misbehaving_clients.py
+++ b/test/test_misbehaving_clients.py
@@ -170,6 +170,21 @@
     play(tmp_path, gateway_process.Machine(limits=PATIENT), scene)
 
 
+# No descriptor was left for connections to targets, nor for other callers.
+@pytest.mark.parametrize('name', gateway_process.LISTENERS)
+def test_connections_that_stay_open(tmp_path, name):
+    async def scene(gateway):
+        address = gateway.address_by_listener[name]
+        with crowd.Crowd(address) as clients:
+            await clients.send_on_each(lambda number: [b'GET /'], 400)
+            assert await gateway.serve_ordinary_request()
+            if name != 'callers':
+                assert await gateway.is_listener_answering(name, '/-/ready')
+
+    machine = gateway_process.Machine(descriptors=256, limits=PATIENT)
+    play(tmp_path, machine, scene)
+
+
 # A single request inside the limits is served in calm.
 
 
