Collect the fields named by Connection in one set

Callers saw: a request whose head has thousands of Connection fields held the event loop of an instance, as other calls were served after it.

Cause: each such field made a new set of all names so far.

Evidence: 1,100 fields (a head of 16 KB) took 4.3 ms and 4,400 (64 KB) 48.3 ms, ten times as long for four times as many; with one set they take 0.9 and 3.8 ms (one run each on the machine of this commit). The tests of headers and requests pass; there is no test of the time, as it depends on the machine.

--- a/oleanderstair/engine/headers.py
+++ b/oleanderstair/engine/headers.py
@@ -153,12 +153,11 @@
 
 def _drop_fields(fields: AnyFields, also_dropped: frozenset[bytes]) -> Fields:
     lower_fields = [(name.lower(), field) for name, field in fields]
-    dropped = _HOP_BY_HOP | also_dropped
+    dropped = set(_HOP_BY_HOP | also_dropped)
     for connection_field in _values_of(lower_fields, CONNECTION):
-        named_fields = (
+        dropped.update(
             token.strip().lower() for token in connection_field.split(b',')
         )
-        dropped = dropped.union(named_fields)
     return [
         (name, field) for name, field in lower_fields if name not in dropped
     ]
