Write a large body in parts instead of copying it

Cause: a body was there as received, again with its head in the encoded request, and again in the write buffer of the connection, once more for a moment while the rest was sliced. The byte budget allows for two.

Mend: head and body are written apart where they exceed 64 KB together, the body in parts of 64 KB as the target reads them. A connection whose body was not written to its end is not used again, which another test guards.

--- a/oleanderstair/engine/exchanges.py
+++ b/oleanderstair/engine/exchanges.py
@@ -458,10 +458,11 @@
     return ExchangeResult(verdict, outcome)
 
 
-def _encode_request(request: Request) -> bytes:
+def _encode_request(request: Request) -> target_connections.EncodedRequest:
     lines = [b'%b %b HTTP/1.1' % (request.method, request.path)]
     lines.extend(b'%b: %b' % field for field in request.headers)
-    return b'\r\n'.join([*lines, b'', request.body])
+    head = b'\r\n'.join([*lines, b'', b''])
+    return target_connections.EncodedRequest(head, request.body)
 
 
 def _idle_timeout_of(answer: Answer | None) -> clock.Millis:
--- a/oleanderstair/engine/target_connections.py
+++ b/oleanderstair/engine/target_connections.py
@@ -1,7 +1,7 @@
 """Connections to targets, as asyncio protocols.
 
-A connection carries one request at a time, writes it in one piece, and passes
-all received bytes to its answer parser.
+A connection carries one request at a time and passes all received bytes to its
+answer parser. A large body is written in parts, so that it isn't copied.
 """
 
 import asyncio
@@ -22,6 +22,9 @@
 """Maximum size of a small request, which fits the first receive window of
 usual systems. A larger one may wait for a target that is slow to read."""
 
+_WRITE_BYTES: typing.Final = 65_536
+"""The most that is copied to be written at a time."""
+
 _KEEPALIVE_IDLE_S: typing.Final = 1
 _KEEPALIVE_INTERVAL_S: typing.Final = 1
 _KEEPALIVE_PROBE_COUNT: typing.Final = 2
@@ -40,6 +43,18 @@
     """No connection was opened or it has ended; nothing was sent."""
 
 
+class EncodedRequest(typing.NamedTuple):
+    """A request as it is written."""
+
+    head: bytes
+    body: bytes
+
+    @property
+    def size(self) -> int:
+        """Return the size of head and body together."""
+        return len(self.head) + len(self.body)
+
+
 class ExpectedAnswer(typing.NamedTuple):
     """How the answer to a request is recognised, and its timeout.
 
@@ -84,6 +99,9 @@
         self.uses = 0
         self._unacknowledged_ms = 0
         self._held_back = b''
+        self._unwritten = memoryview(b'')
+        self._is_writing_paused = False
+        self._is_cut_short = False
 
     # Called by the event loop
 
@@ -103,6 +121,15 @@
         self._hold_answer()
         self._deliver_outcome()
 
+    def pause_writing(self) -> None:
+        """Keep the rest of a body until the target has read more."""
+        self._is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Write more of a body."""
+        self._is_writing_paused = False
+        self._write_more()
+
     def eof_received(self) -> None:
         """Handle the end of the input."""
         self._has_ended = True
@@ -119,7 +146,7 @@
 
     def begin_request(
         self,
-        request: bytes,
+        request: EncodedRequest,
         expected: ExpectedAnswer,
         on_outcome: OnOutcome,
     ) -> Cancel:
@@ -141,13 +168,13 @@
             self._on_timeout,
         )
         self._reader.expect(expected.method, expected.is_for_other_request)
-        self._limit_unacknowledged(self._transport, len(request))
-        self._transport.write(request)
+        self._limit_unacknowledged(self._transport, request.size)
+        self._write(self._transport, request)
         return functools.partial(self._cancel, on_outcome)
 
     async def send_request(
         self,
-        request: bytes,
+        request: EncodedRequest,
         expected: ExpectedAnswer,
     ) -> ExchangeOutcome:
         """Write a request and return its outcome.
@@ -173,7 +200,7 @@
         It may if the connection is open, the last request was written
         completely, and the parser has found no error.
         """
-        if self._has_ended or self._transport is None:
+        if self._has_ended or self._transport is None or self._is_cut_short:
             return False
         # Unsent bytes: the target answered before it had the whole request.
         if self._transport.get_write_buffer_size():
@@ -193,6 +220,26 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _write(
+        self, transport: asyncio.Transport, request: EncodedRequest
+    ) -> None:
+        if request.size <= _WRITE_BYTES:
+            transport.write(request.head + request.body)
+            return
+        transport.write(request.head)
+        self._unwritten = memoryview(request.body)
+        self._write_more()
+
+    def _write_more(self) -> None:
+        transport = self._transport
+        if transport is None:
+            return
+        while self._unwritten and not self._is_writing_paused:
+            if transport.is_closing():
+                return
+            transport.write(self._unwritten[:_WRITE_BYTES])
+            self._unwritten = self._unwritten[_WRITE_BYTES:]
+
     def _skip_surplus(self, chunk: bytes) -> bytes:
         """Return received bytes without those that belong to no request.
 
@@ -290,6 +337,10 @@
     def _clear_request(self) -> None:
         self._on_outcome = None
         self._holding = None
+        if self._unwritten:
+            # The target would take the next request for the rest of the body.
+            self._is_cut_short = True
+            self._unwritten = memoryview(b'')
         if self._stop_waiting is not None:
             self._stop_waiting()
             self._stop_waiting = None
--- a/test/test_target_connections.py
+++ b/test/test_target_connections.py
@@ -126,3 +126,39 @@
         assert held_bytes < IDLE_ANSWER_BYTES / 2
 
     anyio.run(scenario)
+
+
+def test_body_that_waits_for_its_target_is_not_copied():
+    # It was there three times: as received, as encoded, and in the buffer of
+    # the connection, where the memory for bodies allows two.
+    async def scenario():
+        body = b'o' * 16_000_000
+        async with reading_late(0.5) as port:
+            async with anyio.create_task_group() as tasks:
+                tracemalloc.start()
+                tasks.start_soon(post, exchanges.create(), port, body)
+                await anyio.sleep(0.3)
+                held_bytes, peak_bytes = tracemalloc.get_traced_memory()
+                tracemalloc.stop()
+        assert held_bytes < len(body) / 4
+        assert peak_bytes < len(body) / 4
+
+    anyio.run(scenario)
+
+
+def test_connection_with_an_unsent_rest_of_a_body_is_not_used_again():
+    # The target would read the next request as that rest.
+    async def scenario():
+        refusal = b'HTTP/1.1 413 X\r\ncontent-length: 4\r\n\r\ntwig'
+        target = raw.RawTarget(refusal, ANSWER, kept=True)
+        async with raw.running(target):
+            pool = exchanges.create()
+            port = target.address.rpartition(':')[2]
+            result = await post(pool, port, b'o' * 16_000_000)
+            assert result.answer.status == 413
+            assert not pool.idle_by_target['burza-01']
+            result = await post(pool, port, SMALL)
+            assert result.verdict is events.Verdict.ANSWERED
+            assert target.connections == 2
+
+    anyio.run(scenario)
