Treat an answer with a status below 100 as broken at once

Callers saw instead: their call waited for a further answer until the timeout of its attempt, and an answer that followed on the connection was taken for it.

Cause: on_headers_complete had no lower bound for a status; the parser takes 000 to 099.

Evidence: test_answers.py::test_answer_with_an_undefined_status_is_broken_at_ once[000], [001] and [099] gave SILENT in place of BROKEN on the build before, and test_answer_after_one_of_status_000_is_not_taken gave ANSWERED for the answer behind it. [600] and [999] passed before.

Mend: such an answer fails its attempt when its head is read, as one above 599 does at its end, and the connection isn't used again. All of them pass.

--- a/oleanderstair/engine/answers.py
+++ b/oleanderstair/engine/answers.py
@@ -29,8 +29,10 @@
 """Limit for the bodies read for one request together, as a multiple of the
 maximum body size: one late answer to another request, and the request's own."""
 
+_MIN_STATUS: typing.Final = 100
 _MIN_FINAL_STATUS: typing.Final = 200
 _MIN_UNDEFINED_STATUS: typing.Final = 600
+_UNDEFINED_STATUS: typing.Final = 'status code out of range'
 _BODILESS_STATUSES: typing.Final = frozenset((204, 304))
 _HEAD: typing.Final = b'HEAD'
 _FRAMING_FIELDS: typing.Final = frozenset(
@@ -190,8 +192,14 @@
             self.abandon('too many fields')
 
     def on_headers_complete(self) -> None:
-        """Read the status; a final answer to HEAD is complete here."""
+        """Read the status; a final answer to HEAD is complete here.
+
+        A status below 100 is none: its answer isn't an interim one either.
+        """
         self._status = self._parser.get_status_code()
+        if self._status < _MIN_STATUS:
+            self.abandon(_UNDEFINED_STATUS)
+            return
         declared = headers.find_field(self._fields, headers.CONTENT_LENGTH)
         self._declared_bytes = headers.parse_count(declared) or 0
         if self._method == _HEAD and self._status >= _MIN_FINAL_STATUS:
@@ -229,7 +237,7 @@
 
     def _find_answer_error(self, answer: Answer) -> str:
         if answer.status >= _MIN_UNDEFINED_STATUS:
-            return 'status code out of range'
+            return _UNDEFINED_STATUS
         if not headers.is_free_of_control_characters(answer.headers):
             return 'control character in header'
         if self._takes_unframed or self._has_framing():
--- a/test/test_answers.py
+++ b/test/test_answers.py
@@ -223,3 +223,24 @@
 )
 def test_durations_are_whole_or_decimal_seconds(text, expected_ms):
     assert headers.parse_duration_ms(text) == expected_ms
+
+
+# Such an answer was taken for an interim one, so its call waited for another
+# until its timeout.
+@pytest.mark.parametrize('status', [b'000', b'001', b'099', b'600', b'999'])
+def test_answer_with_an_undefined_status_is_broken_at_once(status):
+    undefined = answer(b'1').replace(b'200', status)
+    results, _ = exchange_all(undefined)
+    assert results[0].verdict is events.Verdict.BROKEN
+    assert results[0].cause == 'status code out of range'
+    assert results[0].answer is None
+
+
+def test_answer_after_one_of_status_000_is_not_taken():
+    undefined = answer(b'1', b'').replace(b'200', b'000')
+    results, target = exchange_all(undefined + answer(b'1'), answer(b'2'))
+    assert [result.verdict for result in results] == [
+        events.Verdict.BROKEN,
+        events.Verdict.ANSWERED,
+    ]
+    assert target.connections == 2
