Report the limits that strike clients, and part the protocol further

Operators saw nothing of a client that was refused before its request became a call, closed for its connections, or dropped: only memory_refused_total rose.

Each such strike is counted in client_limited_total{limit} and has a line client-limited with the limit, the client's address and the bytes that its connection held, merged above the rate of all lines (test_decisions.py::test_ limited_clients_are_logged_up_to_a_rate). Gauges tell of the connections, the bytes of requests and the unfinished ones. Malformed requests have such a line in place of one of uvicorn's each, which nothing bounded.

What a connection holds of requests, how its client reads answers, the look for its departure and the lingering close are modules of their own; the refusals are encoded with the other replies.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -5,13 +5,10 @@
 """
 
 import asyncio
-import contextlib
 import enum
-import http
 import typing
 
 import httptools
-import msgspec
 
 from oleanderstair import clock
 from oleanderstair.domain import (
@@ -20,11 +17,14 @@
     outcomes,
 )
 from oleanderstair.engine import (
+    answer_reading,
     byte_ledger,
-    headers,
+    client_limits,
+    departures,
+    held_input,
     input_flow,
     joined_writes,
-    pending,
+    lingering_close,
     received_input,
     replies,
     request_parsing,
@@ -39,11 +39,6 @@
         'uvicorn.protocols.http.httptools_impl'
     )
 
-_CLOSE_DELAY_MS: typing.Final = 500
-"""Time without input between the last answer and the close of a connection.
-Closing with unread input, or before input that is on its way, sends a reset,
-which can discard the answer."""
-
 _READ_BUFFER: typing.Final = memoryview(bytearray(received_input.READ_BYTES))
 """Where all connections read to; each read is copied before the next one."""
 
@@ -57,22 +52,7 @@
 _BODY_TIME_FACTOR: typing.Final = 2
 """Timeout of a body as a multiple of that of a head."""
 
-_READ_CHECKS: typing.Final = 4
-"""How often the reading of an answer is checked within its timeout."""
-
-_MAX_CHECK_INTERVAL_MS: typing.Final = 500
-"""The longest time between two checks where buffered bytes are limited."""
-
-_DEPARTURE_CHECK_MS: typing.Final = 150
-"""Time between two looks for the close by a client whose input is not read. A
-request may not be passed on later than 500 ms after it."""
-
-_MAX_WAIT_MS: typing.Final = 30_000
-"""The longest time for which a client that reads nothing is waited for. The
-deadlines of the deployments are up to 17 s."""
-
 _MS_PER_S: typing.Final = 1000
-_LINE_END: typing.Final = b'\n'
 
 
 class ConnectionBounds(typing.NamedTuple):
@@ -104,6 +84,13 @@
 left without a complete answer."""
 
 
+class Reports(typing.NamedTuple):
+    """What is called with what happens to connections, if not None."""
+
+    on_unanswered: OnUnanswered | None = None
+    on_strike: client_limits.OnStrike | None = None
+
+
 class _Part(enum.Enum):
     """The part of a request that is being received."""
 
@@ -121,21 +108,22 @@
         self,
         bounds_of: BoundsOf,
         ledger: byte_ledger.ByteLedger | None,
-        on_unanswered: OnUnanswered | None,
+        reports: Reports,
         **options: typing.Any,
     ) -> None:
         """Serve one connection within the limits that ``bounds_of`` returns.
 
-        Unread bytes of answers are counted in ``ledger``, if there is one.
-        ``on_unanswered`` is called if the connection ends before an answer.
+        What it holds is counted in ``ledger``, if there is one.
         """
         super().__init__(**options)
         self.parser: typing.Any = request_parsing.create(self)
         self.on_lost: typing.Callable[[], None] | None = None
         self.on_half_close: typing.Callable[[], bool] | None = None
-        self._on_unanswered = on_unanswered
+        self._reports = reports
         self._is_half_closed = False
-        self._input = received_input.ReceivedInput()
+        self._held = held_input.create(self, ledger)
+        self._input = self._held.unparsed
+        self._reading = answer_reading.create(self, ledger, self._answer_time)
         self._is_held = False
         self._has_waited = False
         self._dropped_count = 0
@@ -145,22 +133,16 @@
         self._idle_since_s = self.loop.time()
         self._part = _Part.NONE
         self._head_bytes = 0
-        self._parsed_bytes = 0
-        self._body_holding: byte_ledger.Holding | None = None
-        self._received_at_s = self._idle_since_s
+        self._head_begun_at_s: float = 0
         self._trailer_bytes = 0
         self._refused = False
-        self._has_input = False
-        self._close_by_s: float = 0
-        self._departure_timer: asyncio.TimerHandle | None = None
+        self._closing = lingering_close.create(self._reading)
+        self._departures = departures.create(
+            self._is_reading_paused, self._on_departure
+        )
         self._is_stopping = False
         self._timer: asyncio.TimerHandle | None = None
         self._is_idle_timer = False
-        self._read_timer: asyncio.TimerHandle | None = None
-        self._written_bytes = 0
-        self._read_bytes = 0
-        self._read_at_s: float = 0
-        self._awaited_until_s: float = 0
 
     # Connection events
 
@@ -170,13 +152,16 @@
         self.flow = input_flow.create(self.transport, self._may_read)
         # The next request waits until the client has read the last answer.
         self.transport.set_write_buffer_limits(0)
+        self._reading.start(self.transport)
         if self._ledger is not None:
             self._ledger.add_connection()
         bounds = self._bounds_of()
         limit = bounds.max_connections
         if len(self.connections) <= limit or self._replace_waiting():
             self._start_timer(bounds.idle_ms)
-        elif connection_budgets.may_be_refused(limit, len(self.connections)):
+            return
+        self._report(client_limits.Limit.CONNECTIONS)
+        if connection_budgets.may_be_refused(limit, len(self.connections)):
             self._refuse_and_close(
                 outcomes.Reason.OVERLOADED, 'too many connections'
             )
@@ -190,11 +175,10 @@
             self._note_end(socket_state.End.RESET)
         self._report_unanswered()
         self._stop_timer()
-        for timer in (self._read_timer, self._departure_timer):
-            if timer is not None:
-                timer.cancel()
+        self._departures.stop()
+        self._closing.stop()
+        self._reading.stop()
         if self._ledger is not None:
-            self._ledger.set_unread(self, 0)
             self._ledger.forget_sender(self)
             self._ledger.remove_connection()
         if self.on_lost is not None:
@@ -219,30 +203,39 @@
         return True
 
     def is_waiting(self) -> bool:
-        """Return whether the connection is open without a whole request."""
-        if self._refused or self.transport.is_closing():
+        """Return whether the connection is open without a whole request.
+
+        One that only waits for its client to close is, too.
+        """
+        if self.transport.is_closing():
             return False
-        if self._body_holding is not None:
+        if self._closing.is_begun:
+            return not self._reading.count_undelivered_bytes()
+        if self._held.body is not None:
             return True
         return not (
-            self._is_answering() or self.transport.get_write_buffer_size()
+            self._refused
+            or self._is_answering()
+            or self.transport.get_write_buffer_size()
         )
 
     def measure_waiting(self) -> connection_budgets.Waiting:
         """Return for how long the connection has waited, and for what."""
-        waiting_s = self.loop.time() - max(
-            self._received_at_s, self._idle_since_s
-        )
+        since_s = max(self._idle_since_s, self._head_begun_at_s)
+        if self._held.body is not None:
+            since_s = self._held.received_at_s
         return connection_budgets.Waiting(
-            waiting_s * _MS_PER_S, self._is_unfinished()
+            (self.loop.time() - since_s) * _MS_PER_S,
+            self._closing.is_begun or self._is_unfinished(),
         )
 
     def give_way(self) -> None:
         """Close for a new connection; refuse the request that is unfinished."""
-        if self._body_holding is not None:
-            self._refuse_body(self._body_holding, _CONNECTION_REFUSAL)
+        self._report(client_limits.Limit.WAITING)
+        if self._held.body is not None:
+            self._refuse_body(self._held.body, _CONNECTION_REFUSAL)
             return
-        if self._part is _Part.HEAD:
+        if self._part is _Part.HEAD and not self._closing.is_begun:
             self._write_refusal(
                 outcomes.Reason.OVERLOADED,
                 _CONNECTION_REFUSAL.detail,
@@ -258,7 +251,7 @@
         closes too.
         """
         self._is_half_closed = True
-        return not self._close_by_s and self._is_kept_for_answer()
+        return not self._closing.is_begun and self._is_kept_for_answer()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer of the next read, which bounds its size."""
@@ -270,10 +263,9 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Parse received bytes, or keep them while a request is unanswered."""
-        self._has_input = True
-        self._received_at_s = self.loop.time()
+        self._closing.note_input()
         if not self._refused:
-            self._input.add(chunk)
+            self._held.add(chunk)
             self._parse_input()
 
     def _parse_input(self) -> None:
@@ -286,40 +278,31 @@
             part = self._input.take(self.parser.remaining_body_bytes)
             if self._part is _Part.BODY or self._take_head(part):
                 self._parse(part)
-        if self._refused or (self._input and not self._hold_input()):
-            return
-        if self._ledger is not None:
-            self._ledger.note_unfinished(self, self._is_unfinished())
-        self._limit_input()
+        if self._input:
+            self._refuse_unless_held(self._held.hold())
+        self._held.release(self._is_unfinished())
+        if not self._refused:
+            self._limit_input()
 
     def _take_head(self, part: bytes) -> bool:
         """Count a part of a head; refuse the request if it is too much."""
         self._head_bytes += len(part)
         if self._head_bytes > self._bounds_of().max_header_bytes:
+            self._report(client_limits.Limit.HEAD_SIZE)
             self._refuse(outcomes.Reason.TOO_LARGE, 'the header is too large')
             return False
-        self._parsed_bytes += byte_budgets.head_bytes(
-            len(part), part.count(_LINE_END)
-        )
-        return self._hold_input()
+        return self._refuse_unless_held(self._held.take_head(part))
 
-    def _hold_input(self) -> bool:
-        """Count what is kept of requests; refuse them if it doesn't fit."""
-        if self._ledger is None:
-            return True
-        refusal = self._ledger.hold_input(
-            self, self._parsed_bytes + len(self._input)
-        )
+    def _refuse_unless_held(self, refusal: byte_ledger.Refusal | None) -> bool:
         if refusal is not None:
             self.refuse_sending(refusal)
         return refusal is None
 
     def hold_body(self, holding: byte_ledger.Holding | None) -> None:
         """Set what holds the body that is received, None once it is whole."""
-        is_changed = self._body_holding is not holding
-        self._body_holding = holding
-        if self._ledger is not None and is_changed:
-            self._ledger.note_unfinished(self, self._is_unfinished())
+        if self._held.body is not holding:
+            self._held.body = holding
+            self._held.release(self._is_unfinished())
 
     def close_after_answer(self) -> None:
         """Close once the request in progress is answered."""
@@ -327,58 +310,53 @@
 
     def measure_sending(self) -> byte_budgets.Sender:
         """Return what is held of unfinished requests, and how old they are."""
-        held_bytes = self._parsed_bytes + len(self._input)
-        if self._body_holding is not None:
-            held_bytes += self._body_holding.size
-        stopped_s = self.loop.time() - self._received_at_s
-        return byte_budgets.Sender(held_bytes, stopped_s * _MS_PER_S)
+        return self._held.measure()
 
     def refuse_sending(self, refusal: byte_ledger.Refusal) -> None:
         """Refuse what the client has not sent completely, and close.
 
         An answer in progress goes on; what was sent behind it is dropped.
         """
-        if self._body_holding is not None:
-            self._refuse_body(self._body_holding, refusal)
-            self._release_input()
-            return
-        if self._is_answering():
+        body = self._held.body
+        if body is None and self._is_answering():
+            self._report(client_limits.Limit.SENT_AHEAD)
             self._drop_input()
             self._refused = True
-            self.cycle.keep_alive = False
-        else:
+            self.close_after_answer()
+            self._release_input()
+            return
+        self._report(client_limits.Limit.MEMORY)
+        if body is None:
             self._refuse_and_close(
                 outcomes.Reason.OVERLOADED,
                 refusal.detail,
                 refusal.retry_after_ms,
             )
-        self._release_input()
+        else:
+            self._refuse_body(body, refusal)
 
     def _refuse_body(
         self, holding: byte_ledger.Holding, refusal: byte_ledger.Refusal
     ) -> None:
         """Let the application, which waits for the body, refuse it."""
-        self._body_holding = None
+        self._held.body = None
         self._drop_input()
         self._refused = True
-        self.cycle.keep_alive = False
         self.cycle.body = bytearray()
+        self.close_after_answer()
+        self._release_input()
         holding.revoke(refusal)
         self.cycle.message_event.set()
 
     def _release_input(self) -> None:
-        """Stop counting what is no longer kept of requests."""
+        """Drop a request that is answered, and count what is still kept."""
         if self.cycle is None or self.cycle.response_complete:
             self._forget_request()
-        if self._ledger is not None:
-            self._ledger.note_unfinished(self, self._is_unfinished())
-            self._ledger.release_input(
-                self, self._parsed_bytes + len(self._input)
-            )
+        self._held.release(self._is_unfinished())
 
     def _forget_request(self) -> None:
         """Drop the last request, which an idle connection would keep."""
-        self._parsed_bytes = 0
+        self._held.release_head()
         self.headers = []
         self.url = b''
         self.scope = {}  # type: ignore[typeddict-item]
@@ -391,10 +369,20 @@
         if self._refused:
             return False
         is_body_awaited = (
-            self._part is _Part.BODY and self._body_holding is not None
+            self._part is _Part.BODY and self._held.body is not None
         )
         return is_body_awaited or self._part is _Part.HEAD or bool(self._input)
 
+    def _report(self, limit: client_limits.Limit) -> None:
+        """Report that a limit struck this client."""
+        if self._reports.on_strike is None:
+            return
+        host, port = self.client or ('', 0)
+        held_bytes = self._held.measure().held_bytes
+        self._reports.on_strike(
+            client_limits.Strike(limit, f'{host}:{port}', held_bytes)
+        )
+
     def _may_parse(self) -> bool:
         if self._refused:
             return False
@@ -423,8 +411,7 @@
         elif self._is_held:
             self._is_held = False
             self.flow.resume_reading()
-        if self.flow.read_paused and self._departure_timer is None:
-            self._check_departure_later()
+        self._departures.start(self.transport)
         if self._part is _Part.NONE:
             self._stop_timer()
             self._await_request()
@@ -442,6 +429,7 @@
         extension: typing.Any = self._connection
         self.scope['extensions'] = {'connection': extension}
         self._part = _Part.HEAD
+        self._head_begun_at_s = self.loop.time()
         self._trailer_bytes = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -461,7 +449,7 @@
         self._connection['target'] = self.url
         super().on_headers_complete()
         self._has_waited = False
-        self._join_writes()
+        joined_writes.join(self.cycle, self._reading.add_written, self._finish)
         if self._is_stopping and not self._has_input_behind_body():
             self.cycle.keep_alive = False
         # Not before: a head that raises above has no cycle of its own.
@@ -482,72 +470,43 @@
         A request that has begun to arrive is answered first.
         """
         self._is_stopping = True
-        if self._close_by_s:
-            self._close_if_delivered()
-        elif self._refused or self._is_answering():
-            self.cycle.keep_alive = self._has_input_behind_body()
+        if self._closing.is_begun:
+            self._closing.close_if_delivered(self.transport)
+        elif self._is_answering():
+            is_last = self._refused or not self._has_input_behind_body()
+            self.cycle.keep_alive = not is_last
         elif self._is_request_arriving():
             return
-        elif self._count_undelivered_bytes():
+        elif self._reading.count_undelivered_bytes():
             self._finish()
         else:
             super().shutdown()
 
     def on_response_complete(self) -> None:
         """Limit the time for which the client may stop reading the answer."""
-        if not self._close_by_s:
+        if not self._closing.is_begun:
             self._idle_since_s = self.loop.time()
             self.timeout_keep_alive = typing.cast(
                 int,
                 clock.to_seconds(self._bounds_of().idle_ms),
             )
             super().on_response_complete()
-        unread_bytes = self._count_unread_bytes()
-        if unread_bytes and not self._read_timer:
-            self._note_read(self.count_read_bytes())
-            self._start_read_timer()
-        if self._ledger is not None:
-            self._ledger.set_unread(self, unread_bytes)
+        self._reading.watch()
         self._release_input()
         if not self.transport.is_closing():
             self._parse_input()
             self._close_if_stopping()
 
-    def count_read_bytes(self) -> int:
-        """Return how many bytes of its answers the client has received.
-
-        Those in the buffers of the process and of the kernel are not counted.
-        The kernel buffer of a slow client takes megabytes, so the buffer of
-        the process alone may not shrink for minutes though the client reads.
-        """
-        return (
-            self._written_bytes
-            - self.transport.get_write_buffer_size()
-            - self._count_kernel_bytes()
-        )
-
     def measure_reading(self) -> byte_budgets.Reader:
         """Return what is unread and how long the client has read nothing."""
-        read_bytes = self.count_read_bytes()
-        if read_bytes > self._read_bytes:
-            self._note_read(read_bytes)
-        now_s = self.loop.time()
-        return byte_budgets.Reader(
-            self._count_unread_bytes(),
-            (now_s - self._read_at_s) * _MS_PER_S,
-            (self._awaited_until_s - now_s) * _MS_PER_S,
-        )
+        return self._reading.measure()
 
     def await_client(self, remaining_ms: clock.Millis) -> None:
         """Wait ``remaining_ms`` for the client to read the next answer.
 
         That is the time to its deadline, in which it may read late.
         """
-        wait_ms = min(remaining_ms, _MAX_WAIT_MS)
-        self._awaited_until_s = max(
-            self._awaited_until_s,
-            self.loop.time() + clock.to_seconds(wait_ms),
-        )
+        self._reading.await_client(remaining_ms)
 
     def cut_off(self) -> None:
         """Reset the connection and drop the unread bytes of its answers."""
@@ -579,10 +538,6 @@
         if self._is_stopping and not self._is_request_arriving():
             self._finish()
 
-    def _close_if_delivered(self) -> None:
-        if not self._count_undelivered_bytes():
-            self.transport.close()
-
     async def wait_until_read(self) -> None:
         """Wait while the client is behind with earlier answers."""
         await self.flow.drain()
@@ -597,6 +552,7 @@
         if self._part is _Part.BODY and not self.cycle.response_started:
             self.cycle.disconnected = True
             self.cycle.message_event.set()
+        self._report(client_limits.Limit.MALFORMED)
         self._refuse(outcomes.Reason.BAD_REQUEST, msg)
 
     def timeout_keep_alive_handler(self) -> None:
@@ -604,7 +560,7 @@
 
         It isn't idle while its client still reads an answer.
         """
-        if self._count_unread_bytes():
+        if self._reading.count_unread_bytes():
             self._idle_since_s = self.loop.time()
         remaining_s = self._remaining_idle_s()
         if remaining_s > 0:
@@ -627,37 +583,9 @@
                 self.timeout_keep_alive_handler,
             )
 
-    def _join_writes(self) -> None:
-        joined = joined_writes.JoiningTransport(
-            self.transport,
-            self._count_written,
-            self.cycle.on_response,
-            self._finish,
-        )
-        self.cycle.transport = typing.cast(asyncio.Transport, joined)
-        self.cycle.on_response = joined.complete_response
-        if self.expect_100_continue:
-            self._close_without_body(self.cycle)
-
-    def _close_without_body(
-        self, cycle: httptools_impl.RequestResponseCycle
-    ) -> None:
-        """Close after an answer whose client still waits to send the body.
-
-        It may send the next request instead, which would be read as the body.
-        """
-        send = cycle.send
-
-        async def send_or_close(message: typing.Any) -> None:
-            if cycle.waiting_for_100_continue and cycle.more_body:
-                cycle.keep_alive = False
-            await send(message)
-
-        cycle.send = send_or_close  # type: ignore[method-assign]
-
     def _note_end(self, end: socket_state.End) -> None:
         """Note how the client ended the connection, unless this side did."""
-        if not self._close_by_s:
+        if not self._closing.is_begun:
             self._end = end
 
     def _report_unanswered(self) -> None:
@@ -665,12 +593,15 @@
         unanswered_count = self._dropped_count + self._count_waiting()
         if self._is_answering() and not self.cycle.more_body:
             unanswered_count += 1
-        if unanswered_count and self._on_unanswered is not None:
-            self._on_unanswered(self._end.value, unanswered_count)
+        if unanswered_count and self._reports.on_unanswered is not None:
+            self._reports.on_unanswered(self._end.value, unanswered_count)
 
     def _is_answering(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
 
+    def _answer_time(self) -> clock.Millis:
+        return self._bounds_of().answer_time_ms
+
     def _remaining_idle_s(self) -> float:
         """Return the time until the idle timeout, in s.
 
@@ -710,24 +641,16 @@
 
     # The close by a client whose input is not read
 
-    def _check_departure_later(self) -> None:
-        self._departure_timer = self.loop.call_later(
-            clock.to_seconds(_DEPARTURE_CHECK_MS), self._check_departure
-        )
-
-    def _check_departure(self) -> None:
-        """Close if the client has closed; look again while reading is paused.
+    def _is_reading_paused(self) -> bool:
+        """Return whether the reading is paused.
 
-        Reading pauses while pipelined requests or a large body wait. A close
-        is read only after them, but ends the requests at once.
+        It is while requests sent ahead or a large body wait. A close is read
+        only after them, but ends the requests at once.
         """
-        self._departure_timer = None
-        if not self.flow.read_paused:
-            return
-        end = socket_state.find_end(self.transport)
-        if end is None:
-            self._check_departure_later()
-        elif end is socket_state.End.RESET:
+        return self.flow.read_paused
+
+    def _on_departure(self, end: socket_state.End) -> None:
+        if end is socket_state.End.RESET:
             self._note_end(end)
             self.transport.abort()
         elif not self._is_kept_for_answer():
@@ -762,64 +685,6 @@
         self.cycle.keep_alive = False
         return True
 
-    # The reading of answers by the client
-
-    def _count_written(self, size: int) -> None:
-        self._written_bytes += size
-
-    def _count_kernel_bytes(self) -> int:
-        """Return how many bytes the kernel has not delivered, if it says so."""
-        undelivered_bytes = socket_state.count_unsent_bytes(self.transport)
-        # The kernel counts the end of the stream as a byte until it is
-        # acknowledged.
-        end_bytes = 1 if self._close_by_s else 0
-        return max(undelivered_bytes - end_bytes, 0)
-
-    def _count_undelivered_bytes(self) -> int:
-        buffered_bytes = self.transport.get_write_buffer_size()
-        return buffered_bytes + self._count_kernel_bytes()
-
-    def _count_unread_bytes(self) -> int:
-        """Return the bytes of answers that wait for the client.
-
-        Those in the kernel count only where buffered bytes are limited.
-        """
-        if self._ledger is None:
-            return self.transport.get_write_buffer_size()
-        return self._count_undelivered_bytes()
-
-    def _note_read(self, read_bytes: int) -> None:
-        self._read_bytes = read_bytes
-        self._read_at_s = self.loop.time()
-
-    def _start_read_timer(self) -> None:
-        interval_ms = self._bounds_of().answer_time_ms / _READ_CHECKS
-        if self._ledger is not None:
-            interval_ms = min(interval_ms, _MAX_CHECK_INTERVAL_MS)
-        self._read_timer = self.loop.call_later(
-            clock.to_seconds(interval_ms), self._check_reading
-        )
-
-    def _check_reading(self) -> None:
-        """Abort the connection if its client has stopped reading."""
-        self._read_timer = None
-        reading = self.measure_reading()
-        if reading.unread_bytes and self._has_stopped(reading):
-            self.transport.abort()
-        elif reading.unread_bytes:
-            self._start_read_timer()
-        if self._ledger is not None:
-            self._ledger.set_unread(self, reading.unread_bytes)
-
-    def _has_stopped(self, reading: byte_budgets.Reader) -> bool:
-        """Return whether the client reads no more of its answers.
-
-        Until its deadline it may go on.
-        """
-        if reading.awaited_ms > 0:
-            return False
-        return reading.stopped_ms >= self._bounds_of().answer_time_ms
-
     # The end of the connection
 
     def _refuse(self, reason: outcomes.Reason, detail: str) -> None:
@@ -853,7 +718,7 @@
         retry_after_ms: clock.Millis,
     ) -> None:
         reply = replies.not_run_reply(reason, detail, retry_after_ms)
-        self.transport.write(_encode_response(reply))
+        self.transport.write(replies.encode_refusal(reply))
 
     def _finish(self) -> None:
         """Close after the last answer, and drop input until the client closes.
@@ -861,51 +726,18 @@
         Without a close by the client, wait until it has received the answer
         and has sent nothing for a while, or until the time of a body is over.
         """
-        if self._close_by_s or self.transport.is_closing():
+        if self._closing.is_begun or self.transport.is_closing():
             return
         self._refused = True
         self._drop_input()
         self._release_input()
         self._stop_timer()
-        max_ms = self._bounds_of().request_time_ms * _BODY_TIME_FACTOR
-        self._close_by_s = self.loop.time() + clock.to_seconds(max_ms)
-        with contextlib.suppress(OSError):
-            self.transport.write_eof()
+        self._closing.begin(
+            self.transport,
+            self._bounds_of().request_time_ms * _BODY_TIME_FACTOR,
+        )
         if self._is_half_closed:
             self.transport.close()
             return
         self.flow.resume_reading()
-        self._note_read(self.count_read_bytes())
-        self._check_finished_later()
-
-    def _check_finished_later(self) -> None:
-        self._has_input = False
-        self._timer = self.loop.call_later(
-            clock.to_seconds(_CLOSE_DELAY_MS), self._close_if_finished
-        )
-
-    def _close_if_finished(self) -> None:
-        unread_bytes = self._count_undelivered_bytes()
-        if unread_bytes and self._has_stopped(self.measure_reading()):
-            self.transport.abort()
-        elif unread_bytes or (
-            self._has_input and self.loop.time() < self._close_by_s
-        ):
-            self._check_finished_later()
-        else:
-            self.transport.close()
-
-
-def _encode_response(reply: pending.Reply) -> bytes:
-    written = replies.build_refusal(reply)
-    body = msgspec.json.encode(written.document)
-    fields = [
-        *written.headers,
-        (headers.CONTENT_TYPE, b'application/json'),
-        (headers.CONTENT_LENGTH, str(len(body)).encode()),
-        (headers.CONNECTION, b'close'),
-    ]
-    phrase = http.HTTPStatus(written.status).phrase
-    lines = [f'HTTP/1.1 {written.status} {phrase}'.encode()]
-    lines.extend(b'%b: %b' % field for field in fields)
-    return b'\r\n'.join([*lines, b'', body])
+        self._closing.wait(self.transport)
--- a/oleanderstair/engine/gateway_runtime.py
+++ b/oleanderstair/engine/gateway_runtime.py
@@ -17,6 +17,7 @@
 from oleanderstair.domain.tables import load_reports
 from oleanderstair.domain.targets import connection_limits
 from oleanderstair.engine import (
+    client_limits,
     dialects,
     exchanges,
     forwarded_calls,
@@ -217,6 +218,17 @@
             self.sides.clock.now_ms(),
         )
 
+    def report_strike(self, strike: client_limits.Strike) -> None:
+        """Log and count a limit that struck a client."""
+        limit = strike.limit.value
+        self.metrics.count('client-limited', f'limit={limit}')
+        self.decisions.limit_client(
+            limit,
+            strike.client,
+            strike.held_bytes,
+            self.sides.clock.now_ms(),
+        )
+
     def report_unanswered(self, why: str, count: int) -> None:
         """Log and count whole requests whose connection ended unanswered."""
         self.metrics.count('closed-unanswered', f'why={why}', count)
--- a/oleanderstair/engine/joined_writes.py
+++ b/oleanderstair/engine/joined_writes.py
@@ -3,6 +3,9 @@
 import asyncio
 import typing
 
+if typing.TYPE_CHECKING:
+    from uvicorn.protocols.http import httptools_impl
+
 _INTERIM_PREFIX: typing.Final = b'HTTP/1.1 1'
 _MAX_JOINED_BYTES: typing.Final = 65536
 """Maximum size of a body that is copied to write it together with its head."""
@@ -71,3 +74,37 @@
     def _write(self, chunk: bytes) -> None:
         self._transport.write(chunk)
         self._on_write(len(chunk))
+
+
+def join(
+    cycle: 'httptools_impl.RequestResponseCycle',
+    on_write: typing.Callable[[int], None],
+    on_close: typing.Callable[[], None],
+) -> None:
+    """Join the writes of one request's answer.
+
+    ``on_write`` is called with each size, and ``on_close`` in place of the
+    close of the connection.
+    """
+    joined = JoiningTransport(
+        cycle.transport, on_write, cycle.on_response, on_close
+    )
+    cycle.transport = typing.cast(asyncio.Transport, joined)
+    cycle.on_response = joined.complete_response
+    if cycle.waiting_for_100_continue:
+        _close_without_body(cycle)
+
+
+def _close_without_body(cycle: 'httptools_impl.RequestResponseCycle') -> None:
+    """Close after an answer whose client still waits to send the body.
+
+    It may send the next request instead, which would be read as the body.
+    """
+    send = cycle.send
+
+    async def send_or_close(message: typing.Any) -> None:
+        if cycle.waiting_for_100_continue and cycle.more_body:
+            cycle.keep_alive = False
+        await send(message)
+
+    cycle.send = send_or_close  # type: ignore[method-assign]
--- a/oleanderstair/engine/listener.py
+++ b/oleanderstair/engine/listener.py
@@ -12,6 +12,7 @@
     asgi,
     bounded_protocol,
     byte_ledger,
+    client_limits,
     uvicorn_parts,
 )
 
@@ -165,13 +166,14 @@
     bounds_of: bounded_protocol.BoundsOf,
     ledger: byte_ledger.ByteLedger | None = None,
     on_unanswered: bounded_protocol.OnUnanswered | None = None,
+    on_strike: client_limits.OnStrike | None = None,
 ) -> _Server:
     """Create a server for ``app`` with limits that may change.
 
-    ``bounds_of`` returns the limits in force. Unread bytes of answers are
-    counted in ``ledger``. ``on_unanswered`` is called for each connection that
-    ends before the answer to a whole request. The server has no signal
-    handlers and no access log.
+    ``bounds_of`` returns the limits in force. What connections hold is counted
+    in ``ledger``. ``on_unanswered`` is called for each connection that ends
+    before the answer to a whole request, ``on_strike`` where a limit strikes a
+    client. The server has no signal handlers and no access log.
     """
     _configure_uvicorn_logs()
     config = uvicorn_config.Config(
@@ -182,7 +184,7 @@
                 bounded_protocol.BoundedProtocol,
                 bounds_of,
                 ledger,
-                on_unanswered,
+                bounded_protocol.Reports(on_unanswered, on_strike),
             ),
         ),
         ws='none',
--- a/oleanderstair/engine/replies.py
+++ b/oleanderstair/engine/replies.py
@@ -4,6 +4,8 @@
 import math
 import typing
 
+import msgspec
+
 from oleanderstair import clock
 from oleanderstair.domain import outcomes
 from oleanderstair.engine import asgi, exchanges, headers, pending
@@ -93,6 +95,22 @@
     return HttpRefusal(status.value, fields, document)
 
 
+def encode_refusal(reply: pending.Reply) -> bytes:
+    """Return the bytes of a refusal after which the connection closes."""
+    response = build_refusal(reply)
+    body = msgspec.json.encode(response.document)
+    fields = [
+        *response.headers,
+        (headers.CONTENT_TYPE, b'application/json'),
+        (headers.CONTENT_LENGTH, str(len(body)).encode()),
+        _CONNECTION_CLOSE,
+    ]
+    phrase = http.HTTPStatus(response.status).phrase
+    lines = [f'HTTP/1.1 {response.status} {phrase}'.encode()]
+    lines.extend(b'%b: %b' % field for field in fields)
+    return b'\r\n'.join([*lines, b'', body])
+
+
 def not_run_reply(
     reason: outcomes.Reason,
     detail: str,
--- a/oleanderstair/explaining/decisions.py
+++ b/oleanderstair/explaining/decisions.py
@@ -147,6 +147,21 @@
         )
         self._say_or_merge(now_ms, 'reader-cut', 'memory', fields)
 
+    def limit_client(
+        self,
+        limit: str,
+        client: str,
+        held_bytes: int,
+        now_ms: clock.Millis,
+    ) -> None:
+        """Take a client that exceeded a limit, or gave way to others."""
+        fields: lines.Fields = (
+            ('limit', limit),
+            ('client', client),
+            ('held_bytes', held_bytes),
+        )
+        self._say_or_merge(now_ms, 'client-limited', limit, fields)
+
     def close_unanswered(
         self,
         why: str,
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -126,6 +126,7 @@
             bounds_of,
             runtime.ledger,
             runtime.report_unanswered,
+            runtime.report_strike,
         )
         platform_sockets = self.platform_sockets
         metrics_address = ''
@@ -136,6 +137,7 @@
             platform_app.create(runtime, metrics_address),
             platform_bounds_of,
             runtime.ledger,
+            on_strike=runtime.report_strike,
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(callers.serve, [self.caller_socket])
--- a/oleanderstair/platform/platform_app.py
+++ b/oleanderstair/platform/platform_app.py
@@ -141,6 +141,9 @@
     return [
         gauges.Gauge('buffered_bytes_limit', (), ledger.budget.total_bytes),
         gauges.Gauge('buffered_bytes', (), ledger.used_bytes),
+        gauges.Gauge('client_connections', (), ledger.connection_count),
+        gauges.Gauge('request_bytes', (), sum(ledger.input_by_sender.values())),
+        gauges.Gauge('unfinished_requests', (), len(ledger.unfinished)),
         gauges.Gauge('unread_answer_bytes', (), unread_bytes),
         gauges.Gauge('unread_answers', (), len(ledger.unread_by_reader)),
         gauges.Gauge('paused_answers', (), ledger.waiting_answers),
--- a/test/test_byte_ledger.py
+++ b/test/test_byte_ledger.py
@@ -402,13 +402,13 @@
 
 
 @contextlib.asynccontextmanager
-async def serving_small(ledger):
+async def serving_small(ledger, on_strike=None):
     async def answer(scope, receive, send):
         await asgi.respond(send, 200, [(b'content-length', b'2')], b'oo')
 
     bound = listener.bind_socket('127.0.0.1', 0)
     server = listener.create_with_changing_bounds(
-        answer, lambda: BOUNDS, ledger
+        answer, lambda: BOUNDS, ledger, on_strike=on_strike
     )
     with anyio.fail_after(10):
         async with anyio.create_task_group() as tasks:
@@ -421,8 +421,12 @@
     async def scenario():
         ledger = create_ledger()
         ledger.add('other', large_limit(ledger))
-        async with serving_small(ledger) as address:
+        strikes = []
+        async with serving_small(ledger, strikes.append) as address:
             answer = await raw.send_and_receive(address, HEAD, SHORT_LINES)
+            assert [strike.limit.value for strike in strikes] == ['memory']
+            assert strikes[0].held_bytes >= 640_000
+            assert strikes[0].client.startswith('127.0.0.1:')
             assert_refused(answer, ran=False)
             assert b'connection: close' in answer
             small = HEAD.replace(b'host', b'connection: close\r\nhost')
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -230,3 +230,16 @@
     log.observe(500, events.Tick(), [])
     assert sink.lines[0].endswith('why=reset requests=2')
     assert sink.lines[-1].endswith('count=5')
+
+
+def test_limited_clients_are_logged_up_to_a_rate() -> None:
+    # Guards against a flood of lines from clients that are refused.
+    sink = sinks.ListSink()
+    log = decisions.DecisionLog(helper.make_world(), sink, lambda: 1.0)
+    for _ in range(decisions.BURST_LINES + 5):
+        log.limit_client('memory', '10.0.0.1:4000', 656_000, 500)
+    log.observe(500, events.Tick(), [])
+    assert sink.lines[0].endswith(
+        'limit=memory client=10.0.0.1:4000 held_bytes=656000'
+    )
+    assert sink.lines[-1].endswith('count=5')
