Give instances on release notes the same budgets

Callers saw: an instance that is steered by release notes had no byte budget at all, so that many large bodies, heads of short lines or unread answers took it over its memory, whatever instance.capacity.memory_mb said.

Cause: only the gateway created a ledger, and only its listeners got one.

Mend: both daemons derive ledger and connection limits from the settings in the same way (engine/machine_limits.py) and pass them to all their listeners; the callers' application holds bodies and answers. The default states no memory, so that only the descriptors limit connections there. A refusal of a request with a bound key stays unknown, as only its home can say that it did not run.

--- a/oleanderstair/engine/node.py
+++ b/oleanderstair/engine/node.py
@@ -10,17 +10,19 @@
 import msgspec
 
 from oleanderstair import clock, logs, settings
-from oleanderstair.domain import events, world
+from oleanderstair.domain import byte_budgets, events, world
 from oleanderstair.domain.tables import identity
 from oleanderstair.engine import (
     admin,
     balancer_runtime,
     bounded_protocol,
+    byte_ledger,
     caller_app,
     dependencies,
     exchanges,
     http_platform,
     listener,
+    machine_limits,
     peers,
     probes,
     recorder,
@@ -60,12 +62,22 @@
     async def _serve_listeners(
         self, runtime: balancer_runtime.BalancerRuntime
     ) -> None:
+        memory_mb = self.node_settings.instance.capacity.memory_mb
+        ledger = byte_ledger.create(byte_budgets.create_budget(memory_mb))
+        limits = machine_limits.connection_limits_of(self.node_settings)
+        bounds = _bounds_of(self.node_settings.callers, limits.callers)
+        admin_bounds = listener.DEFAULT_BOUNDS._replace(
+            max_connections=limits.platform
+        )
         servers = [
-            listener.create(
-                caller_app.create(runtime, self.node_settings.callers),
-                _bounds_of(self.node_settings.callers),
+            listener.create_with_changing_bounds(
+                caller_app.create(runtime, self.node_settings.callers, ledger),
+                lambda: bounds,
+                ledger,
+            ),
+            listener.create_with_changing_bounds(
+                admin.create(runtime), lambda: admin_bounds, ledger
             ),
-            listener.create(admin.create(runtime)),
         ]
         sockets = [self.caller_socket, self.admin_socket]
         async with anyio.create_task_group() as tasks:
@@ -171,12 +183,12 @@
 
 
 def _bounds_of(
-    callers_settings: settings.CallerSettings,
+    callers_settings: settings.CallerSettings, max_connections: int
 ) -> bounded_protocol.ConnectionBounds:
     return bounded_protocol.ConnectionBounds(
         max_header_bytes=callers_settings.max_header_bytes,
         request_time_ms=callers_settings.request_time_ms,
         idle_ms=callers_settings.idle_ms,
         answer_time_ms=callers_settings.answer_time_ms,
-        max_connections=callers_settings.max_connections,
+        max_connections=max_connections,
     )
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -1,7 +1,6 @@
 """Assembles an entry instance on the users' platform."""
 
 import random
-import resource
 import secrets
 import socket
 import time
@@ -27,6 +26,7 @@
     exchanges,
     gateway_runtime,
     listener,
+    machine_limits,
     peers,
     routed_caller_app,
 )
@@ -103,7 +103,9 @@
         reload, for the audit trail.
         """
         self.node_settings = valid_settings
-        self.connection_limits = _connection_limits_of(valid_settings)
+        self.connection_limits = machine_limits.connection_limits_of(
+            valid_settings
+        )
         if self.runtime is None:
             return
         self.runtime.state.members.seeds = tuple(valid_settings.peers.seeds)
@@ -238,7 +240,7 @@
             heartbeats=False,
         ),
         times=times,
-        connection_limits=_connection_limits_of(valid_settings),
+        connection_limits=machine_limits.connection_limits_of(valid_settings),
         platform_sockets=[
             _bind(valid_settings.platform.directory_address),
             _bind(valid_settings.platform.readiness_address),
@@ -255,28 +257,6 @@
     return limits
 
 
-def _connection_limits_of(
-    valid_settings: settings.Settings,
-) -> connection_budgets.ConnectionLimits:
-    capacity = valid_settings.instance.capacity
-    return connection_budgets.create_limits(
-        _descriptors_of(capacity),
-        byte_budgets.create_budget(capacity.memory_mb),
-        valid_settings.callers.max_connections,
-    )
-
-
-def _descriptors_of(capacity: settings.CapacitySettings) -> int:
-    """Return how many descriptors the process may open, 0 if unlimited."""
-    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    known = [
-        count
-        for count in (capacity.max_descriptors, allowed)
-        if count not in {0, resource.RLIM_INFINITY}
-    ]
-    return min(known, default=0)
-
-
 def _bind(address: str) -> socket.socket:
     host, _, port = address.rpartition(':')
     return listener.bind_socket(host, int(port))
--- a/test/test_callers.py
+++ b/test/test_callers.py
@@ -6,9 +6,10 @@
 import msgspec
 import pytest
 
+from oleanderstair import settings
 from oleanderstair.domain import actions, events, messages, outcomes
 from oleanderstair.emulator import fleet, targets
-from oleanderstair.engine import peers, replies
+from oleanderstair.engine import node, peers, replies
 from test import helper, raw
 
 ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ntwig'
@@ -358,3 +359,45 @@
             assert sum(served) == 1
 
     anyio.run(scenario)
+
+
+# Bodies, heads and answers had limits for each connection only, so that many
+# of them took an instance over its memory.
+@pytest.mark.parametrize(
+    ('framing', 'body'),
+    [
+        (b'content-length: 9000000\r\n\r\n', b''),
+        (
+            b'transfer-encoding: chunked\r\n\r\n7fffff\r\n',
+            b'x' * 8_000_000,
+        ),
+        (b'a:\r\n' * 60_000, b''),
+    ],
+)
+def test_request_that_does_not_fit_into_the_memory_is_refused(framing, body):
+    async def scenario():
+        async with helper.running_fleet(1) as (deployment, _):
+            tree = deployment.node_settings('entry-2', 'trnava')
+            tree['instance']['capacity'] = {'memory_mb': 65}
+            tree['callers']['max_body_bytes'] = 64_000_000
+            tree['callers']['max_header_bytes'] = 1_000_000
+            tree['policy'] = {'confirm_without_peers': True}
+            entry = node.create(settings.build(tree))
+            deployment.tasks.start_soon(entry.run)
+            await helper.wait_until(lambda: helper.is_serving(entry))
+            address = entry.identity.caller_address
+            answer = await raw.send_and_receive(
+                address,
+                b'POST /orders HTTP/1.1\r\nhost: burza\r\n',
+                framing,
+                body,
+            )
+            head = answer.partition(b'\r\n\r\n')[0]
+            assert head.startswith(b'HTTP/1.1 503')
+            assert b'call-outcome: not-run' in head
+            assert b'retry-after: ' in head
+            assert b'connection: close' in head
+            ordinary = await helper.send_request(address)
+            assert ordinary.status == 200
+
+    anyio.run(scenario)
