Find the connection that gives way without a look at all others

Callers saw: while a crowd kept opening connections at the limit, each new one held the event loop for 10 ms, and up to 32 of them are accepted in one turn.

Cause: all connections were measured for each new one. The search for unfinished requests that could be refused was repeated as well for each head or body that didn't fit, also where it had just been in vain.

Mend: each listener keeps its waiting connections in the order of their wait, unfinished requests apart, so that the first of each is enough to choose from. A search for unfinished requests that was in vain isn't repeated for 100 ms for a call as large or larger.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -30,6 +30,7 @@
     request_parsing,
     socket_state,
     uvicorn_parts,
+    waiting_connections,
 )
 
 if typing.TYPE_CHECKING:
@@ -109,17 +110,20 @@
         bounds_of: BoundsOf,
         ledger: byte_ledger.ByteLedger | None,
         reports: Reports,
+        waiting: waiting_connections.WaitingConnections,
         **options: typing.Any,
     ) -> None:
         """Serve one connection within the limits that ``bounds_of`` returns.
 
-        What it holds is counted in ``ledger``, if there is one.
+        What it holds is counted in ``ledger``, if there is one. ``waiting``
+        has the connections of the listener that may give way to others.
         """
         super().__init__(**options)
         self.parser: typing.Any = request_parsing.create(self)
         self.on_lost: typing.Callable[[], None] | None = None
         self.on_half_close: typing.Callable[[], bool] | None = None
         self._reports = reports
+        self._waiting = waiting
         self._is_half_closed = False
         self._held = held_input.create(self, ledger)
         self._input = self._held.unparsed
@@ -157,7 +161,8 @@
             self._ledger.add_connection()
         bounds = self._bounds_of()
         limit = bounds.max_connections
-        if len(self.connections) <= limit or self._replace_waiting():
+        if len(self.connections) <= limit or self._waiting.replace_one():
+            self._waiting.add_idle(self)
             self._start_timer(bounds.idle_ms)
             return
         self._report(client_limits.Limit.CONNECTIONS)
@@ -174,6 +179,7 @@
         if exc is not None:
             self._note_end(socket_state.End.RESET)
         self._report_unanswered()
+        self._waiting.remove(self)
         self._stop_timer()
         self._departures.stop()
         self._closing.stop()
@@ -184,40 +190,14 @@
         if self.on_lost is not None:
             self.on_lost()
 
-    def _replace_waiting(self) -> bool:
-        """Close the connection that has waited the longest for a request.
+    def may_give_way(self) -> bool:
+        """Return whether the connection can be closed for a new one.
 
-        Return False if none has waited long enough.
+        It can't while an answer is on its way.
         """
-        protocols = [
-            protocol
-            for protocol in self.connections
-            if isinstance(protocol, BoundedProtocol) and protocol.is_waiting()
-        ]
-        index = connection_budgets.choose_replaced(
-            [protocol.measure_waiting() for protocol in protocols]
-        )
-        if index is None:
-            return False
-        protocols[index].give_way()
-        return True
-
-    def is_waiting(self) -> bool:
-        """Return whether the connection is open without a whole request.
-
-        One that only waits for its client to close is, too.
-        """
-        if self.transport.is_closing():
-            return False
         if self._closing.is_begun:
             return not self._reading.count_undelivered_bytes()
-        if self._held.body is not None:
-            return True
-        return not (
-            self._refused
-            or self._is_answering()
-            or self.transport.get_write_buffer_size()
-        )
+        return not self.transport.get_write_buffer_size()
 
     def measure_waiting(self) -> connection_budgets.Waiting:
         """Return for how long the connection has waited, and for what."""
@@ -281,9 +261,21 @@
         if self._input:
             self._refuse_unless_held(self._held.hold())
         self._held.release(self._is_unfinished())
+        self._note_waiting()
         if not self._refused:
             self._limit_input()
 
+    def _note_waiting(self) -> None:
+        """Note whether the connection may give way to a new one."""
+        if self._part is _Part.HEAD or self._closing.is_begun:
+            self._waiting.add_unfinished(self)
+            return
+        self._waiting.remove(self)
+        if self._held.body is not None:
+            self._waiting.add_unfinished(self)
+        elif not (self._is_answering() or self._refused):
+            self._waiting.add_idle(self)
+
     def _take_head(self, part: bytes) -> bool:
         """Count a part of a head; refuse the request if it is too much."""
         self._head_bytes += len(part)
@@ -303,6 +295,7 @@
         if self._held.body is not holding:
             self._held.body = holding
             self._held.release(self._is_unfinished())
+            self._note_waiting()
 
     def close_after_answer(self) -> None:
         """Close once the request in progress is answered."""
@@ -353,6 +346,7 @@
         if self.cycle is None or self.cycle.response_complete:
             self._forget_request()
         self._held.release(self._is_unfinished())
+        self._note_waiting()
 
     def _forget_request(self) -> None:
         """Drop the last request, which an idle connection would keep."""
@@ -736,6 +730,7 @@
             self.transport,
             self._bounds_of().request_time_ms * _BODY_TIME_FACTOR,
         )
+        self._note_waiting()
         if self._is_half_closed:
             self.transport.close()
             return
--- a/oleanderstair/engine/byte_ledger.py
+++ b/oleanderstair/engine/byte_ledger.py
@@ -14,7 +14,8 @@
 """The time over which the rate of released bytes is measured."""
 
 _MIN_SCAN_INTERVAL_S: typing.Final = 0.1
-"""The shortest time between two searches for readers that have stopped."""
+"""The shortest time between two searches for readers that have stopped, and
+between two for unfinished requests of which the first was in vain."""
 
 OnRoom: typing.TypeAlias = typing.Callable[[], None]
 OnCut: typing.TypeAlias = typing.Callable[[byte_budgets.Reader], None]
@@ -165,6 +166,8 @@
         self._waiters: list[_Waiter] = []
         self._is_waking = False
         self._scanned_at_s = -_MIN_SCAN_INTERVAL_S
+        self._failed_scan_at_s = -_MIN_SCAN_INTERVAL_S
+        self._failed_scan_size = 0
         self._window_started_s: float = 0
         self._window_bytes = 0
         self._released_per_s: float = 0
@@ -351,7 +354,14 @@
             measured[index] = byte_budgets.Reader(0, 0)
 
     def _refuse_senders(self, claim: _Claim) -> None:
-        """Refuse unfinished requests if that makes room."""
+        """Refuse unfinished requests if that makes room.
+
+        Where it has just not been enough, it isn't for a larger call either.
+        """
+        now_s = _now_s()
+        is_recent = now_s - self._failed_scan_at_s < _MIN_SCAN_INTERVAL_S
+        if is_recent and claim.size >= self._failed_scan_size:
+            return
         senders = [
             sender for sender in self.unfinished if sender is not claim.holder
         ]
@@ -362,9 +372,11 @@
             claim.size,
             claim.more_bytes,
         )
-        for index in byte_budgets.choose_refused(
-            measured, claim.size, excess_bytes
-        ):
+        chosen = byte_budgets.choose_refused(measured, claim.size, excess_bytes)
+        if not chosen:
+            self._failed_scan_at_s = now_s
+            self._failed_scan_size = claim.size
+        for index in chosen:
             held_bytes = measured[index].held_bytes
             senders[index].refuse_sending(
                 self._refuse(_Claim(senders[index], 0, 0, held_bytes))
--- a/oleanderstair/engine/listener.py
+++ b/oleanderstair/engine/listener.py
@@ -14,6 +14,7 @@
     byte_ledger,
     client_limits,
     uvicorn_parts,
+    waiting_connections,
 )
 
 if typing.TYPE_CHECKING:
@@ -185,6 +186,7 @@
                 bounds_of,
                 ledger,
                 bounded_protocol.Reports(on_unanswered, on_strike),
+                waiting_connections.create(),
             ),
         ),
         ws='none',
--- a/test/test_byte_ledger.py
+++ b/test/test_byte_ledger.py
@@ -449,6 +449,8 @@
                 assert isinstance(opened, byte_ledger.Refusal)
                 assert ledger.unfinished
                 ledger.release('other', 500_000)
+                # A search that was in vain isn't repeated at once.
+                await anyio.sleep(0.15)
                 opened = ledger.open('caller', 2000, 400)
                 assert isinstance(opened, byte_ledger.Holding)
                 head = await client.read_head()
--- a/test/test_listener.py
+++ b/test/test_listener.py
@@ -648,3 +648,32 @@
                 assert len(server.server_state.connections) == 4
 
     anyio.run(scenario)
+
+
+def test_idle_connection_gives_way_and_a_request_in_progress_does_not():
+    async def answer_whole(scope, receive, send):
+        if scope['path'] == '/long':
+            await anyio.sleep(2)
+        await echo(scope, receive, send)
+
+    async def scenario():
+        bounds = BOUNDS._replace(
+            idle_ms=9000, request_time_ms=9000, max_connections=2
+        )
+        last = GET.replace(b'host', b'connection: close\r\nhost')
+        async with serving(bounds, answer_whole) as (address, server):
+            with (
+                raw.SlowReader(address) as long,
+                raw.SlowReader(address) as idle,
+            ):
+                await long.send(GET.replace(b'/', b'/long', 1))
+                await idle.send(GET)
+                await idle.read_head()
+                await anyio.sleep(1.2)
+                answer = await raw.send_and_receive(address, last)
+                assert answer.startswith(b'HTTP/1.1 200')
+                assert (await long.read_head()).startswith(b'HTTP/1.1 200')
+                assert await idle.read(3) == 2
+            await helper.wait_until(lambda: not server.server_state.connections)
+
+    anyio.run(scenario)
