--- a/soak/instances.py
+++ b/soak/instances.py
@@ -21,6 +21,7 @@
 _MEMORY_MB: typing.Final = 152
 """The memory of the smallest machines, so that buffered bytes are limited."""
 
+_KIB_PER_MIB: typing.Final = 1024
 _POLL_S: typing.Final = 0.05
 _NEAR_S: typing.Final = 0.001
 _PORT_BY_SIDE: typing.Final = {
@@ -94,6 +95,19 @@
         if self.is_running and self._bears(signal.SIGUSR1):
             self.signal(signal.SIGUSR1)
 
+    def has_exceeded_memory(self) -> bool:
+        """Return whether the process has exceeded its machine's memory."""
+        if not self.is_running:
+            return False
+        assert self.process is not None  # noqa: S101 (it runs)
+        status = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
+        peaks_kib = [
+            int(row.split()[1])
+            for row in status.splitlines()
+            if row.startswith('VmHWM')
+        ]
+        return max(peaks_kib, default=0) > _MEMORY_MB * _KIB_PER_MIB
+
     def _bears(self, number: signal.Signals) -> bool:
         assert self.process is not None  # noqa: S101 (it runs)
         status = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -54,6 +54,7 @@
     ODD_ENTRY = 'odd-entry'
     SEVER = 'sever'
     EVACUATE = 'evacuate'
+    MISBEHAVE = 'misbehave'
     COLD = 'cold'
 
 
@@ -127,6 +128,7 @@
     found.extend(_draw_evacuation(seed, last_ms))
     if _SCENES[seed % len(_SCENES)] is not _PLANNED_SCENE:
         found.append(_draw_cold(seed, last_ms))
+        found.append(_draw_crowd(seed, last_ms))
     return Plan(seed, seconds, tuple(sorted(found, key=order)))
 
 
@@ -155,6 +157,15 @@
     yield Fault(Kind.EVACUATE, where, at_ms, _EVACUATION_SPAN_MS)
 
 
+def _draw_crowd(seed: int, last_ms: clock.Millis) -> Fault:
+    """Draw a crowd of clients that don't behave at an instance."""
+    rng = random.Random(f'crowd {seed}')
+    at_ms = round(rng.uniform(_CALM_MS, last_ms))
+    return Fault(
+        Kind.MISBEHAVE, rng.choice(INSTANCES), at_ms, rng.choice(_SPANS_MS)
+    )
+
+
 def _draw_cold(seed: int, last_ms: clock.Millis) -> Fault:
     """Draw a return of all targets as cold ones."""
     rng = random.Random(f'cold {seed}')
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -19,6 +19,7 @@
     callers,
     checks,
     instances,
+    misbehaving,
     odd_entries,
     plan,
     proxy,
@@ -433,6 +434,15 @@
     scene.kept.remove(key)
 
 
+async def _misbehave(scene: Scene, fault: plan.Fault) -> None:
+    entry = scene.entry_by_name[fault.where]
+    await misbehaving.crowd(
+        entry.address('callers'), clock.to_seconds(fault.span_ms)
+    )
+    if entry.has_exceeded_memory():
+        scene.seen.ended_alone.append(f'{fault.where} exceeded its memory')
+
+
 async def _sever(scene: Scene, fault: plan.Fault) -> None:
     """Let open connections of an instance go silent.
 
@@ -464,6 +474,7 @@
         plan.Kind.ODD_ENTRY,
         plan.Kind.EVACUATE,
         plan.Kind.COLD,
+        plan.Kind.MISBEHAVE,
     ),
 )
 """The kinds of faults that excuse no instance for as long as they take."""
@@ -480,6 +491,7 @@
     plan.Kind.ODD_ENTRY: _put_odd_entry,
     plan.Kind.SEVER: _sever,
     plan.Kind.EVACUATE: _evacuate,
+    plan.Kind.MISBEHAVE: _misbehave,
     **dict.fromkeys(plan.LINKS, _harm),
 }
 
