Keep an announced close at the exit

Callers saw, at a planned stop: a request with Connection: close and bytes behind it was answered without the close that its client had announced, and a request whose chunked body came across the stop was answered without one although its connection then closed.

Cause: shutdown set keep_alive to whether input follows, also where it was off, and for a chunked body the last request is known only once it is whole.

Mend: keep_alive is only ever turned off, also when a message is complete while the instance stops and nothing waits behind it.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -445,7 +445,7 @@
         self._has_waited = False
         joined_writes.join(self.cycle, self._reading.add_written, self._finish)
         if self._is_stopping and not self._has_input_behind_body():
-            self.cycle.keep_alive = False
+            self.close_after_answer()
         # Not before: a head that raises above has no cycle of its own.
         self._part = _Part.BODY
 
@@ -453,6 +453,8 @@
         """Mark the request as received completely."""
         super().on_message_complete()
         self._connection['is_whole'] = True
+        if self._is_stopping and not self._input:
+            self.close_after_answer()
         self._part = _Part.NONE
         self._head_bytes = 0
         # The body may end after its answer.
@@ -467,8 +469,8 @@
         if self._closing.is_begun:
             self._closing.close_if_delivered(self.transport)
         elif self._is_answering():
-            is_last = self._refused or not self._has_input_behind_body()
-            self.cycle.keep_alive = not is_last
+            if self._refused or not self._has_input_behind_body():
+                self.close_after_answer()
         elif self._is_request_arriving():
             return
         elif self._reading.count_undelivered_bytes():
--- a/test/test_connection_ends.py
+++ b/test/test_connection_ends.py
@@ -114,6 +114,51 @@
     anyio.run(scenario)
 
 
+@pytest.mark.parametrize(
+    ('first', 'answers'),
+    [
+        # Its client announced the close, whatever it sent behind it.
+        (b'GET / HTTP/1.1\r\nconnection: close\r\n\r\n', 1),
+        (test_listener.GET, 2),
+        (b'%b2\r\nab\r\n0\r\n\r\n' % CHUNKED, 2),
+    ],
+)
+def test_requests_sent_ahead_of_the_exit_are_answered(first, answers):
+    async def scenario():
+        serving = test_listener.serving(PATIENT, read_body_then_answer)
+        async with serving as (address, server):
+            with raw.SlowReader(address) as client:
+                await client.send(first + test_listener.GET)
+                await anyio.sleep(0.05)
+                server.stop_within(5)
+                answered = b''
+                while head := await client.read_head():
+                    answered += head
+                    await client.read(2)
+            assert answered.count(b'HTTP/1.1 200') == answers
+            assert answered.endswith(b'connection: close\r\n\r\n')
+
+    anyio.run(scenario)
+
+
+# A request whose body comes across the exit is the last one.
+def test_chunked_body_across_the_exit_is_answered_with_a_close():
+    async def scenario():
+        serving = test_listener.serving(PATIENT, read_body_then_answer)
+        async with serving as (address, server):
+            with raw.SlowReader(address) as client:
+                await client.send(CHUNKED[:-2])
+                await anyio.sleep(0.05)
+                server.stop_within(5)
+                await anyio.sleep(0.05)
+                await client.send(b'\r\n2\r\nab\r\n0\r\n\r\n')
+                head = await client.read_head()
+                assert head.startswith(b'HTTP/1.1 200')
+                assert b'connection: close' in head
+
+    anyio.run(scenario)
+
+
 class SurplusTarget(raw.RawTarget):
     """Sends surplus bytes, and the answer that is due in a later segment."""
 
