Parse nothing of a client that has unread answers

Callers saw nothing yet; found by reading. A client that read no answer could send the head and up to 80 KB of the body of its next request, which were kept and counted nowhere until the application began to read them.

Cause: the application of that request waits until the answer before it has been read, and only then holds its body in the ledger.

They are parsed once the answers have left. At an exit, a request that waits so is answered first.

--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -248,6 +248,12 @@
             self._held.add(chunk)
             self._parse_input()
 
+    def resume_writing(self) -> None:
+        """Parse on, as the client has read its answers."""
+        super().resume_writing()
+        if not self.transport.is_closing():
+            self._parse_input()
+
     def _parse_input(self) -> None:
         """Parse up to the end of a request; the next one waits for its answer.
 
@@ -378,7 +384,8 @@
         )
 
     def _may_parse(self) -> bool:
-        if self._refused:
+        # What a client that reads no answers sends isn't parsed either.
+        if self._refused or self.flow.write_paused:
             return False
         if self._part is _Part.NONE:
             self._input.skip_line_ends()
@@ -526,6 +533,7 @@
         return (
             self._part is _Part.HEAD
             or self._is_answering()
+            or bool(self._input)
             or socket_state.count_unread_bytes(self.transport) > 0
         )
 
--- a/test/test_listener.py
+++ b/test/test_listener.py
@@ -677,3 +677,26 @@
             await helper.wait_until(lambda: not server.server_state.connections)
 
     anyio.run(scenario)
+
+
+def test_body_is_not_parsed_while_its_client_reads_no_answer():
+    # Up to 80 KB of each such body were kept, and counted nowhere.
+    async def scenario():
+        bounds = BOUNDS._replace(answer_time_ms=5000, idle_ms=5000)
+        async with serving(bounds) as (address, server):
+            with raw.SlowReader(address) as client:
+                await client.send(GET_LARGE)
+                await client.read_head()
+                protocol = next(iter(server.server_state.connections))
+                await client.send(
+                    b'POST / HTTP/1.1\r\nhost: a\r\n'
+                    b'content-length: 60000\r\n\r\n',
+                )
+                await client.send(b'x' * 60_000)
+                await anyio.sleep(0.1)
+                assert not protocol.cycle.body
+                assert not server.server_state.tasks
+                assert await client.read(LARGE) == LARGE
+                assert (await client.read_head()).startswith(b'HTTP/1.1 200')
+
+    anyio.run(scenario)
