Do the work after an answer once, and share what stood twice

No change of behaviour; found by reading the whole change.

- byte_budgets.may_hold and retry_after_ms call excess_bytes_of in place of working it out themselves.
- Counting the input and noting what a connection waits for stood together three times and is one method. close_after_answer is used where keep_alive was set.
- LingeringClose.is_begun is read from AnswerReading.is_end_sent, the same state.
- test/gateway_process.py has one loop of tries; the tests and their assertions are unchanged.

--- a/oleanderstair/domain/byte_budgets.py
+++ b/oleanderstair/domain/byte_budgets.py
@@ -106,7 +106,7 @@
     a body larger than the share is possible at all.
     """
     size = held_bytes + more_bytes
-    if usage.total_bytes + more_bytes > _limit_of(budget, size):
+    if excess_bytes_of(budget, usage, size, more_bytes) > 0:
         return False
     if size <= SMALL_BYTES or not usage.holder_bytes:
         return True
@@ -191,7 +191,7 @@
 
     ``released_per_s`` is the rate at which bytes are released.
     """
-    excess_bytes = usage.total_bytes + size - _limit_of(budget, size)
+    excess_bytes = excess_bytes_of(budget, usage, size, size)
     if excess_bytes <= 0:
         # The share of its holder is used up, which one answer may change.
         return MIN_RETRY_MS
--- a/oleanderstair/engine/bounded_protocol.py
+++ b/oleanderstair/engine/bounded_protocol.py
@@ -251,7 +251,7 @@
     def resume_writing(self) -> None:
         """Parse on, as the client has read its answers."""
         super().resume_writing()
-        if not self.transport.is_closing():
+        if self._input and not self.transport.is_closing():
             self._parse_input()
 
     def _parse_input(self) -> None:
@@ -266,11 +266,15 @@
                 self._parse(part)
         if self._input:
             self._refuse_unless_held(self._held.hold())
-        self._held.release(self._is_unfinished())
-        self._note_waiting()
+        self._note_input()
         if not self._refused:
             self._limit_input()
 
+    def _note_input(self) -> None:
+        """Count what is still kept, and note what the connection waits for."""
+        self._held.release(self._is_unfinished())
+        self._note_waiting()
+
     def _note_waiting(self) -> None:
         """Note whether the connection may give way to a new one."""
         if self._part is _Part.HEAD or self._closing.is_begun:
@@ -300,8 +304,7 @@
         """Set what holds the body that is received, None once it is whole."""
         if self._held.body is not holding:
             self._held.body = holding
-            self._held.release(self._is_unfinished())
-            self._note_waiting()
+            self._note_input()
 
     def close_after_answer(self) -> None:
         """Close once the request in progress is answered."""
@@ -351,8 +354,7 @@
         """Drop a request that is answered, and count what is still kept."""
         if self.cycle is None or self.cycle.response_complete:
             self._forget_request()
-        self._held.release(self._is_unfinished())
-        self._note_waiting()
+        self._note_input()
 
     def _forget_request(self) -> None:
         """Drop the last request, which an idle connection would keep."""
@@ -497,7 +499,8 @@
         self._reading.watch()
         self._release_input()
         if not self.transport.is_closing():
-            self._parse_input()
+            if self._input:
+                self._parse_input()
             self._close_if_stopping()
 
     def measure_reading(self) -> byte_budgets.Reader:
@@ -686,7 +689,7 @@
         self._note_end(socket_state.End.CLIENT_CLOSE)
         if self.on_half_close is None or not self.on_half_close():
             return False
-        self.cycle.keep_alive = False
+        self.close_after_answer()
         return True
 
     # The end of the connection
@@ -700,7 +703,7 @@
         is_received = self._part is _Part.BODY
         if is_received and self._is_answering() and self.cycle.response_started:
             self._refused = True
-            self.cycle.keep_alive = False
+            self.close_after_answer()
         elif self._has_waited or (is_received and self.cycle.response_complete):
             self._finish()
         else:
--- a/oleanderstair/engine/lingering_close.py
+++ b/oleanderstair/engine/lingering_close.py
@@ -20,16 +20,19 @@
 
     def __init__(self, reading: answer_reading.AnswerReading) -> None:
         """Close once ``reading`` has seen all answers delivered."""
-        self.is_begun = False
         self._reading = reading
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
         self._close_by_s: float = 0
         self._has_input = False
 
+    @property
+    def is_begun(self) -> bool:
+        """Return whether the stream has been ended."""
+        return self._reading.is_end_sent
+
     def begin(self, transport: asyncio.Transport, max_ms: clock.Millis) -> None:
         """End the stream and close within ``max_ms`` of the delivery."""
-        self.is_begun = True
         self._close_by_s = self._loop.time() + clock.to_seconds(max_ms)
         self._reading.is_end_sent = True
         with contextlib.suppress(OSError):
--- a/test/gateway_process.py
+++ b/test/gateway_process.py
@@ -72,34 +72,31 @@
     async def serve_ordinary_request(self, **request: typing.Any) -> bool:
         """Send a request as an ordinary caller; return whether it is answered.
 
-        ``request`` are the arguments of ``loopback_node.send_request``. A
-        refusal or a closed connection is followed by another try.
+        ``request`` are the arguments of ``loopback_node.send_request``.
         """
-        for number in range(_TRIES):
-            if not self.is_running():
-                return False
-            with contextlib.suppress(*_UNANSWERED):
-                with anyio.fail_after(_TRY_S):
-                    answer = await loopback_node.send_request(
-                        self.callers,
-                        request_id=f'ordinary-{number}',
-                        deadline_ms='9000',
-                        **request,
-                    )
-                if answer.status == 200:
-                    return True
-            await anyio.sleep(_RETRY_S)
-        return False
+        return await self._is_answered(
+            self.callers, {'deadline_ms': '9000', **request}
+        )
 
     async def is_listener_answering(self, name: str, path: str) -> bool:
         """Return whether a listener answers a request with 200 in the end."""
-        for _ in range(_TRIES):
+        address = self.address_by_listener[name]
+        return await self._is_answered(address, {'path': path})
+
+    async def _is_answered(
+        self, address: str, request: dict[str, typing.Any]
+    ) -> bool:
+        """Try until the answer is 200, the process ends or tries run out.
+
+        A refusal or a closed connection is followed by another try.
+        """
+        for number in range(_TRIES):
             if not self.is_running():
                 return False
             with contextlib.suppress(*_UNANSWERED):
                 with anyio.fail_after(_TRY_S):
                     answer = await loopback_node.send_request(
-                        self.address_by_listener[name], path
+                        address, request_id=f'ordinary-{number}', **request
                     )
                 if answer.status == 200:
                     return True
