Take a close in place of an answer for what it is

What callers saw: a request that crashes each target that runs it was never refused where the crashed targets' connections are closed and not reset, as the kernel does for a process that has read all its input.

Cause: AnswerReader kept the status of the answer before. A close in front of the first byte of the next answer looked like the end of an answer without a length, of status 200, without fields and body. Only the missing request id kept it from the caller; where no id is asked for, as in load reads, it was taken.

Ruled out: a wrong verdict of the dialect, since the pool told of the made-up answer before any verdict.

Why this works: all that is known of an answer is dropped before a request, at its begin and after its delivery, and only an answer whose head is complete, and whose body is not, can end with its connection. Held-back bytes count as received.

The other side: a close is no crash if the target had not acknowledged the request (an idle connection that it closed as the request was written, whatever its idle time), or if the target is leaving or gone; both were counted for resets and are not now. The same for the suspects of the balancer, whose reader called such a close an answer without a length. attempt-failed lines say crashed, unanswered and stale.

--- a/oleanderstair/domain/calls/attempts.py
+++ b/oleanderstair/domain/calls/attempts.py
@@ -74,9 +74,13 @@
     event: events.AttemptEnded,
     now_ms: clock.Millis,
 ) -> list[actions.Action]:
-    """Suspect a request whose target crashed; clear one that was answered."""
+    """Suspect a request whose target crashed; clear one that was answered.
+
+    A leaving target ends its connections when it exits, which is no crash.
+    """
     done: list[actions.Action] = []
-    if event.crashed and event.verdict is events.Verdict.BROKEN:
+    is_crash = event.crashed and event.verdict is events.Verdict.BROKEN
+    if is_crash and not conditions.is_leaving(state, target_id):
         done = suspects.record_crash(state, call, target_id, now_ms)
     elif event.verdict is events.Verdict.ANSWERED:
         suspects.clear_suspect(state, call.received.fingerprint, now_ms)
--- a/oleanderstair/domain/calls/crashing_requests.py
+++ b/oleanderstair/domain/calls/crashing_requests.py
@@ -13,7 +13,7 @@
 from oleanderstair import clock
 from oleanderstair.domain import actions, events, messages, world
 from oleanderstair.domain.fleet import broadcast
-from oleanderstair.domain.tables import calls, crashes, routed
+from oleanderstair.domain.tables import calls, crashes, registry, routed
 
 MIN_CRASHES_TO_REFUSE: typing.Final = 3
 """The number of crashes after which a request is refused."""
@@ -56,7 +56,8 @@
 ) -> list[actions.Action]:
     """Record that a target answered a request, or crashed while it ran it.
 
-    A crash is also reported to all peers.
+    A crash is also reported to all peers. The end of a connection to a leaving
+    target counts as no crash.
     """
     fingerprint = call.received.fingerprint
     if event.verdict is events.Verdict.ANSWERED:
@@ -64,6 +65,9 @@
         return []
     if not event.crashed or event.verdict is not events.Verdict.BROKEN:
         return []
+    if registry.is_leaving(state.registry, ended.target_id):
+        # It ends its connections when it exits, whatever it runs then.
+        return []
     if not _add_crash(state, fingerprint, ended.target_id, now_ms):
         return []
     message = messages.CallCrashed(fingerprint, ended.target_id)
--- a/oleanderstair/domain/tables/registry.py
+++ b/oleanderstair/domain/tables/registry.py
@@ -120,6 +120,12 @@
     return True
 
 
+def is_leaving(table: RegistryTable, target_id: str) -> bool:
+    """Return whether a target is leaving or is no longer registered."""
+    entry = table.entry_by_id.get(target_id)
+    return entry is None or entry.leaving
+
+
 def _start_order(entry: Entry) -> tuple[int, int]:
     """Return a key that sorts entries of an address, the newest last."""
     return entry.born_ms, entry.revision
--- a/oleanderstair/domain/targets/conditions.py
+++ b/oleanderstair/domain/targets/conditions.py
@@ -53,6 +53,13 @@
     return condition.in_flight < allowed
 
 
+def is_leaving(state: world.World, target_id: str) -> bool:
+    """Return whether a target is leaving or is not in the catalogue."""
+    if target_id not in state.catalogue.in_force.target_by_id:
+        return True
+    return targets.condition_of(state.targets, target_id).leaving
+
+
 def on_dispatch(state: world.World, target_id: str) -> None:
     """Increment the count of attempts in flight at a target."""
     condition = targets.condition_of(state.targets, target_id)
--- a/oleanderstair/engine/answers.py
+++ b/oleanderstair/engine/answers.py
@@ -99,6 +99,7 @@
         self._declared_bytes = 0
         self._status = 0
         self._has_status = False
+        self._is_in_body = False
         self._answer_count = 0
         self._total_body_bytes = 0
         self.received_bytes = 0
@@ -117,6 +118,8 @@
         self._answer_count = 0
         self._total_body_bytes = 0
         self.received_bytes = 0
+        # The end of the connection must not complete the previous answer.
+        self._forget_answer()
 
     def release(self) -> None:
         """Drop the answer, and what recognised it, after its delivery.
@@ -124,8 +127,7 @@
         An idle connection would hold them until its next answer.
         """
         self.outcome = None
-        self._chunks = []
-        self._fields = []
+        self._forget_answer()
         self._is_for_other_request = _is_never_for_other_request
 
     def answer_bytes(self) -> int:
@@ -173,12 +175,7 @@
         self._answer_count += 1
         if self._answer_count > MAX_ANSWERS_PER_REQUEST:
             self.abandon('too many answers to one request')
-        self._fields = []
-        self._chunks = []
-        self._answer_body_bytes = 0
-        self._declared_bytes = 0
-        self._status = 0
-        self._has_status = False
+        self._forget_answer()
 
     def on_status(self, phrase: bytes) -> None:
         """Record that the status line was read."""
@@ -200,6 +197,7 @@
         if self._status < _MIN_STATUS:
             self.abandon(_UNDEFINED_STATUS)
             return
+        self._is_in_body = True
         declared = headers.find_field(self._fields, headers.CONTENT_LENGTH)
         self._declared_bytes = headers.parse_count(declared) or 0
         if self._method == _HEAD and self._status >= _MIN_FINAL_STATUS:
@@ -218,6 +216,7 @@
 
     def on_message_complete(self) -> None:
         """Finish a final answer; skip an interim one."""
+        self._is_in_body = False
         if self._status < _MIN_FINAL_STATUS:
             return
         if not self._parser.should_keep_alive():
@@ -250,8 +249,19 @@
             self.outcome = fault
             self.is_expecting = False
 
+    def _forget_answer(self) -> None:
+        self._fields = []
+        self._chunks = []
+        self._answer_body_bytes = 0
+        self._declared_bytes = 0
+        self._status = 0
+        self._has_status = False
+        self._is_in_body = False
+
     def _ends_with_connection(self) -> bool:
-        return self._status >= _MIN_FINAL_STATUS and not self._has_framing()
+        if not self._is_in_body or self._status < _MIN_FINAL_STATUS:
+            return False
+        return not self._has_framing()
 
     def _has_framing(self) -> bool:
         if self._method == _HEAD or self._status in _BODILESS_STATUSES:
--- a/oleanderstair/engine/attempting.py
+++ b/oleanderstair/engine/attempting.py
@@ -195,6 +195,9 @@
                 target=action.target_id,
                 verdict=result.verdict.value,
                 cause=result.cause,
+                crashed=result.crashed,
+                unanswered=result.unanswered,
+                stale=result.stale,
             )
 
     def cancel(self, action: actions.CancelAttempt) -> None:
--- a/oleanderstair/engine/exchanges.py
+++ b/oleanderstair/engine/exchanges.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from oleanderstair import clock
-from oleanderstair.domain import events
+from oleanderstair.domain import events, lost_connections
 from oleanderstair.engine import (
     answers,
     byte_ledger,
@@ -33,15 +33,6 @@
 MAX_ANSWER_BYTES: typing.Final = 4_194_304
 """Maximum size of an answer, which is buffered completely before its relay."""
 
-STALE_RESET_MS: typing.Final = 100
-"""Maximum time from a request on a stale connection to its reset.
-
-A connection is stale if the target dropped it without closing it.
-"""
-
-STALE_MIN_IDLE_MS: typing.Final = 200
-"""Minimum idle time after which a connection can count as stale."""
-
 _STALE_IDLE_SHARE: typing.Final = 0.5
 """Idle timeout for a target after a stale connection, as a share of the idle
 time of that connection."""
@@ -78,9 +69,9 @@
     ``answer`` is set if the verdict is ANSWERED or SHED. ``crashed`` is true if
     the connection was lost during the exchange (``AnswerFault.is_lost``) and
     was not stale, ``unanswered`` if it ended before the first byte of the
-    answer. ``stale`` is true if the target had probably dropped the connection
-    before the request. ``memory_short`` is true if this instance had no memory
-    for the request or the answer.
+    answer. ``stale`` is true if the target had probably ended the connection
+    before it received the request. ``memory_short`` is true if this instance
+    had no memory for the request or the answer.
     """
 
     verdict: events.Verdict
@@ -350,22 +341,33 @@
     ) -> ExchangeResult:
         """Return the result, marked as stale if the connection probably was.
 
-        If so, the other idle connections to the target are closed, and later
-        ones get a shorter idle timeout.
+        If so, the other idle connections to the target are closed. If it was
+        idle for long, later ones get a shorter idle timeout.
         """
-        idle_ms = connection.idle_before_use_s * _MS_PER_S
-        is_quick = connection.since_written_s() * _MS_PER_S <= STALE_RESET_MS
-        was_reused = connection.uses > 1 and idle_ms >= STALE_MIN_IDLE_MS
-        if not (result.unanswered and was_reused and is_quick):
+        if not result.unanswered:
+            return result
+        lost = lost_connections.LostConnection(
+            is_reused=connection.uses > 1,
+            idle_ms=connection.idle_before_use_s * _MS_PER_S,
+            since_written_ms=connection.since_written_s() * _MS_PER_S,
+            is_unreceived=connection.is_request_unreceived,
+        )
+        if not lost_connections.is_stale(lost):
             return result
+        if lost_connections.shows_idle_timeout(lost):
+            self._shorten_idle_timeout(destination.target_id, lost.idle_ms)
+        self.close_idle(destination.target_id)
+        return result._replace(stale=True, crashed=False)
+
+    def _shorten_idle_timeout(
+        self, target_id: str, idle_ms: clock.Millis
+    ) -> None:
         idle_ms_by_target = self.stale_idle_ms_by_target
         while len(idle_ms_by_target) >= _MAX_STALE_ENTRIES:
             idle_ms_by_target.pop(next(iter(idle_ms_by_target)))
-        idle_ms_by_target[destination.target_id] = max(
-            idle_ms * _STALE_IDLE_SHARE, STALE_MIN_IDLE_MS
+        idle_ms_by_target[target_id] = max(
+            idle_ms * _STALE_IDLE_SHARE, lost_connections.STALE_MIN_IDLE_MS
         )
-        self.close_idle(destination.target_id)
-        return result._replace(stale=True, crashed=False)
 
     def _return_connection(
         self,
--- a/oleanderstair/engine/target_connections.py
+++ b/oleanderstair/engine/target_connections.py
@@ -13,7 +13,7 @@
 import anyio
 
 from oleanderstair import clock
-from oleanderstair.engine import answers, byte_ledger
+from oleanderstair.engine import answers, byte_ledger, socket_state
 
 MAX_UNACKNOWLEDGED_MS: typing.Final = 3000
 """Maximum time in which the target must acknowledge a small request."""
@@ -81,7 +81,11 @@
 
 
 class Connection(asyncio.Protocol):
-    """One connection to a target; its times are event loop times in s."""
+    """One connection to a target; its times are event loop times in s.
+
+    ``is_request_unreceived`` is true once the target has closed the connection
+    without having acknowledged the whole request.
+    """
 
     def __init__(self, reader: answers.AnswerReader) -> None:
         """Pass received bytes to ``reader``."""
@@ -97,6 +101,7 @@
         self._written_at_s = self.answered_at_s
         self.idle_before_use_s: float = 0
         self.uses = 0
+        self.is_request_unreceived = False
         self._unacknowledged_ms = 0
         self._held_back = b''
         self._unwritten = memoryview(b'')
@@ -132,15 +137,12 @@
 
     def eof_received(self) -> None:
         """Handle the end of the input."""
-        self._has_ended = True
-        self._reader.end_of_stream(None)
-        self._deliver_outcome()
+        self.is_request_unreceived = self._has_unreceived_bytes()
+        self._end_stream(None)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Handle the loss of the connection."""
-        self._has_ended = True
-        self._reader.end_of_stream(error)
-        self._deliver_outcome()
+        self._end_stream(error)
 
     # Called by exchanges
 
@@ -220,6 +222,26 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _end_stream(self, error: Exception | None) -> None:
+        self._has_ended = True
+        self._reader.received_bytes += len(self._held_back)
+        self._held_back = b''
+        self._reader.end_of_stream(error)
+        self._deliver_outcome()
+
+    def _has_unreceived_bytes(self) -> bool:
+        """Return whether the target has not acknowledged the whole request.
+
+        A close says how much was received before it. A reset doesn't, as its
+        acknowledgement is not evaluated.
+        """
+        if self._unwritten or self._transport is None:
+            return bool(self._unwritten)
+        return bool(
+            self._transport.get_write_buffer_size()
+            or socket_state.count_unsent_bytes(self._transport)
+        )
+
     def _write(
         self, transport: asyncio.Transport, request: EncodedRequest
     ) -> None:
--- a/test/raw.py
+++ b/test/raw.py
@@ -41,7 +41,7 @@
                     return
 
     async def _answer_next(self, stream: anyio.abc.SocketStream) -> None:
-        self.requests.append(await _read_request(stream))
+        self.requests.append(await read_request(stream))
         reply = self.replies.pop(0)
         if reply is None:
             await stream.receive()
@@ -90,7 +90,7 @@
     return received
 
 
-async def _read_request(stream: anyio.abc.SocketStream) -> bytes:
+async def read_request(stream: anyio.abc.SocketStream) -> bytes:
     request = b''
     while b'\r\n\r\n' not in request:
         request += await stream.receive()
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -1,7 +1,8 @@
 """Requests that crash the targets that run them."""
 
-from oleanderstair.domain import outcomes
+from oleanderstair.domain import events, outcomes
 from oleanderstair.domain.calls import crashing_requests
+from oleanderstair.domain.tables import calls, routed
 from oleanderstair.emulator import gateway_fleet, plans
 
 CRASHING_PATH = '/lookup/poison'
@@ -75,3 +76,43 @@
         state, CRASHING_PATH, fleet.times.now_ms()
     )
     assert not crashing_requests.is_refused(state, CRASHING_PATH, later_ms)
+
+
+CRASH = events.AttemptEnded(1, 1, events.Verdict.BROKEN, crashed=True)
+
+
+def end_connections(fleet: gateway_fleet.GatewayFleet) -> bool:
+    """End a request at each target; return whether it is refused then."""
+    state = fleet.member_by_id['entry-1'].state
+    now_ms = fleet.times.now_ms()
+    received = events.CallReceived(
+        1, '', 'GET', CRASHING_PATH, now_ms, fingerprint=CRASHING_PATH
+    )
+    call = routed.RoutedCall(
+        received, plans.route_of(LOOKUP), 'burza', now_ms, now_ms
+    )
+    for target_id in fleet.target_by_id:
+        attempt = calls.Attempt(1, target_id, now_ms)
+        crashing_requests.record_attempt(state, call, attempt, CRASH, now_ms)
+    return crashing_requests.is_refused(state, CRASHING_PATH, now_ms)
+
+
+def test_connections_that_targets_end_are_crashes() -> None:
+    assert end_connections(make_fleet())
+
+
+# Guards against a request that is refused fleet-wide because its targets have
+# exited, as in a release.
+def test_connections_that_leaving_targets_end_are_no_crashes() -> None:
+    fleet = make_fleet()
+    for target_id in fleet.target_by_id:
+        fleet.leave(target_id)
+    fleet.run_for(3000)
+    assert not end_connections(fleet)
+
+
+def test_connections_that_removed_targets_end_are_no_crashes() -> None:
+    fleet = make_fleet()
+    state = fleet.member_by_id['entry-1'].state
+    state.registry.entry_by_id.clear()
+    assert not end_connections(fleet)
--- a/test/test_suspects.py
+++ b/test/test_suspects.py
@@ -3,8 +3,9 @@
 import pytest
 
 from oleanderstair.domain import events, outcomes
-from oleanderstair.domain.calls import suspects
+from oleanderstair.domain.calls import attempts, suspects
 from oleanderstair.domain.tables import targets
+from oleanderstair.domain.targets import draining
 from oleanderstair.emulator import harness
 from test import helper
 
@@ -149,3 +150,21 @@
     assert len(table) == suspects.MAX_SUSPECTS
     suspects.on_tick(state, events.Tick(), state.policy.suspect_ms * 2)
     assert not table
+
+
+# Guards against a harmless request that is isolated, and reported to all peers,
+# because a leaving target exited while it ran it.
+@pytest.mark.parametrize('is_leaving', [False, True])
+def test_only_a_target_that_stays_can_crash(is_leaving):
+    case = Case()
+    call_id = case.call(HARMLESS_PATHS[0])
+    state = case.fleet.instance_by_id['entry-1'].state
+    now_ms = case.fleet.clock.now_ms()
+    attempt = state.calls.call_by_id[call_id].attempts[0]
+    if is_leaving:
+        draining.mark_leaving(state, attempt.target_id, 'health', now_ms)
+    ended = events.AttemptEnded(
+        call_id, attempt.attempt_id, events.Verdict.BROKEN, crashed=True
+    )
+    attempts.on_attempt_ended(state, ended, now_ms)
+    assert suspects.is_suspect(state, HARMLESS_PATHS[0]) is not is_leaving
