Hold the body of an answer in one buffer, and refuse a declared excess

A declared body of 60 MB was read and waited for until the deadline of its call.

Cause: each piece of a body was an object in a list, of some 35 bytes beside its place in the list, and the ledger counted its bytes. A declared length above the limit of an answer was cut to the limit and waited for.

Evidence: three cases of test_a_body_in_pieces_takes_what_is_counted and both of a declared excess failed before.

Why this works: a body is appended to one buffer, so that what is counted is what is allocated; the copy at its end is the one that COPIES stands for. Heads above 8 KB count with their fields. A declared excess fails at the head of its answer. A connection reads 32 KB at a time, not 256.

--- a/oleanderstair/engine/answers.py
+++ b/oleanderstair/engine/answers.py
@@ -8,6 +8,7 @@
 
 import httptools
 
+from oleanderstair.domain import byte_budgets
 from oleanderstair.engine import headers
 
 MAX_FRAMING_BYTES: typing.Final = 65_536
@@ -29,6 +30,10 @@
 """Limit for the bodies read for one request together, as a multiple of the
 maximum body size: one late answer to another request, and the request's own."""
 
+_USUAL_HEAD_BYTES: typing.Final = 8192
+"""Up to this size a head, with its fields, is part of what a connection takes
+and is not counted."""
+
 _MIN_STATUS: typing.Final = 100
 _MIN_FINAL_STATUS: typing.Final = 200
 _MIN_UNDEFINED_STATUS: typing.Final = 600
@@ -94,8 +99,9 @@
         )
         self._parser = httptools.HttpResponseParser(self)
         self._fields: headers.Fields = []
-        self._chunks: list[bytes] = []
-        self._answer_body_bytes = 0
+        # One buffer: a list of small pieces takes many times their bytes.
+        self._body = bytearray()
+        self._head_bytes = 0
         self._declared_bytes = 0
         self._status = 0
         self._has_status = False
@@ -131,9 +137,14 @@
         self._is_for_other_request = _is_never_for_other_request
 
     def answer_bytes(self) -> int:
-        """Return the size of the body being read, as declared or received."""
-        declared_bytes = min(self._declared_bytes, self._max_bytes)
-        return max(declared_bytes, self._answer_body_bytes)
+        """Return what the answer takes: its body, as declared or received.
+
+        A head of more than the usual size counts as well.
+        """
+        if isinstance(self.outcome, Answer):
+            return len(self.outcome.body)
+        head_bytes = max(self._head_bytes - _USUAL_HEAD_BYTES, 0)
+        return max(self._declared_bytes, len(self._body)) + head_bytes
 
     def feed(self, chunk: bytes) -> None:
         """Parse received bytes; set ``outcome`` to the answer or to a fault."""
@@ -183,6 +194,7 @@
 
     def on_header(self, name: bytes, field: bytes) -> None:
         """Store a header field."""
+        self._head_bytes += byte_budgets.head_bytes(len(name) + len(field), 1)
         if len(self._fields) < MAX_FIELDS:
             self._fields.append((name, field.rstrip(b' \t')))
         else:
@@ -197,20 +209,22 @@
         if self._status < _MIN_STATUS:
             self.abandon(_UNDEFINED_STATUS)
             return
-        self._is_in_body = True
-        declared = headers.find_field(self._fields, headers.CONTENT_LENGTH)
-        self._declared_bytes = headers.parse_count(declared) or 0
         if self._method == _HEAD and self._status >= _MIN_FINAL_STATUS:
             # The parser expects a body, which an answer to HEAD doesn't have.
             self.is_unusable = True
             self._finish_answer()
+            return
+        self._is_in_body = True
+        if self._status not in _BODILESS_STATUSES:
+            self._declare_body()
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body, or fail the request if it is too large."""
-        self._answer_body_bytes += len(body)
         self._total_body_bytes += len(body)
-        if self._answer_body_bytes <= self._max_bytes:
-            self._chunks.append(body)
+        if not self.is_expecting:
+            return
+        if len(self._body) + len(body) <= self._max_bytes:
+            self._body += body
         else:
             self.abandon(TOO_LARGE)
 
@@ -226,13 +240,14 @@
     def _finish_answer(self) -> None:
         if not self.is_expecting:
             return
-        answer = Answer(self._status, self._fields, b''.join(self._chunks))
+        answer = Answer(self._status, self._fields, bytes(self._body))
         error_text = self._find_answer_error(answer)
         if error_text:
             self._fail(AnswerFault(error_text, is_lost=False))
         elif not self._is_for_other_request(answer):
             self.outcome = answer
             self.is_expecting = False
+        self._body = bytearray()
 
     def _find_answer_error(self, answer: Answer) -> str:
         if answer.status >= _MIN_UNDEFINED_STATUS:
@@ -249,10 +264,20 @@
             self.outcome = fault
             self.is_expecting = False
 
+    def _declare_body(self) -> None:
+        """Fail the request at once if its answer has a body too large."""
+        declared = headers.find_field(self._fields, headers.CONTENT_LENGTH)
+        # The parser has checked that it is a number of at most 64 bits.
+        size = int(declared) if declared.isdigit() else 0
+        if size <= self._max_bytes:
+            self._declared_bytes = size
+        else:
+            self.abandon(TOO_LARGE)
+
     def _forget_answer(self) -> None:
         self._fields = []
-        self._chunks = []
-        self._answer_body_bytes = 0
+        self._body = bytearray()
+        self._head_bytes = 0
         self._declared_bytes = 0
         self._status = 0
         self._has_status = False
--- a/oleanderstair/engine/target_connections.py
+++ b/oleanderstair/engine/target_connections.py
@@ -25,6 +25,13 @@
 _WRITE_BYTES: typing.Final = 65_536
 """The most that is copied to be written at a time."""
 
+_READ_BYTES: typing.Final = 32_768
+"""The most that is read and parsed at a time, so that other connections get
+their turn whatever the pieces of a body are."""
+
+_READ_BUFFER: typing.Final = memoryview(bytearray(_READ_BYTES))
+"""Where all connections read to; each read is copied before the next one."""
+
 _KEEPALIVE_IDLE_S: typing.Final = 1
 _KEEPALIVE_INTERVAL_S: typing.Final = 1
 _KEEPALIVE_PROBE_COUNT: typing.Final = 2
@@ -80,7 +87,7 @@
 Cancel: typing.TypeAlias = typing.Callable[[], None]
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One connection to a target; its times are event loop times in s.
 
     ``is_request_unreceived`` is true once the target has closed the connection
@@ -117,6 +124,14 @@
         for option in _SOCKET_OPTIONS:
             _set_option(connected, *option)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the next bytes are read to."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse the bytes that were read."""
+        self.data_received(bytes(_READ_BUFFER[:nbytes]))
+
     def data_received(self, chunk: bytes) -> None:
         """Parse received bytes; without a request, close the connection."""
         self._reader.feed(self._skip_surplus(chunk))
--- a/test/test_endless_answers.py
+++ b/test/test_endless_answers.py
@@ -10,7 +10,7 @@
 import pytest
 
 from oleanderstair.domain import events
-from oleanderstair.engine import exchanges
+from oleanderstair.engine import answers, exchanges
 from test import raw
 
 STATUS = b'HTTP/1.1 200 OK\r\n'
@@ -159,3 +159,66 @@
     result = anyio.run(scenario)
     assert result.verdict is events.Verdict.ANSWERED
     assert len(result.answer.body) == 192_000
+
+
+LARGEST = exchanges.MAX_ANSWER_BYTES
+MAX_COPIES = 2.5
+
+
+def read_in_pieces(size):
+    """Return the answer of the largest body in chunks, and the peak memory."""
+    chunk = b'%x\r\n%b\r\n' % (size, b'a' * size)
+    repeated = chunk * (32_768 // len(chunk))
+    reader = answers.create(LARGEST, takes_unframed=True)
+    reader.expect(b'GET', lambda _: False)
+    reader.feed(CHUNKED)
+    tracemalloc.start()
+    try:
+        held_bytes = feed_pieces(reader, LARGEST // size, chunk, repeated)
+    finally:
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+    return reader.outcome, held_bytes, peak_bytes
+
+
+def feed_pieces(reader, left, chunk, repeated):
+    """Feed so many chunks and the end; return what was held before it."""
+    while left:
+        count = min(left, len(repeated) // len(chunk))
+        reader.feed(repeated[: count * len(chunk)])
+        left -= count
+    held_bytes = reader.answer_bytes()
+    reader.feed(b'0\r\n\r\n')
+    return held_bytes
+
+
+# Each piece of a body was an object of its own, so that 4 MB in chunks of one
+# byte took 60 times what was counted.
+@pytest.mark.parametrize('size', [1, 2, 8, 4096])
+def test_a_body_in_pieces_takes_what_is_counted(size):
+    answer, held_bytes, peak_bytes = read_in_pieces(size)
+    assert answer.body == b'a' * LARGEST
+    assert held_bytes == LARGEST
+    assert peak_bytes < MAX_COPIES * LARGEST
+
+
+# Its bytes were read and waited for, up to the deadline of the call.
+@pytest.mark.parametrize(
+    'declared', [b'%d' % (MAX_ANSWER_BYTES + 1), b'9999999999']
+)
+def test_a_body_declared_too_large_fails_at_its_head(declared):
+    head = b'%bcontent-length: %b\r\n\r\n' % (STATUS, declared)
+    target = EndlessTarget(head, b'x', 0.05)
+    result, took_s = exchange_with(target)
+    assert result.verdict is events.Verdict.BROKEN
+    assert result.cause == answers.TOO_LARGE
+    assert took_s < 1
+
+
+@pytest.mark.parametrize('status', [b'204', b'304'])
+def test_a_length_without_a_body_is_not_limited(status):
+    head = b'HTTP/1.1 %b OK\r\ncontent-length: 999999\r\n' % status
+    target = EndlessTarget(b'', b'')
+    target.pieces = iter([b'%bconnection: close\r\n\r\n' % head])
+    result, _ = exchange_with(target)
+    assert result.verdict is events.Verdict.ANSWERED
