Count the answer of each attempt, wherever it is read

Cause: only calls of gateways that came from a caller or without a key from a peer had a holding. Load reads had none, and their answers the limit of a call's, 4 MiB. Calls of instances that release notes steer, and calls with a key from a peer, had none either. A hedge and the attempt before it shared one count: the larger of both.

Evidence: four cases of test_answer_reads.py failed before (a load answer of 64 KB and one byte was taken, nothing was counted while one was read, and the two kinds of calls had no holding). The two on hedges and expected bytes need the new AnswerRead and can't run on the old code; in it, grow_answer takes the maximum.

Why this works: each attempt counts its answer as an AnswerRead of its call's holding, which ends with the attempt unless it brought the answer. An exchange that belongs to no call gets a holding for its target. The body of a load answer, which nobody uses, has up to 64 KB.

Measured: the tests of exchanges, answers, callers, keyed calls and the ledger pass. Memory was not measured for this commit alone.

--- a/oleanderstair/engine/answers.py
+++ b/oleanderstair/engine/answers.py
@@ -82,8 +82,8 @@
     ``is_unusable`` is true once the connection must not carry another request.
     """
 
-    def __init__(self, max_bytes: int, takes_unframed: bool) -> None:
-        """Limit bodies to ``max_bytes``.
+    def __init__(self, takes_unframed: bool) -> None:
+        """Expect no answer yet.
 
         ``takes_unframed`` allows bodies that end with their connection.
         """
@@ -91,7 +91,7 @@
         self.is_expecting = False
         self.is_unusable = False
         self.has_begun = False
-        self._max_bytes = max_bytes
+        self._max_bytes = 0
         self._takes_unframed = takes_unframed
         self._method = b''
         self._is_for_other_request: IsForOtherRequest = (
@@ -114,8 +114,13 @@
         self,
         method: bytes,
         is_for_other_request: IsForOtherRequest,
+        max_bytes: int,
     ) -> None:
-        """Prepare for the answer to a request that is about to be written."""
+        """Prepare for the answer to a request that is about to be written.
+
+        Its body has up to ``max_bytes``.
+        """
+        self._max_bytes = max_bytes
         self.outcome = None
         self.is_expecting = True
         self.has_begun = False
@@ -294,9 +299,9 @@
         return any(name.lower() in _FRAMING_FIELDS for name, _ in self._fields)
 
 
-def create(max_bytes: int, takes_unframed: bool) -> AnswerReader:
+def create(takes_unframed: bool) -> AnswerReader:
     """Create the parser of a new connection."""
-    return AnswerReader(max_bytes, takes_unframed)
+    return AnswerReader(takes_unframed)
 
 
 def _is_never_for_other_request(answer: Answer) -> bool:
--- a/oleanderstair/engine/byte_ledger.py
+++ b/oleanderstair/engine/byte_ledger.py
@@ -50,20 +50,30 @@
 
 
 class Holding:
-    """The bytes that one call holds: its body and its answer."""
+    """The bytes that one call holds: its body and its answers.
+
+    Room for the expected answer is held from the arrival of the call. Attempts
+    read their answers side by side, each as an ``AnswerRead``.
+    """
 
     def __init__(self, ledger: 'ByteLedger', holder: object) -> None:
         """Hold nothing yet, for ``holder``."""
         self.holder = holder
         self.body_bytes = 0
-        self.answer_bytes = 0
+        self.expected_bytes = 0
+        self._read_bytes = 0
         self._ledger = ledger
         self._is_released = False
         self._refusal: Refusal | None = None
 
+    @property
+    def answer_bytes(self) -> int:
+        """Return the bytes of all answers, or those of the expected one."""
+        return max(self.expected_bytes, self._read_bytes)
+
     @property
     def size(self) -> int:
-        """Return the bytes of body and answer together."""
+        """Return the bytes of body and answers together."""
         return self.body_bytes + self.answer_bytes
 
     def grow_body(self, size: int) -> bool:
@@ -79,26 +89,43 @@
         self.body_bytes += more_bytes
         return True
 
-    def grow_answer(self, size: int) -> bool:
-        """Hold an answer of ``size``; return False if it doesn't fit.
+    def add_body(self, size: int) -> None:
+        """Hold a body that is in memory already, also if it doesn't fit."""
+        self._ledger.add(self.holder, size)
+        self.body_bytes += size
+
+    def begin_read(self) -> 'AnswerRead':
+        """Hold the answer of one more attempt, of which nothing is read."""
+        return AnswerRead(self._ledger, self)
+
+    def grow_reads(self, more_bytes: int) -> bool:
+        """Hold more of an answer; return False if it doesn't fit.
 
         After ``release``, an attempt that is being cancelled holds nothing.
         """
         if self._is_released:
             return True
-        more_bytes = max(size - self.answer_bytes, 0)
-        if not self._ledger.take(self, more_bytes):
+        read_bytes = self._read_bytes + more_bytes
+        if not self._ledger.take(self, max(read_bytes - self.answer_bytes, 0)):
             return False
-        self.answer_bytes += more_bytes
+        self._read_bytes = read_bytes
         return True
 
+    def add_to_reads(self, more_bytes: int) -> None:
+        """Hold bytes of an answer that are there already, or fewer of them."""
+        if self._is_released:
+            return
+        before_bytes = self.answer_bytes
+        self._read_bytes += more_bytes
+        self._count_change(before_bytes)
+
     def add_complete_answer(self, size: int) -> None:
         """Hold an answer that has been read already, also if it doesn't fit."""
         if self._is_released:
             return
-        more_bytes = max(size - self.answer_bytes, 0)
-        self._ledger.add(self.holder, more_bytes)
-        self.answer_bytes += more_bytes
+        before_bytes = self.answer_bytes
+        self.expected_bytes = max(self.expected_bytes, size)
+        self._count_change(before_bytes)
 
     def refuse_more(self) -> Refusal:
         """Return the refusal of a call whose body may not grow."""
@@ -109,21 +136,58 @@
         self._refusal = refusal
         self.release()
 
-    def wait_for_answer(self, size: int, on_room: OnRoom) -> OnRoom:
-        """Call ``on_room`` once an answer of ``size`` is held.
-
-        Return a function that ends the wait.
-        """
-        return self._ledger.wait(self, size, on_room)
-
     def release(self) -> None:
         """Hold nothing any more."""
         size = self.size
         self._is_released = True
         self.body_bytes = 0
-        self.answer_bytes = 0
+        self.expected_bytes = 0
+        self._read_bytes = 0
         self._ledger.release(self.holder, size)
 
+    def _count_change(self, before_bytes: int) -> None:
+        more_bytes = self.answer_bytes - before_bytes
+        if more_bytes >= 0:
+            self._ledger.add(self.holder, more_bytes)
+        else:
+            self._ledger.release(self.holder, -more_bytes)
+
+
+class AnswerRead:
+    """The answer that one attempt reads, counted in the holding of its call."""
+
+    def __init__(self, ledger: 'ByteLedger', holding: Holding) -> None:
+        """Hold nothing yet in ``holding``."""
+        self.holding = holding
+        self.size = 0
+        self._ledger = ledger
+
+    def grow(self, size: int) -> bool:
+        """Hold an answer of ``size``; return False if it doesn't fit."""
+        more_bytes = size - self.size
+        if more_bytes <= 0:
+            return True
+        if not self.holding.grow_reads(more_bytes):
+            return False
+        self.size = size
+        return True
+
+    def complete(self, size: int) -> None:
+        """Hold an answer that has been read, also if it doesn't fit."""
+        self.holding.add_to_reads(size - self.size)
+        self.size = size
+
+    def wait_for_room(self, size: int, on_room: OnRoom) -> OnRoom:
+        """Call ``on_room`` once an answer of ``size`` is held.
+
+        Return a function that ends the wait.
+        """
+        return self._ledger.wait(self, size, on_room)
+
+    def end(self) -> None:
+        """Hold nothing any more of an answer that is of no use."""
+        self.complete(0)
+
 
 class _Claim(typing.NamedTuple):
     """A wish for more bytes by a holder that has some.
@@ -143,7 +207,7 @@
 
 
 class _Waiter(typing.NamedTuple):
-    holding: Holding
+    read: AnswerRead
     size: int
     on_room: OnRoom
 
@@ -199,7 +263,7 @@
         if not self.take(holding, size):
             return self.refuse(holding, size)
         holding.body_bytes = body_bytes
-        holding.answer_bytes = expected_bytes
+        holding.expected_bytes = expected_bytes
         return holding
 
     def refuse(self, holding: Holding, size: int) -> Refusal:
@@ -231,9 +295,9 @@
         self._subtract(holder, size)
         self.wake_waiters()
 
-    def wait(self, holding: Holding, size: int, on_room: OnRoom) -> OnRoom:
+    def wait(self, read: AnswerRead, size: int, on_room: OnRoom) -> OnRoom:
         """Call ``on_room`` once an answer fits; return what ends the wait."""
-        waiter = _Waiter(holding, size, on_room)
+        waiter = _Waiter(read, size, on_room)
         self._waiters.append(waiter)
 
         def stop() -> None:
@@ -250,7 +314,7 @@
         try:
             for waiter in sorted(self._waiters, key=_size_of):
                 is_waiting = waiter in self._waiters
-                if is_waiting and waiter.holding.grow_answer(waiter.size):
+                if is_waiting and waiter.read.grow(waiter.size):
                     self._waiters.remove(waiter)
                     waiter.on_room()
         finally:
--- a/oleanderstair/engine/caller_app.py
+++ b/oleanderstair/engine/caller_app.py
@@ -127,7 +127,7 @@
         with listener.watch_disconnect(
             scope, lambda: runtime.report_caller_left(call_id)
         ):
-            reply = await runtime.run_call(received, request)
+            reply = await runtime.run_call(received, request, holding)
         if holding is not None and reply.answer is not None:
             holding.add_complete_answer(len(reply.answer.body))
         closing = self._is_closing(scope)
--- a/oleanderstair/engine/exchanges.py
+++ b/oleanderstair/engine/exchanges.py
@@ -93,7 +93,9 @@
 
     ``fresh`` requires a new connection or one with a recent answer.
     ``silence_ms`` is the timeout. ``born_ms`` is the start time of the target,
-    0 if it isn't known. The bytes of the answer are counted in ``holding``.
+    0 if it isn't known. The bytes of the answer are counted in ``holding``,
+    or for the target if the request belongs to no call. ``max_answer_bytes``
+    limits the body of the answer, in addition to the limit of the pool.
     """
 
     target_id: str
@@ -102,6 +104,7 @@
     silence_ms: clock.Millis
     born_ms: int = 0
     holding: byte_ledger.Holding | None = None
+    max_answer_bytes: int = MAX_ANSWER_BYTES
 
 
 OnAnswer: typing.TypeAlias = typing.Callable[[Destination, Answer], None]
@@ -132,7 +135,8 @@
     answers that end with their connection. ``stale_idle_ms_by_target`` is a
     shorter idle timeout for targets that silently dropped a connection.
     ``on_answer`` is called with each complete answer and the destination of
-    its request. ``ledger`` limits the bodies that a target has at a time.
+    its request. ``ledger`` counts answers, and limits the bodies that a target
+    has at a time.
     """
 
     max_answer_bytes: int = MAX_ANSWER_BYTES
@@ -173,11 +177,11 @@
         judge = judge or verdict_of
         connection: target_connections.Connection | None = None
         result = ExchangeResult(events.Verdict.CANCELLED)
+        expected = self._expected_answer(destination, request, judge)
         try:
             connection = await self._connect(destination)
             outcome = await connection.send_request(
-                _encode_request(request),
-                self._expected_answer(destination, request, judge),
+                _encode_request(request), expected
             )
             result = self._check_stale(
                 destination, connection, _result_of(outcome, judge)
@@ -185,7 +189,7 @@
         except target_connections.ConnectError as error:
             return ExchangeResult(events.Verdict.NOT_SENT, cause=str(error))
         finally:
-            self._end_send(destination, request)
+            self._stop_counting(destination, request, expected)
             self._return_connection(destination, connection, result)
         return result
 
@@ -214,15 +218,16 @@
             self._release(destination.target_id)
             return None
 
+        expected = self._expected_answer(destination, request, judge)
+
         def finish(outcome: target_connections.ExchangeOutcome) -> None:
-            self._end_send(destination, request)
+            self._stop_counting(destination, request, expected)
             result = self._check_stale(
                 destination, connection, _result_of(outcome, judge)
             )
             self._return_connection(destination, connection, result)
             on_end(result)
 
-        expected = self._expected_answer(destination, request, judge)
         cancel = connection.begin_request(encoded, expected, finish)
         self._begin_send(destination, request)
         return cancel
@@ -255,9 +260,17 @@
             destination.target_id, len(request.body)
         )
 
-    def _end_send(self, destination: Destination, request: Request) -> None:
+    def _stop_counting(
+        self,
+        destination: Destination,
+        request: Request,
+        expected: target_connections.ExpectedAnswer,
+    ) -> None:
+        """Count neither the body that was sent nor an answer to no call."""
         if self.ledger is not None:
             self.ledger.end_send(destination.target_id, len(request.body))
+        if destination.holding is None and expected.read is not None:
+            expected.read.holding.release()
 
     def _reserve(self, target_id: str) -> bool:
         in_use = self.in_use_by_target.get(target_id, 0)
@@ -275,7 +288,7 @@
         self._close_surplus_idle(destination.target_id)
         return await target_connections.connect(
             destination.address,
-            answers.create(self.max_answer_bytes, self.allows_unframed),
+            answers.create(self.allows_unframed),
             min(CONNECT_TIMEOUT_MS, destination.silence_ms),
         )
 
@@ -330,9 +343,18 @@
             request.method,
             is_for_other_request,
             destination.silence_ms,
-            destination.holding,
+            min(self.max_answer_bytes, destination.max_answer_bytes),
+            self._begin_read(destination),
         )
 
+    def _begin_read(
+        self, destination: Destination
+    ) -> byte_ledger.AnswerRead | None:
+        holding = destination.holding
+        if holding is None and self.ledger is not None:
+            holding = byte_ledger.Holding(self.ledger, destination.target_id)
+        return None if holding is None else holding.begin_read()
+
     def _check_stale(
         self,
         destination: Destination,
--- a/oleanderstair/engine/forwarded_calls.py
+++ b/oleanderstair/engine/forwarded_calls.py
@@ -183,9 +183,9 @@
         has run before.
         """
         ledger = self._host.ledger
-        if ledger is None or received.key:
+        if ledger is None:
             return await self._host.run_call(received, request)
-        opened = ledger.open(sender, len(request.body), 0)
+        opened = _open_holding(ledger, sender, received, request)
         if isinstance(opened, byte_ledger.Refusal):
             reason = outcomes.Reason.OVERLOADED
             self._host.metrics.count('memory-refused')
@@ -250,6 +250,20 @@
         self._host.handle(event)
 
 
+def _open_holding(
+    ledger: byte_ledger.ByteLedger,
+    sender: str,
+    received: events.CallReceived,
+    request: exchanges.Request,
+) -> byte_ledger.Holding | byte_ledger.Refusal:
+    """Hold the body of a call; refuse it if that doesn't fit, unless keyed."""
+    if not received.key:
+        return ledger.open(sender, len(request.body), 0)
+    holding = byte_ledger.Holding(ledger, sender)
+    holding.add_body(len(request.body))
+    return holding
+
+
 def create(
     host: ForwardedCallHost,
     tasks: anyio.abc.TaskGroup,
--- a/oleanderstair/engine/node.py
+++ b/oleanderstair/engine/node.py
@@ -64,6 +64,8 @@
     ) -> None:
         memory_mb = self.node_settings.instance.capacity.memory_mb
         ledger = byte_ledger.create(byte_budgets.create_budget(memory_mb))
+        runtime.ledger = ledger
+        runtime.sides.connections.ledger = ledger
         limits = machine_limits.connection_limits_of(self.node_settings)
         bounds = _bounds_of(self.node_settings.callers, limits.callers)
         admin_bounds = listener.DEFAULT_BOUNDS._replace(
--- a/oleanderstair/engine/target_connections.py
+++ b/oleanderstair/engine/target_connections.py
@@ -63,15 +63,17 @@
 
 
 class ExpectedAnswer(typing.NamedTuple):
-    """How the answer to a request is recognised, and its timeout.
+    """How the answer to a request is recognised, and its limits.
 
-    The bytes of the answer are counted in ``holding``, if there is one.
+    Its bytes are counted in ``read``, if there is one. A body has up to
+    ``max_bytes``.
     """
 
     method: bytes
     is_for_other_request: answers.IsForOtherRequest
     timeout_ms: clock.Millis
-    holding: byte_ledger.Holding | None = None
+    max_bytes: int
+    read: byte_ledger.AnswerRead | None = None
 
 
 class Cancelled(typing.NamedTuple):
@@ -102,7 +104,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
         self._has_ended = False
-        self._holding: byte_ledger.Holding | None = None
+        self._read: byte_ledger.AnswerRead | None = None
         self._stop_waiting: byte_ledger.OnRoom | None = None
         self.answered_at_s = self._loop.time()
         self._written_at_s = self.answered_at_s
@@ -179,12 +181,14 @@
         self.idle_before_use_s = self.idle_s()
         self._written_at_s = self._loop.time()
         self._on_outcome = on_outcome
-        self._holding = expected.holding
+        self._read = expected.read
         self._timer = self._loop.call_later(
             clock.to_seconds(expected.timeout_ms),
             self._on_timeout,
         )
-        self._reader.expect(expected.method, expected.is_for_other_request)
+        self._reader.expect(
+            expected.method, expected.is_for_other_request, expected.max_bytes
+        )
         self._limit_unacknowledged(self._transport, request.size)
         self._write(self._transport, request)
         return functools.partial(self._cancel, on_outcome)
@@ -318,13 +322,13 @@
 
     def _hold_answer(self) -> None:
         """Count the answer; stop reading while it doesn't fit."""
-        if self._holding is None or self._stop_waiting is not None:
+        if self._read is None or self._stop_waiting is not None:
             return
         size = self._reader.answer_bytes()
         if self._reader.outcome is not None:
-            self._holding.add_complete_answer(size)
-        elif not self._holding.grow_answer(size):
-            self._stop_waiting = self._holding.wait_for_answer(
+            self._read.complete(size)
+        elif not self._read.grow(size):
+            self._stop_waiting = self._read.wait_for_room(
                 size, self._resume_reading
             )
             if self._transport is not None:
@@ -356,6 +360,9 @@
 
     def _finish(self, outcome: ExchangeOutcome) -> None:
         on_outcome = self._on_outcome
+        if isinstance(outcome, answers.Answer):
+            # It stays held for as long as its call.
+            self._read = None
         self._clear_request()
         self._reader.release()
         if on_outcome is not None:
@@ -373,7 +380,9 @@
 
     def _clear_request(self) -> None:
         self._on_outcome = None
-        self._holding = None
+        if self._read is not None:
+            self._read.end()
+            self._read = None
         if self._unwritten:
             # The target would take the next request for the rest of the body.
             self._is_cut_short = True
--- a/oleanderstair/platform/load_reader.py
+++ b/oleanderstair/platform/load_reader.py
@@ -11,6 +11,9 @@
 from oleanderstair.engine import exchanges, headers
 from oleanderstair.platform import dialect
 
+_MAX_BODY_BYTES: typing.Final = 65_536
+"""Maximum size of the body of a health path, which isn't used."""
+
 
 class HealthPathReader:
     """Reads load reports over the connections of calls."""
@@ -69,6 +72,7 @@
         fresh=False,
         silence_ms=action.bound_ms,
         born_ms=action.born_ms,
+        max_answer_bytes=_MAX_BODY_BYTES,
     )
 
 
--- /dev/null
+++ b/test/test_answer_reads.py
@@ -0,0 +1,171 @@
+"""Answers of targets that were read without being counted.
+
+Each reader of a target's bytes must count what it holds: calls, hedges, reads
+of a target's load, and calls that a peer forwarded or that have a key.
+"""
+
+import contextlib
+import functools
+
+import anyio
+import pytest
+
+from oleanderstair import settings
+from oleanderstair.domain import actions, byte_budgets, events, outcomes
+from oleanderstair.engine import byte_ledger, exchanges, node, pending
+from oleanderstair.platform import load_reader
+from test import helper, loopback_node, raw
+
+MB = 1_000_000
+LARGEST_REPORT = 65_536
+REPORT = (
+    b'HTTP/1.1 200 OK\r\nserver-load: 1,0,4\r\ncontent-length: %d\r\n\r\n%b'
+)
+
+
+def in_event_loop(test):
+    """Run a test in an event loop, whose time the ledger reads."""
+
+    @functools.wraps(test)
+    def run():
+        async def scenario():
+            test()
+
+        anyio.run(scenario)
+
+    return run
+
+
+def create_ledger():
+    return byte_ledger.create(byte_budgets.create_budget(152))
+
+
+# A hedge and the attempt before it were counted as one answer.
+@in_event_loop
+def test_answers_that_are_read_side_by_side_count_both():
+    ledger = create_ledger()
+    holding = byte_ledger.Holding(ledger, 'caller')
+    first, hedge = holding.begin_read(), holding.begin_read()
+    assert first.grow(MB)
+    assert hedge.grow(2 * MB)
+    assert ledger.used_bytes == holding.answer_bytes == 3 * MB
+    first.end()
+    assert ledger.used_bytes == 2 * MB
+    holding.release()
+    hedge.end()
+    assert not ledger.used_bytes
+
+
+@in_event_loop
+def test_expected_bytes_of_a_call_are_not_counted_twice():
+    ledger = create_ledger()
+    holding = ledger.open('caller', 0, MB)
+    read = holding.begin_read()
+    for size in (MB // 2, MB, 3 * MB):
+        assert read.grow(size)
+        assert ledger.used_bytes == max(size, MB)
+    read.end()
+    assert ledger.used_bytes == MB
+    holding.release()
+    assert not ledger.used_bytes
+
+
+async def read_load(target, pool, bound_ms=2000):
+    reader = load_reader.create(pool)
+    return await reader.read(
+        actions.ReadLoad('i-0', target.address, '/health', bound_ms)
+    )
+
+
+# An answer to a health read could be as large as one to a call, and counted
+# nothing.
+@pytest.mark.parametrize(
+    ('size', 'is_read'),
+    [(0, True), (LARGEST_REPORT, True), (LARGEST_REPORT + 1, False)],
+)
+def test_answer_to_a_load_read_is_limited(size, is_read):
+    async def scenario():
+        target = raw.RawTarget(REPORT % (size, b'o' * size))
+        async with raw.running(target):
+            pool = exchanges.create()
+            pool.ledger = create_ledger()
+            report = await read_load(target, pool)
+            assert not pool.ledger.used_bytes
+        return report
+
+    assert (anyio.run(scenario) is not None) is is_read
+
+
+def test_answer_to_a_load_read_is_counted_while_it_is_read():
+    async def scenario():
+        target = raw.RawTarget(
+            REPORT % (LARGEST_REPORT, b'o' * 40_000), kept=True
+        )
+        async with raw.running(target), anyio.create_task_group() as tasks:
+            pool = exchanges.create()
+            pool.ledger = create_ledger()
+            tasks.start_soon(read_load, target, pool, 500)
+            await helper.wait_until(lambda: pool.ledger.used_bytes)
+            assert pool.ledger.used_bytes == LARGEST_REPORT
+        assert not pool.ledger.used_bytes
+
+    with_deadline(scenario)
+
+
+def with_deadline(scenario):
+    async def bounded():
+        with anyio.fail_after(loopback_node.TIMEOUT_S):
+            await scenario()
+
+    anyio.run(bounded)
+
+
+@contextlib.asynccontextmanager
+async def running_balancer():
+    """Run an instance of limited memory whose calls record their holding."""
+    async with helper.running_fleet(1) as (deployment, _):
+        tree = deployment.node_settings('entry-2', 'trnava')
+        tree['instance']['capacity'] = {'memory_mb': 152}
+        tree['policy'] = {'confirm_without_peers': True}
+        entry = node.create(settings.build(tree))
+        deployment.tasks.start_soon(entry.run)
+        await helper.wait_until(lambda: helper.is_serving(entry))
+        held_bytes = []
+
+        async def answer(received, request, holding=None):
+            held_bytes.append(None if holding is None else holding.body_bytes)
+            return pending.Reply(
+                outcomes.Outcome.RAN, answer=exchanges.Answer(200, [], b'')
+            )
+
+        entry.runtime.run_call = answer
+        yield entry, held_bytes
+
+
+# Calls that release notes steer were read without being counted.
+def test_calls_of_a_balancer_count_their_answers():
+    async def scenario():
+        async with running_balancer() as (entry, held_bytes):
+            assert entry.runtime.sides.connections.ledger is not None
+            await helper.send_request(
+                entry.identity.caller_address, 'POST', body=b'o' * 9
+            )
+            assert held_bytes == [9]
+            assert not entry.runtime.ledger.used_bytes
+
+    anyio.run(scenario)
+
+
+# A call with a key runs at its home whatever the memory, and was not counted.
+def test_keyed_calls_of_peers_count_their_answers():
+    async def scenario():
+        async with running_balancer() as (entry, held_bytes):
+            received = events.CallReceived(1, 'burza', 'POST', '/', 0, 'key')
+            request = exchanges.Request(b'POST', b'/', [], b'o' * 9)
+            await entry.runtime._forwarded_calls._run_within_memory(
+                'entry-1~1', received, request
+            )
+            assert held_bytes == [9]
+            assert not entry.runtime.ledger.used_bytes
+
+    anyio.run(scenario)
--- a/test/test_endless_answers.py
+++ b/test/test_endless_answers.py
@@ -169,8 +169,8 @@
     """Return the answer of the largest body in chunks, and the peak memory."""
     chunk = b'%x\r\n%b\r\n' % (size, b'a' * size)
     repeated = chunk * (32_768 // len(chunk))
-    reader = answers.create(LARGEST, takes_unframed=True)
-    reader.expect(b'GET', lambda _: False)
+    reader = answers.create(takes_unframed=True)
+    reader.expect(b'GET', lambda _: False, LARGEST)
     reader.feed(CHUNKED)
     tracemalloc.start()
     try:
