Let the largest unfinished answer give way when room is short

What callers saw: targets of one service that send bodies without a length took all room for buffered bytes.

Cause: an answer that waits for room kept what it had until its deadline, and nobody was made to give way. Answers without a length even waited for each other. An attempt that ended so was no evidence against its target, so the faulty ones were never barred.

The tests of displaced answers in test_answer_reads.py need the new parts.

Why this works: byte_budgets.choose_displaced decides. The answers being read are grouped by service. For a claim that doesn't fit, the largest answer of the service that holds the most gives way at once, if it holds twice the claim or more; of its own service only an answer without a length displaces it, which may be that answer itself. Its call is settled as broken (it may have run), and its target has failed one more call, which bars it for a while. None gives way while answers being read hold less than a quarter: slow callers fill the memory then, and answers wait as before. Requests with large bodies and heads displace nothing; they can be refused.

A line `answer-given-up` and the counter answers_given_up name the target, the cause and the bytes that came.

--- a/oleanderstair/domain/byte_budgets.py
+++ b/oleanderstair/domain/byte_budgets.py
@@ -31,8 +31,9 @@
 as forwarded, take 250 to 400 bytes, and ``COPIES`` covers twice of this."""
 
 MIN_SIZE_RATIO: typing.Final = 2
-"""How many times the size of a small call a client must hold to be refused for
-it while it is still sending. Calls of one size don't displace each other."""
+"""How many times the size of a call another one must hold to be displaced by it
+while it is still sent or answered. Calls of one size don't displace each other.
+"""
 
 MIN_RETRY_MS: typing.Final = 100
 MAX_RETRY_MS: typing.Final = 2000
@@ -49,13 +50,15 @@
     """The most bytes that an instance, a holder and a target may have.
 
     A holder is a connection of a caller, or a peer that forwards calls.
-    ``reserve_bytes`` of the total are for small calls only.
+    ``reserve_bytes`` of the total are for small calls only. Unfinished answers
+    that together hold ``unfinished_bytes`` or more may have to give way.
     """
 
     total_bytes: int
     holder_bytes: int
     target_bytes: int
     reserve_bytes: int
+    unfinished_bytes: int
 
 
 class Usage(typing.NamedTuple):
@@ -83,6 +86,25 @@
     stopped_ms: clock.Millis
 
 
+class UnfinishedAnswer(typing.NamedTuple):
+    """An answer that is being read from a target of a service."""
+
+    held_bytes: int
+    service: str
+
+
+class AnswerClaim(typing.NamedTuple):
+    """What a call of a service needs to grow to ``size``.
+
+    ``is_growing`` is true for an answer that holds bytes and has no declared
+    length.
+    """
+
+    size: int
+    service: str
+    is_growing: bool = False
+
+
 def create_budget(memory_mb: float) -> Budget | None:
     """Return the budget of a machine; None without a limit of memory."""
     if not memory_mb:
@@ -94,6 +116,7 @@
         holder_bytes=total_bytes // _SHARE_DIVISOR,
         target_bytes=total_bytes // _SHARE_DIVISOR,
         reserve_bytes=total_bytes // _RESERVE_DIVISOR,
+        unfinished_bytes=total_bytes // _SHARE_DIVISOR,
     )
 
 
@@ -177,6 +200,31 @@
     return chosen if excess_bytes <= 0 else []
 
 
+def choose_displaced(
+    budget: Budget,
+    answers: typing.Sequence[UnfinishedAnswer],
+    claim: AnswerClaim,
+) -> int | None:
+    """Return the index of the answer that gives way to a claim, or None.
+
+    It is the largest one of the service whose unfinished answers hold the
+    most. A call of another service displaces it if it holds much more than
+    that call. Of its own service only a growing answer displaces it, which may
+    be that answer itself: they could wait for each other until their deadlines.
+    """
+    if sum(answer.held_bytes for answer in answers) < budget.unfinished_bytes:
+        return None
+    service = _largest_service(answers)
+    held_bytes, chosen = max(
+        (answer.held_bytes, index)
+        for index, answer in enumerate(answers)
+        if answer.service == service
+    )
+    if claim.service == service:
+        return chosen if claim.is_growing else None
+    return chosen if held_bytes >= claim.size * MIN_SIZE_RATIO else None
+
+
 def excess_bytes_of(
     budget: Budget, usage: Usage, size: int, more_bytes: int
 ) -> int:
@@ -201,6 +249,15 @@
     return min(max(wait_ms, MIN_RETRY_MS), MAX_RETRY_MS)
 
 
+def _largest_service(answers: typing.Sequence[UnfinishedAnswer]) -> str:
+    """Return the service whose answers hold the most bytes together."""
+    bytes_by_service: dict[str, int] = {}
+    for answer in answers:
+        others_bytes = bytes_by_service.get(answer.service, 0)
+        bytes_by_service[answer.service] = others_bytes + answer.held_bytes
+    return max(bytes_by_service, key=lambda name: bytes_by_service[name])
+
+
 def _limit_of(budget: Budget, size: int) -> int:
     if size <= SMALL_BYTES:
         return budget.total_bytes
--- a/oleanderstair/engine/answers.py
+++ b/oleanderstair/engine/answers.py
@@ -64,12 +64,14 @@
     the bytes are invalid before a status line was read. ``is_unanswered`` is
     true if the connection ended before the first byte of an answer, and
     ``is_memory_short`` if this instance had no memory to read the answer.
+    ``excess_bytes`` is the size of what came if that was too much.
     """
 
     cause: str
     is_lost: bool = True
     is_unanswered: bool = False
     is_memory_short: bool = False
+    excess_bytes: int = 0
 
 
 IsForOtherRequest: typing.TypeAlias = typing.Callable[[Answer], bool]
@@ -142,15 +144,21 @@
         self._is_for_other_request = _is_never_for_other_request
 
     def answer_bytes(self) -> int:
-        """Return what the answer takes: its body, as declared or received.
+        """Return what the unfinished answer takes, as declared or received.
 
         A head of more than the usual size counts as well.
         """
-        if isinstance(self.outcome, Answer):
-            return len(self.outcome.body)
         head_bytes = max(self._head_bytes - _USUAL_HEAD_BYTES, 0)
         return max(self._declared_bytes, len(self._body)) + head_bytes
 
+    def has_declared_length(self) -> bool:
+        """Return whether the length of the body is known."""
+        return self._declared_bytes > 0
+
+    def received_body_bytes(self) -> int:
+        """Return how much of the body was received."""
+        return len(self._body)
+
     def feed(self, chunk: bytes) -> None:
         """Parse received bytes; set ``outcome`` to the answer or to a fault."""
         if not self.is_expecting:
@@ -170,8 +178,9 @@
             self.abandon('bodies of answers to other requests too large')
 
     def abandon(self, cause: str) -> None:
-        """Fail the request although the connection is still open."""
-        self._fail(AnswerFault(cause, is_lost=False))
+        """Fail the request, as its answer is too large, without waiting."""
+        excess_bytes = max(self.received_bytes, 1)
+        self._fail(AnswerFault(cause, is_lost=False, excess_bytes=excess_bytes))
 
     def end_of_stream(self, error: Exception | None) -> None:
         """Handle the end of the connection; ``error`` is None if clean."""
@@ -212,7 +221,7 @@
         """
         self._status = self._parser.get_status_code()
         if self._status < _MIN_STATUS:
-            self.abandon(_UNDEFINED_STATUS)
+            self._fail(AnswerFault(_UNDEFINED_STATUS, is_lost=False))
             return
         if self._method == _HEAD and self._status >= _MIN_FINAL_STATUS:
             # The parser expects a body, which an answer to HEAD doesn't have.
--- a/oleanderstair/engine/balancer_runtime.py
+++ b/oleanderstair/engine/balancer_runtime.py
@@ -76,6 +76,11 @@
             },
         )
 
+    def service_of(self, target_id: str) -> str:
+        """Return the service of a target, or its id if it is unknown."""
+        target = self.state.catalogue.in_force.target_by_id.get(target_id)
+        return target_id if target is None else target.service
+
     async def run_peers(self) -> None:
         """Handle the messages of peers until cancelled."""
         await self._messenger.run_receiver()
--- a/oleanderstair/engine/byte_ledger.py
+++ b/oleanderstair/engine/byte_ledger.py
@@ -1,7 +1,7 @@
 """Counts the bytes that an instance buffers for callers and targets.
 
 ``domain.byte_budgets`` decides what fits. An answer that doesn't fit is not
-read on from its target until it does.
+read on from its target until it does, unless one has to give way.
 """
 
 import asyncio
@@ -56,9 +56,15 @@
     read their answers side by side, each as an ``AnswerRead``.
     """
 
-    def __init__(self, ledger: 'ByteLedger', holder: object) -> None:
-        """Hold nothing yet, for ``holder``."""
+    def __init__(
+        self, ledger: 'ByteLedger', holder: object, service: str = ''
+    ) -> None:
+        """Hold nothing yet, for ``holder``.
+
+        A call of ``service``, if given, may displace unfinished answers.
+        """
         self.holder = holder
+        self.service = service
         self.body_bytes = 0
         self.expected_bytes = 0
         self._read_bytes = 0
@@ -94,11 +100,11 @@
         self._ledger.add(self.holder, size)
         self.body_bytes += size
 
-    def begin_read(self) -> 'AnswerRead':
-        """Hold the answer of one more attempt, of which nothing is read."""
-        return AnswerRead(self._ledger, self)
+    def begin_read(self, service: str = '') -> 'AnswerRead':
+        """Hold the answer of one more attempt, at a target of ``service``."""
+        return AnswerRead(self._ledger, self, service)
 
-    def grow_reads(self, more_bytes: int) -> bool:
+    def grow_reads(self, more_bytes: int, read: 'AnswerRead') -> bool:
         """Hold more of an answer; return False if it doesn't fit.
 
         After ``release``, an attempt that is being cancelled holds nothing.
@@ -106,7 +112,8 @@
         if self._is_released:
             return True
         read_bytes = self._read_bytes + more_bytes
-        if not self._ledger.take(self, max(read_bytes - self.answer_bytes, 0)):
+        missing_bytes = max(read_bytes - self.answer_bytes, 0)
+        if not self._ledger.take(self, missing_bytes, read):
             return False
         self._read_bytes = read_bytes
         return True
@@ -154,26 +161,51 @@
 
 
 class AnswerRead:
-    """The answer that one attempt reads, counted in the holding of its call."""
+    """The answer that one attempt reads, counted in the holding of its call.
+
+    ``has_length`` is true once the length of the answer is known. While it is
+    unfinished, it may be displaced by others: ``is_displaced`` is true then, it
+    holds nothing any more, and ``on_displaced`` is called soon.
+    """
 
-    def __init__(self, ledger: 'ByteLedger', holding: Holding) -> None:
+    def __init__(
+        self, ledger: 'ByteLedger', holding: Holding, service: str
+    ) -> None:
         """Hold nothing yet in ``holding``."""
         self.holding = holding
+        self.service = service
         self.size = 0
+        self.has_length = False
+        self.is_displaced = False
+        self.on_displaced: OnRoom | None = None
         self._ledger = ledger
 
     def grow(self, size: int) -> bool:
-        """Hold an answer of ``size``; return False if it doesn't fit."""
+        """Hold an answer of ``size``; return False if it doesn't fit.
+
+        It doesn't after it was displaced, which this may cause.
+        """
         more_bytes = size - self.size
-        if more_bytes <= 0:
-            return True
-        if not self.holding.grow_reads(more_bytes):
+        if self.is_displaced or more_bytes <= 0:
+            return not self.is_displaced
+        if not self.holding.grow_reads(more_bytes, self):
             return False
         self.size = size
+        self._ledger.note_unfinished_read(self)
         return True
 
+    def add(self, size: int) -> None:
+        """Hold ``size`` bytes that are there already, also if they don't fit.
+
+        The answer is unfinished.
+        """
+        self.holding.add_to_reads(size - self.size)
+        self.size = size
+        self._ledger.note_unfinished_read(self)
+
     def complete(self, size: int) -> None:
         """Hold an answer that has been read, also if it doesn't fit."""
+        self._ledger.forget_read(self)
         self.holding.add_to_reads(size - self.size)
         self.size = size
 
@@ -184,6 +216,13 @@
         """
         return self._ledger.wait(self, size, on_room)
 
+    def displace(self) -> None:
+        """Hold nothing any more, as others need the room."""
+        self.is_displaced = True
+        self.end()
+        if self.on_displaced is not None:
+            asyncio.get_running_loop().call_soon(self.on_displaced)
+
     def end(self) -> None:
         """Hold nothing any more of an answer that is of no use."""
         self.complete(0)
@@ -192,13 +231,16 @@
 class _Claim(typing.NamedTuple):
     """A wish for more bytes by a holder that has some.
 
-    ``beside_bytes`` are those of its other calls.
+    ``beside_bytes`` are those of its other calls. A claim of a ``service`` may
+    displace unfinished answers; ``is_growing`` as in ``AnswerClaim``.
     """
 
     holder: object
     beside_bytes: int
     held_bytes: int
     more_bytes: int
+    service: str = ''
+    is_growing: bool = False
 
     @property
     def size(self) -> int:
@@ -226,6 +268,7 @@
         self.input_by_sender: dict[RequestSender, int] = {}
         # A dict, as it has an order that doesn't change.
         self.unfinished: dict[RequestSender, None] = {}
+        self.unfinished_reads: dict[AnswerRead, None] = {}
         self._used_by_holder: dict[object, int] = {}
         self._waiters: list[_Waiter] = []
         self._is_waking = False
@@ -255,10 +298,19 @@
     # Calls
 
     def open(
-        self, holder: object, body_bytes: int, expected_bytes: int
+        self,
+        holder: object,
+        body_bytes: int,
+        expected_bytes: int,
+        service: str = '',
     ) -> Holding | Refusal:
-        """Hold a body, and an answer of the expected size, or refuse them."""
-        holding = Holding(self, holder)
+        """Hold a body, and an answer of the expected size, or refuse them.
+
+        Unless its body is large, a call of ``service``, if given, may displace
+        unfinished answers.
+        """
+        is_small = body_bytes <= byte_budgets.SMALL_BYTES
+        holding = Holding(self, holder, service if is_small else '')
         size = body_bytes + expected_bytes
         if not self.take(holding, size):
             return self.refuse(holding, size)
@@ -270,13 +322,26 @@
         """Return the refusal of a call that would hold ``size`` in all."""
         return self._refuse(self._claim_of(holding, size - holding.size))
 
-    def take(self, holding: Holding, more_bytes: int) -> bool:
+    def take(
+        self,
+        holding: Holding,
+        more_bytes: int,
+        read: AnswerRead | None = None,
+    ) -> bool:
         """Count more bytes for a call; return False if they don't fit.
 
         Readers that have stopped are cut off first if that makes room, then
-        requests that are not complete are refused.
+        requests that are not complete are refused, then unfinished answers
+        give way. That may be ``read``, whose answer the bytes belong to.
         """
-        if not self._make_room(self._claim_of(holding, more_bytes)):
+        claim = self._claim_of(holding, more_bytes)
+        if read is not None:
+            claim = claim._replace(
+                service=read.service,
+                is_growing=read.size > 0 and not read.has_length,
+            )
+        is_made = self._make_room(claim)
+        if not is_made or (read is not None and read.is_displaced):
             return False
         self.add(holding.holder, more_bytes)
         return True
@@ -320,6 +385,15 @@
         finally:
             self._is_waking = False
 
+    def note_unfinished_read(self, read: AnswerRead) -> None:
+        """Store that an answer is being read, unless it is small."""
+        if read.size > byte_budgets.SMALL_BYTES:
+            self.unfinished_reads[read] = None
+
+    def forget_read(self, read: AnswerRead) -> None:
+        """Store that an answer is not read any more."""
+        self.unfinished_reads.pop(read, None)
+
     # Senders
 
     def hold_input(self, sender: RequestSender, size: int) -> Refusal | None:
@@ -401,6 +475,8 @@
         self._cut_stopped_readers(claim)
         if not self._fits(claim):
             self._refuse_senders(claim)
+        if claim.service:
+            self._displace_answers(claim)
         return self._fits(claim)
 
     def _cut_stopped_readers(self, claim: _Claim) -> None:
@@ -430,13 +506,9 @@
             sender for sender in self.unfinished if sender is not claim.holder
         ]
         measured = [sender.measure_sending() for sender in senders]
-        excess_bytes = byte_budgets.excess_bytes_of(
-            self.budget,
-            self._usage_beside(claim),
-            claim.size,
-            claim.more_bytes,
+        chosen = byte_budgets.choose_refused(
+            measured, claim.size, self._excess_bytes(claim)
         )
-        chosen = byte_budgets.choose_refused(measured, claim.size, excess_bytes)
         if not chosen:
             self._failed_scan_at_s = now_s
             self._failed_scan_size = claim.size
@@ -446,6 +518,34 @@
                 self._refuse(_Claim(senders[index], 0, 0, held_bytes))
             )
 
+    def _displace_answers(self, claim: _Claim) -> None:
+        """Let the largest unfinished answers give way until a claim fits."""
+        was_waking = self._is_waking
+        # The room that they leave is for the claim.
+        self._is_waking = True
+        try:
+            while self._excess_bytes(claim) > 0:
+                if not self._displace_largest(claim):
+                    break
+        finally:
+            self._is_waking = was_waking
+
+    def _displace_largest(self, claim: _Claim) -> bool:
+        reads = list(self.unfinished_reads)
+        index = byte_budgets.choose_displaced(
+            self.budget,
+            [
+                byte_budgets.UnfinishedAnswer(read.size, read.service)
+                for read in reads
+            ],
+            byte_budgets.AnswerClaim(
+                claim.size, claim.service, claim.is_growing
+            ),
+        )
+        if index is not None:
+            reads[index].displace()
+        return index is not None
+
     def _cut_off(
         self, reader: AnswerReader, measured: byte_budgets.Reader
     ) -> None:
@@ -480,6 +580,14 @@
             claim.more_bytes,
         )
 
+    def _excess_bytes(self, claim: _Claim) -> int:
+        return byte_budgets.excess_bytes_of(
+            self.budget,
+            self._usage_beside(claim),
+            claim.size,
+            claim.more_bytes,
+        )
+
     def _usage_beside(self, claim: _Claim) -> byte_budgets.Usage:
         connection_bytes = (
             self.connection_count * connection_budgets.CONNECTION_BYTES
@@ -491,7 +599,11 @@
     def _claim_of(self, holding: Holding, more_bytes: int) -> _Claim:
         of_holder = self._used_by_holder.get(holding.holder, 0)
         return _Claim(
-            holding.holder, of_holder - holding.size, holding.size, more_bytes
+            holding.holder,
+            of_holder - holding.size,
+            holding.size,
+            more_bytes,
+            holding.service,
         )
 
     def _set_input(self, sender: RequestSender, size: int) -> None:
--- a/oleanderstair/engine/caller_app.py
+++ b/oleanderstair/engine/caller_app.py
@@ -71,7 +71,10 @@
     ) -> byte_ledger.Holding | byte_ledger.Refusal:
         """Hold the declared body, or refuse it."""
         protocol = listener.protocol_of(scope)
-        holding = ledger.open(protocol, _declared_bytes_of(scope), 0)
+        service = headers.find_field(scope['headers'], headers.SERVICE)
+        holding = ledger.open(
+            protocol, _declared_bytes_of(scope), 0, service.decode('latin-1')
+        )
         if isinstance(holding, byte_ledger.Holding):
             if not listener.has_whole_request(scope):
                 protocol.hold_body(holding)
--- a/oleanderstair/engine/exchanges.py
+++ b/oleanderstair/engine/exchanges.py
@@ -71,7 +71,8 @@
     was not stale, ``unanswered`` if it ended before the first byte of the
     answer. ``stale`` is true if the target had probably ended the connection
     before it received the request. ``memory_short`` is true if this instance
-    had no memory for the request or the answer.
+    had no memory for the request or the answer. ``excess_bytes`` is the size
+    of what came if the answer was too large, or had to give way to others.
     """
 
     verdict: events.Verdict
@@ -81,6 +82,7 @@
     unanswered: bool = False
     stale: bool = False
     memory_short: bool = False
+    excess_bytes: int = 0
 
 
 JudgeAnswer: typing.TypeAlias = typing.Callable[[Answer], events.Verdict | None]
@@ -110,6 +112,14 @@
 OnAnswer: typing.TypeAlias = typing.Callable[[Destination, Answer], None]
 """Handle each complete answer, including those to other requests."""
 
+OnExcess: typing.TypeAlias = typing.Callable[
+    [Destination, ExchangeResult], None
+]
+"""Handle the result of an exchange whose answer was too large."""
+
+ServiceOf: typing.TypeAlias = typing.Callable[[str], str]
+"""Return the service of a target."""
+
 
 class _IdleConnection(typing.NamedTuple):
     connection: target_connections.Connection
@@ -135,8 +145,9 @@
     answers that end with their connection. ``stale_idle_ms_by_target`` is a
     shorter idle timeout for targets that silently dropped a connection.
     ``on_answer`` is called with each complete answer and the destination of
-    its request. ``ledger`` counts answers, and limits the bodies that a target
-    has at a time.
+    its request, and ``on_excess`` with each exchange whose answer was too
+    large. ``ledger`` counts answers, by the service that ``service_of`` returns
+    for a target, and limits the bodies that a target has at a time.
     """
 
     max_answer_bytes: int = MAX_ANSWER_BYTES
@@ -144,6 +155,8 @@
     max_fresh_idle_ms: clock.Millis = 0
     max_open_per_target: int = MAX_OPEN_PER_TARGET
     on_answer: OnAnswer | None = None
+    on_excess: OnExcess | None = None
+    service_of: ServiceOf = str
     ledger: byte_ledger.ByteLedger | None = None
     idle_by_target: dict[str, list[_IdleConnection]] = msgspec.field(
         default_factory=dict,
@@ -353,7 +366,9 @@
         holding = destination.holding
         if holding is None and self.ledger is not None:
             holding = byte_ledger.Holding(self.ledger, destination.target_id)
-        return None if holding is None else holding.begin_read()
+        if holding is None:
+            return None
+        return holding.begin_read(self.service_of(destination.target_id))
 
     def _check_stale(
         self,
@@ -397,6 +412,8 @@
         connection: target_connections.Connection | None,
         result: ExchangeResult,
     ) -> None:
+        if result.excess_bytes and self.on_excess is not None:
+            self.on_excess(destination, result)
         target_id = destination.target_id
         self._release(target_id)
         if connection is None:
@@ -473,6 +490,7 @@
             cause=outcome.cause,
             unanswered=outcome.is_unanswered,
             memory_short=outcome.is_memory_short,
+            excess_bytes=outcome.excess_bytes,
         )
     verdict = judge(outcome)
     if verdict is None or verdict is events.Verdict.BROKEN:
--- a/oleanderstair/engine/forwarded_calls.py
+++ b/oleanderstair/engine/forwarded_calls.py
@@ -258,7 +258,7 @@
 ) -> byte_ledger.Holding | byte_ledger.Refusal:
     """Hold the body of a call; refuse it if that doesn't fit, unless keyed."""
     if not received.key:
-        return ledger.open(sender, len(request.body), 0)
+        return ledger.open(sender, len(request.body), 0, received.service)
     holding = byte_ledger.Holding(ledger, sender)
     holding.add_body(len(request.body))
     return holding
--- a/oleanderstair/engine/gateway_runtime.py
+++ b/oleanderstair/engine/gateway_runtime.py
@@ -218,6 +218,17 @@
             self.sides.clock.now_ms(),
         )
 
+    def log_excess(self, target_id: str, cause: str, size: int) -> None:
+        """Log an answer that was given up, at a bounded rate."""
+        self.decisions.give_answer_up(
+            target_id, cause, size, self.sides.clock.now_ms()
+        )
+
+    def service_of(self, target_id: str) -> str:
+        """Return the service of a target, or its id if it is unknown."""
+        entry = self.state.registry.entry_by_id.get(target_id)
+        return target_id if entry is None else entry.service
+
     def report_strike(self, strike: client_limits.Strike) -> None:
         """Log and count a limit that struck a client."""
         limit = strike.limit.value
--- a/oleanderstair/engine/node.py
+++ b/oleanderstair/engine/node.py
@@ -128,6 +128,9 @@
         runtime = balancer_runtime.BalancerRuntime(
             state, balancer_dependencies, tasks
         )
+        connections = balancer_dependencies.connections
+        connections.on_excess = runtime.report_excess
+        connections.service_of = runtime.service_of
         self.link.count_with(runtime.metrics.count)
         if self.node_settings.trace.max_events:
             runtime.recorder = recorder.create(
--- a/oleanderstair/engine/routed_caller_app.py
+++ b/oleanderstair/engine/routed_caller_app.py
@@ -106,11 +106,14 @@
         body_bytes = headers.parse_count(declared) or 0
         if body_bytes > self._caller_limits().max_body_bytes:
             return incoming.BODY_TOO_LARGE
-        expected_bytes = self._answer_bytes_by_route.get(
-            self._route_name_of(scope), 0
-        )
+        route = self._route_of(scope)
+        route_name = route.name if route else ''
+        expected_bytes = self._answer_bytes_by_route.get(route_name, 0)
         opened = ledger.open(
-            listener.protocol_of(scope), body_bytes, int(expected_bytes)
+            listener.protocol_of(scope),
+            body_bytes,
+            int(expected_bytes),
+            route.parts[0].service if route else '',
         )
         if isinstance(opened, byte_ledger.Refusal):
             return self._refuse_for_memory(opened)
@@ -216,24 +219,24 @@
         size = len(reply.answer.body)
         holding.add_complete_answer(size)
         sizes = self._answer_bytes_by_route
-        route_name = self._route_name_of(scope)
+        route = self._route_of(scope)
+        route_name = route.name if route else ''
         before_bytes = sizes.pop(route_name, size)
         change_bytes = (size - before_bytes) * _ANSWER_SIZE_WEIGHT
         sizes[route_name] = before_bytes + change_bytes
         while len(sizes) > _MAX_ANSWER_SIZES:
             sizes.pop(next(iter(sizes)))
 
-    def _route_name_of(self, scope: asgi.Scope) -> str:
+    def _route_of(self, scope: asgi.Scope) -> routes.Route | None:
         in_force = self._runtime.state.routes.in_force
         if in_force is None:
-            return ''
+            return None
         fields = headers.index_fields(scope['headers']).field_by_name
-        route = routing.find_route(
+        return routing.find_route(
             in_force,
             _host_of(fields),
             incoming.request_target_of(scope).decode('latin-1'),
         )
-        return route.name if route else ''
 
     async def _wait_for_routes(
         self,
--- a/oleanderstair/engine/runtime.py
+++ b/oleanderstair/engine/runtime.py
@@ -119,6 +119,22 @@
         for action in decided_actions:
             self._perform(action)
 
+    def report_excess(
+        self,
+        destination: exchanges.Destination,
+        ended: exchanges.ExchangeResult,
+    ) -> None:
+        """Log and count an answer that was too large, or gave way to others."""
+        cause = ended.cause.replace(' ', '-')
+        self.metrics.count('answers-given-up', f'cause={cause}')
+        self.log_excess(destination.target_id, cause, ended.excess_bytes)
+
+    def log_excess(self, target_id: str, cause: str, size: int) -> None:
+        """Log an answer that was given up after ``size`` bytes."""
+        logs.log_event(
+            'answer-given-up', target=target_id, cause=cause, bytes=size
+        )
+
     async def run_call(
         self,
         received: events.CallReceived,
--- a/oleanderstair/engine/target_connections.py
+++ b/oleanderstair/engine/target_connections.py
@@ -182,6 +182,8 @@
         self._written_at_s = self._loop.time()
         self._on_outcome = on_outcome
         self._read = expected.read
+        if self._read is not None:
+            self._read.on_displaced = self._give_way
         self._timer = self._loop.call_later(
             clock.to_seconds(expected.timeout_ms),
             self._on_timeout,
@@ -324,19 +326,44 @@
         """Count the answer; stop reading while it doesn't fit."""
         if self._read is None or self._stop_waiting is not None:
             return
-        size = self._reader.answer_bytes()
         if self._reader.outcome is not None:
-            self._read.complete(size)
-        elif not self._read.grow(size):
-            self._stop_waiting = self._read.wait_for_room(
-                size, self._resume_reading
+            return
+        size = self._reader.answer_bytes()
+        self._read.has_length = self._reader.has_declared_length()
+        if self._read.grow(size):
+            return
+        if self._read.is_displaced:
+            self._give_way()
+            return
+        self._read.add(self._reader.received_body_bytes())
+        self._stop_waiting = self._read.wait_for_room(
+            size, self._resume_reading
+        )
+        self._update_reading()
+
+    def _give_way(self) -> None:
+        """Fail the request, as others need the room of its answer."""
+        if self._read is not None and self._read.is_displaced:
+            received_bytes = self._reader.received_bytes
+            self._finish(
+                answers.AnswerFault(
+                    'the answer gave way to others',
+                    is_lost=False,
+                    excess_bytes=received_bytes,
+                )
             )
-            if self._transport is not None:
-                self._transport.pause_reading()
 
     def _resume_reading(self) -> None:
         self._stop_waiting = None
-        if self._transport is not None:
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Read unless the answer waits for room."""
+        if self._transport is None:
+            return
+        if self._stop_waiting is not None:
+            self._transport.pause_reading()
+        else:
             self._transport.resume_reading()
 
     def _on_timeout(self) -> None:
@@ -360,8 +387,9 @@
 
     def _finish(self, outcome: ExchangeOutcome) -> None:
         on_outcome = self._on_outcome
-        if isinstance(outcome, answers.Answer):
+        if isinstance(outcome, answers.Answer) and self._read is not None:
             # It stays held for as long as its call.
+            self._read.complete(len(outcome.body))
             self._read = None
         self._clear_request()
         self._reader.release()
--- a/oleanderstair/explaining/decisions.py
+++ b/oleanderstair/explaining/decisions.py
@@ -147,6 +147,21 @@
         )
         self._say_or_merge(now_ms, 'reader-cut', 'memory', fields)
 
+    def give_answer_up(
+        self,
+        target_id: str,
+        cause: str,
+        size: int,
+        now_ms: clock.Millis,
+    ) -> None:
+        """Take an answer that was too large, or gave way to others."""
+        fields: lines.Fields = (
+            ('target', target_id),
+            ('cause', cause),
+            ('bytes', size),
+        )
+        self._say_or_merge(now_ms, 'answer-given-up', cause, fields)
+
     def limit_client(
         self,
         limit: str,
--- a/oleanderstair/platform/node.py
+++ b/oleanderstair/platform/node.py
@@ -190,6 +190,8 @@
             state, sides, tasks, self.times
         )
         connections.on_answer = _notice_listener_for(runtime)
+        connections.on_excess = runtime.report_excess
+        connections.service_of = runtime.service_of
         memory_mb = self.node_settings.instance.capacity.memory_mb
         ledger = byte_ledger.create(byte_budgets.create_budget(memory_mb))
         runtime.ledger = ledger
--- a/test/gateway_process.py
+++ b/test/gateway_process.py
@@ -29,7 +29,7 @@
 _TRIES = 60
 _TRY_S = 30
 _RETRY_S = 0.5
-_UNANSWERED = (httpcore.NetworkError, httpcore.ProtocolError, TimeoutError)
+UNANSWERED = (httpcore.NetworkError, httpcore.ProtocolError, TimeoutError)
 
 
 class Machine(typing.NamedTuple):
@@ -40,6 +40,23 @@
     limits: typing.Mapping[str, int] = {}
 
 
+class OtherService(typing.NamedTuple):
+    """A service beside the ordinary one, and the addresses of its targets."""
+
+    name: str
+    addresses: tuple[str, ...]
+
+    def publish(self, platform_store: store.Store) -> None:
+        """Publish the targets."""
+        for number, address in enumerate(self.addresses):
+            entry = published.entry(address, service=self.name)
+            platform_store.put(f'servers/{self.name}-{number}', entry)
+
+    def route(self) -> published.Document:
+        """Return a route to the targets."""
+        return published.route(self.name, 'idempotent', self.name, 4000)
+
+
 @dataclasses.dataclass
 class Gateway:
     """A running process, its listeners and its targets."""
@@ -83,6 +100,12 @@
         address = self.address_by_listener[name]
         return await self._is_answered(address, {'path': path})
 
+    async def read_metrics(self) -> str:
+        """Return the page of metrics."""
+        address = self.address_by_listener['metrics']
+        answer = await loopback_node.send_request(address, '/metrics')
+        return answer.content.decode()
+
     async def _is_answered(
         self, address: str, request: dict[str, typing.Any]
     ) -> bool:
@@ -93,7 +116,7 @@
         for number in range(_TRIES):
             if not self.is_running():
                 return False
-            with contextlib.suppress(*_UNANSWERED):
+            with contextlib.suppress(*UNANSWERED):
                 with anyio.fail_after(_TRY_S):
                     answer = await loopback_node.send_request(
                         address, request_id=f'ordinary-{number}', **request
@@ -106,16 +129,20 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    folder: pathlib.Path, machine: Machine
+    folder: pathlib.Path, machine: Machine, other: OtherService | None = None
 ) -> typing.AsyncIterator[Gateway]:
-    """Run a gateway that is ready, with two targets of one service."""
+    """Run a gateway that is ready, with two targets of one service.
+
+    ``other`` is a service of targets that the caller serves.
+    """
     with anyio.fail_after(BOUND_S):
         async with anyio.create_task_group() as tasks:
             target_by_id = {
                 f'i-{number}': load_targets.create(f'i-{number}')
                 for number in range(2)
             }
-            tree = _settings_of(_serve_store(tasks, target_by_id, machine))
+            store_address = _serve_store(tasks, target_by_id, machine, other)
+            tree = _settings_of(store_address)
             tree['instance']['capacity'] = {'memory_mb': machine.memory_mb}
             path = folder / 'settings.jsonc'
             path.write_bytes(msgspec.json.encode(tree))
@@ -165,6 +192,7 @@
     tasks: anyio.abc.TaskGroup,
     target_by_id: dict[str, load_targets.LoadTarget],
     machine: Machine,
+    other: OtherService | None,
 ) -> str:
     platform_store = store.create()
     for target_id, target in target_by_id.items():
@@ -172,6 +200,12 @@
         platform_store.put(f'servers/{target_id}', published.entry(address))
     configuration = loopback_node.configuration(1)
     configuration['limits'].update(machine.limits)
+    if other is not None:
+        other.publish(platform_store)
+        configuration['routes'].append(other.route())
+        configuration['services'].append(
+            {**configuration['services'][0], 'name': other.name}
+        )
     platform_store.put('op/config', configuration)
     return loopback_node.serve_app(tasks, platform_store)
 
--- a/test/test_answer_reads.py
+++ b/test/test_answer_reads.py
@@ -169,3 +169,161 @@
             assert not entry.runtime.ledger.used_bytes
 
     anyio.run(scenario)
+
+
+class OpenEnded(raw.RawTarget):
+    """Sends bodies without a length; ``may_end`` ends those that still run."""
+
+    def __init__(self, first_bytes, rest=b''):
+        super().__init__()
+        self.first_bytes = first_bytes
+        self.rest = rest
+        self.may_end = anyio.Event()
+
+    async def _answer_next(self, stream):
+        await raw.read_request(stream)
+        await stream.send(b'HTTP/1.1 200 OK\r\n\r\n%b' % self.first_bytes)
+        await self.may_end.wait()
+        await stream.send(self.rest)
+        raise anyio.EndOfStream
+
+
+class Reads:
+    """Exchanges with targets of two services, which share one ledger."""
+
+    def __init__(self, ledger, *targets):
+        self.pool = exchanges.create(takes_unframed=True)
+        self.pool.ledger = ledger
+        self.pool.service_of = lambda target_id: target_id.partition('-')[0]
+        self.excessive = []
+        self.pool.on_excess = lambda where, ended: self.excessive.append(
+            (where.target_id, ended.excess_bytes)
+        )
+        self.targets = targets
+        self.results = []
+
+    async def exchange(self, target_id, silence_ms=5000):
+        """Read the answer of a target, which the name of its service picks."""
+        holding = byte_ledger.Holding(self.pool.ledger, object(), 'any')
+        service = target_id.partition('-')[0]
+        destination = exchanges.Destination(
+            target_id,
+            dict(self.targets)[service].address,
+            False,
+            silence_ms,
+            holding=holding,
+        )
+        request = exchanges.Request(b'GET', b'/', [], b'')
+        result = await self.pool.exchange(destination, request)
+        holding.release()
+        self.results.append((target_id, result))
+
+    def count_answers(self):
+        """Return how many whole answers were read."""
+        found = [result.answer for _, result in self.results if result.answer]
+        assert all(len(answer.body) >= MB for answer in found)
+        return len(found)
+
+    def result_of(self, target_id):
+        return dict(self.results).get(target_id)
+
+
+@contextlib.asynccontextmanager
+async def reading(**target_by_service):
+    async with contextlib.AsyncExitStack() as stack:
+        for target in target_by_service.values():
+            await stack.enter_async_context(raw.running(target))
+        yield Reads(create_ledger(), *target_by_service.items())
+
+
+LARGE_READS = 9
+
+
+async def begin_large(tasks, reads, count=LARGE_READS):
+    """Begin the reads that fill the memory but for the reserve."""
+    ledger = reads.pool.ledger
+    for number in range(count):
+        tasks.start_soon(reads.exchange, f'large-{number}')
+    await helper.wait_until(lambda: ledger.used_bytes >= count * 4 * MB)
+
+
+# Ordinary answers of one service were refused while another held all room.
+def test_answer_of_another_service_displaces_the_largest():
+    async def scenario():
+        large = OpenEnded(b'o' * 4 * MB)
+        small = raw.RawTarget(REPORT % (3 * MB // 2, b'o' * (3 * MB // 2)))
+        async with (
+            reading(large=large, small=small) as reads,
+            anyio.create_task_group() as tasks,
+        ):
+            reads.pool.ledger.add('slow callers', 2 * MB)
+            await begin_large(tasks, reads)
+            await reads.exchange('small-0')
+            assert reads.result_of('small-0').answer is not None
+            displaced = [found for _, found in reads.results[:-1]]
+            assert [found.excess_bytes > 4 * MB for found in displaced] == [
+                True
+            ]
+            assert not displaced[0].memory_short
+            assert displaced[0].verdict is events.Verdict.BROKEN
+            assert not displaced[0].crashed
+            assert reads.excessive == [
+                (reads.results[0][0], displaced[0].excess_bytes)
+            ]
+            large.may_end.set()
+            await helper.wait_until(
+                lambda: len(reads.results) == LARGE_READS + 1
+            )
+            assert reads.count_answers() == LARGE_READS
+            assert not reads.pool.ledger.unfinished_reads
+            assert reads.pool.ledger.used_bytes == 2 * MB
+
+    with_deadline(scenario)
+
+
+# Answers without a length waited for each other until their deadlines.
+def test_answers_without_a_length_give_way_until_the_others_fit():
+    async def scenario():
+        large = OpenEnded(b'o' * 3 * MB, b'o' * MB)
+        async with (
+            reading(large=large) as reads,
+            anyio.create_task_group() as tasks,
+        ):
+            count = 12
+            for number in range(count):
+                tasks.start_soon(reads.exchange, f'large-{number}', 15_000)
+            await helper.wait_until(
+                lambda: reads.pool.ledger.used_bytes >= count * 3 * MB
+            )
+            large.may_end.set()
+            await helper.wait_until(lambda: len(reads.results) == count)
+            assert LARGE_READS <= reads.count_answers() < count
+            assert len(reads.excessive) == count - reads.count_answers()
+            assert not reads.pool.ledger.used_bytes
+
+    with_deadline(scenario)
+
+
+# Guards against healthy targets that are barred because callers read slowly.
+def test_growing_answer_waits_while_callers_fill_the_memory():
+    async def scenario():
+        large = OpenEnded(b'o' * 3 * MB, b'o' * MB)
+        async with (
+            reading(large=large) as reads,
+            anyio.create_task_group() as tasks,
+        ):
+            ledger = reads.pool.ledger
+            slow_bytes = ledger.budget.total_bytes * 3 // 4
+            ledger.add('slow callers', slow_bytes)
+            tasks.start_soon(reads.exchange, 'large-0')
+            tasks.start_soon(reads.exchange, 'large-1')
+            await helper.wait_until(lambda: ledger.used_bytes > slow_bytes)
+            large.may_end.set()
+            await helper.wait_until(lambda: ledger.waiting_answers)
+            assert not reads.results
+            ledger.release('slow callers', slow_bytes)
+            await helper.wait_until(lambda: len(reads.results) == 2)
+            assert reads.count_answers() == 2
+            assert not reads.excessive
+
+    with_deadline(scenario)
--- a/test/test_byte_budgets.py
+++ b/test/test_byte_budgets.py
@@ -159,3 +159,48 @@
     # The share of one client is used up by its own calls then.
     senders = [byte_budgets.Sender(9_000_000, 9000)]
     assert not byte_budgets.choose_refused(senders, 2000, -1)
+
+
+QUARTER = SMALLEST.unfinished_bytes
+
+
+def displaced(claim, *held, service='large'):
+    answers = [
+        byte_budgets.UnfinishedAnswer(held_bytes, service)
+        for held_bytes in held
+    ]
+    answers.append(byte_budgets.UnfinishedAnswer(MB, 'other'))
+    return byte_budgets.choose_displaced(SMALLEST, answers, claim)
+
+
+def claim_of(size, service, *, is_growing=False):
+    return byte_budgets.AnswerClaim(size, service, is_growing)
+
+
+# One service took the room of all others, up to the deadlines of its calls.
+def test_the_largest_answer_of_the_largest_service_gives_way():
+    ordinary = claim_of(200_000, 'other')
+    assert displaced(ordinary, 4 * MB, QUARTER, 3 * MB) == 1
+
+
+def test_calls_of_about_one_size_do_not_displace_each_other():
+    claim = claim_of(QUARTER, 'other')
+    assert displaced(claim, QUARTER, QUARTER) is None
+
+
+def test_answers_give_way_only_where_they_hold_a_quarter():
+    # Slow callers fill the memory then, and no target is to blame.
+    growing = claim_of(MB, 'large', is_growing=True)
+    assert displaced(growing, QUARTER - 2 * MB) is None
+    assert displaced(growing, QUARTER) == 0
+
+
+# Answers without a length waited for each other, and all of them failed.
+def test_growing_answer_displaces_the_largest_of_its_own_service():
+    growing = claim_of(MB, 'large', is_growing=True)
+    assert displaced(growing, QUARTER, 3 * MB, QUARTER + 1) == 2
+
+
+def test_answer_of_known_length_waits_for_others_of_its_service():
+    # They end by themselves, and its own room isn't taken before they do.
+    assert displaced(claim_of(MB, 'large'), QUARTER, 3 * MB) is None
