Read bodies in many small pieces one connection after another

All connections with input are read between two turns of the event loop, so 40 such bodies hold it 40 times as long.

A single one is not slowed down: its turn comes at once.

--- a/oleanderstair/engine/answers.py
+++ b/oleanderstair/engine/answers.py
@@ -82,6 +82,7 @@
     """Parses the bytes of a connection into the answer to its request.
 
     ``is_unusable`` is true once the connection must not carry another request.
+    ``piece_count`` is the number of pieces of bodies in the bytes fed last.
     """
 
     def __init__(self, takes_unframed: bool) -> None:
@@ -111,6 +112,7 @@
         self._answer_count = 0
         self._total_body_bytes = 0
         self.received_bytes = 0
+        self.piece_count = 0
 
     def expect(
         self,
@@ -164,6 +166,7 @@
         if not self.is_expecting:
             self.is_unusable = True
         self.received_bytes += len(chunk)
+        self.piece_count = 0
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserError as error:
@@ -235,6 +238,7 @@
     def on_body(self, body: bytes) -> None:
         """Store a part of the body, or fail the request if it is too large."""
         self._total_body_bytes += len(body)
+        self.piece_count += 1
         if not self.is_expecting:
             return
         if len(self._body) + len(body) <= self._max_bytes:
--- a/oleanderstair/engine/exchanges.py
+++ b/oleanderstair/engine/exchanges.py
@@ -14,6 +14,7 @@
     answers,
     byte_ledger,
     headers,
+    reading_turns,
     target_connections,
 )
 
@@ -158,6 +159,9 @@
     on_excess: OnExcess | None = None
     service_of: ServiceOf = str
     ledger: byte_ledger.ByteLedger | None = None
+    turns: reading_turns.ReadingTurns = msgspec.field(
+        default_factory=reading_turns.create,
+    )
     idle_by_target: dict[str, list[_IdleConnection]] = msgspec.field(
         default_factory=dict,
     )
@@ -302,6 +306,7 @@
         return await target_connections.connect(
             destination.address,
             answers.create(self.allows_unframed),
+            self.turns,
             min(CONNECT_TIMEOUT_MS, destination.silence_ms),
         )
 
--- a/oleanderstair/engine/target_connections.py
+++ b/oleanderstair/engine/target_connections.py
@@ -13,7 +13,12 @@
 import anyio
 
 from oleanderstair import clock
-from oleanderstair.engine import answers, byte_ledger, socket_state
+from oleanderstair.engine import (
+    answers,
+    byte_ledger,
+    reading_turns,
+    socket_state,
+)
 
 MAX_UNACKNOWLEDGED_MS: typing.Final = 3000
 """Maximum time in which the target must acknowledge a small request."""
@@ -96,9 +101,15 @@
     without having acknowledged the whole request.
     """
 
-    def __init__(self, reader: answers.AnswerReader) -> None:
-        """Pass received bytes to ``reader``."""
+    def __init__(
+        self,
+        reader: answers.AnswerReader,
+        turns: reading_turns.ReadingTurns,
+    ) -> None:
+        """Pass received bytes to ``reader``, within the ``turns`` of a pool."""
         self._reader = reader
+        self._turns = turns
+        self._awaits_turn = False
         self._loop = asyncio.get_running_loop()
         self._on_outcome: OnOutcome | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -142,6 +153,10 @@
             return
         self._hold_answer()
         self._deliver_outcome()
+        if self._reader.piece_count > reading_turns.MAX_PIECES:
+            self._awaits_turn = True
+            self._turns.wait(self._take_turn)
+            self._update_reading()
 
     def pause_writing(self) -> None:
         """Keep the rest of a body until the target has read more."""
@@ -357,11 +372,15 @@
         self._stop_waiting = None
         self._update_reading()
 
+    def _take_turn(self) -> None:
+        self._awaits_turn = False
+        self._update_reading()
+
     def _update_reading(self) -> None:
-        """Read unless the answer waits for room."""
+        """Read unless the answer waits for room, or for its turn."""
         if self._transport is None:
             return
-        if self._stop_waiting is not None:
+        if self._awaits_turn or self._stop_waiting is not None:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
@@ -434,6 +453,7 @@
 async def connect(
     address: str,
     reader: answers.AnswerReader,
+    turns: reading_turns.ReadingTurns,
     bound_ms: clock.Millis,
 ) -> Connection:
     """Connect to ``address`` (``host:port``) within ``bound_ms``.
@@ -445,7 +465,7 @@
     try:
         with anyio.fail_after(clock.to_seconds(bound_ms)):
             _, connected = await loop.create_connection(
-                lambda: Connection(reader),
+                lambda: Connection(reader, turns),
                 host,
                 int(port),
             )
