Read a bounded part of an answer to a probe

What callers saw: nothing yet; found by reading the code. A target of an instance that release notes steer could answer a probe with bytes without end. They were all kept until the bound of the probe, so that the instance would run out of memory.

Cause: the endpoints were read with a request of the HTTP library, which returns the whole body.

The head without end was bounded by the library already.

Other tasks get their turn after each piece.

--- a/oleanderstair/engine/probes.py
+++ b/oleanderstair/engine/probes.py
@@ -3,16 +3,20 @@
 import typing
 
 import anyio
+import anyio.lowlevel
 import httpcore
 import msgspec
 
-from oleanderstair import clock
+from oleanderstair import clock, logs
 from oleanderstair.domain import events
 
 HEALTH_PATH: typing.Final = '/-/health'
 LOAD_PATH: typing.Final = '/-/load'
 _MAX_CONNECTIONS: typing.Final = 32
 
+_MAX_BODY_BYTES: typing.Final = 4096
+"""Maximum size of a body; its few fields take some 100 bytes."""
+
 
 class Health(msgspec.Struct):
     """The body of the health endpoint."""
@@ -65,21 +69,35 @@
 
     async def _read_both(self, address: str) -> events.TargetReport | None:
         try:
-            health_answer = await self._pool.request(
-                'GET',
-                f'http://{address}{HEALTH_PATH}',
-            )
-            load_answer = await self._pool.request(
-                'GET',
-                f'http://{address}{LOAD_PATH}',
-            )
+            health_body = await self._read_body(address, HEALTH_PATH)
+            load_body = await self._read_body(address, LOAD_PATH)
         except (httpcore.NetworkError, httpcore.ProtocolError):
             return None
         try:
-            return _parse(health_answer.content, load_answer.content)
+            return _parse(health_body, load_body)
         except msgspec.MsgspecError:
             return None
 
+    async def _read_body(self, address: str, path: str) -> bytes:
+        """Return a body, or an empty one if it is too large.
+
+        The rest of a large one is not read, and its connection is closed.
+        """
+        body = bytearray()
+        async with self._pool.stream(
+            'GET', f'http://{address}{path}'
+        ) as answer:
+            async for part in answer.aiter_stream():
+                body += part
+                # Parts that have been received come without a turn of others.
+                await anyio.lowlevel.checkpoint()
+                if len(body) > _MAX_BODY_BYTES:
+                    logs.log_event(
+                        'probe-too-large', address=address, path=path
+                    )
+                    return b''
+        return bytes(body)
+
 
 def create() -> HttpEndpoints:
     """Create a client of target endpoints over HTTP."""
