Count a failure of a target that closes its new connections

A new connection that the target closed before it received the request was called stale, so that a target which accepts and closes every connection was never ejected. Only a reused connection is stale now; the end of a new one is a failure, and no crash.

Evidence: test_what_the_end_of_a_connection_says has both sides; the tests of connections and of the ledger pass.

--- a/oleanderstair/domain/byte_budgets.py
+++ b/oleanderstair/domain/byte_budgets.py
@@ -131,6 +131,11 @@
     size = held_bytes + more_bytes
     if excess_bytes_of(budget, usage, size, more_bytes) > 0:
         return False
+    return is_within_share(budget, usage, size)
+
+
+def is_within_share(budget: Budget, usage: Usage, size: int) -> bool:
+    """Return whether the share of a holder allows a call of ``size``."""
     if size <= SMALL_BYTES or not usage.holder_bytes:
         return True
     return usage.holder_bytes + size <= budget.holder_bytes
--- a/oleanderstair/domain/lost_connections.py
+++ b/oleanderstair/domain/lost_connections.py
@@ -30,15 +30,23 @@
 
 
 def is_stale(lost: LostConnection) -> bool:
-    """Return whether the target ended the connection before the request.
+    """Return whether the target ended a reused connection before the request.
 
-    Its end then says nothing about the request. After the idle timeout of
-    the target the end comes promptly, whether as a close or as a reset.
+    After the idle timeout of the target the end comes promptly, whether as a
+    close or as a reset.
     """
-    if lost.is_unreceived:
-        return True
+    if not lost.is_reused:
+        return False
     is_prompt = lost.since_written_ms <= STALE_RESET_MS
-    return lost.is_reused and is_prompt and lost.idle_ms >= STALE_MIN_IDLE_MS
+    return lost.is_unreceived or (is_prompt and shows_idle_timeout(lost))
+
+
+def may_be_crash(lost: LostConnection) -> bool:
+    """Return whether the request may have ended the target.
+
+    It can't if the target had not received it.
+    """
+    return not lost.is_unreceived and not is_stale(lost)
 
 
 def shows_idle_timeout(lost: LostConnection) -> bool:
--- a/oleanderstair/engine/byte_ledger.py
+++ b/oleanderstair/engine/byte_ledger.py
@@ -475,7 +475,7 @@
         self._cut_stopped_readers(claim)
         if not self._fits(claim):
             self._refuse_senders(claim)
-        if claim.service:
+        if claim.service and self._is_within_share(claim):
             self._displace_answers(claim)
         return self._fits(claim)
 
@@ -580,6 +580,11 @@
             claim.more_bytes,
         )
 
+    def _is_within_share(self, claim: _Claim) -> bool:
+        return byte_budgets.is_within_share(
+            self.budget, self._usage_beside(claim), claim.size
+        )
+
     def _excess_bytes(self, claim: _Claim) -> int:
         return byte_budgets.excess_bytes_of(
             self.budget,
--- a/oleanderstair/engine/exchanges.py
+++ b/oleanderstair/engine/exchanges.py
@@ -69,11 +69,12 @@
 
     ``answer`` is set if the verdict is ANSWERED or SHED. ``crashed`` is true if
     the connection was lost during the exchange (``AnswerFault.is_lost``) and
-    was not stale, ``unanswered`` if it ended before the first byte of the
-    answer. ``stale`` is true if the target had probably ended the connection
-    before it received the request. ``memory_short`` is true if this instance
-    had no memory for the request or the answer. ``excess_bytes`` is the size
-    of what came if the answer was too large, or had to give way to others.
+    the target may have received the request, ``unanswered`` if it ended before
+    the first byte of the answer. ``stale`` is true if the target had probably
+    ended a reused connection before it received the request. ``memory_short``
+    is true if this instance had no memory for the request or the answer.
+    ``excess_bytes`` is the size of what came if the answer was too large, or
+    had to give way to others.
     """
 
     verdict: events.Verdict
@@ -394,12 +395,14 @@
             since_written_ms=connection.since_written_s() * _MS_PER_S,
             is_unreceived=connection.is_request_unreceived,
         )
+        may_be_crash = lost_connections.may_be_crash(lost)
+        result = result._replace(crashed=result.crashed and may_be_crash)
         if not lost_connections.is_stale(lost):
             return result
         if lost_connections.shows_idle_timeout(lost):
             self._shorten_idle_timeout(destination.target_id, lost.idle_ms)
         self.close_idle(destination.target_id)
-        return result._replace(stale=True, crashed=False)
+        return result._replace(stale=True)
 
     def _shorten_idle_timeout(
         self, target_id: str, idle_ms: clock.Millis
--- a/test/test_answer_reads.py
+++ b/test/test_answer_reads.py
@@ -281,6 +281,18 @@
     with_deadline(scenario)
 
 
+# Guards against answers that give way to a call which has no room either way.
+@in_event_loop
+def test_a_call_beyond_the_share_of_its_connection_displaces_nothing():
+    ledger = create_ledger()
+    read = byte_ledger.Holding(ledger, 'other').begin_read('large')
+    read.grow(ledger.budget.total_bytes * 3 // 4)
+    ledger.add('caller', ledger.budget.holder_bytes)
+    refused = ledger.open('caller', 0, MB, 'small')
+    assert isinstance(refused, byte_ledger.Refusal)
+    assert not read.is_displaced
+
+
 # Answers without a length waited for each other until their deadlines.
 def test_answers_without_a_length_give_way_until_the_others_fit():
     async def scenario():
--- a/test/test_unanswered_requests.py
+++ b/test/test_unanswered_requests.py
@@ -185,3 +185,22 @@
     result, _ = end_after(test_exchanges.WHOLE, pause_ms=0)
     assert result.crashed
     assert not result.stale
+
+
+# A target that closes each new connection is neither crashed by requests nor
+# healthy.
+@pytest.mark.parametrize(
+    ('lost', 'is_stale', 'may_be_crash'),
+    [
+        (lost_connections.LostConnection(False, 0, 1), False, True),
+        (lost_connections.LostConnection(False, 0, 1, True), False, False),
+        (lost_connections.LostConnection(True, 0, 1), False, True),
+        (lost_connections.LostConnection(True, 0, 1, True), True, False),
+        (lost_connections.LostConnection(True, 200, 100), True, False),
+        (lost_connections.LostConnection(True, 199, 100), False, True),
+        (lost_connections.LostConnection(True, 200, 101), False, True),
+    ],
+)
+def test_what_the_end_of_a_connection_says(lost, is_stale, may_be_crash):
+    assert lost_connections.is_stale(lost) is is_stale
+    assert lost_connections.may_be_crash(lost) is may_be_crash
