--- a/review/stage/callers.py
+++ b/review/stage/callers.py
@@ -46,7 +46,9 @@
     return await asyncio.open_connection(host, int(port))
 
 
-async def read_answer(reader: asyncio.StreamReader) -> tuple[int, platform.Fields, int] | None:
+async def read_answer(
+    reader: asyncio.StreamReader,
+) -> tuple[int, platform.Fields, int] | None:
     """Return status, fields and body size of an answer; None if cut short."""
     head = await platform.read_head(reader)
     if head is None:
--- a/review/stage/instances.py
+++ b/review/stage/instances.py
@@ -47,7 +47,14 @@
     'MaxFds': 3075,
 }
 CONTRACTS = [
-    'base', 'drain', 'config', 'cost', 'retry', 'recover', 'health', 'platform',
+    'base',
+    'drain',
+    'config',
+    'cost',
+    'retry',
+    'recover',
+    'health',
+    'platform',
 ]
 
 
--- a/review/stage/platform.py
+++ b/review/stage/platform.py
@@ -114,9 +114,7 @@
 
     async def _answer(self, request: Request) -> typing.Any:
         path, _, query_text = request.target.partition('?')
-        query = dict(
-            urllib.parse.parse_qsl(query_text, keep_blank_values=True)
-        )
+        query = dict(urllib.parse.parse_qsl(query_text, keep_blank_values=True))
         prefix = query.get('prefix', '')
         if path == '/-/kv-range':
             held = [
